--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+VENV := .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format bench capacity schema clean
+
+$(STAMP): requirements-dev.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(PY) -m pip install -q --require-hashes -r requirements-dev.txt
+	$(PY) -m pip install -q --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(STAMP)
+	$(VENV)/bin/croftchute demo
+
+test: $(STAMP)
+	$(PY) -m pytest
+
+lint: $(STAMP)
+	$(VENV)/bin/black --check --quiet src tests
+	$(VENV)/bin/ruff check --quiet src tests
+	$(VENV)/bin/mypy
+
+format: $(STAMP)
+	$(VENV)/bin/black --quiet src tests
+	$(VENV)/bin/ruff check --quiet --fix src tests
+
+bench: $(STAMP)
+	$(PY) -m croftchute.bench.main
+
+capacity: $(STAMP)
+	$(PY) -m croftchute.bench.capacity
+
+schema: $(STAMP)
+	$(PY) -m croftchute.config.schema
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/src/croftchute/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded benchmarks in virtual time and measured slopes."""
--- /dev/null
+++ b/src/croftchute/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/src/croftchute/config/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' configuration: its types, checks, schema and submission."""
--- /dev/null
+++ b/src/croftchute/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: one process, one box."""
--- /dev/null
+++ b/src/croftchute/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP surface that callers use."""
--- /dev/null
+++ b/src/croftchute/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between boxes and the socket that carries them."""
--- /dev/null
+++ b/src/croftchute/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service, behind a Protocol."""
--- /dev/null
+++ b/src/croftchute/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' routing policies, written in Starlark."""
--- /dev/null
+++ b/src/croftchute/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Engines and plain services, behind Protocols."""
