--- a/src/croftchute/config/checks.py
+++ b/src/croftchute/config/checks.py
@@ -113,7 +113,9 @@
         for hall in sorted({engine.hall for engine in pool.engines}):
             missing = _missing_role(pool, hall)
             if missing is not None:
-                yield _fault(f"$.pools[{p}].engines", f"hall {hall!r} has no {missing.value} engine")
+                yield _fault(
+                    f"$.pools[{p}].engines", f"hall {hall!r} has no {missing.value} engine"
+                )
 
 
 def _missing_role(pool: PoolSpec, hall: str) -> Role | None:
--- /dev/null
+++ b/src/croftchute/daemon/box_process.py
@@ -0,0 +1,441 @@
+"""One box as a process: the systems, the runner, and everything that does I/O for them."""
+
+from __future__ import annotations
+
+import random
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+
+import urllib3
+from loguru import logger
+
+from croftchute.clock import ProcessClock
+from croftchute.commands import (
+    CancelAttempt,
+    Command,
+    DecideCall,
+    Emit,
+    FetchShared,
+    PollEngine,
+    ProposeRanges,
+    RefuseRequest,
+    SendPeer,
+    StartAttempt,
+)
+from croftchute.config.checks import parse_document
+from croftchute.config.documents import Document
+from croftchute.daemon.admin import AdminApp
+from croftchute.daemon.metrics import Metrics
+from croftchute.daemon.runner import Job, Runner
+from croftchute.daemon.shared_state import SharedState, fetch_shared
+from croftchute.daemon.store_sync import StoreSync
+from croftchute.errors import Code, CroftchuteError, Ran, UpstreamError
+from croftchute.gateway.app import GatewayApp
+from croftchute.gateway.calls import CallDesk
+from croftchute.gateway.completions import Completion
+from croftchute.gateway.exchange import ExchangeBoard
+from croftchute.gateway.hangups import HangupWatcher
+from croftchute.httpd import HttpServer
+from croftchute.peers.codec import Codec, Envelope
+from croftchute.peers.messages import Body
+from croftchute.peers.socket import PeerSocket
+from croftchute.platform.etcd import EtcdStore
+from croftchute.platform.store import Entry, ListedBox, Store
+from croftchute.policies.runner import PolicyRunner
+from croftchute.settings import Settings
+from croftchute.systems.box import BoxSystems
+from croftchute.systems.entry import AttemptEnd
+from croftchute.tables.boxes import Box, BoxState
+from croftchute.tables.dedupe import RangeMap
+from croftchute.tables.requests import Request
+from croftchute.tables.upstreams import Topology
+from croftchute.timeline.events import Event, Kind
+from croftchute.timeline.ring import EventRing
+from croftchute.timeline.stamps import StampClock
+from croftchute.upstreams.engine import Engine
+from croftchute.upstreams.http_engine import HttpEngine
+from croftchute.upstreams.service import HttpService
+
+POLL_THREADS = 4
+CANCEL_THREADS = 4
+ADMIN_THREADS = 4
+SPARE_THREADS = 16
+DRAIN_CHECK_S = 0.05
+
+
+class BoxProcess:
+    """Everything one box runs; :meth:`start` returns once it listens."""
+
+    def __init__(
+        self, *, settings: Settings, store: Store | None = None, engine: Engine | None = None
+    ) -> None:
+        self.settings = settings
+        self.clock = ProcessClock()
+        self.max_streams = settings.max_streams
+        self.max_body_bytes = settings.max_body_bytes
+        self.board = ExchangeBoard()
+        self.hangups = HangupWatcher()
+        self.metrics = Metrics()
+        self.engine: Engine = engine or HttpEngine()
+        self.codec = Codec(keys=settings.peer_keys.keys)
+        self.shared = SharedState()
+        self.stamps = StampClock()
+        self.ring = EventRing(process=settings.box, clock=self.stamps)
+        self.policies = PolicyRunner(clock=self.clock.now)
+        self.peers = PeerSocket(
+            address=settings.address,
+            port=settings.peer_port,
+            codec=self.codec,
+            receiver=self._received,
+        )
+        self.admin = HttpServer(
+            app=AdminApp(box=self),
+            address=settings.address,
+            port=settings.admin_port,
+            threads=ADMIN_THREADS,
+        )
+        self.http = HttpServer(
+            app=GatewayApp(box=self),
+            address=settings.address,
+            port=settings.http_port,
+            threads=settings.max_streams + SPARE_THREADS,
+        )
+        self.desk = CallDesk(
+            service=HttpService(),
+            submit=self.submit,
+            begin=lambda key, token, minted, now: self.systems.begin_call(key, token, minted, now),
+            finish=lambda finish, now: self.systems.finish_call(finish, now),
+        )
+        self.store: Store = store or EtcdStore(urls=list(settings.store_urls))
+        self.systems: BoxSystems
+        self.runner: Runner
+        self.sync: StoreSync
+        self._seq_by_engine: dict[str, int] = {}
+        self._polling: set[str] = set()
+        self._pool = urllib3.PoolManager(retries=False, maxsize=4)
+        self._polls = ThreadPoolExecutor(POLL_THREADS, thread_name_prefix="poll")
+        self._cancels = ThreadPoolExecutor(CANCEL_THREADS, thread_name_prefix="cancel")
+        self._others = ThreadPoolExecutor(2, thread_name_prefix="other")
+        self._stopping = threading.Event()
+
+    def __repr__(self) -> str:
+        return f"BoxProcess(box={self.settings.box!r}, hall={self.settings.hall!r})"
+
+    @property
+    def topology(self) -> Topology:
+        """The configuration in force, as the systems read it."""
+        return self.systems.topology
+
+    @property
+    def document(self) -> Document | None:
+        """The configuration in force, as the operators wrote it."""
+        return self.shared.document
+
+    @property
+    def draining(self) -> bool:
+        """Whether the box is leaving."""
+        return self.systems.own.state is BoxState.LEAVING
+
+    @property
+    def ready(self) -> bool:
+        """Whether the box should be sent requests."""
+        return self.shared.revision > 0 and not self.draining
+
+    def start(self) -> None:
+        """Listen, meet the peers, and begin to serve."""
+        settings = self.settings
+        self.admin.start()
+        self.http.start()
+        incarnation = int(self.clock.now() * 1e6)
+        own = Box(
+            id=settings.box,
+            hall=settings.hall,
+            address=settings.address,
+            peer_port=self.peers.port,
+            admin_port=self.admin.port,
+            incarnation=incarnation,
+            state=BoxState.LIVE,
+        )
+        self.systems = BoxSystems(
+            own=own,
+            heartbeat_s=settings.heartbeat_s,
+            suspect_after_s=settings.suspect_after_s,
+            poll_s=settings.poll_s,
+            seed=random.SystemRandom().getrandbits(32),
+            order=self.policies.order,
+        )
+        self.meet_settings_peers()
+        self.runner = Runner(
+            clock=self.clock, tick_s=settings.tick_s, tick=self._tick, carry=self._carry
+        )
+        self.sync = StoreSync(
+            store=self.store,
+            is_relay=lambda: self.systems.is_relay,
+            on_config=self._config_from_store,
+            on_ranges=self._ranges_found,
+            on_boxes=self._boxes_listed,
+            on_trouble=self._store_trouble,
+            seed=incarnation,
+        )
+        self.runner.start()
+        self.peers.start()
+        self.hangups.start()
+        self.sync.start()
+        self._others.submit(self._ask_settings_peers)
+
+    def meet_settings_peers(self) -> None:
+        """Make the peers of the settings known."""
+        peers = [
+            Box(
+                id=peer.box,
+                hall=peer.hall,
+                address=peer.address,
+                peer_port=peer.peer_port,
+                admin_port=peer.admin_port,
+            )
+            for peer in self.settings.peers
+        ]
+        self.systems.introduce(peers)
+
+    def drain(self, limit_s: float) -> int:
+        """Take no new work and wait for the open requests; returns how many are left."""
+        self.submit(self._start_draining)
+        waiter = threading.Event()
+        end = self.clock.now() + limit_s
+        while len(self.board) and self.clock.now() < end:
+            waiter.wait(DRAIN_CHECK_S)
+        while self._is_member() and self.clock.now() < end:
+            waiter.wait(DRAIN_CHECK_S)
+        left = len(self.board)
+        self.note(Event(kind=Kind.DRAIN_ENDED, detail=f"{left} requests cut off"))
+        return left
+
+    def stop(self) -> None:
+        """End everything at once."""
+        if self._stopping.is_set():
+            return
+        self._stopping.set()
+        self.sync.stop()
+        self.http.stop()
+        self.runner.stop()
+        self.hangups.stop()
+        self.peers.stop()
+        self.admin.stop()
+        for pool in (self._polls, self._cancels, self._others):
+            pool.shutdown(wait=False, cancel_futures=True)
+
+    def submit(self, job: Job) -> None:
+        """Run a job on the runner's thread."""
+        self.runner.submit(job)
+
+    def url_of(self, engine_id: str) -> str:
+        """Where an engine listens; empty if the configuration does not name it."""
+        fact = self.topology.engines_by_id.get(engine_id)
+        return fact.url if fact is not None else ""
+
+    def arrive(self, request: Request, now: float) -> list[Command]:
+        """Begin a request."""
+        if self.draining and not self._keeps_serving():
+            refusal = RefuseRequest(
+                request_id=request.id, code=Code.DRAINING, ran=Ran.NOT_RUN, retry_after_s=1.0
+            )
+            return [refusal]
+        return self.systems.arrive(request, now)
+
+    def ended(self, end: AttemptEnd, now: float) -> list[Command]:
+        """End an attempt."""
+        return self.systems.ended(end, now)
+
+    def left(self, request_id: str, now: float) -> list[Command]:
+        """A caller left."""
+        return self.systems.gone(request_id, now)
+
+    def note(self, event: Event) -> None:
+        """Put an event on the time line."""
+        self.submit(lambda _: [Emit(event=event)])
+
+    def observe(self, completion: Completion, request: Request, outcome: str) -> None:
+        """Count a completion that is over."""
+        progress = completion.progress
+        self.metrics.requests.inc({"outcome": outcome})
+        if not progress.delivered:
+            return
+        self.metrics.tokens.add({"model": request.model}, progress.delivered)
+        self.metrics.ttft.observe({}, progress.first_token_at - request.arrived_at)
+        if progress.delivered > 1:
+            spread = progress.last_token_at - progress.first_token_at
+            self.metrics.per_token.observe({}, spread / (progress.delivered - 1))
+
+    def _keeps_serving(self) -> bool:
+        """A draining box still takes what its balancer sends before it has noticed."""
+        return not self._stopping.is_set()
+
+    def _is_member(self) -> bool:
+        return bool(self.systems.dedupe.ranges_held) and len(self.systems.membership.live_ids()) > 1
+
+    def _start_draining(self, now: float) -> list[Command]:
+        event = Emit(event=Event(kind=Kind.DRAIN_STARTED))
+        return [event, *self.systems.start_leaving(now)]
+
+    def _tick(self, now: float) -> list[Command]:
+        return self.systems.tick(now)
+
+    def _carry(self, commands: list[Command], now: float) -> None:
+        bodies_by_box: dict[str, list[Body]] = {}
+        for command in commands:
+            match command:
+                case SendPeer():
+                    bodies_by_box.setdefault(command.box, []).append(command.body)
+                case Emit():
+                    self._emit(command.event, now)
+                case StartAttempt():
+                    self._decide(command.plan.request_id, command)
+                case RefuseRequest():
+                    self._decide(command.request_id, command)
+                case DecideCall():
+                    self._decide(command.token, command)
+                case PollEngine():
+                    self._start_poll(command.engine_id)
+                case CancelAttempt():
+                    self._cancels.submit(self._cancel, command)
+                case FetchShared():
+                    self._others.submit(self._fetch, command.box)
+                case ProposeRanges():
+                    self._others.submit(self._propose, command)
+        for box, bodies in bodies_by_box.items():
+            self._send(box, bodies, now)
+
+    def _decide(self, name: str, decision: StartAttempt | RefuseRequest | DecideCall) -> None:
+        if self.board.decide(name, decision) or not isinstance(decision, StartAttempt):
+            return
+        self.submit(lambda now: self.left(name, now))
+
+    def _send(self, box_id: str, bodies: list[Body], now: float) -> None:
+        box = self.systems.membership.boxes_by_id.get(box_id)
+        if box is not None:
+            address = (box.address, box.peer_port)
+            self.peers.send(address, self.settings.box, self.stamps.tick(now), bodies)
+
+    def _emit(self, event: Event, now: float) -> None:
+        self.ring.emit(event, now)
+        self.metrics.events.inc({"kind": event.kind.value})
+        logger.bind(
+            request_id=event.request_id,
+            upstream=event.upstream,
+            attempt=event.attempt,
+            detail=event.detail,
+        ).debug(event.kind.value)
+
+    def _received(self, envelope: Envelope) -> None:
+        def take(now: float) -> list[Command]:
+            self.stamps.witness(envelope.stamp)
+            commands: list[Command] = []
+            for body in envelope.bodies:
+                commands += self.systems.receive(envelope.sender, body, now)
+            return commands
+
+        self.submit(take)
+
+    def _start_poll(self, engine_id: str) -> None:
+        if engine_id not in self._polling:
+            self._polling.add(engine_id)
+            self._polls.submit(self._poll, engine_id)
+
+    def _poll(self, engine_id: str) -> None:
+        try:
+            after = self._seq_by_engine.get(engine_id, 0)
+            now = self.clock.now()
+            report, events = self.engine.report(self.url_of(engine_id), after_seq=after, now=now)
+        except (UpstreamError, ValueError, KeyError, TypeError):
+            self.submit(lambda now: self.systems.engine_failed(engine_id, now))
+            return
+        finally:
+            self._polling.discard(engine_id)
+        if events:
+            self._seq_by_engine[engine_id] = events[-1].seq
+        self.submit(lambda now: self.systems.reported(engine_id, report, events, now))
+
+    def _cancel(self, command: CancelAttempt) -> None:
+        url = self.url_of(command.engine_id)
+        try:
+            done = not url or self.engine.cancel(url, command.key)
+        except UpstreamError:
+            return
+        if done:
+            self.submit(lambda _: self.systems.cancel_confirmed(command.engine_id, command.key))
+
+    def _fetch(self, box_id: str) -> None:
+        box = self.systems.membership.boxes_by_id.get(box_id)
+        if box is not None:
+            self._fetch_from(f"http://{box.address}:{box.admin_port}")
+
+    def _fetch_from(self, url: str) -> bool:
+        try:
+            state = fetch_shared(self._pool, url, self.codec)
+        except CroftchuteError as error:
+            logger.bind(detail=error.message).warning("fetch_failed")
+            return False
+        if state.revision:
+            self._config_found(state.revision, state.raw)
+        self._ranges_found(state.ranges)
+        return state.revision > 0
+
+    def _ask_settings_peers(self) -> None:
+        for peer in self.settings.peers:
+            if self._stopping.is_set() or self.shared.revision:
+                return
+            if self._fetch_from(f"http://{peer.address}:{peer.admin_port}"):
+                return
+
+    def _propose(self, command: ProposeRanges) -> None:
+        found = self.sync.propose(command.version, command.rows)
+        if found is not None:
+            self._ranges_found(found)
+
+    def _config_from_store(self, entry: Entry) -> None:
+        self._config_found(entry.revision, entry.value)
+
+    def _config_found(self, revision: int, raw: bytes) -> None:
+        document = parse_document(raw)
+
+        def apply(now: float) -> list[Command]:
+            if revision <= self.shared.revision:
+                return []
+            self.shared = replace(self.shared, revision=revision, raw=raw, document=document)
+            self.policies.load(document)
+            return self.systems.apply_config(document, revision, now)
+
+        self.submit(apply)
+
+    def _ranges_found(self, ranges: RangeMap) -> None:
+        def apply(now: float) -> list[Command]:
+            if ranges.version <= self.shared.ranges.version:
+                return []
+            self.shared = replace(self.shared, ranges=ranges)
+            return self.systems.learn_ranges(ranges, now)
+
+        self.submit(apply)
+
+    def _boxes_listed(self, listed: list[ListedBox]) -> None:
+        boxes = [
+            Box(
+                id=row.id,
+                hall=row.hall,
+                address=row.address,
+                peer_port=row.peer_port,
+                admin_port=row.admin_port,
+            )
+            for row in listed
+        ]
+        names = frozenset(row.id for row in listed)
+
+        def apply(_: float) -> list[Command]:
+            self.systems.introduce(boxes)
+            self.systems.dedupe.listed(names)
+            return []
+
+        self.submit(apply)
+
+    def _store_trouble(self, message: str) -> None:
+        self.note(Event(kind=Kind.STORE_DOWN, detail=message[:200]))
--- a/src/croftchute/errors.py
+++ b/src/croftchute/errors.py
@@ -160,10 +160,19 @@
 class UpstreamError(CroftchuteError):
     """An upstream call that failed; ``ran`` says what is known of its execution there."""
 
-    def __init__(self, code: Code, message: str, *, ran: Ran, retry_after: float = 0.0) -> None:
+    def __init__(
+        self,
+        code: Code,
+        message: str,
+        *,
+        ran: Ran,
+        retry_after: float = 0.0,
+        upstream: str = "",
+    ) -> None:
         super().__init__(code, message)
         self.ran = ran
         self.retry_after = retry_after
+        self.upstream = upstream
 
 
 class MessageError(CroftchuteError):
--- /dev/null
+++ b/src/croftchute/gateway/app.py
@@ -0,0 +1,257 @@
+"""The callers' HTTP interface as a WSGI application."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Iterable, Iterator
+from typing import Any, Protocol
+
+from croftchute.config.documents import Document
+from croftchute.errors import Code, CroftchuteError, Ran, RequestError, UpstreamError
+from croftchute.gateway.bodies import (
+    CHAT_PATH,
+    error_body,
+    parse_body,
+    read_request,
+    refuse,
+    whole_answer,
+)
+from croftchute.gateway.calls import (
+    CallDesk,
+    CallRequest,
+    Route,
+    find_route,
+    require_key,
+    unknown_path,
+)
+from croftchute.gateway.completions import Box, Completion
+from croftchute.gateway.exchange import ExchangeBoard
+from croftchute.gateway.hangups import HangupWatcher, has_left
+from croftchute.gateway.headers import REQUEST_HEADER, Identity, identify
+from croftchute.httpd import SOCKET_KEY, Environ, StartResponse, read_body, reply
+from croftchute.ids import new_request_id
+from croftchute.tables.requests import Request
+from croftchute.tables.upstreams import Topology
+
+COMPLETION_PATHS = ("/v1/completions", CHAT_PATH)
+MODELS_PATH = "/v1/models"
+STREAM_TYPE = "text/event-stream"
+
+
+class GatewayBox(Box, Protocol):
+    """What the application needs of its box."""
+
+    board: ExchangeBoard
+    hangups: HangupWatcher
+    desk: CallDesk
+    max_streams: int
+    max_body_bytes: int
+
+    @property
+    def topology(self) -> Topology:
+        """The configuration in force, as the systems read it."""
+        ...
+
+    @property
+    def document(self) -> Document | None:
+        """The configuration in force, as the operators wrote it."""
+        ...
+
+    @property
+    def draining(self) -> bool:
+        """Whether the box is leaving and should not be sent new work."""
+        ...
+
+    def observe(self, completion: Completion, request: Request, outcome: str) -> None:
+        """Count a completion that is over."""
+        ...
+
+
+class GatewayApp:
+    """Routes a caller's request to a completion, a plain service or the list of models."""
+
+    def __init__(self, *, box: GatewayBox) -> None:
+        self._box = box
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Serve one HTTP request."""
+        request_id = new_request_id()
+        try:
+            return self._route(environ, start_response, request_id)
+        except RequestError as error:
+            return refuse(start_response, error, ran=Ran.NOT_RUN, request_id=request_id)
+        except UpstreamError as error:
+            return refuse(
+                start_response,
+                error,
+                ran=error.ran,
+                request_id=request_id,
+                retry_after_s=error.retry_after,
+            )
+
+    def _route(
+        self, environ: Environ, start_response: StartResponse, request_id: str
+    ) -> Iterable[bytes]:
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        if path == MODELS_PATH and method == "GET":
+            return self._models(start_response)
+        identity = identify(environ, self._box.topology)
+        raw = self._body(environ)
+        if path in COMPLETION_PATHS and method == "POST":
+            return self._completion(environ, start_response, request_id, identity, raw)
+        document = self._box.document
+        route = find_route(document, self._box.topology.hall, method, path) if document else None
+        if route is None:
+            raise unknown_path(method, path)
+        return self._call(environ, start_response, request_id, identity, raw, route)
+
+    def _body(self, environ: Environ) -> bytes:
+        limit = self._box.max_body_bytes
+        try:
+            length = int(environ.get("CONTENT_LENGTH") or 0)
+        except ValueError:
+            raise RequestError(Code.BAD_REQUEST, "Content-Length is no number") from None
+        if length > limit:
+            message = f"body of {length} bytes, {limit} are allowed"
+            raise RequestError(Code.BODY_TOO_LARGE, message)
+        return read_body(environ)
+
+    def _models(self, start_response: StartResponse) -> Iterable[bytes]:
+        models = [
+            {"id": model.id, "object": "model", "owned_by": model.pool}
+            for model in self._box.topology.models_by_id.values()
+        ]
+        body = json.dumps({"object": "list", "data": models}).encode()
+        return reply(start_response, 200, body)
+
+    def _completion(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        request_id: str,
+        identity: Identity,
+        raw: bytes,
+    ) -> Iterable[bytes]:
+        body = parse_body(raw)
+        request = read_request(
+            body,
+            path=environ["PATH_INFO"],
+            request_id=request_id,
+            identity=identity,
+            topology=self._box.topology,
+            now=self._box.clock.now(),
+        )
+        if len(self._box.board) >= self._box.max_streams:
+            message = f"{self._box.max_streams} requests are open here"
+            raise UpstreamError(Code.NO_CAPACITY, message, ran=Ran.NOT_RUN, retry_after=1.0)
+        events = self._events(environ, request, body)
+        if not body.get("stream", False):
+            chat = environ["PATH_INFO"] == CHAT_PATH
+            answer = whole_answer(events, chat=chat, prompt_tokens=request.prompt_tokens)
+            return reply(start_response, 200, answer, headers={REQUEST_HEADER: request_id})
+        # The status line waits for the first event, so that a refusal has its own status.
+        first = next(events)
+        headers = [("Content-Type", STREAM_TYPE), (REQUEST_HEADER, request_id)]
+        start_response("200 OK", headers)
+        return _Stream(first=first, rest=events, request_id=request_id)
+
+    def _events(self, environ: Environ, request: Request, body: dict[str, Any]) -> Iterator[bytes]:
+        box = self._box
+        exchange = box.board.open(request.id)
+        completion = Completion(
+            box=box, exchange=exchange, request=request, path=environ["PATH_INFO"], body=body
+        )
+
+        def gone() -> None:
+            exchange.leave()
+            box.submit(lambda now: box.left(request.id, now))
+
+        handle = box.hangups.add(environ[SOCKET_KEY], gone)
+        outcome = Code.CALLER_GONE.value
+        try:
+            yield from completion.events()
+            outcome = "ok"
+        except CroftchuteError as error:
+            outcome = error.code.value
+            raise
+        finally:
+            box.hangups.remove(handle)
+            box.board.close(request.id)
+            box.observe(completion, request, outcome)
+
+    def _call(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        request_id: str,
+        identity: Identity,
+        raw: bytes,
+        route: Route,
+    ) -> Iterable[bytes]:
+        key, own_key = require_key(route.call, identity.key, new_request_id)
+        request = CallRequest(
+            route=route,
+            body=raw,
+            content_type=environ.get("CONTENT_TYPE") or "application/json",
+            token=request_id,
+            key=key,
+            own_key=own_key,
+        )
+        exchange = self._box.board.open(request_id)
+        try:
+            answer = self._box.desk.call(request, exchange)
+        finally:
+            self._box.board.close(request_id)
+        whole = reply(
+            start_response,
+            answer.status,
+            answer.body,
+            content_type=answer.content_type,
+            headers={REQUEST_HEADER: request_id},
+        )
+        return _Delivery(
+            pieces=whole, desk=self._box.desk, request=request, sock=environ[SOCKET_KEY]
+        )
+
+
+class _Stream:
+    """The rest of a stream; a failure becomes a last event, since the status has been sent."""
+
+    def __init__(self, *, first: bytes, rest: Iterator[bytes], request_id: str) -> None:
+        self._first = first
+        self._rest = rest
+        self._request_id = request_id
+
+    def __iter__(self) -> Iterator[bytes]:
+        yield self._first
+        try:
+            yield from self._rest
+        except UpstreamError as error:
+            body = error_body(error, error.ran, self._request_id)
+            yield b"event: error\ndata: " + body + b"\n\n"
+
+    def close(self) -> None:
+        """The response is over, whole or not."""
+        close = getattr(self._rest, "close", None)
+        if close is not None:
+            close()
+
+
+class _Delivery:
+    """The answer of a non-repeatable call; notes when all of it has been written."""
+
+    def __init__(
+        self, *, pieces: list[bytes], desk: CallDesk, request: CallRequest, sock: socket.socket
+    ) -> None:
+        self._pieces = pieces
+        self._sock = sock
+        self._desk = desk
+        self._request = request
+
+    def __iter__(self) -> Iterator[bytes]:
+        # Afterwards a caller who has everything may have closed already, so look before.
+        left = has_left(self._sock)
+        yield from self._pieces
+        if not left:
+            self._desk.delivered(self._request)
--- /dev/null
+++ b/src/croftchute/gateway/completions.py
@@ -0,0 +1,198 @@
+"""Serving one completion: asks for a place, runs attempts, passes events on as they come."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from croftchute.clock import ProcessClock
+from croftchute.commands import Command, RefuseRequest, StartAttempt
+from croftchute.errors import Code, Ran, UpstreamError
+from croftchute.gateway.exchange import Exchange
+from croftchute.systems.entry import AttemptEnd
+from croftchute.tables.requests import Plan, Request, attempt_key
+from croftchute.timeline.events import Event, Kind
+from croftchute.upstreams.engine import Engine, EngineCall
+from croftchute.upstreams.http_engine import DONE_EVENT, EVENT_END
+
+DECISION_GRACE_S = 2.0
+
+Job = Callable[[float], list[Command]]
+
+
+class Box(Protocol):
+    """What the gateway needs of its box."""
+
+    clock: ProcessClock
+    engine: Engine
+
+    def submit(self, job: Job) -> None:
+        """Run a job on the runner's thread."""
+        ...
+
+    def url_of(self, engine_id: str) -> str:
+        """Where an engine listens; empty if it is not known any more."""
+        ...
+
+    def arrive(self, request: Request, now: float) -> list[Command]:
+        """Begin a request."""
+        ...
+
+    def ended(self, end: AttemptEnd, now: float) -> list[Command]:
+        """End an attempt."""
+        ...
+
+    def left(self, request_id: str, now: float) -> list[Command]:
+        """A caller left."""
+        ...
+
+    def note(self, event: Event) -> None:
+        """Put an event on the time line."""
+        ...
+
+
+class RefusedError(UpstreamError):
+    """A request that gets no (whole) answer, with what is known of its execution."""
+
+
+@dataclass(kw_only=True, slots=True)
+class Progress:
+    """What the caller of one completion has been given."""
+
+    delivered: int = 0
+    attempts: int = 0
+    first_token_at: float = 0.0
+    last_token_at: float = 0.0
+
+
+class Completion:
+    """One completion request from arrival to its last event."""
+
+    def __init__(
+        self,
+        *,
+        box: Box,
+        exchange: Exchange,
+        request: Request,
+        path: str,
+        body: Mapping[str, Any],
+    ) -> None:
+        self._box = box
+        self._exchange = exchange
+        self._request = request
+        self._path = path
+        self._body = body
+        self._mark = request.id.encode()
+        self.progress = Progress()
+
+    def events(self) -> Iterator[bytes]:
+        """Server-sent events, whole ones; raises :class:`RefusedError` when there are no more."""
+        finished = False
+        request = self._request
+        self._box.submit(lambda now: self._box.arrive(request, now))
+        try:
+            while not finished:
+                plan = self._next_plan()
+                self.progress.attempts = plan.attempt
+                before = self.progress.delivered
+                try:
+                    yield from self._attempt(plan)
+                except UpstreamError as error:
+                    self._end(plan, before, error)
+                    continue
+                finished = True
+                self._end(plan, before, None)
+        finally:
+            if not finished:
+                self._box.submit(lambda now: self._box.left(request.id, now))
+
+    def _next_plan(self) -> Plan:
+        wait = self._request.deadline_at - self._box.clock.now() + DECISION_GRACE_S
+        decision = self._exchange.wait(max(DECISION_GRACE_S, wait))
+        if isinstance(decision, StartAttempt):
+            return decision.plan
+        if isinstance(decision, RefuseRequest):
+            raise RefusedError(
+                decision.code,
+                f"request {self._request.id} refused: {decision.code.value}",
+                ran=decision.ran,
+                retry_after=decision.retry_after_s,
+            )
+        if self._exchange.gone.is_set():
+            raise RefusedError(Code.CALLER_GONE, "the caller left", ran=Ran.UNKNOWN)
+        raise RefusedError(Code.INTERNAL, "no decision in time", ran=Ran.UNKNOWN)
+
+    def _attempt(self, plan: Plan) -> Iterator[bytes]:
+        call = self._call(plan, plan.prefill_id, {})
+        try:
+            params = self._box.engine.prefill(call)
+        except UpstreamError as error:
+            error.upstream = plan.prefill_id
+            raise
+        self._note(Kind.PREFILL_DONE, plan, plan.prefill_id)
+        stream = self._box.engine.decode(self._call(plan, plan.decode_id, params))
+        try:
+            if not self._exchange.attach(stream):
+                raise UpstreamError(Code.CALLER_GONE, "the caller left", ran=Ran.RAN)
+            first = True
+            for events in stream.chunks():
+                if self._mark not in events and not events.endswith(DONE_EVENT):
+                    message = f"{plan.decode_id} sent another request's events"
+                    raise UpstreamError(Code.UPSTREAM_FAILED, message, ran=Ran.RAN)
+                if first:
+                    first = False
+                    self._note(Kind.FIRST_TOKEN, plan, plan.decode_id)
+                self._count(events)
+                yield events
+        finally:
+            stream.close()
+
+    def _count(self, events: bytes) -> None:
+        progress = self.progress
+        progress.last_token_at = self._box.clock.now()
+        if not progress.delivered:
+            progress.first_token_at = progress.last_token_at
+        progress.delivered += events.count(EVENT_END) - events.endswith(DONE_EVENT)
+
+    def _call(self, plan: Plan, engine_id: str, transfer: dict[str, Any]) -> EngineCall:
+        url = self._box.url_of(engine_id)
+        if not url:
+            raise UpstreamError(Code.NO_UPSTREAM, f"{engine_id} is unknown", ran=Ran.NOT_RUN)
+        return EngineCall(
+            url=url,
+            path=self._path,
+            key=attempt_key(plan.request_id, plan.attempt),
+            request_id=plan.request_id,
+            body=self._body,
+            priority=self._request.priority,
+            timeout_s=max(0.05, self._request.deadline_at - self._box.clock.now()),
+            resume_from=self.progress.delivered,
+            transfer=transfer,
+        )
+
+    def _end(self, plan: Plan, before: int, error: UpstreamError | None) -> None:
+        gone = self._exchange.gone.is_set()
+        end = AttemptEnd(
+            request_id=plan.request_id,
+            attempt=plan.attempt,
+            ok=error is None,
+            output_tokens=self.progress.delivered - before,
+            sent=error is None or error.ran is not Ran.NOT_RUN,
+            code=error.code if error is not None else Code.UPSTREAM_FAILED,
+            failed_engine=_failed_engine(plan, error),
+            retryable=not gone,
+        )
+        self._box.submit(lambda now: self._box.ended(end, now))
+
+    def _note(self, kind: Kind, plan: Plan, engine_id: str) -> None:
+        event = Event(
+            kind=kind, request_id=plan.request_id, upstream=engine_id, attempt=plan.attempt
+        )
+        self._box.note(event)
+
+
+def _failed_engine(plan: Plan, error: UpstreamError | None) -> str:
+    if error is None:
+        return ""
+    return error.upstream or plan.decode_id
--- /dev/null
+++ b/src/croftchute/httpd.py
@@ -0,0 +1,112 @@
+"""A cheroot WSGI server on its own thread."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from http import HTTPStatus
+from typing import Any
+
+from cheroot import wsgi
+from cheroot.workers.threadpool import ThreadPool
+from loguru import logger
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+App = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+SOCKET_KEY = "croftchute.socket"
+QUEUE_SIZE = 1024
+SHUTDOWN_S = 2
+
+
+class SocketGateway(wsgi.Gateway_10):
+    """Puts the caller's socket into the environment, so that a hang-up can be seen."""
+
+    def get_environ(self) -> Environ:  # type: ignore[override]
+        """The WSGI environment with the socket added."""
+        environ: Environ = super().get_environ()
+        environ[SOCKET_KEY] = self.req.conn.socket
+        return environ
+
+
+class HttpServer:
+    """A listener and its threads; it accepts connections once :meth:`start` has returned."""
+
+    def __init__(self, *, app: App, address: str, port: int, threads: int) -> None:
+        self._server = wsgi.Server(
+            (address, port),
+            app,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=QUEUE_SIZE,
+            shutdown_timeout=SHUTDOWN_S,
+        )
+        self._server.gateway = SocketGateway
+        self._server.max_request_header_size = 1 << 16
+        self._server.error_log = _log  # type: ignore[method-assign,assignment]
+        self._thread: threading.Thread | None = None
+
+    def __repr__(self) -> str:
+        return f"HttpServer(bind_addr={self._server.bind_addr!r})"
+
+    @property
+    def port(self) -> int:
+        """The port listened on, also where 0 was asked for."""
+        return int(self._server.bind_addr[1])
+
+    @property
+    def pool(self) -> ThreadPool:
+        """The threads that handle requests."""
+        return self._server.requests
+
+    def start(self) -> None:
+        """Bind, listen and serve on a thread of its own."""
+        self._server.prepare()
+        self._thread = threading.Thread(target=self._server.serve, daemon=True, name="http")
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the listener and end the threads."""
+        self._server.stop()
+        if self._thread is not None:
+            self._thread.join(SHUTDOWN_S)
+
+
+def _log(message: str = "", level: int = 20, traceback: bool = False) -> None:
+    """Cheroot's messages, which are about connections that broke, as debug lines."""
+    logger.opt(exception=traceback).bind(level=level, detail=message).debug("http")
+
+
+def read_body(environ: Environ) -> bytes:
+    """The whole request body."""
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    body: bytes = environ["wsgi.input"].read(length) if length else b""
+    return body
+
+
+def reply(
+    start_response: StartResponse,
+    status: int,
+    body: bytes,
+    *,
+    content_type: str = "application/json",
+    headers: Mapping[str, str] | None = None,
+) -> list[bytes]:
+    """A whole response."""
+    lines = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+    lines += list((headers or {}).items())
+    start_response(status_line(status), lines)
+    return [body]
+
+
+def status_line(status: int) -> str:
+    """The status with its phrase.
+
+    >>> status_line(404)
+    '404 Not Found'
+    """
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Other"
--- a/src/croftchute/ids.py
+++ b/src/croftchute/ids.py
@@ -21,7 +21,7 @@
     """The Unix time in seconds at which a UUIDv7 was made.
 
     >>> round(minted_at("01890a5d-ac96-774b-bcce-b302099a8057"))
-    1688114310
+    1688096059
 
     Raises :class:`RequestError` with ``key_invalid`` for anything but a UUIDv7.
     """
--- /dev/null
+++ b/src/croftchute/peers/codec.py
@@ -0,0 +1,154 @@
+"""Encoding of peer messages: Cap'n Proto, packed, with a keyed checksum in front.
+
+A datagram is a 16-byte BLAKE2b tag over the rest, then one packed ``Envelope``.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, fields
+from enum import StrEnum
+from pathlib import Path
+from typing import Any, get_args, get_type_hints
+
+import capnp
+
+from croftchute.errors import MessageError
+from croftchute.peers.messages import Body
+from croftchute.tables.upstreams import ShardDigest
+
+TAG_BYTES = 16
+MAX_DATAGRAM = 60000
+SCHEMA = capnp.load(str(Path(__file__).with_name("schema.capnp")))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Envelope:
+    """A batch of messages from one box, with its hybrid logical time."""
+
+    sender: str
+    stamp: int
+    bodies: tuple[Body, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Field:
+    """How one field of a message class is written and read."""
+
+    name: str
+    wire_name: str
+    write: Callable[[Any], Any]
+    read: Callable[[Any], Any]
+
+
+class Codec:
+    """Encodes and decodes envelopes; the first key signs, any key verifies."""
+
+    def __init__(self, *, keys: Sequence[str]) -> None:
+        self._keys = [key.encode() for key in keys]
+
+    def encode(self, envelope: Envelope) -> bytes:
+        """One datagram; raises :class:`MessageError` if it would be too long."""
+        messages = [{_wire_name(type(b).__name__): _to_wire(b)} for b in envelope.bodies]
+        message = SCHEMA.Envelope.new_message(
+            sender=envelope.sender, stamp=envelope.stamp, messages=messages
+        )
+        payload = message.to_bytes_packed()
+        if len(payload) + TAG_BYTES > MAX_DATAGRAM:
+            raise MessageError(f"{len(payload)} bytes do not fit a datagram")
+        return _tag(self._keys[0], payload) + payload
+
+    def decode(self, datagram: bytes) -> Envelope:
+        """Read a datagram; raises :class:`MessageError` unless it is authentic and whole."""
+        tag, payload = datagram[:TAG_BYTES], datagram[TAG_BYTES:]
+        if not any(hmac.compare_digest(_tag(key, payload), tag) for key in self._keys):
+            raise MessageError("the checksum fits none of the keys")
+        try:
+            message = SCHEMA.Envelope.from_bytes_packed(payload)
+            bodies = tuple(_from_wire(entry) for entry in message.messages)
+            return Envelope(sender=message.sender, stamp=message.stamp, bodies=bodies)
+        except (capnp.KjException, ValueError, KeyError) as error:
+            raise MessageError(f"malformed: {error}") from None
+
+    def sign(self, payload: bytes) -> str:
+        """A hexadecimal tag for bytes that travel another way."""
+        return _tag(self._keys[0], payload).hex()
+
+    def verify(self, payload: bytes, tag: str) -> bool:
+        """Whether a tag of :meth:`sign` fits the bytes."""
+        return any(hmac.compare_digest(_tag(key, payload).hex(), tag) for key in self._keys)
+
+
+def batches(bodies: Iterable[Body], most: int) -> Iterable[tuple[Body, ...]]:
+    """Split bodies into groups of at most ``most``."""
+    group: list[Body] = []
+    for body in bodies:
+        group.append(body)
+        if len(group) >= most:
+            yield tuple(group)
+            group = []
+    if group:
+        yield tuple(group)
+
+
+def _tag(key: bytes, payload: bytes) -> bytes:
+    return hashlib.blake2b(payload, key=key, digest_size=TAG_BYTES).digest()
+
+
+def _wire_name(class_name: str) -> str:
+    return class_name[0].lower() + class_name[1:]
+
+
+def _camel(name: str) -> str:
+    head, *rest = name.split("_")
+    return head + "".join(part.capitalize() for part in rest)
+
+
+def _same(value: Any) -> Any:
+    return value
+
+
+def _plan(kind: type) -> list[_Field]:
+    hints = get_type_hints(kind)
+    plan = []
+    for field in fields(kind):
+        write, read = _converters(hints[field.name])
+        plan.append(_Field(name=field.name, wire_name=_camel(field.name), write=write, read=read))
+    return plan
+
+
+def _converters(hint: Any) -> tuple[Callable[[Any], Any], Callable[[Any], Any]]:
+    if hint == tuple[ShardDigest, ...]:
+        return (
+            lambda value: [_to_wire(entry) for entry in value],
+            lambda value: tuple(_read(ShardDigest, entry) for entry in value),
+        )
+    if getattr(hint, "__origin__", None) is tuple:
+        return list, tuple
+    if isinstance(hint, type) and issubclass(hint, StrEnum):
+        return str, hint
+    if hint is bytes:
+        return bytes, bytes
+    return _same, _same
+
+
+_KINDS: dict[str, type] = {_wire_name(kind.__name__): kind for kind in get_args(Body)}
+_PLANS: dict[type, list[_Field]] = {kind: _plan(kind) for kind in [*get_args(Body), ShardDigest]}
+
+
+def _to_wire(body: Any) -> dict[str, Any]:
+    return {field.wire_name: field.write(getattr(body, field.name)) for field in _PLANS[type(body)]}
+
+
+def _read(kind: type, wire: Any) -> Any:
+    return kind(
+        **{field.name: field.read(getattr(wire, field.wire_name)) for field in _PLANS[kind]}
+    )
+
+
+def _from_wire(entry: Any) -> Body:
+    which = str(entry.which())
+    body: Body = _read(_KINDS[which], getattr(entry, which))
+    return body
--- /dev/null
+++ b/src/croftchute/peers/messages.py
@@ -0,0 +1,184 @@
+"""Messages between boxes; each class has a struct of the same name in ``schema.capnp``."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from croftchute.errors import Code
+from croftchute.tables.upstreams import ShardDigest
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Heartbeat:
+    """I am alive; sent to each peer at an interval, with digests of the shards owned."""
+
+    incarnation: int
+    hall: str
+    address: str
+    peer_port: int
+    admin_port: int
+    revision: int
+    map_version: int
+    leaving: bool
+    digests: tuple[ShardDigest, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reserve:
+    """Asks the owner of a shard for a place; sent again unchanged if no answer comes."""
+
+    request_id: str
+    attempt: int
+    shard: str
+    model: str
+    caller: str
+    priority: int
+    prompt_tokens: int
+    max_tokens: int
+    resume_from: int
+    waited_s: float
+    time_left_s: float
+    prefix: tuple[int, ...] = ()
+    avoid: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Granted:
+    """The owner's yes, with the engines to use."""
+
+    request_id: str
+    attempt: int
+    shard: str
+    prefill_id: str
+    decode_id: str
+    expected_output: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Declined:
+    """The owner's no; nothing is held for the attempt."""
+
+    request_id: str
+    attempt: int
+    shard: str
+    code: Code
+    retry_after_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Released:
+    """An attempt is over. ``confirmed`` is false while its engines may still hold it."""
+
+    request_id: str
+    attempt: int
+    shard: str
+    output_tokens: int
+    confirmed: bool
+    failed_engine: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Announced:
+    """Tells a new owner of a reservation that its predecessor had granted."""
+
+    request_id: str
+    attempt: int
+    shard: str
+    caller: str
+    priority: int
+    prefill_id: str
+    decode_id: str
+    prompt_tokens: int
+    expected_output: float
+    time_left_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Audit:
+    """An owner asks an entry box which of these attempts are still open."""
+
+    shard: str
+    keys: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Audited:
+    """The answer to :class:`Audit`: the attempts among those asked that are open."""
+
+    shard: str
+    asked: tuple[str, ...]
+    open: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Begin:
+    """Asks the first box of a key range whether a non-repeatable call may run."""
+
+    key: str
+    token: str
+    epoch: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Mirror:
+    """The first box has the second write down a record, under an epoch."""
+
+    key: str
+    token: str
+    epoch: int
+    phase: str
+    answer: bytes = b""
+    status: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Mirrored:
+    """The second box's word on a :class:`Mirror`."""
+
+    key: str
+    token: str
+    epoch: int
+    phase: str
+    accepted: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """The first box's answer to :class:`Begin` or :class:`Finish`."""
+
+    key: str
+    token: str
+    decision: str
+    code: str = ""
+    answer: bytes = b""
+    status: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Finish:
+    """What came of a call: ``phase`` is a record's phase."""
+
+    key: str
+    token: str
+    epoch: int
+    phase: str
+    answer: bytes = b""
+    status: int = 0
+
+
+Body: TypeAlias = (
+    Heartbeat
+    | Reserve
+    | Granted
+    | Declined
+    | Released
+    | Announced
+    | Audit
+    | Audited
+    | Begin
+    | Mirror
+    | Mirrored
+    | Verdict
+    | Finish
+)
--- /dev/null
+++ b/src/croftchute/peers/schema.capnp
@@ -0,0 +1,153 @@
+@0xd1f0a3b7c25e8e41;
+# Messages between boxes of croftchute. Struct and field names are those of messages.py.
+
+struct Envelope {
+  sender @0 :Text;
+  stamp @1 :UInt64;
+  messages @2 :List(Message);
+}
+
+struct Message {
+  union {
+    heartbeat @0 :Heartbeat;
+    reserve @1 :Reserve;
+    granted @2 :Granted;
+    declined @3 :Declined;
+    released @4 :Released;
+    announced @5 :Announced;
+    audit @6 :Audit;
+    audited @7 :Audited;
+    begin @8 :Begin;
+    mirror @9 :Mirror;
+    mirrored @10 :Mirrored;
+    verdict @11 :Verdict;
+    finish @12 :Finish;
+  }
+}
+
+struct ShardDigest {
+  shard @0 :Text;
+  at @1 :Float64;
+  prefillWaitS @2 :Float32;
+  freeKvTokens @3 :UInt32;
+  freeSlots @4 :UInt32;
+}
+
+struct Heartbeat {
+  incarnation @0 :UInt64;
+  hall @1 :Text;
+  address @2 :Text;
+  peerPort @3 :UInt16;
+  adminPort @4 :UInt16;
+  revision @5 :UInt64;
+  mapVersion @6 :UInt64;
+  leaving @7 :Bool;
+  digests @8 :List(ShardDigest);
+}
+
+struct Reserve {
+  requestId @0 :Text;
+  attempt @1 :UInt16;
+  shard @2 :Text;
+  model @3 :Text;
+  caller @4 :Text;
+  priority @5 :UInt8;
+  promptTokens @6 :UInt32;
+  maxTokens @7 :UInt32;
+  resumeFrom @8 :UInt32;
+  waitedS @9 :Float32;
+  timeLeftS @10 :Float32;
+  prefix @11 :List(UInt64);
+  avoid @12 :List(Text);
+}
+
+struct Granted {
+  requestId @0 :Text;
+  attempt @1 :UInt16;
+  shard @2 :Text;
+  prefillId @3 :Text;
+  decodeId @4 :Text;
+  expectedOutput @5 :Float32;
+}
+
+struct Declined {
+  requestId @0 :Text;
+  attempt @1 :UInt16;
+  shard @2 :Text;
+  code @3 :Text;
+  retryAfterS @4 :Float32;
+}
+
+struct Released {
+  requestId @0 :Text;
+  attempt @1 :UInt16;
+  shard @2 :Text;
+  outputTokens @3 :UInt32;
+  confirmed @4 :Bool;
+  failedEngine @5 :Text;
+}
+
+struct Announced {
+  requestId @0 :Text;
+  attempt @1 :UInt16;
+  shard @2 :Text;
+  caller @3 :Text;
+  priority @4 :UInt8;
+  prefillId @5 :Text;
+  decodeId @6 :Text;
+  promptTokens @7 :UInt32;
+  expectedOutput @8 :Float32;
+  timeLeftS @9 :Float32;
+}
+
+struct Audit {
+  shard @0 :Text;
+  keys @1 :List(Text);
+}
+
+struct Audited {
+  shard @0 :Text;
+  asked @1 :List(Text);
+  open @2 :List(Text);
+}
+
+struct Begin {
+  key @0 :Text;
+  token @1 :Text;
+  epoch @2 :Int64;
+}
+
+struct Mirror {
+  key @0 :Text;
+  token @1 :Text;
+  epoch @2 :Int64;
+  phase @3 :Text;
+  answer @4 :Data;
+  status @5 :UInt16;
+}
+
+struct Mirrored {
+  key @0 :Text;
+  token @1 :Text;
+  epoch @2 :Int64;
+  phase @3 :Text;
+  accepted @4 :Bool;
+}
+
+struct Verdict {
+  key @0 :Text;
+  token @1 :Text;
+  decision @2 :Text;
+  code @3 :Text;
+  answer @4 :Data;
+  status @5 :UInt16;
+}
+
+struct Finish {
+  key @0 :Text;
+  token @1 :Text;
+  epoch @2 :Int64;
+  phase @3 :Text;
+  answer @4 :Data;
+  status @5 :UInt16;
+}
--- /dev/null
+++ b/src/croftchute/policies/runner.py
@@ -0,0 +1,87 @@
+"""Running policies at placement: any failure or overrun keeps the built-in order."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from croftchute.config.documents import Document
+from croftchute.errors import PolicyError
+from croftchute.peers.messages import Reserve
+from croftchute.policies.starlark_policy import CompiledPolicy, compile_policy
+from croftchute.systems.owner import Ordered
+from croftchute.systems.placement import Placement
+
+OVERRUN_S = 0.002
+REST_AFTER_FAILURES = 5
+REST_S = 10.0
+
+
+class PolicyRunner:
+    """The policies in force; one that keeps failing is rested for a while.
+
+    ``clock`` gives seconds and serves only to notice overruns.
+    """
+
+    def __init__(self, *, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.failures_by_policy: dict[str, int] = {}
+        self._compiled_by_name: dict[str, CompiledPolicy] = {}
+        self._rests_until: dict[str, float] = {}
+
+    def load(self, document: Document) -> None:
+        """Put a checked document's policies in force."""
+        self._compiled_by_name = {
+            policy.id: compile_policy(policy.id, policy.source) for policy in document.policies
+        }
+        self.failures_by_policy.clear()
+        self._rests_until.clear()
+
+    def order(self, policy: str, ask: Reserve, placements: Sequence[Placement]) -> Ordered:
+        """The placements as the policy orders them."""
+        compiled = self._compiled_by_name.get(policy)
+        started = self.clock()
+        if compiled is None or started < self._rests_until.get(policy, 0.0):
+            return Ordered(placements=placements, failure=f"{policy}: resting")
+        by_id = {_candidate_id(placement): placement for placement in placements}
+        try:
+            ids = compiled.order(_request(ask), [_candidate(p, placements) for p in placements])
+        except PolicyError as error:
+            return self._failed(policy, placements, error.message)
+        if self.clock() - started > OVERRUN_S:
+            return self._failed(policy, placements, f"{policy}: overran {OVERRUN_S} s")
+        self.failures_by_policy[policy] = 0
+        return Ordered(placements=[by_id[id] for id in ids])
+
+    def _failed(self, policy: str, placements: Sequence[Placement], failure: str) -> Ordered:
+        count = self.failures_by_policy.get(policy, 0) + 1
+        self.failures_by_policy[policy] = count
+        if count >= REST_AFTER_FAILURES:
+            self._rests_until[policy] = self.clock() + REST_S
+            self.failures_by_policy[policy] = 0
+        return Ordered(placements=placements, failure=failure)
+
+
+def _candidate_id(placement: Placement) -> str:
+    return f"{placement.prefill_id}>{placement.decode_id}"
+
+
+def _candidate(placement: Placement, placements: Sequence[Placement]) -> dict[str, str | float]:
+    earliest = placements[0].first_token_at
+    return {
+        "id": _candidate_id(placement),
+        "prefill": placement.prefill_id,
+        "decode": placement.decode_id,
+        "uncached_tokens": placement.uncached_tokens,
+        "later_s": placement.first_token_at - earliest,
+    }
+
+
+def _request(ask: Reserve) -> dict[str, str | int | float]:
+    return {
+        "caller": ask.caller,
+        "model": ask.model,
+        "priority": ask.priority,
+        "prompt_tokens": ask.prompt_tokens,
+        "max_tokens": ask.max_tokens,
+        "waited_s": ask.waited_s,
+    }
--- /dev/null
+++ b/src/croftchute/systems/cancels.py
@@ -0,0 +1,63 @@
+"""Cancels on engines, repeated until the engine confirms or is gone."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from croftchute.commands import CancelAttempt, Command, Emit
+from croftchute.timeline.events import Event, Kind
+
+RETRY_S = 0.2
+MAX_RETRY_S = 2.0
+GIVE_UP_S = 120.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PendingCancel:
+    """A cancel that has not been confirmed."""
+
+    engine_id: str
+    key: str
+    since: float
+    next_at: float
+    tries: int = 0
+
+
+class Cancels:
+    """Cancels under way, by engine and attempt."""
+
+    def __init__(self) -> None:
+        self.pending_by_target: dict[tuple[str, str], PendingCancel] = {}
+
+    def add(self, engine_id: str, key: str, now: float) -> list[Command]:
+        """Begin to cancel an attempt at an engine; a cancel under way is left alone."""
+        target = (engine_id, key)
+        if not engine_id or target in self.pending_by_target:
+            return []
+        self.pending_by_target[target] = PendingCancel(
+            engine_id=engine_id, key=key, since=now, next_at=now
+        )
+        return self.tick(now)
+
+    def confirm(self, engine_id: str, key: str) -> list[Command]:
+        """The engine holds nothing for the attempt any more."""
+        if self.pending_by_target.pop((engine_id, key), None) is None:
+            return []
+        event = Event(kind=Kind.CANCEL_CONFIRMED, upstream=engine_id, request_id=key)
+        return [Emit(event=event)]
+
+    def tick(self, now: float) -> list[Command]:
+        """Send the cancels that are due."""
+        commands: list[Command] = []
+        for target, cancel in list(self.pending_by_target.items()):
+            if now - cancel.since > GIVE_UP_S:
+                del self.pending_by_target[target]
+                continue
+            if now < cancel.next_at:
+                continue
+            wait = min(MAX_RETRY_S, RETRY_S * (2**cancel.tries))
+            self.pending_by_target[target] = replace(
+                cancel, next_at=now + wait, tries=cancel.tries + 1
+            )
+            commands.append(CancelAttempt(engine_id=cancel.engine_id, key=cancel.key))
+        return commands
--- /dev/null
+++ b/src/croftchute/systems/dedupe.py
@@ -0,0 +1,397 @@
+"""At most once: a non-repeatable call runs only on the word of both boxes of its key's range.
+
+The first box of a range lets a call run after the second has written the record down under the
+same epoch. A box that has been replaced finds that the other no longer answers to its epoch, so
+neither clocks nor leases are trusted. A range without its second lets nothing run.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from croftchute.commands import Command, DecideCall, Emit, SendPeer
+from croftchute.errors import Code
+from croftchute.peers.messages import Begin, Body, Finish, Mirror, Mirrored, Verdict
+from croftchute.systems.dedupe_map import CLOCK_SKEW_S
+from croftchute.tables.dedupe import (
+    EMPTY_MAP,
+    Decision,
+    Member,
+    Phase,
+    RangeMap,
+    RangeRow,
+    Record,
+    range_of,
+)
+from croftchute.timeline.events import Event, Kind
+
+RETRY_S = 0.1
+GIVE_UP_S = 1.0
+FINISH_GIVE_UP_S = 30.0
+SYNC_RETRY_S = 0.5
+RUNNING_LIMIT_S = 60.0
+RECORD_TTL_S = 900.0
+SWEEP_S = 5.0
+MAX_STORED_ANSWER = 32768
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Waiting:
+    """A message of an entry box that the first box of a range has not answered."""
+
+    key: str
+    body: Begin | Finish
+    since: float
+    sent_at: float
+
+
+class Dedupe:
+    """This box's part in at-most-once execution: as entry box, as first and as second."""
+
+    def __init__(self, *, box: str, incarnation: int) -> None:
+        self.own = Member(box=box, incarnation=incarnation)
+        self.map = EMPTY_MAP
+        self.records_by_key: dict[str, Record] = {}
+        self.held_epoch_by_range: dict[int, int] = {}
+        self.ready_epoch_by_range: dict[int, int] = {}
+        self._rows_by_index: dict[int, RangeRow] = {}
+        self._waiting_by_token: dict[str, Waiting] = {}
+        self._asker_by_token: dict[str, tuple[str, bool]] = {}
+        self._unsynced_by_range: dict[int, set[str]] = {}
+        self._next_sync_at = 0.0
+        self._next_sweep_at = 0.0
+        self._ended: set[Member] = set()
+        self._listed: frozenset[str] = frozenset()
+
+    def __repr__(self) -> str:
+        held = len(self.records_by_key)
+        return f"Dedupe(box={self.own.box!r}, map={self.map.version}, records={held})"
+
+    def restarted(self, box: str, incarnation: int) -> list[Command]:
+        """A box came back under a new incarnation: its earlier one has ended."""
+        for row in self.map.rows:
+            for member in (row.first, row.second):
+                if member.box == box and member.incarnation < incarnation:
+                    self._ended.add(member)
+        return []
+
+    def has_ended(self, member: Member) -> bool:
+        """Whether it is certain that a member's process is no more."""
+        if member.box == self.own.box:
+            return member.incarnation < self.own.incarnation
+        return member in self._ended
+
+    def holds(self, index: int) -> bool:
+        """Whether this box holds all records of a range under the epoch in force."""
+        row = self._rows_by_index.get(index)
+        return row is not None and self.held_epoch_by_range.get(index) == row.epoch
+
+    def is_ready(self, index: int) -> bool:
+        """Whether this box, as first, knows that the second holds all records too."""
+        row = self._rows_by_index.get(index)
+        return row is not None and self.ready_epoch_by_range.get(index) == row.epoch
+
+    @property
+    def ranges_held(self) -> list[int]:
+        """Ranges in whose pair this box is, by the map in force."""
+        return [row.index for row in self.map.rows if self.own in (row.first, row.second)]
+
+    def listed(self, boxes: frozenset[str]) -> None:
+        """The platform's list of boxes: one that was on it and no longer is has ended."""
+        for row in self.map.rows:
+            for member in (row.first, row.second):
+                if member.box in self._listed and member.box not in boxes:
+                    self._ended.add(member)
+        self._listed = boxes
+
+    def learn(self, known: RangeMap, now: float) -> list[Command]:
+        """Put a newer map in force; ranges gained are synchronised before they are used."""
+        if known.version <= self.map.version:
+            return []
+        self.map = known
+        before = self._rows_by_index
+        self._rows_by_index = {row.index: row for row in known.rows}
+        for row in known.rows:
+            earlier = before.get(row.index)
+            if earlier is None or earlier.epoch != row.epoch:
+                self._new_epoch(row, earlier)
+        self._next_sync_at = now
+        detail = f"version {known.version}, in {len(self.ranges_held)} pairs"
+        event = Event(kind=Kind.DEDUPE_EPOCH, detail=detail)
+        return [Emit(event=event), *self.tick(now)]
+
+    def ask(self, key: str, token: str, minted: float | None, now: float) -> list[Command]:
+        """Entry side: may this call run? The answer comes as a :class:`DecideCall`.
+
+        ``minted`` is when the caller made the key, None if this box made it for this call: such
+        a key cannot have run before.
+        """
+        row = self._rows_by_index.get(range_of(key))
+        if minted is not None and minted > now + CLOCK_SKEW_S:
+            return [_decide(token, Decision.REFUSE, Code.KEY_INVALID)]
+        if row is None:
+            return [_decide(token, Decision.REFUSE, Code.DEDUPE_UNAVAILABLE)]
+        if minted is not None and minted < max(row.floor, now - RECORD_TTL_S + CLOCK_SKEW_S):
+            return self._ask_first(row, key, token, now, old=True)
+        return self._ask_first(row, key, token, now, old=False)
+
+    def tell(self, finish: Finish, now: float) -> list[Command]:
+        """Entry side: what came of a call; repeated until the first box has it."""
+        row = self._rows_by_index.get(range_of(finish.key))
+        if row is None:
+            return []
+        body = replace(finish, epoch=row.epoch)
+        waiting = Waiting(key=finish.key, body=body, since=now, sent_at=now)
+        self._waiting_by_token[f"{finish.token}/{finish.phase}"] = waiting
+        return [SendPeer(box=row.first.box, body=body)]
+
+    def receive(self, sender: str, body: Body, now: float) -> list[Command]:
+        """Take in any message of this system."""
+        match body:
+            case Begin():
+                return self._begin(sender, body, now)
+            case Mirror():
+                return self._mirror(sender, body, now)
+            case Mirrored():
+                return self._mirrored(body, now)
+            case Verdict():
+                return self._verdict(body, now)
+            case Finish():
+                return self._finish(sender, body, now)
+        return []
+
+    def tick(self, now: float) -> list[Command]:
+        """Repeat what was not answered, synchronise new seconds, drop old records."""
+        commands = self._repeat(now)
+        if now >= self._next_sync_at:
+            self._next_sync_at = now + SYNC_RETRY_S
+            commands += self._synchronise(now)
+        if now >= self._next_sweep_at:
+            self._next_sweep_at = now + SWEEP_S
+            self._sweep(now)
+        return commands
+
+    def _ask_first(
+        self, row: RangeRow, key: str, token: str, now: float, *, old: bool
+    ) -> list[Command]:
+        # An old key may only be looked up: an empty token asks for that.
+        body = Begin(key=key, token=token, epoch=-row.epoch if old else row.epoch)
+        self._waiting_by_token[token] = Waiting(key=key, body=body, since=now, sent_at=now)
+        return [SendPeer(box=row.first.box, body=body)]
+
+    def _begin(self, sender: str, body: Begin, now: float) -> list[Command]:
+        row = self._rows_by_index.get(range_of(body.key))
+        if row is None or row.first != self.own or abs(body.epoch) != row.epoch:
+            return []
+        if not self.is_ready(row.index):
+            return []
+        record = self.records_by_key.get(body.key)
+        if record is not None:
+            return [SendPeer(box=sender, body=self._repeat_verdict(record, body, now))]
+        if body.epoch < 0:
+            return [SendPeer(box=sender, body=_refusal(body, Code.OUTCOME_UNKNOWN))]
+        self._asker_by_token[body.token] = (sender, True)
+        mirror = Mirror(key=body.key, token=body.token, epoch=row.epoch, phase=Phase.GRANTED)
+        return [SendPeer(box=row.second.box, body=mirror)]
+
+    def _repeat_verdict(self, record: Record, body: Begin, now: float) -> Verdict:
+        if record.token == body.token and record.phase is Phase.GRANTED:
+            return Verdict(key=body.key, token=body.token, decision=Decision.RUN)
+        if record.phase is Phase.DONE:
+            return Verdict(
+                key=body.key,
+                token=body.token,
+                decision=Decision.STORED,
+                answer=record.answer,
+                status=record.status,
+            )
+        if record.phase is Phase.DELIVERED:
+            return _refusal(body, Code.ALREADY_ANSWERED)
+        running = record.phase is Phase.GRANTED and now - record.at < RUNNING_LIMIT_S
+        return _refusal(body, Code.IN_PROGRESS if running else Code.OUTCOME_UNKNOWN)
+
+    def _mirror(self, sender: str, body: Mirror, now: float) -> list[Command]:
+        index = int(body.key) if body.phase == Phase.SYNCED else range_of(body.key)
+        row = self._rows_by_index.get(index)
+        accepted = row is not None and row.second == self.own and row.epoch == body.epoch
+        if accepted and body.phase == Phase.SYNCED:
+            self.held_epoch_by_range[index] = body.epoch
+        elif accepted:
+            accepted = self._write(body, now)
+        answer = Mirrored(
+            key=body.key, token=body.token, epoch=body.epoch, phase=body.phase, accepted=accepted
+        )
+        return [SendPeer(box=sender, body=answer)]
+
+    def _write(self, body: Mirror | Finish, now: float) -> bool:
+        """Write a record; false if another try holds the key or a later phase is known."""
+        held = self.records_by_key.get(body.key)
+        phase = Phase(body.phase)
+        if held is not None and held.token != body.token:
+            return False
+        if phase is Phase.ABANDONED:
+            self.records_by_key.pop(body.key, None)
+            return True
+        if held is not None and _order(held.phase) > _order(phase):
+            return True
+        self.records_by_key[body.key] = Record(
+            key=body.key,
+            token=body.token,
+            phase=phase,
+            at=now,
+            answer=b"" if phase is Phase.DELIVERED else body.answer,
+            status=body.status,
+        )
+        return True
+
+    def _mirrored(self, body: Mirrored, now: float) -> list[Command]:
+        index = int(body.key) if body.phase == Phase.SYNCED else range_of(body.key)
+        row = self._rows_by_index.get(index)
+        if row is None or row.first != self.own or row.epoch != body.epoch or not body.accepted:
+            return []
+        if body.phase == Phase.SYNCED:
+            self.ready_epoch_by_range[index] = row.epoch
+            return []
+        self._unsynced_by_range.get(index, set()).discard(body.key)
+        asker, is_begin = self._asker_by_token.pop(body.token, ("", False))
+        if not asker:
+            return []
+        if is_begin and body.phase == Phase.GRANTED:
+            return self._let_run(asker, body, now)
+        verdict = Verdict(key=body.key, token=body.token, decision=Decision.NOTED, code=body.phase)
+        return [SendPeer(box=asker, body=verdict)]
+
+    def _let_run(self, asker: str, body: Mirrored, now: float) -> list[Command]:
+        held = self.records_by_key.get(body.key)
+        if held is not None and held.token != body.token:
+            return []
+        self.records_by_key[body.key] = Record(
+            key=body.key, token=body.token, phase=Phase.GRANTED, at=now
+        )
+        verdict = Verdict(key=body.key, token=body.token, decision=Decision.RUN)
+        event = Event(kind=Kind.CALL_ALLOWED, request_id=body.token, detail=f"epoch {body.epoch}")
+        return [Emit(event=event), SendPeer(box=asker, body=verdict)]
+
+    def _finish(self, sender: str, body: Finish, now: float) -> list[Command]:
+        row = self._rows_by_index.get(range_of(body.key))
+        if row is None or row.first != self.own or row.epoch != body.epoch:
+            return []
+        if not self._write(body, now):
+            return []
+        self._asker_by_token[body.token] = (sender, False)
+        mirror = Mirror(
+            key=body.key,
+            token=body.token,
+            epoch=row.epoch,
+            phase=body.phase,
+            answer=body.answer,
+            status=body.status,
+        )
+        return [SendPeer(box=row.second.box, body=mirror)]
+
+    def _verdict(self, body: Verdict, now: float) -> list[Command]:
+        if body.decision == Decision.NOTED:
+            self._waiting_by_token.pop(f"{body.token}/{body.code}", None)
+            return []
+        if self._waiting_by_token.pop(body.token, None) is None:
+            return []
+        return [
+            DecideCall(
+                token=body.token,
+                decision=body.decision,
+                code=body.code,
+                answer=body.answer,
+                status=body.status,
+            )
+        ]
+
+    def _repeat(self, now: float) -> list[Command]:
+        commands: list[Command] = []
+        for name, waiting in list(self._waiting_by_token.items()):
+            begins = isinstance(waiting.body, Begin)
+            if now - waiting.since > (GIVE_UP_S if begins else FINISH_GIVE_UP_S):
+                del self._waiting_by_token[name]
+                if begins:
+                    commands += self._abandon(waiting, now)
+                continue
+            if now - waiting.sent_at < RETRY_S:
+                continue
+            row = self._rows_by_index[range_of(waiting.key)]
+            sign = -1 if waiting.body.epoch < 0 else 1
+            body = replace(waiting.body, epoch=sign * row.epoch)
+            self._waiting_by_token[name] = replace(waiting, body=body, sent_at=now)
+            commands.append(SendPeer(box=row.first.box, body=body))
+        return commands
+
+    def _abandon(self, waiting: Waiting, now: float) -> list[Command]:
+        """Give up on a verdict. The call will never run, so the key may be tried again."""
+        token = waiting.body.token
+        finish = Finish(
+            key=waiting.key, token=token, epoch=waiting.body.epoch, phase=Phase.ABANDONED
+        )
+        decide = _decide(token, Decision.REFUSE, Code.DEDUPE_UNAVAILABLE)
+        return [decide, *self.tell(finish, now)]
+
+    def _new_epoch(self, row: RangeRow, earlier: RangeRow | None) -> None:
+        """Begin a range's new epoch: keep the records only as the survivor of a pair."""
+        held = earlier is not None and self.held_epoch_by_range.get(row.index) == earlier.epoch
+        continues = held and earlier is not None and row.epoch == earlier.epoch + 1
+        begins_anew = row.floor_epoch == row.epoch
+        self.held_epoch_by_range.pop(row.index, None)
+        self._unsynced_by_range.pop(row.index, None)
+        mine = [key for key in self.records_by_key if range_of(key) == row.index]
+        if row.first == self.own and continues and not begins_anew:
+            self.held_epoch_by_range[row.index] = row.epoch
+            self._unsynced_by_range[row.index] = set(mine)
+        else:
+            for key in mine:
+                del self.records_by_key[key]
+        if row.first == self.own and begins_anew:
+            self.held_epoch_by_range[row.index] = row.epoch
+            self._unsynced_by_range[row.index] = set()
+
+    def _synchronise(self, now: float) -> list[Command]:
+        commands: list[Command] = []
+        for index, keys in list(self._unsynced_by_range.items()):
+            row = self._rows_by_index[index]
+            if self.is_ready(index):
+                del self._unsynced_by_range[index]
+                continue
+            for key in sorted(keys):
+                commands += self._copy(row, key)
+            if not keys:
+                marker = Mirror(key=str(index), token="", epoch=row.epoch, phase=Phase.SYNCED)
+                commands.append(SendPeer(box=row.second.box, body=marker))
+        return commands
+
+    def _copy(self, row: RangeRow, key: str) -> list[Command]:
+        record = self.records_by_key.get(key)
+        if record is None:
+            self._unsynced_by_range[row.index].discard(key)
+            return []
+        mirror = Mirror(
+            key=key,
+            token=record.token,
+            epoch=row.epoch,
+            phase=record.phase,
+            answer=record.answer,
+            status=record.status,
+        )
+        return [SendPeer(box=row.second.box, body=mirror)]
+
+    def _sweep(self, now: float) -> None:
+        old = [key for key, row in self.records_by_key.items() if now - row.at > RECORD_TTL_S]
+        for key in old:
+            del self.records_by_key[key]
+
+
+def _order(phase: Phase) -> int:
+    return (Phase.GRANTED, Phase.UNKNOWN, Phase.DONE, Phase.DELIVERED).index(phase)
+
+
+def _refusal(body: Begin, code: Code) -> Verdict:
+    return Verdict(key=body.key, token=body.token, decision=Decision.REFUSE, code=code)
+
+
+def _decide(token: str, decision: Decision, code: Code) -> Command:
+    return DecideCall(token=token, decision=decision, code=code, answer=b"", status=0)
--- /dev/null
+++ b/src/croftchute/systems/entry.py
@@ -0,0 +1,351 @@
+"""The entry side: finds a shard for each request, follows its attempts, retries and gives up."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from croftchute.commands import Command, Emit, RefuseRequest, SendPeer, StartAttempt
+from croftchute.errors import Code, Ran
+from croftchute.peers.messages import (
+    Announced,
+    Audit,
+    Audited,
+    Declined,
+    Granted,
+    Released,
+    Reserve,
+)
+from croftchute.systems.budget import RetryBudget
+from croftchute.systems.cancels import Cancels
+from croftchute.systems.shard_choice import ShardChooser
+from croftchute.tables.requests import OpenRequest, Plan, Request, RequestState, attempt_key
+from croftchute.tables.upstreams import Topology
+from croftchute.timeline.events import Event, Kind
+
+ASK_TIMEOUT_S = 0.06
+ASKS_PER_SHARD = 2
+MAX_ATTEMPTS = 4
+FINAL_DECLINES = (Code.DEADLINE_PASSED, Code.POLICY_REFUSED, Code.MODEL_UNKNOWN)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AttemptEnd:
+    """How an attempt ended; ``sent`` says whether any engine may have begun it."""
+
+    request_id: str
+    attempt: int
+    ok: bool
+    output_tokens: int
+    sent: bool
+    code: Code = Code.UPSTREAM_FAILED
+    failed_engine: str = ""
+    retryable: bool = True
+
+
+class Entry:
+    """The requests that came in at this box and are still open."""
+
+    def __init__(
+        self,
+        *,
+        box: str,
+        topology: Topology,
+        cancels: Cancels,
+        chooser: ShardChooser,
+        owner_of: Callable[[str], str],
+        rng: random.Random,
+    ) -> None:
+        self.box = box
+        self.topology = topology
+        self.cancels = cancels
+        self.chooser = chooser
+        self.owner_of = owner_of
+        self.rng = rng
+        self.open_by_id: dict[str, OpenRequest] = {}
+        self.choosing_ids: set[str] = set()
+        self.budgets_by_pool: dict[str, RetryBudget] = {}
+        self.stale_grants = 0
+
+    def __repr__(self) -> str:
+        return f"Entry(box={self.box!r}, open={len(self.open_by_id)})"
+
+    def arrive(self, request: Request, now: float) -> list[Command]:
+        """Begin to place a request, or refuse it at once."""
+        event = Event(kind=Kind.REQUEST_ARRIVED, request_id=request.id, detail=request.model)
+        commands: list[Command] = [Emit(event=event)]
+        model = self.topology.models_by_id.get(request.model)
+        if model is None:
+            code = Code.MODEL_UNKNOWN if self.topology.revision else Code.NO_CONFIG
+            return commands + self._refuse(request.id, code, Ran.NOT_RUN, 1.0)
+        self._budget(model.pool).earn()
+        candidates = self.chooser.candidates(request, self.topology, now)
+        if not candidates:
+            return commands + self._refuse(request.id, Code.NO_UPSTREAM, Ran.NOT_RUN, 1.0)
+        row = OpenRequest(
+            request=request, state=RequestState.CHOOSING, attempt=1, candidates=candidates
+        )
+        return commands + self._ask_next(row, now)
+
+    def granted(self, sender: str, body: Granted, now: float) -> list[Command]:
+        """A place was granted: start the attempt, or give the place back if it came late."""
+        row = self.open_by_id.get(body.request_id)
+        wanted = (
+            row is not None
+            and row.state is RequestState.CHOOSING
+            and (row.attempt, row.asked_shard) == (body.attempt, body.shard)
+        )
+        if row is None or not wanted:
+            running = row is not None and row.plan is not None and row.attempt == body.attempt
+            if (
+                running
+                and row is not None
+                and row.plan is not None
+                and row.plan.shard == body.shard
+            ):
+                return []
+            self.stale_grants += 1
+            return [self._release(sender, body.request_id, body.attempt, body.shard)]
+        plan = Plan(
+            request_id=body.request_id,
+            attempt=body.attempt,
+            shard=body.shard,
+            owner=sender,
+            prefill_id=body.prefill_id,
+            decode_id=body.decode_id,
+            resume_from=row.delivered,
+            prompt_tokens=row.request.prompt_tokens,
+            expected_output=body.expected_output,
+        )
+        self.choosing_ids.discard(body.request_id)
+        self.open_by_id[body.request_id] = replace(row, state=RequestState.RUNNING, plan=plan)
+        event = Event(
+            kind=Kind.ATTEMPT_STARTED,
+            request_id=body.request_id,
+            attempt=body.attempt,
+            upstream=body.decode_id,
+            detail=f"prefill {body.prefill_id}",
+        )
+        return [Emit(event=event), StartAttempt(plan=plan)]
+
+    def declined(self, body: Declined, now: float) -> list[Command]:
+        """A shard had no place: try the next one, or give the request up."""
+        row = self.open_by_id.get(body.request_id)
+        if row is None or row.state is not RequestState.CHOOSING:
+            return []
+        if (row.attempt, row.asked_shard) != (body.attempt, body.shard):
+            return []
+        event = Event(
+            kind=Kind.RESERVE_DECLINED,
+            request_id=body.request_id,
+            attempt=body.attempt,
+            detail=f"{body.shard} {body.code.value}",
+        )
+        commands: list[Command] = [Emit(event=event)]
+        row = replace(row, retry_after_s=max(body.retry_after_s, 0.5))
+        if body.code in FINAL_DECLINES or not row.candidates:
+            return commands + self._give_up(row, body.code, now)
+        return commands + self._ask_next(row, now)
+
+    def progress(self, request_id: str, delivered: int) -> None:
+        """Note how many output tokens the caller has, for a later resume."""
+        row = self.open_by_id.get(request_id)
+        if row is not None:
+            self.open_by_id[request_id] = replace(row, delivered=delivered)
+
+    def ended(self, end: AttemptEnd, now: float) -> list[Command]:
+        """An attempt is over: finish the request, retry it, or give it up."""
+        row = self.open_by_id.get(end.request_id)
+        if row is None or row.plan is None or row.attempt != end.attempt:
+            return []
+        event = Event(
+            kind=Kind.ATTEMPT_ENDED,
+            request_id=end.request_id,
+            attempt=end.attempt,
+            upstream=row.plan.decode_id,
+            detail="ok" if end.ok else f"{end.code.value} {end.failed_engine}",
+        )
+        commands: list[Command] = [Emit(event=event)]
+        commands += self._end_plan(row, end, now)
+        if end.ok:
+            return commands + self._close(row, Kind.REQUEST_ANSWERED)
+        row = replace(row, delivered=row.delivered + end.output_tokens, plan=None)
+        if not self._may_retry(row, end, now):
+            ran = Ran.NOT_RUN if not end.sent and row.attempt == 1 else Ran.RAN
+            return commands + self._give_up(row, end.code, now, ran=ran)
+        return commands + self._retry(row, end, now)
+
+    def gone(self, request_id: str, now: float) -> list[Command]:
+        """The caller has left: cancel whatever runs for it."""
+        row = self.open_by_id.get(request_id)
+        if row is None:
+            return []
+        commands: list[Command] = self._close(row, Kind.CALLER_GONE)
+        if row.plan is not None:
+            commands += self._cancel_plan(row, now)
+        elif row.asked_shard:
+            commands.append(self._release_asked(row))
+        return commands
+
+    def audit(self, sender: str, body: Audit) -> list[Command]:
+        """Tell an owner which of the attempts it asks about are open here."""
+        still_open = tuple(key for key in body.keys if self._is_open(key, body.shard))
+        return [
+            SendPeer(box=sender, body=Audited(shard=body.shard, asked=body.keys, open=still_open))
+        ]
+
+    def announce(self, shard: str, owner: str, now: float) -> list[Command]:
+        """Tell a shard's new owner of all attempts that run there for this box."""
+        commands: list[Command] = []
+        for row in self.open_by_id.values():
+            if row.plan is None or row.plan.shard != shard:
+                continue
+            body = Announced(
+                request_id=row.request.id,
+                attempt=row.attempt,
+                shard=shard,
+                caller=row.request.caller,
+                priority=row.request.priority,
+                prefill_id=row.plan.prefill_id,
+                decode_id=row.plan.decode_id,
+                prompt_tokens=row.plan.prompt_tokens,
+                expected_output=row.plan.expected_output,
+                time_left_s=max(0.0, row.request.deadline_at - now),
+            )
+            commands.append(SendPeer(box=owner, body=body))
+        return commands
+
+    def tick(self, now: float) -> list[Command]:
+        """Ask again where an owner is silent, then elsewhere; give up past the deadline."""
+        commands: list[Command] = []
+        for request_id in list(self.choosing_ids):
+            row = self.open_by_id[request_id]
+            if now > row.request.deadline_at:
+                commands += self._give_up(row, Code.DEADLINE_PASSED, now)
+            elif now - row.asked_at < ASK_TIMEOUT_S:
+                continue
+            elif row.asks < ASKS_PER_SHARD:
+                commands += self._ask(replace(row, asks=row.asks + 1), now)
+            else:
+                commands.append(self._release_asked(row))
+                if row.candidates:
+                    commands += self._ask_next(row, now)
+                else:
+                    commands += self._give_up(row, Code.OWNER_SILENT, now)
+        return commands
+
+    def _ask_next(self, row: OpenRequest, now: float) -> list[Command]:
+        shard, *others = row.candidates
+        row = replace(row, candidates=tuple(others), asked_shard=shard, asks=1)
+        return self._ask(row, now)
+
+    def _ask(self, row: OpenRequest, now: float) -> list[Command]:
+        row = replace(row, asked_at=now)
+        request = row.request
+        self.open_by_id[request.id] = row
+        self.choosing_ids.add(request.id)
+        body = Reserve(
+            request_id=request.id,
+            attempt=row.attempt,
+            shard=row.asked_shard,
+            model=request.model,
+            caller=request.caller,
+            priority=request.priority,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens,
+            resume_from=row.delivered,
+            waited_s=now - request.arrived_at,
+            time_left_s=max(0.0, request.deadline_at - now),
+            prefix=request.prefix,
+            avoid=row.avoid,
+        )
+        return [SendPeer(box=self.owner_of(row.asked_shard), body=body)]
+
+    def _may_retry(self, row: OpenRequest, end: AttemptEnd, now: float) -> bool:
+        if not end.retryable or row.attempt >= MAX_ATTEMPTS or now >= row.request.deadline_at:
+            return False
+        model = self.topology.models_by_id.get(row.request.model)
+        return model is not None and self._budget(model.pool).spend()
+
+    def _retry(self, row: OpenRequest, end: AttemptEnd, now: float) -> list[Command]:
+        avoid = row.avoid + ((end.failed_engine,) if end.failed_engine else ())
+        row = replace(row, state=RequestState.CHOOSING, attempt=row.attempt + 1, avoid=avoid)
+        candidates = self.chooser.candidates(row.request, self.topology, now)
+        if not candidates:
+            return self._give_up(row, end.code, now, ran=Ran.RAN)
+        return self._ask_next(replace(row, candidates=candidates), now)
+
+    def _end_plan(self, row: OpenRequest, end: AttemptEnd, now: float) -> list[Command]:
+        assert row.plan is not None
+        commands: list[Command] = []
+        if not end.ok:
+            commands += self._cancel_engines(row.plan, now)
+        body = Released(
+            request_id=end.request_id,
+            attempt=end.attempt,
+            shard=row.plan.shard,
+            output_tokens=end.output_tokens,
+            confirmed=end.ok,
+            failed_engine=end.failed_engine,
+        )
+        return [*commands, SendPeer(box=self.owner_of(row.plan.shard), body=body)]
+
+    def _cancel_plan(self, row: OpenRequest, now: float) -> list[Command]:
+        assert row.plan is not None
+        release = self._release(
+            self.owner_of(row.plan.shard), row.request.id, row.attempt, row.plan.shard
+        )
+        return [*self._cancel_engines(row.plan, now), release]
+
+    def _cancel_engines(self, plan: Plan, now: float) -> list[Command]:
+        key = attempt_key(plan.request_id, plan.attempt)
+        commands = self.cancels.add(plan.prefill_id, key, now)
+        if plan.decode_id != plan.prefill_id:
+            commands += self.cancels.add(plan.decode_id, key, now)
+        return commands
+
+    def _give_up(
+        self, row: OpenRequest, code: Code, now: float, *, ran: Ran | None = None
+    ) -> list[Command]:
+        if ran is None:
+            ran = Ran.NOT_RUN if row.attempt == 1 else Ran.RAN
+        self._forget(row)
+        return self._refuse(row.request.id, code, ran, row.retry_after_s)
+
+    def _refuse(self, request_id: str, code: Code, ran: Ran, retry_after_s: float) -> list[Command]:
+        event = Event(
+            kind=Kind.REQUEST_REFUSED, request_id=request_id, detail=f"{code.value} {ran.value}"
+        )
+        refusal = RefuseRequest(
+            request_id=request_id, code=code, ran=ran, retry_after_s=retry_after_s
+        )
+        return [Emit(event=event), refusal]
+
+    def _close(self, row: OpenRequest, kind: Kind) -> list[Command]:
+        self._forget(row)
+        return [Emit(event=Event(kind=kind, request_id=row.request.id, attempt=row.attempt))]
+
+    def _forget(self, row: OpenRequest) -> None:
+        self.open_by_id.pop(row.request.id, None)
+        self.choosing_ids.discard(row.request.id)
+
+    def _release_asked(self, row: OpenRequest) -> Command:
+        owner = self.owner_of(row.asked_shard)
+        return self._release(owner, row.request.id, row.attempt, row.asked_shard)
+
+    def _release(self, owner: str, request_id: str, attempt: int, shard: str) -> Command:
+        body = Released(
+            request_id=request_id, attempt=attempt, shard=shard, output_tokens=0, confirmed=False
+        )
+        return SendPeer(box=owner, body=body)
+
+    def _is_open(self, key: str, shard: str) -> bool:
+        request_id, _, attempt = key.rpartition("-")
+        row = self.open_by_id.get(request_id)
+        if row is None or str(row.attempt) != attempt:
+            return False
+        return row.asked_shard == shard
+
+    def _budget(self, pool: str) -> RetryBudget:
+        return self.budgets_by_pool.setdefault(pool, RetryBudget())
--- /dev/null
+++ b/src/croftchute/systems/fairness.py
@@ -0,0 +1,61 @@
+"""Weighted shares among callers: O(1) state for each active caller, dropped when idle."""
+
+from __future__ import annotations
+
+from math import exp
+
+HALF_LIFE_S = 10.0
+DECAY = 0.6931471805599453 / HALF_LIFE_S
+FORGET_BELOW = 1.0
+MAX_CALLERS = 4096
+
+
+class ShareMeter:
+    """Decayed use by caller, in tokens; one meter for each shard an owner holds."""
+
+    def __init__(self) -> None:
+        self._use_by_caller: dict[str, tuple[float, float]] = {}
+        self._total = 0.0
+        self._total_at = 0.0
+        self._weights = 0.0
+
+    def __len__(self) -> int:
+        return len(self._use_by_caller)
+
+    def charge(self, caller: str, tokens: float, *, weight: float, now: float) -> None:
+        """Add use to a caller."""
+        if caller not in self._use_by_caller:
+            if len(self._use_by_caller) >= MAX_CALLERS:
+                self.sweep(now)
+            self._weights += weight
+        self._use_by_caller[caller] = (self.use(caller, now) + tokens / weight, now)
+        self._total = self._total * exp(-DECAY * max(0.0, now - self._total_at)) + tokens
+        self._total_at = now
+
+    def use(self, caller: str, now: float) -> float:
+        """A caller's decayed use for each unit of its weight."""
+        entry = self._use_by_caller.get(caller)
+        if entry is None:
+            return 0.0
+        amount, at = entry
+        return amount * exp(-DECAY * max(0.0, now - at))
+
+    def excess(self, caller: str, now: float) -> float:
+        """How many times its fair share a caller uses; 1 means exactly its share."""
+        if self._total <= 0.0 or self._weights <= 0.0:
+            return 0.0
+        total = self._total * exp(-DECAY * max(0.0, now - self._total_at))
+        fair = total / self._weights
+        return self.use(caller, now) / fair if fair > 0 else 0.0
+
+    def sweep(self, now: float) -> None:
+        """Drop the callers whose use has decayed away."""
+        kept = {
+            caller: entry
+            for caller, entry in self._use_by_caller.items()
+            if self.use(caller, now) >= FORGET_BELOW
+        }
+        dropped = len(self._use_by_caller) - len(kept)
+        if self._use_by_caller:
+            self._weights *= len(kept) / len(self._use_by_caller)
+        self._use_by_caller = kept if dropped else self._use_by_caller
--- /dev/null
+++ b/src/croftchute/systems/ledger.py
@@ -0,0 +1,133 @@
+"""What an owner has committed on its engines: reservations, and the sums kept over them."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import replace
+
+from croftchute.systems.placement import Ask, Placement, memory_share
+from croftchute.tables.requests import Reservation
+from croftchute.tables.upstreams import EngineFact, EngineLoad, EngineReport
+
+RECENT_GRANTS = 64
+FAILED_S = 1.0
+CLOSE_FILL = 0.97
+OPEN_FILL = 0.92
+
+
+class Ledger:
+    """Reservations by attempt and engine loads by engine; the sums always match the rows."""
+
+    def __init__(self) -> None:
+        self.loads_by_engine: dict[str, EngineLoad] = {}
+        self.reservations_by_key: dict[str, Reservation] = {}
+        self.keys_by_entry: dict[str, set[str]] = {}
+        self._recent_by_engine: dict[str, deque[tuple[float, float]]] = {}
+
+    def __repr__(self) -> str:
+        engines, held = len(self.loads_by_engine), len(self.reservations_by_key)
+        return f"Ledger(engines={engines}, reservations={held})"
+
+    def keep(self, facts: Iterable[EngineFact]) -> None:
+        """Keep exactly these engines; reservations on others are dropped."""
+        wanted = {fact.id: fact for fact in facts}
+        for reservation in list(self.reservations_by_key.values()):
+            ends = (reservation.prefill_id, reservation.decode_id)
+            if not any(engine in wanted for engine in ends if engine):
+                self.remove(reservation.key)
+        self.loads_by_engine = {
+            engine_id: replace(
+                self.loads_by_engine.get(engine_id, EngineLoad(id=engine_id)),
+                leaving=fact.leaving,
+            )
+            for engine_id, fact in wanted.items()
+        }
+
+    def add(self, reservation: Reservation, placement: Placement | None, now: float) -> None:
+        """Write down a reservation; ``placement`` is None for one taken over from another."""
+        self.reservations_by_key[reservation.key] = reservation
+        self.keys_by_entry.setdefault(reservation.entry_box, set()).add(reservation.key)
+        self._change_decode(reservation, sign=1)
+        if placement is None:
+            return
+        prefill = self.loads_by_engine[placement.prefill_id]
+        self.loads_by_engine[placement.prefill_id] = replace(
+            prefill, prefill_free_at=placement.prefill_end_at
+        )
+        cost = placement.prefill_end_at - placement.prefill_start_at
+        recent = self._recent_by_engine.setdefault(prefill.id, deque(maxlen=RECENT_GRANTS))
+        recent.append((now, cost))
+        if placement.decode_id != placement.prefill_id:
+            decode = self.loads_by_engine[placement.decode_id]
+            self.loads_by_engine[placement.decode_id] = replace(
+                decode, ingress_free_at=placement.transfer_end_at
+            )
+
+    def remove(self, key: str) -> Reservation | None:
+        """Give back all that a reservation holds."""
+        reservation = self.reservations_by_key.pop(key, None)
+        if reservation is None:
+            return None
+        keys = self.keys_by_entry.get(reservation.entry_box, set())
+        keys.discard(key)
+        if not keys:
+            self.keys_by_entry.pop(reservation.entry_box, None)
+        self._change_decode(reservation, sign=-1)
+        return reservation
+
+    def give_back_prefill(self, reservation: Reservation, now: float) -> None:
+        """Shorten a prefill engine's queue by work that will not be done."""
+        load = self.loads_by_engine.get(reservation.prefill_id)
+        if load is None or reservation.prefill_end_at <= now:
+            return
+        saved = reservation.prefill_end_at - max(now, reservation.prefill_start_at)
+        free_at = max(now, load.prefill_free_at - saved)
+        self.loads_by_engine[load.id] = replace(load, prefill_free_at=free_at)
+
+    def report(self, fact: EngineFact, report: EngineReport) -> None:
+        """Correct an engine's row by its report, as of the time the report describes.
+
+        Grants made after that time are added on top: the engine could not have seen them.
+        """
+        load = self.loads_by_engine[fact.id]
+        later = [cost for at, cost in self._recent_by_engine.get(fact.id, ()) if at > report.as_of]
+        backlog_s = report.prefill_backlog_tokens / fact.prefill_tokens_per_s
+        fill = report.kv_used_tokens / fact.kv_tokens
+        closed = fill > (OPEN_FILL if load.closed else CLOSE_FILL)
+        self.loads_by_engine[fact.id] = replace(
+            load,
+            report=report,
+            leaving=fact.leaving or report.leaving,
+            closed=closed and fact.decodes,
+            prefill_free_at=report.as_of + backlog_s + sum(later),
+        )
+
+    def fail(self, engine_id: str, now: float) -> None:
+        """Keep new work off an engine for a while, after a failed call."""
+        load = self.loads_by_engine.get(engine_id)
+        if load is not None:
+            self.loads_by_engine[engine_id] = replace(load, failed_until=now + FAILED_S)
+
+    def touch(self, keys: Iterable[str], now: float) -> None:
+        """These reservations were confirmed by their entry box."""
+        for key in keys:
+            reservation = self.reservations_by_key.get(key)
+            if reservation is not None:
+                self.reservations_by_key[key] = replace(reservation, confirmed_at=now)
+
+    def _change_decode(self, reservation: Reservation, *, sign: int) -> None:
+        load = self.loads_by_engine.get(reservation.decode_id)
+        if load is None:
+            return
+        self.loads_by_engine[load.id] = replace(
+            load,
+            kv_committed=load.kv_committed + sign * reservation.kv_committed,
+            kv_variance=max(0.0, load.kv_variance + sign * reservation.kv_variance),
+            running=load.running + sign,
+        )
+
+
+def committed(ask: Ask) -> tuple[float, float]:
+    """KV tokens and variance to write down for a request."""
+    return memory_share(ask), ask.output_variance
--- /dev/null
+++ b/src/croftchute/systems/membership.py
@@ -0,0 +1,85 @@
+"""Which boxes are live: heartbeats, suspicion and incarnations."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from croftchute.peers.messages import Heartbeat
+from croftchute.tables.boxes import Box, BoxState
+from croftchute.timeline.events import Event, Kind
+
+
+class Membership:
+    """The boxes this one knows of. A box counts as live while its heartbeats keep coming."""
+
+    def __init__(self, *, own: Box, suspect_after_s: float) -> None:
+        self.own = own
+        self.suspect_after_s = suspect_after_s
+        self.boxes_by_id: dict[str, Box] = {}
+
+    def __repr__(self) -> str:
+        return f"Membership(own={self.own.id!r}, live={self.live_ids()!r})"
+
+    def introduce(self, boxes: Iterable[Box]) -> None:
+        """Add boxes from settings or the platform's list; they stay suspect until heard."""
+        for box in boxes:
+            if box.id != self.own.id:
+                self.boxes_by_id.setdefault(box.id, box)
+
+    def hear(self, sender: str, beat: Heartbeat, now: float) -> tuple[list[Event], bool]:
+        """Take in a heartbeat; says what changed and whether the sender was restarted."""
+        known = self.boxes_by_id.get(sender)
+        if known is not None and beat.incarnation < known.incarnation:
+            return [], False
+        restarted = known is not None and 0 < known.incarnation < beat.incarnation
+        state = BoxState.LEAVING if beat.leaving else BoxState.LIVE
+        self.boxes_by_id[sender] = Box(
+            id=sender,
+            hall=beat.hall,
+            address=beat.address,
+            peer_port=beat.peer_port,
+            admin_port=beat.admin_port,
+            incarnation=beat.incarnation,
+            state=state,
+            heard_at=now,
+            revision=beat.revision,
+        )
+        if known is not None and known.state is state and not restarted:
+            return [], False
+        return [Event(kind=Kind.BOX_LIVE, detail=f"{sender} {state.value}")], restarted
+
+    def expire(self, now: float) -> list[Event]:
+        """Suspect the boxes that have been silent for too long."""
+        events = []
+        for box in list(self.boxes_by_id.values()):
+            silent = now - box.heard_at > self.suspect_after_s
+            if silent and box.state in (BoxState.LIVE, BoxState.LEAVING):
+                self.boxes_by_id[box.id] = replace(box, state=BoxState.SUSPECT)
+                events.append(Event(kind=Kind.BOX_SUSPECT, detail=box.id))
+        return events
+
+    def is_live(self, box_id: str) -> bool:
+        """Whether a box is this one or has been heard lately."""
+        if box_id == self.own.id:
+            return True
+        box = self.boxes_by_id.get(box_id)
+        return box is not None and box.state in (BoxState.LIVE, BoxState.LEAVING)
+
+    def live_ids(self) -> list[str]:
+        """Boxes of this hall that answer, leaving ones included, sorted."""
+        return self._ids((BoxState.LIVE, BoxState.LEAVING))
+
+    def owner_ids(self) -> list[str]:
+        """Boxes of this hall that may own shards; a leaving box gives its shards away."""
+        owners = self._ids((BoxState.LIVE,))
+        return owners or self.live_ids()
+
+    def peers(self) -> list[Box]:
+        """All other boxes of this hall that are known, silent ones included."""
+        return [box for box in self.boxes_by_id.values() if box.hall == self.own.hall]
+
+    def _ids(self, states: tuple[BoxState, ...]) -> list[str]:
+        own = [self.own.id] if self.own.state in states else []
+        others = [box.id for box in self.peers() if box.state in states]
+        return sorted(own + others)
--- /dev/null
+++ b/src/croftchute/tables/requests.py
@@ -0,0 +1,99 @@
+"""Rows about requests at their entry box, and about reservations at the owner."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class RequestState(StrEnum):
+    """Where a request stands at its entry box."""
+
+    CHOOSING = "choosing"
+    RUNNING = "running"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Request:
+    """A completion request; ``prefix`` holds hashes of its leading token blocks."""
+
+    id: str
+    caller: str
+    model: str
+    prompt_tokens: int
+    max_tokens: int
+    priority: int
+    arrived_at: float
+    deadline_at: float
+    prefix: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OpenRequest:
+    """A request in progress; ``delivered`` counts output tokens the caller has."""
+
+    request: Request
+    state: RequestState
+    attempt: int
+    candidates: tuple[str, ...]
+    asked_shard: str = ""
+    asked_at: float = 0.0
+    asks: int = 0
+    delivered: int = 0
+    avoid: tuple[str, ...] = ()
+    plan: Plan | None = None
+    retry_after_s: float = 1.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Plan:
+    """Where one attempt runs: the engine for prefill and the engine for decode."""
+
+    request_id: str
+    attempt: int
+    shard: str
+    owner: str
+    prefill_id: str
+    decode_id: str
+    resume_from: int
+    prompt_tokens: int
+    expected_output: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Reservation:
+    """Engine time, link time and memory that an owner has set aside for one attempt."""
+
+    request_id: str
+    attempt: int
+    entry_box: str
+    shard: str
+    caller: str
+    priority: int
+    prefill_id: str
+    decode_id: str
+    prompt_tokens: int
+    uncached_tokens: int
+    expected_output: float
+    kv_committed: float
+    kv_variance: float
+    prefill_start_at: float
+    prefill_end_at: float
+    transfer_end_at: float
+    granted_at: float
+    deadline_at: float
+    confirmed_at: float
+
+    @property
+    def key(self) -> str:
+        """Names the attempt, also towards engines."""
+        return attempt_key(self.request_id, self.attempt)
+
+
+def attempt_key(request_id: str, attempt: int) -> str:
+    """The name of one attempt of a request.
+
+    >>> attempt_key("ab12", 2)
+    'ab12-2'
+    """
+    return f"{request_id}-{attempt}"
--- /dev/null
+++ b/src/croftchute/tables/upstreams.py
@@ -0,0 +1,115 @@
+"""Rows about engines: what they report, and what their owner has committed on them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineReport:
+    """A load report, as the engine published it; it describes the engine at ``as_of``."""
+
+    as_of: float
+    running: int
+    kv_used_tokens: int
+    prefill_backlog_tokens: int
+    leaving: bool = False
+    request_ids: tuple[str, ...] = ()
+    loaded_versions: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineLoad:
+    """What the owner knows of one engine; times are absolute seconds, sizes are tokens."""
+
+    id: str
+    prefill_free_at: float = 0.0
+    ingress_free_at: float = 0.0
+    kv_committed: float = 0.0
+    kv_variance: float = 0.0
+    running: int = 0
+    prefilling: int = 0
+    leaving: bool = False
+    failed_until: float = 0.0
+    closed: bool = False
+    report: EngineReport | None = None
+
+    def usable(self, now: float) -> bool:
+        """Whether new work may go to the engine."""
+        return not self.leaving and not self.closed and now >= self.failed_until
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShardDigest:
+    """What an owner tells other boxes about one of its shards."""
+
+    shard: str
+    at: float
+    prefill_wait_s: float
+    free_kv_tokens: int
+    free_slots: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineFact:
+    """What the configuration says of one engine, as the systems read it."""
+
+    id: str
+    url: str
+    hall: str
+    prefills: bool
+    decodes: bool
+    leaving: bool
+    prefill_tokens_per_s: float
+    kv_tokens: int
+    slots: int
+    link_bytes_per_s: float
+    step_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Shard:
+    """A set of engines of one pool in one hall with a single owning box."""
+
+    id: str
+    pool: str
+    index: int
+    engine_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ModelFact:
+    """What the configuration says of one model, as the systems read it."""
+
+    id: str
+    pool: str
+    version: str
+    kv_bytes_per_token: float
+    max_prompt_tokens: int
+    max_output_tokens: int
+    expected_output_tokens: float
+    result_ttl_s: float
+    policy: str | None
+
+
+@dataclass(frozen=True, kw_only=True)
+class Topology:
+    """The configuration as one hall sees it; rebuilt whole for each revision."""
+
+    revision: int
+    hall: str
+    engines_by_id: dict[str, EngineFact] = field(default_factory=dict)
+    models_by_id: dict[str, ModelFact] = field(default_factory=dict)
+    shards_by_id: dict[str, Shard] = field(default_factory=dict)
+    shards_by_pool: dict[str, tuple[Shard, ...]] = field(default_factory=dict)
+    weights_by_caller: dict[str, float] = field(default_factory=dict)
+    max_priority_by_caller: dict[str, int] = field(default_factory=dict)
+    ttft_s: float = 0.44
+    per_token_s: float = 0.031
+    goodput_weight: float = 1.0
+    wasted_prefill_weight: float = 1.0
+
+    @property
+    def waste_aversion(self) -> float:
+        """Between 0 and 1: how much wasted prefill counts against goodput."""
+        return self.wasted_prefill_weight / (self.goodput_weight + self.wasted_prefill_weight)
--- /dev/null
+++ b/src/croftchute/upstreams/http_engine.py
@@ -0,0 +1,210 @@
+"""Engines over HTTP: the OpenAI-compatible completion calls with ``kv_transfer_params``.
+
+Source of the exchange: the disaggregated-serving examples in vLLM's documentation. The prefill
+call asks for one token with ``do_remote_decode``; the parameters in its reply go into the decode
+call. Cancel, load report, cache events and orders are the engine's ``/control`` calls, which the
+operators' engines publish.
+"""
+
+from __future__ import annotations
+
+import http.client
+import json
+import socket
+import threading
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+import urllib3
+
+from croftchute.errors import Code, Ran, UpstreamError
+from croftchute.systems.prefix_index import CacheEvent
+from croftchute.tables.upstreams import EngineReport
+from croftchute.upstreams.engine import EngineCall, JsonObject, Order, TokenStream
+
+CONNECT_S = 0.5
+CONTROL_READ_S = 1.0
+STREAM_GAP_S = 5.0
+READ_BYTES = 65536
+POOL_CONNECTIONS = 64
+EVENT_END = b"\n\n"
+DONE_EVENT = b"data: [DONE]\n\n"
+HTTP_OK = 200
+REFUSING = (409, 429, 503)
+CONTROL_TIMEOUT = urllib3.Timeout(connect=CONNECT_S, read=CONTROL_READ_S)
+
+
+class HttpTokenStream:
+    """A decode call's response, read as whole server-sent events."""
+
+    def __init__(self, *, response: urllib3.BaseHTTPResponse) -> None:
+        self._response = response
+        self._closed = threading.Event()
+
+    def chunks(self) -> Iterator[bytes]:
+        """Whole events, several in one piece when they came together; ends after ``[DONE]``."""
+        pending = b""
+        read = self._response.read1
+        try:
+            while data := read(READ_BYTES):
+                pending = pending + data if pending else data
+                if pending.endswith(EVENT_END):
+                    whole, pending = pending, b""
+                else:
+                    whole, _, pending = pending.rpartition(EVENT_END)
+                    whole += EVENT_END if whole else b""
+                if not whole:
+                    continue
+                yield whole
+                if whole.endswith(DONE_EVENT):
+                    self._response.drain_conn()
+                    self._response.release_conn()
+                    return
+        except (urllib3.exceptions.HTTPError, OSError, ValueError, AttributeError) as error:
+            raise UpstreamError(Code.UPSTREAM_FAILED, f"stream: {error}", ran=Ran.RAN) from None
+        except http.client.HTTPException as error:
+            raise UpstreamError(Code.UPSTREAM_FAILED, f"stream: {error}", ran=Ran.RAN) from None
+        raise UpstreamError(Code.UPSTREAM_FAILED, "stream broke off", ran=Ran.RAN)
+
+    def close(self) -> None:
+        """Break the connection, also under a thread that waits in :meth:`chunks`."""
+        if self._closed.is_set():
+            return
+        self._closed.set()
+        connection = getattr(self._response, "connection", None)
+        sock = getattr(connection, "sock", None)
+        if sock is not None:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                return
+
+
+class HttpEngine:
+    """Calls to any number of engines through pooled connections; safe for many threads."""
+
+    def __init__(self) -> None:
+        self._pool = urllib3.PoolManager(
+            num_pools=512, maxsize=POOL_CONNECTIONS, retries=False, block=False
+        )
+
+    def prefill(self, call: EngineCall) -> JsonObject:
+        """Compute a prompt's KV cache; returns ``kv_transfer_params``."""
+        body = dict(call.body)
+        body.update(stream=False, max_tokens=1)
+        body["kv_transfer_params"] = {"do_remote_decode": True}
+        response = self._post(call, body, preload=True)
+        reply: JsonObject = msgspec.json.decode(response.data)
+        params = reply.get("kv_transfer_params")
+        if not isinstance(params, dict):
+            message = "prefill reply has no kv_transfer_params"
+            raise UpstreamError(Code.UPSTREAM_FAILED, message, ran=Ran.RAN)
+        return params
+
+    def decode(self, call: EngineCall) -> TokenStream:
+        """Open the token stream of a decode call."""
+        body = dict(call.body)
+        body["stream"] = True
+        if call.transfer:
+            body["kv_transfer_params"] = call.transfer
+        if call.resume_from:
+            body["resume_from"] = call.resume_from
+        return HttpTokenStream(response=self._post(call, body, preload=False))
+
+    def cancel(self, url: str, key: str) -> bool:
+        """Free all an attempt holds; a refused connection means the engine is gone."""
+        try:
+            reply = self._control(url, "/control/cancel", {"key": key})
+        except UpstreamError as error:
+            if error.ran is Ran.NOT_RUN:
+                return True
+            raise
+        return bool(reply.get("cancelled", False))
+
+    def report(
+        self, url: str, *, after_seq: int, now: float
+    ) -> tuple[EngineReport, list[CacheEvent]]:
+        """The load report and cache events; the engine gives the report's age, not its time."""
+        reply = self._control(url, "/control/load", {"after_seq": after_seq})
+        report = EngineReport(
+            as_of=now - float(reply["age_s"]),
+            running=int(reply["running"]),
+            kv_used_tokens=int(reply["kv_used_tokens"]),
+            prefill_backlog_tokens=int(reply["prefill_backlog_tokens"]),
+            leaving=bool(reply.get("leaving", False)),
+            request_ids=tuple(reply.get("requests", ())),
+            loaded_versions=tuple(reply.get("versions", ())),
+        )
+        events = [
+            CacheEvent(
+                seq=int(row["seq"]), stored=tuple(row["stored"]), evicted=tuple(row["evicted"])
+            )
+            for row in reply.get("cache_events", ())
+        ]
+        return report, events
+
+    def order(self, url: str, order: Order) -> bool:
+        """Give a fenced order."""
+        body = {"token": order.token, "kind": order.kind, "target": order.target}
+        return bool(self._control(url, "/control/order", body).get("accepted", False))
+
+    def _post(
+        self, call: EngineCall, body: JsonObject, *, preload: bool
+    ) -> urllib3.BaseHTTPResponse:
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": call.request_id,
+            "X-Attempt": call.key,
+            "X-Priority": str(call.priority),
+        }
+        timeout = urllib3.Timeout(connect=CONNECT_S, read=min(call.timeout_s, STREAM_GAP_S))
+        try:
+            response = self._pool.request(
+                "POST",
+                call.url + call.path,
+                body=msgspec.json.encode(body),
+                headers=headers,
+                timeout=timeout,
+                preload_content=preload,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise _failure(error) from None
+        if response.status != HTTP_OK:
+            raise _refusal(response)
+        return response
+
+    def _control(self, url: str, path: str, body: dict[str, Any]) -> JsonObject:
+        try:
+            response = self._pool.request(
+                "POST", url + path, body=json.dumps(body), timeout=CONTROL_TIMEOUT
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise _failure(error) from None
+        if response.status != HTTP_OK:
+            raise _refusal(response)
+        reply: JsonObject = msgspec.json.decode(response.data)
+        return reply
+
+
+def _failure(error: urllib3.exceptions.HTTPError) -> UpstreamError:
+    unreached = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
+    if isinstance(error, unreached):
+        return UpstreamError(Code.UPSTREAM_FAILED, f"connect: {error}", ran=Ran.NOT_RUN)
+    code = (
+        Code.UPSTREAM_SLOW
+        if isinstance(error, urllib3.exceptions.ReadTimeoutError)
+        else Code.UPSTREAM_FAILED
+    )
+    return UpstreamError(code, str(error), ran=Ran.UNKNOWN)
+
+
+def _refusal(response: urllib3.BaseHTTPResponse) -> UpstreamError:
+    refused = response.status in REFUSING
+    text = response.data[:200].decode(errors="replace")
+    return UpstreamError(
+        Code.UPSTREAM_REFUSED if refused else Code.UPSTREAM_FAILED,
+        f"HTTP {response.status}: {text}",
+        ran=Ran.NOT_RUN if refused else Ran.UNKNOWN,
+        retry_after=float(response.headers.get("Retry-After", 0) or 0),
+    )
