--- a/src/croftchute/gateway/completions.py
+++ b/src/croftchute/gateway/completions.py
@@ -180,7 +180,7 @@
             output_tokens=self.progress.delivered - before,
             sent=error is None or error.ran is not Ran.NOT_RUN,
             code=error.code if error is not None else Code.UPSTREAM_FAILED,
-            failed_engine=_failed_engine(plan, error),
+            failed_engine="" if gone else _failed_engine(plan, error),
             retryable=not gone,
         )
         self._box.submit(lambda now: self._box.ended(end, now))
--- a/src/croftchute/systems/admission.py
+++ b/src/croftchute/systems/admission.py
@@ -1,4 +1,4 @@
-"""Admission: the longest time to first token that a request may be granted under load.
+"""Admission: the longest queueing that a request may be granted under load.
 
 Higher priorities may fill the queue further than lower ones, and callers within their share
 further than those above it, so under overload the refused are the least important work of the
@@ -11,8 +11,8 @@
 LOWEST_PRIORITY_SHARE = 0.7
 EXCESS_FREE = 2.0
 EXCESS_FLOOR = 0.4
-SAFETY_SHARE = 0.95
-WASTE_MARGIN = 0.1
+SAFETY_SHARE = 0.98
+WASTE_MARGIN = 0.05
 
 
 def priority_share(priority: int) -> float:
@@ -36,10 +36,24 @@
     return max(EXCESS_FLOOR, EXCESS_FREE / excess)
 
 
-def ttft_limit(
-    *, ttft_s: float, priority: int, excess: float, waste_aversion: float, time_left_s: float
+def queue_limit(
+    *,
+    ttft_s: float,
+    service_s: float,
+    priority: int,
+    excess: float,
+    pressure: float,
+    waste_aversion: float,
 ) -> float:
-    """Seconds from the request's arrival by which its first token has to be predicted."""
+    """Seconds a request may queue, given what its own work takes; negative if it is too long.
+
+    The shares cut only the time left for queueing, and only as far as the shard is short of
+    capacity (``pressure``, 0 to 1), so an idle shard refuses nobody who can meet the target,
+    however much they have used.
+    """
     margin = SAFETY_SHARE - WASTE_MARGIN * waste_aversion
-    limit = ttft_s * margin * priority_share(priority) * fairness_share(excess)
-    return min(limit, time_left_s)
+    left = ttft_s * margin - service_s
+    if left <= 0:
+        return left
+    share = priority_share(priority) * fairness_share(excess)
+    return left * (1.0 - pressure * (1.0 - share))
--- a/src/croftchute/systems/ledger.py
+++ b/src/croftchute/systems/ledger.py
@@ -91,8 +91,10 @@
         Grants made after that time are added on top: the engine could not have seen them.
         """
         load = self.loads_by_engine[fact.id]
-        later = [cost for at, cost in self._recent_by_engine.get(fact.id, ()) if at > report.as_of]
-        backlog_s = report.prefill_backlog_tokens / fact.prefill_tokens_per_s
+        free_at = report.as_of + report.prefill_backlog_tokens / fact.prefill_tokens_per_s
+        for granted_at, cost in self._recent_by_engine.get(fact.id, ()):
+            if granted_at > report.as_of:
+                free_at = max(free_at, granted_at) + cost
         fill = report.kv_used_tokens / fact.kv_tokens
         closed = fill > (OPEN_FILL if load.closed else CLOSE_FILL)
         self.loads_by_engine[fact.id] = replace(
@@ -100,7 +102,7 @@
             report=report,
             leaving=fact.leaving or report.leaving,
             closed=closed and fact.decodes,
-            prefill_free_at=report.as_of + backlog_s + sum(later),
+            prefill_free_at=free_at,
         )
 
     def fail(self, engine_id: str, now: float) -> None:
--- a/src/croftchute/systems/owner.py
+++ b/src/croftchute/systems/owner.py
@@ -16,13 +16,14 @@
     Released,
     Reserve,
 )
-from croftchute.systems.admission import ttft_limit
+from croftchute.systems.admission import queue_limit
 from croftchute.systems.cancels import Cancels
 from croftchute.systems.fairness import ShareMeter
 from croftchute.systems.ledger import Ledger, committed
 from croftchute.systems.placement import Ask, Placement, shortlist
 from croftchute.systems.prediction import OutputForecast, first_forecast
 from croftchute.systems.prefix_index import CacheEvent, PrefixIndex
+from croftchute.systems.pressure import Pressure
 from croftchute.tables.requests import Reservation
 from croftchute.tables.upstreams import (
     EngineFact,
@@ -63,6 +64,7 @@
         self.ledger = Ledger()
         self.owned_since: dict[str, float] = {}
         self.meters_by_shard: dict[str, ShareMeter] = {}
+        self.pressure_by_shard: dict[str, Pressure] = {}
         self.indices_by_engine: dict[str, PrefixIndex] = {}
         self.forecasts_by_model: dict[str, OutputForecast] = {}
         self._facts_by_shard: dict[str, list[EngineFact]] = {}
@@ -80,10 +82,12 @@
         for shard_id in sorted(set(self.owned_since) - set(wanted)):
             del self.owned_since[shard_id]
             self.meters_by_shard.pop(shard_id, None)
+            self.pressure_by_shard.pop(shard_id, None)
             commands.append(Emit(event=Event(kind=Kind.SHARD_LOST, detail=shard_id)))
         for shard_id in sorted(set(wanted) - set(self.owned_since)):
             self.owned_since[shard_id] = now
             self.meters_by_shard[shard_id] = ShareMeter()
+            self.pressure_by_shard[shard_id] = Pressure()
             commands.append(Emit(event=Event(kind=Kind.SHARD_TAKEN, detail=shard_id)))
         self._facts_by_shard = {
             shard.id: [topology.engines_by_id[engine] for engine in shard.engine_ids]
@@ -120,7 +124,9 @@
             now=now,
             waste_aversion=self.topology.waste_aversion,
         )
+        pressure = self.pressure_by_shard[ask.shard]
         if not found:
+            pressure.note(declined=True)
             return [self._decline(sender, ask, Code.NO_CAPACITY, self._retry_after(ask, now))]
         commands: list[Command] = []
         if order is not None and model.policy is not None:
@@ -286,30 +292,34 @@
         )
 
     def _refusal(self, ask: Reserve, placement: Placement, now: float) -> Code | None:
-        wait = ask.waited_s + placement.first_token_at - now
-        if wait > ask.time_left_s + ask.waited_s:
+        wait = placement.first_token_at - now
+        if wait > ask.time_left_s:
             return Code.DEADLINE_PASSED
         if ask.resume_from > 0:
             return None
+        pressure = self.pressure_by_shard[ask.shard]
+        service = placement.service_s
+        queued = ask.waited_s + wait - service
+        if queued > self._queue_limit(ask, service, excess=0.0, pressure=0.0):
+            pressure.note(declined=True)
+            return Code.TARGET_UNREACHABLE
+        pressure.note(declined=False)
         excess = self.meters_by_shard[ask.shard].excess(ask.caller, now)
-        limits = self.topology
-        limit = ttft_limit(
-            ttft_s=limits.ttft_s,
-            priority=ask.priority,
-            excess=excess,
-            waste_aversion=limits.waste_aversion,
-            time_left_s=ask.time_left_s + ask.waited_s,
-        )
-        if wait <= limit:
+        if queued <= self._queue_limit(ask, service, excess=excess, pressure=pressure.level):
             return None
-        fair = ttft_limit(
-            ttft_s=limits.ttft_s,
+        return Code.OVER_SHARE
+
+    def _queue_limit(
+        self, ask: Reserve, service_s: float, *, excess: float, pressure: float
+    ) -> float:
+        return queue_limit(
+            ttft_s=self.topology.ttft_s,
+            service_s=service_s,
             priority=ask.priority,
-            excess=0.0,
-            waste_aversion=limits.waste_aversion,
-            time_left_s=ask.time_left_s + ask.waited_s,
+            excess=excess,
+            pressure=pressure,
+            waste_aversion=self.topology.waste_aversion,
         )
-        return Code.OVER_SHARE if wait <= fair else Code.TARGET_UNREACHABLE
 
     def _grant(
         self, sender: str, ask: Reserve, need: Ask, placement: Placement, now: float
--- a/src/croftchute/systems/placement.py
+++ b/src/croftchute/systems/placement.py
@@ -43,6 +43,7 @@
     prefill_end_at: float
     transfer_end_at: float
     first_token_at: float
+    service_s: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -114,11 +115,10 @@
     slot: PrefillSlot, fact: EngineFact, load: EngineLoad, ask: Ask, *, now: float
 ) -> Placement | None:
     """The placement of a prefill slot on a decode engine; None if the result would expire."""
-    if slot.engine_id == fact.id:
-        transfer_end = slot.end_at
-    else:
-        start = max(slot.end_at, load.ingress_free_at, now)
-        transfer_end = start + ask.prompt_tokens * ask.kv_bytes_per_token / fact.link_bytes_per_s
+    transfer = 0.0
+    if slot.engine_id != fact.id:
+        transfer = ask.prompt_tokens * ask.kv_bytes_per_token / fact.link_bytes_per_s
+    transfer_end = max(slot.end_at, load.ingress_free_at, now) + transfer
     if transfer_end - slot.end_at > ask.result_ttl_s * TTL_SHARE:
         return None
     return Placement(
@@ -129,6 +129,7 @@
         prefill_end_at=slot.end_at,
         transfer_end_at=transfer_end,
         first_token_at=transfer_end + fact.step_s,
+        service_s=slot.end_at - slot.start_at + transfer + fact.step_s,
     )
 
 
