Test the systems: at-most-once walk, differential checks, codec fuzz; keep silent engines in use

Cause: a box took an engine out of use for a second whenever a report failed, so an outage of reports refused work that the engines could do. Change: only an engine that cannot be reached counts as failed; a silent one is carried on from the owner's own ledger.

--- a/src/croftchute/bench/fleet_router.py
+++ b/src/croftchute/bench/fleet_router.py
@@ -262,9 +262,11 @@
             return
         now = self._world.loop.now
         report = self._world.report(engine_id)
-        if report is None:
+        if self._world.is_dead(engine_id):
             self._do(node, node.systems.engine_failed(engine_id, now))
             return
+        if report is None:
+            return
         events = []
         prefill = self._world.prefill_by_id.get(engine_id)
         if prefill is not None:
--- a/src/croftchute/daemon/box_process.py
+++ b/src/croftchute/daemon/box_process.py
@@ -347,8 +347,13 @@
             after = self._seq_by_engine.get(engine_id, 0)
             now = self.clock.now()
             report, events = self.engine.report(self.url_of(engine_id), after_seq=after, now=now)
-        except (UpstreamError, ValueError, KeyError, TypeError):
-            self.submit(lambda now: self.systems.engine_failed(engine_id, now))
+        except UpstreamError as error:
+            # An engine that is slow to report may still serve; one that refuses is gone.
+            if error.ran is Ran.NOT_RUN:
+                self.submit(lambda now: self.systems.engine_failed(engine_id, now))
+            return
+        except (ValueError, KeyError, TypeError) as error:
+            logger.bind(upstream=engine_id, detail=str(error)).warning("report_unreadable")
             return
         finally:
             self._polling.discard(engine_id)
--- a/src/croftchute/systems/box.py
+++ b/src/croftchute/systems/box.py
@@ -141,7 +141,7 @@
         return self.owner.report(engine_id, report, events, now)
 
     def engine_failed(self, engine_id: str, now: float) -> list[Command]:
-        """An engine did not answer a poll."""
+        """An engine could not be reached for a poll."""
         return self.owner.failed(engine_id, now)
 
     def cancel_confirmed(self, engine_id: str, key: str) -> list[Command]:
--- /dev/null
+++ b/tests/peers/test_codec.py
@@ -0,0 +1,65 @@
+import dataclasses
+import random
+from typing import get_args, get_type_hints
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from croftchute.errors import Code, MessageError
+from croftchute.peers.codec import Codec, Envelope
+from croftchute.peers.messages import Body
+from croftchute.tables.upstreams import ShardDigest
+
+CODEC = Codec(keys=["k" * 16])
+VALUES = {str: "text", int: 7, float: 0.5, bytes: b"raw", bool: True, Code: Code.NO_CAPACITY}
+VALUES |= {tuple[str, ...]: ("a", "b"), tuple[int, ...]: (1, 2**60)}
+
+
+def example(kind):
+    hints = get_type_hints(kind)
+    digest = (tuple[ShardDigest, ...],)
+    made = {
+        field.name: (
+            (example(ShardDigest),) if hints[field.name] in digest else VALUES[hints[field.name]]
+        )
+        for field in dataclasses.fields(kind)
+    }
+    return kind(**made)
+
+
+@pytest.mark.parametrize("kind", get_args(Body), ids=lambda kind: kind.__name__)
+def test_every_message_survives_the_wire(kind):
+    envelope = Envelope(sender="b", stamp=3, bodies=(example(kind),))
+    assert CODEC.decode(CODEC.encode(envelope)) == envelope
+
+
+def test_a_message_with_another_key_is_not_taken():
+    datagram = Codec(keys=["x" * 16]).encode(Envelope(sender="b", stamp=1, bodies=()))
+    with pytest.raises(MessageError):
+        CODEC.decode(datagram)
+    assert Codec(keys=["k" * 16, "x" * 16]).decode(datagram).sender == "b"
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_with_a_good_tag_give_a_message_or_a_typed_error(payload):
+    datagram = bytes.fromhex(CODEC.sign(payload)) + payload
+    try:
+        CODEC.decode(datagram)
+    except MessageError:
+        return
+
+
+def test_damaged_messages_give_a_typed_error_or_a_message():
+    rng = random.Random(1)
+    bodies = tuple(example(kind) for kind in get_args(Body))
+    whole = CODEC.encode(Envelope(sender="b", stamp=3, bodies=bodies))[16:]
+    for _ in range(2000):
+        damaged = bytearray(whole)
+        for _ in range(rng.randint(1, 4)):
+            damaged[rng.randrange(len(damaged))] = rng.randrange(256)
+        payload = bytes(damaged[: rng.randint(1, len(damaged))])
+        try:
+            CODEC.decode(bytes.fromhex(CODEC.sign(payload)) + payload)
+        except MessageError:
+            continue
--- /dev/null
+++ b/tests/systems/test_entry.py
@@ -0,0 +1,159 @@
+import random
+
+from croftchute.bench.scenarios import HALL_AT_TARGET, MODEL
+from croftchute.commands import CancelAttempt, RefuseRequest, SendPeer, StartAttempt
+from croftchute.errors import Code, Ran
+from croftchute.peers.messages import Declined, Granted, Released, Reserve
+from croftchute.systems.cancels import Cancels
+from croftchute.systems.entry import ASK_TIMEOUT_S, AttemptEnd, Entry
+from croftchute.systems.shard_choice import ShardChooser
+from croftchute.systems.sharding import build_topology
+from croftchute.tables.requests import Request
+
+TOPOLOGY = build_topology(HALL_AT_TARGET.document(shard_engines=8), revision=1, hall="hall-1")
+
+
+def make_entry():
+    rng = random.Random(1)
+    chooser = ShardChooser(rng=rng, reachable=lambda shard: True)
+    return Entry(
+        box="e",
+        topology=TOPOLOGY,
+        cancels=Cancels(),
+        chooser=chooser,
+        owner_of=lambda shard: f"owner-of-{shard}",
+        rng=rng,
+    )
+
+
+def request(name="r", **changes):
+    values = {"id": name, "caller": "c", "model": MODEL, "prompt_tokens": 50, "max_tokens": 9}
+    values |= {"priority": 5, "arrived_at": 0.0, "deadline_at": 30.0}
+    return Request(**(values | changes))
+
+
+def sent(commands, kind):
+    return [c for c in commands if isinstance(c, SendPeer) and isinstance(c.body, kind)]
+
+
+def of(commands, kind):
+    return [c for c in commands if isinstance(c, kind)]
+
+
+def grant(asked):
+    engines = ("hall-1-prefill-0", "hall-1-decode-0")
+    return Granted(
+        request_id=asked.request_id,
+        attempt=asked.attempt,
+        shard=asked.shard,
+        prefill_id=engines[0],
+        decode_id=engines[1],
+        expected_output=9.0,
+    )
+
+
+def start(entry, name="r"):
+    (ask,) = sent(entry.arrive(request(name), 0.0), Reserve)
+    return ask.body, entry.granted(ask.box, grant(ask.body), 0.01)
+
+
+def end(**changes):
+    values = {"request_id": "r", "attempt": 1, "ok": False, "output_tokens": 3, "sent": True}
+    return AttemptEnd(**(values | {"failed_engine": "hall-1-decode-0"} | changes))
+
+
+def test_a_silent_owner_is_asked_again_and_then_another():
+    entry = make_entry()
+    (first,) = sent(entry.arrive(request(), 0.0), Reserve)
+    (again,) = sent(entry.tick(ASK_TIMEOUT_S * 1.1), Reserve)
+    assert again.body.shard == first.body.shard
+    commands = entry.tick(ASK_TIMEOUT_S * 2.3)
+    (released,) = sent(commands, Released)
+    (other,) = sent(commands, Reserve)
+    assert released.body.shard == first.body.shard != other.body.shard
+
+
+def test_a_grant_that_comes_late_is_given_back():
+    entry = make_entry()
+    (first,) = sent(entry.arrive(request(), 0.0), Reserve)
+    entry.tick(ASK_TIMEOUT_S * 1.1)
+    entry.tick(ASK_TIMEOUT_S * 2.3)
+    commands = entry.granted(first.box, grant(first.body), 0.2)
+    assert sent(commands, Released)
+    assert not of(commands, StartAttempt)
+
+
+def test_a_repeated_grant_starts_nothing_twice():
+    entry = make_entry()
+    asked, commands = start(entry)
+    assert len(of(commands, StartAttempt)) == 1
+    assert entry.granted("x", grant(asked), 0.02) == []
+
+
+def test_declined_everywhere_is_refused_at_once_as_not_run():
+    entry = make_entry()
+    commands = entry.arrive(request(), 0.0)
+    while asks := sent(commands, Reserve):
+        asked = asks[0].body
+        body = Declined(
+            request_id="r", attempt=1, shard=asked.shard, code=Code.NO_CAPACITY, retry_after_s=2.0
+        )
+        commands = entry.declined(body, 0.01)
+    (refused,) = of(commands, RefuseRequest)
+    assert (refused.code, refused.ran) == (Code.NO_CAPACITY, Ran.NOT_RUN)
+    assert refused.retry_after_s == 2.0
+    assert not entry.open_by_id
+
+
+def test_a_failed_attempt_goes_on_at_the_next_token_elsewhere():
+    entry = make_entry()
+    start(entry)
+    (ask,) = sent(entry.ended(end(), 1.0), Reserve)
+    assert (ask.body.attempt, ask.body.resume_from) == (2, 3)
+    assert ask.body.avoid == ("hall-1-decode-0",)
+
+
+def test_an_end_of_an_earlier_attempt_is_ignored():
+    entry = make_entry()
+    start(entry)
+    entry.ended(end(), 1.0)
+    assert entry.ended(end(ok=True), 1.1) == []
+
+
+def test_retries_end_with_the_budget_and_say_that_it_ran():
+    entry = make_entry()
+    refusals = []
+    for n in range(40):
+        start(entry, f"r{n}")
+        commands = entry.ended(end(request_id=f"r{n}"), 1.0)
+        refusals += of(commands, RefuseRequest)
+    assert 0 < len(refusals) < 40
+    assert {refusal.ran for refusal in refusals} == {Ran.RAN}
+
+
+def test_a_caller_who_leaves_has_everything_cancelled():
+    entry = make_entry()
+    start(entry)
+    commands = entry.gone("r", 1.0)
+    assert {c.engine_id for c in of(commands, CancelAttempt)} == {
+        "hall-1-prefill-0",
+        "hall-1-decode-0",
+    }
+    assert sent(commands, Released)
+    assert entry.gone("r", 1.1) == []
+
+
+def test_a_cancel_is_repeated_until_it_is_confirmed():
+    cancels = Cancels()
+    assert cancels.add("d", "r-1", 0.0)
+    assert not cancels.tick(0.1)
+    assert cancels.tick(0.3)
+    cancels.confirm("d", "r-1")
+    assert not cancels.tick(9.0)
+
+
+def test_without_configuration_nothing_is_run():
+    entry = make_entry()
+    entry.topology = build_topology(HALL_AT_TARGET.document(shard_engines=8), revision=0, hall="x")
+    (refused,) = of(entry.arrive(request(model="nope"), 0.0), RefuseRequest)
+    assert (refused.code, refused.ran) == (Code.NO_CONFIG, Ran.NOT_RUN)
--- /dev/null
+++ b/tests/systems/test_owner.py
@@ -0,0 +1,177 @@
+from dataclasses import replace
+from math import isclose
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from croftchute.bench.scenarios import MODEL, OBERBAYERN
+from croftchute.commands import CancelAttempt, SendPeer
+from croftchute.errors import Code
+from croftchute.peers.messages import (
+    Announced,
+    Audit,
+    Audited,
+    Declined,
+    Granted,
+    Released,
+    Reserve,
+)
+from croftchute.systems.cancels import Cancels
+from croftchute.systems.owner import ORPHAN_GRACE_S, Owner
+from croftchute.systems.sharding import build_topology
+from croftchute.tables.upstreams import EngineReport
+
+HALL = "halle-a"
+SHARD = "pool/0"
+
+
+def ask(name, **changes):
+    values = {
+        "request_id": name,
+        "attempt": 1,
+        "shard": SHARD,
+        "model": MODEL,
+        "caller": "c",
+        "priority": 5,
+        "prompt_tokens": 500,
+        "max_tokens": 100,
+        "resume_from": 0,
+        "waited_s": 0.0,
+        "time_left_s": 30.0,
+    }
+    return Reserve(**(values | changes))
+
+
+@pytest.fixture
+def owner():
+    return make_owner()
+
+
+def make_owner():
+    topology = build_topology(OBERBAYERN.document(shard_engines=8), revision=1, hall=HALL)
+    made = Owner(box="o", cancels=Cancels(), topology=topology)
+    made.set_shards(topology, topology.shards_by_id.values(), 0.0)
+    return made
+
+
+def body_of(commands):
+    (sent,) = [command.body for command in commands if isinstance(command, SendPeer)]
+    return sent
+
+
+def cancelled(commands):
+    return {(c.engine_id, c.key) for c in commands if isinstance(c, CancelAttempt)}
+
+
+def release(name, **changes):
+    values = {"request_id": name, "attempt": 1, "shard": SHARD, "output_tokens": 5}
+    return Released(**(values | {"confirmed": True} | changes))
+
+
+def test_asking_twice_grants_once(owner):
+    first = body_of(owner.reserve("e", ask("r"), 1.0))
+    again = body_of(owner.reserve("e", ask("r"), 1.1))
+    assert isinstance(first, Granted)
+    assert first == again
+    assert len(owner.ledger.reservations_by_key) == 1
+
+
+def test_a_shard_that_is_not_owned_is_declined(owner):
+    declined = body_of(owner.reserve("e", ask("r", shard="pool/7"), 1.0))
+    assert declined.code is Code.NOT_OWNER
+
+
+def test_an_engine_to_avoid_and_a_failed_engine_get_nothing(owner):
+    first = body_of(owner.reserve("e", ask("r"), 1.0))
+    owner.release("e", release("r", failed_engine=first.decode_id, confirmed=False), 1.0)
+    second = body_of(owner.reserve("e", ask("r", attempt=2), 1.1))
+    assert second.decode_id != first.decode_id
+    third = body_of(owner.reserve("e", ask("s", avoid=(second.decode_id,)), 1.1))
+    assert isinstance(third, Declined)
+
+
+def test_memory_is_never_promised_twice(owner):
+    granted = 0
+    for n in range(200):
+        granted += isinstance(body_of(owner.reserve("e", ask(f"r{n}"), n * 1.0)), Granted)
+    facts = owner.topology.engines_by_id
+    for load in owner.ledger.loads_by_engine.values():
+        assert load.running <= facts[load.id].slots
+        assert load.kv_committed <= facts[load.id].kv_tokens
+    assert 0 < granted < 200
+
+
+def test_a_box_that_is_gone_leaves_nothing_behind(owner):
+    granted = body_of(owner.reserve("e", ask("r"), 1.0))
+    commands = owner.entry_gone("e", 2.0)
+    assert cancelled(commands) == {(granted.prefill_id, "r-1"), (granted.decode_id, "r-1")}
+    assert not owner.ledger.reservations_by_key
+
+
+def test_an_audit_frees_what_the_entry_box_has_closed(owner):
+    owner.reserve("e", ask("r"), 1.0)
+    owner.reserve("e", ask("s"), 1.0)
+    audit = body_of(owner.tick(20.0))
+    assert audit == Audit(shard=SHARD, keys=("r-1", "s-1"))
+    owner.audited(Audited(shard=SHARD, asked=audit.keys, open=("s-1",)), 20.0)
+    assert list(owner.ledger.reservations_by_key) == ["s-1"]
+
+
+def test_work_that_nobody_announces_is_cancelled_after_a_grace(owner):
+    report = EngineReport(
+        as_of=5.0, running=1, kv_used_tokens=9, prefill_backlog_tokens=0, request_ids=("x-1",)
+    )
+    engine = owner.engine_ids()[0]
+    assert not cancelled(owner.report(engine, report, (), 5.0))
+    late = replace(report, as_of=5.1 + ORPHAN_GRACE_S)
+    assert cancelled(owner.report(engine, late, (), 8.0)) == {(engine, "x-1")}
+
+
+def test_an_announced_attempt_is_no_orphan(owner):
+    engine = owner.engine_ids()[0]
+    body = Announced(
+        request_id="x",
+        attempt=1,
+        shard=SHARD,
+        caller="c",
+        priority=1,
+        prefill_id=engine,
+        decode_id=engine,
+        prompt_tokens=5,
+        expected_output=5.0,
+        time_left_s=9.0,
+    )
+    owner.announced("e", body, 1.0)
+    for at in (5.0, 9.0):
+        report = EngineReport(
+            as_of=at, running=1, kv_used_tokens=9, prefill_backlog_tokens=0, request_ids=("x-1",)
+        )
+        assert not cancelled(owner.report(engine, report, (), at))
+
+
+def test_a_report_counts_only_the_grants_it_could_not_see(owner):
+    fact = next(f for f in owner.topology.engines_by_id.values() if f.prefills)
+    owner.reserve("e", ask("r", prompt_tokens=1200), 10.0)
+    cost = 1200 / fact.prefill_tokens_per_s
+    report = EngineReport(as_of=9.9, running=0, kv_used_tokens=0, prefill_backlog_tokens=0)
+    owner.report(fact.id, report, (), 10.01)
+    assert isclose(owner.ledger.loads_by_engine[fact.id].prefill_free_at, 10.0 + cost)
+    owner.report(fact.id, replace(report, as_of=10.05), (), 10.06)
+    assert isclose(owner.ledger.loads_by_engine[fact.id].prefill_free_at, 10.05)
+
+
+@settings(max_examples=60)
+@given(st.lists(st.tuples(st.integers(0, 15), st.booleans(), st.integers(50, 3000)), max_size=60))
+def test_the_sums_are_those_of_the_reservations(steps):
+    owner = make_owner()
+    for now, (number, adds, tokens) in enumerate(steps):
+        if adds:
+            owner.reserve("e", ask(f"r{number}", prompt_tokens=tokens), float(now))
+        else:
+            owner.release("e", release(f"r{number}"), float(now))
+        held = owner.ledger.reservations_by_key.values()
+        for load in owner.ledger.loads_by_engine.values():
+            own = [r for r in held if r.decode_id == load.id]
+            assert load.running == len(own)
+            assert isclose(load.kv_committed, sum(r.kv_committed for r in own), abs_tol=1e-6)
--- /dev/null
+++ b/tests/systems/test_prefix_index.py
@@ -0,0 +1,61 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from croftchute.systems.prefix_index import (
+    BLOCK_TOKENS,
+    DOUBTFUL_CREDIT,
+    CacheEvent,
+    PrefixIndex,
+)
+
+BLOCKS = st.integers(min_value=0, max_value=9)
+EVENTS = st.lists(
+    st.tuples(st.integers(0, 3), st.lists(BLOCKS, max_size=4), st.lists(BLOCKS, max_size=2)),
+    max_size=30,
+)
+
+
+class NaiveIndex:
+    """Marks every entry doubtful one by one at a gap, with no bound and no eras."""
+
+    def __init__(self):
+        self.sure_by_block = {}
+        self.next_seq = None
+
+    def apply(self, event):
+        if self.next_seq is not None and event.seq < self.next_seq:
+            return
+        if self.next_seq is not None and event.seq > self.next_seq:
+            self.sure_by_block = dict.fromkeys(self.sure_by_block, False)
+        self.next_seq = event.seq + 1
+        for block in event.evicted:
+            self.sure_by_block.pop(block, None)
+        for block in event.stored:
+            self.sure_by_block[block] = True
+
+    def cached_tokens(self, prefix):
+        tokens = 0.0
+        for block in prefix:
+            if block not in self.sure_by_block:
+                break
+            tokens += BLOCK_TOKENS * (1 if self.sure_by_block[block] else DOUBTFUL_CREDIT)
+        return tokens
+
+
+@given(EVENTS, st.lists(BLOCKS, max_size=6))
+def test_the_index_says_the_same_as_a_naive_one(steps, prefix):
+    index, naive = PrefixIndex(), NaiveIndex()
+    seq = 5
+    for step, stored, evicted in steps:
+        seq += step - 1
+        event = CacheEvent(seq=max(0, seq), stored=tuple(stored), evicted=tuple(evicted))
+        index.apply(event)
+        naive.apply(event)
+        assert index.cached_tokens(prefix) == naive.cached_tokens(prefix)
+
+
+def test_the_index_is_bounded():
+    index = PrefixIndex(max_blocks=10)
+    index.apply(CacheEvent(seq=1, stored=tuple(range(50))))
+    assert index.cached_tokens([49]) == BLOCK_TOKENS
+    assert index.cached_tokens([0]) == 0
