Make hot rows msgspec structs; shorten messages; bound lists in damaged messages

Change: rows on msgspec.Struct, ids as 16 bytes, engines by 32-bit hash, addresses left out of most heartbeats, lists bounded at 4096 items.

--- a/src/croftchute/bench/experiment.py
+++ b/src/croftchute/bench/experiment.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from croftchute.bench.checker import violations
 from croftchute.bench.faults import FAULTS, FaultContext
@@ -15,6 +15,7 @@
 from croftchute.bench.world import Ticket, World
 from croftchute.systems.sharding import build_topology
 from croftchute.tables.requests import Request
+from croftchute.tables.rows import changed
 
 SETTLE_S = 2.5
 DRAIN_S = 40.0
@@ -231,7 +232,7 @@
 
 
 def _at(request: Request, now: float) -> Request:
-    return replace(request, arrived_at=now, deadline_at=now + 60.0)
+    return changed(request, arrived_at=now, deadline_at=now + 60.0)
 
 
 def _ttft(ticket: Ticket) -> float:
--- a/src/croftchute/commands.py
+++ b/src/croftchute/commands.py
@@ -2,33 +2,30 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TypeAlias
 
 from croftchute.errors import Code, Ran
 from croftchute.peers.messages import Body
 from croftchute.tables.dedupe import RangeRow
 from croftchute.tables.requests import Plan
+from croftchute.tables.rows import Row
 from croftchute.timeline.events import Event
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SendPeer:
+class SendPeer(Row, frozen=True, kw_only=True):
     """Send a message to another box; it may be lost."""
 
     box: str
     body: Body
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class StartAttempt:
+class StartAttempt(Row, frozen=True, kw_only=True):
     """Run an attempt of a request as planned."""
 
     plan: Plan
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RefuseRequest:
+class RefuseRequest(Row, frozen=True, kw_only=True):
     """Give a request its final answer: it will not be served (any further)."""
 
     request_id: str
@@ -37,45 +34,39 @@
     retry_after_s: float
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CancelAttempt:
+class CancelAttempt(Row, frozen=True, kw_only=True):
     """Cancel an attempt at an engine; the outcome comes back as an input."""
 
     engine_id: str
     key: str
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PollEngine:
+class PollEngine(Row, frozen=True, kw_only=True):
     """Ask an engine for its load report and cache events."""
 
     engine_id: str
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class FetchShared:
+class FetchShared(Row, frozen=True, kw_only=True):
     """Get a newer configuration or range map from a peer."""
 
     box: str
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ProposeRanges:
+class ProposeRanges(Row, frozen=True, kw_only=True):
     """Try to put new rows in place of a version of the range map in the platform's store."""
 
     version: int
     rows: tuple[RangeRow, ...]
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Emit:
+class Emit(Row, frozen=True, kw_only=True):
     """Put an event on the time line."""
 
     event: Event
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class DecideCall:
+class DecideCall(Row, frozen=True, kw_only=True):
     """The verdict on a non-repeatable call that waits at this box."""
 
     token: str
--- a/src/croftchute/config/checks.py
+++ b/src/croftchute/config/checks.py
@@ -7,6 +7,7 @@
 from croftchute.config.documents import Document, PoolSpec, Role
 from croftchute.errors import Code, DocumentError, Fault, PolicyError
 from croftchute.policies.starlark_policy import compile_policy
+from croftchute.tables.upstreams import engine_hash
 from croftchute.validation import dump, load
 
 
@@ -60,6 +61,15 @@
     engines = [engine.id for pool in document.pools for engine in pool.engines]
     workers = [worker.id for service in document.services for worker in service.workers]
     yield from _repeats("$.upstreams", engines + workers)
+    yield from _clashing_hashes(engines)
+
+
+def _clashing_hashes(engines: list[str]) -> Iterator[Fault]:
+    id_by_hash: dict[int, str] = {}
+    for engine in engines:
+        other = id_by_hash.setdefault(engine_hash(engine), engine)
+        if other != engine:
+            yield _fault("$.upstreams", f"{engine!r} and {other!r} have one hash; rename one")
 
 
 def _known_halls(document: Document) -> Iterator[Fault]:
--- a/src/croftchute/daemon/box_process.py
+++ b/src/croftchute/daemon/box_process.py
@@ -303,19 +303,20 @@
                     self._others.submit(self._fetch, command.box)
                 case ProposeRanges():
                     self._others.submit(self._propose, command)
+        stamp = self.stamps.tick(now)
         for box, bodies in bodies_by_box.items():
-            self._send(box, bodies, now)
+            self._send(box, tuple(bodies), stamp)
 
     def _decide(self, name: str, decision: StartAttempt | RefuseRequest | DecideCall) -> None:
         if self.board.decide(name, decision) or not isinstance(decision, StartAttempt):
             return
         self.submit(lambda now: self.left(name, now))
 
-    def _send(self, box_id: str, bodies: list[Body], now: float) -> None:
+    def _send(self, box_id: str, bodies: tuple[Body, ...], stamp: int) -> None:
         box = self.systems.membership.boxes_by_id.get(box_id)
         if box is not None:
             address = (box.address, box.peer_port)
-            self.peers.send(address, self.settings.box, self.stamps.tick(now), bodies)
+            self.peers.send(address, self.settings.box, stamp, bodies)
 
     def _emit(self, event: Event, now: float) -> None:
         self.ring.emit(event, now)
--- a/src/croftchute/gateway/prompts.py
+++ b/src/croftchute/gateway/prompts.py
@@ -11,6 +11,7 @@
 
 CHARS_PER_TOKEN = 4
 MAX_PREFIX_BLOCKS = 8
+BLOCK_MASK = 0xFFFFFFFF
 
 
 def prompt_tokens(prompt: Any) -> int:
@@ -41,7 +42,7 @@
     blocks = []
     for piece in pieces[: min(whole, MAX_PREFIX_BLOCKS)]:
         running.update(piece)
-        blocks.append(running.intdigest())
+        blocks.append(running.intdigest() & BLOCK_MASK)
     return tuple(blocks)
 
 
--- a/src/croftchute/peers/codec.py
+++ b/src/croftchute/peers/codec.py
@@ -20,6 +20,9 @@
 from croftchute.tables.upstreams import ShardDigest
 
 TAG_BYTES = 16
+HEX_DIGITS = 32
+MAX_ITEMS = 4096
+ID_FIELDS = ("request_id", "key", "token")
 MAX_DATAGRAM = 60000
 SCHEMA = capnp.load(str(Path(__file__).with_name("schema.capnp")))
 
@@ -67,7 +70,7 @@
             raise MessageError("the checksum fits none of the keys")
         try:
             message = SCHEMA.Envelope.from_bytes_packed(payload)
-            bodies = tuple(_from_wire(entry) for entry in message.messages)
+            bodies = tuple(_from_wire(entry) for entry in _bounded(message.messages))
             return Envelope(sender=message.sender, stamp=message.stamp, bodies=bodies)
         except (capnp.KjException, ValueError, KeyError) as error:
             raise MessageError(f"malformed: {error}") from None
@@ -106,6 +109,37 @@
     return head + "".join(part.capitalize() for part in rest)
 
 
+def _write_id(value: str) -> bytes:
+    """An id as 16 bytes if it is 32 hexadecimal digits, else as text behind a zero byte."""
+    if len(value) == HEX_DIGITS and value.isalnum():
+        try:
+            return bytes.fromhex(value)
+        except ValueError:
+            pass
+    text = b"\0" + value.encode()
+    return text if len(text) != HEX_DIGITS // 2 else b"\0" + text
+
+
+def _read_id(raw: bytes) -> str:
+    """Read what :func:`_write_id` wrote."""
+    if len(raw) == HEX_DIGITS // 2:
+        return bytes(raw).hex()
+    return bytes(raw).lstrip(b"\0").decode()
+
+
+ID_CONVERTERS: tuple[Callable[[Any], Any], Callable[[Any], Any]] = (_write_id, _read_id)
+
+
+def _bounded(items: Any) -> Any:
+    """The list itself, unless it claims more items than a datagram can mean.
+
+    A list of empty items takes no room on the wire, so a damaged one may claim millions.
+    """
+    if len(items) > MAX_ITEMS:
+        raise MessageError(f"a list of {len(items)} items")
+    return items
+
+
 def _same(value: Any) -> Any:
     return value
 
@@ -114,7 +148,10 @@
     hints = get_type_hints(kind)
     plan = []
     for field in fields(kind):
-        write, read = _converters(hints[field.name])
+        if field.name in ID_FIELDS:
+            write, read = ID_CONVERTERS
+        else:
+            write, read = _converters(hints[field.name])
         plan.append(_Field(name=field.name, wire_name=_camel(field.name), write=write, read=read))
     return plan
 
@@ -123,10 +160,10 @@
     if hint == tuple[ShardDigest, ...]:
         return (
             lambda value: [_to_wire(entry) for entry in value],
-            lambda value: tuple(_read(ShardDigest, entry) for entry in value),
+            lambda value: tuple(_read(ShardDigest, entry) for entry in _bounded(value)),
         )
     if getattr(hint, "__origin__", None) is tuple:
-        return list, tuple
+        return list, lambda value: tuple(_bounded(value))
     if isinstance(hint, type) and issubclass(hint, StrEnum):
         return str, hint
     if hint is bytes:
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -11,17 +11,21 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Heartbeat:
-    """I am alive; sent to each peer at an interval, with digests of the shards owned."""
+    """I am alive; sent to each peer at an interval, with digests of the shards owned.
+
+    Most heartbeats leave the address out, to save bytes; the receiver knows it from an earlier
+    one, or from its settings or the platform's list.
+    """
 
     incarnation: int
-    hall: str
-    address: str
-    peer_port: int
-    admin_port: int
     revision: int
     map_version: int
     leaving: bool
     digests: tuple[ShardDigest, ...] = ()
+    hall: str = ""
+    address: str = ""
+    peer_port: int = 0
+    admin_port: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -45,13 +49,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Granted:
-    """The owner's yes, with the engines to use."""
+    """The owner's yes, with the engines to use by their short hashes."""
 
     request_id: str
     attempt: int
     shard: str
-    prefill_id: str
-    decode_id: str
+    prefill_hash: int
+    decode_hash: int
     expected_output: float
 
 
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -46,7 +46,7 @@
 }
 
 struct Reserve {
-  requestId @0 :Text;
+  requestId @0 :Data;
   attempt @1 :UInt16;
   shard @2 :Text;
   model @3 :Text;
@@ -57,21 +57,21 @@
   resumeFrom @8 :UInt32;
   waitedS @9 :Float32;
   timeLeftS @10 :Float32;
-  prefix @11 :List(UInt64);
+  prefix @11 :List(UInt32);
   avoid @12 :List(Text);
 }
 
 struct Granted {
-  requestId @0 :Text;
+  requestId @0 :Data;
   attempt @1 :UInt16;
   shard @2 :Text;
-  prefillId @3 :Text;
-  decodeId @4 :Text;
+  prefillHash @3 :UInt32;
+  decodeHash @4 :UInt32;
   expectedOutput @5 :Float32;
 }
 
 struct Declined {
-  requestId @0 :Text;
+  requestId @0 :Data;
   attempt @1 :UInt16;
   shard @2 :Text;
   code @3 :Text;
@@ -79,7 +79,7 @@
 }
 
 struct Released {
-  requestId @0 :Text;
+  requestId @0 :Data;
   attempt @1 :UInt16;
   shard @2 :Text;
   outputTokens @3 :UInt32;
@@ -88,7 +88,7 @@
 }
 
 struct Announced {
-  requestId @0 :Text;
+  requestId @0 :Data;
   attempt @1 :UInt16;
   shard @2 :Text;
   caller @3 :Text;
@@ -112,14 +112,14 @@
 }
 
 struct Begin {
-  key @0 :Text;
-  token @1 :Text;
+  key @0 :Data;
+  token @1 :Data;
   epoch @2 :Int64;
 }
 
 struct Mirror {
-  key @0 :Text;
-  token @1 :Text;
+  key @0 :Data;
+  token @1 :Data;
   epoch @2 :Int64;
   phase @3 :Text;
   answer @4 :Data;
@@ -127,16 +127,16 @@
 }
 
 struct Mirrored {
-  key @0 :Text;
-  token @1 :Text;
+  key @0 :Data;
+  token @1 :Data;
   epoch @2 :Int64;
   phase @3 :Text;
   accepted @4 :Bool;
 }
 
 struct Verdict {
-  key @0 :Text;
-  token @1 :Text;
+  key @0 :Data;
+  token @1 :Data;
   decision @2 :Text;
   code @3 :Text;
   answer @4 :Data;
@@ -144,8 +144,8 @@
 }
 
 struct Finish {
-  key @0 :Text;
-  token @1 :Text;
+  key @0 :Data;
+  token @1 :Data;
   epoch @2 :Int64;
   phase @3 :Text;
   answer @4 :Data;
--- a/src/croftchute/peers/socket.py
+++ b/src/croftchute/peers/socket.py
@@ -28,6 +28,8 @@
         self._socket.bind((address, port))
         self._thread = threading.Thread(target=self._receive, daemon=True, name="peers")
         self._stopped = False
+        self._last_name: tuple[int, tuple[int, ...]] = (0, ())
+        self._last_datagram = b""
         self.sent_bytes = 0
         self.sent_datagrams = 0
         self.dropped = 0
@@ -47,7 +49,7 @@
         """Send bodies to a peer in as few datagrams as they fit; errors count as loss."""
         for group in batches(bodies, BATCH):
             try:
-                datagram = self._codec.encode(Envelope(sender=sender, stamp=stamp, bodies=group))
+                datagram = self._encode(Envelope(sender=sender, stamp=stamp, bodies=group))
                 self._socket.sendto(datagram, address)
             except (OSError, MessageError):
                 self.dropped += 1
@@ -55,6 +57,14 @@
             self.sent_bytes += len(datagram)
             self.sent_datagrams += 1
 
+    def _encode(self, envelope: Envelope) -> bytes:
+        """Encode; the same bodies at the same stamp, as heartbeats to all peers, only once."""
+        name = (envelope.stamp, tuple(id(body) for body in envelope.bodies))
+        if name != self._last_name:
+            self._last_datagram = self._codec.encode(envelope)
+            self._last_name = name
+        return self._last_datagram
+
     def stop(self) -> None:
         """Close the socket and end its thread."""
         self._stopped = True
--- a/src/croftchute/systems/box.py
+++ b/src/croftchute/systems/box.py
@@ -46,6 +46,8 @@
 FETCH_RETRY_S = 0.3
 REPAIR_EVERY_S = 1.0
 RELAYS = 2
+FIRST_BEATS = 10
+INTRODUCE_EVERY = 8
 
 
 class BoxSystems:
@@ -85,6 +87,7 @@
         self._next_beat_at = 0.0
         self._next_poll_by_engine: dict[str, float] = {}
         self._announcements: list[tuple[float, str]] = []
+        self._beats = 0
         self._next_fetch_at = 0.0
         self._next_repair_at = 0.0
 
@@ -211,7 +214,8 @@
         if restarted:
             commands += self.owner.entry_gone(sender, now)
             commands += self.dedupe.restarted(sender, beat.incarnation)
-        if beat.hall == self.own.hall:
+        known = self.membership.boxes_by_id.get(sender)
+        if known is not None and known.hall == self.own.hall:
             for digest in beat.digests:
                 self.chooser.learn(replace(digest, at=now))
         if events:
@@ -263,15 +267,20 @@
             self.chooser.learn(digest)
         body = Heartbeat(
             incarnation=self.own.incarnation,
-            hall=self.own.hall,
-            address=self.own.address,
-            peer_port=self.own.peer_port,
-            admin_port=self.own.admin_port,
             revision=self.topology.revision,
             map_version=self.dedupe.map.version,
             leaving=self.own.state is BoxState.LEAVING,
             digests=digests,
         )
+        self._beats += 1
+        if self._beats <= FIRST_BEATS or self._beats % INTRODUCE_EVERY == 0:
+            body = replace(
+                body,
+                hall=self.own.hall,
+                address=self.own.address,
+                peer_port=self.own.peer_port,
+                admin_port=self.own.admin_port,
+            )
         return [SendPeer(box=box, body=body) for box in self._listeners()]
 
     @property
--- a/src/croftchute/systems/entry.py
+++ b/src/croftchute/systems/entry.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from croftchute.commands import Command, Emit, RefuseRequest, SendPeer, StartAttempt
 from croftchute.errors import Code, Ran
@@ -21,6 +21,7 @@
 from croftchute.systems.cancels import Cancels
 from croftchute.systems.shard_choice import ShardChooser
 from croftchute.tables.requests import OpenRequest, Plan, Request, RequestState, attempt_key
+from croftchute.tables.rows import changed
 from croftchute.tables.upstreams import Topology
 from croftchute.timeline.events import Event, Kind
 
@@ -107,25 +108,29 @@
                 return []
             self.stale_grants += 1
             return [self._release(sender, body.request_id, body.attempt, body.shard)]
+        prefill_id = self.topology.engine_ids_by_hash.get(body.prefill_hash)
+        decode_id = self.topology.engine_ids_by_hash.get(body.decode_hash)
+        if prefill_id is None or decode_id is None:
+            return self._unknown_engines(row, body, now)
         plan = Plan(
             request_id=body.request_id,
             attempt=body.attempt,
             shard=body.shard,
             owner=sender,
-            prefill_id=body.prefill_id,
-            decode_id=body.decode_id,
+            prefill_id=prefill_id,
+            decode_id=decode_id,
             resume_from=row.delivered,
             prompt_tokens=row.request.prompt_tokens,
             expected_output=body.expected_output,
         )
         self.choosing_ids.discard(body.request_id)
-        self.open_by_id[body.request_id] = replace(row, state=RequestState.RUNNING, plan=plan)
+        self.open_by_id[body.request_id] = changed(row, state=RequestState.RUNNING, plan=plan)
         event = Event(
             kind=Kind.ATTEMPT_STARTED,
             request_id=body.request_id,
             attempt=body.attempt,
-            upstream=body.decode_id,
-            detail=f"prefill {body.prefill_id}",
+            upstream=decode_id,
+            detail=f"prefill {prefill_id}",
         )
         return [Emit(event=event), StartAttempt(plan=plan)]
 
@@ -143,7 +148,7 @@
             detail=f"{body.shard} {body.code.value}",
         )
         commands: list[Command] = [Emit(event=event)]
-        row = replace(row, retry_after_s=max(body.retry_after_s, 0.5))
+        row = changed(row, retry_after_s=max(body.retry_after_s, 0.5))
         if body.code in FINAL_DECLINES or not row.candidates:
             return commands + self._give_up(row, body.code, now)
         return commands + self._ask_next(row, now)
@@ -152,7 +157,7 @@
         """Note how many output tokens the caller has, for a later resume."""
         row = self.open_by_id.get(request_id)
         if row is not None:
-            self.open_by_id[request_id] = replace(row, delivered=delivered)
+            self.open_by_id[request_id] = changed(row, delivered=delivered)
 
     def ended(self, end: AttemptEnd, now: float) -> list[Command]:
         """An attempt is over: finish the request, retry it, or give it up."""
@@ -170,7 +175,7 @@
         commands += self._end_plan(row, end, now)
         if end.ok:
             return commands + self._close(row, Kind.REQUEST_ANSWERED)
-        row = replace(row, delivered=row.delivered + end.output_tokens, plan=None)
+        row = changed(row, delivered=row.delivered + end.output_tokens, plan=None)
         if not self._may_retry(row, end, now):
             ran = Ran.NOT_RUN if not end.sent and row.attempt == 1 else Ran.RAN
             return commands + self._give_up(row, end.code, now, ran=ran)
@@ -226,7 +231,7 @@
             elif now - row.asked_at < ASK_TIMEOUT_S:
                 continue
             elif row.asks < ASKS_PER_SHARD:
-                commands += self._ask(replace(row, asks=row.asks + 1), now)
+                commands += self._ask(changed(row, asks=row.asks + 1), now)
             else:
                 commands.append(self._release_asked(row))
                 if row.candidates:
@@ -235,13 +240,25 @@
                     commands += self._give_up(row, Code.OWNER_SILENT, now)
         return commands
 
+    def _unknown_engines(self, row: OpenRequest, body: Granted, now: float) -> list[Command]:
+        """The owner has a newer configuration: give the place back and try elsewhere."""
+        commands = [self._release_asked(row)]
+        declined = Declined(
+            request_id=body.request_id,
+            attempt=body.attempt,
+            shard=body.shard,
+            code=Code.NO_UPSTREAM,
+            retry_after_s=1.0,
+        )
+        return commands + self.declined(declined, now)
+
     def _ask_next(self, row: OpenRequest, now: float) -> list[Command]:
         shard, *others = row.candidates
-        row = replace(row, candidates=tuple(others), asked_shard=shard, asks=1)
+        row = changed(row, candidates=tuple(others), asked_shard=shard, asks=1)
         return self._ask(row, now)
 
     def _ask(self, row: OpenRequest, now: float) -> list[Command]:
-        row = replace(row, asked_at=now)
+        row = changed(row, asked_at=now)
         request = row.request
         self.open_by_id[request.id] = row
         self.choosing_ids.add(request.id)
@@ -270,11 +287,11 @@
 
     def _retry(self, row: OpenRequest, end: AttemptEnd, now: float) -> list[Command]:
         avoid = row.avoid + ((end.failed_engine,) if end.failed_engine else ())
-        row = replace(row, state=RequestState.CHOOSING, attempt=row.attempt + 1, avoid=avoid)
+        row = changed(row, state=RequestState.CHOOSING, attempt=row.attempt + 1, avoid=avoid)
         candidates = self.chooser.candidates(row.request, self.topology, now)
         if not candidates:
             return self._give_up(row, end.code, now, ran=Ran.RAN)
-        return self._ask_next(replace(row, candidates=candidates), now)
+        return self._ask_next(changed(row, candidates=candidates), now)
 
     def _end_plan(self, row: OpenRequest, end: AttemptEnd, now: float) -> list[Command]:
         assert row.plan is not None
--- a/src/croftchute/systems/ledger.py
+++ b/src/croftchute/systems/ledger.py
@@ -4,10 +4,10 @@
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import replace
 
 from croftchute.systems.placement import Ask, Placement, memory_share
 from croftchute.tables.requests import Reservation
+from croftchute.tables.rows import changed
 from croftchute.tables.upstreams import EngineFact, EngineLoad, EngineReport
 
 RECENT_GRANTS = 64
@@ -37,7 +37,7 @@
             if not any(engine in wanted for engine in ends if engine):
                 self.remove(reservation.key)
         self.loads_by_engine = {
-            engine_id: replace(
+            engine_id: changed(
                 self.loads_by_engine.get(engine_id, EngineLoad(id=engine_id)),
                 leaving=fact.leaving,
             )
@@ -52,7 +52,7 @@
         if placement is None:
             return
         prefill = self.loads_by_engine[placement.prefill_id]
-        self.loads_by_engine[placement.prefill_id] = replace(
+        self.loads_by_engine[placement.prefill_id] = changed(
             prefill, prefill_free_at=placement.prefill_end_at
         )
         cost = placement.prefill_end_at - placement.prefill_start_at
@@ -60,7 +60,7 @@
         recent.append((now, cost))
         if placement.decode_id != placement.prefill_id:
             decode = self.loads_by_engine[placement.decode_id]
-            self.loads_by_engine[placement.decode_id] = replace(
+            self.loads_by_engine[placement.decode_id] = changed(
                 decode, ingress_free_at=placement.transfer_end_at
             )
 
@@ -83,7 +83,7 @@
             return
         saved = reservation.prefill_end_at - max(now, reservation.prefill_start_at)
         free_at = max(now, load.prefill_free_at - saved)
-        self.loads_by_engine[load.id] = replace(load, prefill_free_at=free_at)
+        self.loads_by_engine[load.id] = changed(load, prefill_free_at=free_at)
 
     def report(self, fact: EngineFact, report: EngineReport) -> None:
         """Correct an engine's row by its report, as of the time the report describes.
@@ -97,7 +97,7 @@
                 free_at = max(free_at, granted_at) + cost
         fill = report.kv_used_tokens / fact.kv_tokens
         closed = fill > (OPEN_FILL if load.closed else CLOSE_FILL)
-        self.loads_by_engine[fact.id] = replace(
+        self.loads_by_engine[fact.id] = changed(
             load,
             report=report,
             leaving=fact.leaving or report.leaving,
@@ -109,20 +109,20 @@
         """Keep new work off an engine for a while, after a failed call."""
         load = self.loads_by_engine.get(engine_id)
         if load is not None:
-            self.loads_by_engine[engine_id] = replace(load, failed_until=now + FAILED_S)
+            self.loads_by_engine[engine_id] = changed(load, failed_until=now + FAILED_S)
 
     def touch(self, keys: Iterable[str], now: float) -> None:
         """These reservations were confirmed by their entry box."""
         for key in keys:
             reservation = self.reservations_by_key.get(key)
             if reservation is not None:
-                self.reservations_by_key[key] = replace(reservation, confirmed_at=now)
+                self.reservations_by_key[key] = changed(reservation, confirmed_at=now)
 
     def _change_decode(self, reservation: Reservation, *, sign: int) -> None:
         load = self.loads_by_engine.get(reservation.decode_id)
         if load is None:
             return
-        self.loads_by_engine[load.id] = replace(
+        self.loads_by_engine[load.id] = changed(
             load,
             kv_committed=load.kv_committed + sign * reservation.kv_committed,
             kv_variance=max(0.0, load.kv_variance + sign * reservation.kv_variance),
--- a/src/croftchute/systems/membership.py
+++ b/src/croftchute/systems/membership.py
@@ -34,12 +34,11 @@
             return [], False
         restarted = known is not None and 0 < known.incarnation < beat.incarnation
         state = BoxState.LEAVING if beat.leaving else BoxState.LIVE
-        self.boxes_by_id[sender] = Box(
-            id=sender,
-            hall=beat.hall,
-            address=beat.address,
-            peer_port=beat.peer_port,
-            admin_port=beat.admin_port,
+        base = _introduced(sender, beat) or known
+        if base is None:
+            return [], False
+        self.boxes_by_id[sender] = replace(
+            base,
             incarnation=beat.incarnation,
             state=state,
             heard_at=now,
@@ -83,3 +82,16 @@
         own = [self.own.id] if self.own.state in states else []
         others = [box.id for box in self.peers() if box.state in states]
         return sorted(own + others)
+
+
+def _introduced(sender: str, beat: Heartbeat) -> Box | None:
+    """The box as its heartbeat describes it; None if the heartbeat leaves the address out."""
+    if not beat.address:
+        return None
+    return Box(
+        id=sender,
+        hall=beat.hall,
+        address=beat.address,
+        peer_port=beat.peer_port,
+        admin_port=beat.admin_port,
+    )
--- a/src/croftchute/systems/owner.py
+++ b/src/croftchute/systems/owner.py
@@ -31,6 +31,7 @@
     Shard,
     ShardDigest,
     Topology,
+    engine_hash,
 )
 from croftchute.timeline.events import Event, Kind
 
@@ -432,7 +433,7 @@
         request_id=held.request_id,
         attempt=held.attempt,
         shard=held.shard,
-        prefill_id=held.prefill_id,
-        decode_id=held.decode_id,
+        prefill_hash=engine_hash(held.prefill_id),
+        decode_hash=engine_hash(held.decode_id),
         expected_output=held.expected_output,
     )
--- a/src/croftchute/systems/placement.py
+++ b/src/croftchute/systems/placement.py
@@ -6,9 +6,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from math import sqrt
 
+from croftchute.tables.rows import Row
 from croftchute.tables.upstreams import EngineFact, EngineLoad
 
 MIN_SIGMAS = 0.5
@@ -19,8 +19,7 @@
 SHORTLIST = 4
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Ask:
+class Ask(Row, frozen=True, kw_only=True):
     """What a request needs; ``cached_by_engine`` holds prompt tokens not to be computed."""
 
     prompt_tokens: int
@@ -32,8 +31,7 @@
     avoid: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Placement:
+class Placement(Row, frozen=True, kw_only=True):
     """A pair of engines and the times at which the work would pass through them."""
 
     prefill_id: str
@@ -46,8 +44,7 @@
     service_s: float
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PrefillSlot:
+class PrefillSlot(Row, frozen=True, kw_only=True):
     """A time slot at a prefill engine."""
 
     engine_id: str
--- a/src/croftchute/systems/sharding.py
+++ b/src/croftchute/systems/sharding.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from croftchute.config.documents import Document, EngineSpec, PoolSpec, Role, UpstreamState
-from croftchute.tables.upstreams import EngineFact, ModelFact, Shard, Topology
+from croftchute.tables.upstreams import EngineFact, ModelFact, Shard, Topology, engine_hash
 
 
 def weight(key: str, place: str) -> int:
@@ -78,6 +78,7 @@
         revision=revision,
         hall=hall,
         engines_by_id={engine.id: _engine_fact(engine) for engine in engines},
+        engine_ids_by_hash={engine_hash(engine.id): engine.id for engine in engines},
         models_by_id=_model_facts(document),
         shards_by_id={shard.id: shard for shard in shards},
         shards_by_pool=shards_by_pool,
--- a/src/croftchute/tables/requests.py
+++ b/src/croftchute/tables/requests.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from croftchute.tables.rows import Row
+
 
 class RequestState(StrEnum):
     """Where a request stands at its entry box."""
@@ -13,8 +14,7 @@
     RUNNING = "running"
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Request:
+class Request(Row, frozen=True, kw_only=True):
     """A completion request; ``prefix`` holds hashes of its leading token blocks."""
 
     id: str
@@ -28,8 +28,7 @@
     prefix: tuple[int, ...] = ()
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class OpenRequest:
+class OpenRequest(Row, frozen=True, kw_only=True):
     """A request in progress; ``delivered`` counts output tokens the caller has."""
 
     request: Request
@@ -45,8 +44,7 @@
     retry_after_s: float = 1.0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Plan:
+class Plan(Row, frozen=True, kw_only=True):
     """Where one attempt runs: the engine for prefill and the engine for decode."""
 
     request_id: str
@@ -60,8 +58,7 @@
     expected_output: float
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Reservation:
+class Reservation(Row, frozen=True, kw_only=True):
     """Engine time, link time and memory that an owner has set aside for one attempt."""
 
     request_id: str
--- a/src/croftchute/tables/upstreams.py
+++ b/src/croftchute/tables/upstreams.py
@@ -4,9 +4,17 @@
 
 from dataclasses import dataclass, field
 
+import xxhash
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class EngineReport:
+from croftchute.tables.rows import Row
+
+
+def engine_hash(engine_id: str) -> int:
+    """A short name for an engine in messages; the configuration's check sees that none clash."""
+    return int(xxhash.xxh32_intdigest(engine_id.encode()))
+
+
+class EngineReport(Row, frozen=True, kw_only=True):
     """A load report, as the engine published it; it describes the engine at ``as_of``."""
 
     as_of: float
@@ -18,8 +26,7 @@
     loaded_versions: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class EngineLoad:
+class EngineLoad(Row, frozen=True, kw_only=True):
     """What the owner knows of one engine; times are absolute seconds, sizes are tokens."""
 
     id: str
@@ -99,6 +106,7 @@
     revision: int
     hall: str
     engines_by_id: dict[str, EngineFact] = field(default_factory=dict)
+    engine_ids_by_hash: dict[int, str] = field(default_factory=dict)
     models_by_id: dict[str, ModelFact] = field(default_factory=dict)
     shards_by_id: dict[str, Shard] = field(default_factory=dict)
     shards_by_pool: dict[str, tuple[Shard, ...]] = field(default_factory=dict)
--- a/src/croftchute/timeline/events.py
+++ b/src/croftchute/timeline/events.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from croftchute.tables.rows import Row
+
 
 class Kind(StrEnum):
     """What happened."""
@@ -41,8 +42,7 @@
     DRAIN_ENDED = "drain_ended"
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Event:
+class Event(Row, frozen=True, kw_only=True):
     """One event; ``detail`` says why, in codes and numbers."""
 
     kind: Kind
--- a/src/croftchute/timeline/ring.py
+++ b/src/croftchute/timeline/ring.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import asdict, dataclass
 
+import msgspec
+
+from croftchute.tables.rows import Row
 from croftchute.timeline.events import Event, Kind
 from croftchute.timeline.stamps import StampClock
 
 RING_EVENTS = 20000
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class StampedEvent:
+class StampedEvent(Row, frozen=True, kw_only=True):
     """An event with its process, its number there and its hybrid logical time."""
 
     process: str
@@ -22,7 +23,7 @@
 
     def as_record(self) -> dict[str, object]:
         """The event as one flat JSON object."""
-        record: dict[str, object] = asdict(self.event)
+        record: dict[str, object] = msgspec.structs.asdict(self.event)
         record["kind"] = self.event.kind.value
         record.update(process=self.process, number=self.number, stamp=self.stamp)
         return record
