--- a/src/croftchute/bench/decode_model.py
+++ b/src/croftchute/bench/decode_model.py
@@ -86,14 +86,16 @@
         self._plan()
         return True
 
-    def cancel(self, key: str) -> None:
-        """Free what an attempt holds."""
+    def cancel(self, key: str) -> int:
+        """Free what an attempt holds; returns how many tokens it had given."""
         self._advance()
+        made = int(self._made(self._running[key])) if key in self._running else 0
         self._waiting = [sequence for sequence in self._waiting if sequence.key != key]
         if key in self._running:
             self._leave(self._running[key])
         self._refill()
         self._plan()
+        return made
 
     def die(self) -> None:
         """Lose everything."""
--- a/src/croftchute/bench/world.py
+++ b/src/croftchute/bench/world.py
@@ -91,18 +91,17 @@
         self.running_by_key[key] = running
         self.loop.after(self.latency_s, lambda: self._prefill(key, running))
 
-    def cancel(self, engine_id: str, key: str) -> bool:
-        """Cancel an attempt at an engine; False if the engine cannot be asked."""
+    def cancel(self, engine_id: str, key: str) -> None:
+        """Cancel an attempt at an engine; whoever still reads it sees it break off."""
         self.cancelled_keys.add(key)
+        made = 0
         if engine_id in self.prefill_by_id:
             self.prefill_by_id[engine_id].cancel(key)
         if engine_id in self.decode_by_id:
-            self.decode_by_id[engine_id].cancel(key)
-        running = self.running_by_key.pop(key, None)
+            made = self.decode_by_id[engine_id].cancel(key)
+        running = self.running_by_key.get(key)
         if running is not None and not running.over:
-            running.over = True
-            self._waste(running)
-        return True
+            self._end(key, running, made, Code.UPSTREAM_FAILED, "")
 
     def kill_engine(self, engine_id: str) -> None:
         """An engine dies with all it holds."""
--- a/src/croftchute/systems/box.py
+++ b/src/croftchute/systems/box.py
@@ -165,7 +165,7 @@
 
     def tick(self, now: float) -> list[Command]:
         """Run what is due by time alone."""
-        commands: list[Command] = [Emit(event=event) for event in self.membership.expire(now)]
+        commands = self._suspect(now)
         commands += self._members_changed(now)
         commands += self._beat(now)
         commands += self._polls(now)
@@ -227,6 +227,14 @@
             commands.append(FetchShared(box=sender))
         return commands
 
+    def _suspect(self, now: float) -> list[Command]:
+        """Free what silent boxes held. One that was never heard has not fallen silent."""
+        commands: list[Command] = []
+        for box in self.membership.expire(now):
+            commands.append(Emit(event=Event(kind=Kind.BOX_SUSPECT, detail=box)))
+            commands += self.owner.entry_gone(box, now)
+        return commands
+
     def _members_changed(self, now: float) -> list[Command]:
         members = tuple(self.membership.owner_ids())
         if members == self._members:
@@ -234,15 +242,12 @@
         return self._reassign(now)
 
     def _reassign(self, now: float) -> list[Command]:
-        gone = [box.id for box in self.membership.peers() if not self.membership.is_live(box.id)]
         self._members = tuple(self.membership.owner_ids())
         shards = self.topology.shards_by_id
         before = self.owners_by_shard
         self.owners_by_shard = assign(sorted(shards), self._members)
         own = [shard for shard in shards.values() if self.owner_of(shard.id) == self.own.id]
         commands = self.owner.set_shards(self.topology, own, now)
-        for box in gone:
-            commands += self.owner.entry_gone(box, now)
         for shard_id, owner in self.owners_by_shard.items():
             if before.get(shard_id) not in (None, owner):
                 self._announcements += [(now + after, shard_id) for after in REANNOUNCE_S]
--- a/src/croftchute/systems/membership.py
+++ b/src/croftchute/systems/membership.py
@@ -25,7 +25,8 @@
         """Add boxes from settings or the platform's list; they stay suspect until heard."""
         for box in boxes:
             if box.id != self.own.id:
-                self.boxes_by_id.setdefault(box.id, box)
+                unheard = replace(box, state=BoxState.SUSPECT, heard_at=0.0, incarnation=0)
+                self.boxes_by_id.setdefault(box.id, unheard)
 
     def hear(self, sender: str, beat: Heartbeat, now: float) -> tuple[list[Event], bool]:
         """Take in a heartbeat; says what changed and whether the sender was restarted."""
@@ -48,15 +49,15 @@
             return [], False
         return [Event(kind=Kind.BOX_LIVE, detail=f"{sender} {state.value}")], restarted
 
-    def expire(self, now: float) -> list[Event]:
-        """Suspect the boxes that have been silent for too long."""
-        events = []
+    def expire(self, now: float) -> list[str]:
+        """Suspect the boxes that have fallen silent for too long; returns which."""
+        suspected = []
         for box in list(self.boxes_by_id.values()):
             silent = now - box.heard_at > self.suspect_after_s
             if silent and box.state in (BoxState.LIVE, BoxState.LEAVING):
                 self.boxes_by_id[box.id] = replace(box, state=BoxState.SUSPECT)
-                events.append(Event(kind=Kind.BOX_SUSPECT, detail=box.id))
-        return events
+                suspected.append(box.id)
+        return suspected
 
     def is_live(self, box_id: str) -> bool:
         """Whether a box is this one or has been heard lately."""
--- a/src/croftchute/systems/owner.py
+++ b/src/croftchute/systems/owner.py
@@ -296,7 +296,8 @@
         wait = placement.first_token_at - now
         if wait > ask.time_left_s:
             return Code.DEADLINE_PASSED
-        if ask.resume_from > 0:
+        if ask.attempt > 1:
+            # It was admitted once; the retry budget limits these, not the target.
             return None
         pressure = self.pressure_by_shard[ask.shard]
         service = placement.service_s
