Use engines that failed a call lately only as a last resort, instead of not at all

Cause: with one prefill engine in a hall, one failed call refused everything for 0.2 s. Change: a failed call makes an engine the last choice for half a second; only one that cannot be reached gets nothing.

--- a/src/croftchute/systems/placement.py
+++ b/src/croftchute/systems/placement.py
@@ -83,7 +83,13 @@
         slots.append(
             PrefillSlot(engine_id=fact.id, uncached_tokens=uncached, start_at=start, end_at=end)
         )
-    slots.sort(key=lambda slot: (slot.engine_id in ask.avoid, slot.end_at, slot.engine_id))
+    slots.sort(
+        key=lambda slot: (
+            _is_last_resort(loads[slot.engine_id], ask, now),
+            slot.end_at,
+            slot.engine_id,
+        )
+    )
     return slots
 
 
@@ -104,7 +110,7 @@
         and has_memory(loads[fact.id], fact, ask, waste_aversion=waste_aversion)
     ]
     choices.sort(key=lambda fact: (_fill(loads[fact.id], fact), fact.id))
-    preferred = [fact for fact in choices if fact.id not in ask.avoid]
+    preferred = [fact for fact in choices if not _is_last_resort(loads[fact.id], ask, now)]
     return preferred or choices
 
 
@@ -152,5 +158,10 @@
     return found[:SHORTLIST]
 
 
+def _is_last_resort(load: EngineLoad, ask: Ask, now: float) -> bool:
+    """Whether an engine failed lately, or failed this very request."""
+    return load.id in ask.avoid or now < load.suspect_until
+
+
 def _fill(load: EngineLoad, fact: EngineFact) -> float:
     return max(load.kv_committed / fact.kv_tokens, load.running / fact.slots)
--- a/src/croftchute/tables/upstreams.py
+++ b/src/croftchute/tables/upstreams.py
@@ -37,13 +37,14 @@
     running: int = 0
     prefilling: int = 0
     leaving: bool = False
-    failed_until: float = 0.0
+    suspect_until: float = 0.0
+    unreachable_until: float = 0.0
     closed: bool = False
     report: EngineReport | None = None
 
     def usable(self, now: float) -> bool:
         """Whether new work may go to the engine."""
-        return not self.leaving and not self.closed and now >= self.failed_until
+        return not self.leaving and not self.closed and now >= self.unreachable_until
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
