--- a/src/croftchute/gateway/relay.py
+++ b/src/croftchute/gateway/relay.py
@@ -61,6 +61,7 @@
         self.delivered = 0
         self.first_at = 0.0
         self.last_at = now
+        self.is_over = False
         self.lock = threading.Lock()
         self.sink: CallerSink | None = None
         self._mark = mark
@@ -91,11 +92,6 @@
         self._over.wait()
         return self._error
 
-    @property
-    def is_over(self) -> bool:
-        """Whether nothing more will come."""
-        return self._over.is_set()
-
     def take(self, data: bytes, now: float) -> None:
         """Take in bytes of the response; call with the lock held."""
         for body in self.stream.decode_body(data):
@@ -122,6 +118,7 @@
     def finish(self, error: UpstreamError | None) -> None:
         """The stream is over."""
         self._error = self._error or error
+        self.is_over = True
         self._over.set()
         self._has_first.set()
 
@@ -155,7 +152,8 @@
             self._held.append(events)
         else:
             self._send(events)
-        self._has_first.set()
+        if not self._has_first.is_set():
+            self._has_first.set()
 
     def _send(self, data: bytes) -> None:
         assert self.sink is not None
@@ -214,18 +212,20 @@
     def _run(self) -> None:
         next_sweep = self.clock() + SWEEP_S
         while not self._stopped.is_set():
-            for fd, events in self._poll.poll(SWEEP_S):
-                if fd in self._stream_by_fd:
-                    self._readable(self._stream_by_fd[fd])
+            ready = self._poll.poll(SWEEP_S)
+            now = self.clock()
+            for fd, events in ready:
+                relayed = self._stream_by_fd.get(fd)
+                if relayed is not None:
+                    self._readable(relayed, now)
                 elif fd in self._blocked_by_fd:
                     self._writable(self._blocked_by_fd[fd], events)
-            now = self.clock()
             if now >= next_sweep:
                 next_sweep = now + SWEEP_S
                 self.cpu_s = time.thread_time()
                 self._sweep(now)
 
-    def _readable(self, relayed: RelayedStream) -> None:
+    def _readable(self, relayed: RelayedStream, now: float) -> None:
         with relayed.lock:
             if relayed.is_over:
                 return
@@ -238,10 +238,12 @@
                 self._forget(relayed)
                 return
             if data:
-                relayed.take(data, self.clock())
+                relayed.take(data, now)
             else:
                 relayed.finish(_broken("connection closed"))
-            self._watch_room(relayed)
+            sink = relayed.sink
+            if relayed.is_over or (sink is not None and sink.is_blocked):
+                self._watch_room(relayed)
 
     def _writable(self, relayed: RelayedStream, events: int) -> None:
         with relayed.lock:
