Give a decode engine that just failed nothing; split owner and box process

Ruled out: the retry budget (unchanged). Change: only prefill engines are a last resort after a failed call; there a failure wastes nothing. Also: strangers and engine I/O are modules of their own.

--- a/src/croftchute/daemon/box_process.py
+++ b/src/croftchute/daemon/box_process.py
@@ -26,11 +26,12 @@
 from croftchute.config.checks import parse_document
 from croftchute.config.documents import Document
 from croftchute.daemon.admin import AdminApp
+from croftchute.daemon.engine_io import EngineIo
 from croftchute.daemon.metrics import Metrics
 from croftchute.daemon.runner import Job, Runner
 from croftchute.daemon.shared_state import SharedState, fetch_shared
 from croftchute.daemon.store_sync import StoreSync
-from croftchute.errors import Code, CroftchuteError, Ran, UpstreamError
+from croftchute.errors import Code, CroftchuteError, Ran
 from croftchute.gateway.app import GatewayApp
 from croftchute.gateway.calls import CallDesk
 from croftchute.gateway.completions import Completion
@@ -58,8 +59,6 @@
 from croftchute.upstreams.http_engine import STREAM_GAP_S, HttpEngine
 from croftchute.upstreams.service import HttpService
 
-POLL_THREADS = 4
-CANCEL_THREADS = 4
 ADMIN_THREADS = 4
 SPARE_THREADS = 16
 DRAIN_CHECK_S = 0.05
@@ -111,13 +110,10 @@
         )
         self.store: Store = store or EtcdStore(urls=list(settings.store_urls))
         self.systems: BoxSystems
+        self.engine_io: EngineIo
         self.runner: Runner
         self.sync: StoreSync
-        self._seq_by_engine: dict[str, int] = {}
-        self._polling: set[str] = set()
         self._pool = urllib3.PoolManager(retries=False, maxsize=4)
-        self._polls = ThreadPoolExecutor(POLL_THREADS, thread_name_prefix="poll")
-        self._cancels = ThreadPoolExecutor(CANCEL_THREADS, thread_name_prefix="cancel")
         self._others = ThreadPoolExecutor(2, thread_name_prefix="other")
         self._stopping = threading.Event()
 
@@ -167,6 +163,13 @@
             seed=random.SystemRandom().getrandbits(32),
             order=self.policies.order,
         )
+        self.engine_io = EngineIo(
+            engine=self.engine,
+            systems=self.systems,
+            clock=self.clock,
+            submit=self.submit,
+            url_of=self.url_of,
+        )
         self.meet_settings_peers()
         self.runner = Runner(
             clock=self.clock, tick_s=settings.tick_s, tick=self._tick, carry=self._carry
@@ -226,8 +229,8 @@
         self.relay.stop()
         self.peers.stop()
         self.admin.stop()
-        for pool in (self._polls, self._cancels, self._others):
-            pool.shutdown(wait=False, cancel_futures=True)
+        self.engine_io.stop()
+        self._others.shutdown(wait=False, cancel_futures=True)
 
     def submit(self, job: Job) -> None:
         """Run a job on the runner's thread."""
@@ -239,8 +242,8 @@
         return fact.url if fact is not None else ""
 
     def arrive(self, request: Request, now: float) -> list[Command]:
-        """Begin a request."""
-        if self.draining and not self._keeps_serving():
+        """Begin a request; a draining box still takes what its balancer sends."""
+        if self._stopping.is_set():
             refusal = RefuseRequest(
                 request_id=request.id, code=Code.DRAINING, ran=Ran.NOT_RUN, retry_after_s=1.0
             )
@@ -271,10 +274,6 @@
             spread = progress.last_token_at - progress.first_token_at
             self.metrics.per_token.observe({}, spread / (progress.delivered - 1))
 
-    def _keeps_serving(self) -> bool:
-        """A draining box still takes what its balancer sends before it has noticed."""
-        return not self._stopping.is_set()
-
     def _is_member(self) -> bool:
         return bool(self.systems.dedupe.ranges_held) and len(self.systems.membership.live_ids()) > 1
 
@@ -300,9 +299,9 @@
                 case DecideCall():
                     self._decide(command.token, command)
                 case PollEngine():
-                    self._start_poll(command.engine_id)
+                    self.engine_io.poll(command)
                 case CancelAttempt():
-                    self._cancels.submit(self._cancel, command)
+                    self.engine_io.cancel(command)
                 case FetchShared():
                     self._others.submit(self._fetch, command.box)
                 case ProposeRanges():
@@ -342,39 +341,6 @@
 
         self.submit(take)
 
-    def _start_poll(self, engine_id: str) -> None:
-        if engine_id not in self._polling:
-            self._polling.add(engine_id)
-            self._polls.submit(self._poll, engine_id)
-
-    def _poll(self, engine_id: str) -> None:
-        try:
-            after = self._seq_by_engine.get(engine_id, 0)
-            now = self.clock.now()
-            report, events = self.engine.report(self.url_of(engine_id), after_seq=after, now=now)
-        except UpstreamError as error:
-            # An engine that is slow to report may still serve; one that refuses is gone.
-            if error.ran is Ran.NOT_RUN:
-                self.submit(lambda now: self.systems.engine_failed(engine_id, now))
-            return
-        except (ValueError, KeyError, TypeError) as error:
-            logger.bind(upstream=engine_id, detail=str(error)).warning("report_unreadable")
-            return
-        finally:
-            self._polling.discard(engine_id)
-        if events:
-            self._seq_by_engine[engine_id] = events[-1].seq
-        self.submit(lambda now: self.systems.reported(engine_id, report, events, now))
-
-    def _cancel(self, command: CancelAttempt) -> None:
-        url = self.url_of(command.engine_id)
-        try:
-            done = not url or self.engine.cancel(url, command.key)
-        except UpstreamError:
-            return
-        if done:
-            self.submit(lambda _: self.systems.cancel_confirmed(command.engine_id, command.key))
-
     def _fetch(self, box_id: str) -> None:
         box = self.systems.membership.boxes_by_id.get(box_id)
         if box is not None:
--- a/src/croftchute/systems/owner.py
+++ b/src/croftchute/systems/owner.py
@@ -24,6 +24,7 @@
 from croftchute.systems.prediction import OutputForecast, first_forecast
 from croftchute.systems.prefix_index import CacheEvent, PrefixIndex
 from croftchute.systems.pressure import Pressure
+from croftchute.systems.strangers import Strangers
 from croftchute.tables.requests import Reservation
 from croftchute.tables.upstreams import (
     EngineFact,
@@ -37,8 +38,6 @@
 
 AUDIT_AFTER_S = 5.0
 AUDIT_EVERY_S = 1.0
-ORPHAN_GRACE_S = 2.0
-TAKEOVER_GRACE_S = 1.0
 EXPIRY_GRACE_S = 5.0
 MIN_RETRY_AFTER_S = 0.5
 ANY_CALLER = "*"
@@ -69,7 +68,7 @@
         self.indices_by_engine: dict[str, PrefixIndex] = {}
         self.forecasts_by_model: dict[str, OutputForecast] = {}
         self._facts_by_shard: dict[str, list[EngineFact]] = {}
-        self._strangers: dict[tuple[str, str], float] = {}
+        self._strangers = Strangers()
         self._next_audit_at = 0.0
 
     def __repr__(self) -> str:
@@ -403,20 +402,13 @@
         return commands
 
     def _orphans(self, engine_id: str, report: EngineReport, now: float) -> list[Command]:
-        """Cancel work that runs on an engine without a reservation for longer than the grace."""
+        """Cancel work that nobody answers for."""
         commands: list[Command] = []
-        strangers: dict[tuple[str, str], float] = {}
-        for key in report.request_ids:
-            if key in self.ledger.reservations_by_key:
-                continue
-            since = self._strangers.get((engine_id, key), now)
-            strangers[(engine_id, key)] = since
-            if report.as_of - since > ORPHAN_GRACE_S:
-                event = Event(kind=Kind.ORPHAN_FOUND, upstream=engine_id, detail=key)
-                commands.append(Emit(event=event))
-                commands += self.cancels.add(engine_id, key, now)
-        others = {pair: at for pair, at in self._strangers.items() if pair[0] != engine_id}
-        self._strangers = others | strangers
+        held = self.ledger.reservations_by_key
+        for key in self._strangers.overdue(engine_id, report, held, now):
+            event = Event(kind=Kind.ORPHAN_FOUND, upstream=engine_id, detail=key)
+            commands.append(Emit(event=event))
+            commands += self.cancels.add(engine_id, key, now)
         return commands
 
 
--- a/src/croftchute/systems/placement.py
+++ b/src/croftchute/systems/placement.py
@@ -101,12 +101,16 @@
     now: float,
     waste_aversion: float,
 ) -> list[EngineFact]:
-    """Decode engines with room, emptiest first; those to avoid only if there is no other."""
+    """Decode engines with room, emptiest first; those to avoid only if there is no other.
+
+    One that failed a call lately gets nothing, since a prefill for it may be wasted.
+    """
     choices = [
         fact
         for fact in facts
         if fact.decodes
         and loads[fact.id].usable(now)
+        and now >= loads[fact.id].suspect_until
         and has_memory(loads[fact.id], fact, ask, waste_aversion=waste_aversion)
     ]
     choices.sort(key=lambda fact: (_fill(loads[fact.id], fact), fact.id))
--- a/tests/systems/test_owner.py
+++ b/tests/systems/test_owner.py
@@ -16,8 +16,9 @@
     Reserve,
 )
 from croftchute.systems.cancels import Cancels
-from croftchute.systems.owner import ORPHAN_GRACE_S, Owner
+from croftchute.systems.owner import Owner
 from croftchute.systems.sharding import build_topology
+from croftchute.systems.strangers import GRACE_S
 from croftchute.tables.rows import changed
 from croftchute.tables.upstreams import EngineReport
 
@@ -89,8 +90,8 @@
     second = owner.ledger.reservations_by_key["r-2"].decode_id
     assert second != first
     owner.reserve("e", ask("s", avoid=(second,)), 1.1)
-    # The other engine has just failed: either is better than none.
-    assert "s-1" in owner.ledger.reservations_by_key
+    # The first engine has just failed; the second is to be avoided, but better than none.
+    assert owner.ledger.reservations_by_key["s-1"].decode_id == second
     owner.reserve("e", ask("t", avoid=(second,)), 3.0)
     assert owner.ledger.reservations_by_key["t-1"].decode_id == first
 
@@ -129,7 +130,7 @@
     )
     engine = owner.engine_ids()[0]
     assert not cancelled(owner.report(engine, report, (), 5.0))
-    late = changed(report, as_of=5.1 + ORPHAN_GRACE_S)
+    late = changed(report, as_of=5.1 + GRACE_S)
     assert cancelled(owner.report(engine, late, (), 8.0)) == {(engine, "x-1")}
 
 
