End only its own stream when a response cannot be read; test the relay

Change: the error ends its own stream. Figures: seven relay tests, one of which has a bad and a good stream side by side.

--- a/src/croftchute/gateway/relay.py
+++ b/src/croftchute/gateway/relay.py
@@ -238,13 +238,20 @@
                 self._forget(relayed)
                 return
             if data:
-                relayed.take(data, now)
+                self._take(relayed, data, now)
             else:
                 relayed.finish(_broken("connection closed"))
             sink = relayed.sink
             if relayed.is_over or (sink is not None and sink.is_blocked):
                 self._watch_room(relayed)
 
+    def _take(self, relayed: RelayedStream, data: bytes, now: float) -> None:
+        """Take in bytes; a response that cannot be read ends its own stream only."""
+        try:
+            relayed.take(data, now)
+        except UpstreamError as error:
+            relayed.finish(error)
+
     def _writable(self, relayed: RelayedStream, events: int) -> None:
         with relayed.lock:
             if events & FAILED:
--- /dev/null
+++ b/tests/gateway/test_relay.py
@@ -0,0 +1,139 @@
+import os
+import socket
+import threading
+
+import httptools
+import pytest
+
+from croftchute.clock import ProcessClock
+from croftchute.errors import Code, Ran, UpstreamError
+from croftchute.gateway.relay import CallerSink, Relay
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+DONE = b"data: [DONE]\n\n"
+
+
+class FakeStream:
+    """An engine's response on one end of a socket pair."""
+
+    def __init__(self):
+        self.engine, self.socket = socket.socketpair()
+        self.socket.setblocking(False)
+        self.is_complete = False
+        self._parts = []
+        self._parser = httptools.HttpResponseParser(self)
+        self._parser.feed_data(HEAD)
+
+    def fileno(self):
+        return self.socket.fileno()
+
+    def leftover(self):
+        return b""
+
+    def decode_body(self, data):
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            raise UpstreamError(Code.UPSTREAM_FAILED, str(error), ran=Ran.RAN) from None
+        parts, self._parts = self._parts, []
+        return parts
+
+    def on_body(self, body):
+        self._parts.append(body)
+
+    def on_message_complete(self):
+        self.is_complete = True
+
+    def give(self, *bodies):
+        for body in bodies:
+            self.engine.sendall(b"%x\r\n%b\r\n" % (len(body), body))
+
+    def end(self):
+        self.engine.sendall(b"0\r\n\r\n")
+
+
+@pytest.fixture
+def relay():
+    made = Relay(clock=ProcessClock().now, gap_s=60.0)
+    made.start()
+    yield made
+    made.stop()
+
+
+def event(n):
+    return b"data: mark %d\n\n" % n
+
+
+def test_events_cut_anywhere_come_whole_and_are_counted(relay):
+    stream = FakeStream()
+    relayed = relay.open(stream, b"mark")
+    whole = event(1) + event(2) + DONE
+    stream.give(*(whole[n : n + 5] for n in range(0, len(whole), 5)))
+    stream.end()
+    assert relayed.outcome() is None
+    assert relayed.take_held() == whole
+    assert relayed.delivered == 2
+
+
+def test_a_stream_that_cannot_be_read_ends_alone(relay):
+    bad, good = FakeStream(), FakeStream()
+    first, second = relay.open(bad, b"mark"), relay.open(good, b"mark")
+    bad.engine.sendall(b"no chunk at all\r\n")
+    assert first.outcome().code is Code.UPSTREAM_FAILED
+    good.give(event(1), DONE)
+    good.end()
+    assert second.outcome() is None
+
+
+def test_events_of_another_request_are_not_passed_on(relay):
+    stream = FakeStream()
+    relayed = relay.open(stream, b"mark")
+    stream.give(b"data: other 1\n\n")
+    assert relayed.outcome().code is Code.UPSTREAM_FAILED
+    assert relayed.take_held() == b""
+
+
+def test_an_end_without_the_last_event_is_no_whole_answer(relay):
+    stream = FakeStream()
+    relayed = relay.open(stream, b"mark")
+    stream.give(event(1))
+    stream.end()
+    assert relayed.outcome() is not None
+
+
+def test_a_caller_who_reads_slowly_gets_everything(relay):
+    stream = FakeStream()
+    ours, callers = socket.socketpair()
+    ours.setblocking(False)
+    ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    relayed = relay.open(stream, b"mark")
+    relay.send_to(relayed, CallerSink(sock=ours, chunked=False))
+    whole = b"".join(event(n) for n in range(20000)) + DONE
+    feeder = threading.Thread(target=lambda: (stream.give(whole), stream.end()))
+    feeder.start()
+    got = b""
+    while len(got) < len(whole):
+        got += os.read(callers.fileno(), 3000)
+    feeder.join()
+    assert got == whole
+    assert relayed.outcome() is None
+
+
+def test_a_caller_who_is_gone_ends_the_stream(relay):
+    stream = FakeStream()
+    ours, callers = socket.socketpair()
+    ours.setblocking(False)
+    relayed = relay.open(stream, b"mark")
+    relay.send_to(relayed, CallerSink(sock=ours, chunked=True))
+    callers.close()
+    stream.give(event(1))
+    assert relayed.outcome().code is Code.CALLER_GONE
+
+
+def test_a_stream_without_events_for_too_long_is_given_up():
+    made = Relay(clock=ProcessClock().now, gap_s=0.01)
+    made.start()
+    try:
+        assert made.open(FakeStream(), b"mark").outcome().code is Code.UPSTREAM_SLOW
+    finally:
+        made.stop()
