--- a/src/croftchute/daemon/box_process.py
+++ b/src/croftchute/daemon/box_process.py
@@ -27,6 +27,7 @@
 from croftchute.config.documents import Document
 from croftchute.daemon.admin import AdminApp
 from croftchute.daemon.engine_io import EngineIo
+from croftchute.daemon.event_log import EventLog
 from croftchute.daemon.metrics import Metrics
 from croftchute.daemon.runner import Job, Runner
 from croftchute.daemon.shared_state import SharedState, fetch_shared
@@ -78,6 +79,7 @@
         self.hangups = HangupWatcher()
         self.relay = Relay(clock=self.clock.now, gap_s=STREAM_GAP_S)
         self.metrics = Metrics()
+        self.event_log = EventLog(level=settings.log_level)
         self.engine: Engine = engine or HttpEngine()
         self.codec = Codec(keys=settings.peer_keys.keys)
         self.shared = SharedState()
@@ -324,12 +326,7 @@
     def _emit(self, event: Event, now: float) -> None:
         self.ring.emit(event, now)
         self.metrics.events.inc({"kind": event.kind.value})
-        logger.bind(
-            request_id=event.request_id,
-            upstream=event.upstream,
-            attempt=event.attempt,
-            detail=event.detail,
-        ).debug(event.kind.value)
+        self.event_log.write(event)
 
     def _received(self, envelope: Envelope) -> None:
         def take(now: float) -> list[Command]:
