--- /dev/null
+++ b/tests/policies/test_runner.py
@@ -0,0 +1,74 @@
+from dataclasses import replace
+from pathlib import Path
+
+from croftchute.bench.slopes import reserve_body
+from croftchute.config.checks import parse_document
+from croftchute.config.documents import PolicySpec
+from croftchute.policies.runner import OVERRUN_S, REST_AFTER_FAILURES, REST_S, PolicyRunner
+from croftchute.systems.placement import Placement
+
+DAKAR = parse_document((Path(__file__).parents[2] / "examples" / "dakar.json").read_bytes())
+HEAD = "def order(request, candidates):\n"
+
+
+def placement(decode, first_token_at=1.0):
+    return Placement(
+        prefill_id="p",
+        decode_id=decode,
+        uncached_tokens=10,
+        prefill_start_at=0.0,
+        prefill_end_at=0.5,
+        transfer_end_at=0.8,
+        first_token_at=first_token_at,
+        service_s=0.9,
+    )
+
+
+CHOICES = [placement("d1"), placement("d2", 1.5)]
+
+
+def runner(source, times=None):
+    clock = iter(times) if times else iter([0.0] * 1000)
+    made = PolicyRunner(clock=lambda: next(clock))
+    made.load(replace(DAKAR, policies=[PolicySpec(id="x", source=HEAD + source)]))
+    return made
+
+
+def decodes(ordered):
+    return [choice.decode_id for choice in ordered.placements]
+
+
+def test_a_policy_orders_and_filters():
+    later = runner("  return [c['id'] for c in candidates if c['later_s'] > 0.1]\n")
+    ordered = later.order("x", reserve_body(), CHOICES)
+    assert (decodes(ordered), ordered.failure) == (["d2"], "")
+
+
+def test_a_policy_sees_the_request():
+    choosy = runner("  return [c['id'] for c in candidates] if request['priority'] > 8 else []\n")
+    assert decodes(choosy.order("x", reserve_body(), CHOICES)) == []
+
+
+def test_a_policy_that_fails_keeps_the_order_and_rests_after_a_while():
+    broken = runner("  return candidates[7]\n")
+    for n in range(REST_AFTER_FAILURES):
+        ordered = broken.order("x", reserve_body(), CHOICES)
+        assert decodes(ordered) == ["d1", "d2"], n
+        assert "x" in ordered.failure
+    assert broken.order("x", reserve_body(), CHOICES).failure == "x: resting"
+
+
+def test_a_policy_that_overruns_keeps_the_order():
+    slow = runner("  return ['p>d2']\n", [0.0, 2 * OVERRUN_S, 1.0, 1.0])
+    first = slow.order("x", reserve_body(), CHOICES)
+    assert decodes(first) == ["d1", "d2"]
+    assert "overran" in first.failure
+    assert decodes(slow.order("x", reserve_body(), CHOICES)) == ["d2"]
+
+
+def test_rest_ends():
+    times = [0.0] * (3 * REST_AFTER_FAILURES) + [REST_S + 1.0] * 9
+    broken = runner("  return candidates[7]\n", times)
+    for _ in range(REST_AFTER_FAILURES):
+        broken.order("x", reserve_body(), CHOICES)
+    assert broken.order("x", reserve_body(), CHOICES).failure != "x: resting"
