--- a/tests/policies/test_runner.py
+++ b/tests/policies/test_runner.py
@@ -67,7 +67,8 @@
 
 
 def test_rest_ends():
-    times = [0.0] * (3 * REST_AFTER_FAILURES) + [REST_S + 1.0] * 9
+    # Each call reads the clock once, the one that begins the rest a second time.
+    times = [0.0] * (REST_AFTER_FAILURES + 1) + [REST_S + 1.0] * 9
     broken = runner("  return candidates[7]\n", times)
     for _ in range(REST_AFTER_FAILURES):
         broken.order("x", reserve_body(), CHOICES)
