Open a connection for each completion call; count a prefill that was done as run

Engines close kept connections over their limit just as calls are sent on them, which spent the retry budget; and the stand-ins of different processes were asked for each other's caches. A look at the refusals showed a broken promise as well: a decode refused after its prefill was reported as not_run. Ruled out: the relay (streams that began ended whole). Change: completion calls do not reuse connections; what was prefilled counts as run; the measurement gives each engine its own pool.

--- a/src/croftchute/bench/forward.py
+++ b/src/croftchute/bench/forward.py
@@ -144,11 +144,16 @@
         EngineSpec(id=f"e{n}", url=url, role=Role.BOTH, **sizes)
         for n, url in enumerate(ports.engines)
     ]
-    model = ModelSpec(id=MODEL, versions=[VersionSpec(id="v")], active_version="v")
+    # A pool for each engine: stand-ins of different processes cannot fetch each other's caches.
+    names = [f"{MODEL}{n}" for n in range(ENGINES)]
+    versions = [VersionSpec(id="v")]
     return Document(
         halls=[HallSpec(id=HALL, region="r")],
-        models=[model],
-        pools=[PoolSpec(id="pool", models=[MODEL], engines=engines)],
+        models=[ModelSpec(id=name, versions=versions, active_version="v") for name in names],
+        pools=[
+            PoolSpec(id=f"pool-{name}", models=[name], engines=[engine])
+            for name, engine in zip(names, engines, strict=True)
+        ],
         targets=TargetSpec(ttft_s=30.0, per_token_s=1.0),
     )
 
@@ -208,7 +213,7 @@
 
     def one(n: int) -> None:
         body = {
-            "model": MODEL,
+            "model": f"{MODEL}{n % ENGINES}",
             "prompt": f"stream {n}",
             "max_tokens": length,
             "ignore_eos": True,
@@ -229,7 +234,13 @@
 def _added_ttft_s(port: int, ports: Ports) -> float:
     """Runs in the callers' process: median time to first token through the box less without."""
     pool = urllib3.PoolManager(retries=False, timeout=10)
-    body = {"model": MODEL, "prompt": "x", "max_tokens": 1, "ignore_eos": True, "stream": True}
+    body = {
+        "model": f"{MODEL}0",
+        "prompt": "x",
+        "max_tokens": 1,
+        "ignore_eos": True,
+        "stream": True,
+    }
 
     def direct(n: int) -> None:
         headers = {"X-Attempt": f"direct-{n}", "X-Request-Id": f"direct-{n}"}
--- a/src/croftchute/gateway/completions.py
+++ b/src/croftchute/gateway/completions.py
@@ -90,6 +90,7 @@
         self._body = body
         self._mark = request.id.encode()
         self._sink = sink
+        self._prefilled = False
         self._headers_sent = False
         self.progress = Progress()
 
@@ -137,6 +138,7 @@
         except UpstreamError as error:
             error.upstream = plan.prefill_id
             raise
+        self._prefilled = True
         self._note(Kind.PREFILL_DONE, plan, plan.prefill_id)
         stream = self._box.engine.decode(self._call(plan, plan.decode_id, params))
         relayed: RelayedStream | None = None
@@ -199,7 +201,7 @@
             attempt=plan.attempt,
             ok=error is None,
             output_tokens=self.progress.delivered - before,
-            sent=error is None or error.ran is not Ran.NOT_RUN,
+            sent=self._prefilled or error is None or error.ran is not Ran.NOT_RUN,
             code=error.code if error is not None else Code.UPSTREAM_FAILED,
             failed_engine="" if gone else _failed_engine(plan, error),
             retryable=not gone,
--- a/src/croftchute/upstreams/http_engine.py
+++ b/src/croftchute/upstreams/http_engine.py
@@ -104,6 +104,9 @@
             num_pools=512, maxsize=POOL_CONNECTIONS, retries=False, block=False
         )
 
+        # Connections of streams are never given back, so this pool always opens a new one.
+        self._streams = urllib3.PoolManager(num_pools=512, maxsize=1, retries=False, block=False)
+
     def prefill(self, call: EngineCall) -> JsonObject:
         """Compute a prompt's KV cache; returns ``kv_transfer_params``."""
         body = dict(call.body)
@@ -177,9 +180,14 @@
             "X-Attempt": call.key,
             "X-Priority": str(call.priority),
         }
+        if preload:
+            # An engine may close a kept connection just as the call is sent on it, which looks
+            # like an engine that failed and spends a retry.
+            headers["Connection"] = "close"
+        pool = self._pool if preload else self._streams
         timeout = urllib3.Timeout(connect=CONNECT_S, read=min(call.timeout_s, STREAM_GAP_S))
         try:
-            response = self._pool.request(
+            response = pool.request(
                 "POST",
                 call.url + call.path,
                 body=msgspec.json.encode(body),
--- a/tests/daemon/test_failures.py
+++ b/tests/daemon/test_failures.py
@@ -59,6 +59,15 @@
     victim.stop()
 
 
+def test_a_decode_that_is_refused_after_its_prefill_is_not_called_not_run(fleet):
+    """The prefill's work was done, yet the caller was told that nothing ran."""
+    for name, server in fleet.engines_by_id.items():
+        server.engine.faults.refuse = "decode" in name
+    outcome = ask(fleet.http_ports()[0], BODY, caller="c")
+    assert outcome.status != 200
+    assert outcome.ran == "ran"
+
+
 def test_two_faults_at_once_lose_no_answer(fleet):
     fleet.engines_by_id["north-decode-1"].engine.faults.die_after_tokens = 5
     fleet.engines_by_id["south-prefill-0"].engine.faults.fail_prefills = 2
