--- a/src/croftchute/bench/forward.py
+++ b/src/croftchute/bench/forward.py
@@ -32,11 +32,11 @@
 from croftchute.config.submit import submit
 from croftchute.daemon.box_process import BoxProcess
 from croftchute.demo.load import ask
-from croftchute.platform.etcd import EtcdStore
 from croftchute.settings import PeerKeys, Settings
 from croftchute.standins.engine import EngineShape
 from croftchute.standins.engine_http import EngineServer
 from croftchute.standins.platform import PlatformServer
+from croftchute.storage.etcd import EtcdStore
 
 MODEL = "m"
 HALL = "h"
--- a/src/croftchute/cli/commands.py
+++ b/src/croftchute/cli/commands.py
@@ -14,8 +14,8 @@
 from croftchute.config.submit import current, history, submit
 from croftchute.errors import Code, CroftchuteError, DocumentError
 from croftchute.ids import new_request_id
-from croftchute.platform.etcd import EtcdStore
 from croftchute.policies.starlark_policy import compile_policy
+from croftchute.storage.etcd import EtcdStore
 from croftchute.timeline.merge import as_chrome_trace, as_text, gaps, merge, select
 
 WAIT_STEP_S = 0.1
--- a/src/croftchute/config/submit.py
+++ b/src/croftchute/config/submit.py
@@ -10,7 +10,7 @@
 from croftchute.config.checks import dump_document, parse_document
 from croftchute.config.documents import Document
 from croftchute.errors import Code, ConflictError, CroftchuteError, StoreError
-from croftchute.platform.store import CONFIG_KEY, HISTORY_PREFIX, Entry, Store
+from croftchute.storage.store import CONFIG_KEY, HISTORY_PREFIX, Entry, Store
 
 HISTORY_SLOTS = 64
 MAX_VALUE_BYTES = 1_000_000
--- a/src/croftchute/daemon/box_process.py
+++ b/src/croftchute/daemon/box_process.py
@@ -43,10 +43,10 @@
 from croftchute.peers.codec import Codec, Envelope
 from croftchute.peers.messages import Body
 from croftchute.peers.socket import PeerSocket
-from croftchute.platform.etcd import EtcdStore
-from croftchute.platform.store import Entry, ListedBox, Store
 from croftchute.policies.runner import PolicyRunner
 from croftchute.settings import Settings
+from croftchute.storage.etcd import EtcdStore
+from croftchute.storage.store import Entry, ListedBox, Store
 from croftchute.systems.box import BoxSystems
 from croftchute.systems.entry import AttemptEnd
 from croftchute.tables.boxes import Box, BoxState
--- /dev/null
+++ b/src/croftchute/daemon/router_process.py
@@ -0,0 +1,226 @@
+"""The forwarding daemon's life: start, reload, readiness, and a stop that cuts nothing off."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from http import HTTPStatus
+from pathlib import Path
+
+from croftchute.errors import DocumentError
+from croftchute.forwarding.decision_log import Decision, DecisionLog, LineWriter
+from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
+from croftchute.forwarding.forwarder import Forwarder
+from croftchute.forwarding.http_server import Exchange, HttpIngress
+from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.store_follower import StoreFollower
+from croftchute.forwarding.traffic_metrics import TrafficMetrics
+from croftchute.router_settings import RouterSettings, parse_address, read_router_settings
+from croftchute.storage.watched import Vocabulary, WatchedStore
+from croftchute.systems.retry_budget import RetryLimits
+from croftchute.tables.routing import IngressLimits
+
+STDOUT = 1
+FLUSH_S = 0.5
+SWEEP_S = 1.0
+READY_PATH = "/ready"
+METRICS_PATH = "/metrics"
+ENTRY_GRACE_S = 3.5
+STOP_MARGIN_S = 0.5
+STOP_CHECK_S = 0.05
+
+
+def make_state(
+    settings: RouterSettings, *, callers: CallerDialect, workers: WorkerDialect
+) -> ForwardingState:
+    """The state of a process that has heard nothing yet."""
+    clock = asyncio.get_running_loop().time
+    metrics = TrafficMetrics()
+    log = DecisionLog(box=settings.box, writer=LineWriter(descriptor=STDOUT, now=clock))
+    log.observer = lambda kind: metrics.decisions.inc({"kind": kind.value})
+    return ForwardingState(
+        box=settings.box,
+        zone=settings.hall,
+        clock=clock,
+        callers=callers,
+        workers_speak=workers,
+        log=log,
+        metrics=metrics,
+        retry_limits=retry_limits(settings),
+        rng=random.Random(random.SystemRandom().getrandbits(64)),
+        boxes=settings.boxes,
+    )
+
+
+def retry_limits(settings: RouterSettings) -> RetryLimits:
+    """The retry budget as the settings have it."""
+    retry = settings.retry
+    return RetryLimits(ratio=retry.ratio, window_s=retry.window_s, slack=retry.slack)
+
+
+class RouterProcess:
+    """One box: listens, follows the store, and stops when told."""
+
+    def __init__(
+        self,
+        *,
+        settings: RouterSettings,
+        settings_path: Path | None,
+        state: ForwardingState,
+        store: WatchedStore,
+        vocabulary: Vocabulary,
+    ) -> None:
+        self.settings = settings
+        self.settings_path = settings_path
+        self.state = state
+        self.follower = StoreFollower(
+            state=state, store=store, vocabulary=vocabulary, on_change=self._note_readiness
+        )
+        self.ingress = HttpIngress(handler=Forwarder(state=state).handle, limits=state.limits)
+        self.health = HttpIngress(handler=self._answer_health, limits=IngressLimits)
+        self.metrics = HttpIngress(handler=self._answer_health, limits=IngressLimits)
+        self.is_stopping = False
+        self._was_ready = False
+        self._stop_asked = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._settings_raw = b""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the box should be sent new connections."""
+        return (
+            self.state.table is not None
+            and bool(self.state.workers.beliefs_by_id)
+            and not self.is_stopping
+        )
+
+    async def run(self) -> int:
+        """Serve until a stop is asked for; returns the exit status."""
+        await self.start()
+        await self._stop_asked.wait()
+        return await self.stop()
+
+    async def start(self) -> None:
+        """Listen and begin to follow the store."""
+        settings = self.settings
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop_asked.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
+        await self._listen(self.ingress, settings.callers)
+        await self._listen(self.health, settings.health)
+        if settings.metrics is not None:
+            await self._listen(self.metrics, settings.metrics)
+        for work in (
+            self.follower.follow_config(),
+            self.follower.follow_workers(),
+            self._sweep(),
+            self._watch_settings(),
+            self.state.log.keep_flushing(FLUSH_S),
+        ):
+            self._tasks.append(loop.create_task(work))
+        self.state.log.decide(Decision.STARTED, hall=settings.hall, callers_port=self.ingress.port)
+
+    async def _listen(self, ingress: HttpIngress, where: str) -> None:
+        address = parse_address(where)
+        await ingress.listen(address.host, address.port)
+
+    async def stop(self) -> int:
+        """Take no new callers, finish what is open, and end; 9 if something was cut off."""
+        clock = self.state.clock
+        begun_at = clock()
+        self.is_stopping = True
+        self.ingress.is_stopping = True
+        self._note_readiness()
+        self.state.log.decide(Decision.STOPPING, open_requests=self.ingress.open_requests)
+        end_at = begun_at + self.settings.stop_limit_s - STOP_MARGIN_S
+        while clock() < end_at:
+            if clock() - begun_at >= ENTRY_GRACE_S:
+                self.ingress.stop_accepting()
+                self.ingress.close_idle()
+                if not self.ingress.connections and not self.state.background:
+                    break
+            await asyncio.sleep(STOP_CHECK_S)
+        cut_off = self.ingress.open_requests
+        self.state.log.decide(Decision.STOPPED, cut_off=cut_off)
+        for task in self._tasks:
+            task.cancel()
+        self.state.pool.close()
+        self.state.log.writer.flush()
+        return 9 if cut_off else 0
+
+    def reload(self, cause: str) -> None:
+        """Read the settings again; those that are faulty leave the present ones in force."""
+        if self.settings_path is None:
+            return
+        try:
+            settings = read_router_settings(self.settings_path)
+        except DocumentError as error:
+            self.state.log.decide(
+                Decision.RELOAD_FAILED, outcome=error.code.value, cause=cause, detail=error.message
+            )
+            return
+        needs_restart = [
+            name
+            for name in ("callers", "health", "metrics", "box", "hall", "store")
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self.settings = settings
+        self.state.retry_limits = retry_limits(settings)
+        for window in self.state.budgets_by_service.values():
+            window.limits = self.state.retry_limits
+        self.state.boxes = settings.boxes
+        self.state.log.decide(
+            Decision.RELOADED, outcome="in force", cause=cause, needs_restart=needs_restart
+        )
+
+    async def _watch_settings(self) -> None:
+        path = self.settings_path
+        if path is None:
+            return
+        known = _content(path)
+        while True:
+            await asyncio.sleep(self.settings.reload_check_s)
+            found = _content(path)
+            if found != known:
+                known = found
+                self.reload("file changed")
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = self.state.clock()
+            self.state.workers.sweep(now)
+            self.state.pool.sweep(now)
+            self.state.metrics.open.set({}, self.ingress.open_requests)
+
+    def _note_readiness(self) -> None:
+        if self.is_ready == self._was_ready:
+            return
+        self._was_ready = self.is_ready
+        self.state.log.decide(
+            Decision.READY_CHANGED,
+            outcome="ready" if self.is_ready else "not_ready",
+            config_version=self.state.table.version if self.state.table else 0,
+            workers=len(self.state.workers.beliefs_by_id),
+            is_stopping=self.is_stopping,
+        )
+
+    async def _answer_health(self, exchange: Exchange) -> None:
+        path = exchange.request.target.partition("?")[0]
+        if path == READY_PATH:
+            status = HTTPStatus.OK if self.is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+            exchange.send(status, [], b"")
+        elif path == METRICS_PATH:
+            kind = b"text/plain; version=0.0.4"
+            exchange.send(HTTPStatus.OK, [(b"content-type", kind)], self.state.metrics.text())
+        else:
+            exchange.send(HTTPStatus.NOT_FOUND, [], b"")
+
+
+def _content(path: Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError:
+        return b""
--- a/src/croftchute/daemon/store_sync.py
+++ b/src/croftchute/daemon/store_sync.py
@@ -9,7 +9,7 @@
 
 from croftchute.config.checks import parse_document
 from croftchute.errors import CroftchuteError, StoreError
-from croftchute.platform.store import CONFIG_KEY, RANGES_KEY, Entry, ListedBox, Store
+from croftchute.storage.store import CONFIG_KEY, RANGES_KEY, Entry, ListedBox, Store
 from croftchute.tables.dedupe import RangeMap, RangeRow, dump_rows, parse_rows
 
 RELAY_POLL_S = 2.0
--- a/src/croftchute/demo/fleet.py
+++ b/src/croftchute/demo/fleet.py
@@ -26,12 +26,12 @@
 from croftchute.daemon.box_process import BoxProcess
 from croftchute.errors import Code, CroftchuteError
 from croftchute.ids import new_request_id
-from croftchute.platform.etcd import EtcdStore
 from croftchute.settings import PeerAddress, PeerKeys, Settings
 from croftchute.standins.engine import EngineShape
 from croftchute.standins.engine_http import EngineServer
 from croftchute.standins.platform import PlatformServer
 from croftchute.standins.service import ServiceServer
+from croftchute.storage.etcd import EtcdStore
 
 LOOPBACK = "127.0.0.1"
 MODEL = "demo-model"
--- /dev/null
+++ b/src/croftchute/forwarding/decision_log.py
@@ -0,0 +1,154 @@
+"""One JSON line on standard output for each decision; bounded, and never blocking."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+from collections import deque
+from collections.abc import Callable
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import msgspec
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+MAX_BUFFERED_BYTES = 256 * 1024
+MAX_LINES_PER_SECOND = 400
+
+
+class Decision(StrEnum):
+    """What was decided, or what the process came to believe."""
+
+    STARTED = "started"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    RELOADED = "reloaded"
+    RELOAD_FAILED = "reload_failed"
+    DEPENDENCY_LOST = "dependency_lost"
+    DEPENDENCY_REGAINED = "dependency_regained"
+    CONFIG_IN_FORCE = "config_in_force"
+    CONFIG_REJECTED = "config_rejected"
+    WORKER_LISTED = "worker_listed"
+    WORKER_GONE = "worker_gone"
+    WORKER_SUSPECTED = "worker_suspected"
+    WORKER_DISPLACED = "worker_displaced"
+    READY_CHANGED = "ready_changed"
+    PREFILL_SENT = "prefill_sent"
+    PREFILL_ENDED = "prefill_ended"
+    REQUEST_SENT = "request_sent"
+    ATTEMPT_ENDED = "attempt_ended"
+    STREAM_RESUMED = "stream_resumed"
+    REPEAT_DENIED = "repeat_denied"
+    REQUEST_ANSWERED = "request_answered"
+    REQUEST_REFUSED = "request_refused"
+    REQUEST_BROKEN = "request_broken"
+    CALLER_LEFT = "caller_left"
+    HANDLE_FREED = "handle_freed"
+    PEER_LISTED = "peer_listed"
+    PEER_GONE = "peer_gone"
+
+
+class LineWriter:
+    """Writes lines to a descriptor; what does not fit in the buffer is counted and dropped."""
+
+    def __init__(
+        self, *, descriptor: int, now: Callable[[], float], max_bytes: int = MAX_BUFFERED_BYTES
+    ) -> None:
+        self.descriptor = descriptor
+        self.now = now
+        self.max_bytes = max_bytes
+        self.dropped = 0
+        self._lines: deque[bytes] = deque()
+        self._buffered = 0
+        self._window_start = 0.0
+        self._window_lines = 0
+        with contextlib.suppress(OSError):
+            os.set_blocking(descriptor, False)
+
+    def write(self, line: bytes, *, is_vital: bool = False) -> None:
+        """Write a line now, or keep it until the descriptor takes more."""
+        if not is_vital and self._is_over_rate():
+            self.dropped += 1
+            return
+        if self._buffered + len(line) > self.max_bytes:
+            self.dropped += 1
+            return
+        self._lines.append(line)
+        self._buffered += len(line)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write as much as the descriptor takes."""
+        while self._lines:
+            line = self._lines[0]
+            try:
+                written = os.write(self.descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                self.dropped += len(self._lines)
+                self._lines.clear()
+                self._buffered = 0
+                return
+            self._buffered -= written
+            if written < len(line):
+                self._lines[0] = line[written:]
+                return
+            self._lines.popleft()
+
+    def _is_over_rate(self) -> bool:
+        now = self.now()
+        if now - self._window_start >= 1.0:
+            self._window_start = now
+            self._window_lines = 0
+        self._window_lines += 1
+        return self._window_lines > MAX_LINES_PER_SECOND
+
+
+class DecisionLog:
+    """Decisions as JSON lines: time, box, kind, request, what decided it, and the outcome."""
+
+    def __init__(self, *, box: str, writer: LineWriter) -> None:
+        self.box = box
+        self.writer = writer
+        self.observer: Callable[[Decision], None] = lambda _: None
+        logger.remove()
+        self._sink = logger.add(self._put, format="{message}", level="INFO", catch=True)
+        self._reported_drops = 0
+
+    def decide(
+        self, kind: Decision, *, request_id: str = "", outcome: str = "", **inputs: object
+    ) -> None:
+        """Write one line; ``inputs`` are the facts that decided, with their age or version."""
+        self.observer(kind)
+        fields = {"request_id": request_id} if request_id else {}
+        if outcome:
+            fields["outcome"] = outcome
+        logger.bind(fields=fields | inputs, is_vital=not request_id).info(kind.value)
+
+    async def keep_flushing(self, interval_s: float) -> None:
+        """Write what was kept back, and say how many lines were dropped."""
+        while True:
+            await asyncio.sleep(interval_s)
+            self.writer.flush()
+            if self.writer.dropped > self._reported_drops:
+                self._reported_drops = self.writer.dropped
+                logger.bind(fields={"dropped_in_all": self.writer.dropped}, is_vital=True).warning(
+                    "log_lines_dropped"
+                )
+
+    def _put(self, message: Message) -> None:
+        record = message.record
+        extra = record["extra"]
+        line = {
+            "at": record["time"].isoformat(timespec="milliseconds"),
+            "box": self.box,
+            "level": record["level"].name,
+            "event": record["message"],
+            **extra.get("fields", {}),
+        }
+        self.writer.write(msgspec.json.encode(line) + b"\n", is_vital=extra.get("is_vital", False))
--- /dev/null
+++ b/src/croftchute/forwarding/dialect.py
@@ -0,0 +1,117 @@
+"""What the forwarding core needs of the protocols that callers and workers speak."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+from croftchute.errors import Code, Ran
+from croftchute.forwarding.http_client import ResponseHead
+from croftchute.forwarding.http_server import IncomingRequest
+from croftchute.tables.routing import HeaderList, RequestFacts, Worker
+
+
+class Verdict(StrEnum):
+    """What the head of a worker's answer says of the request."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    WRONG_WORKER = "wrong_worker"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerLoad:
+    """The load that a worker tells with an answer."""
+
+    running: int
+    waiting: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PrefillHandle:
+    """A prompt's KV cache, kept for a short time by the worker that read the prompt."""
+
+    id: str
+    tokens: int
+    worker: Worker
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Send:
+    """One sending of a request to a worker; ``time_left_s`` is what the worker may take."""
+
+    worker: Worker
+    time_left_s: float
+    priority: int
+    is_prefill: bool = False
+    source: PrefillHandle | None = None
+    resume_after: int | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """The router's own final answer to a request that it gives up."""
+
+    code: Code
+    ran: Ran
+    detail: str
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OwnAnswer:
+    """A whole answer made by the router itself."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
+class CallerDialect(Protocol):
+    """How callers tell the facts of a request, and how they are refused."""
+
+    def read(self, request: IncomingRequest) -> RequestFacts:
+        """The facts of a request; raises :class:`croftchute.errors.RequestError`."""
+        ...
+
+    def refuse(self, refusal: Refusal, request_id: str) -> OwnAnswer:
+        """The answer that tells a refusal."""
+        ...
+
+
+class WorkerDialect(Protocol):
+    """How requests are put to workers, and what their answers mean."""
+
+    def encode(self, facts: RequestFacts, send: Send) -> bytes:
+        """A whole request as it goes to a worker."""
+        ...
+
+    def expected(self, facts: RequestFacts) -> tuple[bytes, bytes]:
+        """The header, and its value, by which the answer to a request is told from others."""
+        ...
+
+    def verdict(self, head: ResponseHead) -> Verdict:
+        """What an answer's head says of the request."""
+        ...
+
+    def load(self, head: ResponseHead) -> WorkerLoad | None:
+        """The load told in an answer's head, if any."""
+        ...
+
+    def answer_headers(self, head: ResponseHead) -> HeaderList:
+        """The headers of a worker's answer that are the caller's to see."""
+        ...
+
+    def is_whole_answer_head(self, head: ResponseHead) -> bool:
+        """Whether a success bears what proves that a worker gave it."""
+        ...
+
+    def handle(self, body: bytes, worker: Worker) -> PrefillHandle:
+        """What a prefill call answered; raises :class:`croftchute.errors.MessageError`."""
+        ...
+
+    def release(self, handle: PrefillHandle) -> bytes:
+        """The request that frees a handle which nobody will use."""
+        ...
--- /dev/null
+++ b/src/croftchute/forwarding/failures.py
@@ -0,0 +1,34 @@
+"""What can go wrong between the router and a worker, and what is then known of the request."""
+
+from __future__ import annotations
+
+from croftchute.errors import Code, CroftchuteError, Ran
+
+
+class ExchangeError(CroftchuteError):
+    """A call of a worker that brought no whole answer; ``ran`` says what is known of it."""
+
+    def __init__(self, code: Code, message: str, *, ran: Ran) -> None:
+        super().__init__(code, message)
+        self.ran = ran
+
+
+class ConnectFailedError(ExchangeError):
+    """No connection could be opened, so nothing was sent."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(Code.TARGET_UNREACHABLE, message, ran=Ran.NOT_RUN)
+
+
+class ConnectionBrokenError(ExchangeError):
+    """The connection ended, or carried bytes that are no answer, after the request was sent."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(Code.UPSTREAM_FAILED, message, ran=Ran.UNKNOWN)
+
+
+class AnswerLateError(ExchangeError):
+    """The worker did not answer in the time it was given."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(Code.UPSTREAM_SLOW, message, ran=Ran.UNKNOWN)
--- /dev/null
+++ b/src/croftchute/forwarding/forwarder.py
@@ -0,0 +1,79 @@
+"""The handler of callers' requests: facts, route, service, then the kind's own way."""
+
+from __future__ import annotations
+
+from croftchute.errors import Code, Ran, RequestError
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.dialect import Refusal
+from croftchute.forwarding.http_server import Exchange
+from croftchute.forwarding.plain_run import run_plain
+from croftchute.forwarding.request_run import RequestRun
+from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.stream_run import run_stream
+from croftchute.systems.worker_choice import pick_service
+from croftchute.tables.routing import RouteKind
+
+NO_CONFIG_RETRY_AFTER_S = 0.5
+
+
+class Forwarder:
+    """Serves one exchange after the other, many at a time."""
+
+    def __init__(self, *, state: ForwardingState) -> None:
+        self.state = state
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        state = self.state
+        started_at = state.clock()
+        try:
+            facts = state.callers.read(exchange.request)
+        except RequestError as error:
+            self._refuse(
+                exchange, "", Refusal(code=error.code, ran=Ran.NOT_RUN, detail=error.message)
+            )
+            return
+        table = state.table
+        if table is None:
+            refusal = Refusal(
+                code=Code.NO_CONFIG,
+                ran=Ran.NOT_RUN,
+                detail="no configuration is known yet",
+                retry_after_s=NO_CONFIG_RETRY_AFTER_S,
+            )
+            self._refuse(exchange, facts.id, refusal)
+            return
+        route = table.match(facts.host, facts.path)
+        if route is None:
+            detail = f"no route for {facts.host}{facts.path} in version {table.version}"
+            refusal = Refusal(code=Code.PATH_UNKNOWN, ran=Ran.NOT_RUN, detail=detail)
+            self._refuse(exchange, facts.id, refusal)
+            return
+        run = RequestRun(
+            state=state,
+            exchange=exchange,
+            facts=facts,
+            route=route,
+            service=pick_service(route, state.rng),
+            started_at=started_at,
+        )
+        state.budget(run.service).note_request(started_at)
+        if route.kind is RouteKind.STREAM:
+            await run_stream(run)
+        else:
+            await run_plain(run)
+
+    def _refuse(self, exchange: Exchange, request_id: str, refusal: Refusal) -> None:
+        answer = self.state.callers.refuse(refusal, request_id)
+        exchange.send(answer.status, answer.headers, answer.body)
+        self.state.metrics.requests.inc({"route": "", "outcome": refusal.code.value})
+        version = self.state.table.version if self.state.table else 0
+        self.state.log.decide(
+            Decision.REQUEST_REFUSED,
+            request_id=request_id,
+            outcome=refusal.code.value,
+            status=answer.status,
+            ran=refusal.ran.value,
+            detail=refusal.detail,
+            config_version=version,
+        )
--- /dev/null
+++ b/src/croftchute/forwarding/http_client.py
@@ -0,0 +1,352 @@
+"""HTTP/1.1 towards workers and the store, on asyncio: connections, answers, reuse.
+
+llhttp (``httptools``) reads the answers. urllib3 was the house's choice; it blocks a thread for
+each call and cannot see a caller leave meanwhile. docs/DESIGN.md has the measurement.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections import deque
+from dataclasses import dataclass
+
+import httptools
+
+from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError
+from croftchute.tables.routing import HeaderList
+
+MAX_WAITING_PARTS = 64
+DEFAULT_KEEP_ALIVE_S = 2.0
+KEEP_ALIVE_SHARE = 0.8
+FIRST_FINAL_STATUS = 200
+BODILESS_STATUSES = frozenset({204, 304})
+USER_TIMEOUT_MS = 1500
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ResponseHead:
+    """Status and headers of an answer; header names are in lower case."""
+
+    status: int
+    reason: bytes
+    headers: HeaderList
+
+    def get(self, name: bytes) -> bytes | None:
+        """The first header of that name, which must be given in lower case."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a server, for one exchange at a time.
+
+    ``expected`` names a header and the value it must have in an answer: answers with another
+    value belong to earlier requests and are passed over.
+    """
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.head: ResponseHead | None = None
+        self.is_complete = False
+        self.is_lost = False
+        self.is_tainted = False
+        self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
+        self.idle_since = 0.0
+        self.uses = 0
+        self.skipped_answers = 0
+        self._expected: tuple[bytes, bytes] | None = None
+        self._is_open_ended = False
+        self._is_skipping = False
+        self._is_active = False
+        self._is_bodiless = False
+        self._error = ""
+        self._status_text = b""
+        self._headers: HeaderList = []
+        self._parts: deque[bytes] = deque()
+        self._changed = asyncio.Event()
+        self._parser = httptools.HttpResponseParser(self)
+
+    # What asyncio calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport and let a dead peer be noticed."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            with contextlib.suppress(OSError):
+                raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse; bytes that no request asked for make the connection unusable."""
+        if not self._is_active:
+            self.is_tainted = True
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if not self.is_complete:
+                self._fail(f"not an answer: {error}")
+            self.is_tainted = True
+        if len(self._parts) > MAX_WAITING_PARTS and self.transport is not None:
+            self.transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """The peer has ended its side; an answer without a length is whole then."""
+        if self._is_active and self._is_open_ended and not self.is_complete:
+            self.is_complete = True
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is gone; an answer that is not whole stays so."""
+        self.is_lost = True
+        if not self.is_complete:
+            self._fail(f"connection lost: {exc}" if exc else "connection closed")
+        self._changed.set()
+
+    # What httptools calls.
+
+    def on_message_begin(self) -> None:
+        """A new answer begins; after a whole one it is surplus."""
+        if self.is_complete:
+            self.is_tainted = True
+        self._headers = []
+        self._status_text = b""
+
+    def on_status(self, status: bytes) -> None:
+        """Collect the reason phrase."""
+        self._status_text += status
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Decide whether this is the answer that is waited for."""
+        if self.is_complete:
+            return
+        status = self._parser.get_status_code()
+        head = ResponseHead(status=status, reason=self._status_text, headers=self._headers)
+        self._is_skipping = status < FIRST_FINAL_STATUS or not self._is_expected(head)
+        if self._is_skipping:
+            self.skipped_answers += status >= FIRST_FINAL_STATUS
+            return
+        self._is_open_ended = self._ends_with_connection(head)
+        self.head = head
+        self._changed.set()
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body for the reader."""
+        if self._is_skipping or self.is_complete:
+            return
+        self._parts.append(bytes(body))
+        self._changed.set()
+
+    def on_message_complete(self) -> None:
+        """The answer is whole, unless it was passed over."""
+        if self._is_skipping:
+            self._is_skipping = False
+            return
+        if self.head is not None:
+            self.is_complete = True
+            self._changed.set()
+
+    # What the forwarding core calls.
+
+    def send(
+        self, data: bytes, *, expected: tuple[bytes, bytes] | None, is_bodiless: bool = False
+    ) -> None:
+        """Begin an exchange by sending a whole request."""
+        assert self.transport is not None
+        self.head = None
+        self.is_complete = False
+        self._error = ""
+        self._parts.clear()
+        self._expected = expected
+        self._is_bodiless = is_bodiless
+        self._is_open_ended = False
+        self._is_active = True
+        self.uses += 1
+        if self.is_lost or self.transport.is_closing():
+            raise ConnectFailedError("connection was closed before the request was sent")
+        self.transport.write(data)
+
+    async def read_head(self) -> ResponseHead:
+        """Wait for the head of the answer."""
+        while self.head is None:
+            self._raise_if_failed()
+            await self._wait()
+        return self.head
+
+    async def read_part(self) -> bytes:
+        """The next part of the body; empty once the whole answer has been read."""
+        while not self._parts:
+            if self.is_complete or (self._is_bodiless and self.head is not None):
+                return b""
+            self._raise_if_failed()
+            await self._wait()
+        part = self._parts.popleft()
+        if not self._parts and self.transport is not None and not self.is_lost:
+            self.transport.resume_reading()
+        return part
+
+    async def read_body(self, max_bytes: int) -> bytes:
+        """The whole body; raises :class:`ConnectionBrokenError` if it is larger than allowed."""
+        parts: list[bytes] = []
+        size = 0
+        while part := await self.read_part():
+            parts.append(part)
+            size += len(part)
+            if size > max_bytes:
+                raise ConnectionBrokenError("answer too large")
+        return b"".join(parts)
+
+    def finish(self, now: float) -> bool:
+        """End the exchange; True if the connection may serve another one."""
+        self._is_active = False
+        self.idle_since = now
+        is_reusable = (
+            self.is_complete
+            and not self.is_lost
+            and not self.is_tainted
+            and not self._is_open_ended
+            and not self._is_bodiless
+            and self.transport is not None
+            and not self.transport.is_closing()
+            and self.transport.get_write_buffer_size() == 0
+            and self._wants_keep_alive()
+        )
+        if not is_reusable:
+            self.abort()
+        return is_reusable
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether an idle connection is likely still open at the other end."""
+        if self.is_lost or self.is_tainted or self.transport is None:
+            return False
+        if self.transport.is_closing():
+            return False
+        return now - self.idle_since < self.keep_alive_s * KEEP_ALIVE_SHARE
+
+    def abort(self) -> None:
+        """Close at once; the peer learns that nobody waits for an answer."""
+        if self.transport is not None and not self.is_lost:
+            self.transport.abort()
+
+    async def _wait(self) -> None:
+        self._changed.clear()
+        await self._changed.wait()
+
+    def _raise_if_failed(self) -> None:
+        if self._error:
+            raise ConnectionBrokenError(self._error)
+
+    def _fail(self, message: str) -> None:
+        if not self._error:
+            self._error = message
+        self._changed.set()
+
+    def _is_expected(self, head: ResponseHead) -> bool:
+        if self._expected is None:
+            return True
+        name, value = self._expected
+        return head.get(name) == value
+
+    def _ends_with_connection(self, head: ResponseHead) -> bool:
+        if head.status in BODILESS_STATUSES:
+            return False
+        has_length = head.get(b"content-length") is not None
+        is_chunked = b"chunked" in (head.get(b"transfer-encoding") or b"").lower()
+        return not has_length and not is_chunked
+
+    def _wants_keep_alive(self) -> bool:
+        assert self.head is not None
+        if b"close" in (self.head.get(b"connection") or b"").lower():
+            return False
+        self.keep_alive_s = keep_alive_seconds(self.head.get(b"keep-alive"))
+        return self._parser.should_keep_alive() or self.is_complete
+
+
+def keep_alive_seconds(value: bytes | None) -> float:
+    """The idle time that a ``Keep-Alive`` header promises.
+
+    >>> keep_alive_seconds(b"timeout=4, max=10")
+    4.0
+    >>> keep_alive_seconds(None)
+    2.0
+    """
+    for part in (value or b"").split(b","):
+        name, _, number = part.partition(b"=")
+        if name.strip().lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return DEFAULT_KEEP_ALIVE_S
+
+
+async def open_connection(host: str, port: int, timeout_s: float) -> ClientConnection:
+    """Connect within some time; raises :class:`ConnectFailedError`."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, protocol = await loop.create_connection(ClientConnection, host, port)
+    except (OSError, TimeoutError) as error:
+        raise ConnectFailedError(f"{host}:{port}: {error or 'timed out'}") from None
+    return protocol
+
+
+class ConnectionPool:
+    """Idle connections by server; the one used last is used first."""
+
+    def __init__(self, *, max_idle: int = 8) -> None:
+        self.max_idle = max_idle
+        self.opened = 0
+        self._idle_by_server: dict[tuple[str, int, str], list[ClientConnection]] = {}
+
+    async def acquire(
+        self, host: str, port: int, *, owner: str, now: float, timeout_s: float
+    ) -> ClientConnection:
+        """An idle connection to this incarnation of a server, or a new one."""
+        idle = self._idle_by_server.get((host, port, owner), [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_fresh(now):
+                return connection
+            connection.abort()
+        connection = await open_connection(host, port, timeout_s)
+        self.opened += 1
+        return connection
+
+    def release(
+        self, connection: ClientConnection, host: str, port: int, *, owner: str, now: float
+    ) -> None:
+        """Give a connection back; it is kept if it can serve again."""
+        if not connection.finish(now):
+            return
+        idle = self._idle_by_server.setdefault((host, port, owner), [])
+        if len(idle) >= self.max_idle:
+            connection.abort()
+            return
+        idle.append(connection)
+
+    def sweep(self, now: float) -> None:
+        """Close connections that have been idle for long."""
+        for server, idle in list(self._idle_by_server.items()):
+            kept = [connection for connection in idle if connection.is_fresh(now)]
+            for connection in idle:
+                if connection not in kept:
+                    connection.abort()
+            if kept:
+                self._idle_by_server[server] = kept
+            else:
+                del self._idle_by_server[server]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle_by_server.values():
+            for connection in idle:
+                connection.abort()
+        self._idle_by_server.clear()
--- /dev/null
+++ b/src/croftchute/forwarding/http_server.py
@@ -0,0 +1,379 @@
+"""HTTP/1.1 towards callers, on asyncio: requests are read whole, answers written as they come.
+
+cheroot was the house's choice; it gives each open stream a thread and reads nothing of a
+connection while its request is being served, so a caller who leaves is seen late. docs/DESIGN.md
+has the measurement.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import httptools
+
+from croftchute.tables.routing import HeaderList, IngressLimits
+
+MAX_WAITING_REQUESTS = 4
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+HIGH_WATER_BYTES = 65536
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class IncomingRequest:
+    """A whole request as it was read; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: HeaderList
+    body: bytes
+    is_http_1_0: bool
+    read_at: float
+
+    def get(self, name: bytes) -> bytes | None:
+        """The first header of that name, which must be given in lower case."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+Handler = Callable[["Exchange"], Awaitable[None]]
+
+
+class Exchange:
+    """One request and the means to answer it."""
+
+    def __init__(self, *, connection: CallerConnection, request: IncomingRequest) -> None:
+        self.request = request
+        self.is_started = False
+        self.is_finished = False
+        self._connection = connection
+        self._is_chunked = False
+
+    def send(self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> None:
+        """Answer with a whole body."""
+        if self.is_started:
+            return
+        self.is_started = True
+        self.is_finished = True
+        lines = [*headers]
+        if status != HTTPStatus.NO_CONTENT and status != HTTPStatus.NOT_MODIFIED:
+            lines.append((b"content-length", str(len(body)).encode()))
+        lines += self._connection.persistence_headers(self.request)
+        payload = b"" if self.request.method == "HEAD" else body
+        self._connection.write(encode_head(status, b"", lines) + payload)
+
+    def start(self, status: int, reason: bytes, headers: Iterable[tuple[bytes, bytes]]) -> None:
+        """Begin an answer whose length is not known."""
+        self.is_started = True
+        lines = [*headers]
+        if not self.request.is_http_1_0:
+            self._is_chunked = True
+            lines.append((b"transfer-encoding", b"chunked"))
+        lines += self._connection.persistence_headers(self.request)
+        self._connection.write(encode_head(status, reason, lines))
+
+    async def write(self, data: bytes) -> None:
+        """Pass on some bytes; waits while the caller does not read."""
+        if not data:
+            return
+        if self._is_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._connection.write(data)
+        await self._connection.drained()
+
+    def finish(self) -> None:
+        """Mark a started answer as whole."""
+        self.is_finished = True
+        if self._is_chunked:
+            self._connection.write(b"0\r\n\r\n")
+        else:
+            self._connection.close_soon()
+
+    def abort(self) -> None:
+        """Break the connection off, so that a cut answer cannot look whole."""
+        self.is_finished = True
+        self._connection.abort()
+
+
+def encode_head(status: int, reason: bytes, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """The head of an answer as bytes.
+
+    >>> encode_head(204, b"", [(b"a", b"b")])
+    b'HTTP/1.1 204 No Content\\r\\na: b\\r\\n\\r\\n'
+    """
+    if not reason:
+        with contextlib.suppress(ValueError):
+            reason = HTTPStatus(status).phrase.encode()
+    lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason)]
+    lines += [b"%b: %b\r\n" % pair for pair in headers]
+    return b"".join(lines) + b"\r\n"
+
+
+class CallerConnection(asyncio.Protocol):
+    """One caller's connection: requests are served one after the other, in their order."""
+
+    def __init__(self, *, server: HttpIngress) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.is_lost = False
+        self._loop = asyncio.get_running_loop()
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._waiting: deque[IncomingRequest] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._must_close = False
+        self._is_reading = False
+        self._begin_message()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request has been read, or is being read, and not answered."""
+        return self._task is not None or self._is_reading or bool(self._waiting)
+
+    # What asyncio calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to wait for a request."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
+        self.server.connections.add(self)
+        self._wait_for(self.server.limits().idle_timeout_s)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse; a request that is whole is queued."""
+        if self._must_close:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(HTTPStatus.NOT_IMPLEMENTED)
+        except httptools.HttpParserError:
+            self._refuse(HTTPStatus.BAD_REQUEST)
+        if len(self._waiting) >= MAX_WAITING_REQUESTS and self.transport is not None:
+            self.transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """A caller that ends its side has left."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The caller has left: what is done for it ends."""
+        self.is_lost = True
+        self._can_write.set()
+        self._cancel_timer()
+        self.server.connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """The caller reads too slowly."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """The caller has caught up."""
+        self._can_write.set()
+
+    # What httptools calls.
+
+    def on_message_begin(self) -> None:
+        """The first byte of a request has come."""
+        self._begin_message()
+        self._is_reading = True
+        self._wait_for(self.server.limits().header_timeout_s)
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.lower(), value))
+        self._count_head(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Allow a body if one is announced."""
+        limits = self.server.limits()
+        self._wait_for(limits.idle_timeout_s)
+        for name, value in self._headers:
+            if name == b"content-length" and int(value) > limits.max_body_bytes:
+                self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+                return
+            if name == b"expect" and value.lower() == b"100-continue":
+                self.write(CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self._body_parts.append(bytes(body))
+        self._body_bytes += len(body)
+        if self._body_bytes > self.server.limits().max_body_bytes:
+            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Queue a whole request."""
+        if self._must_close:
+            return
+        self._is_reading = False
+        self._cancel_timer()
+        request = IncomingRequest(
+            method=self._parser.get_method().decode("ascii"),
+            target=self._target.decode("latin-1"),
+            headers=self._headers,
+            body=b"".join(self._body_parts),
+            is_http_1_0=self._parser.get_http_version() == "1.0",
+            read_at=self._loop.time(),
+        )
+        if not self._parser.should_keep_alive():
+            self._closes_after = True
+        self._waiting.append(request)
+        self._serve_next()
+
+    # What exchanges call.
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, if the caller is still there."""
+        if self.transport is not None and not self.is_lost:
+            self.transport.write(data)
+
+    async def drained(self) -> None:
+        """Wait until the caller has read enough."""
+        await self._can_write.wait()
+
+    def persistence_headers(self, request: IncomingRequest) -> HeaderList:
+        """What tells the caller whether the connection stays open."""
+        if self.server.is_stopping:
+            self._closes_after = True
+        if self._closes_after:
+            return [(b"connection", b"close")]
+        return [(b"connection", b"keep-alive")] if request.is_http_1_0 else []
+
+    def close_soon(self) -> None:
+        """Close once everything has been written."""
+        self._must_close = True
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close at once, without what waits to be written."""
+        self._must_close = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _begin_message(self) -> None:
+        self._target = b""
+        self._headers: HeaderList = []
+        self._head_bytes = 0
+        self._body_parts: list[bytes] = []
+        self._body_bytes = 0
+        self._closes_after = getattr(self, "_closes_after", False)
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self.server.limits().max_header_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def _serve_next(self) -> None:
+        if self._task is not None or not self._waiting or self.is_lost:
+            return
+        request = self._waiting.popleft()
+        exchange = Exchange(connection=self, request=request)
+        self._task = self._loop.create_task(self._serve(exchange))
+
+    async def _serve(self, exchange: Exchange) -> None:
+        try:
+            await self.server.handler(exchange)
+        finally:
+            self._task = None
+            if not exchange.is_finished:
+                self.abort()
+        self._after_answer()
+
+    def _after_answer(self) -> None:
+        if self.is_lost:
+            return
+        if self._closes_after and not self._waiting:
+            self.close_soon()
+            return
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+        if self._waiting:
+            self._serve_next()
+        elif not self._is_reading:
+            self._wait_for(self.server.limits().idle_timeout_s)
+
+    def _refuse(self, status: HTTPStatus) -> None:
+        """Answer a request that cannot be read, behind those before it, and close."""
+        if self._must_close:
+            return
+        self._must_close = True
+        self._cancel_timer()
+        if self._task is None:
+            head = encode_head(status, b"", [(b"content-length", b"0"), (b"connection", b"close")])
+            self.write(head)
+            self.close_soon()
+        else:
+            self._closes_after = True
+
+    def _wait_for(self, seconds: float) -> None:
+        self._cancel_timer()
+        self._timer = self._loop.call_later(seconds, self._timed_out)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _timed_out(self) -> None:
+        if self._is_reading:
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+        elif not self.is_busy:
+            self.close_soon()
+
+
+class HttpIngress:
+    """Listens for callers and hands their requests to a handler."""
+
+    def __init__(self, *, handler: Handler, limits: Callable[[], IngressLimits]) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[CallerConnection] = set()
+        self.is_stopping = False
+        self._server: asyncio.Server | None = None
+
+    @property
+    def open_requests(self) -> int:
+        """How many connections have a request that is not answered yet."""
+        return sum(connection.is_busy for connection in self.connections)
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def listen(self, host: str, port: int) -> None:
+        """Begin to accept connections."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(server=self), host, port, backlog=512
+        )
+
+    def stop_accepting(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close connections on which no request is open."""
+        for connection in list(self.connections):
+            if not connection.is_busy:
+                connection.close_soon()
--- /dev/null
+++ b/src/croftchute/forwarding/plain_run.py
@@ -0,0 +1,133 @@
+"""Requests whose answer is a whole: read it in full, then hand it to the caller."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from croftchute.errors import Code, Ran
+from croftchute.forwarding.dialect import Send, Verdict
+from croftchute.forwarding.failures import ConnectFailedError, ExchangeError
+from croftchute.forwarding.http_client import ResponseHead
+from croftchute.forwarding.request_run import RequestRun, WorkerCall
+from croftchute.systems import patience
+from croftchute.systems.worker_choice import ChoiceInput
+from croftchute.systems.worker_table import WorkerBelief
+from croftchute.tables.routing import HeaderList
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WholeAnswer:
+    """A worker's answer as the caller may get it."""
+
+    worker: str
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
+@dataclass(kw_only=True)
+class Progress:
+    """What is known after some attempts: the last failure that a worker answered, and doubts."""
+
+    last_answer: WholeAnswer | None = None
+    may_have_run: bool = False
+    code: Code = Code.NO_UPSTREAM
+    detail: str = "no worker is known to be usable"
+
+
+async def run_plain(run: RequestRun) -> None:
+    """Send the request until a worker answers it or its limits are reached."""
+    progress = Progress()
+    while run.time_left_s > 0.0:
+        found = run.choose(None)
+        if found is None or not run.may_send_again():
+            break
+        answer = await _attempt(run, *found, progress)
+        if answer is not None:
+            _hand_over(run, answer)
+            return
+        if progress.may_have_run and not run.route.may_repeat:
+            break
+    _give_up(run, progress)
+
+
+async def _attempt(
+    run: RequestRun, belief: WorkerBelief, chosen: ChoiceInput, progress: Progress
+) -> WholeAnswer | None:
+    send = Send(worker=belief.worker, time_left_s=run.time_left_s, priority=run.route.priority)
+    call = WorkerCall(run=run, belief=belief, send=send, chosen=chosen)
+    try:
+        await call.open()
+        run.arrivals += 1
+        run.workers_sent_to.add(belief.worker.id)
+        head = await call.head(_patience(run, belief))
+        return await _take(run, call, head, progress)
+    except ConnectFailedError as error:
+        run.connect_failures += 1
+        call.failed(error)
+        progress.code, progress.detail = error.code, error.message
+    except ExchangeError as error:
+        call.failed(error)
+        progress.may_have_run = True
+        progress.code, progress.detail = error.code, error.message
+    finally:
+        call.close()
+    return None
+
+
+def _patience(run: RequestRun, belief: WorkerBelief) -> float:
+    if not run.route.may_repeat or len(run.workers_sent_to) >= run.route.max_attempts:
+        return run.time_left_s
+    return patience.answer_patience(
+        run.route, typical_s=belief.latency_s, time_left_s=run.time_left_s
+    )
+
+
+async def _take(
+    run: RequestRun, call: WorkerCall, head: ResponseHead, progress: Progress
+) -> WholeAnswer | None:
+    speak = run.state.workers_speak
+    verdict = speak.verdict(head)
+    body = await call.body(run.time_left_s)
+    if verdict in (Verdict.NOT_RUN, Verdict.WRONG_WORKER):
+        call.rejected(verdict)
+        progress.code, progress.detail = Code.NO_CAPACITY, f"worker said {verdict.value}"
+        return None
+    answer = WholeAnswer(
+        worker=call.worker.id,
+        status=head.status,
+        headers=speak.answer_headers(head),
+        body=body,
+    )
+    if verdict is Verdict.FAILED:
+        call.faulty(head.status)
+        progress.may_have_run = True
+        progress.last_answer = answer
+        is_final = not run.route.may_repeat
+        return answer if is_final and not _promises_not_run(answer) else None
+    call.succeeded()
+    return answer
+
+
+def _promises_not_run(answer: WholeAnswer) -> bool:
+    """A status that tells callers that nothing ran, on an answer that does not say so."""
+    return answer.status in (408, 421, 429, 503)
+
+
+def _hand_over(run: RequestRun, answer: WholeAnswer) -> None:
+    run.first_byte_at = run.now
+    run.exchange.send(answer.status, answer.headers, answer.body)
+    run.answered(answer.status, answer.worker)
+
+
+def _give_up(run: RequestRun, progress: Progress) -> None:
+    last = progress.last_answer
+    if last is not None and not _promises_not_run(last):
+        _hand_over(run, last)
+        return
+    if not progress.may_have_run:
+        run.refuse(progress.code, Ran.NOT_RUN, progress.detail)
+        return
+    is_late = run.time_left_s <= 0.0
+    code = Code.UPSTREAM_SLOW if is_late else Code.UPSTREAM_FAILED
+    run.refuse(code, Ran.UNKNOWN, progress.detail)
--- /dev/null
+++ b/src/croftchute/forwarding/request_run.py
@@ -0,0 +1,330 @@
+"""One request on its way: its facts, its limits, and its sendings to workers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable
+from typing import TypeVar
+
+from croftchute.errors import Code, Ran
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.dialect import PrefillHandle, Refusal, Send, Verdict
+from croftchute.forwarding.failures import AnswerLateError, ExchangeError
+from croftchute.forwarding.http_client import ClientConnection, ResponseHead
+from croftchute.forwarding.http_server import Exchange
+from croftchute.forwarding.state import ForwardingState
+from croftchute.systems import patience
+from croftchute.systems.worker_choice import ChoiceInput, choose
+from croftchute.systems.worker_table import WorkerBelief
+from croftchute.tables.routing import RequestFacts, Route, Stage
+
+T = TypeVar("T")
+
+MAX_CONNECT_TRIES = 4
+MAX_ANSWER_BYTES = 16 << 20
+WEIGHT_CONNECT = 2.0
+WEIGHT_BROKEN = 1.0
+WEIGHT_LATE = 1.0
+WEIGHT_REJECTED = 0.5
+WEIGHT_FAILED = 0.3
+
+
+class RequestRun:
+    """The state of one request; :class:`WorkerCall` does one sending of it."""
+
+    def __init__(
+        self,
+        *,
+        state: ForwardingState,
+        exchange: Exchange,
+        facts: RequestFacts,
+        route: Route,
+        service: str,
+        started_at: float,
+    ) -> None:
+        self.state = state
+        self.exchange = exchange
+        self.facts = facts
+        self.route = route
+        self.service = service
+        self.started_at = started_at
+        limit = route.timeout_s
+        if facts.time_left_s is not None:
+            limit = min(limit, facts.time_left_s)
+        self.deadline_at = started_at + limit
+        self.arrivals = 0
+        self.workers_sent_to: set[str] = set()
+        self.avoid: set[str] = set()
+        self.connect_failures = 0
+        self.first_byte_at: float | None = None
+        self.last_worker = ""
+
+    @property
+    def now(self) -> float:
+        """The present time of the process's steady clock."""
+        return self.state.clock()
+
+    @property
+    def time_left_s(self) -> float:
+        """How long the caller still waits."""
+        return max(0.0, self.deadline_at - self.now)
+
+    def choose(self, stage: Stage | None) -> tuple[WorkerBelief, ChoiceInput] | None:
+        """A worker for the next sending, within the route's attempts."""
+        candidates = self.state.workers.usable(self.service, self.now, stage=stage)
+        if self.connect_failures >= MAX_CONNECT_TRIES:
+            return None
+        if len(self.workers_sent_to) >= self.route.max_attempts:
+            candidates = [b for b in candidates if b.worker.id in self.workers_sent_to]
+        return choose(
+            candidates,
+            zone=self.state.zone,
+            avoid=self.avoid,
+            now=self.now,
+            rng=self.state.rng,
+        )
+
+    def may_send_again(self) -> bool:
+        """Take a repeat out of the budget; the first sending needs none."""
+        if self.arrivals == 0:
+            return True
+        window = self.state.budget(self.service)
+        if window.spend(self.now, boxes=self.state.boxes):
+            return True
+        self.log(
+            Decision.REPEAT_DENIED,
+            outcome="budget spent",
+            repeats=len(window.repeat_times),
+            allowed=round(window.allowed(self.now, boxes=self.state.boxes), 2),
+            boxes=self.state.boxes,
+        )
+        return False
+
+    def log(self, kind: Decision, *, outcome: str = "", **inputs: object) -> None:
+        """Write a line about this request."""
+        elapsed_ms = round((self.now - self.started_at) * 1000, 1)
+        self.state.log.decide(
+            kind, request_id=self.facts.id, outcome=outcome, elapsed_ms=elapsed_ms, **inputs
+        )
+
+    def answered(self, status: int, worker: str) -> None:
+        """Log and count an answer that the caller has in whole."""
+        now = self.now
+        outcome = "ok" if status < 400 else f"status_{status}"
+        labels = {"route": self.route.name}
+        self.state.metrics.requests.inc({**labels, "outcome": outcome})
+        self.state.metrics.whole.observe(labels, now - self.started_at)
+        first = self.first_byte_at or now
+        self.state.metrics.first_byte.observe(labels, first - self.started_at)
+        self.log(
+            Decision.REQUEST_ANSWERED,
+            outcome=outcome,
+            route=self.route.name,
+            worker=worker,
+            first_byte_ms=round((first - self.started_at) * 1000, 1),
+            target_ms=round(self.route.target_s * 1000),
+            workers_tried=len(self.workers_sent_to),
+        )
+
+    def refuse(self, code: Code, ran: Ran, detail: str) -> None:
+        """Give the request up: the final answer goes out at once."""
+        retry_after_s = None
+        if ran is Ran.NOT_RUN:
+            retry_after_s = patience.retry_after(self.time_left_s)
+        refusal = Refusal(code=code, ran=ran, detail=detail, retry_after_s=retry_after_s)
+        answer = self.state.callers.refuse(refusal, self.facts.id)
+        self.exchange.send(answer.status, answer.headers, answer.body)
+        labels = {"route": self.route.name, "outcome": code.value}
+        self.state.metrics.requests.inc(labels)
+        self.log(
+            Decision.REQUEST_REFUSED,
+            outcome=code.value,
+            status=answer.status,
+            ran=ran.value,
+            detail=detail,
+            route=self.route.name,
+            worker=self.last_worker,
+            time_left_ms=round(self.time_left_s * 1000),
+            retry_after_s=retry_after_s,
+            config_version=self.state.table.version if self.state.table else 0,
+            config_age_s=round(self.now - self.state.table_at, 1),
+            workers_age_s=round(self.now - self.state.workers.heard_at, 1),
+        )
+
+    def broken(self, reason: str) -> None:
+        """Break a begun answer off, so that it cannot look whole."""
+        self.exchange.abort()
+        labels = {"route": self.route.name, "outcome": "broken"}
+        self.state.metrics.requests.inc(labels)
+        self.log(Decision.REQUEST_BROKEN, outcome=reason, worker=self.last_worker)
+
+
+class WorkerCall:
+    """One sending of a request to one worker; always end it with :meth:`close`."""
+
+    def __init__(
+        self, *, run: RequestRun, belief: WorkerBelief, send: Send, chosen: ChoiceInput
+    ) -> None:
+        self.run = run
+        self.belief = belief
+        self.worker = belief.worker
+        self.send = send
+        self.chosen = chosen
+        self.opened_at = run.now
+        self.connection: ClientConnection | None = None
+        self._tokens = run.facts.prompt_tokens + run.facts.output_tokens
+        self._is_counted = False
+
+    async def open(self) -> None:
+        """Connect and send; raises :class:`ConnectFailedError` if nothing went out."""
+        run = self.run
+        worker = self.worker
+        run.last_worker = worker.id
+        self._is_counted = True
+        run.state.workers.note_sent(worker.id, self._tokens)
+        connection = await run.state.pool.acquire(
+            worker.host,
+            worker.port,
+            owner=worker.id,
+            now=run.now,
+            timeout_s=min(patience.CONNECT_S, run.time_left_s),
+        )
+        self.connection = connection
+        data = run.state.workers_speak.encode(run.facts, self.send)
+        connection.send(
+            data,
+            expected=run.state.workers_speak.expected(run.facts),
+            is_bodiless=run.facts.method == "HEAD",
+        )
+        kind = Decision.PREFILL_SENT if self.send.is_prefill else Decision.REQUEST_SENT
+        run.log(
+            kind,
+            worker=worker.id,
+            zone=worker.zone,
+            cost=self.chosen.cost,
+            in_flight=self.chosen.in_flight,
+            others=self.chosen.others,
+            failures=self.chosen.failures,
+            candidates=self.chosen.candidates,
+            belief_age_s=self.chosen.age_s,
+            config_version=run.state.table.version if run.state.table else 0,
+            reused=connection.uses > 1,
+            source=self.send.source.worker.id if self.send.source else "",
+            resume_after=self.send.resume_after,
+        )
+
+    async def head(self, timeout_s: float) -> ResponseHead:
+        """The head of the answer; raises AnswerLateError or ConnectionBrokenError."""
+        assert self.connection is not None
+        head = await within(self.connection.read_head(), timeout_s, "no head")
+        load = self.run.state.workers_speak.load(head)
+        if load is not None:
+            self.run.state.workers.note_load(
+                self.worker.id, load.running, load.waiting, self.run.now
+            )
+        return head
+
+    async def part(self, timeout_s: float) -> bytes:
+        """The next part of the body; empty at its end."""
+        assert self.connection is not None
+        return await within(self.connection.read_part(), timeout_s, "no part of the body")
+
+    async def body(self, timeout_s: float) -> bytes:
+        """The rest of the answer, in whole."""
+        assert self.connection is not None
+        return await within(self.connection.read_body(MAX_ANSWER_BYTES), timeout_s, "no whole body")
+
+    def succeeded(self) -> None:
+        """The worker answered: what was held against it loses weight."""
+        self._ended("ok")
+        self.run.state.workers.note_answer(
+            self.worker.id, self.run.now - self.opened_at, self.run.now
+        )
+
+    def failed(self, error: ExchangeError) -> None:
+        """Hold a failed exchange against the worker."""
+        weight = {
+            Code.TARGET_UNREACHABLE: WEIGHT_CONNECT,
+            Code.UPSTREAM_SLOW: WEIGHT_LATE,
+        }.get(error.code, WEIGHT_BROKEN)
+        self.run.avoid.add(self.worker.id)
+        self._hold_against(weight, error.code.value, error.message)
+
+    def rejected(self, verdict: Verdict) -> None:
+        """The worker did not run the request, or another one answered in its place."""
+        self.run.avoid.add(self.worker.id)
+        if verdict is Verdict.WRONG_WORKER:
+            self.run.state.workers.note_displaced(self.worker.id)
+            self.run.log(Decision.WORKER_DISPLACED, worker=self.worker.id)
+        self._hold_against(WEIGHT_REJECTED, verdict.value, "")
+
+    def faulty(self, status: int) -> None:
+        """The worker ran the request and failed."""
+        self.run.avoid.add(self.worker.id)
+        self._hold_against(WEIGHT_FAILED, f"status_{status}", "")
+
+    def close(self) -> None:
+        """Give the connection back, or close it if the answer is not whole."""
+        if self._is_counted:
+            self._is_counted = False
+            self.run.state.workers.note_ended(self.worker.id, self._tokens)
+        if self.connection is not None:
+            self.run.state.pool.release(
+                self.connection,
+                self.worker.host,
+                self.worker.port,
+                owner=self.worker.id,
+                now=self.run.now,
+            )
+            self.connection = None
+
+    def _hold_against(self, weight: float, outcome: str, detail: str) -> None:
+        score = self.run.state.workers.note_failure(self.worker.id, weight, self.run.now)
+        self._ended(outcome, failures_now=round(score, 2), detail=detail)
+
+    def _ended(self, outcome: str, **inputs: object) -> None:
+        kind = Decision.PREFILL_ENDED if self.send.is_prefill else Decision.ATTEMPT_ENDED
+        self.run.state.metrics.sends.inc({"outcome": outcome})
+        self.run.log(
+            kind,
+            outcome=outcome,
+            worker=self.worker.id,
+            took_ms=round((self.run.now - self.opened_at) * 1000, 1),
+            **inputs,
+        )
+
+
+async def within(work: Awaitable[T], timeout_s: float, what: str) -> T:
+    """Wait for some time; raises :class:`AnswerLateError` after it."""
+    try:
+        async with asyncio.timeout(max(0.0, timeout_s)):
+            return await work
+    except TimeoutError:
+        raise AnswerLateError(f"{what} within {timeout_s * 1000:.0f} ms") from None
+
+
+async def free_handle(state: ForwardingState, handle: PrefillHandle, request_id: str) -> None:
+    """Free a prompt's KV cache that nobody will fetch."""
+    worker = handle.worker
+    outcome = "failed"
+    with contextlib.suppress(ExchangeError):
+        connection = await state.pool.acquire(
+            worker.host,
+            worker.port,
+            owner=worker.id,
+            now=state.clock(),
+            timeout_s=patience.CONNECT_S,
+        )
+        connection.send(state.workers_speak.release(handle), expected=None)
+        try:
+            head = await within(connection.read_head(), patience.CONNECT_S, "no head")
+            await within(connection.read_body(MAX_ANSWER_BYTES), patience.CONNECT_S, "no body")
+            outcome = f"status_{head.status}"
+        finally:
+            state.pool.release(
+                connection, worker.host, worker.port, owner=worker.id, now=state.clock()
+            )
+    state.log.decide(
+        Decision.HANDLE_FREED, request_id=request_id, outcome=outcome, worker=worker.id
+    )
--- /dev/null
+++ b/src/croftchute/forwarding/state.py
@@ -0,0 +1,56 @@
+"""What one process knows and holds while it forwards: the tables, the pool, the budgets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+
+from croftchute.forwarding.decision_log import DecisionLog
+from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
+from croftchute.forwarding.http_client import ConnectionPool
+from croftchute.forwarding.traffic_metrics import TrafficMetrics
+from croftchute.systems.retry_budget import RetryLimits, RetryWindow
+from croftchute.systems.worker_table import WorkerTable
+from croftchute.tables.routing import IngressLimits, RoutingTable
+
+
+@dataclass(kw_only=True)
+class ForwardingState:
+    """Shared by all requests of a process; only its event loop touches it."""
+
+    box: str
+    zone: str
+    clock: Callable[[], float]
+    callers: CallerDialect
+    workers_speak: WorkerDialect
+    log: DecisionLog
+    metrics: TrafficMetrics
+    retry_limits: RetryLimits
+    rng: random.Random
+    boxes: int
+    table: RoutingTable | None = None
+    table_at: float = 0.0
+    workers: WorkerTable = field(default_factory=WorkerTable)
+    pool: ConnectionPool = field(default_factory=ConnectionPool)
+    budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
+    background: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Do something beside the requests."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    def limits(self) -> IngressLimits:
+        """The limits in force; defaults until a configuration is known."""
+        return self.table.limits if self.table is not None else IngressLimits()
+
+    def budget(self, service: str) -> RetryWindow:
+        """The retry budget of a service."""
+        window = self.budgets_by_service.get(service)
+        if window is None:
+            window = RetryWindow(limits=self.retry_limits)
+            self.budgets_by_service[service] = window
+        return window
--- /dev/null
+++ b/src/croftchute/forwarding/stream_run.py
@@ -0,0 +1,283 @@
+"""Requests whose answer is a stream of events: prefill, decode, and going on elsewhere."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from croftchute.errors import Code, MessageError, Ran
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
+from croftchute.forwarding.event_stream import EventSplitter, StreamEvent
+from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
+from croftchute.forwarding.http_client import ResponseHead
+from croftchute.forwarding.request_run import RequestRun, WorkerCall, free_handle
+from croftchute.systems import patience
+from croftchute.systems.worker_choice import ChoiceInput
+from croftchute.systems.worker_table import WorkerBelief
+from croftchute.tables.routing import HeaderList, Stage
+
+MAX_FAILURE_BYTES = 1 << 20
+
+
+@dataclass(kw_only=True)
+class StreamProgress:
+    """How far the stream has come at the caller, and what is known of its attempts."""
+
+    last_event: int | None
+    events: int = 0
+    may_have_run: bool = False
+    is_whole: bool = False
+    is_answered: bool = False
+    is_prompt_read: bool = False
+    code: Code = Code.NO_UPSTREAM
+    detail: str = "no worker is known to be usable"
+    started_worker: str = ""
+
+
+class StreamRun:
+    """One streaming request: at most one prefill ahead, then attempts at decode workers."""
+
+    def __init__(self, *, run: RequestRun) -> None:
+        self.run = run
+        self.progress = StreamProgress(last_event=run.facts.resume_after)
+        self.unused: PrefillHandle | None = None
+
+    async def serve(self) -> None:
+        """Run the stream to its end, or give it up."""
+        try:
+            await self._attempts()
+        finally:
+            if self.unused is not None:
+                self._free_unused(self.unused)
+        progress = self.progress
+        if progress.is_answered:
+            return
+        if progress.is_whole:
+            self.run.exchange.finish()
+            self.run.answered(200, progress.started_worker)
+        elif self.run.exchange.is_started:
+            self.run.broken(progress.detail)
+        else:
+            self._refuse()
+
+    async def _attempts(self) -> None:
+        run = self.run
+        while run.time_left_s > 0.0 and not self._is_over():
+            found = run.choose(Stage.DECODE)
+            if found is None:
+                return
+            source = await self._prefill(found[0])
+            if len(run.workers_sent_to) >= run.route.max_attempts and (
+                found[0].worker.id not in run.workers_sent_to
+            ):
+                return
+            if not run.may_send_again():
+                return
+            await self._decode(*found, source)
+
+    def _is_over(self) -> bool:
+        progress = self.progress
+        if progress.is_whole or progress.is_answered:
+            return True
+        return progress.may_have_run and not self.run.route.may_repeat
+
+    # Prefill.
+
+    async def _prefill(self, decode: WorkerBelief) -> PrefillHandle | None:
+        """Have the prompt read ahead, once; None if the decode worker must read it itself."""
+        run = self.run
+        if self.progress.is_prompt_read or decode.worker.stage is None:
+            return None
+        self.progress.is_prompt_read = True
+        found = run.choose(Stage.PREFILL)
+        if found is None:
+            return None
+        belief, chosen = found
+        send = Send(
+            worker=belief.worker,
+            time_left_s=run.time_left_s,
+            priority=run.route.priority,
+            is_prefill=True,
+        )
+        call = WorkerCall(run=run, belief=belief, send=send, chosen=chosen)
+        try:
+            await call.open()
+            return await self._read_handle(call)
+        except ConnectFailedError as error:
+            call.failed(error)
+        except ExchangeError as error:
+            run.arrivals += 1
+            call.failed(error)
+        except MessageError as error:
+            run.arrivals += 1
+            call.failed(ConnectionBrokenError(error.message))
+        finally:
+            call.close()
+        return None
+
+    async def _read_handle(self, call: WorkerCall) -> PrefillHandle | None:
+        run = self.run
+        wait_s = patience.prefill_patience(run.facts.prompt_tokens, time_left_s=run.time_left_s)
+        head = await call.head(wait_s)
+        body = await call.body(wait_s)
+        verdict = run.state.workers_speak.verdict(head)
+        if verdict is not Verdict.ANSWERED:
+            run.arrivals += 1
+            if verdict is Verdict.FAILED:
+                call.faulty(head.status)
+            else:
+                run.workers_sent_to.add(call.worker.id)
+                call.rejected(verdict)
+            return None
+        handle = run.state.workers_speak.handle(body, call.worker)
+        call.succeeded()
+        self.unused = handle
+        return handle
+
+    def _free_unused(self, handle: PrefillHandle) -> None:
+        self.unused = None
+        state = self.run.state
+        state.spawn(free_handle(state, handle, self.run.facts.id))
+
+    # Decode.
+
+    async def _decode(
+        self, belief: WorkerBelief, chosen: ChoiceInput, source: PrefillHandle | None
+    ) -> None:
+        run = self.run
+        progress = self.progress
+        send = Send(
+            worker=belief.worker,
+            time_left_s=run.time_left_s,
+            priority=run.route.priority,
+            source=source,
+            resume_after=progress.last_event,
+        )
+        call = WorkerCall(run=run, belief=belief, send=send, chosen=chosen)
+        try:
+            await call.open()
+            run.arrivals += 1
+            run.workers_sent_to.add(belief.worker.id)
+            await self._take(call, source)
+        except ConnectFailedError as error:
+            run.connect_failures += 1
+            call.failed(error)
+            progress.code, progress.detail = error.code, error.message
+        except ExchangeError as error:
+            progress.may_have_run = True
+            call.failed(error)
+            progress.code, progress.detail = error.code, error.message
+        finally:
+            call.close()
+
+    async def _take(self, call: WorkerCall, source: PrefillHandle | None) -> None:
+        run = self.run
+        wait_s = run.time_left_s
+        if self._may_go_elsewhere():
+            wait_s = patience.first_event_patience(run.route, time_left_s=wait_s)
+        head = await call.head(wait_s)
+        verdict = run.state.workers_speak.verdict(head)
+        if verdict is Verdict.ANSWERED:
+            self.unused = None
+            await self._pass_on(call, head, wait_s)
+            return
+        body = await call.body(run.time_left_s)
+        if verdict is Verdict.FAILED:
+            self._take_failure(call, head, body)
+            return
+        call.rejected(verdict)
+        self.progress.code = Code.NO_CAPACITY
+        self.progress.detail = f"worker said {verdict.value}"
+        if source is not None and verdict is Verdict.NOT_RUN:
+            self._allow_same_worker(call)
+
+    def _allow_same_worker(self, call: WorkerCall) -> None:
+        """The handle may have been the reason: the worker can read the prompt itself."""
+        self.unused = None
+        self.run.avoid.discard(call.worker.id)
+
+    def _may_go_elsewhere(self) -> bool:
+        run = self.run
+        has_attempts = len(run.workers_sent_to) < run.route.max_attempts
+        return run.route.may_repeat and has_attempts
+
+    def _take_failure(self, call: WorkerCall, head: ResponseHead, body: bytes) -> None:
+        call.faulty(head.status)
+        progress = self.progress
+        progress.may_have_run = True
+        progress.code = Code.UPSTREAM_FAILED
+        progress.detail = f"worker answered {head.status}"
+        if self._may_go_elsewhere() or self.run.exchange.is_started:
+            return
+        if head.status in (408, 421, 429, 503):
+            return
+        headers = self.run.state.workers_speak.answer_headers(head)
+        self.run.exchange.send(head.status, headers, body)
+        self.run.answered(head.status, call.worker.id)
+        progress.is_answered = True
+
+    async def _pass_on(self, call: WorkerCall, head: ResponseHead, first_wait_s: float) -> None:
+        run = self.run
+        progress = self.progress
+        splitter = EventSplitter()
+        wait_s = first_wait_s
+        while part := await call.part(wait_s):
+            events = splitter.feed(part)
+            if events:
+                await self._write(call, head, events)
+            wait_s = run.time_left_s
+            if self._may_go_elsewhere():
+                wait_s = patience.gap_patience(run.route, time_left_s=wait_s)
+        if splitter.leftover:
+            raise ConnectionBrokenError("stream ended inside an event")
+        if not run.exchange.is_started:
+            self._start(call, head)
+        call.succeeded()
+        progress.is_whole = True
+
+    async def _write(self, call: WorkerCall, head: ResponseHead, events: list[StreamEvent]) -> None:
+        progress = self.progress
+        data: list[bytes] = []
+        for event in events:
+            if event.number is not None:
+                last = progress.last_event
+                if last is not None and event.number <= last:
+                    raise ConnectionBrokenError(f"event {event.number} after event {last}")
+                progress.last_event = event.number
+            progress.events += 1
+            data.append(event.data)
+        if not self.run.exchange.is_started:
+            self._start(call, head)
+        await self.run.exchange.write(b"".join(data))
+
+    def _start(self, call: WorkerCall, head: ResponseHead) -> None:
+        run = self.run
+        run.first_byte_at = run.now
+        self.progress.started_worker = call.worker.id
+        headers: HeaderList = run.state.workers_speak.answer_headers(head)
+        run.exchange.start(head.status, head.reason, headers)
+
+    def _refuse(self) -> None:
+        run = self.run
+        progress = self.progress
+        if not progress.may_have_run:
+            run.refuse(_not_run_code(progress.code), Ran.NOT_RUN, progress.detail)
+            return
+        is_late = run.time_left_s <= 0.0
+        code = Code.UPSTREAM_SLOW if is_late else Code.UPSTREAM_FAILED
+        run.refuse(code, Ran.UNKNOWN, progress.detail)
+
+
+def _not_run_code(code: Code) -> Code:
+    return Code.NO_CAPACITY if code in (Code.UPSTREAM_SLOW, Code.UPSTREAM_FAILED) else code
+
+
+async def run_stream(run: RequestRun) -> None:
+    """Serve one streaming request."""
+    stream = StreamRun(run=run)
+    try:
+        await stream.serve()
+    except asyncio.CancelledError:
+        run.log(Decision.CALLER_LEFT, events=stream.progress.events, worker=run.last_worker)
+        raise
--- /dev/null
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -0,0 +1,42 @@
+"""Counters and latency histograms of the forwarding core, in the Prometheus text format."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+SECONDS_BUCKETS = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.9, 1.5, 3.0, 6.0, 14.0]
+
+
+class TrafficMetrics:
+    """What operators watch: outcomes by route, times, decisions by kind, calls of the store."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        own = {"registry": self.registry}
+        self.requests = Counter("croftchute_requests_total", "Requests by route and outcome", **own)
+        self.decisions = Counter("croftchute_decisions_total", "Log lines by kind", **own)
+        self.sends = Counter("croftchute_sends_total", "Sends to workers by outcome", **own)
+        self.store_calls = Counter("croftchute_store_calls_total", "Store calls by outcome", **own)
+        self.open = Gauge("croftchute_open_requests", "Requests that are open", **own)
+        self.config_version = Gauge("croftchute_config_version", "Version in force", **own)
+        self.first_byte = Histogram(
+            "croftchute_first_byte_seconds",
+            "Time from the whole request to the first byte of its answer, by route",
+            buckets=SECONDS_BUCKETS,
+            **own,
+        )
+        self.whole = Histogram(
+            "croftchute_answer_seconds",
+            "Time from the whole request to the end of its answer, by route",
+            buckets=SECONDS_BUCKETS,
+            **own,
+        )
+
+    def observe_store_call(self, call: str, outcome: str) -> None:
+        """Count a call of the store."""
+        self.store_calls.inc({"call": call, "outcome": outcome})
+
+    def text(self) -> bytes:
+        """All metrics as text."""
+        content, _ = render(self.registry, [])
+        return bytes(content)
--- /dev/null
+++ b/src/croftchute/router_settings.py
@@ -0,0 +1,83 @@
+"""Settings of the forwarding daemon: a JSON document, checked at start and at each reload."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from croftchute.errors import Code, DocumentError, Fault
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Text = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+HostAndPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z.-]+:[0-9]{1,5}$")]
+
+
+class Address(msgspec.Struct, frozen=True, kw_only=True):
+    """An IP address and a port."""
+
+    host: Text
+    port: Port
+
+
+def parse_address(text: str) -> Address:
+    """Read HOST:PORT, which the settings' pattern has already checked.
+
+    >>> parse_address("10.0.0.1:80").port
+    80
+    """
+    host, _, port = text.rpartition(":")
+    return Address(host=host, port=int(port))
+
+
+class RetrySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The retry budget that all boxes share."""
+
+    ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.1
+    window_s: Positive = 10.0
+    slack: Annotated[float, msgspec.Meta(ge=0)] = 10.0
+
+
+class RouterSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything a forwarding box knows before it has met anyone; unknown fields pass."""
+
+    box: Text
+    hall: Text
+    callers: HostAndPort
+    health: HostAndPort
+    store: HostAndPort
+    metrics: HostAndPort | None = None
+    retry: RetrySettings = RetrySettings()
+    boxes: Annotated[int, msgspec.Meta(ge=1)] = 12
+    stop_limit_s: Positive = 8.0
+    reload_check_s: Positive = 2.0
+
+
+def parse_router_settings(raw: bytes) -> RouterSettings:
+    """Read and check settings; raises :class:`DocumentError` with the path of the fault.
+
+    >>> parse_router_settings(b'{"box": 1}')
+    Traceback (most recent call last):
+    ...
+    croftchute.errors.DocumentError: Expected `str`, got `int` - at `$.box`
+    """
+    try:
+        return msgspec.json.decode(raw, type=RouterSettings)
+    except msgspec.DecodeError as error:
+        message = str(error)
+        path = message.rpartition("at `")[2].rstrip("`") if "at `" in message else "$"
+        fault = Fault(path=path, code=Code.SETTINGS_INVALID, message=message)
+        raise DocumentError(Code.SETTINGS_INVALID, message, faults=(fault,)) from None
+
+
+def read_router_settings(path: Path) -> RouterSettings:
+    """Read settings from a file; a missing file is a :class:`DocumentError` too."""
+    try:
+        raw = path.read_bytes()
+    except OSError as error:
+        raise DocumentError(Code.SETTINGS_INVALID, f"cannot read {path}: {error}") from None
+    return parse_router_settings(raw)
--- a/src/croftchute/platform/etcd.py
+++ b/src/croftchute/storage/etcd.py
@@ -15,7 +15,7 @@
 import urllib3
 
 from croftchute.errors import Code, StoreError
-from croftchute.platform.store import BOXES_KEY, Entry, ListedBox
+from croftchute.storage.store import BOXES_KEY, Entry, ListedBox
 
 CONNECT_S = 1.0
 READ_S = 3.0
--- /dev/null
+++ b/src/croftchute/systems/retry_budget.py
@@ -0,0 +1,50 @@
+"""The share of one box in a retry budget that all boxes of a service have together."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+SAFETY = 0.7
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RetryLimits:
+    """Repeats allowed in any window: a share of the requests, plus a constant for all boxes."""
+
+    ratio: float
+    window_s: float
+    slack: float
+
+
+@dataclass(kw_only=True)
+class RetryWindow:
+    """Requests and repeats of one service in the last window, as this box sent them."""
+
+    limits: RetryLimits
+    request_times: deque[float] = field(default_factory=deque)
+    repeat_times: deque[float] = field(default_factory=deque)
+
+    def allowed(self, now: float, *, boxes: int) -> float:
+        """How many repeats this box may have sent in the window that ends now."""
+        self._expire(now)
+        share = self.limits.slack / max(1, boxes)
+        return SAFETY * (self.limits.ratio * len(self.request_times) + share)
+
+    def note_request(self, now: float) -> None:
+        """Count a caller's request."""
+        self._expire(now)
+        self.request_times.append(now)
+
+    def spend(self, now: float, *, boxes: int) -> bool:
+        """Take one repeat out of the budget, if there is one."""
+        if len(self.repeat_times) + 1 > self.allowed(now, boxes=boxes):
+            return False
+        self.repeat_times.append(now)
+        return True
+
+    def _expire(self, now: float) -> None:
+        start = now - self.limits.window_s
+        for times in (self.request_times, self.repeat_times):
+            while times and times[0] <= start:
+                times.popleft()
--- /dev/null
+++ b/src/croftchute/systems/worker_choice.py
@@ -0,0 +1,86 @@
+"""Which worker takes a request: the least loaded of those that did not fail lately."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+
+from croftchute.systems.worker_table import WorkerBelief
+from croftchute.tables.routing import Route
+
+FAILURE_COST = 1.0
+FAR_COST = 0.04
+LATENCY_COST = 0.5
+SAMPLE = 12
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChoiceInput:
+    """Why one worker was chosen; goes to the log."""
+
+    worker: str
+    cost: float
+    in_flight: int
+    others: float
+    failures: float
+    age_s: float
+    candidates: int
+
+
+def cost_of(belief: WorkerBelief, *, zone: str, typical_s: float, now: float) -> float:
+    """The cost of giving a worker one more request, in units of a full worker."""
+    slots = max(1, belief.worker.slots)
+    cost = (belief.in_flight + belief.others_running(now)) / slots
+    cost += FAILURE_COST * belief.failure_score(now)
+    if belief.worker.zone != zone:
+        cost += FAR_COST
+    if typical_s > 0.0 and belief.latency_s > 0.0:
+        cost += LATENCY_COST * max(0.0, belief.latency_s / typical_s - 1.0)
+    return cost
+
+
+def choose(
+    candidates: Sequence[WorkerBelief],
+    *,
+    zone: str,
+    avoid: Collection[str],
+    now: float,
+    rng: random.Random,
+) -> tuple[WorkerBelief, ChoiceInput] | None:
+    """The cheapest candidate that is not to be avoided; ties are broken at random."""
+    left = [belief for belief in candidates if belief.worker.id not in avoid]
+    if not left:
+        return None
+    if len(left) > SAMPLE:
+        left = rng.sample(left, SAMPLE)
+    latencies = sorted(belief.latency_s for belief in left if belief.latency_s > 0.0)
+    typical_s = latencies[len(latencies) // 2] if latencies else 0.0
+    costs = [
+        (cost_of(belief, zone=zone, typical_s=typical_s, now=now), rng.random(), belief)
+        for belief in left
+    ]
+    cost, _, best = min(costs, key=lambda entry: entry[:2])
+    chosen = ChoiceInput(
+        worker=best.worker.id,
+        cost=round(cost, 3),
+        in_flight=best.in_flight,
+        others=best.others_running(now),
+        failures=round(best.failure_score(now), 3),
+        age_s=round(now - best.listed_at, 3),
+        candidates=len(left),
+    )
+    return best, chosen
+
+
+def pick_service(route: Route, rng: random.Random) -> str:
+    """One of the route's services, by weight.
+
+    >>> from croftchute.tables.routing import RouteKind
+    >>> one = Route(name="r", host="h", prefix="/", kind=RouteKind.ONCE, timeout_s=1,
+    ...             target_s=1, targets=(WeightedService(service="a", weight=1),))
+    >>> pick_service(one, random.Random(1))
+    'a'
+    """
+    weights = [target.weight for target in route.targets]
+    return rng.choices(route.targets, weights=weights)[0].service
--- /dev/null
+++ b/src/croftchute/systems/worker_table.py
@@ -0,0 +1,162 @@
+"""What the router believes about each worker: listed state, own requests, recent failures.
+
+Pure state: every function that decides takes the present time. Times are seconds of a
+monotonic clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from croftchute.tables.routing import Stage, Worker, WorkerState
+
+LATENCY_WEIGHT = 0.3
+FAILURE_HALF_LIFE_S = 2.0
+MAX_FAILURES = 8.0
+GONE_GRACE_S = 1.2
+LOAD_TTL_S = 1.0
+
+
+@dataclass(kw_only=True, slots=True)
+class WorkerBelief:
+    """One worker with everything believed about it, and the age of each belief."""
+
+    worker: Worker
+    listed_at: float
+    gone_at: float | None = None
+    in_flight: int = 0
+    tokens_in_flight: int = 0
+    failures: float = 0.0
+    failed_at: float = 0.0
+    latency_s: float = 0.0
+    load_running: int = 0
+    load_waiting: int = 0
+    load_at: float = -1e9
+    in_flight_at_load: int = 0
+    displaced: bool = False
+
+    def failure_score(self, now: float) -> float:
+        """Recent failures, each counting half as much after every half-life."""
+        age = max(0.0, now - self.failed_at)
+        return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_S)
+
+    def others_running(self, now: float) -> float:
+        """Requests of other boxes that the worker was running or queueing lately."""
+        if now - self.load_at > LOAD_TTL_S:
+            return 0.0
+        known = self.load_running + self.load_waiting - self.in_flight_at_load
+        return float(max(0, known))
+
+
+@dataclass(kw_only=True)
+class WorkerTable:
+    """All workers by id; ``revision`` is the store's revision of the newest change."""
+
+    revision: int = 0
+    heard_at: float = 0.0
+    beliefs_by_id: dict[str, WorkerBelief] = field(default_factory=dict)
+
+    def upsert(self, worker: Worker, now: float) -> bool:
+        """Take in a listed worker; True if something besides its age has changed."""
+        belief = self.beliefs_by_id.get(worker.id)
+        if belief is None:
+            self.beliefs_by_id[worker.id] = WorkerBelief(worker=worker, listed_at=now)
+            return True
+        is_changed = belief.worker != worker or belief.gone_at is not None
+        belief.worker = worker
+        belief.listed_at = now
+        belief.gone_at = None
+        return is_changed
+
+    def remove(self, worker_id: str, now: float) -> bool:
+        """Mark a worker as gone from the list; it is forgotten after a grace period."""
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is None or belief.gone_at is not None:
+            return False
+        belief.gone_at = now
+        return True
+
+    def keep_only(self, ids: set[str], now: float) -> list[str]:
+        """Mark all workers as gone that a whole listing did not name; returns those."""
+        missing = [worker_id for worker_id in self.beliefs_by_id if worker_id not in ids]
+        return [worker_id for worker_id in missing if self.remove(worker_id, now)]
+
+    def sweep(self, now: float) -> list[str]:
+        """Forget workers that left the list some time ago and run nothing of ours."""
+        old = [
+            worker_id
+            for worker_id, belief in self.beliefs_by_id.items()
+            if belief.gone_at is not None
+            and now - belief.gone_at > GONE_GRACE_S
+            and belief.in_flight == 0
+        ]
+        for worker_id in old:
+            del self.beliefs_by_id[worker_id]
+        return old
+
+    def usable(self, service: str, now: float, *, stage: Stage | None = None) -> list[WorkerBelief]:
+        """Workers that new work may go to; those just gone only when no other is left."""
+        listed: list[WorkerBelief] = []
+        just_gone: list[WorkerBelief] = []
+        for belief in self.beliefs_by_id.values():
+            worker = belief.worker
+            if worker.service != service or belief.displaced:
+                continue
+            if stage is not None and worker.stage is not None and worker.stage is not stage:
+                continue
+            if worker.state is not WorkerState.READY:
+                continue
+            if belief.gone_at is None:
+                listed.append(belief)
+            elif now - belief.gone_at <= GONE_GRACE_S:
+                just_gone.append(belief)
+        return listed or just_gone
+
+    def note_sent(self, worker_id: str, tokens: int) -> None:
+        """Count a request that is about to go to a worker."""
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is not None:
+            belief.in_flight += 1
+            belief.tokens_in_flight += tokens
+
+    def note_ended(self, worker_id: str, tokens: int) -> None:
+        """Count a request that is over at a worker."""
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is not None:
+            belief.in_flight -= 1
+            belief.tokens_in_flight -= tokens
+
+    def note_answer(self, worker_id: str, latency_s: float, now: float) -> None:
+        """A worker did its work in time; this clears half of the failures held against it."""
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is None:
+            return
+        belief.failures = belief.failure_score(now) / 2.0
+        belief.failed_at = now
+        if belief.latency_s == 0.0:
+            belief.latency_s = latency_s
+        belief.latency_s += LATENCY_WEIGHT * (latency_s - belief.latency_s)
+
+    def note_failure(self, worker_id: str, weight: float, now: float) -> float:
+        """Hold a failure against a worker; returns its score afterwards."""
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is None:
+            return 0.0
+        belief.failures = min(MAX_FAILURES, belief.failure_score(now) + weight)
+        belief.failed_at = now
+        return belief.failures
+
+    def note_load(self, worker_id: str, running: int, waiting: int, now: float) -> None:
+        """Take in the load that a worker told with an answer."""
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is not None:
+            belief.load_running = running
+            belief.load_waiting = waiting
+            belief.load_at = now
+            belief.in_flight_at_load = belief.in_flight
+
+    def note_displaced(self, worker_id: str) -> None:
+        """Another worker answered at this one's address: it is not there any more."""
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is not None:
+            belief.displaced = True
--- /dev/null
+++ b/src/croftchute/tables/routing.py
@@ -0,0 +1,168 @@
+"""Rows about routes, services and workers: what the configuration and the worker list say."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class RouteKind(StrEnum):
+    """What may be done with the requests of a route."""
+
+    REPEATABLE = "repeatable"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+class Stage(StrEnum):
+    """The half of the work that an engine does."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+class WorkerState(StrEnum):
+    """What the worker list says of a worker."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WeightedService:
+    """One service of a route, and its share of the route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Route:
+    """Where requests of one host and path prefix go; times are in seconds."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_s: float
+    target_s: float
+    targets: tuple[WeightedService, ...]
+    max_attempts: int = 1
+    priority: int = 5
+    is_resumable: bool = False
+    target_gap_s: float = 0.0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.REPEATABLE or self.is_resumable
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineTraits:
+    """What all engines of a service have in common; sizes in tokens unless named otherwise."""
+
+    slots: int
+    kv_tokens: int
+    kv_bytes_per_token: float
+    handle_ttl_s: float
+    models: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Service:
+    """A set of workers that do the same; ``engine`` is None for plain services."""
+
+    name: str
+    max_connections: int
+    engine: EngineTraits | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class IngressLimits:
+    """What a caller may send, and how long it may take or rest."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 << 20
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RoutingTable:
+    """One version of the routes, services and limits; replaced whole."""
+
+    version: int
+    routes_by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
+    services_by_name: dict[str, Service] = field(default_factory=dict)
+    limits: IngressLimits = field(default_factory=IngressLimits)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """The route of the host with the longest prefix that begins the path.
+
+        >>> RoutingTable(version=1).match("a.example", "/x/") is None
+        True
+        """
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def by_host(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
+    """Routes grouped by host, those with the longest prefix first."""
+    grouped: dict[str, list[Route]] = {}
+    for route in routes:
+        grouped.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(group, key=lambda route: -len(route.prefix)))
+        for host, group in grouped.items()
+    }
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Worker:
+    """One incarnation of a worker as the worker list describes it."""
+
+    id: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    state: WorkerState = WorkerState.READY
+    slots: int = 1
+    stage: Stage | None = None
+    model_versions: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def address(self) -> str:
+        """Where the worker listens, as HOST:PORT."""
+        return f"{self.host}:{self.port}"
+
+
+HeaderList = list[tuple[bytes, bytes]]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestFacts:
+    """What a reader of a callers' interface found out about one request.
+
+    ``headers`` are those to hand on: without those that concern one connection only and
+    without those that the router sets itself. ``time_left_s`` is None if the caller names
+    no deadline; ``resume_after`` is the last event that the caller already has.
+    """
+
+    id: str
+    method: str
+    target: str
+    host: str
+    path: str
+    headers: HeaderList
+    body: bytes
+    time_left_s: float | None = None
+    resume_after: int | None = None
+    model: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    prompt_parts: tuple[str, ...] = ()
--- a/tests/config/test_submit.py
+++ b/tests/config/test_submit.py
@@ -8,7 +8,7 @@
 from croftchute.config.checks import parse_document
 from croftchute.config.submit import current, history, submit
 from croftchute.errors import Code, ConflictError, StoreError
-from croftchute.platform.etcd import EtcdStore
+from croftchute.storage.etcd import EtcdStore
 from croftchute.standins.platform import PlatformServer
 
 DAKAR = parse_document((Path(__file__).parents[2] / "examples" / "dakar.json").read_bytes())
