Hold room at a decode worker before the prompt is read

Cause: prompts were read at prefill workers and then turned away by full decode workers; their handles lapsed after 0.5 s. A hold reserves slot and memory first; without one the request is refused at once, with a Retry-After spread over seconds.

Ruled out: tracking room from own flights alone (eight boxes do not see each other's).

--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -47,6 +47,8 @@
     REQUEST_REFUSED = "request_refused"
     REQUEST_BROKEN = "request_broken"
     CALLER_LEFT = "caller_left"
+    HOLD_ASKED = "hold_asked"
+    HOLD_DROPPED = "hold_dropped"
     HANDLE_FREED = "handle_freed"
     PEER_LISTED = "peer_listed"
     PEER_GONE = "peer_gone"
--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -38,6 +38,14 @@
     worker: Worker
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Hold:
+    """A slot and memory that a decode worker keeps free for one request for a short time."""
+
+    id: str
+    worker: Worker
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Send:
     """One sending of a request to a worker; ``time_left_s`` is what the worker may take."""
@@ -47,6 +55,7 @@
     priority: int
     is_prefill: bool = False
     source: PrefillHandle | None = None
+    hold: Hold | None = None
     resume_after: int | None = None
 
 
@@ -112,6 +121,18 @@
         """What a prefill call answered; raises :class:`croftchute.errors.MessageError`."""
         ...
 
+    def take_hold(self, worker: Worker, tokens: int, ttl_s: float) -> bytes:
+        """The request for a hold."""
+        ...
+
+    def hold(self, body: bytes, worker: Worker) -> Hold:
+        """What a request for a hold answered; raises MessageError."""
+        ...
+
+    def drop_hold(self, hold: Hold) -> bytes:
+        """The request that gives a hold back."""
+        ...
+
     def release(self, handle: PrefillHandle) -> bytes:
         """The request that frees a handle which nobody will use."""
         ...
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable
 from typing import TypeVar
 
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.dialect import PrefillHandle, Refusal, Send, Verdict
+from croftchute.forwarding.dialect import Refusal, Send, Verdict
 from croftchute.forwarding.failures import AnswerLateError, ExchangeError
 from croftchute.forwarding.http_client import ClientConnection, ResponseHead
 from croftchute.forwarding.http_server import Exchange
@@ -17,7 +16,7 @@
 from croftchute.systems import patience
 from croftchute.systems.worker_choice import ChoiceInput, choose
 from croftchute.systems.worker_table import WorkerBelief
-from croftchute.tables.routing import RequestFacts, Route, Stage
+from croftchute.tables.routing import EngineTraits, RequestFacts, Route, Stage
 
 T = TypeVar("T")
 
@@ -56,6 +55,7 @@
         self.arrivals = 0
         self.workers_sent_to: set[str] = set()
         self.avoid: set[str] = set()
+        self.full: set[str] = set()
         self.connect_failures = 0
         self.first_byte_at: float | None = None
         self.last_worker = ""
@@ -65,6 +65,13 @@
         """The present time of the process's steady clock."""
         return self.state.clock()
 
+    @property
+    def engine(self) -> EngineTraits | None:
+        """What the engines of the request's service have in common; None if it has none."""
+        table = self.state.table
+        service = table.services_by_name.get(self.service) if table is not None else None
+        return service.engine if service is not None else None
+
     @property
     def time_left_s(self) -> float:
         """How long the caller still waits."""
@@ -77,12 +84,14 @@
             return None
         if len(self.workers_sent_to) >= self.route.max_attempts:
             candidates = [b for b in candidates if b.worker.id in self.workers_sent_to]
+        engine = self.engine
         return choose(
             candidates,
             zone=self.state.zone,
-            avoid=self.avoid,
+            avoid=self.avoid | self.full,
             now=self.now,
             rng=self.state.rng,
+            kv_tokens=engine.kv_tokens if engine is not None else 0,
         )
 
     def may_send_again(self) -> bool:
@@ -131,7 +140,9 @@
         """Give the request up: the final answer goes out at once."""
         retry_after_s = None
         if ran is Ran.NOT_RUN:
-            retry_after_s = patience.retry_after(self.time_left_s)
+            retry_after_s = patience.retry_after(
+                self.time_left_s, is_full=bool(self.full), spread=self.state.rng.random()
+            )
         refusal = Refusal(code=code, ran=ran, detail=detail, retry_after_s=retry_after_s)
         answer = self.state.callers.refuse(refusal, self.facts.id)
         self.exchange.send(answer.status, answer.headers, answer.body)
@@ -302,29 +313,3 @@
             return await work
     except TimeoutError:
         raise AnswerLateError(f"{what} within {timeout_s * 1000:.0f} ms") from None
-
-
-async def free_handle(state: ForwardingState, handle: PrefillHandle, request_id: str) -> None:
-    """Free a prompt's KV cache that nobody will fetch."""
-    worker = handle.worker
-    outcome = "failed"
-    with contextlib.suppress(ExchangeError):
-        connection = await state.pool.acquire(
-            worker.host,
-            worker.port,
-            owner=worker.id,
-            now=state.clock(),
-            timeout_s=patience.CONNECT_S,
-        )
-        connection.send(state.workers_speak.release(handle), expected=None)
-        try:
-            head = await within(connection.read_head(), patience.CONNECT_S, "no head")
-            await within(connection.read_body(MAX_ANSWER_BYTES), patience.CONNECT_S, "no body")
-            outcome = f"status_{head.status}"
-        finally:
-            state.pool.release(
-                connection, worker.host, worker.port, owner=worker.id, now=state.clock()
-            )
-    state.log.decide(
-        Decision.HANDLE_FREED, request_id=request_id, outcome=outcome, worker=worker.id
-    )
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -7,15 +7,16 @@
 
 from croftchute.errors import Code, MessageError, Ran
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
+from croftchute.forwarding.dialect import Hold, PrefillHandle, Send, Verdict
 from croftchute.forwarding.event_stream import EventSplitter, StreamEvent
 from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
 from croftchute.forwarding.http_client import ResponseHead
-from croftchute.forwarding.request_run import RequestRun, WorkerCall, free_handle
+from croftchute.forwarding.request_run import RequestRun, WorkerCall
+from croftchute.forwarding.worker_control import drop_hold, free_handle, take_hold
 from croftchute.systems import patience
 from croftchute.systems.worker_choice import ChoiceInput
 from croftchute.systems.worker_table import WorkerBelief
-from croftchute.tables.routing import HeaderList, Stage
+from croftchute.tables.routing import EngineTraits, HeaderList, Stage
 
 MAX_FAILURE_BYTES = 1 << 20
 
@@ -42,14 +43,14 @@
         self.run = run
         self.progress = StreamProgress(last_event=run.facts.resume_after)
         self.unused: PrefillHandle | None = None
+        self.unused_hold: Hold | None = None
 
     async def serve(self) -> None:
         """Run the stream to its end, or give it up."""
         try:
             await self._attempts()
         finally:
-            if self.unused is not None:
-                self._free_unused(self.unused)
+            self._free_unused()
         progress = self.progress
         if progress.is_answered:
             return
@@ -64,7 +65,7 @@
     async def _attempts(self) -> None:
         run = self.run
         while run.time_left_s > 0.0 and not self._is_over():
-            found = run.choose(Stage.DECODE)
+            found = await self._reserve()
             if found is None:
                 return
             source = await self._prefill(found[0])
@@ -82,6 +83,59 @@
             return True
         return progress.may_have_run and not self.run.route.may_repeat
 
+    # Room at a decode worker.
+
+    async def _reserve(self) -> tuple[WorkerBelief, ChoiceInput] | None:
+        """A decode worker that keeps room for the request; None if there is no such worker."""
+        run = self.run
+        engine = run.engine
+        while True:
+            found = run.choose(Stage.DECODE)
+            if found is None or engine is None or engine.hold_ttl_s <= 0.0:
+                return found
+            if found[0].full_until > run.now:
+                run.full.add(found[0].worker.id)
+                self._note_full(found[0])
+                continue
+            if await self._hold_at(*found, engine):
+                return found
+
+    async def _hold_at(
+        self, belief: WorkerBelief, chosen: ChoiceInput, engine: EngineTraits
+    ) -> bool:
+        run = self.run
+        facts = run.facts
+        tokens = patience.hold_tokens(
+            facts.prompt_tokens, facts.output_tokens, facts.expected_output
+        )
+        outcome = "granted"
+        try:
+            self.unused_hold = await take_hold(run.state, belief.worker, tokens, engine.hold_ttl_s)
+            if self.unused_hold is None:
+                outcome = "no_room"
+                run.full.add(belief.worker.id)
+                run.state.workers.note_full(belief.worker.id, run.now + patience.FULL_FOR_S)
+                self._note_full(belief)
+        except ExchangeError as error:
+            outcome = error.code.value
+            run.avoid.add(belief.worker.id)
+            run.state.workers.note_failure(belief.worker.id, 1.0, run.now)
+            self.progress.detail = error.message
+        run.log(
+            Decision.HOLD_ASKED,
+            outcome=outcome,
+            worker=belief.worker.id,
+            tokens=tokens,
+            cost=chosen.cost,
+            own_tokens=belief.tokens_in_flight,
+            failures=chosen.failures,
+        )
+        return self.unused_hold is not None
+
+    def _note_full(self, belief: WorkerBelief) -> None:
+        self.progress.code = Code.NO_CAPACITY
+        self.progress.detail = f"no room at {belief.worker.id} and others"
+
     # Prefill.
 
     async def _prefill(self, decode: WorkerBelief) -> PrefillHandle | None:
@@ -135,10 +189,14 @@
         self.unused = handle
         return handle
 
-    def _free_unused(self, handle: PrefillHandle) -> None:
-        self.unused = None
+    def _free_unused(self) -> None:
         state = self.run.state
-        state.spawn(free_handle(state, handle, self.run.facts.id))
+        if self.unused is not None:
+            state.spawn(free_handle(state, self.unused, self.run.facts.id))
+            self.unused = None
+        if self.unused_hold is not None:
+            state.spawn(drop_hold(state, self.unused_hold, self.run.facts.id))
+            self.unused_hold = None
 
     # Decode.
 
@@ -152,11 +210,13 @@
             time_left_s=run.time_left_s,
             priority=run.route.priority,
             source=source,
+            hold=self.unused_hold,
             resume_after=progress.last_event,
         )
         call = WorkerCall(run=run, belief=belief, send=send, chosen=chosen)
         try:
             await call.open()
+            self.unused_hold = None
             run.arrivals += 1
             run.workers_sent_to.add(belief.worker.id)
             await self._take(call, source)
--- /dev/null
+++ b/src/croftchute/forwarding/worker_control.py
@@ -0,0 +1,68 @@
+"""The router's own short calls of workers: holds taken and dropped, handles freed."""
+
+from __future__ import annotations
+
+from croftchute.errors import MessageError
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.dialect import Hold, PrefillHandle
+from croftchute.forwarding.failures import ConnectionBrokenError, ExchangeError
+from croftchute.forwarding.request_run import within
+from croftchute.forwarding.state import ForwardingState
+from croftchute.systems import patience
+from croftchute.tables.routing import Worker
+
+MAX_CONTROL_BYTES = 65536
+STATUS_OK = 200
+
+
+async def control_call(
+    state: ForwardingState, worker: Worker, data: bytes, timeout_s: float
+) -> tuple[int, bytes]:
+    """Status and body of a short call; raises :class:`ExchangeError`."""
+    connection = await state.pool.acquire(
+        worker.host, worker.port, owner=worker.id, now=state.clock(), timeout_s=timeout_s
+    )
+    try:
+        connection.send(data, expected=None)
+        head = await within(connection.read_head(), timeout_s, "no head")
+        body = await within(connection.read_body(MAX_CONTROL_BYTES), timeout_s, "no body")
+        return head.status, body
+    finally:
+        state.pool.release(connection, worker.host, worker.port, owner=worker.id, now=state.clock())
+
+
+async def take_hold(
+    state: ForwardingState, worker: Worker, tokens: int, ttl_s: float
+) -> Hold | None:
+    """Reserve room at a worker; None if it has none, :class:`ExchangeError` if it fails."""
+    data = state.workers_speak.take_hold(worker, tokens, ttl_s)
+    status, body = await control_call(state, worker, data, patience.HOLD_TIMEOUT_S)
+    if status != STATUS_OK:
+        return None
+    try:
+        return state.workers_speak.hold(body, worker)
+    except MessageError as error:
+        raise ConnectionBrokenError(error.message) from None
+
+
+async def drop_hold(state: ForwardingState, hold: Hold, request_id: str) -> None:
+    """Give back room that nobody will use."""
+    data = state.workers_speak.drop_hold(hold)
+    await _release(state, hold.worker, data, Decision.HOLD_DROPPED, request_id)
+
+
+async def free_handle(state: ForwardingState, handle: PrefillHandle, request_id: str) -> None:
+    """Free a prompt's KV cache that nobody will fetch."""
+    data = state.workers_speak.release(handle)
+    await _release(state, handle.worker, data, Decision.HANDLE_FREED, request_id)
+
+
+async def _release(
+    state: ForwardingState, worker: Worker, data: bytes, kind: Decision, request_id: str
+) -> None:
+    try:
+        status, _ = await control_call(state, worker, data, patience.CONNECT_S)
+        outcome = f"status_{status}"
+    except ExchangeError as error:
+        outcome = error.code.value
+    state.log.decide(kind, request_id=request_id, outcome=outcome, worker=worker.id)
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -16,6 +16,11 @@
 RETRY_AFTER_SHARE = 0.25
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 1.0
+FULL_RETRY_AFTER_SHARE = 0.31
+MAX_FULL_RETRY_AFTER_S = 4.0
+HOLD_OUTPUT_MARGIN = 1.5
+FULL_FOR_S = 0.1
+HOLD_TIMEOUT_S = 0.15
 
 
 def answer_patience(route: Route, *, typical_s: float, time_left_s: float) -> float:
@@ -39,11 +44,31 @@
     return min(max(MIN_GAP_S, GAP_MULTIPLE * route.target_gap_s), time_left_s)
 
 
-def retry_after(time_left_s: float) -> float:
+def retry_after(time_left_s: float, *, is_full: bool, spread: float) -> float:
     """When a refused caller should come back: soon enough that its deadline allows it.
 
-    >>> retry_after(1.5)
+    Where workers were full, refused callers come back spread over the seconds that a surge
+    lasts; ``spread`` lies between 0 and 1.
+
+    >>> retry_after(1.5, is_full=False, spread=0.5)
     0.375
+    >>> retry_after(14.0, is_full=True, spread=0.5)
+    3.0
+    """
+    wanted = min(MAX_RETRY_AFTER_S, RETRY_AFTER_SHARE * time_left_s)
+    if is_full:
+        longest = min(MAX_FULL_RETRY_AFTER_S, FULL_RETRY_AFTER_SHARE * time_left_s)
+        wanted = longest * (0.5 + 0.5 * spread)
+    return round(max(MIN_RETRY_AFTER_S, wanted), 3)
+
+
+def hold_tokens(prompt_tokens: int, output_tokens: int, expected_output: int | None) -> int:
+    """How much decode memory to reserve: the prompt, and what the answer will likely add.
+
+    >>> hold_tokens(5000, 800, 200)
+    5300
     """
-    wanted = RETRY_AFTER_SHARE * time_left_s
-    return round(min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wanted)), 3)
+    output = output_tokens
+    if expected_output is not None:
+        output = min(output_tokens, int(HOLD_OUTPUT_MARGIN * expected_output))
+    return prompt_tokens + output
--- a/src/croftchute/systems/worker_choice.py
+++ b/src/croftchute/systems/worker_choice.py
@@ -28,10 +28,14 @@
     candidates: int
 
 
-def cost_of(belief: WorkerBelief, *, zone: str, typical_s: float, now: float) -> float:
+def cost_of(
+    belief: WorkerBelief, *, zone: str, typical_s: float, kv_tokens: int, now: float
+) -> float:
     """The cost of giving a worker one more request, in units of a full worker."""
     slots = max(1, belief.worker.slots)
     cost = (belief.in_flight + belief.others_running(now)) / slots
+    if kv_tokens > 0:
+        cost += belief.tokens_in_flight / kv_tokens
     cost += FAILURE_COST * belief.failure_score(now)
     if belief.worker.zone != zone:
         cost += FAR_COST
@@ -47,6 +51,7 @@
     avoid: Collection[str],
     now: float,
     rng: random.Random,
+    kv_tokens: int = 0,
 ) -> tuple[WorkerBelief, ChoiceInput] | None:
     """The cheapest candidate that is not to be avoided; ties are broken at random."""
     left = [belief for belief in candidates if belief.worker.id not in avoid]
@@ -57,7 +62,11 @@
     latencies = sorted(belief.latency_s for belief in left if belief.latency_s > 0.0)
     typical_s = latencies[len(latencies) // 2] if latencies else 0.0
     costs = [
-        (cost_of(belief, zone=zone, typical_s=typical_s, now=now), rng.random(), belief)
+        (
+            cost_of(belief, zone=zone, typical_s=typical_s, kv_tokens=kv_tokens, now=now),
+            rng.random(),
+            belief,
+        )
         for belief in left
     ]
     cost, _, best = min(costs, key=lambda entry: entry[:2])
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -34,6 +34,7 @@
     load_at: float = -1e9
     in_flight_at_load: int = 0
     displaced: bool = False
+    full_until: float = 0.0
 
     def failure_score(self, now: float) -> float:
         """Recent failures, each counting half as much after every half-life."""
@@ -155,6 +156,12 @@
             belief.load_at = now
             belief.in_flight_at_load = belief.in_flight
 
+    def note_full(self, worker_id: str, until: float) -> None:
+        """A worker had no room: do not ask it again before some time."""
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is not None:
+            belief.full_until = until
+
     def note_displaced(self, worker_id: str) -> None:
         """Another worker answered at this one's address: it is not there any more."""
         belief = self.beliefs_by_id.get(worker_id)
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -67,6 +67,7 @@
     kv_tokens: int
     kv_bytes_per_token: float
     handle_ttl_s: float
+    hold_ttl_s: float = 0.0
     models: tuple[str, ...] = ()
 
 
@@ -165,4 +166,5 @@
     model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
+    expected_output: int | None = None
     prompt_parts: tuple[str, ...] = ()
