--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -13,11 +13,12 @@
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
 from croftchute.forwarding.forwarder import Forwarder
 from croftchute.forwarding.http_server import Exchange, HttpIngress
+from croftchute.forwarding.stage_orders import StageOrders
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.store_follower import StoreFollower
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.router_settings import RouterSettings, parse_address, read_router_settings
-from croftchute.storage.watched import Vocabulary, WatchedStore
+from croftchute.storage.watched import SharedStore, Vocabulary
 from croftchute.systems.retry_budget import RetryLimits
 from croftchute.tables.routing import IngressLimits
 
@@ -68,7 +69,7 @@
         settings: RouterSettings,
         settings_path: Path | None,
         state: ForwardingState,
-        store: WatchedStore,
+        store: SharedStore,
         vocabulary: Vocabulary,
     ) -> None:
         self.settings = settings
@@ -77,6 +78,7 @@
         self.follower = StoreFollower(
             state=state, store=store, vocabulary=vocabulary, on_change=self._note_readiness
         )
+        self.orders = StageOrders(state=state, store=store, holder_gap_s=settings.order_gap_s)
         self.ingress = HttpIngress(handler=Forwarder(state=state).handle, limits=state.limits)
         self.health = HttpIngress(handler=self._answer_health, limits=IngressLimits)
         self.metrics = HttpIngress(handler=self._answer_health, limits=IngressLimits)
@@ -115,6 +117,7 @@
         for work in (
             self.follower.follow_config(),
             self.follower.follow_workers(),
+            self.orders.run(),
             self._sweep(),
             self._watch_settings(),
             self.state.log.keep_flushing(FLUSH_S),
@@ -132,6 +135,7 @@
         begun_at = clock()
         self.is_stopping = True
         self.ingress.is_stopping = True
+        self.state.is_stopping = True
         self._note_readiness()
         self.state.log.decide(Decision.STOPPING, open_requests=self.ingress.open_requests)
         end_at = begun_at + self.settings.stop_limit_s - STOP_MARGIN_S
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -50,6 +50,7 @@
     HOLD_ASKED = "hold_asked"
     HOLD_DROPPED = "hold_dropped"
     HANDLE_FREED = "handle_freed"
+    STAGE_ORDER = "stage_order"
     PEER_LISTED = "peer_listed"
     PEER_GONE = "peer_gone"
 
--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -9,7 +9,7 @@
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.http_client import ResponseHead
 from croftchute.forwarding.http_server import IncomingRequest
-from croftchute.tables.routing import HeaderList, RequestFacts, Worker
+from croftchute.tables.routing import HeaderList, RequestFacts, Stage, Worker
 
 
 class Verdict(StrEnum):
@@ -133,6 +133,20 @@
         """The request that gives a hold back."""
         ...
 
+    def ask_report(self, worker: Worker) -> bytes:
+        """The request for a worker's own account of itself."""
+        ...
+
+    def orders_taken(self, body: bytes) -> int | None:
+        """How many orders a worker has taken, from its account."""
+        ...
+
+    def stage_order(
+        self, worker: Worker, stage: Stage, *, holder: str, token: int, sequence: int | None
+    ) -> bytes:
+        """The order to change a stage, under a fencing token."""
+        ...
+
     def release(self, handle: PrefillHandle) -> bytes:
         """The request that frees a handle which nobody will use."""
         ...
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -12,6 +12,7 @@
 from croftchute.forwarding.http_client import ConnectionPool
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.systems.retry_budget import RetryLimits, RetryWindow
+from croftchute.systems.stage_balance import DecodePressure
 from croftchute.systems.worker_table import WorkerTable
 from croftchute.tables.routing import IngressLimits, RoutingTable
 
@@ -35,8 +36,14 @@
     workers: WorkerTable = field(default_factory=WorkerTable)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
+    pressures_by_service: dict[str, DecodePressure] = field(default_factory=dict)
+    is_stopping: bool = False
     background: set[asyncio.Task[None]] = field(default_factory=set)
 
+    def pressure(self, service: str) -> DecodePressure:
+        """How short a service is of decode memory."""
+        return self.pressures_by_service.setdefault(service, DecodePressure())
+
     def spawn(self, work: Coroutine[None, None, None]) -> None:
         """Do something beside the requests."""
         task = asyncio.get_running_loop().create_task(work)
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -66,6 +66,10 @@
         run = self.run
         while run.time_left_s > 0.0 and not self._is_over():
             found = await self._reserve()
+            if self.progress.events == 0 and run.arrivals == 0:
+                run.state.pressure(run.service).note(
+                    run.now, is_refused=bool(run.full) and not found
+                )
             if found is None:
                 return
             source = await self._prefill(found[0])
--- a/src/croftchute/forwarding/worker_control.py
+++ b/src/croftchute/forwarding/worker_control.py
@@ -9,7 +9,7 @@
 from croftchute.forwarding.request_run import within
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems import patience
-from croftchute.tables.routing import Worker
+from croftchute.tables.routing import Stage, Worker
 
 MAX_CONTROL_BYTES = 65536
 STATUS_OK = 200
@@ -57,6 +57,23 @@
     await _release(state, handle.worker, data, Decision.HANDLE_FREED, request_id)
 
 
+async def give_stage_order(
+    state: ForwardingState, worker: Worker, stage: Stage, *, holder: str, token: int
+) -> int:
+    """Order a worker to change its stage, if nothing was ordered since it was asked."""
+    status, body = await control_call(
+        state, worker, state.workers_speak.ask_report(worker), patience.CONNECT_S
+    )
+    if status != STATUS_OK:
+        return status
+    sequence = state.workers_speak.orders_taken(body)
+    data = state.workers_speak.stage_order(
+        worker, stage, holder=holder, token=token, sequence=sequence
+    )
+    status, _ = await control_call(state, worker, data, patience.ORDER_TIMEOUT_S)
+    return status
+
+
 async def _release(
     state: ForwardingState, worker: Worker, data: bytes, kind: Decision, request_id: str
 ) -> None:
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -52,6 +52,7 @@
     store: HostAndPort
     metrics: HostAndPort | None = None
     retry: RetrySettings = RetrySettings()
+    order_gap_s: Positive = 3.0
     boxes: Annotated[int, msgspec.Meta(ge=1)] = 12
     stop_limit_s: Positive = 8.0
     reload_check_s: Positive = 2.0
--- a/src/croftchute/storage/watched.py
+++ b/src/croftchute/storage/watched.py
@@ -54,6 +54,26 @@
         ...
 
 
+class LeaseStore(Protocol):
+    """Calls for what only one box may do at a time; each may raise StoreError."""
+
+    async def item(self, key: str) -> StoredItem | None:
+        """The present value of a key, as of now."""
+        ...
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        """A new lease; keys under it go when it lapses."""
+        ...
+
+    async def put_if(self, key: str, value: bytes, *, revision: int, lease: int) -> int | None:
+        """Write if the key is at this revision; the new revision, or None if it was not."""
+        ...
+
+
+class SharedStore(WatchedStore, LeaseStore, Protocol):
+    """All that a forwarding box needs of the store."""
+
+
 class Vocabulary(Protocol):
     """Where the store keeps what, and how it is written there."""
 
