--- a/src/croftchute/forwarding/stage_orders.py
+++ b/src/croftchute/forwarding/stage_orders.py
@@ -1,13 +1,14 @@
 """Giving stage orders: one box at a time, under a lease of the store and a rising token.
 
 Workers may not check fencing tokens, so a box that has taken the lease stays quiet for longer
-than an earlier holder's orders can be on their way, then makes sure that it still holds the lease,
-and only then gives its order.
+than an earlier holder's orders can be on their way, and makes sure that it still holds the lease
+just before each order.
 """
 
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 from croftchute.errors import StoreError
 from croftchute.forwarding.decision_log import Decision
@@ -18,40 +19,59 @@
 from croftchute.systems.stage_balance import StageChange, wanted_change
 
 CHECK_S = 0.5
+FIRST_TRY_S = 4.0
 LEASE_KEY = "croftchute/stage-orders"
+LEASE_TTL_S = 6.0
+RENEW_S = 2.0
 QUIET_MARGIN_S = 1.5
-LEASE_MARGIN_S = 6.0
 MAX_VERIFY_S = 0.3
 COOL_DOWN_S = 3.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Turn:
+    """The time in which this box alone may give orders; ``token`` fences them."""
+
+    token: int
+    lease: int
+    since: float
+
+
 class StageOrders:
-    """Watches whether a stage change is wanted, and carries it out if this box gets the lease."""
+    """Holds the lease if it gets it, and carries out the stage changes that are wanted."""
 
     def __init__(self, *, state: ForwardingState, store: LeaseStore, holder_gap_s: float) -> None:
         self.state = state
         self.store = store
         self.quiet_s = holder_gap_s + QUIET_MARGIN_S
+        self.turn: Turn | None = None
+        self._next_try_at = 0.0
+        self._renew_at = 0.0
 
     async def run(self) -> None:
         """Look again and again; never returns."""
+        self._next_try_at = self.state.clock() + self.state.rng.uniform(0.25, 1.0) * FIRST_TRY_S
+        is_first = True
         while True:
             await asyncio.sleep(CHECK_S * self.state.rng.uniform(0.8, 1.2))
-            change = self.wanted()
-            if change is None:
+            if self.state.is_stopping:
                 continue
+            change = self.wanted()
             try:
-                await self._carry_out(change)
+                if self.turn is None:
+                    is_first = await self._try_for_turn(change, is_first)
+                else:
+                    await self._use_turn(self.turn, change)
             except (StoreError, ExchangeError) as error:
+                self._next_try_at = self.state.clock() + COOL_DOWN_S
                 self.state.log.decide(
                     Decision.STAGE_ORDER, outcome=error.code.value, detail=error.message
                 )
-            await asyncio.sleep(COOL_DOWN_S)
 
     def wanted(self) -> StageChange | None:
         """The change that some service needs most, as this box sees it."""
         table = self.state.table
-        if table is None or self.state.is_stopping:
+        if table is None:
             return None
         for service in table.services_by_name.values():
             if service.engine is None:
@@ -67,51 +87,58 @@
                 return change
         return None
 
-    async def _carry_out(self, change: StageChange) -> None:
-        token = await self._take_lease(change)
-        if token is None:
-            return
-        await asyncio.sleep(self.quiet_s)
-        if not self._still_fits(change):
-            self._log("no_longer_fits", change, token)
+    async def _try_for_turn(self, change: StageChange | None, is_first: bool) -> bool:
+        """Take the lease if nobody has it: once after the start, later when it is needed."""
+        now = self.state.clock()
+        if now < self._next_try_at or not (is_first or change is not None):
+            return is_first
+        self._next_try_at = now + COOL_DOWN_S
+        if await self.store.item(LEASE_KEY) is not None:
+            return False
+        lease = await self.store.grant_lease(LEASE_TTL_S)
+        value = self.state.box.encode()
+        token = await self.store.put_if(LEASE_KEY, value, revision=0, lease=lease)
+        if token is not None:
+            self.turn = Turn(token=token, lease=lease, since=self.state.clock())
+            self._renew_at = self.turn.since + RENEW_S
+            self.state.log.decide(Decision.STAGE_ORDER, outcome="lease_taken", token=token)
+        return False
+
+    async def _use_turn(self, turn: Turn, change: StageChange | None) -> None:
+        now = self.state.clock()
+        if now >= self._renew_at:
+            self._renew_at = now + RENEW_S
+            if not await self.store.keep_lease(turn.lease):
+                self._give_up_turn(turn)
+                return
+        if change is None or now - turn.since < self.quiet_s or now < self._next_try_at:
             return
-        verified_at = self.state.clock()
+        self._next_try_at = now + COOL_DOWN_S
         item = await self.store.item(LEASE_KEY)
-        verify_s = self.state.clock() - verified_at
-        if item is None or item.revision != token or verify_s > MAX_VERIFY_S:
-            self._log("lease_lost", change, token)
+        if item is None or item.revision != turn.token:
+            self._give_up_turn(turn)
+            return
+        if self.state.clock() - now > MAX_VERIFY_S:
+            self._log("verified_too_late", change, turn)
             return
         status = await give_stage_order(
-            self.state, change.worker, change.stage, holder=self.state.box, token=token
+            self.state, change.worker, change.stage, holder=self.state.box, token=turn.token
         )
         self.state.pressure(change.worker.service).clear()
-        self._log(f"status_{status}", change, token)
-
-    async def _take_lease(self, change: StageChange) -> int | None:
-        """The fencing token of this box's turn; None if another box has its turn."""
-        if await self.store.item(LEASE_KEY) is not None:
-            return None
-        lease = await self.store.grant_lease(self.quiet_s + LEASE_MARGIN_S)
-        value = self.state.box.encode()
-        token = await self.store.put_if(LEASE_KEY, value, revision=0, lease=lease)
-        if token is not None:
-            self._log("lease_taken", change, token)
-        return token
+        self._log(f"status_{status}", change, turn)
 
-    def _still_fits(self, change: StageChange) -> bool:
-        belief = self.state.workers.beliefs_by_id.get(change.worker.id)
-        if belief is None or belief.gone_at is not None or self.state.is_stopping:
-            return False
-        is_same = belief.worker.stage is change.worker.stage
-        return is_same and belief.worker.state is change.worker.state
+    def _give_up_turn(self, turn: Turn) -> None:
+        self.turn = None
+        self.state.log.decide(Decision.STAGE_ORDER, outcome="lease_lost", token=turn.token)
 
-    def _log(self, outcome: str, change: StageChange, token: int) -> None:
+    def _log(self, outcome: str, change: StageChange, turn: Turn) -> None:
         self.state.log.decide(
             Decision.STAGE_ORDER,
             outcome=outcome,
             worker=change.worker.id,
             stage=change.stage.value,
             reason=change.reason,
-            token=token,
+            token=turn.token,
+            held_s=round(self.state.clock() - turn.since, 1),
             workers_age_s=round(self.state.clock() - self.state.workers.heard_at, 2),
         )
--- a/src/croftchute/storage/watched.py
+++ b/src/croftchute/storage/watched.py
@@ -65,6 +65,10 @@
         """A new lease; keys under it go when it lapses."""
         ...
 
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; False if it is over."""
+        ...
+
     async def put_if(self, key: str, value: bytes, *, revision: int, lease: int) -> int | None:
         """Write if the key is at this revision; the new revision, or None if it was not."""
         ...
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -21,7 +21,7 @@
 HOLD_OUTPUT_MARGIN = 1.5
 FULL_FOR_S = 0.1
 ORDER_TIMEOUT_S = 1.0
-HOLD_TIMEOUT_S = 0.15
+HOLD_TIMEOUT_S = 0.08
 
 
 def answer_patience(route: Route, *, typical_s: float, time_left_s: float) -> float:
