--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -90,7 +90,21 @@
     # Room at a decode worker.
 
     async def _reserve(self) -> tuple[WorkerBelief, ChoiceInput] | None:
-        """A decode worker that keeps room for the request; None if there is no such worker."""
+        """A decode worker that keeps room for the request, waiting for a while if all are full."""
+        run = self.run
+        end_at = run.now + patience.room_patience(run.route, time_left_s=run.time_left_s)
+        pause_s = patience.ROOM_POLL_S
+        if patience.has_come_back(run.route, time_left_s=run.time_left_s):
+            pause_s = patience.RETURN_ROOM_POLL_S
+        while True:
+            found = await self._ask_for_room()
+            if found is not None or not run.full or run.now + pause_s > end_at:
+                return found
+            await asyncio.sleep(pause_s)
+            run.full.clear()
+
+    async def _ask_for_room(self) -> tuple[WorkerBelief, ChoiceInput] | None:
+        """Ask the decode workers, the cheapest first; None if none has room."""
         run = self.run
         engine = run.engine
         while True:
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -16,10 +16,15 @@
 RETRY_AFTER_SHARE = 0.25
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 1.0
-FULL_RETRY_AFTER_SHARE = 0.31
-MAX_FULL_RETRY_AFTER_S = 4.0
+FULL_RETRY_AFTER_SHARE = 0.32
+MAX_FULL_RETRY_AFTER_S = 6.0
+FULL_RETRY_AFTER_SPREAD = 0.1
+RETURN_SHARE = 0.9
+RETURN_WAIT_SHARE_OF_TARGET = 0.5
+ROOM_POLL_S = 0.1
+RETURN_ROOM_POLL_S = 0.04
 HOLD_OUTPUT_MARGIN = 1.5
-FULL_FOR_S = 0.1
+FULL_FOR_S = 0.03
 ORDER_TIMEOUT_S = 1.0
 HOLD_TIMEOUT_S = 0.08
 
@@ -54,15 +59,31 @@
     >>> retry_after(1.5, is_full=False, spread=0.5)
     0.375
     >>> retry_after(14.0, is_full=True, spread=0.5)
-    3.0
+    4.256
     """
     wanted = min(MAX_RETRY_AFTER_S, RETRY_AFTER_SHARE * time_left_s)
     if is_full:
         longest = min(MAX_FULL_RETRY_AFTER_S, FULL_RETRY_AFTER_SHARE * time_left_s)
-        wanted = longest * (0.5 + 0.5 * spread)
+        wanted = longest * (1.0 - FULL_RETRY_AFTER_SPREAD * spread)
     return round(max(MIN_RETRY_AFTER_S, wanted), 3)
 
 
+def has_come_back(route: Route, *, time_left_s: float) -> bool:
+    """Whether so much of the route's time is gone that the caller must have tried before."""
+    return time_left_s < RETURN_SHARE * route.timeout_s
+
+
+def room_patience(route: Route, *, time_left_s: float) -> float:
+    """How long a request may wait for decode memory before it is refused.
+
+    A caller's first attempt is told within a quarter of its target, so that it can come back. One
+    that evidently came back waits as long as it can still be answered in time.
+    """
+    if has_come_back(route, time_left_s=time_left_s):
+        return RETURN_WAIT_SHARE_OF_TARGET * route.target_s
+    return 0.8 * REFUSAL_SHARE_OF_TARGET * route.target_s
+
+
 def hold_tokens(prompt_tokens: int, output_tokens: int, expected_output: int | None) -> int:
     """How much decode memory to reserve: the prompt, and what the answer will likely add.
 
