Boxes tell each other load, failures and pressure; orders act on what all boxes see

Cause: the holder of the order lease saw only its own eighth of the refusals. Notices are small datagrams to at most ten peers; nothing waits for them. A box behind its peers in configuration or worker list fetches both from one of them.

An order at 30% refused came only in the second burst; at 10% of 8 or more asks in the first.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -13,12 +13,15 @@
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
 from croftchute.forwarding.forwarder import Forwarder
 from croftchute.forwarding.http_server import Exchange, HttpIngress
+from croftchute.forwarding.peer_exchange import SHARED_PATH, PeerExchange
 from croftchute.forwarding.stage_orders import StageOrders
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.store_follower import StoreFollower
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
+from croftchute.peers.codec import Codec
 from croftchute.router_settings import RouterSettings, parse_address, read_router_settings
 from croftchute.storage.watched import SharedStore, Vocabulary
+from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.retry_budget import RetryLimits
 from croftchute.tables.routing import IngressLimits
 
@@ -50,10 +53,20 @@
         metrics=metrics,
         retry_limits=retry_limits(settings),
         rng=random.Random(random.SystemRandom().getrandbits(64)),
-        boxes=settings.boxes,
+        default_boxes=settings.boxes,
+        peers=peer_table(settings),
+        started_at=clock(),
     )
 
 
+def peer_table(settings: RouterSettings) -> PeerTable:
+    """The peers as the settings name them: seeds, at the port that is alike on all boxes."""
+    own = parse_address(settings.control).host
+    hosts = [parse_address(seed).host for seed in settings.seeds]
+    seeds = tuple((host, settings.notice_port) for host in hosts if host != own)
+    return PeerTable(own_id=settings.box, seeds=seeds)
+
+
 def retry_limits(settings: RouterSettings) -> RetryLimits:
     """The retry budget as the settings have it."""
     retry = settings.retry
@@ -79,8 +92,17 @@
             state=state, store=store, vocabulary=vocabulary, on_change=self._note_readiness
         )
         self.orders = StageOrders(state=state, store=store, holder_gap_s=settings.order_gap_s)
+        control = parse_address(settings.control)
+        self.exchange = PeerExchange(
+            state=state,
+            follower=self.follower,
+            codec=Codec(keys=settings.peer_keys),
+            host=control.host,
+            control_port=control.port,
+        )
         self.ingress = HttpIngress(handler=Forwarder(state=state).handle, limits=state.limits)
         self.health = HttpIngress(handler=self._answer_health, limits=IngressLimits)
+        self.control = HttpIngress(handler=self._answer_health, limits=IngressLimits)
         self.metrics = HttpIngress(handler=self._answer_health, limits=IngressLimits)
         self.is_stopping = False
         self._was_ready = False
@@ -112,12 +134,15 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload, "signal")
         await self._listen(self.ingress, settings.callers)
         await self._listen(self.health, settings.health)
+        await self._listen(self.control, settings.control)
+        await self.exchange.listen(settings.notice_port)
         if settings.metrics is not None:
             await self._listen(self.metrics, settings.metrics)
         for work in (
             self.follower.follow_config(),
             self.follower.follow_workers(),
             self.orders.run(),
+            self.exchange.run(),
             self._sweep(),
             self._watch_settings(),
             self.state.log.keep_flushing(FLUSH_S),
@@ -167,14 +192,14 @@
             return
         needs_restart = [
             name
-            for name in ("callers", "health", "metrics", "box", "hall", "store")
+            for name in ("callers", "health", "metrics", "control", "box", "hall", "store")
             if getattr(settings, name) != getattr(self.settings, name)
         ]
         self.settings = settings
         self.state.retry_limits = retry_limits(settings)
         for window in self.state.budgets_by_service.values():
             window.limits = self.state.retry_limits
-        self.state.boxes = settings.boxes
+        self.state.default_boxes = settings.boxes
         self.state.log.decide(
             Decision.RELOADED, outcome="in force", cause=cause, needs_restart=needs_restart
         )
@@ -219,6 +244,9 @@
         elif path == METRICS_PATH:
             kind = b"text/plain; version=0.0.4"
             exchange.send(HTTPStatus.OK, [(b"content-type", kind)], self.state.metrics.text())
+        elif path == SHARED_PATH:
+            kind = b"application/json"
+            exchange.send(HTTPStatus.OK, [(b"content-type", kind)], self.exchange.shared())
         else:
             exchange.send(HTTPStatus.NOT_FOUND, [], b"")
 
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -53,6 +53,7 @@
     STAGE_ORDER = "stage_order"
     PEER_LISTED = "peer_listed"
     PEER_GONE = "peer_gone"
+    PEER_FETCH = "peer_fetch"
 
 
 class LineWriter:
--- /dev/null
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -0,0 +1,242 @@
+"""Notices between boxes: load, failures, pressure, and how new each one's knowledge is.
+
+Notices are datagrams that may be lost; nothing waits for them. A box that sees that a peer knows
+a newer configuration or worker list, and does not hear it from the store, fetches it there.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import Any, cast
+
+import msgspec
+
+from croftchute.errors import CroftchuteError, MessageError
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.failures import ExchangeError
+from croftchute.forwarding.request_run import within
+from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.store_follower import StoreFollower
+from croftchute.peers.codec import Codec, Envelope
+from croftchute.peers.messages import BoxNotice
+from croftchute.storage.watched import Listing, StoredItem
+from croftchute.tables.peers import Peer, PressureNotice, WorkerNotice
+
+NOTICE_S = 0.5
+FETCH_AFTER_S = 0.6
+FETCH_TIMEOUT_S = 0.5
+MAX_FETCH_BYTES = 8 << 20
+MAX_WORKER_NOTICES = 32
+MIN_FAILURES_TOLD = 0.05
+SHARED_PATH = "/shared"
+
+
+class PeerExchange(asyncio.DatagramProtocol):
+    """Sends this box's notices, takes in those of others, and fetches what is newer."""
+
+    def __init__(
+        self,
+        *,
+        state: ForwardingState,
+        follower: StoreFollower,
+        codec: Codec,
+        host: str,
+        control_port: int,
+    ) -> None:
+        self.state = state
+        self.follower = follower
+        self.codec = codec
+        self.host = host
+        self.control_port = control_port
+        self.started_at = state.wall_clock()
+        self.port = 0
+        self._transport: asyncio.DatagramTransport | None = None
+        self._behind_since: float | None = None
+
+    async def listen(self, port: int) -> None:
+        """Take notices on a port."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self.host, port)
+        )
+        self.port = int(transport.get_extra_info("sockname")[1])
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport to send with."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take in a notice; what is not authentic is dropped."""
+        try:
+            envelope = self.codec.decode(data)
+        except MessageError:
+            return
+        for body in envelope.bodies:
+            if isinstance(body, BoxNotice):
+                self._hear(envelope.sender, body)
+
+    def error_received(self, exc: Exception) -> None:
+        """A datagram was not delivered; the next one may be."""
+
+    async def run(self) -> None:
+        """Send notices at an interval; never returns."""
+        while True:
+            self.send_notices()
+            await self._catch_up()
+            await asyncio.sleep(NOTICE_S * self.state.rng.uniform(0.8, 1.2))
+
+    def send_notices(self) -> None:
+        """Tell some peers how things stand here."""
+        now = self.state.clock()
+        targets = self.state.peers.targets(now, self.state.rng)
+        if not targets or self._transport is None:
+            return
+        envelope = Envelope(sender=self.state.box, stamp=0, bodies=(self._notice(now),))
+        data = self.codec.encode(envelope)
+        for address in targets:
+            self._transport.sendto(data, address)
+        for peer_id in self.state.peers.forget(now):
+            self.state.log.decide(Decision.PEER_GONE, peer=peer_id)
+
+    def shared(self) -> bytes:
+        """What a peer may fetch: the configuration and the worker list as the store had them."""
+        state = self.state
+        workers = [
+            _encoded(belief.item)
+            for belief in state.workers.beliefs_by_id.values()
+            if belief.gone_at is None and belief.item is not None
+        ]
+        return msgspec.json.encode(
+            {
+                "config": _encoded(state.table_item) if state.table_item else None,
+                "workers": workers,
+                "workers_revision": state.workers.revision,
+            }
+        )
+
+    def _notice(self, now: float) -> BoxNotice:
+        state = self.state
+        entries = []
+        for belief in state.workers.beliefs_by_id.values():
+            failures = belief.failure_score(now)
+            if belief.in_flight or failures > MIN_FAILURES_TOLD:
+                entries.append(
+                    WorkerNotice(
+                        worker=belief.worker.id, in_flight=belief.in_flight, failures=failures
+                    )
+                )
+        pressures = []
+        for service, pressure in state.pressures_by_service.items():
+            asks, refused = pressure.counts(now)
+            pressures.append(PressureNotice(service=service, asks=asks, refused=refused))
+        return BoxNotice(
+            started_at=self.started_at,
+            host=self.host,
+            notice_port=self.port,
+            control_port=self.control_port,
+            config_version=state.table.version if state.table else 0,
+            workers_revision=state.workers.revision,
+            is_leaving=state.is_stopping,
+            workers=tuple(entries[:MAX_WORKER_NOTICES]),
+            pressures=tuple(pressures),
+            introduced=state.peers.introduced(now, state.rng),
+        )
+
+    def _hear(self, sender: str, notice: BoxNotice) -> None:
+        now = self.state.clock()
+        if self.state.peers.hear(sender, notice, now):
+            self.state.log.decide(
+                Decision.PEER_LISTED,
+                peer=sender,
+                address=f"{notice.host}:{notice.notice_port}",
+                config_version=notice.config_version,
+                boxes=self.state.peers.boxes(now),
+            )
+        known = {(p.host, p.notice_port) for p in self.state.peers.peers_by_id.values()}
+        for address in notice.introduced:
+            host, _, port = address.rpartition(":")
+            if (host, int(port)) not in known and (host, int(port)) != (self.host, self.port):
+                self._greet(host, int(port), now)
+
+    def _greet(self, host: str, port: int, now: float) -> None:
+        if self._transport is not None:
+            envelope = Envelope(sender=self.state.box, stamp=0, bodies=(self._notice(now),))
+            self._transport.sendto(self.codec.encode(envelope), (host, port))
+
+    async def _catch_up(self) -> None:
+        """Fetch what a peer knows, if the store has not told it here after a short while."""
+        state = self.state
+        now = state.clock()
+        by_config, by_workers = state.peers.newest(now)
+        version = state.table.version if state.table else 0
+        ahead = None
+        if by_config is not None and by_config.config_version > version:
+            ahead = by_config
+        elif by_workers is not None and by_workers.workers_revision > state.workers.revision:
+            ahead = by_workers
+        if ahead is None:
+            self._behind_since = None
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since < FETCH_AFTER_S and state.table is not None:
+            return
+        try:
+            await self._fetch(ahead)
+        except (ExchangeError, CroftchuteError, msgspec.DecodeError, KeyError) as error:
+            state.log.decide(
+                Decision.PEER_FETCH, peer=ahead.id, outcome="failed", detail=str(error)
+            )
+
+    async def _fetch(self, peer: Peer) -> None:
+        state = self.state
+        connection = await state.pool.acquire(
+            peer.host,
+            peer.control_port,
+            owner=peer.id,
+            now=state.clock(),
+            timeout_s=FETCH_TIMEOUT_S,
+        )
+        try:
+            request = f"GET {SHARED_PATH} HTTP/1.1\r\nHost: {peer.host}\r\n\r\n"
+            connection.send(request.encode("ascii"), expected=None)
+            await within(connection.read_head(), FETCH_TIMEOUT_S, "no head")
+            body = await within(
+                connection.read_body(MAX_FETCH_BYTES), FETCH_TIMEOUT_S, "no whole body"
+            )
+        finally:
+            state.pool.release(
+                connection, peer.host, peer.control_port, owner=peer.id, now=state.clock()
+            )
+        self._adopt(peer, msgspec.json.decode(body))
+
+    def _adopt(self, peer: Peer, shared: dict[str, Any]) -> None:
+        if shared["config"] is not None:
+            self.follower.take_config(_decoded(shared["config"]), source=peer.id)
+        if shared["workers_revision"] > self.state.workers.revision:
+            items = tuple(_decoded(entry) for entry in shared["workers"])
+            listing = Listing(items=items, revision=shared["workers_revision"])
+            self.follower.take_listing(listing, source=peer.id)
+        self.follower.on_change()
+        self.state.log.decide(
+            Decision.PEER_FETCH,
+            peer=peer.id,
+            outcome="adopted",
+            config_version=self.state.table.version if self.state.table else 0,
+            workers_revision=self.state.workers.revision,
+        )
+
+
+def _encoded(item: StoredItem) -> dict[str, object]:
+    value = base64.b64encode(item.value).decode("ascii")
+    return {"key": item.key, "value": value, "revision": item.revision}
+
+
+def _decoded(entry: dict[str, Any]) -> StoredItem:
+    try:
+        return StoredItem(
+            key=entry["key"], value=base64.b64decode(entry["value"]), revision=entry["revision"]
+        )
+    except (KeyError, ValueError, TypeError) as error:
+        raise MessageError(f"not an item: {error}") from None
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -14,7 +14,7 @@
 from croftchute.forwarding.http_server import Exchange
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems import patience
-from croftchute.systems.worker_choice import ChoiceInput, choose
+from croftchute.systems.worker_choice import ChoiceInput, Surroundings, choose
 from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import EngineTraits, RequestFacts, Route, Stage
 
@@ -87,11 +87,14 @@
         engine = self.engine
         return choose(
             candidates,
-            zone=self.state.zone,
+            around=Surroundings(
+                zone=self.state.zone,
+                peers=self.state.peers,
+                kv_tokens=engine.kv_tokens if engine is not None else 0,
+            ),
             avoid=self.avoid | self.full,
             now=self.now,
             rng=self.state.rng,
-            kv_tokens=engine.kv_tokens if engine is not None else 0,
         )
 
     def may_send_again(self) -> bool:
--- a/src/croftchute/forwarding/stage_orders.py
+++ b/src/croftchute/forwarding/stage_orders.py
@@ -26,6 +26,7 @@
 QUIET_MARGIN_S = 1.5
 MAX_VERIFY_S = 0.3
 COOL_DOWN_S = 3.0
+SETTLE_S = 10.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,6 +48,7 @@
         self.turn: Turn | None = None
         self._next_try_at = 0.0
         self._renew_at = 0.0
+        self._ordered_at: dict[str, float] = {}
 
     async def run(self) -> None:
         """Look again and again; never returns."""
@@ -74,19 +76,24 @@
         if table is None:
             return None
         for service in table.services_by_name.values():
-            if service.engine is None:
+            if service.engine is None or self._is_settling(service.name):
                 continue
             beliefs = [
                 belief
                 for belief in self.state.workers.beliefs_by_id.values()
                 if belief.worker.service == service.name
             ]
-            pressure = self.state.pressure(service.name)
-            change = wanted_change(beliefs, pressure, self.state.clock())
+            asks, refused = self.state.fleet_pressure(service.name)
+            change = wanted_change(beliefs, asks=asks, refused=refused)
             if change is not None:
                 return change
         return None
 
+    def _is_settling(self, service: str) -> bool:
+        """Whether an order given to the service may not have shown its effect yet."""
+        ordered_at = self._ordered_at.get(service)
+        return ordered_at is not None and self.state.clock() - ordered_at < SETTLE_S
+
     async def _try_for_turn(self, change: StageChange | None, is_first: bool) -> bool:
         """Take the lease if nobody has it: once after the start, later when it is needed."""
         now = self.state.clock()
@@ -124,6 +131,7 @@
         status = await give_stage_order(
             self.state, change.worker, change.stage, holder=self.state.box, token=turn.token
         )
+        self._ordered_at[change.worker.service] = self.state.clock()
         self.state.pressure(change.worker.service).clear()
         self._log(f"status_{status}", change, turn)
 
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
@@ -11,11 +12,15 @@
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
 from croftchute.forwarding.http_client import ConnectionPool
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
+from croftchute.storage.watched import StoredItem
+from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.retry_budget import RetryLimits, RetryWindow
 from croftchute.systems.stage_balance import DecodePressure
 from croftchute.systems.worker_table import WorkerTable
 from croftchute.tables.routing import IngressLimits, RoutingTable
 
+LEARN_PEERS_S = 3.0
+
 
 @dataclass(kw_only=True)
 class ForwardingState:
@@ -30,9 +35,13 @@
     metrics: TrafficMetrics
     retry_limits: RetryLimits
     rng: random.Random
-    boxes: int
+    default_boxes: int
+    peers: PeerTable
+    started_at: float
+    wall_clock: Callable[[], float] = time.time
     table: RoutingTable | None = None
     table_at: float = 0.0
+    table_item: StoredItem | None = None
     workers: WorkerTable = field(default_factory=WorkerTable)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
@@ -40,6 +49,22 @@
     is_stopping: bool = False
     background: set[asyncio.Task[None]] = field(default_factory=set)
 
+    @property
+    def boxes(self) -> int:
+        """How many boxes share the budgets; the settings' figure until peers had time to tell."""
+        now = self.clock()
+        heard = self.peers.boxes(now)
+        if now - self.started_at < LEARN_PEERS_S:
+            return max(heard, self.default_boxes)
+        return heard
+
+    def fleet_pressure(self, service: str) -> tuple[int, int]:
+        """Asks for decode memory lately, of this box and its peers, and those refused."""
+        now = self.clock()
+        own_asks, own_refused = self.pressure(service).counts(now)
+        asks, refused = self.peers.pressure(service, now)
+        return own_asks + asks, own_refused + refused
+
     def pressure(self, service: str) -> DecodePressure:
         """How short a service is of decode memory."""
         return self.pressures_by_service.setdefault(service, DecodePressure())
--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -125,15 +125,16 @@
 
     def _config_listed(self, listing: Listing) -> None:
         for item in listing.items:
-            self._take_config(item)
+            self.take_config(item, source="store")
         self.state.table_at = self.state.clock()
 
     def _config_changed(self, changes: Changes) -> None:
         for item in changes.written:
-            self._take_config(item)
+            self.take_config(item, source="store")
         self.state.table_at = self.state.clock()
 
-    def _take_config(self, item: StoredItem) -> None:
+    def take_config(self, item: StoredItem, *, source: str) -> None:
+        """Put a configuration in force, if it is sound and newer than the present one."""
         if item.key != self.vocabulary.config_key:
             return
         try:
@@ -143,18 +144,23 @@
                 Decision.CONFIG_REJECTED, revision=item.revision, detail=error.message
             )
             return
-        adopt_table(self.state, table, source="store", revision=item.revision)
+        if adopt_table(self.state, table, source=source, revision=item.revision):
+            self.state.table_item = item
 
     # The worker list.
 
     def _workers_listed(self, listing: Listing) -> None:
+        self.take_listing(listing, source="store")
+
+    def take_listing(self, listing: Listing, *, source: str) -> None:
+        """Take in a whole worker list; those that it does not name are gone."""
         now = self.state.clock()
         ids = {self.vocabulary.worker_id(item.key) for item in listing.items}
         for item in listing.items:
             self._take_worker(item)
         for worker_id in self.state.workers.keep_only(ids, now):
             self.state.log.decide(
-                Decision.WORKER_GONE, worker=worker_id, revision=listing.revision, source="listing"
+                Decision.WORKER_GONE, worker=worker_id, revision=listing.revision, source=source
             )
         self._heard(listing.revision)
 
@@ -181,7 +187,7 @@
                 Decision.CONFIG_REJECTED, revision=item.revision, detail=error.message
             )
             return
-        if self.state.workers.upsert(worker, self.state.clock()):
+        if self.state.workers.upsert(worker, self.state.clock(), item):
             self.state.log.decide(
                 Decision.WORKER_LISTED,
                 worker=worker.id,
--- a/src/croftchute/peers/codec.py
+++ b/src/croftchute/peers/codec.py
@@ -17,6 +17,7 @@
 
 from croftchute.errors import MessageError
 from croftchute.peers.messages import Body
+from croftchute.tables.peers import PressureNotice, WorkerNotice
 from croftchute.tables.upstreams import ShardDigest
 
 TAG_BYTES = 16
@@ -24,6 +25,8 @@
 MAX_ITEMS = 4096
 ID_FIELDS = ("request_id", "key", "token")
 MAX_DATAGRAM = 60000
+STRUCTS = (ShardDigest, WorkerNotice, PressureNotice)
+STRUCTS_BY_LIST: dict[Any, type] = {tuple[kind, ...]: kind for kind in STRUCTS}  # type: ignore[valid-type]
 SCHEMA = capnp.load(str(Path(__file__).with_name("schema.capnp")))
 
 
@@ -161,15 +164,16 @@
                 wire_name=_camel(field.name),
                 write=write,
                 read=read,
-                is_structs=hints[field.name] == tuple[ShardDigest, ...],
+                is_structs=hints[field.name] in STRUCTS_BY_LIST,
             )
         )
     return plan
 
 
 def _converters(hint: Any) -> tuple[Callable[[Any], Any], Callable[[Any], Any]]:
-    if hint == tuple[ShardDigest, ...]:
-        return _same, lambda value: tuple(_read(ShardDigest, entry) for entry in _bounded(value))
+    if hint in STRUCTS_BY_LIST:
+        kind = STRUCTS_BY_LIST[hint]
+        return _same, lambda value: tuple(_read(kind, entry) for entry in _bounded(value))
     if getattr(hint, "__origin__", None) is tuple:
         return list, lambda value: tuple(_bounded(value))
     if isinstance(hint, type) and issubclass(hint, StrEnum):
@@ -181,7 +185,7 @@
 
 _KINDS: dict[str, type] = {_wire_name(kind.__name__): kind for kind in get_args(Body)}
 _NAMES: dict[type, str] = {kind: name for name, kind in _KINDS.items()}
-_PLANS: dict[type, list[_Field]] = {kind: _plan(kind) for kind in [*get_args(Body), ShardDigest]}
+_PLANS: dict[type, list[_Field]] = {kind: _plan(kind) for kind in [*get_args(Body), *STRUCTS]}
 
 
 def _fill(builder: Any, body: Any) -> None:
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -6,6 +6,7 @@
 from typing import TypeAlias
 
 from croftchute.errors import Code
+from croftchute.tables.peers import PressureNotice, WorkerNotice
 from croftchute.tables.upstreams import ShardDigest
 
 
@@ -171,6 +172,25 @@
     status: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BoxNotice:
+    """How things stand at a forwarding box; ``started_at`` is Unix time, a newer life is higher.
+
+    ``introduced`` holds HOST:PORT of other boxes that the sender hears.
+    """
+
+    started_at: float
+    host: str
+    notice_port: int
+    control_port: int
+    config_version: int
+    workers_revision: int
+    is_leaving: bool = False
+    workers: tuple[WorkerNotice, ...] = ()
+    pressures: tuple[PressureNotice, ...] = ()
+    introduced: tuple[str, ...] = ()
+
+
 Body: TypeAlias = (
     Heartbeat
     | Reserve
@@ -185,4 +205,5 @@
     | Mirrored
     | Verdict
     | Finish
+    | BoxNotice
 )
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -22,6 +22,7 @@
     mirrored @10 :Mirrored;
     verdict @11 :Verdict;
     finish @12 :Finish;
+    boxNotice @13 :BoxNotice;
   }
 }
 
@@ -151,3 +152,28 @@
   answer @4 :Data;
   status @5 :UInt16;
 }
+
+struct WorkerNotice {
+  worker @0 :Text;
+  inFlight @1 :UInt32;
+  failures @2 :Float32;
+}
+
+struct PressureNotice {
+  service @0 :Text;
+  asks @1 :UInt32;
+  refused @2 :UInt32;
+}
+
+struct BoxNotice {
+  startedAt @0 :Float64;
+  host @1 :Text;
+  noticePort @2 :UInt16;
+  controlPort @3 :UInt16;
+  configVersion @4 :UInt64;
+  workersRevision @5 :UInt64;
+  isLeaving @6 :Bool;
+  workers @7 :List(WorkerNotice);
+  pressures @8 :List(PressureNotice);
+  introduced @9 :List(Text);
+}
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -17,6 +17,9 @@
 HostAndPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z.-]+:[0-9]{1,5}$")]
 
 
+PeerKey = Annotated[str, msgspec.Meta(min_length=16)]
+
+
 class Address(msgspec.Struct, frozen=True, kw_only=True):
     """An IP address and a port."""
 
@@ -50,6 +53,10 @@
     callers: HostAndPort
     health: HostAndPort
     store: HostAndPort
+    control: HostAndPort
+    notice_port: Port
+    seeds: tuple[HostAndPort, ...] = ()
+    peer_keys: Annotated[tuple[PeerKey, ...], msgspec.Meta(min_length=1, max_length=4)]
     metrics: HostAndPort | None = None
     retry: RetrySettings = RetrySettings()
     order_gap_s: Positive = 3.0
--- a/src/croftchute/systems/box.py
+++ b/src/croftchute/systems/box.py
@@ -17,6 +17,7 @@
     Audited,
     Begin,
     Body,
+    BoxNotice,
     Declined,
     Finish,
     Granted,
@@ -195,6 +196,8 @@
                 return self.entry.audit(sender, body)
             case Audited():
                 return self.owner.audited(body, now)
+            case BoxNotice():
+                return []  # meant for forwarding boxes, which keep a table of their own
             case Begin() | Mirror() | Mirrored() | Verdict() | Finish():
                 return self.dedupe.receive(sender, body, now)
 
--- /dev/null
+++ b/src/croftchute/systems/peer_table.py
@@ -0,0 +1,118 @@
+"""Which other boxes are known, and what they told lately. Bounded; nothing waits for a peer."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from croftchute.peers.messages import BoxNotice
+from croftchute.tables.peers import Peer
+
+FRESH_S = 1.5
+COUNTED_S = 12.0
+FORGET_S = 60.0
+FANOUT = 10
+INTRODUCED = 4
+MAX_PEERS = 1024
+
+
+@dataclass(kw_only=True)
+class PeerTable:
+    """Peers by id; ``seeds`` are addresses to ask while too few peers are known."""
+
+    own_id: str
+    seeds: tuple[tuple[str, int], ...] = ()
+    peers_by_id: dict[str, Peer] = field(default_factory=dict)
+
+    def hear(self, sender: str, notice: BoxNotice, now: float) -> bool:
+        """Take in a notice; True if the sender was not known, or has been restarted."""
+        if sender == self.own_id:
+            return False
+        known = self.peers_by_id.get(sender)
+        if known is not None and notice.started_at < known.started_at:
+            return False
+        if known is None and len(self.peers_by_id) >= MAX_PEERS:
+            return False
+        self.peers_by_id[sender] = Peer(
+            id=sender,
+            host=notice.host,
+            notice_port=notice.notice_port,
+            control_port=notice.control_port,
+            started_at=notice.started_at,
+            heard_at=now,
+            config_version=notice.config_version,
+            workers_revision=notice.workers_revision,
+            is_leaving=notice.is_leaving,
+            workers_by_id={entry.worker: entry for entry in notice.workers},
+            pressures_by_service={entry.service: entry for entry in notice.pressures},
+        )
+        return known is None or known.started_at < notice.started_at
+
+    def forget(self, now: float) -> list[str]:
+        """Drop peers that have been silent for long; returns their ids."""
+        old = [peer.id for peer in self.peers_by_id.values() if now - peer.heard_at > FORGET_S]
+        for peer_id in old:
+            del self.peers_by_id[peer_id]
+        return old
+
+    def targets(self, now: float, rng: random.Random) -> list[tuple[str, int]]:
+        """Where the next notice goes: a bounded number of peers, and seeds while few answer."""
+        addresses = [
+            (peer.host, peer.notice_port)
+            for peer in self.peers_by_id.values()
+            if now - peer.heard_at <= FORGET_S
+        ]
+        chosen = addresses if len(addresses) <= FANOUT else rng.sample(addresses, FANOUT)
+        fresh = sum(now - peer.heard_at <= FRESH_S for peer in self.peers_by_id.values())
+        if fresh < len(self.seeds):
+            chosen += [seed for seed in self.seeds if seed not in chosen]
+        return chosen
+
+    def introduced(self, now: float, rng: random.Random) -> tuple[str, ...]:
+        """Addresses of some live peers, for others to learn of."""
+        live = [
+            f"{peer.host}:{peer.notice_port}"
+            for peer in self.peers_by_id.values()
+            if now - peer.heard_at <= FRESH_S
+        ]
+        return tuple(live if len(live) <= INTRODUCED else rng.sample(live, INTRODUCED))
+
+    def boxes(self, now: float) -> int:
+        """How many boxes there are, this one and those heard in the last seconds."""
+        heard = sum(now - peer.heard_at <= COUNTED_S for peer in self.peers_by_id.values())
+        return 1 + heard
+
+    def in_flight(self, worker_id: str, now: float) -> int:
+        """What other boxes have open at a worker, as far as they told lately."""
+        return sum(entry.in_flight for entry in self._entries(worker_id, now))
+
+    def failures(self, worker_id: str, now: float) -> float:
+        """What other boxes hold against a worker."""
+        return sum(entry.failures for entry in self._entries(worker_id, now))
+
+    def pressure(self, service: str, now: float) -> tuple[int, int]:
+        """Asks for decode memory of other boxes, and those refused."""
+        asks = refused = 0
+        for peer in self.peers_by_id.values():
+            entry = (peer.pressures_by_service or {}).get(service)
+            if entry is not None and now - peer.heard_at <= FRESH_S:
+                asks += entry.asks
+                refused += entry.refused
+        return asks, refused
+
+    def newest(self, now: float) -> tuple[Peer | None, Peer | None]:
+        """The live peers with the newest configuration and the newest worker list."""
+        live = [peer for peer in self.peers_by_id.values() if now - peer.heard_at <= FRESH_S]
+        if not live:
+            return None, None
+        by_config = max(live, key=lambda peer: peer.config_version)
+        by_workers = max(live, key=lambda peer: peer.workers_revision)
+        return by_config, by_workers
+
+    def _entries(self, worker_id: str, now: float) -> list:
+        return [
+            entry
+            for peer in self.peers_by_id.values()
+            if now - peer.heard_at <= FRESH_S
+            and (entry := (peer.workers_by_id or {}).get(worker_id)) is not None
+        ]
--- a/src/croftchute/systems/stage_balance.py
+++ b/src/croftchute/systems/stage_balance.py
@@ -14,8 +14,8 @@
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
 WINDOW_S = 5.0
-MIN_ASKS = 3
-MIN_REFUSED_SHARE = 0.3
+MIN_ASKS = 8
+MIN_REFUSED_SHARE = 0.1
 PREFILL_SHARE = 0.2
 SMALLEST_SPLIT = 3
 
@@ -40,12 +40,10 @@
         self.asks.append((now, is_refused))
         self._expire(now)
 
-    def refused_share(self, now: float) -> float:
-        """The share of refused asks; 0 while there are too few to judge by."""
+    def counts(self, now: float) -> tuple[int, int]:
+        """Asks in the window, and those that were refused."""
         self._expire(now)
-        if len(self.asks) < MIN_ASKS:
-            return 0.0
-        return sum(is_refused for _, is_refused in self.asks) / len(self.asks)
+        return len(self.asks), sum(is_refused for _, is_refused in self.asks)
 
     def clear(self) -> None:
         """Forget the asks, once something has been done about them."""
@@ -67,10 +65,19 @@
     return max(1, round(PREFILL_SHARE * total))
 
 
+def refused_share(asks: int, refused: int) -> float:
+    """The share of refused asks; 0 while there are too few to judge by.
+
+    >>> refused_share(2, 2), refused_share(10, 4)
+    (0.0, 0.4)
+    """
+    return refused / asks if asks >= MIN_ASKS else 0.0
+
+
 def wanted_change(
-    beliefs: Sequence[WorkerBelief], pressure: DecodePressure, now: float
+    beliefs: Sequence[WorkerBelief], *, asks: int, refused: int
 ) -> StageChange | None:
-    """The stage change that a service needs now, if any."""
+    """The stage change that a service needs, given the asks of all boxes lately."""
     listed = [b for b in beliefs if b.gone_at is None and b.worker.state is WorkerState.READY]
     prefills = [b for b in listed if b.worker.stage is Stage.PREFILL]
     decodes = [b for b in listed if b.worker.stage is Stage.DECODE]
@@ -80,7 +87,7 @@
     if not decodes:
         reason = "no decode worker is listed"
     elif len(prefills) > prefill_workers_needed(len(listed)):
-        share = pressure.refused_share(now)
+        share = refused_share(asks, refused)
         if share >= MIN_REFUSED_SHARE:
             reason = f"{share:.2f} of the asks for decode memory refused"
     if not reason:
--- a/src/croftchute/systems/worker_choice.py
+++ b/src/croftchute/systems/worker_choice.py
@@ -4,12 +4,16 @@
 
 import random
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Protocol
 
 from croftchute.systems.worker_table import WorkerBelief
-from croftchute.tables.routing import Route
+from croftchute.tables.routing import Route, Stage
 
 FAILURE_COST = 1.0
+PEER_FAILURE_COST = 0.4
+MAX_PEER_FAILURES = 4.0
+TYPICAL_TOKENS = 5000
 FAR_COST = 0.04
 LATENCY_COST = 0.5
 SAMPLE = 12
@@ -28,15 +32,51 @@
     candidates: int
 
 
-def cost_of(
-    belief: WorkerBelief, *, zone: str, typical_s: float, kv_tokens: int, now: float
-) -> float:
+class PeerView(Protocol):
+    """What other boxes told of a worker."""
+
+    def in_flight(self, worker_id: str, now: float) -> int:
+        """What they have open there."""
+        ...
+
+    def failures(self, worker_id: str, now: float) -> float:
+        """What they hold against it."""
+        ...
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Surroundings:
+    """What a choice is made by, besides the workers themselves."""
+
+    zone: str
+    peers: PeerView
+    kv_tokens: int = 0
+    typical_s: float = 0.0
+
+
+def others_at(belief: WorkerBelief, around: Surroundings, now: float) -> float:
+    """Requests of other boxes at a worker.
+
+    What peers told is some hundred milliseconds old: it says something of streams, which last for
+    seconds; for short work it would send all boxes to the same worker.
+    """
+    running = belief.others_running(now)
+    if belief.worker.stage is Stage.DECODE:
+        running = max(running, around.peers.in_flight(belief.worker.id, now))
+    return running
+
+
+def cost_of(belief: WorkerBelief, around: Surroundings, now: float) -> float:
     """The cost of giving a worker one more request, in units of a full worker."""
-    slots = max(1, belief.worker.slots)
-    cost = (belief.in_flight + belief.others_running(now)) / slots
-    if kv_tokens > 0:
-        cost += belief.tokens_in_flight / kv_tokens
+    worker = belief.worker
+    elsewhere = others_at(belief, around, now)
+    cost = (belief.in_flight + elsewhere) / max(1, worker.slots)
+    if around.kv_tokens > 0:
+        cost += belief.tokens_in_flight / around.kv_tokens
+        cost += elsewhere * TYPICAL_TOKENS / around.kv_tokens
     cost += FAILURE_COST * belief.failure_score(now)
+    cost += PEER_FAILURE_COST * min(MAX_PEER_FAILURES, around.peers.failures(worker.id, now))
+    zone, typical_s = around.zone, around.typical_s
     if belief.worker.zone != zone:
         cost += FAR_COST
     if typical_s > 0.0 and belief.latency_s > 0.0:
@@ -47,11 +87,10 @@
 def choose(
     candidates: Sequence[WorkerBelief],
     *,
-    zone: str,
+    around: Surroundings,
     avoid: Collection[str],
     now: float,
     rng: random.Random,
-    kv_tokens: int = 0,
 ) -> tuple[WorkerBelief, ChoiceInput] | None:
     """The cheapest candidate that is not to be avoided; ties are broken at random."""
     left = [belief for belief in candidates if belief.worker.id not in avoid]
@@ -61,9 +100,10 @@
         left = rng.sample(left, SAMPLE)
     latencies = sorted(belief.latency_s for belief in left if belief.latency_s > 0.0)
     typical_s = latencies[len(latencies) // 2] if latencies else 0.0
+    around = replace(around, typical_s=typical_s)
     costs = [
         (
-            cost_of(belief, zone=zone, typical_s=typical_s, kv_tokens=kv_tokens, now=now),
+            cost_of(belief, around, now),
             rng.random(),
             belief,
         )
@@ -74,7 +114,7 @@
         worker=best.worker.id,
         cost=round(cost, 3),
         in_flight=best.in_flight,
-        others=best.others_running(now),
+        others=others_at(best, around, now),
         failures=round(best.failure_score(now), 3),
         age_s=round(now - best.listed_at, 3),
         candidates=len(left),
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -8,13 +8,14 @@
 
 from dataclasses import dataclass, field
 
+from croftchute.storage.watched import StoredItem
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
 LATENCY_WEIGHT = 0.3
 FAILURE_HALF_LIFE_S = 2.0
 MAX_FAILURES = 8.0
 GONE_GRACE_S = 1.2
-LOAD_TTL_S = 1.0
+LOAD_TTL_S = 0.3
 
 
 @dataclass(kw_only=True, slots=True)
@@ -23,6 +24,7 @@
 
     worker: Worker
     listed_at: float
+    item: StoredItem | None = None
     gone_at: float | None = None
     in_flight: int = 0
     tokens_in_flight: int = 0
@@ -57,12 +59,18 @@
     heard_at: float = 0.0
     beliefs_by_id: dict[str, WorkerBelief] = field(default_factory=dict)
 
-    def upsert(self, worker: Worker, now: float) -> bool:
-        """Take in a listed worker; True if something besides its age has changed."""
+    def upsert(self, worker: Worker, now: float, item: StoredItem | None = None) -> bool:
+        """Take in a listed worker; True if something besides its age has changed.
+
+        An entry that is older than what is known already changes nothing.
+        """
         belief = self.beliefs_by_id.get(worker.id)
         if belief is None:
-            self.beliefs_by_id[worker.id] = WorkerBelief(worker=worker, listed_at=now)
+            self.beliefs_by_id[worker.id] = WorkerBelief(worker=worker, listed_at=now, item=item)
             return True
+        if item is not None and belief.item is not None and item.revision < belief.item.revision:
+            return False
+        belief.item = item
         is_changed = belief.worker != worker or belief.gone_at is not None
         belief.worker = worker
         belief.listed_at = now
--- /dev/null
+++ b/src/croftchute/tables/peers.py
@@ -0,0 +1,40 @@
+"""Rows about other boxes of the forwarding fleet: who they are and what they last told."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerNotice:
+    """What one box has open at a worker, and how much it holds against it."""
+
+    worker: str
+    in_flight: int
+    failures: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PressureNotice:
+    """Asks for decode memory that a box made in its window, and those refused by all."""
+
+    service: str
+    asks: int
+    refused: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Peer:
+    """Another box: where it takes notices and where its state can be fetched."""
+
+    id: str
+    host: str
+    notice_port: int
+    control_port: int
+    started_at: float
+    heard_at: float
+    config_version: int = 0
+    workers_revision: int = 0
+    is_leaving: bool = False
+    workers_by_id: dict[str, WorkerNotice] | None = None
+    pressures_by_service: dict[str, PressureNotice] | None = None
--- a/tests/config/test_submit.py
+++ b/tests/config/test_submit.py
@@ -8,8 +8,8 @@
 from croftchute.config.checks import parse_document
 from croftchute.config.submit import current, history, submit
 from croftchute.errors import Code, ConflictError, StoreError
-from croftchute.storage.etcd import EtcdStore
 from croftchute.standins.platform import PlatformServer
+from croftchute.storage.etcd import EtcdStore
 
 DAKAR = parse_document((Path(__file__).parents[2] / "examples" / "dakar.json").read_bytes())
 OTHER = replace(DAKAR, targets=replace(DAKAR.targets, ttft_s=0.5))
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -7,9 +7,8 @@
 from hypothesis import strategies as st
 
 from croftchute.errors import Code, MessageError
-from croftchute.peers.codec import Codec, Envelope
+from croftchute.peers.codec import STRUCTS_BY_LIST, Codec, Envelope
 from croftchute.peers.messages import Body, Released
-from croftchute.tables.upstreams import ShardDigest
 
 CODEC = Codec(keys=["k" * 16])
 VALUES = {str: "text", int: 7, float: 0.5, bytes: b"raw", bool: True, Code: Code.NO_CAPACITY}
@@ -18,10 +17,11 @@
 
 def example(kind):
     hints = get_type_hints(kind)
-    digest = (tuple[ShardDigest, ...],)
     made = {
         field.name: (
-            (example(ShardDigest),) if hints[field.name] in digest else VALUES[hints[field.name]]
+            (example(STRUCTS_BY_LIST[hints[field.name]]),)
+            if hints[field.name] in STRUCTS_BY_LIST
+            else VALUES[hints[field.name]]
         )
         for field in dataclasses.fields(kind)
     }
