Let the decode worker read a prompt when the prefill worker is slow

What stays: no prefill apart when its recent time is over 0.45 of the target; not measured by itself.

--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -166,6 +166,8 @@
         if found is None:
             return None
         belief, chosen = found
+        if patience.is_prefill_slow(run.route, belief.latency_s):
+            return None
         send = Send(
             worker=belief.worker,
             time_left_s=run.time_left_s,
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -26,6 +26,7 @@
 HOLD_OUTPUT_MARGIN = 0.9
 FULL_FOR_S = 0.03
 ORDER_TIMEOUT_S = 1.0
+SLOW_PREFILL_SHARE = 0.45
 HOLD_TIMEOUT_S = 0.08
 
 
@@ -84,6 +85,11 @@
     return 0.8 * REFUSAL_SHARE_OF_TARGET * route.target_s
 
 
+def is_prefill_slow(route: Route, prefill_s: float) -> bool:
+    """Whether the wait for a prefill worker would cost the target: decode reads the prompt then."""
+    return prefill_s >= SLOW_PREFILL_SHARE * route.target_s
+
+
 def hold_tokens(prompt_tokens: int, output_tokens: int, expected_output: int | None) -> int:
     """How much decode memory to reserve: the prompt, and what the answer will likely add.
 
