Test the tables and choices of the forwarding core; two faults found by the tests mended

A residue of failures long past decided ties between workers for ever; costs are compared to two digits. A success without the worker's proof is not passed on.

--- a/Makefile
+++ b/Makefile
@@ -17,13 +17,13 @@
 	$(PY) -m pytest
 
 lint: $(STAMP)
-	$(VENV)/bin/black --check --quiet src tests
-	$(VENV)/bin/ruff check --quiet src tests
+	$(VENV)/bin/black --check --quiet src tests platform
+	$(VENV)/bin/ruff check --quiet src tests platform
 	$(VENV)/bin/mypy
 
 format: $(STAMP)
-	$(VENV)/bin/black --quiet src tests
-	$(VENV)/bin/ruff check --quiet --fix src tests
+	$(VENV)/bin/black --quiet src tests platform
+	$(VENV)/bin/ruff check --quiet --fix src tests platform
 
 bench: $(STAMP)
 	$(PY) -m croftchute.bench.main
--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -135,6 +135,7 @@
         await self._listen(self.ingress, settings.callers)
         await self._listen(self.health, settings.health)
         await self._listen(self.control, settings.control)
+        self.exchange.control_port = self.control.port
         await self.exchange.listen(settings.notice_port)
         if settings.metrics is not None:
             await self._listen(self.metrics, settings.metrics)
--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -113,8 +113,8 @@
         """The headers of a worker's answer that are the caller's to see."""
         ...
 
-    def is_whole_answer_head(self, head: ResponseHead) -> bool:
-        """Whether a success bears what proves that a worker gave it."""
+    def is_genuine(self, head: ResponseHead) -> bool:
+        """Whether an answer bears what proves that a worker gave it; failures need not."""
         ...
 
     def handle(self, body: bytes, worker: Worker) -> PrefillHandle:
--- a/src/croftchute/forwarding/plain_run.py
+++ b/src/croftchute/forwarding/plain_run.py
@@ -6,7 +6,7 @@
 
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.dialect import Send, Verdict
-from croftchute.forwarding.failures import ConnectFailedError, ExchangeError
+from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
 from croftchute.forwarding.http_client import ResponseHead
 from croftchute.forwarding.request_run import RequestRun, WorkerCall
 from croftchute.systems import patience
@@ -93,6 +93,8 @@
         call.rejected(verdict)
         progress.code, progress.detail = Code.NO_CAPACITY, f"worker said {verdict.value}"
         return None
+    if verdict is Verdict.ANSWERED and not speak.is_genuine(head):
+        raise ConnectionBrokenError("a success without the worker's proof")
     answer = WholeAnswer(
         worker=call.worker.id,
         status=head.status,
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -11,7 +11,7 @@
 from croftchute.forwarding.event_stream import EventSplitter, StreamEvent
 from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
 from croftchute.forwarding.http_client import ResponseHead
-from croftchute.forwarding.request_run import RequestRun, WorkerCall
+from croftchute.forwarding.request_run import RequestRun, WorkerCall, within
 from croftchute.forwarding.worker_control import drop_hold, free_handle, take_hold
 from croftchute.systems import patience
 from croftchute.systems.worker_choice import ChoiceInput
@@ -259,6 +259,8 @@
         head = await call.head(wait_s)
         verdict = run.state.workers_speak.verdict(head)
         if verdict is Verdict.ANSWERED:
+            if not run.state.workers_speak.is_genuine(head):
+                raise ConnectionBrokenError("a success without the worker's proof")
             self.unused = None
             await self._pass_on(call, head, wait_s)
             return
@@ -329,7 +331,8 @@
             data.append(event.data)
         if not self.run.exchange.is_started:
             self._start(call, head)
-        await self.run.exchange.write(b"".join(data))
+        writing = self.run.exchange.write(b"".join(data))
+        await within(writing, self.run.time_left_s, "caller did not read")
 
     def _start(self, call: WorkerCall, head: ResponseHead) -> None:
         run = self.run
--- a/src/croftchute/systems/retry_budget.py
+++ b/src/croftchute/systems/retry_budget.py
@@ -38,7 +38,8 @@
 
     def spend(self, now: float, *, boxes: int) -> bool:
         """Take one repeat out of the budget, if there is one."""
-        if len(self.repeat_times) + 1 > self.allowed(now, boxes=boxes):
+        allowed = self.allowed(now, boxes=boxes)
+        if len(self.repeat_times) + 1 > allowed:
             return False
         self.repeat_times.append(now)
         return True
--- a/src/croftchute/systems/worker_choice.py
+++ b/src/croftchute/systems/worker_choice.py
@@ -17,6 +17,7 @@
 FAR_COST = 0.04
 LATENCY_COST = 0.5
 SAMPLE = 12
+COST_DIGITS = 2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -103,7 +104,7 @@
     around = replace(around, typical_s=typical_s)
     costs = [
         (
-            cost_of(belief, around, now),
+            round(cost_of(belief, around, now), COST_DIGITS),
             rng.random(),
             belief,
         )
--- /dev/null
+++ b/tests/systems/test_patience.py
@@ -0,0 +1,40 @@
+import random
+
+from croftchute.systems import patience
+from croftchute.tables.routing import Route, RouteKind, WeightedService
+
+ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/",
+    kind=RouteKind.STREAM,
+    timeout_s=14.0,
+    target_s=0.9,
+    targets=(WeightedService(service="s", weight=1),),
+    target_gap_s=0.3,
+)
+
+
+def test_a_refused_caller_can_always_keep_to_the_time_it_is_told():
+    """Callers wait at most a third of the time that they have left."""
+    rng = random.Random(3)
+    for _ in range(500):
+        left = rng.uniform(0.4, 30.0)
+        for is_full in (True, False):
+            wait = patience.retry_after(left, is_full=is_full, spread=rng.random())
+            assert 0.0 < wait <= left / 3.0
+
+
+def test_a_first_attempt_hears_of_full_workers_within_a_quarter_of_the_target():
+    assert patience.room_patience(ROUTE, time_left_s=14.0) < ROUTE.target_s / 4
+
+
+def test_a_caller_that_came_back_may_wait_while_it_can_be_in_time():
+    wait = patience.room_patience(ROUTE, time_left_s=9.7)
+    assert ROUTE.target_s / 4 < wait < ROUTE.target_s
+
+
+def test_no_patience_outlasts_the_caller():
+    assert patience.answer_patience(ROUTE, typical_s=5.0, time_left_s=0.3) == 0.3
+    assert patience.gap_patience(ROUTE, time_left_s=0.1) == 0.1
+    assert patience.prefill_patience(100_000, time_left_s=0.2) == 0.2
--- /dev/null
+++ b/tests/systems/test_peer_table.py
@@ -0,0 +1,71 @@
+import random
+from dataclasses import replace
+
+from croftchute.peers.messages import BoxNotice
+from croftchute.systems.peer_table import COUNTED_S, FANOUT, FORGET_S, PeerTable
+from croftchute.tables.peers import PressureNotice, WorkerNotice
+
+NOTICE = BoxNotice(
+    started_at=100.0,
+    host="10.0.0.2",
+    notice_port=7000,
+    control_port=7001,
+    config_version=3,
+    workers_revision=9,
+    workers=(WorkerNotice(worker="w", in_flight=2, failures=1.5),),
+    pressures=(PressureNotice(service="s", asks=10, refused=4),),
+)
+
+
+def test_a_notice_counts_while_it_is_fresh():
+    table = PeerTable(own_id="me")
+    assert table.hear("b", NOTICE, 0.0)
+    assert table.in_flight("w", 1.0) == 2
+    assert table.failures("w", 1.0) == 1.5
+    assert table.pressure("s", 1.0) == (10, 4)
+    assert table.in_flight("w", 10.0) == 0
+    assert table.pressure("s", 10.0) == (0, 0)
+
+
+def test_an_earlier_life_of_a_box_is_not_heard():
+    table = PeerTable(own_id="me")
+    table.hear("b", NOTICE, 0.0)
+    assert not table.hear("b", replace(NOTICE, started_at=50.0, config_version=9), 1.0)
+    assert table.peers_by_id["b"].config_version == 3
+
+
+def test_its_own_notice_is_not_a_peer():
+    table = PeerTable(own_id="me")
+    assert not table.hear("me", NOTICE, 0.0)
+    assert table.boxes(0.0) == 1
+
+
+def test_boxes_are_counted_for_some_seconds_and_forgotten_later():
+    table = PeerTable(own_id="me")
+    table.hear("b", NOTICE, 0.0)
+    assert table.boxes(COUNTED_S - 1.0) == 2
+    assert table.boxes(COUNTED_S + 1.0) == 1
+    assert table.forget(FORGET_S + 1.0) == ["b"]
+
+
+def test_a_large_fleet_costs_a_bounded_number_of_notices():
+    table = PeerTable(own_id="me", seeds=(("10.9.9.9", 1),))
+    for number in range(400):
+        table.hear(f"box-{number}", replace(NOTICE, host=f"10.0.1.{number}"), 0.0)
+    assert len(table.targets(0.5, random.Random(1))) == FANOUT
+    assert len(table.introduced(0.5, random.Random(1))) == 4
+
+
+def test_seeds_are_asked_while_few_peers_answer():
+    table = PeerTable(own_id="me", seeds=(("10.0.0.9", 7000), ("10.0.0.8", 7000)))
+    assert table.targets(0.0, random.Random(1)) == [("10.0.0.9", 7000), ("10.0.0.8", 7000)]
+
+
+def test_the_newest_peers_are_found_among_the_live():
+    table = PeerTable(own_id="me")
+    table.hear("old", NOTICE, 0.0)
+    table.hear("new", replace(NOTICE, config_version=4, workers_revision=2), 0.0)
+    by_config, by_workers = table.newest(0.5)
+    assert by_config is not None and by_config.id == "new"
+    assert by_workers is not None and by_workers.id == "old"
+    assert table.newest(60.0) == (None, None)
--- /dev/null
+++ b/tests/systems/test_retry_budget.py
@@ -0,0 +1,35 @@
+import random
+
+from croftchute.systems.retry_budget import RetryLimits, RetryWindow
+
+LIMITS = RetryLimits(ratio=0.2, window_s=10.0, slack=56.0)
+
+
+def test_the_shares_of_all_boxes_never_exceed_the_fleets_budget():
+    rng = random.Random(11)
+    boxes = 8
+    windows = [RetryWindow(limits=LIMITS) for _ in range(boxes)]
+    requests, repeats = [], []
+    now = 0.0
+    for _ in range(4000):
+        now += rng.expovariate(40.0)
+        window = rng.choice(windows)
+        window.note_request(now)
+        requests.append(now)
+        if rng.random() < 0.8 and window.spend(now, boxes=boxes):
+            repeats.append(now)
+        recent_requests = sum(at > now - LIMITS.window_s for at in requests)
+        recent_repeats = sum(at > now - LIMITS.window_s for at in repeats)
+        assert recent_repeats <= LIMITS.ratio * recent_requests + LIMITS.slack
+
+
+def test_a_budget_comes_back_with_time():
+    window = RetryWindow(limits=RetryLimits(ratio=0.0, window_s=10.0, slack=2.0))
+    assert window.spend(0.0, boxes=1)
+    assert not window.spend(1.0, boxes=1)
+    assert window.spend(10.5, boxes=1)
+
+
+def test_more_boxes_leave_less_for_each():
+    window = RetryWindow(limits=LIMITS)
+    assert window.allowed(0.0, boxes=16) < window.allowed(0.0, boxes=4)
--- /dev/null
+++ b/tests/systems/test_worker_choice.py
@@ -0,0 +1,94 @@
+import random
+
+from croftchute.systems.peer_table import PeerTable
+from croftchute.systems.worker_choice import Surroundings, choose, pick_service
+from croftchute.systems.worker_table import WorkerTable
+from croftchute.tables.routing import Route, RouteKind, Stage, WeightedService, Worker
+
+AROUND = Surroundings(zone="near", peers=PeerTable(own_id="me"))
+
+
+def table_of(*workers):
+    table = WorkerTable()
+    for entry in workers:
+        table.upsert(entry, 0.0)
+    return table
+
+
+def worker(name, zone="near", slots=4, stage=None):
+    return Worker(id=name, service="s", host="h", port=1, zone=zone, slots=slots, stage=stage)
+
+
+def chosen(table, *, avoid=(), now=0.0, seed=1, around=AROUND):
+    found = choose(
+        table.usable("s", now), around=around, avoid=avoid, now=now, rng=random.Random(seed)
+    )
+    return found[0].worker.id if found else None
+
+
+def test_the_least_loaded_is_chosen():
+    table = table_of(worker("a"), worker("b"))
+    table.note_sent("a", 0)
+    assert chosen(table) == "b"
+
+
+def test_load_counts_by_slots():
+    table = table_of(worker("small", slots=1), worker("large", slots=100))
+    table.note_sent("small", 0)
+    for _ in range(10):
+        table.note_sent("large", 0)
+    assert chosen(table) == "large"
+
+
+def test_of_equals_the_near_one_is_chosen():
+    table = table_of(worker("far", zone="elsewhere"), worker("close"))
+    assert {chosen(table, seed=seed) for seed in range(20)} == {"close"}
+
+
+def test_ties_are_spread():
+    table = table_of(worker("a"), worker("b"))
+    assert {chosen(table, seed=seed) for seed in range(20)} == {"a", "b"}
+
+
+def test_a_failing_worker_is_avoided_until_it_has_rested_but_never_shut_out():
+    table = table_of(worker("a"), worker("b"))
+    table.note_failure("a", 2.0, 0.0)
+    assert {chosen(table, seed=seed) for seed in range(20)} == {"b"}
+    assert chosen(table, avoid=("b",)) == "a"
+    assert {chosen(table, now=60.0, seed=seed) for seed in range(40)} == {"a", "b"}
+
+
+def test_nothing_is_chosen_when_all_are_to_be_avoided():
+    assert chosen(table_of(worker("a")), avoid=("a",)) is None
+
+
+def test_a_slow_worker_costs_more_than_a_quick_one():
+    table = table_of(worker("slow"), worker("quick"), worker("other"))
+    for name, seconds in (("slow", 0.8), ("quick", 0.1), ("other", 0.1)):
+        table.note_answer(name, seconds, 0.0)
+    assert "slow" not in {chosen(table, seed=seed) for seed in range(20)}
+
+
+def test_the_memory_of_streams_counts_for_engines():
+    table = table_of(worker("a", slots=128, stage=Stage.DECODE), worker("b", slots=128))
+    table.note_sent("a", 9000)
+    around = Surroundings(zone="near", peers=PeerTable(own_id="me"), kv_tokens=10000)
+    assert chosen(table, around=around) == "b"
+
+
+def test_services_are_picked_by_weight():
+    route = Route(
+        name="r",
+        host="h",
+        prefix="/",
+        kind=RouteKind.ONCE,
+        timeout_s=1.0,
+        target_s=1.0,
+        targets=(
+            WeightedService(service="a", weight=90),
+            WeightedService(service="b", weight=10),
+        ),
+    )
+    rng = random.Random(7)
+    picked = [pick_service(route, rng) for _ in range(2000)]
+    assert 120 < picked.count("b") < 280
--- /dev/null
+++ b/tests/systems/test_worker_table.py
@@ -0,0 +1,111 @@
+from croftchute.storage.watched import StoredItem
+from croftchute.systems.worker_table import GONE_GRACE_S, WorkerTable
+from croftchute.tables.routing import Stage, Worker, WorkerState
+
+
+def worker(name, state=WorkerState.READY, stage=None, service="s"):
+    return Worker(
+        id=name, service=service, host="h", port=1, zone="z", state=state, stage=stage, slots=4
+    )
+
+
+def item(revision):
+    return StoredItem(key="k", value=b"", revision=revision)
+
+
+def ids(beliefs):
+    return sorted(belief.worker.id for belief in beliefs)
+
+
+def test_a_draining_worker_gets_no_new_work_at_once():
+    table = WorkerTable()
+    table.upsert(worker("a"), 0.0)
+    table.upsert(worker("b"), 0.0)
+    assert table.upsert(worker("a", WorkerState.DRAINING), 1.0)
+    assert ids(table.usable("s", 1.0)) == ["b"]
+
+
+def test_an_entry_that_is_only_seen_again_is_no_change():
+    table = WorkerTable()
+    assert table.upsert(worker("a"), 0.0)
+    assert not table.upsert(worker("a"), 1.0)
+
+
+def test_an_older_entry_does_not_undo_a_newer_one():
+    table = WorkerTable()
+    table.upsert(worker("a", WorkerState.DRAINING), 0.0, item(9))
+    assert not table.upsert(worker("a"), 1.0, item(8))
+    assert table.usable("s", 1.0) == []
+
+
+def test_a_worker_that_left_the_list_is_a_last_resort_for_a_short_time():
+    table = WorkerTable()
+    table.upsert(worker("a"), 0.0)
+    table.upsert(worker("b"), 0.0)
+    table.remove("a", 1.0)
+    assert ids(table.usable("s", 1.1)) == ["b"]
+    table.remove("b", 1.0)
+    assert ids(table.usable("s", 1.1)) == ["a", "b"]
+    assert table.usable("s", 1.0 + GONE_GRACE_S + 0.01) == []
+
+
+def test_a_worker_that_is_listed_again_is_usable_again():
+    table = WorkerTable()
+    table.upsert(worker("a"), 0.0)
+    table.remove("a", 1.0)
+    table.upsert(worker("a"), 5.0)
+    assert ids(table.usable("s", 9.0)) == ["a"]
+
+
+def test_sweep_keeps_a_gone_worker_while_it_runs_something_of_ours():
+    table = WorkerTable()
+    table.upsert(worker("a"), 0.0)
+    table.note_sent("a", 10)
+    table.remove("a", 0.0)
+    assert table.sweep(100.0) == []
+    table.note_ended("a", 10)
+    assert table.sweep(100.0) == ["a"]
+
+
+def test_a_whole_listing_marks_the_missing_as_gone():
+    table = WorkerTable()
+    for name in "abc":
+        table.upsert(worker(name), 0.0)
+    assert sorted(table.keep_only({"b"}, 1.0)) == ["a", "c"]
+    assert table.keep_only({"b"}, 2.0) == []
+
+
+def test_a_displaced_worker_is_never_used():
+    table = WorkerTable()
+    table.upsert(worker("a"), 0.0)
+    table.note_displaced("a")
+    assert table.usable("s", 0.0) == []
+
+
+def test_stages_are_told_apart_and_plain_workers_have_none():
+    table = WorkerTable()
+    table.upsert(worker("p", stage=Stage.PREFILL), 0.0)
+    table.upsert(worker("d", stage=Stage.DECODE), 0.0)
+    table.upsert(worker("plain", service="t"), 0.0)
+    assert ids(table.usable("s", 0.0, stage=Stage.DECODE)) == ["d"]
+    assert ids(table.usable("t", 0.0, stage=Stage.DECODE)) == ["plain"]
+
+
+def test_failures_fade_and_an_answer_halves_them():
+    table = WorkerTable()
+    table.upsert(worker("a"), 0.0)
+    belief = table.beliefs_by_id["a"]
+    table.note_failure("a", 2.0, 0.0)
+    assert belief.failure_score(2.0) == 1.0
+    table.note_answer("a", 0.1, 2.0)
+    assert belief.failure_score(2.0) == 0.5
+
+
+def test_load_told_by_a_worker_counts_others_only_and_not_for_long():
+    table = WorkerTable()
+    table.upsert(worker("a"), 0.0)
+    belief = table.beliefs_by_id["a"]
+    table.note_sent("a", 0)
+    table.note_load("a", 3, 1, 0.0)
+    assert belief.others_running(0.1) == 3.0
+    assert belief.others_running(5.0) == 0.0
