Change stages by demand, and always keep a prefill worker

Now: use of the prefill workers that would remain is worked out from accepted prompts; two prefill to one decode worker is put right without waiting for refusals; no prefill worker left is put right after 5 s; a prefill call may take 0.7 of the target before decode reads the prompt.

--- a/src/croftchute/forwarding/http_server.py
+++ b/src/croftchute/forwarding/http_server.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
@@ -19,6 +21,7 @@
 from croftchute.tables.routing import HeaderList, IngressLimits
 
 MAX_WAITING_REQUESTS = 4
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 HIGH_WATER_BYTES = 65536
 
@@ -263,10 +266,15 @@
             self.transport.close()
 
     def abort(self) -> None:
-        """Close at once, without what waits to be written."""
+        """Reset the connection, so that an answer without a length cannot look whole."""
         self._must_close = True
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None:
+            return
+        raw = self.transport.get_extra_info("socket")
+        if raw is not None:
+            with contextlib.suppress(OSError):
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.transport.abort()
 
     def _begin_message(self) -> None:
         self._target = b""
--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -21,7 +21,7 @@
 from croftchute.peers.codec import Codec, Envelope
 from croftchute.peers.messages import BoxNotice
 from croftchute.storage.watched import Listing, StoredItem
-from croftchute.tables.peers import Peer, PressureNotice, WorkerNotice
+from croftchute.tables.peers import DemandNotice, Peer, WorkerNotice
 
 NOTICE_S = 0.5
 FETCH_AFTER_S = 0.6
@@ -126,10 +126,17 @@
                         worker=belief.worker.id, in_flight=belief.in_flight, failures=failures
                     )
                 )
-        pressures = []
-        for service, pressure in state.pressures_by_service.items():
-            asks, refused = pressure.counts(now)
-            pressures.append(PressureNotice(service=service, asks=asks, refused=refused))
+        demands = []
+        for service, demand in state.demand_by_service.items():
+            counts = demand.counts(now)
+            demands.append(
+                DemandNotice(
+                    service=service,
+                    asks=counts.asks,
+                    refused=counts.refused,
+                    accepted_tokens=counts.accepted_tokens,
+                )
+            )
         return BoxNotice(
             started_at=self.started_at,
             host=self.host,
@@ -139,7 +146,7 @@
             workers_revision=state.workers.revision,
             is_leaving=state.is_stopping,
             workers=tuple(entries[:MAX_WORKER_NOTICES]),
-            pressures=tuple(pressures),
+            demands=tuple(demands),
             introduced=state.peers.introduced(now, state.rng),
         )
 
--- a/src/croftchute/forwarding/stage_orders.py
+++ b/src/croftchute/forwarding/stage_orders.py
@@ -17,6 +17,7 @@
 from croftchute.forwarding.worker_control import give_stage_order
 from croftchute.storage.watched import LeaseStore
 from croftchute.systems.stage_balance import StageChange, wanted_change
+from croftchute.tables.routing import Stage
 
 CHECK_S = 0.5
 FIRST_TRY_S = 4.0
@@ -27,6 +28,9 @@
 MAX_VERIFY_S = 0.3
 COOL_DOWN_S = 3.0
 SETTLE_S = 10.0
+LASTS_S = 0.4
+PREFILL_LASTS_S = 5.0
+MAX_LAPSE_S = 1.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,6 +53,7 @@
         self._next_try_at = 0.0
         self._renew_at = 0.0
         self._ordered_at: dict[str, float] = {}
+        self._wanted_since: dict[tuple[str, Stage], tuple[float, float]] = {}
 
     async def run(self) -> None:
         """Look again and again; never returns."""
@@ -83,12 +88,26 @@
                 for belief in self.state.workers.beliefs_by_id.values()
                 if belief.worker.service == service.name
             ]
-            asks, refused = self.state.fleet_pressure(service.name)
-            change = wanted_change(beliefs, asks=asks, refused=refused)
-            if change is not None:
+            change = wanted_change(
+                beliefs,
+                self.state.fleet_demand(service.name),
+                prefill_pace=self.state.demand(service.name).prefill_pace,
+            )
+            if change is not None and self._has_lasted(change):
                 return change
         return None
 
+    def _has_lasted(self, change: StageChange) -> bool:
+        """Whether the same need has been seen for a while: workers that crash come back."""
+        key = (change.worker.service, change.stage)
+        now = self.state.clock()
+        first, last = self._wanted_since.get(key, (now, now))
+        if now - last > MAX_LAPSE_S:
+            first = now
+        self._wanted_since[key] = (first, now)
+        wait_s = LASTS_S if change.stage is Stage.DECODE else PREFILL_LASTS_S
+        return now - first >= wait_s
+
     def _is_settling(self, service: str) -> bool:
         """Whether an order given to the service may not have shown its effect yet."""
         ordered_at = self._ordered_at.get(service)
@@ -132,7 +151,7 @@
             self.state, change.worker, change.stage, holder=self.state.box, token=turn.token
         )
         self._ordered_at[change.worker.service] = self.state.clock()
-        self.state.pressure(change.worker.service).clear()
+        self.state.demand(change.worker.service).clear()
         self._log(f"status_{status}", change, turn)
 
     def _give_up_turn(self, turn: Turn) -> None:
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -15,7 +15,7 @@
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.retry_budget import RetryLimits, RetryWindow
-from croftchute.systems.stage_balance import DecodePressure
+from croftchute.systems.stage_balance import DemandCounts, StageDemand
 from croftchute.systems.worker_table import WorkerTable
 from croftchute.tables.routing import IngressLimits, RoutingTable
 
@@ -45,7 +45,7 @@
     workers: WorkerTable = field(default_factory=WorkerTable)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
-    pressures_by_service: dict[str, DecodePressure] = field(default_factory=dict)
+    demand_by_service: dict[str, StageDemand] = field(default_factory=dict)
     is_stopping: bool = False
     background: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -58,16 +58,14 @@
             return max(heard, self.default_boxes)
         return heard
 
-    def fleet_pressure(self, service: str) -> tuple[int, int]:
-        """Asks for decode memory lately, of this box and its peers, and those refused."""
+    def fleet_demand(self, service: str) -> DemandCounts:
+        """What was asked of a service lately, of this box and its peers."""
         now = self.clock()
-        own_asks, own_refused = self.pressure(service).counts(now)
-        asks, refused = self.peers.pressure(service, now)
-        return own_asks + asks, own_refused + refused
+        return self.demand(service).counts(now) + self.peers.demand(service, now)
 
-    def pressure(self, service: str) -> DecodePressure:
-        """How short a service is of decode memory."""
-        return self.pressures_by_service.setdefault(service, DecodePressure())
+    def demand(self, service: str) -> StageDemand:
+        """What was asked of a service at this box."""
+        return self.demand_by_service.setdefault(service, StageDemand())
 
     def spawn(self, work: Coroutine[None, None, None]) -> None:
         """Do something beside the requests."""
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -67,9 +67,7 @@
         while run.time_left_s > 0.0 and not self._is_over():
             found = await self._reserve()
             if self.progress.events == 0 and run.arrivals == 0:
-                run.state.pressure(run.service).note(
-                    run.now, is_refused=bool(run.full) and not found
-                )
+                self._note_demand(is_refused=bool(run.full) and found is None)
             if found is None:
                 return
             source = await self._prefill(found[0])
@@ -89,6 +87,12 @@
 
     # Room at a decode worker.
 
+    def _note_demand(self, *, is_refused: bool) -> None:
+        run = self.run
+        run.state.demand(run.service).note_ask(
+            run.now, is_refused=is_refused, prompt_tokens=run.facts.prompt_tokens
+        )
+
     async def _reserve(self) -> tuple[WorkerBelief, ChoiceInput] | None:
         """A decode worker that keeps room for the request, waiting for a while if all are full."""
         run = self.run
@@ -166,8 +170,6 @@
         if found is None:
             return None
         belief, chosen = found
-        if patience.is_prefill_slow(run.route, belief.latency_s):
-            return None
         send = Send(
             worker=belief.worker,
             time_left_s=run.time_left_s,
@@ -192,7 +194,7 @@
 
     async def _read_handle(self, call: WorkerCall) -> PrefillHandle | None:
         run = self.run
-        wait_s = patience.prefill_patience(run.facts.prompt_tokens, time_left_s=run.time_left_s)
+        wait_s = patience.prefill_patience(run.route, time_left_s=run.time_left_s)
         head = await call.head(wait_s)
         body = await call.body(wait_s)
         verdict = run.state.workers_speak.verdict(head)
@@ -206,6 +208,8 @@
             return None
         handle = run.state.workers_speak.handle(body, call.worker)
         call.succeeded()
+        taken_s = run.now - call.opened_at
+        run.state.demand(run.service).note_prefill(run.facts.prompt_tokens, taken_s)
         self.unused = handle
         return handle
 
@@ -276,7 +280,7 @@
 
     def _allow_same_worker(self, call: WorkerCall) -> None:
         """The handle may have been the reason: the worker can read the prompt itself."""
-        self.unused = None
+        self._free_unused()
         self.run.avoid.discard(call.worker.id)
 
     def _may_go_elsewhere(self) -> bool:
--- a/src/croftchute/peers/codec.py
+++ b/src/croftchute/peers/codec.py
@@ -17,7 +17,7 @@
 
 from croftchute.errors import MessageError
 from croftchute.peers.messages import Body
-from croftchute.tables.peers import PressureNotice, WorkerNotice
+from croftchute.tables.peers import DemandNotice, WorkerNotice
 from croftchute.tables.upstreams import ShardDigest
 
 TAG_BYTES = 16
@@ -25,7 +25,7 @@
 MAX_ITEMS = 4096
 ID_FIELDS = ("request_id", "key", "token")
 MAX_DATAGRAM = 60000
-STRUCTS = (ShardDigest, WorkerNotice, PressureNotice)
+STRUCTS = (ShardDigest, WorkerNotice, DemandNotice)
 STRUCTS_BY_LIST: dict[Any, type] = {tuple[kind, ...]: kind for kind in STRUCTS}  # type: ignore[valid-type]
 SCHEMA = capnp.load(str(Path(__file__).with_name("schema.capnp")))
 
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -6,7 +6,7 @@
 from typing import TypeAlias
 
 from croftchute.errors import Code
-from croftchute.tables.peers import PressureNotice, WorkerNotice
+from croftchute.tables.peers import DemandNotice, WorkerNotice
 from croftchute.tables.upstreams import ShardDigest
 
 
@@ -187,7 +187,7 @@
     workers_revision: int
     is_leaving: bool = False
     workers: tuple[WorkerNotice, ...] = ()
-    pressures: tuple[PressureNotice, ...] = ()
+    demands: tuple[DemandNotice, ...] = ()
     introduced: tuple[str, ...] = ()
 
 
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -159,10 +159,11 @@
   failures @2 :Float32;
 }
 
-struct PressureNotice {
+struct DemandNotice {
   service @0 :Text;
   asks @1 :UInt32;
   refused @2 :UInt32;
+  acceptedTokens @3 :UInt32;
 }
 
 struct BoxNotice {
@@ -174,6 +175,6 @@
   workersRevision @5 :UInt64;
   isLeaving @6 :Bool;
   workers @7 :List(WorkerNotice);
-  pressures @8 :List(PressureNotice);
+  demands @8 :List(DemandNotice);
   introduced @9 :List(Text);
 }
--- /dev/null
+++ b/src/croftchute/standins/platform_worker.py
@@ -0,0 +1,336 @@
+"""A stand-in for the users' workers, written from their pages: engines and plain services.
+
+It keeps what it ran by request id, so that tests can tell what ran, how often and until when.
+Faults are set from outside and apply to the next request that they fit.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import socket
+import struct
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import msgspec
+
+STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+Headers = dict[str, str]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Received:
+    """A request as the worker got it."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        """The id that the caller gave it."""
+        return self.headers.get("x-croftchute-request-id", "")
+
+
+@dataclass(kw_only=True)
+class WorkerFaults:
+    """What goes wrong at the worker at the moment; numbers count events of a stream."""
+
+    is_full: bool = False
+    has_no_room: bool = False
+    status: int = 0
+    is_silent: bool = False
+    resets_before_answer: bool = False
+    resets_after_events: int | None = None
+    ends_inside_event: int | None = None
+    hangs_after_events: int | None = None
+    repeats_event: int | None = None
+    sends_surplus_first: bool = False
+    lacks_stamp: bool = False
+    handles_lapse: bool = False
+    cuts_body: bool = False
+    is_unframed: bool = False
+
+
+@dataclass(kw_only=True)
+class PlatformWorker:
+    """One worker; ``stage`` is empty for plain services."""
+
+    id: str
+    stage: str = ""
+    events: int = 4
+    gap_s: float = 0.0
+    work_s: float = 0.0
+    faults: WorkerFaults = field(default_factory=WorkerFaults)
+    port: int = 0
+    received: list[Received] = field(default_factory=list)
+    ran: list[str] = field(default_factory=list)
+    dropped: list[str] = field(default_factory=list)
+    finished: list[str] = field(default_factory=list)
+    holds: set[str] = field(default_factory=set)
+    handles: set[str] = field(default_factory=set)
+    orders: list[dict[str, object]] = field(default_factory=list)
+    connections: int = 0
+
+    def __post_init__(self) -> None:
+        self._numbers = itertools.count(1)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> int:
+        """Listen on some port; returns it."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self.port
+
+    def _reset(self, writer: asyncio.StreamWriter) -> bool:
+        """Reset a connection; what was written before still arrives."""
+        raw = writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        writer.transport.abort()
+        return False
+
+    def stop(self) -> None:
+        """End at once: the port is dead, connections are reset."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def entry(self, service: str, zone: str, state: str = "ready") -> dict[str, object]:
+        """What the worker writes of itself into the store."""
+        entry: dict[str, object] = {
+            "Service": service,
+            "Address": f"127.0.0.1:{self.port}",
+            "Zone": zone,
+            "Version": "v1",
+            "Slots": 8,
+            "State": state,
+            "ColdLeftMs": 0,
+            "Sequence": 1,
+        }
+        if self.stage:
+            entry |= {"Stage": self.stage, "Models": [{"Name": "m", "Version": 1, "Adapters": []}]}
+        return entry
+
+    def runs_of(self, request_id: str) -> int:
+        """How often a request has run here."""
+        return self.ran.count(request_id)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            async for request in _requests(reader):
+                self.received.append(request)
+                if not await self._answer(request, reader, writer):
+                    break
+        self._writers.discard(writer)
+        writer.close()
+
+    async def _answer(
+        self, request: Received, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        expected = request.headers.get("x-croftchute-expect-instance")
+        if expected is not None and expected != self.id:
+            self._send(writer, request, 421, {"X-Croftchute-Instance-Id": self.id})
+            return True
+        if request.path == "/hold-take":
+            return self._take_hold(request, writer)
+        if request.path.startswith("/hold-drop/"):
+            self.holds.discard(request.path.rpartition("/")[2])
+            self._send(writer, request, 200, {})
+            return True
+        if request.path.startswith("/kv-handle/"):
+            self.handles.discard(request.path.rpartition("/")[2])
+            self._send(writer, request, 200, {})
+            return True
+        if request.path == "/report":
+            self._send(writer, request, 200, {}, msgspec.json.encode({"Sequence": 5}))
+            return True
+        if request.path == "/order":
+            self.orders.append(msgspec.json.decode(request.body))
+            self._send(writer, request, 202, {})
+            return True
+        return await self._run(request, reader, writer)
+
+    def _take_hold(self, request: Received, writer: asyncio.StreamWriter) -> bool:
+        if self.faults.has_no_room:
+            self._send(writer, request, 503, {})
+            return True
+        hold = f"hold-{next(self._numbers)}"
+        self.holds.add(hold)
+        self._send(writer, request, 200, {}, msgspec.json.encode({"Hold": hold}))
+        return True
+
+    async def _run(
+        self, request: Received, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        faults = self.faults
+        if faults.is_full:
+            self._send(writer, request, 503, {"X-Croftchute-Not-Executed": "1"})
+            return True
+        is_prefill = request.headers.get("x-croftchute-stage") == "prefill"
+        if is_prefill != (self.stage == "prefill"):
+            self._send(writer, request, 421, {"X-Croftchute-Instance-Id": self.id})
+            return True
+        source = request.headers.get("x-croftchute-kv-source", "")
+        if source and faults.handles_lapse:
+            self._send(writer, request, 503, {"X-Croftchute-Not-Executed": "1"})
+            return True
+        self.holds.discard(request.headers.get("x-croftchute-kv-hold", ""))
+        if not is_prefill:
+            self.ran.append(request.id)
+        if faults.is_silent:
+            await self._wait_for_close(request, reader)
+            return False
+        if faults.resets_before_answer:
+            return self._reset(writer)
+        if not await self._work(request, reader):
+            return False
+        if is_prefill:
+            handle = f"handle-{next(self._numbers)}"
+            self.handles.add(handle)
+            body = msgspec.json.encode({"KvHandle": handle, "Tokens": 10, "Version": 1})
+            self._send(writer, request, 200, {}, body)
+            return True
+        if self.stage:
+            return await self._stream(request, reader, writer)
+        return self._whole(request, writer)
+
+    async def _work(self, request: Received, reader: asyncio.StreamReader) -> bool:
+        """Work for a while; False if the caller's connection was closed meanwhile."""
+        if self.work_s <= 0.0:
+            return True
+        try:
+            async with asyncio.timeout(self.work_s):
+                await self._wait_for_close(request, reader)
+        except TimeoutError:
+            return True
+        return False
+
+    async def _wait_for_close(self, request: Received, reader: asyncio.StreamReader) -> None:
+        with contextlib.suppress(ConnectionError):
+            await reader.read(1)
+        self.dropped.append(request.id)
+
+    def _whole(self, request: Received, writer: asyncio.StreamWriter) -> bool:
+        faults = self.faults
+        if faults.sends_surplus_first:
+            faults.sends_surplus_first = False
+            other = Received(
+                method="GET",
+                path="/",
+                headers={"x-croftchute-request-id": "another"},
+                body=b"",
+            )
+            self._send(writer, other, 200, {}, b"of another request")
+        status = faults.status or 200
+        body = f"answer of {self.id} to {request.id}".encode()
+        headers = {} if faults.lacks_stamp else {"X-Croftchute-Server-Stamp": STAMP}
+        headers["X-Croftchute-Server-Load"] = "1,0,8"
+        if faults.is_unframed:
+            head = _head(status, request, headers)
+            writer.write(head + body)
+            if faults.cuts_body:
+                self._reset(writer)
+            else:
+                writer.close()
+            return False
+        if faults.cuts_body:
+            writer.write(_head(status, request, headers | {"Content-Length": str(len(body))}))
+            writer.write(body[: len(body) // 2])
+            writer.close()
+            return False
+        self._send(writer, request, status, headers, body)
+        self.finished.append(request.id)
+        return True
+
+    async def _stream(
+        self, request: Received, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        faults = self.faults
+        headers = {
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+            "X-Croftchute-Server-Stamp": STAMP,
+        }
+        writer.write(_head(faults.status or 200, request, headers))
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for sent, number in enumerate(range(first, self.events + 1)):
+            if faults.resets_after_events == sent:
+                await writer.drain()
+                return self._reset(writer)
+            if faults.hangs_after_events == sent:
+                await self._wait_for_close(request, reader)
+                return False
+            event = f"id: {number}\ndata: token-{number}\n\n".encode()
+            if faults.ends_inside_event == sent:
+                _write_chunk(writer, event[:6])
+                writer.close()
+                return False
+            _write_chunk(writer, event)
+            if faults.repeats_event == sent:
+                _write_chunk(writer, event)
+            if self.gap_s > 0.0 and not await self._pause(request, reader):
+                return False
+        writer.write(b"0\r\n\r\n")
+        self.finished.append(request.id)
+        return True
+
+    async def _pause(self, request: Received, reader: asyncio.StreamReader) -> bool:
+        try:
+            async with asyncio.timeout(self.gap_s):
+                await self._wait_for_close(request, reader)
+        except TimeoutError:
+            return True
+        return False
+
+    def _send(
+        self,
+        writer: asyncio.StreamWriter,
+        request: Received,
+        status: int,
+        headers: Headers,
+        body: bytes = b"",
+    ) -> None:
+        headers = headers | {"Content-Length": str(len(body))}
+        writer.write(_head(status, request, headers) + body)
+
+
+def _head(status: int, request: Received, headers: Headers) -> bytes:
+    lines = [f"HTTP/1.1 {status} Status"]
+    if request.id:
+        lines.append(f"X-Croftchute-Request-Id: {request.id}")
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+
+async def _requests(reader: asyncio.StreamReader) -> AsyncIterator[Received]:
+    """Requests from a connection until it ends."""
+    while head := await _read_head(reader):
+        first, *rest = head.decode("latin-1").split("\r\n")
+        method, path, _ = first.split(" ", 2)
+        headers: Headers = {}
+        for line in rest:
+            name, _, value = line.partition(":")
+            if name:
+                headers[name.strip().lower()] = value.strip()
+        length = int(headers.get("content-length", "0"))
+        body = await reader.readexactly(length) if length else b""
+        yield Received(method=method, path=path, headers=headers, body=body)
+
+
+async def _read_head(reader: asyncio.StreamReader) -> bytes:
+    try:
+        return await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return b""
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -7,8 +7,7 @@
 REPEAT_SHARE_OF_TARGET = 0.6
 FIRST_EVENT_SHARE_OF_TARGET = 0.6
 TYPICAL_MULTIPLE = 3.0
-PREFILL_BASE_S = 0.15
-PREFILL_S_PER_TOKEN = 6e-5
+PREFILL_SHARE_OF_TARGET = 0.7
 GAP_MULTIPLE = 3.0
 MIN_GAP_S = 0.6
 CONNECT_S = 0.25
@@ -26,7 +25,6 @@
 HOLD_OUTPUT_MARGIN = 0.9
 FULL_FOR_S = 0.03
 ORDER_TIMEOUT_S = 1.0
-SLOW_PREFILL_SHARE = 0.45
 HOLD_TIMEOUT_S = 0.08
 
 
@@ -41,9 +39,12 @@
     return min(FIRST_EVENT_SHARE_OF_TARGET * route.target_s, time_left_s)
 
 
-def prefill_patience(tokens: int, *, time_left_s: float) -> float:
-    """How long a prefill call may take; a decode worker can read the prompt itself."""
-    return min(PREFILL_BASE_S + PREFILL_S_PER_TOKEN * tokens, time_left_s)
+def prefill_patience(route: Route, *, time_left_s: float) -> float:
+    """How long a prefill call may take before the decode worker reads the prompt itself.
+
+    That slows all other streams of the decode worker, so nearly all of the target is given.
+    """
+    return min(PREFILL_SHARE_OF_TARGET * route.target_s, time_left_s)
 
 
 def gap_patience(route: Route, *, time_left_s: float) -> float:
@@ -85,11 +86,6 @@
     return 0.8 * REFUSAL_SHARE_OF_TARGET * route.target_s
 
 
-def is_prefill_slow(route: Route, prefill_s: float) -> bool:
-    """Whether the wait for a prefill worker would cost the target: decode reads the prompt then."""
-    return prefill_s >= SLOW_PREFILL_SHARE * route.target_s
-
-
 def hold_tokens(prompt_tokens: int, output_tokens: int, expected_output: int | None) -> int:
     """How much decode memory to reserve: the prompt, and what the answer will likely add.
 
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 
 from croftchute.peers.messages import BoxNotice
-from croftchute.tables.peers import Peer
+from croftchute.systems.stage_balance import DemandCounts
+from croftchute.tables.peers import Peer, WorkerNotice
 
 FRESH_S = 1.5
 COUNTED_S = 12.0
@@ -44,7 +45,7 @@
             workers_revision=notice.workers_revision,
             is_leaving=notice.is_leaving,
             workers_by_id={entry.worker: entry for entry in notice.workers},
-            pressures_by_service={entry.service: entry for entry in notice.pressures},
+            demand_by_service={entry.service: entry for entry in notice.demands},
         )
         return known is None or known.started_at < notice.started_at
 
@@ -90,15 +91,16 @@
         """What other boxes hold against a worker."""
         return sum(entry.failures for entry in self._entries(worker_id, now))
 
-    def pressure(self, service: str, now: float) -> tuple[int, int]:
-        """Asks for decode memory of other boxes, and those refused."""
-        asks = refused = 0
+    def demand(self, service: str, now: float) -> DemandCounts:
+        """What was asked of a service at other boxes."""
+        total = DemandCounts()
         for peer in self.peers_by_id.values():
-            entry = (peer.pressures_by_service or {}).get(service)
+            entry = (peer.demand_by_service or {}).get(service)
             if entry is not None and now - peer.heard_at <= FRESH_S:
-                asks += entry.asks
-                refused += entry.refused
-        return asks, refused
+                total += DemandCounts(
+                    asks=entry.asks, refused=entry.refused, accepted_tokens=entry.accepted_tokens
+                )
+        return total
 
     def newest(self, now: float) -> tuple[Peer | None, Peer | None]:
         """The live peers with the newest configuration and the newest worker list."""
@@ -109,7 +111,7 @@
         by_workers = max(live, key=lambda peer: peer.workers_revision)
         return by_config, by_workers
 
-    def _entries(self, worker_id: str, now: float) -> list:
+    def _entries(self, worker_id: str, now: float) -> list[WorkerNotice]:
         return [
             entry
             for peer in self.peers_by_id.values()
--- a/src/croftchute/systems/stage_balance.py
+++ b/src/croftchute/systems/stage_balance.py
@@ -1,7 +1,8 @@
 """Whether an engine of a service should change its stage, and which.
 
-A stage is changed only on evidence: no decode worker is left, or callers have lately been turned
-away for want of decode memory while there are more prefill workers than the service needs.
+A stage is changed only on evidence: a stage has no worker left, or decode memory is short while
+prefill workers have time to spare. A decode worker that reads prompts itself slows all of its
+streams several times, so one prefill worker always stays.
 """
 
 from __future__ import annotations
@@ -16,8 +17,8 @@
 WINDOW_S = 5.0
 MIN_ASKS = 8
 MIN_REFUSED_SHARE = 0.1
-PREFILL_SHARE = 0.2
-SMALLEST_SPLIT = 3
+MAX_PREFILL_USE = 0.65
+DEFAULT_PREFILL_PACE = 20_000.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -29,68 +30,111 @@
     reason: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DemandCounts:
+    """Asks for decode memory in the window, those refused, and the prompts of the others."""
+
+    asks: int = 0
+    refused: int = 0
+    accepted_tokens: int = 0
+
+    @property
+    def refused_share(self) -> float:
+        """The share of refused asks; 0 while there are too few to judge by.
+
+        >>> DemandCounts(asks=2, refused=2).refused_share
+        0.0
+        >>> DemandCounts(asks=10, refused=4).refused_share
+        0.4
+        """
+        return self.refused / self.asks if self.asks >= MIN_ASKS else 0.0
+
+    def __add__(self, other: DemandCounts) -> DemandCounts:
+        return DemandCounts(
+            asks=self.asks + other.asks,
+            refused=self.refused + other.refused,
+            accepted_tokens=self.accepted_tokens + other.accepted_tokens,
+        )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Ask:
+    """One request that asked for decode memory."""
+
+    at: float
+    is_refused: bool
+    prompt_tokens: int
+
+
 @dataclass(kw_only=True)
-class DecodePressure:
-    """Asks for room at decode workers in the last seconds, and how many were refused by all."""
+class StageDemand:
+    """What requests of a service have asked for lately, and how quickly prompts are read."""
 
-    asks: deque[tuple[float, bool]] = field(default_factory=deque)
+    asks: deque[_Ask] = field(default_factory=deque)
+    prefill_pace: float = DEFAULT_PREFILL_PACE
 
-    def note(self, now: float, *, is_refused: bool) -> None:
+    def note_ask(self, now: float, *, is_refused: bool, prompt_tokens: int) -> None:
         """Count one request that asked for room."""
-        self.asks.append((now, is_refused))
+        self.asks.append(_Ask(at=now, is_refused=is_refused, prompt_tokens=prompt_tokens))
         self._expire(now)
 
-    def counts(self, now: float) -> tuple[int, int]:
-        """Asks in the window, and those that were refused."""
+    def note_prefill(self, tokens: int, seconds: float) -> None:
+        """Learn the pace, in tokens a second, from the quickest prefill seen."""
+        if seconds > 0.0:
+            self.prefill_pace = max(self.prefill_pace, tokens / seconds)
+
+    def counts(self, now: float) -> DemandCounts:
+        """What was asked in the window."""
         self._expire(now)
-        return len(self.asks), sum(is_refused for _, is_refused in self.asks)
+        return DemandCounts(
+            asks=len(self.asks),
+            refused=sum(ask.is_refused for ask in self.asks),
+            accepted_tokens=sum(ask.prompt_tokens for ask in self.asks if not ask.is_refused),
+        )
 
     def clear(self) -> None:
         """Forget the asks, once something has been done about them."""
         self.asks.clear()
 
     def _expire(self, now: float) -> None:
-        while self.asks and now - self.asks[0][0] > WINDOW_S:
+        while self.asks and now - self.asks[0].at > WINDOW_S:
             self.asks.popleft()
 
 
-def prefill_workers_needed(total: int) -> int:
-    """How many engines of a service stay with prefill whatever the pressure.
+def prefill_use(counts: DemandCounts, *, workers: int, pace: float) -> float:
+    """The share of their time that so many prefill workers would be busy.
 
-    >>> [prefill_workers_needed(total) for total in (1, 2, 3, 5, 9, 40)]
-    [0, 0, 1, 1, 2, 8]
+    >>> prefill_use(DemandCounts(accepted_tokens=250_000), workers=2, pace=50_000.0)
+    0.5
     """
-    if total < SMALLEST_SPLIT:
-        return 0
-    return max(1, round(PREFILL_SHARE * total))
-
-
-def refused_share(asks: int, refused: int) -> float:
-    """The share of refused asks; 0 while there are too few to judge by.
-
-    >>> refused_share(2, 2), refused_share(10, 4)
-    (0.0, 0.4)
-    """
-    return refused / asks if asks >= MIN_ASKS else 0.0
+    return counts.accepted_tokens / WINDOW_S / (workers * pace) if workers else 1.0
 
 
 def wanted_change(
-    beliefs: Sequence[WorkerBelief], *, asks: int, refused: int
+    beliefs: Sequence[WorkerBelief], counts: DemandCounts, *, prefill_pace: float
 ) -> StageChange | None:
     """The stage change that a service needs, given the asks of all boxes lately."""
     listed = [b for b in beliefs if b.gone_at is None and b.worker.state is WorkerState.READY]
     prefills = [b for b in listed if b.worker.stage is Stage.PREFILL]
     decodes = [b for b in listed if b.worker.stage is Stage.DECODE]
-    if not prefills:
+    if not decodes and prefills:
+        return _change(prefills, Stage.DECODE, "no decode worker is listed")
+    if not prefills and len(decodes) > 1:
+        return _change(decodes, Stage.PREFILL, "no prefill worker is listed")
+    if len(prefills) < 2:
+        return None
+    use = prefill_use(counts, workers=len(prefills) - 1, pace=prefill_pace)
+    if use > MAX_PREFILL_USE:
         return None
-    reason = ""
-    if not decodes:
-        reason = "no decode worker is listed"
-    elif len(prefills) > prefill_workers_needed(len(listed)):
-        share = refused_share(asks, refused)
-        if share >= MIN_REFUSED_SHARE:
-            reason = f"{share:.2f} of the asks for decode memory refused"
-    if not reason:
+    if len(prefills) >= len(decodes):
+        return _change(prefills, Stage.DECODE, f"{len(prefills)} prefill, {len(decodes)} decode")
+    share = counts.refused_share
+    if share < MIN_REFUSED_SHARE:
         return None
-    idlest = min(prefills, key=lambda b: (b.tokens_in_flight, b.worker.id))
-    return StageChange(worker=idlest.worker, stage=Stage.DECODE, reason=reason)
+    reason = f"{share:.2f} of asks for decode memory refused, prefill use {use:.2f} without it"
+    return _change(prefills, Stage.DECODE, reason)
+
+
+def _change(beliefs: Sequence[WorkerBelief], stage: Stage, reason: str) -> StageChange:
+    idlest = min(beliefs, key=lambda b: (b.tokens_in_flight, b.worker.id))
+    return StageChange(worker=idlest.worker, stage=stage, reason=reason)
--- a/src/croftchute/tables/peers.py
+++ b/src/croftchute/tables/peers.py
@@ -15,12 +15,13 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class PressureNotice:
-    """Asks for decode memory that a box made in its window, and those refused by all."""
+class DemandNotice:
+    """Asks for decode memory at a box in its window, those refused, the prompts of the others."""
 
     service: str
     asks: int
     refused: int
+    accepted_tokens: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,4 +38,4 @@
     workers_revision: int = 0
     is_leaving: bool = False
     workers_by_id: dict[str, WorkerNotice] | None = None
-    pressures_by_service: dict[str, PressureNotice] | None = None
+    demand_by_service: dict[str, DemandNotice] | None = None
--- /dev/null
+++ b/tests/platform_adapter/test_streams.py
@@ -0,0 +1,238 @@
+"""Streams through the adapter: prefill, decode, resuming, and what callers who leave leave."""
+
+import asyncio
+
+import pytest
+from platform_fleet import ask, config, fleet, request_bytes, route, run, until
+
+
+async def engines(made, *, decodes=2, prefills=1, **options):
+    decode = [
+        await made.add_worker(f"d{n}", service="llm", stage="decode", **options)
+        for n in range(decodes)
+    ]
+    prefill = [
+        await made.add_worker(f"p{n}", service="llm", stage="prefill") for n in range(prefills)
+    ]
+    box = await made.add_box()
+    await made.ready(box)
+    return box, decode, prefill
+
+
+def numbers(answer):
+    return [int(event.split(b"\n")[0].removeprefix(b"id: ")) for event in answer.events]
+
+
+def ran(workers, request_id="r1"):
+    return sum(worker.runs_of(request_id) for worker in workers)
+
+
+def test_a_prompt_is_read_apart_and_its_cache_handed_over_under_a_hold():
+    async def body():
+        async with fleet() as made:
+            box, decode, prefill = await engines(made, decodes=1)
+            answer = await ask(box, "/stream/x")
+            assert answer.status == 200 and answer.is_whole
+            assert numbers(answer) == [1, 2, 3, 4]
+            got = decode[0].received[-1].headers
+            assert got["x-croftchute-kv-source"].startswith(f"127.0.0.1:{prefill[0].port}/")
+            assert got["x-croftchute-kv-hold"].startswith("hold-")
+            assert not decode[0].holds
+
+    run(body)
+
+
+def test_without_a_prefill_worker_the_decode_worker_reads_the_prompt():
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made, decodes=1, prefills=0)
+            answer = await ask(box, "/stream/x")
+            assert answer.is_whole
+            assert "x-croftchute-kv-source" not in decode[0].received[-1].headers
+
+    run(body)
+
+
+def test_full_decode_workers_refuse_before_any_prompt_is_read():
+    async def body():
+        async with fleet() as made:
+            box, decode, prefill = await engines(made)
+            for worker in decode:
+                worker.faults.has_no_room = True
+            answer = await ask(box, "/stream/x")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+            assert prefill[0].received == []
+            assert ran(decode) == 0
+
+    run(body)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"resets_after_events": 2},
+        {"ends_inside_event": 2},
+        {"hangs_after_events": 2},
+        {"resets_after_events": 0},
+        {"repeats_event": 1},
+    ],
+    ids=lambda fault: next(iter(fault)) + str(next(iter(fault.values()))),
+)
+def test_a_resumable_stream_goes_on_at_another_worker_without_a_gap(fault):
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made, decodes=1)
+            for name, value in fault.items():
+                setattr(decode[0].faults, name, value)
+            good = await made.add_worker("good", service="llm", stage="decode", zone="far")
+            await made.ready(box)
+            answer = await ask(box, "/resume/x", "r1", deadline=8000)
+            assert answer.status == 200 and answer.is_whole
+            assert numbers(answer) == [1, 2, 3, 4]
+            assert good.runs_of("r1") == 1
+
+    run(body)
+
+
+@pytest.mark.parametrize("fault", ["resets_after_events", "ends_inside_event"])
+def test_a_stream_that_may_run_only_once_is_cut_and_never_looks_whole(fault):
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made)
+            for worker in decode:
+                setattr(worker.faults, fault, 2)
+            answer = await ask(box, "/stream/x")
+            assert answer.status == 200
+            assert not answer.is_whole
+            assert numbers(answer) == [1, 2]
+            assert ran(decode) == 1
+
+    run(body)
+
+
+def test_a_caller_that_resumes_gets_what_it_lacks():
+    async def body():
+        async with fleet() as made:
+            box, _, _ = await engines(made)
+            answer = await ask(box, "/resume/x", extra=("Last-Event-Id: 2",))
+            assert numbers(answer) == [3, 4]
+
+    run(body)
+
+
+def test_a_handle_that_lapsed_costs_no_second_worker():
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made)
+            for worker in decode:
+                worker.faults.handles_lapse = True
+            answer = await ask(box, "/stream/x")
+            assert answer.is_whole
+            assert len([worker for worker in decode if worker.received[1:]]) == 1
+
+    run(body)
+
+
+def test_a_caller_that_leaves_midway_frees_the_decode_worker():
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made, events=1000, gap_s=0.05)
+            reader, writer = await asyncio.open_connection("127.0.0.1", box.ingress.port)
+            writer.write(request_bytes("/stream/x", "r1"))
+            await reader.readuntil(b"id: 2")
+            writer.transport.abort()
+            await until(lambda: sum(len(worker.dropped) for worker in decode) == 1)
+
+    run(body)
+
+
+def test_a_caller_that_leaves_while_its_prompt_is_read_leaves_no_hold_behind():
+    async def body():
+        async with fleet() as made:
+            box, decode, prefill = await engines(made)
+            prefill[0].work_s = 30.0
+            reader, writer = await asyncio.open_connection("127.0.0.1", box.ingress.port)
+            writer.write(request_bytes("/stream/x", "r1"))
+            await until(lambda: prefill[0].received)
+            assert any(worker.holds for worker in decode)
+            writer.transport.abort()
+            await until(lambda: prefill[0].dropped)
+            await until(lambda: not any(worker.holds for worker in decode))
+            assert ran(decode) == 0
+
+    run(body)
+
+
+def test_a_handle_that_nobody_will_use_is_freed():
+    async def body():
+        async with fleet() as made:
+            box, decode, prefill = await engines(made, decodes=1)
+            decode[0].faults.is_full = True
+            answer = await ask(box, "/stream/x")
+            assert answer.status == 503
+            await until(lambda: not prefill[0].handles)
+
+    run(body)
+
+
+def test_events_are_passed_on_as_they_come():
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made, decodes=1, events=50, gap_s=0.02)
+            reader, writer = await asyncio.open_connection("127.0.0.1", box.ingress.port)
+            writer.write(request_bytes("/stream/x", "r1"))
+            await reader.readuntil(b"id: 1")
+            assert decode[0].finished == []
+            answer = await read_answer_rest(reader)
+            assert answer
+            writer.close()
+
+    run(body)
+
+
+async def read_answer_rest(reader):
+    return await reader.readuntil(b"0\r\n\r\n")
+
+
+def test_a_stream_ends_at_the_routes_time_out():
+    async def body():
+        routes = [route("stream", "/stream/", "streaming", "llm", TimeoutMs=400, MaxAttempts=1)]
+        async with fleet(config=config(routes=routes)) as made:
+            box, decode, _ = await engines(made, events=1000, gap_s=0.05)
+            answer = await ask(box, "/stream/x")
+            assert not answer.is_whole
+            await until(lambda: sum(len(worker.dropped) for worker in decode) == 1)
+
+    run(body)
+
+
+def test_a_cut_stream_to_an_old_caller_is_reset_not_ended():
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made)
+            for worker in decode:
+                worker.faults.resets_after_events = 2
+            reader, writer = await asyncio.open_connection("127.0.0.1", box.ingress.port)
+            data = request_bytes("/stream/x", "r1").replace(b"HTTP/1.1", b"HTTP/1.0", 1)
+            writer.write(data)
+            with pytest.raises(ConnectionError):
+                while await reader.read(4096):
+                    pass
+
+    run(body)
+
+
+def test_refusal_and_answer_of_many_streams_at_once_add_up():
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made, decodes=3, events=3)
+            answers = await asyncio.gather(
+                *(ask(box, "/stream/x", f"r{number}") for number in range(60))
+            )
+            assert all(answer.status == 200 and answer.is_whole for answer in answers)
+            for number in range(60):
+                assert ran(decode, f"r{number}") == 1
+            assert not any(worker.holds for worker in decode)
+
+    run(body)
--- a/tests/systems/test_patience.py
+++ b/tests/systems/test_patience.py
@@ -37,4 +37,4 @@
 def test_no_patience_outlasts_the_caller():
     assert patience.answer_patience(ROUTE, typical_s=5.0, time_left_s=0.3) == 0.3
     assert patience.gap_patience(ROUTE, time_left_s=0.1) == 0.1
-    assert patience.prefill_patience(100_000, time_left_s=0.2) == 0.2
+    assert patience.prefill_patience(ROUTE, time_left_s=0.2) == 0.2
--- a/tests/systems/test_peer_table.py
+++ b/tests/systems/test_peer_table.py
@@ -3,7 +3,8 @@
 
 from croftchute.peers.messages import BoxNotice
 from croftchute.systems.peer_table import COUNTED_S, FANOUT, FORGET_S, PeerTable
-from croftchute.tables.peers import PressureNotice, WorkerNotice
+from croftchute.systems.stage_balance import DemandCounts
+from croftchute.tables.peers import DemandNotice, WorkerNotice
 
 NOTICE = BoxNotice(
     started_at=100.0,
@@ -13,7 +14,7 @@
     config_version=3,
     workers_revision=9,
     workers=(WorkerNotice(worker="w", in_flight=2, failures=1.5),),
-    pressures=(PressureNotice(service="s", asks=10, refused=4),),
+    demands=(DemandNotice(service="s", asks=10, refused=4, accepted_tokens=500),),
 )
 
 
@@ -22,9 +23,10 @@
     assert table.hear("b", NOTICE, 0.0)
     assert table.in_flight("w", 1.0) == 2
     assert table.failures("w", 1.0) == 1.5
-    assert table.pressure("s", 1.0) == (10, 4)
+    told = DemandCounts(asks=10, refused=4, accepted_tokens=500)
+    assert table.demand("s", 1.0) == told
     assert table.in_flight("w", 10.0) == 0
-    assert table.pressure("s", 10.0) == (0, 0)
+    assert table.demand("s", 10.0) == DemandCounts()
 
 
 def test_an_earlier_life_of_a_box_is_not_heard():
