--- a/src/croftchute/forwarding/http_client.py
+++ b/src/croftchute/forwarding/http_client.py
@@ -23,6 +23,8 @@
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset({204, 304})
 USER_TIMEOUT_MS = 1500
+PROBE_S = 1
+PROBES = 2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -48,7 +50,8 @@
     value belong to earlier requests and are passed over.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_probed: bool = False) -> None:
+        self.is_probed = is_probed
         self.transport: asyncio.Transport | None = None
         self.head: ResponseHead | None = None
         self.is_complete = False
@@ -80,6 +83,8 @@
         if raw is not None:
             with contextlib.suppress(OSError):
                 raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+                if self.is_probed:
+                    _probe_while_silent(raw)
 
     def data_received(self, data: bytes) -> None:
         """Parse; bytes that no request asked for make the connection unusable."""
@@ -287,12 +292,24 @@
     return DEFAULT_KEEP_ALIVE_S
 
 
-async def open_connection(host: str, port: int, timeout_s: float) -> ClientConnection:
+def _probe_while_silent(raw: socket.socket) -> None:
+    """Have a peer that vanished noticed while nothing is sent to it."""
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+
+
+async def open_connection(
+    host: str, port: int, timeout_s: float, *, is_probed: bool = False
+) -> ClientConnection:
     """Connect within some time; raises :class:`ConnectFailedError`."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, protocol = await loop.create_connection(ClientConnection, host, port)
+            _, protocol = await loop.create_connection(
+                lambda: ClientConnection(is_probed=is_probed), host, port
+            )
     except (OSError, TimeoutError) as error:
         raise ConnectFailedError(f"{host}:{port}: {error or 'timed out'}") from None
     return protocol
@@ -301,8 +318,9 @@
 class ConnectionPool:
     """Idle connections by server; the one used last is used first."""
 
-    def __init__(self, *, max_idle: int = 8) -> None:
+    def __init__(self, *, max_idle: int = 8, is_probed: bool = False) -> None:
         self.max_idle = max_idle
+        self.is_probed = is_probed
         self.opened = 0
         self._idle_by_server: dict[tuple[str, int, str], list[ClientConnection]] = {}
 
@@ -316,7 +334,7 @@
             if connection.is_fresh(now):
                 return connection
             connection.abort()
-        connection = await open_connection(host, port, timeout_s)
+        connection = await open_connection(host, port, timeout_s, is_probed=self.is_probed)
         self.opened += 1
         return connection
 
--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -162,7 +162,7 @@
             self.state.log.decide(
                 Decision.WORKER_GONE, worker=worker_id, revision=listing.revision, source=source
             )
-        self._heard(listing.revision)
+        self._heard(listing.newest if source == "store" else listing.revision)
 
     def _workers_changed(self, changes: Changes) -> None:
         for item in changes.written:
@@ -177,7 +177,7 @@
                     revision=changes.revision,
                     source="watch",
                 )
-        self._heard(changes.revision)
+        self._heard(changes.newest)
 
     def _take_worker(self, item: StoredItem) -> None:
         try:
--- a/src/croftchute/storage/watched.py
+++ b/src/croftchute/storage/watched.py
@@ -25,14 +25,20 @@
     items: tuple[StoredItem, ...]
     revision: int
 
+    @property
+    def newest(self) -> int:
+        """The revision of the newest of the items; 0 if there is none."""
+        return max((item.revision for item in self.items), default=0)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Changes:
-    """Items written and keys removed, up to a revision; in the order of the changes."""
+    """Items written and keys removed up to a revision; ``newest`` is that of the last of them."""
 
     written: tuple[StoredItem, ...]
     removed: tuple[str, ...]
     revision: int
+    newest: int = 0
 
 
 class HistoryGoneError(StoreError):
