--- /dev/null
+++ b/tests/forwarding/test_http_server.py
@@ -0,0 +1,190 @@
+"""The callers' side of HTTP at the socket: what is read, refused, and how connections end."""
+
+import asyncio
+
+import pytest
+
+from croftchute.forwarding.http_server import HttpIngress
+from croftchute.tables.routing import IngressLimits
+
+LIMITS = IngressLimits(
+    max_header_bytes=512, max_body_bytes=1000, header_timeout_s=0.2, idle_timeout_s=0.3
+)
+
+
+async def echo(exchange):
+    request = exchange.request
+    exchange.send(200, [(b"x-method", request.method.encode())], request.body)
+
+
+def serve(test, *, handler=echo, limits=LIMITS):
+    async def body():
+        async with asyncio.timeout(30):
+            ingress = HttpIngress(handler=handler, limits=lambda: limits)
+            await ingress.listen("127.0.0.1", 0)
+            reader, writer = await asyncio.open_connection("127.0.0.1", ingress.port)
+            try:
+                await test(reader, writer, ingress)
+            finally:
+                writer.close()
+                ingress.stop_accepting()
+
+    asyncio.run(body())
+
+
+async def answer_to(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    length = 0
+    for line in head.lower().split("\r\n"):
+        if line.startswith("content-length:"):
+            length = int(line.partition(":")[2])
+    return int(head.split()[1]), head, await reader.readexactly(length)
+
+
+@pytest.mark.parametrize(
+    ("data", "body"),
+    [
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", b"abc"),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+            b"abc",
+        ),
+        (b"GET / HTTP/1.1\r\nHost: a\r\n\r\n", b""),
+    ],
+)
+def test_a_body_is_read_however_it_is_framed_and_torn(data, body):
+    async def test(reader, writer, ingress):
+        for byte in data:
+            writer.write(bytes([byte]))
+            await writer.drain()
+        assert (await answer_to(reader))[::2] == (200, body)
+
+    serve(test, limits=IngressLimits())
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nX-Long: " + b"x" * 600 + b"\r\n\r\n", 431),
+        (b"POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n", 413),
+        (
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"3f0\r\n" + b"x" * 1008,
+            413,
+        ),
+    ],
+)
+def test_what_may_not_be_sent_is_refused_and_the_connection_ends(data, status):
+    async def test(reader, writer, ingress):
+        writer.write(data)
+        assert (await answer_to(reader))[0] == status
+        assert await reader.read() == b""
+
+    serve(test)
+
+
+def test_headers_that_take_too_long_are_refused():
+    async def test(reader, writer, ingress):
+        writer.write(b"GET / HTTP/1.1\r\nHost")
+        assert (await answer_to(reader))[0] == 408
+
+    serve(test)
+
+
+def test_an_idle_connection_is_closed_and_a_busy_one_is_not():
+    async def slow(exchange):
+        await asyncio.sleep(0.6)
+        await echo(exchange)
+
+    async def test(reader, writer, ingress):
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await answer_to(reader))[0] == 200
+        assert await reader.read() == b""
+
+    serve(test, handler=slow)
+
+
+def test_a_body_is_asked_for_when_the_caller_waits():
+    async def test(reader, writer, ingress):
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        )
+        assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        writer.write(b"ok")
+        assert (await answer_to(reader))[2] == b"ok"
+
+    serve(test)
+
+
+def test_requests_sent_ahead_are_answered_in_their_order():
+    async def test(reader, writer, ingress):
+        for number in range(20):
+            writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n%02d" % number)
+        for number in range(20):
+            assert (await answer_to(reader))[2] == b"%02d" % number
+
+    serve(test)
+
+
+def test_a_caller_that_leaves_ends_its_handler():
+    ended = []
+
+    async def wait(exchange):
+        try:
+            await asyncio.sleep(3600)
+        except asyncio.CancelledError:
+            ended.append(exchange.request.target)
+            raise
+
+    async def test(reader, writer, ingress):
+        writer.write(b"GET /left HTTP/1.1\r\nHost: a\r\n\r\n")
+        while not ingress.open_requests:
+            await asyncio.sleep(0.01)
+        writer.transport.abort()
+        while not ended:
+            await asyncio.sleep(0.01)
+        assert ended == ["/left"]
+
+    serve(test, handler=wait)
+
+
+def test_a_handler_that_fails_ends_the_connection_and_never_answers_half():
+    async def fail(exchange):
+        exchange.start(200, b"", [])
+        await exchange.write(b"half")
+        raise ValueError("broken on purpose")
+
+    async def test(reader, writer, ingress):
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        data = b""
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            while True:
+                data += await reader.readexactly(1)
+        assert not data.endswith(b"0\r\n\r\n")
+
+    serve(test, handler=fail)
+
+
+def test_a_caller_that_does_not_read_holds_the_writer_up():
+    written = []
+
+    async def flood(exchange):
+        exchange.start(200, b"", [])
+        for number in range(2000):
+            await exchange.write(b"x" * 10_000)
+            written.append(number)
+
+    async def test(reader, writer, ingress):
+        writer.transport.pause_reading()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        while not written:
+            await asyncio.sleep(0.01)
+        before = -1
+        while len(written) != before:
+            before = len(written)
+            await asyncio.sleep(0.2)
+        assert len(written) < 2000
+
+    serve(test, handler=flood)
--- /dev/null
+++ b/tests/platform_adapter/test_life.py
@@ -0,0 +1,188 @@
+"""Start, readiness, reload and stop of a box on the platform."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from platform_fleet import ask, fleet, read_answer, request_bytes, run, until
+
+from croftchute.errors import DocumentError
+from croftchute.forwarding.decision_log import Decision
+from croftchute.router_settings import parse_router_settings
+
+ROOT = Path(__file__).resolve().parents[2]
+SETTINGS = {
+    "box": "b",
+    "hall": "h",
+    "callers": "127.0.0.1:0",
+    "health": "127.0.0.1:0",
+    "store": "127.0.0.1:1",
+    "control": "127.0.0.1:0",
+    "notice_port": 0,
+    "peer_keys": ["k" * 16],
+}
+
+
+async def health(box):
+    reader, writer = await asyncio.open_connection("127.0.0.1", box.health.port)
+    writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+    answer = await read_answer(reader)
+    writer.close()
+    return answer.status
+
+
+def test_a_box_is_ready_once_it_knows_routes_and_workers():
+    async def body():
+        async with fleet() as made:
+            made.store.faults.refuses = True
+            box = await made.add_box()
+            assert await health(box) == 503
+            assert (await ask(box, "/once/x")).status == 503
+            made.store.faults.refuses = False
+            await made.add_worker("w1")
+            await made.ready(box)
+            assert await health(box) == 200
+
+    run(body)
+
+
+def test_a_planned_stop_says_so_at_once_and_finishes_what_is_open():
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1", work_s=0.3)
+            box = await made.add_box()
+            await made.ready(box)
+            reader, writer = await asyncio.open_connection("127.0.0.1", box.ingress.port)
+            writer.write(request_bytes("/once/x", "r1"))
+            await until(lambda: box.ingress.open_requests == 1)
+            stopping = asyncio.create_task(box.stop())
+            await until(lambda: box.is_stopping)
+            assert await health(box) == 503
+            answer = await read_answer(reader)
+            assert answer.status == 200 and answer.headers["connection"] == "close"
+            late = await ask(box, "/once/x", "r2")
+            assert late.status == 200
+            assert await stopping == 0
+            writer.close()
+
+    run(body)
+
+
+def test_a_stop_takes_no_longer_than_it_is_given_and_says_what_it_cut_off():
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1", work_s=60.0)
+            box = await made.add_box()
+            await made.ready(box)
+            _, writer = await asyncio.open_connection("127.0.0.1", box.ingress.port)
+            writer.write(request_bytes("/once/x", "r1", deadline=60000))
+            await until(lambda: box.ingress.open_requests == 1)
+            assert await box.stop() == 9
+            writer.close()
+
+    run(body)
+
+
+def test_settings_are_reloaded_and_faulty_ones_are_not(tmp_path):
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            box = await made.add_box()
+            await made.ready(box)
+            seen = []
+            box.state.log.observer = seen.append
+            path = tmp_path / "settings.json"
+            box.settings_path = path
+            path.write_text(json.dumps(SETTINGS | {"retry": {"slack": 99.0}}))
+            box.reload("signal")
+            assert seen[-1] is Decision.RELOADED
+            assert box.state.retry_limits.slack == 99.0
+            path.write_text("{")
+            box.reload("signal")
+            assert seen[-1] is Decision.RELOAD_FAILED
+            assert box.state.retry_limits.slack == 99.0
+
+    run(body)
+
+
+def test_metrics_are_told_as_text():
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            box = await made.add_box()
+            await made.ready(box)
+            await ask(box, "/once/x")
+            text = box.state.metrics.text().decode()
+            assert 'croftchute_requests_total{outcome="ok",route="once"} 1' in text
+            assert "croftchute_answer_seconds_bucket" in text
+            assert "croftchute_decisions_total" in text
+            assert "croftchute_store_calls_total" in text
+
+    run(body)
+
+
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ({"box": 3}, "$.box"),
+        ({"callers": "nowhere"}, "$.callers"),
+        ({"notice_port": 70000}, "$.notice_port"),
+        ({"retry": {"ratio": -1}}, "$.retry.ratio"),
+        ({"peer_keys": ["short"]}, "$.peer_keys"),
+    ],
+)
+def test_faulty_settings_name_the_path(change, path):
+    with pytest.raises(DocumentError) as caught:
+        parse_router_settings(json.dumps(SETTINGS | change).encode())
+    assert caught.value.faults[0].path.startswith(path)
+
+
+def test_unknown_fields_of_settings_pass():
+    assert parse_router_settings(json.dumps(SETTINGS | {"new": 1}).encode()).box == "b"
+
+
+@pytest.mark.parametrize("text", ["{", "{}", None])
+def test_a_start_with_faulty_settings_ends_with_a_line_and_a_status(tmp_path, text):
+    path = tmp_path / "settings.json"
+    if text is not None:
+        path.write_text(text)
+    ended = subprocess.run(
+        [sys.executable, str(ROOT / "platform" / "start.py")],
+        env={**os.environ, "CROFTCHUTE_CONFIG": str(path)},
+        capture_output=True,
+        check=False,
+    )
+    assert ended.returncode == 2
+    line = json.loads(ended.stdout.splitlines()[-1])
+    assert line["event"] == "start_failed" and line["detail"]
+
+
+def test_the_template_makes_settings_that_are_read():
+    """Each gap of the template is filled with the example of the platform's page."""
+    text = (ROOT / "platform" / "settings.json.template").read_text()
+    values = {
+        "{{NodeName|json}}": '"edge-plateau-1"',
+        "{{Zone|json}}": '"plateau"',
+        "{{Listen.Front|json}}": '"10.1.0.38:8149"',
+        "{{Listen.Ready|json}}": '"10.1.0.38:8141"',
+        "{{Listen.Control|json}}": '"10.1.0.38:8144"',
+        "{{PortRange.0}}": "7380",
+        "{{Seeds|json}}": '["10.1.0.38:8144", "10.2.0.40:8144"]',
+        "{{Platform.Address|json}}": '"10.200.1.7:8142"',
+        "{{Bounds.RetryRatio}}": "0.2",
+        "{{Bounds.RetryWindowS}}": "10",
+        "{{Bounds.RetrySlack}}": "56",
+        "{{Bounds.GraceS}}": "8",
+        "{{Bounds.LeaseMs}}": "3000",
+    }
+    for gap, value in values.items():
+        assert gap in text
+        text = text.replace(gap, value)
+    assert "{{" not in text
+    settings = parse_router_settings(text.encode())
+    assert settings.order_gap_s == 3.0
+    assert settings.retry.slack == 56.0
--- /dev/null
+++ b/tests/platform_adapter/test_store_and_peers.py
@@ -0,0 +1,201 @@
+"""What a box knows, and does, while the store fails it; and what it learns from its peers."""
+
+import asyncio
+
+from platform_fleet import ask, config, fleet, run, until
+
+from croftchute.tables.routing import WorkerState
+
+
+def test_a_new_configuration_is_in_force_and_an_older_one_never_again():
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            box = await made.add_box()
+            await made.ready(box)
+            made.store.put("op/config", config(9))
+            await until(lambda: box.state.table.version == 9)
+            made.store.put("op/config", config(8))
+            made.store.put("op/config", config(10))
+            await until(lambda: box.state.table.version == 10)
+
+    run(body)
+
+
+def test_a_faulty_configuration_leaves_the_present_one_in_force():
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            box = await made.add_box()
+            await made.ready(box)
+            made.store.put("op/config", {"Version": 99, "Routes": [{"Name": "broken"}]})
+            made.store.put("servers/w9", {"Service": "desk"})
+            made.store.put("op/config", config(100))
+            await until(lambda: box.state.table.version == 100)
+            assert "w9" not in box.state.workers.beliefs_by_id
+
+    run(body)
+
+
+def test_a_draining_worker_is_known_and_gets_nothing_new():
+    async def body():
+        async with fleet() as made:
+            leaving = await made.add_worker("leaving")
+            staying = await made.add_worker("staying", zone="far")
+            box = await made.add_box()
+            await made.ready(box)
+            made.store.put("servers/leaving", leaving.entry("desk", "a", "draining"))
+            beliefs = box.state.workers.beliefs_by_id
+            await until(lambda: beliefs["leaving"].worker.state is WorkerState.DRAINING)
+            for number in range(10):
+                assert (await ask(box, "/once/x", f"r{number}")).status == 200
+            assert leaving.ran == [] and len(staying.ran) == 10
+
+    run(body)
+
+
+def test_forgotten_history_is_read_anew():
+    async def body():
+        async with fleet() as made:
+            worker = await made.add_worker("w1")
+            box = await made.add_box()
+            await made.ready(box)
+            made.store.put("servers/w2", worker.entry("desk", "a"))
+            made.store.remove("servers/w1")
+            made.store.forget_history()
+            beliefs = box.state.workers.beliefs_by_id
+            await until(lambda: "w2" in beliefs)
+            await until(lambda: "w1" not in beliefs or beliefs["w1"].gone_at is not None)
+
+    run(body)
+
+
+def test_a_listing_of_many_pages_is_read_whole():
+    async def body():
+        async with fleet() as made:
+            worker = await made.add_worker("w1")
+            for number in range(180):
+                made.store.put(f"servers/x{number:03}", worker.entry("desk", "a"))
+            box = await made.add_box()
+            await until(lambda: len(box.state.workers.beliefs_by_id) == 181)
+
+    run(body)
+
+
+def test_a_box_goes_on_serving_while_the_store_refuses_and_catches_up_after():
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            box = await made.add_box()
+            await made.ready(box)
+            made.store.faults.refuses = True
+            made.store.forget_history()
+            answer = await ask(box, "/once/x", "r1")
+            assert answer.status == 200
+            assert box.is_ready
+            made.store.put("op/config", config(12))
+            made.store.faults.refuses = False
+            await until(lambda: box.state.table.version == 12)
+
+    run(body)
+
+
+def test_a_box_that_the_store_refuses_learns_from_a_peer():
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            first = await made.add_box("box-1")
+            await made.ready(first)
+            second = await made.add_box("box-2", store_port=1)
+            assert not second.is_ready
+            first.state.peers.seeds = (("127.0.0.1", second.exchange.port),)
+            first.exchange.send_notices()
+            await until(lambda: second.is_ready)
+            assert (await ask(second, "/once/x", "r1")).status == 200
+            made.store.put("op/config", config(15))
+            await until(lambda: second.state.table.version == 15)
+
+    run(body)
+
+
+def test_peers_hear_of_each_other_through_one_they_both_know():
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            boxes = [await made.add_box(f"box-{n}") for n in range(3)]
+            hub = (("127.0.0.1", boxes[0].exchange.port),)
+            for box in boxes[1:]:
+                box.state.peers.seeds = hub
+            for box in boxes:
+                await until(lambda box=box: box.state.peers.boxes(box.state.clock()) == 3)
+
+    run(body)
+
+
+def test_damaged_notices_are_dropped():
+    async def body():
+        async with fleet() as made:
+            box = await made.add_box()
+            transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+                asyncio.DatagramProtocol, remote_addr=("127.0.0.1", box.exchange.port)
+            )
+            transport.sendto(b"\0" * 200)
+            transport.sendto(b"")
+            box.exchange.datagram_received(b"x" * 50, ("127.0.0.1", 1))
+            assert box.state.peers.peers_by_id == {}
+            transport.close()
+
+    run(body)
+
+
+def test_one_box_gives_an_order_and_only_under_its_lease():
+    async def body():
+        async with fleet() as made:
+            prefills = [
+                await made.add_worker(f"p{n}", service="llm", stage="prefill") for n in range(2)
+            ]
+            boxes = [await made.add_box(f"box-{n}") for n in range(3)]
+            for box in boxes:
+                await made.ready(box)
+            await until(lambda: any(worker.orders for worker in prefills))
+            turns = [box.orders.turn for box in boxes if box.orders.turn is not None]
+            assert len(turns) == 1
+            order = next(worker.orders[0] for worker in prefills if worker.orders)
+            assert order["Operation"] == "Stage" and order["Stage"] == "decode"
+            assert order["FencingToken"] == turns[0].token
+            assert order["ExpectRevision"] == 5
+            assert sum(len(worker.orders) for worker in prefills) == 1
+
+    run(body)
+
+
+def test_a_box_that_lost_its_lease_gives_no_order():
+    async def body():
+        async with fleet() as made:
+            decode = await made.add_worker("d0", service="llm", stage="decode")
+            prefill = await made.add_worker("p0", service="llm", stage="prefill")
+            box = await made.add_box()
+            await made.ready(box)
+            await until(lambda: box.orders.turn is not None)
+            token = box.orders.turn.token
+            made.store.end_lease(box.orders.turn.lease)
+            made.store.remove("servers/d0")
+            await until(lambda: prefill.orders or box.orders.turn is None)
+            assert not [order for order in prefill.orders if order["FencingToken"] == token]
+            assert decode.orders == []
+
+    run(body)
+
+
+def test_a_lease_whose_grant_is_lost_is_not_taken_for_granted():
+    async def body():
+        async with fleet() as made:
+            made.store.faults.loses_answers = True
+            await made.add_worker("p0", service="llm", stage="prefill")
+            box = await made.add_box()
+            await made.ready(box)
+            await until(lambda: "kv-lease" in made.store.calls)
+            await asyncio.sleep(0)
+            assert box.orders.turn is None
+
+    run(body)
