Read prompts near the decode worker, and count prefill load by time

Cause: a prefill worker's load was counted against its memory, so that five prompts looked like little; moves between zones are priced and take twice as long.

--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -77,20 +77,26 @@
         """How long the caller still waits."""
         return max(0.0, self.deadline_at - self.now)
 
-    def choose(self, stage: Stage | None) -> tuple[WorkerBelief, ChoiceInput] | None:
-        """A worker for the next sending, within the route's attempts."""
+    def choose(
+        self, stage: Stage | None, *, near: str = ""
+    ) -> tuple[WorkerBelief, ChoiceInput] | None:
+        """A worker for the next sending, within the route's attempts; best in the zone ``near``."""
         candidates = self.state.workers.usable(self.service, self.now, stage=stage)
         if self.connect_failures >= MAX_CONNECT_TRIES:
             return None
         if len(self.workers_sent_to) >= self.route.max_attempts:
             candidates = [b for b in candidates if b.worker.id in self.workers_sent_to]
-        engine = self.engine
+        full_tokens = 0
+        if self.engine is not None:
+            full_tokens = self.engine.kv_tokens
+            if stage is Stage.PREFILL:
+                full_tokens = patience.PREFILL_FULL_TOKENS
         return choose(
             candidates,
             around=Surroundings(
-                zone=self.state.zone,
+                zone=near or self.state.zone,
                 peers=self.state.peers,
-                kv_tokens=engine.kv_tokens if engine is not None else 0,
+                kv_tokens=full_tokens,
             ),
             avoid=self.avoid | self.full,
             now=self.now,
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -166,7 +166,7 @@
         if self.progress.is_prompt_read or decode.worker.stage is None:
             return None
         self.progress.is_prompt_read = True
-        found = run.choose(Stage.PREFILL)
+        found = run.choose(Stage.PREFILL, near=decode.worker.zone)
         if found is None:
             return None
         belief, chosen = found
