--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -96,10 +96,9 @@
     async def _reserve(self) -> tuple[WorkerBelief, ChoiceInput] | None:
         """A decode worker that keeps room for the request, waiting for a while if all are full."""
         run = self.run
-        end_at = run.now + patience.room_patience(run.route, time_left_s=run.time_left_s)
-        pause_s = patience.ROOM_POLL_S
-        if patience.has_come_back(run.route, time_left_s=run.time_left_s):
-            pause_s = patience.RETURN_ROOM_POLL_S
+        left_s, is_begun = run.time_left_s, run.exchange.is_started
+        end_at = run.now + patience.room_patience(run.route, time_left_s=left_s, is_begun=is_begun)
+        pause_s = patience.room_poll(run.route, time_left_s=left_s, is_begun=is_begun)
         while True:
             found = await self._ask_for_room()
             if found is not None or not run.full or run.now + pause_s > end_at:
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -21,6 +21,7 @@
 FULL_RETRY_AFTER_SPREAD = 0.1
 RETURN_SHARE = 0.9
 RETURN_WAIT_SHARE_OF_TARGET = 0.5
+RESUME_WAIT_S = 2.0
 ROOM_POLL_S = 0.1
 RETURN_ROOM_POLL_S = 0.04
 HOLD_OUTPUT_MARGIN = 0.9
@@ -76,17 +77,27 @@
     return time_left_s < RETURN_SHARE * route.timeout_s
 
 
-def room_patience(route: Route, *, time_left_s: float) -> float:
+def room_patience(route: Route, *, time_left_s: float, is_begun: bool) -> float:
     """How long a request may wait for decode memory before it is refused.
 
+    A stream that has begun waits as long as callers bear a pause: giving up would cut it.
     A caller's first attempt is told within a quarter of its target, so that it can come back. One
     that evidently came back waits as long as it can still be answered in time.
     """
+    if is_begun:
+        return min(RESUME_WAIT_S, time_left_s)
     if has_come_back(route, time_left_s=time_left_s):
         return RETURN_WAIT_SHARE_OF_TARGET * route.target_s
     return 0.8 * REFUSAL_SHARE_OF_TARGET * route.target_s
 
 
+def room_poll(route: Route, *, time_left_s: float, is_begun: bool) -> float:
+    """How often to ask for room: those who cannot come back, or are cut off, ask more often."""
+    if is_begun or has_come_back(route, time_left_s=time_left_s):
+        return RETURN_ROOM_POLL_S
+    return ROOM_POLL_S
+
+
 def hold_tokens(prompt_tokens: int, output_tokens: int, expected_output: int | None) -> int:
     """How much decode memory to reserve: the prompt, and what the answer will likely add.
 
--- a/tests/platform_adapter/test_streams.py
+++ b/tests/platform_adapter/test_streams.py
@@ -236,3 +236,20 @@
             assert not any(worker.holds for worker in decode)
 
     run(body)
+
+
+def test_a_begun_stream_waits_for_room_at_another_worker():
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made, decodes=1)
+            decode[0].faults.resets_after_events = 2
+            good = await made.add_worker("good", service="llm", stage="decode", zone="far")
+            good.faults.has_no_room = True
+            await made.ready(box)
+            asking = asyncio.create_task(ask(box, "/resume/x", "r1", deadline=8000))
+            await until(lambda: len([r for r in good.received if r.path == "/hold-take"]) > 6)
+            good.faults.has_no_room = False
+            answer = await asking
+            assert answer.is_whole and numbers(answer) == [1, 2, 3, 4]
+
+    run(body)
--- a/tests/systems/test_patience.py
+++ b/tests/systems/test_patience.py
@@ -26,11 +26,11 @@
 
 
 def test_a_first_attempt_hears_of_full_workers_within_a_quarter_of_the_target():
-    assert patience.room_patience(ROUTE, time_left_s=14.0) < ROUTE.target_s / 4
+    assert patience.room_patience(ROUTE, time_left_s=14.0, is_begun=False) < ROUTE.target_s / 4
 
 
 def test_a_caller_that_came_back_may_wait_while_it_can_be_in_time():
-    wait = patience.room_patience(ROUTE, time_left_s=9.7)
+    wait = patience.room_patience(ROUTE, time_left_s=9.7, is_begun=False)
     assert ROUTE.target_s / 4 < wait < ROUTE.target_s
 
 
@@ -38,3 +38,9 @@
     assert patience.answer_patience(ROUTE, typical_s=5.0, time_left_s=0.3) == 0.3
     assert patience.gap_patience(ROUTE, time_left_s=0.1) == 0.1
     assert patience.prefill_patience(ROUTE, time_left_s=0.2) == 0.2
+
+
+def test_a_stream_that_has_begun_waits_for_room_longer_than_one_that_has_not():
+    begun = patience.room_patience(ROUTE, time_left_s=9.0, is_begun=True)
+    assert begun > patience.room_patience(ROUTE, time_left_s=9.0, is_begun=False)
+    assert patience.room_patience(ROUTE, time_left_s=0.5, is_begun=True) == 0.5
