Resume a broken stream first at the worker that still keeps its prompt

The worker that answered keeps what it read; if it is dead, connecting fails at once and another one takes over.

--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -14,7 +14,7 @@
 from croftchute.forwarding.http_server import Exchange
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems import patience
-from croftchute.systems.worker_choice import ChoiceInput, Surroundings, choose
+from croftchute.systems.worker_choice import ChoiceInput, Surroundings, choose, describe
 from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import EngineTraits, RequestFacts, Route, Stage
 
@@ -86,23 +86,30 @@
             return None
         if len(self.workers_sent_to) >= self.route.max_attempts:
             candidates = [b for b in candidates if b.worker.id in self.workers_sent_to]
-        full_tokens = 0
-        if self.engine is not None:
-            full_tokens = self.engine.kv_tokens
-            if stage is Stage.PREFILL:
-                full_tokens = patience.PREFILL_FULL_TOKENS
         return choose(
             candidates,
-            around=Surroundings(
-                zone=near or self.state.zone,
-                peers=self.state.peers,
-                kv_tokens=full_tokens,
-            ),
+            around=self.surroundings(stage, near=near),
             avoid=self.avoid | self.full,
             now=self.now,
             rng=self.state.rng,
         )
 
+    def surroundings(self, stage: Stage | None, *, near: str = "") -> Surroundings:
+        """What a choice for this request goes by, besides the workers."""
+        full_tokens = 0
+        if self.engine is not None:
+            full_tokens = self.engine.kv_tokens
+            if stage is Stage.PREFILL:
+                full_tokens = patience.PREFILL_FULL_TOKENS
+        return Surroundings(
+            zone=near or self.state.zone, peers=self.state.peers, kv_tokens=full_tokens
+        )
+
+    def describe(self, belief: WorkerBelief, *, candidates: int) -> ChoiceInput:
+        """What is known of a worker that was not chosen by cost."""
+        around = self.surroundings(belief.worker.stage)
+        return describe(belief, around, self.now, candidates=candidates)
+
     def may_send_again(self) -> bool:
         """Take a repeat out of the budget; the first sending needs none."""
         if self.arrivals == 0:
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -44,6 +44,8 @@
         self.progress = StreamProgress(last_event=run.facts.resume_after)
         self.unused: PrefillHandle | None = None
         self.unused_hold: Hold | None = None
+        self._broken_at: str | None = None
+        self._resumed_in_place = False
 
     async def serve(self) -> None:
         """Run the stream to its end, or give it up."""
@@ -110,6 +112,10 @@
         """Ask the decode workers, the cheapest first; None if none has room."""
         run = self.run
         engine = run.engine
+        if engine is not None and (in_place := self._same_worker()) is not None:
+            belief, chosen = in_place
+            if await self._hold_at(belief, chosen, engine):
+                return in_place
         while True:
             found = run.choose(Stage.DECODE)
             if found is None or engine is None or engine.hold_ttl_s <= 0.0:
@@ -121,6 +127,19 @@
             if await self._hold_at(*found, engine):
                 return found
 
+    def _same_worker(self) -> tuple[WorkerBelief, ChoiceInput] | None:
+        """The worker whose connection broke: if it lives, it still keeps the prompt's cache."""
+        worker_id, self._broken_at = self._broken_at, None
+        if worker_id is None or self._resumed_in_place:
+            return None
+        self._resumed_in_place = True
+        run = self.run
+        usable = run.state.workers.usable(run.service, run.now, stage=Stage.DECODE)
+        for belief in usable:
+            if belief.worker.id == worker_id:
+                return belief, run.describe(belief, candidates=1)
+        return None
+
     async def _hold_at(
         self, belief: WorkerBelief, chosen: ChoiceInput, engine: EngineTraits
     ) -> bool:
@@ -251,6 +270,8 @@
             progress.may_have_run = True
             call.failed(error)
             progress.code, progress.detail = error.code, error.message
+            if error.code is Code.UPSTREAM_FAILED:
+                self._broken_at = belief.worker.id
         finally:
             call.close()
 
--- a/src/croftchute/systems/worker_choice.py
+++ b/src/croftchute/systems/worker_choice.py
@@ -110,17 +110,23 @@
         )
         for belief in left
     ]
-    cost, _, best = min(costs, key=lambda entry: entry[:2])
-    chosen = ChoiceInput(
-        worker=best.worker.id,
-        cost=round(cost, 3),
-        in_flight=best.in_flight,
-        others=others_at(best, around, now),
-        failures=round(best.failure_score(now), 3),
-        age_s=round(now - best.listed_at, 3),
-        candidates=len(left),
+    _, _, best = min(costs, key=lambda entry: entry[:2])
+    return best, describe(best, around, now, candidates=len(left))
+
+
+def describe(
+    belief: WorkerBelief, around: Surroundings, now: float, *, candidates: int
+) -> ChoiceInput:
+    """What is known of a chosen worker, for the log."""
+    return ChoiceInput(
+        worker=belief.worker.id,
+        cost=round(cost_of(belief, around, now), 3),
+        in_flight=belief.in_flight,
+        others=others_at(belief, around, now),
+        failures=round(belief.failure_score(now), 3),
+        age_s=round(now - belief.listed_at, 3),
+        candidates=candidates,
     )
-    return best, chosen
 
 
 def pick_service(route: Route, rng: random.Random) -> str:
