--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -94,6 +94,12 @@
             rng=self.state.rng,
         )
 
+    def has_other_worker(self, stage: Stage | None) -> bool:
+        """Whether there is a worker besides the last one that did not fail this request."""
+        usable = self.state.workers.usable(self.service, self.now, stage=stage)
+        passed_over = self.avoid | {self.last_worker}
+        return any(belief.worker.id not in passed_over for belief in usable)
+
     def surroundings(self, stage: Stage | None, *, near: str = "") -> Surroundings:
         """What a choice for this request goes by, besides the workers."""
         full_tokens = 0
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -306,7 +306,7 @@
     def _may_go_elsewhere(self) -> bool:
         run = self.run
         has_attempts = len(run.workers_sent_to) < run.route.max_attempts
-        return run.route.may_repeat and has_attempts
+        return run.route.may_repeat and has_attempts and run.has_other_worker(Stage.DECODE)
 
     def _take_failure(self, call: WorkerCall, head: ResponseHead, body: bytes) -> None:
         call.faulty(head.status)
