Hold a cache that cannot be fetched against its source

Cause: a decode worker that held room and could not fetch the cache was blamed; the prefill worker whose handles lapse went on being chosen. Test fails without the change.

--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -8,7 +8,7 @@
 
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.dialect import Refusal, Send, Verdict
+from croftchute.forwarding.dialect import PrefillHandle, Refusal, Send, Verdict
 from croftchute.forwarding.failures import AnswerLateError, ExchangeError
 from croftchute.forwarding.http_client import ClientConnection, ResponseHead
 from croftchute.forwarding.http_server import Exchange
@@ -27,6 +27,7 @@
 WEIGHT_LATE = 1.0
 WEIGHT_REJECTED = 0.5
 WEIGHT_FAILED = 0.3
+WEIGHT_LACKED = 1.0
 
 
 class RequestRun:
@@ -292,6 +293,12 @@
             self.run.log(Decision.WORKER_DISPLACED, worker=self.worker.id)
         self._hold_against(WEIGHT_REJECTED, verdict.value, "")
 
+    def lacked(self, source: PrefillHandle) -> None:
+        """The worker could not fetch the prompt's cache: that is held against its source."""
+        workers = self.run.state.workers
+        score = workers.note_failure(source.worker.id, WEIGHT_LACKED, self.run.now)
+        self._ended("cache_not_fetched", source=source.worker.id, failures_now=round(score, 2))
+
     def faulty(self, status: int) -> None:
         """The worker ran the request and failed."""
         self.run.avoid.add(self.worker.id)
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -292,16 +292,13 @@
         if verdict is Verdict.FAILED:
             self._take_failure(call, head, body)
             return
-        call.rejected(verdict)
         self.progress.code = Code.NO_CAPACITY
         self.progress.detail = f"worker said {verdict.value}"
         if source is not None and verdict is Verdict.NOT_RUN:
-            self._allow_same_worker(call)
-
-    def _allow_same_worker(self, call: WorkerCall) -> None:
-        """The handle may have been the reason: the worker can read the prompt itself."""
-        self._free_unused()
-        self.run.avoid.discard(call.worker.id)
+            call.lacked(source)
+            self._free_unused()
+        else:
+            call.rejected(verdict)
 
     def _may_go_elsewhere(self) -> bool:
         run = self.run
--- a/tests/platform_adapter/test_streams.py
+++ b/tests/platform_adapter/test_streams.py
@@ -284,3 +284,18 @@
             assert decode[0].runs_of("r1") == 1
 
     run(body)
+
+
+def test_a_cache_that_cannot_be_fetched_is_held_against_its_source():
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made, decodes=1, prefills=2)
+            decode[0].faults.handles_lapse = True
+            assert (await ask(box, "/stream/x", "r1")).is_whole
+            now = box.state.clock()
+            beliefs = box.state.workers.beliefs_by_id
+            scores = {name: beliefs[name].failure_score(now) for name in ("d0", "p0", "p1")}
+            assert scores["d0"] == 0.0
+            assert sorted(score > 0.5 for score in (scores["p0"], scores["p1"])) == [False, True]
+
+    run(body)
