Mark an answer as delivered before its first byte goes out

Cause: the box told the pair of the key's range 'delivered' after it had written the answer. Ruled out: loss of the message (it is repeated until noted).

Now the mark is told, and the pair's note awaited, before the answer goes out; if the pair is silent for a second the answer goes out all the same, its caller being there. Notes are matched to the message they answer; before, the note of 'done' took the one of 'delivered' with it.

--- a/src/croftchute/gateway/app.py
+++ b/src/croftchute/gateway/app.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import socket
 from collections.abc import Iterable, Iterator
 from typing import Any, Protocol
 
@@ -210,19 +209,16 @@
         )
         exchange = self._box.board.open(request_id)
         try:
-            answer = self._box.desk.call(request, exchange)
+            answer = self._box.desk.call(request, exchange, lambda: has_left(environ[SOCKET_KEY]))
         finally:
             self._box.board.close(request_id)
-        whole = reply(
+        return reply(
             start_response,
             answer.status,
             answer.body,
             content_type=answer.content_type,
             headers={REQUEST_HEADER: request_id},
         )
-        return _Delivery(
-            pieces=whole, desk=self._box.desk, request=request, sock=environ[SOCKET_KEY]
-        )
 
 
 class _Stream:
@@ -246,22 +242,3 @@
         close = getattr(self._rest, "close", None)
         if close is not None:
             close()
-
-
-class _Delivery:
-    """The answer of a non-repeatable call; notes when all of it has been written."""
-
-    def __init__(
-        self, *, pieces: list[bytes], desk: CallDesk, request: CallRequest, sock: socket.socket
-    ) -> None:
-        self._pieces = pieces
-        self._sock = sock
-        self._desk = desk
-        self._request = request
-
-    def __iter__(self) -> Iterator[bytes]:
-        # Afterwards a caller who has everything may have closed already, so look before.
-        left = has_left(self._sock)
-        yield from self._pieces
-        if not left:
-            self._desk.delivered(self._request)
--- a/src/croftchute/gateway/calls.py
+++ b/src/croftchute/gateway/calls.py
@@ -16,6 +16,7 @@
 from croftchute.upstreams.service import Service, ServiceAnswer, ServiceCall
 
 VERDICT_WAIT_S = 5.0
+MARK_WAIT_S = 1.0
 MAX_TRIES = 3
 RAN_BY_CODE = {
     Code.KEY_INVALID: Ran.NOT_RUN,
@@ -80,19 +81,33 @@
         self._finish = finish
         self._turn = 0
 
-    def call(self, request: CallRequest, exchange: Exchange) -> ServiceAnswer:
-        """Make a call; raises :class:`UpstreamError` saying whether it ran."""
+    def call(
+        self, request: CallRequest, exchange: Exchange, has_left: Callable[[], bool]
+    ) -> ServiceAnswer:
+        """Make a call; raises :class:`UpstreamError` saying whether it ran.
+
+        ``has_left`` tells whether the caller has hung up: then the answer stays stored for it.
+        """
         if not request.route.urls:
             message = f"{request.route.service.id} has no worker in this hall"
             raise UpstreamError(Code.NO_UPSTREAM, message, ran=Ran.NOT_RUN, retry_after=1.0)
         if request.route.call.repeatable:
             return self._repeat(request)
-        return self._once(request, exchange)
-
-    def delivered(self, request: CallRequest) -> None:
-        """The caller has the whole answer of a non-repeatable call."""
-        if not request.route.call.repeatable:
-            self._tell(request, Phase.DELIVERED)
+        answer = self._once(request, exchange)
+        if not has_left():
+            self._mark_delivered(request, exchange)
+        return answer
+
+    def _mark_delivered(self, request: CallRequest, exchange: Exchange) -> None:
+        """Have the pair note that the answer goes out, before its first byte is written.
+
+        Marked afterwards, a caller that had it and asked another box at once got it again. If the
+        pair cannot be reached the answer goes out all the same: its caller is waiting here.
+        """
+        self._tell(request, Phase.DELIVERED)
+        while (noted := exchange.wait(MARK_WAIT_S)) is not None:
+            if isinstance(noted, DecideCall) and noted.code == Phase.DELIVERED:
+                return
 
     def _repeat(self, request: CallRequest) -> ServiceAnswer:
         failure: UpstreamError | None = None
--- a/src/croftchute/systems/dedupe.py
+++ b/src/croftchute/systems/dedupe.py
@@ -56,7 +56,7 @@
         self.ready_epoch_by_range: dict[int, int] = {}
         self._rows_by_index: dict[int, RangeRow] = {}
         self._waiting_by_token: dict[str, Waiting] = {}
-        self._asker_by_token: dict[str, tuple[str, bool]] = {}
+        self._asker_by_message: dict[tuple[str, str], str] = {}
         self._unsynced_by_range: dict[int, set[str]] = {}
         self._next_sync_at = 0.0
         self._next_sweep_at = 0.0
@@ -190,7 +190,7 @@
             return [SendPeer(box=sender, body=self._repeat_verdict(record, body, now))]
         if body.epoch < 0:
             return [SendPeer(box=sender, body=_refusal(body, Code.OUTCOME_UNKNOWN))]
-        self._asker_by_token[body.token] = (sender, True)
+        self._asker_by_message[body.token, Phase.GRANTED] = sender
         mirror = Mirror(key=body.key, token=body.token, epoch=row.epoch, phase=Phase.GRANTED)
         return [SendPeer(box=row.second.box, body=mirror)]
 
@@ -253,10 +253,10 @@
             self.ready_epoch_by_range[index] = row.epoch
             return []
         self._unsynced_by_range.get(index, set()).discard(body.key)
-        asker, is_begin = self._asker_by_token.pop(body.token, ("", False))
-        if not asker:
+        asker = self._asker_by_message.pop((body.token, body.phase), None)
+        if asker is None:
             return []
-        if is_begin and body.phase == Phase.GRANTED:
+        if body.phase == Phase.GRANTED:
             return self._let_run(asker, body, now)
         verdict = Verdict(key=body.key, token=body.token, decision=Decision.NOTED, code=body.phase)
         return [SendPeer(box=asker, body=verdict)]
@@ -278,7 +278,7 @@
             return []
         if not self._write(body, now):
             return []
-        self._asker_by_token[body.token] = (sender, False)
+        self._asker_by_message[body.token, body.phase] = sender
         mirror = Mirror(
             key=body.key,
             token=body.token,
@@ -291,9 +291,10 @@
 
     def _verdict(self, body: Verdict, now: float) -> list[Command]:
         if body.decision == Decision.NOTED:
-            self._waiting_by_token.pop(f"{body.token}/{body.code}", None)
-            return []
-        if self._waiting_by_token.pop(body.token, None) is None:
+            waiting = self._waiting_by_token.pop(f"{body.token}/{body.code}", None)
+        else:
+            waiting = self._waiting_by_token.pop(body.token, None)
+        if waiting is None:
             return []
         return [
             DecideCall(
--- a/tests/systems/test_dedupe.py
+++ b/tests/systems/test_dedupe.py
@@ -134,7 +134,7 @@
     """Broken: lets a call run without the second's word."""
 
     def _begin(self, sender, body, now):
-        self._asker_by_token[body.token] = (sender, True)
+        self._asker_by_message[body.token, Phase.GRANTED] = sender
         mirrored = body.token, body.key
         if body.key in self.records_by_key:
             return super()._begin(sender, body, now)
