Keep using workers whose entries lapsed together; index workers by service

Until now the first worker listed again took the work of all, since those just gone are only a last resort (1.2 s).

Now entries of half of a service that go at once count as lapsed: their workers stay in use for 2 s, at most 0.85 of the time that bars new work (new setting drain_s, from Bounds.DrainMs). Workers are indexed by service, so that a choice does not look at those of others.

Ruled out: the loss of the connection as the sign of an outage; a silent store's watch ends late or never. Tests fail before and pass after.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -23,6 +23,7 @@
 from croftchute.storage.watched import SharedStore, Vocabulary
 from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.retry_budget import RetryLimits
+from croftchute.systems.worker_table import LAPSED_GRACE_S, WorkerTable
 from croftchute.tables.routing import IngressLimits
 
 STDOUT = 1
@@ -33,6 +34,7 @@
 ENTRY_GRACE_S = 3.5
 STOP_MARGIN_S = 0.5
 STOP_CHECK_S = 0.05
+LAPSED_SHARE_OF_DRAIN = 0.85
 
 
 def make_state(
@@ -56,9 +58,15 @@
         default_boxes=settings.boxes,
         peers=peer_table(settings),
         started_at=clock(),
+        workers=WorkerTable(lapsed_grace_s=lapsed_grace_s(settings)),
     )
 
 
+def lapsed_grace_s(settings: RouterSettings) -> float:
+    """How long workers whose entries lapsed are used: well within the time that bars new work."""
+    return min(LAPSED_GRACE_S, LAPSED_SHARE_OF_DRAIN * settings.drain_s)
+
+
 def peer_table(settings: RouterSettings) -> PeerTable:
     """The peers as the settings name them: seeds, at the port that is alike on all boxes."""
     own = parse_address(settings.control).host
@@ -201,6 +209,7 @@
         for window in self.state.budgets_by_service.values():
             window.limits = self.state.retry_limits
         self.state.default_boxes = settings.boxes
+        self.state.workers.lapsed_grace_s = lapsed_grace_s(settings)
         self.state.log.decide(
             Decision.RELOADED, outcome="in force", cause=cause, needs_restart=needs_restart
         )
--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -158,27 +158,28 @@
         ids = {self.vocabulary.worker_id(item.key) for item in listing.items}
         for item in listing.items:
             self._take_worker(item)
-        for worker_id in self.state.workers.keep_only(ids, now):
-            self.state.log.decide(
-                Decision.WORKER_GONE, worker=worker_id, revision=listing.revision, source=source
-            )
+        gone = self.state.workers.keep_only(ids, now)
+        self._log_gone(gone, revision=listing.revision, source=source)
         self._heard(listing.newest if source == "store" else listing.revision)
 
     def _workers_changed(self, changes: Changes) -> None:
         for item in changes.written:
             self._take_worker(item)
-        now = self.state.clock()
-        for key in changes.removed:
-            worker_id = self.vocabulary.worker_id(key)
-            if self.state.workers.remove(worker_id, now):
-                self.state.log.decide(
-                    Decision.WORKER_GONE,
-                    worker=worker_id,
-                    revision=changes.revision,
-                    source="watch",
-                )
+        ids = [self.vocabulary.worker_id(key) for key in changes.removed]
+        gone = self.state.workers.remove(ids, self.state.clock())
+        self._log_gone(gone, revision=changes.revision, source="watch")
         self._heard(changes.newest)
 
+    def _log_gone(self, worker_ids: list[str], *, revision: int, source: str) -> None:
+        for worker_id in worker_ids:
+            self.state.log.decide(
+                Decision.WORKER_GONE,
+                outcome="lapsed" if self.state.workers.has_lapsed(worker_id) else "removed",
+                worker=worker_id,
+                revision=revision,
+                source=source,
+            )
+
     def _take_worker(self, item: StoredItem) -> None:
         try:
             worker = self.vocabulary.worker(item)
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -62,6 +62,7 @@
     order_gap_s: Positive = 3.0
     boxes: Annotated[int, msgspec.Meta(ge=1)] = 12
     stop_limit_s: Positive = 8.0
+    drain_s: Positive = 2.0
     reload_check_s: Positive = 2.0
 
 
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from croftchute.storage.watched import StoredItem
@@ -15,6 +17,9 @@
 FAILURE_HALF_LIFE_S = 2.0
 MAX_FAILURES = 8.0
 GONE_GRACE_S = 1.2
+LAPSED_GRACE_S = 2.0
+LAPSED_SHARE = 0.5
+MIN_LAPSED = 2
 LOAD_TTL_S = 0.3
 
 
@@ -26,6 +31,7 @@
     listed_at: float
     item: StoredItem | None = None
     gone_at: float | None = None
+    has_lapsed: bool = False
     in_flight: int = 0
     tokens_in_flight: int = 0
     failures: float = 0.0
@@ -43,6 +49,10 @@
         age = max(0.0, now - self.failed_at)
         return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_S)
 
+    def grace_s(self, lapsed_grace_s: float) -> float:
+        """How long after its entry went the worker may still be given work."""
+        return lapsed_grace_s if self.has_lapsed else GONE_GRACE_S
+
     def others_running(self, now: float) -> float:
         """Requests of other boxes that the worker was running or queueing lately."""
         if now - self.load_at > LOAD_TTL_S:
@@ -53,11 +63,17 @@
 
 @dataclass(kw_only=True)
 class WorkerTable:
-    """All workers by id; ``revision`` is the store's revision of the newest change."""
+    """All workers by id; ``revision`` is the store's revision of the newest change.
+
+    ``lapsed_grace_s`` is for how long workers are used whose entries lapsed together, as they do
+    when the store was away: those that live write themselves down again within about two seconds.
+    """
 
     revision: int = 0
     heard_at: float = 0.0
+    lapsed_grace_s: float = LAPSED_GRACE_S
     beliefs_by_id: dict[str, WorkerBelief] = field(default_factory=dict)
+    _beliefs_by_service: dict[str, dict[str, WorkerBelief]] = field(default_factory=dict)
 
     def upsert(self, worker: Worker, now: float, item: StoredItem | None = None) -> bool:
         """Take in a listed worker; True if something besides its age has changed.
@@ -66,29 +82,43 @@
         """
         belief = self.beliefs_by_id.get(worker.id)
         if belief is None:
-            self.beliefs_by_id[worker.id] = WorkerBelief(worker=worker, listed_at=now, item=item)
+            self._add(WorkerBelief(worker=worker, listed_at=now, item=item))
             return True
         if item is not None and belief.item is not None and item.revision < belief.item.revision:
             return False
         belief.item = item
         is_changed = belief.worker != worker or belief.gone_at is not None
+        if belief.worker.service != worker.service:
+            del self._beliefs_by_service[belief.worker.service][worker.id]
+            self._beliefs_by_service.setdefault(worker.service, {})[worker.id] = belief
         belief.worker = worker
         belief.listed_at = now
         belief.gone_at = None
+        belief.has_lapsed = False
         return is_changed
 
-    def remove(self, worker_id: str, now: float) -> bool:
-        """Mark a worker as gone from the list; it is forgotten after a grace period."""
-        belief = self.beliefs_by_id.get(worker_id)
-        if belief is None or belief.gone_at is not None:
-            return False
-        belief.gone_at = now
-        return True
+    def remove(self, worker_ids: Collection[str], now: float) -> list[str]:
+        """Mark workers as gone from the list; they are forgotten after a grace period.
+
+        Entries of half of a service that go at once have lapsed, rather than been taken away.
+        """
+        known = (self.beliefs_by_id.get(worker_id) for worker_id in worker_ids)
+        gone = [belief for belief in known if belief is not None and belief.gone_at is None]
+        gone_by_service = Counter(belief.worker.service for belief in gone)
+        lapsed = {service for service, n in gone_by_service.items() if self._is_lapse(service, n)}
+        for belief in gone:
+            belief.gone_at = now
+            belief.has_lapsed = belief.worker.service in lapsed
+        return [belief.worker.id for belief in gone]
 
     def keep_only(self, ids: set[str], now: float) -> list[str]:
         """Mark all workers as gone that a whole listing did not name; returns those."""
-        missing = [worker_id for worker_id in self.beliefs_by_id if worker_id not in ids]
-        return [worker_id for worker_id in missing if self.remove(worker_id, now)]
+        return self.remove([key for key in self.beliefs_by_id if key not in ids], now)
+
+    def has_lapsed(self, worker_id: str) -> bool:
+        """Whether a worker's entry went together with those of others of its service."""
+        belief = self.beliefs_by_id.get(worker_id)
+        return belief is not None and belief.has_lapsed
 
     def sweep(self, now: float) -> list[str]:
         """Forget workers that left the list some time ago and run nothing of ours."""
@@ -96,20 +126,25 @@
             worker_id
             for worker_id, belief in self.beliefs_by_id.items()
             if belief.gone_at is not None
-            and now - belief.gone_at > GONE_GRACE_S
+            and now - belief.gone_at > belief.grace_s(self.lapsed_grace_s)
             and belief.in_flight == 0
         ]
         for worker_id in old:
-            del self.beliefs_by_id[worker_id]
+            belief = self.beliefs_by_id.pop(worker_id)
+            del self._beliefs_by_service[belief.worker.service][worker_id]
         return old
 
     def usable(self, service: str, now: float, *, stage: Stage | None = None) -> list[WorkerBelief]:
-        """Workers that new work may go to; those just gone only when no other is left."""
+        """Workers that new work may go to; those just gone only when no other is left.
+
+        Workers whose entries lapsed count like listed ones: all boxes would otherwise turn to the
+        first that writes itself down again.
+        """
         listed: list[WorkerBelief] = []
         just_gone: list[WorkerBelief] = []
-        for belief in self.beliefs_by_id.values():
+        for belief in self._beliefs_by_service.get(service, {}).values():
             worker = belief.worker
-            if worker.service != service or belief.displaced:
+            if belief.displaced:
                 continue
             if stage is not None and worker.stage is not None and worker.stage is not stage:
                 continue
@@ -117,10 +152,19 @@
                 continue
             if belief.gone_at is None:
                 listed.append(belief)
-            elif now - belief.gone_at <= GONE_GRACE_S:
-                just_gone.append(belief)
+            elif now - belief.gone_at <= belief.grace_s(self.lapsed_grace_s):
+                (listed if belief.has_lapsed else just_gone).append(belief)
         return listed or just_gone
 
+    def _add(self, belief: WorkerBelief) -> None:
+        worker = belief.worker
+        self.beliefs_by_id[worker.id] = belief
+        self._beliefs_by_service.setdefault(worker.service, {})[worker.id] = belief
+
+    def _is_lapse(self, service: str, gone: int) -> bool:
+        listed = sum(b.gone_at is None for b in self._beliefs_by_service[service].values())
+        return gone >= MIN_LAPSED and gone >= LAPSED_SHARE * listed
+
     def note_sent(self, worker_id: str, tokens: int) -> None:
         """Count a request that is about to go to a worker."""
         belief = self.beliefs_by_id.get(worker_id)
--- a/tests/platform_adapter/test_life.py
+++ b/tests/platform_adapter/test_life.py
@@ -181,6 +181,7 @@
         "{{Bounds.RetrySlack}}": "56",
         "{{Bounds.GraceS}}": "8",
         "{{Bounds.LeaseMs}}": "3000",
+        "{{Bounds.DrainMs}}": "2000",
     }
     for gap, value in values.items():
         assert gap in text
@@ -188,6 +189,7 @@
     assert "{{" not in text
     settings = parse_router_settings(text.encode())
     assert settings.order_gap_s == 3.0
+    assert settings.drain_s == 2.0
     assert settings.retry.slack == 56.0
 
 
--- a/tests/systems/test_worker_table.py
+++ b/tests/systems/test_worker_table.py
@@ -1,5 +1,5 @@
 from croftchute.storage.watched import StoredItem
-from croftchute.systems.worker_table import GONE_GRACE_S, WorkerTable
+from croftchute.systems.worker_table import GONE_GRACE_S, LAPSED_GRACE_S, WorkerTable
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
 
@@ -42,9 +42,9 @@
     table = WorkerTable()
     table.upsert(worker("a"), 0.0)
     table.upsert(worker("b"), 0.0)
-    table.remove("a", 1.0)
+    table.remove(["a"], 1.0)
     assert ids(table.usable("s", 1.1)) == ["b"]
-    table.remove("b", 1.0)
+    table.remove(["b"], 1.0)
     assert ids(table.usable("s", 1.1)) == ["a", "b"]
     assert table.usable("s", 1.0 + GONE_GRACE_S + 0.01) == []
 
@@ -52,7 +52,7 @@
 def test_a_worker_that_is_listed_again_is_usable_again():
     table = WorkerTable()
     table.upsert(worker("a"), 0.0)
-    table.remove("a", 1.0)
+    table.remove(["a"], 1.0)
     table.upsert(worker("a"), 5.0)
     assert ids(table.usable("s", 9.0)) == ["a"]
 
@@ -61,7 +61,7 @@
     table = WorkerTable()
     table.upsert(worker("a"), 0.0)
     table.note_sent("a", 10)
-    table.remove("a", 0.0)
+    table.remove(["a"], 0.0)
     assert table.sweep(100.0) == []
     table.note_ended("a", 10)
     assert table.sweep(100.0) == ["a"]
@@ -109,3 +109,51 @@
     table.note_load("a", 3, 1, 0.0)
     assert belief.others_running(0.1) == 3.0
     assert belief.others_running(5.0) == 0.0
+
+
+def listed(*names, service="s"):
+    table = WorkerTable()
+    for name in names:
+        table.upsert(worker(name, service=service), 0.0)
+    return table
+
+
+def test_workers_whose_entries_lapse_together_are_used_until_they_are_listed_again():
+    """The first that was listed again used to get the work of all."""
+    table = listed("a", "b", "c")
+    assert table.remove(["a", "b", "c"], 1.0) == ["a", "b", "c"]
+    table.upsert(worker("b"), 1.3)
+    assert ids(table.usable("s", 2.9)) == ["a", "b", "c"]
+    assert ids(table.usable("s", 1.0 + LAPSED_GRACE_S + 0.01)) == ["b"]
+    assert table.sweep(1.0 + LAPSED_GRACE_S + 0.01) == ["a", "c"]
+
+
+def test_the_grace_of_lapsed_entries_can_be_shorter():
+    table = listed("a", "b")
+    table.lapsed_grace_s = 1.5
+    table.remove(["a", "b"], 1.0)
+    assert table.usable("s", 2.6) == []
+
+
+def test_one_worker_of_many_that_goes_has_not_lapsed():
+    table = listed("a", "b", "c", "d", "e")
+    table.remove(["a", "b"], 1.0)
+    assert ids(table.usable("s", 1.1)) == ["c", "d", "e"]
+    assert not table.has_lapsed("a")
+
+
+def test_a_worker_whose_entry_lapsed_while_draining_gets_nothing():
+    table = WorkerTable()
+    table.upsert(worker("a"), 0.0)
+    table.upsert(worker("b", WorkerState.DRAINING), 0.0)
+    table.remove(["a", "b"], 1.0)
+    assert ids(table.usable("s", 1.1)) == ["a"]
+
+
+def test_services_are_kept_apart():
+    table = listed("a", "b")
+    table.upsert(worker("c", service="t"), 0.0)
+    assert ids(table.usable("t", 0.0)) == ["c"]
+    table.upsert(worker("c", service="s"), 1.0)
+    assert ids(table.usable("s", 1.0)) == ["a", "b", "c"]
+    assert table.usable("t", 1.0) == []
