--- a/src/croftchute/forwarding/stage_orders.py
+++ b/src/croftchute/forwarding/stage_orders.py
@@ -16,8 +16,8 @@
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.worker_control import give_stage_order
 from croftchute.storage.watched import LeaseStore
-from croftchute.systems.stage_balance import StageChange, wanted_change
-from croftchute.tables.routing import Stage
+from croftchute.systems.stage_balance import StageChange, surplus_changes, wanted_change
+from croftchute.tables.routing import EngineTraits, Stage
 
 CHECK_S = 0.5
 FIRST_TRY_S = 4.0
@@ -63,39 +63,49 @@
             await asyncio.sleep(CHECK_S * self.state.rng.uniform(0.8, 1.2))
             if self.state.is_stopping:
                 continue
-            change = self.wanted()
+            changes = self.wanted()
             try:
                 if self.turn is None:
-                    is_first = await self._try_for_turn(change, is_first)
+                    is_first = await self._try_for_turn(is_first=is_first, is_needed=bool(changes))
                 else:
-                    await self._use_turn(self.turn, change)
+                    await self._use_turn(self.turn, changes)
             except (StoreError, ExchangeError) as error:
                 self._next_try_at = self.state.clock() + COOL_DOWN_S
                 self.state.log.decide(
                     Decision.STAGE_ORDER, outcome=error.code.value, detail=error.message
                 )
 
-    def wanted(self) -> StageChange | None:
-        """The change that some service needs most, as this box sees it."""
+    def wanted(self) -> tuple[StageChange, ...]:
+        """The changes that some service needs most, as this box sees it."""
         table = self.state.table
         if table is None:
-            return None
+            return ()
         for service in table.services_by_name.values():
             if service.engine is None or self._is_settling(service.name):
                 continue
-            beliefs = [
-                belief
-                for belief in self.state.workers.beliefs_by_id.values()
-                if belief.worker.service == service.name
-            ]
-            change = wanted_change(
-                beliefs,
-                self.state.fleet_demand(service.name),
-                prefill_pace=self.state.demand(service.name).prefill_pace,
-            )
-            if change is not None and self._has_lasted(change):
-                return change
-        return None
+            changes = self._wanted_of(service.name, service.engine)
+            if changes and self._has_lasted(changes[0]):
+                return changes
+        return ()
+
+    def _wanted_of(self, service: str, engine: EngineTraits) -> tuple[StageChange, ...]:
+        state = self.state
+        beliefs = state.workers.of_service(service)
+        counts = state.fleet_demand(service)
+        pace = state.demand(service).prefill_pace
+        change = wanted_change(beliefs, counts, prefill_pace=pace)
+        if change is not None and change.stage is Stage.PREFILL:
+            return (change,)
+        spare = surplus_changes(
+            beliefs,
+            counts,
+            prefill_pace=pace,
+            streams=state.fleet_streams(service),
+            kv_tokens=engine.kv_tokens,
+        )
+        if spare:
+            return spare
+        return (change,) if change is not None else ()
 
     def _has_lasted(self, change: StageChange) -> bool:
         """Whether the same need has been seen for a while: workers that crash come back."""
@@ -113,10 +123,10 @@
         ordered_at = self._ordered_at.get(service)
         return ordered_at is not None and self.state.clock() - ordered_at < SETTLE_S
 
-    async def _try_for_turn(self, change: StageChange | None, is_first: bool) -> bool:
+    async def _try_for_turn(self, *, is_first: bool, is_needed: bool) -> bool:
         """Take the lease if nobody has it: once after the start, later when it is needed."""
         now = self.state.clock()
-        if now < self._next_try_at or not (is_first or change is not None):
+        if now < self._next_try_at or not (is_first or is_needed):
             return is_first
         self._next_try_at = now + COOL_DOWN_S
         if await self.store.item(LEASE_KEY) is not None:
@@ -130,29 +140,42 @@
             self.state.log.decide(Decision.STAGE_ORDER, outcome="lease_taken", token=token)
         return False
 
-    async def _use_turn(self, turn: Turn, change: StageChange | None) -> None:
+    async def _use_turn(self, turn: Turn, changes: tuple[StageChange, ...]) -> None:
         now = self.state.clock()
         if now >= self._renew_at:
             self._renew_at = now + RENEW_S
             if not await self.store.keep_lease(turn.lease):
                 self._give_up_turn(turn)
                 return
-        if change is None or now - turn.since < self.quiet_s or now < self._next_try_at:
+        if not changes or now - turn.since < self.quiet_s or now < self._next_try_at:
             return
         self._next_try_at = now + COOL_DOWN_S
+        for change in changes:
+            if not await self._order(turn, change):
+                return
+
+    async def _order(self, turn: Turn, change: StageChange) -> bool:
+        """Give one order, if the lease is surely still held; False if no more may be given."""
+        now = self.state.clock()
         item = await self.store.item(LEASE_KEY)
         if item is None or item.revision != turn.token:
             self._give_up_turn(turn)
-            return
+            return False
         if self.state.clock() - now > MAX_VERIFY_S:
             self._log("verified_too_late", change, turn)
-            return
-        status = await give_stage_order(
-            self.state, change.worker, change.stage, holder=self.state.box, token=turn.token
-        )
+            return False
+        try:
+            status = await give_stage_order(
+                self.state, change.worker, change.stage, holder=self.state.box, token=turn.token
+            )
+            outcome = f"status_{status}"
+        except ExchangeError as error:
+            # It may still be carried out; the others of a batch do not wait for it.
+            outcome = error.code.value
         self._ordered_at[change.worker.service] = self.state.clock()
         self.state.demand(change.worker.service).clear()
-        self._log(f"status_{status}", change, turn)
+        self._log(outcome, change, turn)
+        return True
 
     def _give_up_turn(self, turn: Turn) -> None:
         self.turn = None
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -83,6 +83,11 @@
         heard = sum(now - peer.heard_at <= COUNTED_S for peer in self.peers_by_id.values())
         return 1 + heard
 
+    def fleet_factor(self, now: float) -> float:
+        """All boxes over those heard lately: notices reach only some peers in a large fleet."""
+        fresh = sum(now - peer.heard_at <= FRESH_S for peer in self.peers_by_id.values())
+        return self.boxes(now) / (1 + fresh)
+
     def in_flight(self, worker_id: str, now: float) -> int:
         """What other boxes have open at a worker, as far as they told lately."""
         return sum(entry.in_flight for entry in self._entries(worker_id, now))
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -95,6 +95,9 @@
         belief.listed_at = now
         belief.gone_at = None
         belief.has_lapsed = False
+        if is_changed and belief.displaced:
+            belief.displaced = False
+            belief.failures = 0.0
         return is_changed
 
     def remove(self, worker_ids: Collection[str], now: float) -> list[str]:
@@ -165,6 +168,10 @@
         listed = sum(b.gone_at is None for b in self._beliefs_by_service[service].values())
         return gone >= MIN_LAPSED and gone >= LAPSED_SHARE * listed
 
+    def of_service(self, service: str) -> list[WorkerBelief]:
+        """All workers of a service, whatever their state."""
+        return list(self._beliefs_by_service.get(service, {}).values())
+
     def note_sent(self, worker_id: str, tokens: int) -> None:
         """Count a request that is about to go to a worker."""
         belief = self.beliefs_by_id.get(worker_id)
--- a/tests/systems/test_peer_table.py
+++ b/tests/systems/test_peer_table.py
@@ -71,3 +71,12 @@
     assert by_config is not None and by_config.id == "new"
     assert by_workers is not None and by_workers.id == "old"
     assert table.newest(60.0) == (None, None)
+
+
+def test_what_some_boxes_told_stands_for_all():
+    table = PeerTable(own_id="me")
+    table.hear("b", NOTICE, 0.0)
+    table.hear("c", NOTICE, 5.0)
+    table.hear("d", NOTICE, 5.0)
+    assert table.fleet_factor(0.5) == 4 / 4
+    assert table.fleet_factor(6.0) == 4 / 3
--- a/tests/systems/test_worker_table.py
+++ b/tests/systems/test_worker_table.py
@@ -157,3 +157,14 @@
     table.upsert(worker("c", service="s"), 1.0)
     assert ids(table.usable("s", 1.0)) == ["a", "b", "c"]
     assert table.usable("t", 1.0) == []
+
+
+def test_a_worker_that_answered_with_its_old_stage_is_used_again_once_it_is_listed_anew():
+    """It refuses what its new stage does not do, as another one at its address would."""
+    table = WorkerTable()
+    table.upsert(worker("a", stage=Stage.PREFILL), 0.0)
+    table.note_displaced("a")
+    assert not table.upsert(worker("a", stage=Stage.PREFILL), 0.5)
+    assert table.usable("s", 0.5) == []
+    table.upsert(worker("a", stage=Stage.DECODE), 1.0)
+    assert ids(table.usable("s", 1.0, stage=Stage.DECODE)) == ["a"]
