Use a handle that no worker took; tell peers of displaced workers; read again when refused

The prompt that had been read was then thrown away, the next decode worker read it again at half pace, and every box learnt of each restarted worker by its own loss.

--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -26,6 +26,7 @@
 WEIGHT_BROKEN = 1.0
 WEIGHT_LATE = 1.0
 WEIGHT_REJECTED = 0.5
+WEIGHT_DISPLACED = 4.0
 WEIGHT_FAILED = 0.3
 WEIGHT_LACKED = 1.0
 
@@ -288,10 +289,13 @@
     def rejected(self, verdict: Verdict) -> None:
         """The worker did not run the request, or another one answered in its place."""
         self.run.avoid.add(self.worker.id)
+        weight = WEIGHT_REJECTED
         if verdict is Verdict.WRONG_WORKER:
+            # Peers hear of the weight: each would lose a prompt there before it knows.
+            weight = WEIGHT_DISPLACED
             self.run.state.workers.note_displaced(self.worker.id)
             self.run.log(Decision.WORKER_DISPLACED, worker=self.worker.id)
-        self._hold_against(WEIGHT_REJECTED, verdict.value, "")
+        self._hold_against(weight, verdict.value, "")
 
     def lacked(self, source: PrefillHandle) -> None:
         """The worker could not fetch the prompt's cache: that is held against its source."""
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -19,6 +19,8 @@
 from croftchute.tables.routing import EngineTraits, HeaderList, Stage
 
 MAX_FAILURE_BYTES = 1 << 20
+MAX_PREFILL_TRIES = 2
+HANDLE_SHARE = 0.8
 
 
 @dataclass(kw_only=True)
@@ -43,9 +45,11 @@
         self.run = run
         self.progress = StreamProgress(last_event=run.facts.resume_after)
         self.unused: PrefillHandle | None = None
+        self._handle_lapses_at = 0.0
         self.unused_hold: Hold | None = None
         self._broken_at: str | None = None
         self._resumed_in_place = False
+        self._refused = 0
 
     async def serve(self) -> None:
         """Run the stream to its end, or give it up."""
@@ -179,15 +183,34 @@
     # Prefill.
 
     async def _prefill(self, decode: WorkerBelief) -> PrefillHandle | None:
-        """Have the prompt read ahead, once; None if the decode worker must read it itself."""
+        """Have the prompt read ahead, once; None if the decode worker must read it itself.
+
+        A handle that no worker has taken serves the next one, as long as it is kept.
+        """
         run = self.run
         if self.progress.is_prompt_read or decode.worker.stage is None:
-            return None
+            return self.unused if run.now < self._handle_lapses_at else None
         self.progress.is_prompt_read = True
-        found = run.choose(Stage.PREFILL, near=decode.worker.zone)
-        if found is None:
-            return None
-        belief, chosen = found
+        for number in range(MAX_PREFILL_TRIES):
+            found = run.choose(Stage.PREFILL, near=decode.worker.zone)
+            if found is None or (number > 0 and not self._may_read_again()):
+                return None
+            refused = self._refused
+            handle = await self._read_prompt(*found)
+            if handle is not None or self._refused == refused:
+                return handle
+        return None
+
+    def _may_read_again(self) -> bool:
+        """Whether another prefill worker may be asked, after one that surely read nothing."""
+        run = self.run
+        if run.now - run.started_at > patience.prefill_retry_limit(run.route):
+            return False
+        leaves_attempt = len(run.workers_sent_to) + 1 < run.route.max_attempts
+        return run.arrivals == 0 or (leaves_attempt and run.may_send_again())
+
+    async def _read_prompt(self, belief: WorkerBelief, chosen: ChoiceInput) -> PrefillHandle | None:
+        run = self.run
         send = Send(
             worker=belief.worker,
             time_left_s=run.time_left_s,
@@ -199,6 +222,7 @@
             await call.open()
             return await self._read_handle(call)
         except ConnectFailedError as error:
+            self._refused += 1
             call.failed(error)
         except ExchangeError as error:
             run.arrivals += 1
@@ -222,6 +246,7 @@
                 call.faulty(head.status)
             else:
                 run.workers_sent_to.add(call.worker.id)
+                self._refused += 1
                 call.rejected(verdict)
             return None
         handle = run.state.workers_speak.handle(body, call.worker)
@@ -229,6 +254,8 @@
         taken_s = run.now - call.opened_at
         run.state.demand(run.service).note_prefill(run.facts.prompt_tokens, taken_s)
         self.unused = handle
+        if run.engine is not None:
+            self._handle_lapses_at = run.now + HANDLE_SHARE * run.engine.handle_ttl_s
         return handle
 
     def _free_unused(self) -> None:
@@ -268,6 +295,7 @@
             progress.code, progress.detail = error.code, error.message
         except ExchangeError as error:
             progress.may_have_run = True
+            self._handle_lapses_at = 0.0
             call.failed(error)
             progress.code, progress.detail = error.code, error.message
             if error.code is Code.UPSTREAM_FAILED:
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -149,7 +149,8 @@
         self, request: Received, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         expected = request.headers.get("x-croftchute-expect-instance")
-        if expected is not None and expected != self.id:
+        is_hold = request.path == "/hold-take"
+        if expected is not None and expected != self.id and not is_hold:
             self._send(writer, request, 421, {"X-Croftchute-Instance-Id": self.id})
             return True
         if request.path == "/hold-take":
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -8,6 +8,7 @@
 FIRST_EVENT_SHARE_OF_TARGET = 0.6
 TYPICAL_MULTIPLE = 3.0
 PREFILL_SHARE_OF_TARGET = 0.7
+PREFILL_RETRY_SHARE_OF_TARGET = 0.5
 GAP_MULTIPLE = 3.0
 MIN_GAP_S = 0.6
 PREFILL_FULL_TOKENS = 12_000
@@ -49,6 +50,11 @@
     return min(PREFILL_SHARE_OF_TARGET * route.target_s, time_left_s)
 
 
+def prefill_retry_limit(route: Route) -> float:
+    """How long after its arrival a request may still be read at a second prefill worker."""
+    return PREFILL_RETRY_SHARE_OF_TARGET * route.target_s
+
+
 def gap_patience(route: Route, *, time_left_s: float) -> float:
     """How long a stream that may be resumed may pause before it is moved."""
     return min(max(MIN_GAP_S, GAP_MULTIPLE * route.target_gap_s), time_left_s)
--- a/tests/platform_adapter/test_streams.py
+++ b/tests/platform_adapter/test_streams.py
@@ -299,3 +299,44 @@
             assert sorted(score > 0.5 for score in (scores["p0"], scores["p1"])) == [False, True]
 
     run(body)
+
+
+def prefer(box, worker_id):
+    """Have a box choose one worker before all others of its stage."""
+    beliefs = box.state.workers.beliefs_by_id
+    for other in beliefs.values():
+        if other.worker.stage is beliefs[worker_id].worker.stage:
+            box.state.workers.note_failure(other.worker.id, 2.0, box.state.clock())
+    beliefs[worker_id].failures = 0.0
+
+
+def test_a_handle_that_no_worker_took_serves_the_next_one():
+    """A restarted worker grants holds under its old address and refuses the request itself."""
+
+    async def body():
+        async with fleet() as made:
+            box, decode, prefill = await engines(made)
+            prefer(box, "d0")
+            decode[0].id = "d0-restarted"
+            answer = await ask(box, "/resume/x")
+            assert answer.is_whole and decode[1].runs_of("r1") == 1
+            assert "x-croftchute-kv-source" in decode[1].received[-1].headers
+            reads = [got for got in prefill[0].received if "x-croftchute-stage" in got.headers]
+            assert len(reads) == 1
+            assert box.state.workers.beliefs_by_id["d0"].failure_score(box.state.clock()) > 2.0
+
+    run(body)
+
+
+def test_a_prefill_worker_that_is_down_costs_no_slow_reading():
+    async def body():
+        async with fleet() as made:
+            box, decode, prefill = await engines(made, decodes=1, prefills=2)
+            prefer(box, "p0")
+            prefill[0].stop()
+            answer = await ask(box, "/stream/x")
+            assert answer.is_whole
+            source = decode[0].received[-1].headers["x-croftchute-kv-source"]
+            assert source.startswith(f"127.0.0.1:{prefill[1].port}/")
+
+    run(body)
