--- /dev/null
+++ b/src/croftchute/forwarding/prompt_reader.py
@@ -0,0 +1,122 @@
+"""The prompt of a streaming request: read ahead by a prefill worker, its handle kept till used."""
+
+from __future__ import annotations
+
+from croftchute.errors import MessageError
+from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
+from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
+from croftchute.forwarding.request_run import RequestRun, WorkerCall
+from croftchute.forwarding.worker_control import free_handle
+from croftchute.systems import patience
+from croftchute.systems.worker_choice import ChoiceInput
+from croftchute.systems.worker_table import WorkerBelief
+from croftchute.tables.routing import Stage
+
+MAX_TRIES = 2
+HANDLE_SHARE = 0.8
+
+
+class PromptReader:
+    """Has one request's prompt read once, and keeps the handle while no decode worker took it."""
+
+    def __init__(self, *, run: RequestRun) -> None:
+        self.run = run
+        self.unused: PrefillHandle | None = None
+        self._lapses_at = 0.0
+        self._has_begun = False
+        self._refusals = 0
+
+    async def read_for(self, decode: WorkerBelief) -> PrefillHandle | None:
+        """A handle for a decode worker; None if that worker must read the prompt itself.
+
+        The prompt is read ahead once; a handle that was not taken serves the next decode worker
+        as long as it is kept.
+        """
+        run = self.run
+        if self._has_begun or decode.worker.stage is None:
+            return self.unused if run.now < self._lapses_at else None
+        self._has_begun = True
+        for number in range(MAX_TRIES):
+            found = run.choose(Stage.PREFILL, near=decode.worker.zone)
+            if found is None or (number > 0 and not self._may_read_again()):
+                return None
+            refusals = self._refusals
+            handle = await self._read(*found)
+            if handle is not None or self._refusals == refusals:
+                return handle
+        return None
+
+    def taken(self) -> None:
+        """A decode worker has taken the handle."""
+        self.unused = None
+
+    def doubt(self) -> None:
+        """A decode worker may have taken the handle: it serves no other one."""
+        self._lapses_at = 0.0
+
+    def free_unused(self) -> None:
+        """Free the handle if no decode worker took it."""
+        if self.unused is not None:
+            state = self.run.state
+            state.spawn(free_handle(state, self.unused, self.run.facts.id))
+            self.unused = None
+
+    def _may_read_again(self) -> bool:
+        """Whether another prefill worker may be asked, after one that surely read nothing."""
+        run = self.run
+        if run.now - run.started_at > patience.prefill_retry_limit(run.route):
+            return False
+        leaves_attempt = len(run.workers_sent_to) + 1 < run.route.max_attempts
+        return run.arrivals == 0 or (leaves_attempt and run.may_send_again())
+
+    async def _read(self, belief: WorkerBelief, chosen: ChoiceInput) -> PrefillHandle | None:
+        run = self.run
+        send = Send(
+            worker=belief.worker,
+            time_left_s=run.time_left_s,
+            priority=run.route.priority,
+            is_prefill=True,
+        )
+        call = WorkerCall(run=run, belief=belief, send=send, chosen=chosen)
+        try:
+            await call.open()
+            return await self._take_handle(call)
+        except ConnectFailedError as error:
+            self._refusals += 1
+            call.failed(error)
+        except ExchangeError as error:
+            run.arrivals += 1
+            call.failed(error)
+        except MessageError as error:
+            run.arrivals += 1
+            call.failed(ConnectionBrokenError(error.message))
+        finally:
+            call.close()
+        return None
+
+    async def _take_handle(self, call: WorkerCall) -> PrefillHandle | None:
+        run = self.run
+        wait_s = patience.prefill_patience(run.route, time_left_s=run.time_left_s)
+        head = await call.head(wait_s)
+        body = await call.body(wait_s)
+        verdict = run.state.workers_speak.verdict(head)
+        if verdict is not Verdict.ANSWERED:
+            self._note_refusal(call, verdict, head.status)
+            return None
+        handle = run.state.workers_speak.handle(body, call.worker)
+        call.succeeded()
+        taken_s = run.now - call.opened_at
+        run.state.demand(run.service).note_prefill(run.facts.prompt_tokens, taken_s)
+        self.unused = handle
+        if run.engine is not None:
+            self._lapses_at = run.now + HANDLE_SHARE * run.engine.handle_ttl_s
+        return handle
+
+    def _note_refusal(self, call: WorkerCall, verdict: Verdict, status: int) -> None:
+        self.run.arrivals += 1
+        if verdict is Verdict.FAILED:
+            call.faulty(status)
+            return
+        self.run.workers_sent_to.add(call.worker.id)
+        self._refusals += 1
+        call.rejected(verdict)
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -5,22 +5,21 @@
 import asyncio
 from dataclasses import dataclass
 
-from croftchute.errors import Code, MessageError, Ran
+from croftchute.errors import Code, Ran
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Hold, PrefillHandle, Send, Verdict
 from croftchute.forwarding.event_stream import EventSplitter, StreamEvent
 from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
 from croftchute.forwarding.http_client import ResponseHead
+from croftchute.forwarding.prompt_reader import PromptReader
 from croftchute.forwarding.request_run import RequestRun, WorkerCall, within
-from croftchute.forwarding.worker_control import drop_hold, free_handle, take_hold
+from croftchute.forwarding.worker_control import drop_hold, take_hold
 from croftchute.systems import patience
 from croftchute.systems.worker_choice import ChoiceInput
 from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import EngineTraits, HeaderList, Stage
 
 MAX_FAILURE_BYTES = 1 << 20
-MAX_PREFILL_TRIES = 2
-HANDLE_SHARE = 0.8
 
 
 @dataclass(kw_only=True)
@@ -32,7 +31,6 @@
     may_have_run: bool = False
     is_whole: bool = False
     is_answered: bool = False
-    is_prompt_read: bool = False
     code: Code = Code.NO_UPSTREAM
     detail: str = "no worker is known to be usable"
     started_worker: str = ""
@@ -44,12 +42,10 @@
     def __init__(self, *, run: RequestRun) -> None:
         self.run = run
         self.progress = StreamProgress(last_event=run.facts.resume_after)
-        self.unused: PrefillHandle | None = None
-        self._handle_lapses_at = 0.0
+        self.reader = PromptReader(run=run)
         self.unused_hold: Hold | None = None
         self._broken_at: str | None = None
         self._resumed_in_place = False
-        self._refused = 0
 
     async def serve(self) -> None:
         """Run the stream to its end, or give it up."""
@@ -76,7 +72,7 @@
                 self._note_demand(is_refused=bool(run.full) and found is None)
             if found is None:
                 return
-            source = await self._prefill(found[0])
+            source = await self.reader.read_for(found[0])
             if len(run.workers_sent_to) >= run.route.max_attempts and (
                 found[0].worker.id not in run.workers_sent_to
             ):
@@ -180,90 +176,10 @@
         self.progress.code = Code.NO_CAPACITY
         self.progress.detail = f"no room at {belief.worker.id} and others"
 
-    # Prefill.
-
-    async def _prefill(self, decode: WorkerBelief) -> PrefillHandle | None:
-        """Have the prompt read ahead, once; None if the decode worker must read it itself.
-
-        A handle that no worker has taken serves the next one, as long as it is kept.
-        """
-        run = self.run
-        if self.progress.is_prompt_read or decode.worker.stage is None:
-            return self.unused if run.now < self._handle_lapses_at else None
-        self.progress.is_prompt_read = True
-        for number in range(MAX_PREFILL_TRIES):
-            found = run.choose(Stage.PREFILL, near=decode.worker.zone)
-            if found is None or (number > 0 and not self._may_read_again()):
-                return None
-            refused = self._refused
-            handle = await self._read_prompt(*found)
-            if handle is not None or self._refused == refused:
-                return handle
-        return None
-
-    def _may_read_again(self) -> bool:
-        """Whether another prefill worker may be asked, after one that surely read nothing."""
-        run = self.run
-        if run.now - run.started_at > patience.prefill_retry_limit(run.route):
-            return False
-        leaves_attempt = len(run.workers_sent_to) + 1 < run.route.max_attempts
-        return run.arrivals == 0 or (leaves_attempt and run.may_send_again())
-
-    async def _read_prompt(self, belief: WorkerBelief, chosen: ChoiceInput) -> PrefillHandle | None:
-        run = self.run
-        send = Send(
-            worker=belief.worker,
-            time_left_s=run.time_left_s,
-            priority=run.route.priority,
-            is_prefill=True,
-        )
-        call = WorkerCall(run=run, belief=belief, send=send, chosen=chosen)
-        try:
-            await call.open()
-            return await self._read_handle(call)
-        except ConnectFailedError as error:
-            self._refused += 1
-            call.failed(error)
-        except ExchangeError as error:
-            run.arrivals += 1
-            call.failed(error)
-        except MessageError as error:
-            run.arrivals += 1
-            call.failed(ConnectionBrokenError(error.message))
-        finally:
-            call.close()
-        return None
-
-    async def _read_handle(self, call: WorkerCall) -> PrefillHandle | None:
-        run = self.run
-        wait_s = patience.prefill_patience(run.route, time_left_s=run.time_left_s)
-        head = await call.head(wait_s)
-        body = await call.body(wait_s)
-        verdict = run.state.workers_speak.verdict(head)
-        if verdict is not Verdict.ANSWERED:
-            run.arrivals += 1
-            if verdict is Verdict.FAILED:
-                call.faulty(head.status)
-            else:
-                run.workers_sent_to.add(call.worker.id)
-                self._refused += 1
-                call.rejected(verdict)
-            return None
-        handle = run.state.workers_speak.handle(body, call.worker)
-        call.succeeded()
-        taken_s = run.now - call.opened_at
-        run.state.demand(run.service).note_prefill(run.facts.prompt_tokens, taken_s)
-        self.unused = handle
-        if run.engine is not None:
-            self._handle_lapses_at = run.now + HANDLE_SHARE * run.engine.handle_ttl_s
-        return handle
-
     def _free_unused(self) -> None:
-        state = self.run.state
-        if self.unused is not None:
-            state.spawn(free_handle(state, self.unused, self.run.facts.id))
-            self.unused = None
+        self.reader.free_unused()
         if self.unused_hold is not None:
+            state = self.run.state
             state.spawn(drop_hold(state, self.unused_hold, self.run.facts.id))
             self.unused_hold = None
 
@@ -295,7 +211,7 @@
             progress.code, progress.detail = error.code, error.message
         except ExchangeError as error:
             progress.may_have_run = True
-            self._handle_lapses_at = 0.0
+            self.reader.doubt()
             call.failed(error)
             progress.code, progress.detail = error.code, error.message
             if error.code is Code.UPSTREAM_FAILED:
@@ -313,7 +229,7 @@
         if verdict is Verdict.ANSWERED:
             if not run.state.workers_speak.is_genuine(head):
                 raise ConnectionBrokenError("a success without the worker's proof")
-            self.unused = None
+            self.reader.taken()
             await self._pass_on(call, head, wait_s)
             return
         body = await call.body(run.time_left_s)
