Soak: a reload is no disturbance of a box

Cause: with planned faults only, boxes were reloaded so often that no box counted as undisturbed for 3 s, so the rule on leaving workers was never judged (keep_draining was found as cut-off requests only).

--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -153,7 +153,6 @@
         box = _pick(self.boxes, fault)
         box.retry_slack = RETRY_SLACKS[fault.pick % len(RETRY_SLACKS)]
         box.write_settings()
-        self.disturbances.note(box.name, self.now, self.now + START_S, is_planned=True)
         if box.is_up:
             box.send_signal(signal.SIGHUP)
 
