Take back the batches of stage orders: they starved the prefill stage

The use of the prefill stage was worked out with the pace of its quickest prompt, so it was underrated.

Reverted: surplus_changes, its tests and its plumbing (the tests held what the tried rule did, which is gone). Kept: peers' counts scaled to the fleet; an order that gets no answer counts as given, so no other follows while it may still be carried out (test: fails without it). Conclusion: a pace under load first.

--- a/src/croftchute/forwarding/stage_orders.py
+++ b/src/croftchute/forwarding/stage_orders.py
@@ -16,8 +16,8 @@
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.worker_control import give_stage_order
 from croftchute.storage.watched import LeaseStore
-from croftchute.systems.stage_balance import StageChange, surplus_changes, wanted_change
-from croftchute.tables.routing import EngineTraits, Stage
+from croftchute.systems.stage_balance import StageChange, wanted_change
+from croftchute.tables.routing import Stage
 
 CHECK_S = 0.5
 FIRST_TRY_S = 4.0
@@ -63,49 +63,36 @@
             await asyncio.sleep(CHECK_S * self.state.rng.uniform(0.8, 1.2))
             if self.state.is_stopping:
                 continue
-            changes = self.wanted()
+            change = self.wanted()
             try:
                 if self.turn is None:
-                    is_first = await self._try_for_turn(is_first=is_first, is_needed=bool(changes))
+                    is_first = await self._try_for_turn(
+                        is_first=is_first, is_needed=change is not None
+                    )
                 else:
-                    await self._use_turn(self.turn, changes)
+                    await self._use_turn(self.turn, change)
             except (StoreError, ExchangeError) as error:
                 self._next_try_at = self.state.clock() + COOL_DOWN_S
                 self.state.log.decide(
                     Decision.STAGE_ORDER, outcome=error.code.value, detail=error.message
                 )
 
-    def wanted(self) -> tuple[StageChange, ...]:
-        """The changes that some service needs most, as this box sees it."""
+    def wanted(self) -> StageChange | None:
+        """The change that some service needs most, as this box sees it."""
         table = self.state.table
         if table is None:
-            return ()
+            return None
         for service in table.services_by_name.values():
             if service.engine is None or self._is_settling(service.name):
                 continue
-            changes = self._wanted_of(service.name, service.engine)
-            if changes and self._has_lasted(changes[0]):
-                return changes
-        return ()
-
-    def _wanted_of(self, service: str, engine: EngineTraits) -> tuple[StageChange, ...]:
-        state = self.state
-        beliefs = state.workers.of_service(service)
-        counts = state.fleet_demand(service)
-        pace = state.demand(service).prefill_pace
-        change = wanted_change(beliefs, counts, prefill_pace=pace)
-        if change is not None and change.stage is Stage.PREFILL:
-            return (change,)
-        spare = surplus_changes(
-            beliefs,
-            counts,
-            prefill_pace=pace,
-            streams=state.fleet_streams(service),
-            kv_tokens=engine.kv_tokens,
-        )
-        if spare:
-            return spare
-        return (change,) if change is not None else ()
+            change = wanted_change(
+                self.state.workers.of_service(service.name),
+                self.state.fleet_demand(service.name),
+                prefill_pace=self.state.demand(service.name).prefill_pace,
+            )
+            if change is not None and self._has_lasted(change):
+                return change
+        return None
 
     def _has_lasted(self, change: StageChange) -> bool:
         """Whether the same need has been seen for a while: workers that crash come back."""
@@ -140,42 +127,39 @@
             self.state.log.decide(Decision.STAGE_ORDER, outcome="lease_taken", token=token)
         return False
 
-    async def _use_turn(self, turn: Turn, changes: tuple[StageChange, ...]) -> None:
+    async def _use_turn(self, turn: Turn, change: StageChange | None) -> None:
         now = self.state.clock()
         if now >= self._renew_at:
             self._renew_at = now + RENEW_S
             if not await self.store.keep_lease(turn.lease):
                 self._give_up_turn(turn)
                 return
-        if not changes or now - turn.since < self.quiet_s or now < self._next_try_at:
+        if change is None or now - turn.since < self.quiet_s or now < self._next_try_at:
             return
         self._next_try_at = now + COOL_DOWN_S
-        for change in changes:
-            if not await self._order(turn, change):
-                return
+        await self._order(turn, change)
 
-    async def _order(self, turn: Turn, change: StageChange) -> bool:
-        """Give one order, if the lease is surely still held; False if no more may be given."""
+    async def _order(self, turn: Turn, change: StageChange) -> None:
+        """Give an order, if the lease is surely still held."""
         now = self.state.clock()
         item = await self.store.item(LEASE_KEY)
         if item is None or item.revision != turn.token:
             self._give_up_turn(turn)
-            return False
+            return
         if self.state.clock() - now > MAX_VERIFY_S:
             self._log("verified_too_late", change, turn)
-            return False
+            return
         try:
             status = await give_stage_order(
                 self.state, change.worker, change.stage, holder=self.state.box, token=turn.token
             )
             outcome = f"status_{status}"
         except ExchangeError as error:
-            # It may still be carried out; the others of a batch do not wait for it.
+            # It may still be carried out: another order waits as if it had been answered.
             outcome = error.code.value
         self._ordered_at[change.worker.service] = self.state.clock()
         self.state.demand(change.worker.service).clear()
         self._log(outcome, change, turn)
-        return True
 
     def _give_up_turn(self, turn: Turn) -> None:
         self.turn = None
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -17,7 +17,7 @@
 from croftchute.systems.retry_budget import RetryLimits, RetryWindow
 from croftchute.systems.stage_balance import DemandCounts, StageDemand
 from croftchute.systems.worker_table import WorkerTable
-from croftchute.tables.routing import IngressLimits, RoutingTable, Stage
+from croftchute.tables.routing import IngressLimits, RoutingTable
 
 LEARN_PEERS_S = 3.0
 
@@ -64,16 +64,6 @@
         heard = self.demand(service).counts(now) + self.peers.demand(service, now)
         return heard.scaled(self.peers.fleet_factor(now))
 
-    def fleet_streams(self, service: str) -> float:
-        """About how many streams all boxes have open at the decode workers of a service."""
-        now = self.clock()
-        open_streams = sum(
-            belief.in_flight + self.peers.in_flight(belief.worker.id, now)
-            for belief in self.workers.of_service(service)
-            if belief.worker.stage is Stage.DECODE
-        )
-        return open_streams * self.peers.fleet_factor(now)
-
     def demand(self, service: str) -> StageDemand:
         """What was asked of a service at this box."""
         return self.demand_by_service.setdefault(service, StageDemand())
--- a/src/croftchute/systems/stage_balance.py
+++ b/src/croftchute/systems/stage_balance.py
@@ -2,9 +2,7 @@
 
 A stage is changed only on evidence: a stage has no worker left, or decode memory is short while
 prefill workers have time to spare. A decode worker that reads prompts itself slows all of its
-streams several times, so one prefill worker always stays. In a large fleet several prefill workers
-may be to spare long before anything is refused: then they change together, so many that decode
-memory is still the first to run out.
+streams several times, so one prefill worker always stays.
 """
 
 from __future__ import annotations
@@ -21,10 +19,6 @@
 MIN_REFUSED_SHARE = 0.1
 MAX_PREFILL_USE = 0.65
 DEFAULT_PREFILL_PACE = 20_000.0
-MIN_JUDGED_ASKS = 20
-MIN_DECODE_USE = 0.3
-PREFILL_TO_DECODE_USE = 0.85
-MIN_PREFILL_KEPT = 2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,11 +49,6 @@
         """
         return self.refused / self.asks if self.asks >= MIN_ASKS else 0.0
 
-    @property
-    def accepted(self) -> int:
-        """How many asks were granted."""
-        return self.asks - self.refused
-
     def scaled(self, factor: float) -> DemandCounts:
         """What a whole fleet asked, if this is the part of it that was heard.
 
@@ -157,51 +146,6 @@
     return _change(prefills, Stage.DECODE, reason)
 
 
-def decode_use(counts: DemandCounts, *, streams: float, workers: int, kv_tokens: int) -> float:
-    """The share of the decode workers' memory that open streams take, by their mean prompt.
-
-    >>> asked = DemandCounts(asks=10, accepted_tokens=50_000)
-    >>> decode_use(asked, streams=12, workers=3, kv_tokens=40_000)
-    0.5
-    """
-    if not workers or not counts.accepted:
-        return 0.0
-    return streams * counts.accepted_tokens / counts.accepted / (workers * kv_tokens)
-
-
-def surplus_changes(
-    beliefs: Sequence[WorkerBelief],
-    counts: DemandCounts,
-    *,
-    prefill_pace: float,
-    streams: float,
-    kv_tokens: int,
-) -> tuple[StageChange, ...]:
-    """The prefill workers that would serve better as decode workers, the idlest first.
-
-    As many as leave the prefill workers' use below that of decode memory, so that memory stays
-    what runs out first; at most half of them, as they are away while they change.
-    """
-    prefills = _of_stage(beliefs, Stage.PREFILL)
-    decodes = _of_stage(beliefs, Stage.DECODE)
-    if counts.accepted < MIN_JUDGED_ASKS:
-        return ()
-    count = len(decodes)
-    if decode_use(counts, streams=streams, workers=count, kv_tokens=kv_tokens) < MIN_DECODE_USE:
-        return ()
-    spare = 0
-    for moved in range(1, len(prefills) // 2 + 1):
-        kept = len(prefills) - moved
-        use = prefill_use(counts, workers=kept, pace=prefill_pace)
-        memory_use = decode_use(counts, streams=streams, workers=count + moved, kv_tokens=kv_tokens)
-        if kept < MIN_PREFILL_KEPT or use > PREFILL_TO_DECODE_USE * memory_use:
-            break
-        spare = moved
-    reason = f"{spare} of {len(prefills)} prefill workers to spare, {count} decode"
-    idlest = sorted(prefills, key=_idleness)[:spare]
-    return tuple(_change([belief], Stage.DECODE, reason) for belief in idlest)
-
-
 def _of_stage(beliefs: Sequence[WorkerBelief], stage: Stage) -> list[WorkerBelief]:
     listed = [b for b in beliefs if b.gone_at is None and b.worker.state is WorkerState.READY]
     return [belief for belief in listed if belief.worker.stage is stage]
