Give a hold back when its worker cannot be reached any more

Ruled out: the reuse of handles (no handle was freed or asked twice; 60 prompts read for 60 streams). Now the hold is given back when the connection fails.

The test that failed now waits for calls under way before it looks at the holds: giving back takes a call of its own; what it asserts is the same.

--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -178,6 +178,9 @@
 
     def _free_unused(self) -> None:
         self.reader.free_unused()
+        self._drop_unused_hold()
+
+    def _drop_unused_hold(self) -> None:
         if self.unused_hold is not None:
             state = self.run.state
             state.spawn(drop_hold(state, self.unused_hold, self.run.facts.id))
@@ -206,6 +209,7 @@
             run.workers_sent_to.add(belief.worker.id)
             await self._take(call, source)
         except ConnectFailedError as error:
+            self._drop_unused_hold()
             run.connect_failures += 1
             call.failed(error)
             progress.code, progress.detail = error.code, error.message
--- a/tests/platform_adapter/test_streams.py
+++ b/tests/platform_adapter/test_streams.py
@@ -5,6 +5,10 @@
 import pytest
 from platform_fleet import ask, config, fleet, request_bytes, route, run, until
 
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.failures import ConnectFailedError
+from croftchute.forwarding.request_run import WorkerCall
+
 
 async def engines(made, *, decodes=2, prefills=1, **options):
     decode = [
@@ -253,6 +257,7 @@
             assert all(answer.status == 200 and answer.is_whole for answer in answers)
             for number in range(60):
                 assert ran(decode, f"r{number}") == 1
+            await until(lambda: not box.state.background)
             assert not any(worker.holds for worker in decode)
 
     run(body)
@@ -340,3 +345,28 @@
             assert source.startswith(f"127.0.0.1:{prefill[1].port}/")
 
     run(body)
+
+
+def test_a_hold_at_a_worker_that_cannot_be_reached_any_more_is_dropped(monkeypatch):
+    """The hold taken at the next worker took its place, and it stayed reserved till it lapsed."""
+    opened = WorkerCall.open
+    refused = []
+
+    async def open_once_refused(self):
+        if not self.send.is_prefill and not refused:
+            refused.append(self.worker.id)
+            raise ConnectFailedError("refused for the test")
+        await opened(self)
+
+    async def body():
+        async with fleet() as made:
+            box, _, _ = await engines(made)
+            seen = []
+            box.state.log.observer = seen.append
+            answer = await ask(box, "/stream/x")
+            assert answer.is_whole and refused
+            await until(lambda: not box.state.background)
+            assert seen.count(Decision.HOLD_DROPPED) == 1
+
+    monkeypatch.setattr(WorkerCall, "open", open_once_refused)
+    run(body)
