--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -21,7 +21,7 @@
 WATCH_WAIT_S = 10.0
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
-WORKERS_PAUSE_S = 0.8
+WORKERS_PAUSE_S = 0.25
 
 
 class Dependency:
--- a/tests/platform_adapter/test_life.py
+++ b/tests/platform_adapter/test_life.py
@@ -12,9 +12,12 @@
 import pytest
 from platform_fleet import ask, fleet, read_answer, request_bytes, run, until
 
+from croftchute.daemon.router_process import lapsed_grace_s
 from croftchute.errors import DocumentError
 from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.store_follower import WORKERS_PAUSE_S
 from croftchute.router_settings import parse_router_settings
+from croftchute.systems.worker_table import GONE_GRACE_S
 
 ROOT = Path(__file__).resolve().parents[2]
 SETTINGS = {
@@ -248,3 +251,11 @@
     for one in sockets:
         one.close()
     return ports
+
+
+@pytest.mark.parametrize("drain_s", [2.0, 3.0])
+def test_workers_off_the_list_are_given_up_well_before_new_work_is_barred(drain_s):
+    """What is told late and what is borne afterwards add up: they came to 2.5 s of 2.0."""
+    settings = parse_router_settings(json.dumps(SETTINGS | {"drain_s": drain_s}).encode())
+    longest = max(lapsed_grace_s(settings), GONE_GRACE_S)
+    assert WORKERS_PAUSE_S + longest + 0.3 <= drain_s
