Read a prompt at its decode worker when the prefill queue is predicted long

One prefill worker was left, and nothing predicted its queue. Change: each box learns the wait at a prefill worker from its own calls (time beyond the reading, overdue calls, own tokens ahead), tells it to peers, and reads at the decode worker when reading ahead is predicted to take over 0.4 of the target and longer than the decode worker would. Ruled out: the worker's report, which lags 0.9 s here.

--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -39,6 +39,7 @@
     READY_CHANGED = "ready_changed"
     PREFILL_SENT = "prefill_sent"
     PREFILL_ENDED = "prefill_ended"
+    READ_AT_DECODE = "read_at_decode"
     REQUEST_SENT = "request_sent"
     ATTEMPT_ENDED = "attempt_ended"
     STREAM_RESUMED = "stream_resumed"
--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -29,6 +29,8 @@
 MAX_FETCH_BYTES = 8 << 20
 MAX_WORKER_NOTICES = 32
 MIN_FAILURES_TOLD = 0.05
+MIN_WAIT_TOLD_S = 0.05
+"""Shortest wait at a prefill worker that peers are told of: half of a prompt's reading."""
 SHARED_PATH = "/shared"
 
 
@@ -120,10 +122,14 @@
         entries = []
         for belief in state.workers.beliefs_by_id.values():
             failures = belief.failure_score(now)
-            if belief.in_flight or failures > MIN_FAILURES_TOLD:
+            wait_s = state.own_prefill_wait_s(belief)
+            if belief.in_flight or failures > MIN_FAILURES_TOLD or wait_s > MIN_WAIT_TOLD_S:
                 entries.append(
                     WorkerNotice(
-                        worker=belief.worker.id, in_flight=belief.in_flight, failures=failures
+                        worker=belief.worker.id,
+                        in_flight=belief.in_flight,
+                        failures=failures,
+                        wait_s=wait_s,
                     )
                 )
         demands = []
--- a/src/croftchute/forwarding/prompt_reader.py
+++ b/src/croftchute/forwarding/prompt_reader.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from croftchute.errors import MessageError
+from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
 from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
 from croftchute.forwarding.request_run import RequestRun, WorkerCall
 from croftchute.forwarding.worker_control import free_handle
 from croftchute.systems import patience
+from croftchute.systems.prefill_queue import ReadingTimes
 from croftchute.systems.worker_choice import ChoiceInput
 from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import Stage
@@ -40,6 +42,8 @@
             found = run.choose(Stage.PREFILL, near=decode.worker.zone)
             if found is None or (number > 0 and not self._may_read_again()):
                 return None
+            if not self._is_better_ahead(found[0], decode):
+                return None
             refusals = self._refusals
             handle = await self._read(*found)
             if handle is not None or self._refusals == refusals:
@@ -69,6 +73,27 @@
         leaves_attempt = len(run.workers_sent_to) + 1 < run.route.max_attempts
         return run.arrivals == 0 or (leaves_attempt and run.may_send_again())
 
+    def _is_better_ahead(self, prefill: WorkerBelief, decode: WorkerBelief) -> bool:
+        """Whether the prefill worker's queue is short enough to read the prompt there."""
+        run = self.run
+        times = ReadingTimes.predict(
+            prompt_tokens=run.facts.prompt_tokens,
+            pace=run.state.demand(run.service).prefill_pace,
+            wait_s=run.state.prefill_wait_s(prefill),
+        )
+        if times.is_better_ahead(target_s=run.route.target_s):
+            return True
+        run.log(
+            Decision.READ_AT_DECODE,
+            outcome="prefill queue too long",
+            worker=decode.worker.id,
+            prefill=prefill.worker.id,
+            wait_ms=round(times.wait_s * 1000),
+            ahead_ms=round(times.ahead_s * 1000),
+            own_ms=round(times.own_s * 1000),
+        )
+        return False
+
     async def _read(self, belief: WorkerBelief, chosen: ChoiceInput) -> PrefillHandle | None:
         run = self.run
         send = Send(
@@ -78,6 +103,7 @@
             is_prefill=True,
         )
         call = WorkerCall(run=run, belief=belief, send=send, chosen=chosen)
+        belief.queue.sent(run.facts.id, run.facts.prompt_tokens, run.now)
         try:
             await call.open()
             return await self._take_handle(call)
@@ -91,6 +117,7 @@
             run.arrivals += 1
             call.failed(ConnectionBrokenError(error.message))
         finally:
+            belief.queue.dropped(run.facts.id)
             call.close()
         return None
 
@@ -106,7 +133,9 @@
         handle = run.state.workers_speak.handle(body, call.worker)
         call.succeeded()
         taken_s = run.now - call.opened_at
-        run.state.demand(run.service).note_prefill(run.facts.prompt_tokens, taken_s)
+        demand = run.state.demand(run.service)
+        demand.note_prefill(run.facts.prompt_tokens, taken_s)
+        call.belief.queue.answered(run.facts.id, pace=demand.prefill_pace, now=run.now)
         self.unused = handle
         if run.engine is not None:
             self._lapses_at = run.now + HANDLE_SHARE * run.engine.handle_ttl_s
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -208,7 +208,9 @@
         self.chosen = chosen
         self.opened_at = run.now
         self.connection: ClientConnection | None = None
-        self._tokens = run.facts.prompt_tokens + run.facts.output_tokens
+        self._tokens = run.facts.prompt_tokens
+        if not send.is_prefill:
+            self._tokens += run.facts.output_tokens
         self._is_counted = False
 
     async def open(self) -> None:
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -16,8 +16,8 @@
 from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.retry_budget import RetryLimits, RetryWindow
 from croftchute.systems.stage_balance import DemandCounts, StageDemand
-from croftchute.systems.worker_table import WorkerTable
-from croftchute.tables.routing import IngressLimits, RoutingTable
+from croftchute.systems.worker_table import WorkerBelief, WorkerTable
+from croftchute.tables.routing import IngressLimits, RoutingTable, Stage
 
 LEARN_PEERS_S = 3.0
 
@@ -68,6 +68,18 @@
         """What was asked of a service at this box."""
         return self.demand_by_service.setdefault(service, StageDemand())
 
+    def own_prefill_wait_s(self, belief: WorkerBelief) -> float:
+        """How long a prompt would wait at a prefill worker, by this box's own calls."""
+        if belief.worker.stage is not Stage.PREFILL:
+            return 0.0
+        pace = self.demand(belief.worker.service).prefill_pace
+        return belief.queue.wait_s(pace=pace, now=self.clock())
+
+    def prefill_wait_s(self, belief: WorkerBelief) -> float:
+        """The same by what all boxes know."""
+        told_s = self.peers.prefill_wait_s(belief.worker.id, self.clock())
+        return max(told_s, self.own_prefill_wait_s(belief))
+
     def spawn(self, work: Coroutine[None, None, None]) -> None:
         """Do something beside the requests."""
         task = asyncio.get_running_loop().create_task(work)
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -157,6 +157,7 @@
   worker @0 :Text;
   inFlight @1 :UInt32;
   failures @2 :Float32;
+  waitS @3 :Float32;
 }
 
 struct DemandNotice {
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from croftchute.peers.messages import BoxNotice
+from croftchute.systems.prefill_queue import faded
 from croftchute.systems.stage_balance import DemandCounts
 from croftchute.tables.peers import Peer, WorkerNotice
 
@@ -96,6 +97,16 @@
         """What other boxes hold against a worker."""
         return sum(entry.failures for entry in self._entries(worker_id, now))
 
+    def prefill_wait_s(self, worker_id: str, now: float) -> float:
+        """The longest wait at a prefill worker that other boxes told of lately."""
+        waits = [
+            faded(entry.wait_s, now - peer.heard_at)
+            for peer in self.peers_by_id.values()
+            if now - peer.heard_at <= FRESH_S
+            and (entry := (peer.workers_by_id or {}).get(worker_id)) is not None
+        ]
+        return max(waits, default=0.0)
+
     def demand(self, service: str, now: float) -> DemandCounts:
         """What was asked of a service at other boxes."""
         total = DemandCounts()
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from croftchute.storage.watched import StoredItem
+from croftchute.systems.prefill_queue import PrefillQueue
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
 LATENCY_WEIGHT = 0.3
@@ -43,6 +44,7 @@
     in_flight_at_load: int = 0
     displaced: bool = False
     full_until: float = 0.0
+    queue: PrefillQueue = field(default_factory=PrefillQueue)
 
     def failure_score(self, now: float) -> float:
         """Recent failures, each counting half as much after every half-life."""
--- a/src/croftchute/tables/peers.py
+++ b/src/croftchute/tables/peers.py
@@ -7,11 +7,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerNotice:
-    """What one box has open at a worker, and how much it holds against it."""
+    """What one box has open at a worker, holds against it, and how long prompts wait there."""
 
     worker: str
     in_flight: int
     failures: float
+    wait_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/platform_adapter/test_streams.py
+++ b/tests/platform_adapter/test_streams.py
@@ -57,6 +57,23 @@
     run(body)
 
 
+def test_behind_a_long_queue_of_prompts_the_decode_worker_reads_the_prompt():
+    """It used to wait at the prefill worker until it was given up there, and read twice."""
+
+    async def body():
+        async with fleet() as made:
+            box, decode, prefill = await engines(made, decodes=1)
+            state = box.state
+            queue = state.workers.beliefs_by_id["p0"].queue
+            queue.sent("another", 10, state.clock() - 5.0)
+            answer = await ask(box, "/stream/x")
+            assert answer.is_whole
+            assert "x-croftchute-kv-source" not in decode[0].received[-1].headers
+            assert prefill[0].received == []
+
+    run(body)
+
+
 def test_full_decode_workers_refuse_before_any_prompt_is_read():
     async def body():
         async with fleet() as made:
--- a/tests/systems/test_peer_table.py
+++ b/tests/systems/test_peer_table.py
@@ -80,3 +80,13 @@
     table.hear("d", NOTICE, 5.0)
     assert table.fleet_factor(0.5) == 4 / 4
     assert table.fleet_factor(6.0) == 4 / 3
+
+
+def test_the_longest_wait_that_peers_told_of_fades():
+    table = PeerTable(own_id="me")
+    told = replace(NOTICE, workers=(WorkerNotice(worker="p", in_flight=1, failures=0, wait_s=0.8),))
+    table.hear("b", told, 0.0)
+    table.hear("c", NOTICE, 0.0)
+    assert table.prefill_wait_s("p", 0.0) == 0.8
+    assert table.prefill_wait_s("p", 0.5) == 0.4
+    assert table.prefill_wait_s("p", 10.0) == 0.0
