Decide the stages of engines by a capacity model of the request mix

Change: averages of what was asked and how long streams ran, told by all boxes, go into a model of the requests a second that each split serves, prompts that overflow read at decode workers; another split must serve a tenth more. The prefill pace is fitted through the calls that did not wait. Orders are tracked one by one until the list shows them, several at once in large fleets, halls short of decode workers first. The counts of refused asks and their scaling by the fleet's size are gone: averages need neither; their tests are replaced by ones of the averages, the model and the orders.

--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -29,6 +29,9 @@
 MAX_FETCH_BYTES = 8 << 20
 MAX_WORKER_NOTICES = 32
 MIN_FAILURES_TOLD = 0.05
+MAX_PREFILLS_TOLD = 6
+"""Latest prefill calls told with a notice: with those of ten peers enough to learn a pace from."""
+
 MIN_WAIT_TOLD_S = 0.05
 """Shortest wait at a prefill worker that peers are told of: half of a prompt's reading."""
 SHARED_PATH = "/shared"
@@ -139,8 +142,12 @@
                 DemandNotice(
                     service=service,
                     asks=counts.asks,
-                    refused=counts.refused,
-                    accepted_tokens=counts.accepted_tokens,
+                    prompt_tokens=counts.prompt_tokens,
+                    output_tokens=counts.output_tokens,
+                    ended=counts.ended,
+                    ended_tokens=counts.ended_tokens,
+                    ended_s=counts.ended_s,
+                    prefills=tuple(demand.prefills)[-MAX_PREFILLS_TOLD:],
                 )
             )
         return BoxNotice(
--- a/src/croftchute/forwarding/prompt_reader.py
+++ b/src/croftchute/forwarding/prompt_reader.py
@@ -78,7 +78,7 @@
         run = self.run
         times = ReadingTimes.predict(
             prompt_tokens=run.facts.prompt_tokens,
-            pace=run.state.demand(run.service).prefill_pace,
+            pace=run.state.prefill_pace(run.service),
             wait_s=run.state.prefill_wait_s(prefill),
         )
         if times.is_better_ahead(target_s=run.route.target_s):
@@ -133,9 +133,9 @@
         handle = run.state.workers_speak.handle(body, call.worker)
         call.succeeded()
         taken_s = run.now - call.opened_at
-        demand = run.state.demand(run.service)
-        demand.note_prefill(run.facts.prompt_tokens, taken_s)
-        call.belief.queue.answered(run.facts.id, pace=demand.prefill_pace, now=run.now)
+        run.state.demand(run.service).note_prefill(run.facts.prompt_tokens, taken_s)
+        pace = run.state.prefill_pace(run.service)
+        call.belief.queue.answered(run.facts.id, pace=pace, now=run.now)
         self.unused = handle
         if run.engine is not None:
             self._lapses_at = run.now + HANDLE_SHARE * run.engine.handle_ttl_s
--- a/src/croftchute/forwarding/stage_orders.py
+++ b/src/croftchute/forwarding/stage_orders.py
@@ -12,25 +12,58 @@
 
 from croftchute.errors import StoreError
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.failures import ExchangeError
+from croftchute.forwarding.failures import ConnectFailedError, ExchangeError
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.worker_control import give_stage_order
 from croftchute.storage.watched import LeaseStore
-from croftchute.systems.stage_balance import StageChange, wanted_change
+from croftchute.systems.service_capacity import EnginePower
+from croftchute.systems.stage_balance import StageChange, wanted_changes
 from croftchute.tables.routing import Stage
 
 CHECK_S = 0.5
+"""Seconds between two looks at what is wanted."""
+
 FIRST_TRY_S = 4.0
+"""Longest time after the start at which a box first tries for the lease: spreads the tries."""
+
 LEASE_KEY = "croftchute/stage-orders"
+
+TAKEN = frozenset({200, 202})
+"""Statuses of an order that is carried out, or was before."""
+
 LEASE_TTL_S = 6.0
+"""Two renewals may be lost before the lease lapses."""
+
 RENEW_S = 2.0
+"""Seconds between renewals of the lease."""
+
 QUIET_MARGIN_S = 1.5
+"""Added to the time between two holders' orders: an order may be as long on its way."""
+
 MAX_VERIFY_S = 0.3
+"""Longest time between asking whether the lease is held and giving an order by the answer."""
+
 COOL_DOWN_S = 3.0
-SETTLE_S = 10.0
+"""Seconds between two tries for the lease, and after a failed call."""
+
+BETWEEN_ORDERS_S = 1.0
+"""Seconds between two batches of orders: the list shows changes within about a second."""
+
+MAX_AT_ONCE = 8
+"""Most orders in one batch: connections and calls of one box at a time."""
+
+ORDER_LASTS_S = 14.0
+"""Seconds for which an order counts as on its way: one that got no answer may be carried out 12 s
+later, and the list tells of it some seconds after."""
+
 LASTS_S = 0.4
+"""Seconds for which a change to decode must have been wanted."""
+
 PREFILL_LASTS_S = 5.0
+"""The same for a change to prefill: a prefill worker that crashed is mostly back within 5 s."""
+
 MAX_LAPSE_S = 1.5
+"""A need that was not seen for so many seconds begins anew."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -42,6 +75,14 @@
     since: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Order:
+    """An order that is on its way, until the list shows it or it surely came to nothing."""
+
+    stage: Stage
+    at: float
+
+
 class StageOrders:
     """Holds the lease if it gets it, and carries out the stage changes that are wanted."""
 
@@ -52,7 +93,7 @@
         self.turn: Turn | None = None
         self._next_try_at = 0.0
         self._renew_at = 0.0
-        self._ordered_at: dict[str, float] = {}
+        self._orders_by_worker: dict[str, _Order] = {}
         self._wanted_since: dict[tuple[str, Stage], tuple[float, float]] = {}
 
     async def run(self) -> None:
@@ -63,36 +104,50 @@
             await asyncio.sleep(CHECK_S * self.state.rng.uniform(0.8, 1.2))
             if self.state.is_stopping:
                 continue
-            change = self.wanted()
+            changes = self.wanted()
             try:
                 if self.turn is None:
-                    is_first = await self._try_for_turn(
-                        is_first=is_first, is_needed=change is not None
-                    )
+                    is_first = await self._try_for_turn(is_first=is_first, is_needed=bool(changes))
                 else:
-                    await self._use_turn(self.turn, change)
+                    await self._use_turn(self.turn, changes)
             except (StoreError, ExchangeError) as error:
                 self._next_try_at = self.state.clock() + COOL_DOWN_S
                 self.state.log.decide(
                     Decision.STAGE_ORDER, outcome=error.code.value, detail=error.message
                 )
 
-    def wanted(self) -> StageChange | None:
-        """The change that some service needs most, as this box sees it."""
+    def wanted(self) -> list[StageChange]:
+        """The changes that some service needs, as this box sees it."""
         table = self.state.table
         if table is None:
-            return None
+            return []
         for service in table.services_by_name.values():
-            if service.engine is None or self._is_settling(service.name):
+            if service.engine is None:
                 continue
-            change = wanted_change(
+            changes = wanted_changes(
                 self.state.workers.of_service(service.name),
                 self.state.fleet_demand(service.name),
-                prefill_pace=self.state.demand(service.name).prefill_pace,
+                EnginePower(
+                    prefill_pace=self.state.prefill_pace(service.name).pace,
+                    kv_tokens=service.engine.kv_tokens,
+                    slots=service.engine.slots,
+                ),
+                ordered=self._ordered(),
             )
-            if change is not None and self._has_lasted(change):
-                return change
-        return None
+            if changes and self._has_lasted(changes[0]):
+                return changes[:MAX_AT_ONCE]
+        return []
+
+    def _ordered(self) -> dict[str, Stage]:
+        """Stages of workers whose orders are on their way; forgets orders that are not."""
+        now = self.state.clock()
+        beliefs_by_id = self.state.workers.beliefs_by_id
+        for worker_id, order in list(self._orders_by_worker.items()):
+            belief = beliefs_by_id.get(worker_id)
+            is_done = belief is None or belief.worker.stage is order.stage
+            if is_done or now - order.at > ORDER_LASTS_S:
+                del self._orders_by_worker[worker_id]
+        return {worker_id: order.stage for worker_id, order in self._orders_by_worker.items()}
 
     def _has_lasted(self, change: StageChange) -> bool:
         """Whether the same need has been seen for a while: workers that crash come back."""
@@ -105,11 +160,6 @@
         wait_s = LASTS_S if change.stage is Stage.DECODE else PREFILL_LASTS_S
         return now - first >= wait_s
 
-    def _is_settling(self, service: str) -> bool:
-        """Whether an order given to the service may not have shown its effect yet."""
-        ordered_at = self._ordered_at.get(service)
-        return ordered_at is not None and self.state.clock() - ordered_at < SETTLE_S
-
     async def _try_for_turn(self, *, is_first: bool, is_needed: bool) -> bool:
         """Take the lease if nobody has it: once after the start, later when it is needed."""
         now = self.state.clock()
@@ -127,38 +177,48 @@
             self.state.log.decide(Decision.STAGE_ORDER, outcome="lease_taken", token=token)
         return False
 
-    async def _use_turn(self, turn: Turn, change: StageChange | None) -> None:
+    async def _use_turn(self, turn: Turn, changes: list[StageChange]) -> None:
         now = self.state.clock()
         if now >= self._renew_at:
             self._renew_at = now + RENEW_S
             if not await self.store.keep_lease(turn.lease):
                 self._give_up_turn(turn)
                 return
-        if change is None or now - turn.since < self.quiet_s or now < self._next_try_at:
+        if not changes or now - turn.since < self.quiet_s or now < self._next_try_at:
             return
-        self._next_try_at = now + COOL_DOWN_S
-        await self._order(turn, change)
+        self._next_try_at = now + BETWEEN_ORDERS_S
+        await self._order_all(turn, changes)
 
-    async def _order(self, turn: Turn, change: StageChange) -> None:
-        """Give an order, if the lease is surely still held."""
+    async def _order_all(self, turn: Turn, changes: list[StageChange]) -> None:
+        """Give orders, if the lease is surely still held."""
         now = self.state.clock()
         item = await self.store.item(LEASE_KEY)
         if item is None or item.revision != turn.token:
             self._give_up_turn(turn)
             return
         if self.state.clock() - now > MAX_VERIFY_S:
-            self._log("verified_too_late", change, turn)
+            self._log("verified_too_late", changes[0], turn)
             return
+        await asyncio.gather(*(self._order(turn, change) for change in changes))
+
+    async def _order(self, turn: Turn, change: StageChange) -> None:
+        """Give one order, and count it as on its way unless the worker refused it."""
+        worker_id = change.worker.id
+        order = _Order(stage=change.stage, at=self.state.clock())
+        self._orders_by_worker[worker_id] = order
         try:
             status = await give_stage_order(
                 self.state, change.worker, change.stage, holder=self.state.box, token=turn.token
             )
             outcome = f"status_{status}"
+            if status not in TAKEN:
+                del self._orders_by_worker[worker_id]
+        except ConnectFailedError as error:
+            del self._orders_by_worker[worker_id]
+            outcome = error.code.value
         except ExchangeError as error:
-            # It may still be carried out: another order waits as if it had been answered.
+            # It may still be carried out: it counts as if it had been answered.
             outcome = error.code.value
-        self._ordered_at[change.worker.service] = self.state.clock()
-        self.state.demand(change.worker.service).clear()
         self._log(outcome, change, turn)
 
     def _give_up_turn(self, turn: Turn) -> None:
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -14,6 +14,7 @@
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.peer_table import PeerTable
+from croftchute.systems.prefill_pace import PrefillPace, fit_pace
 from croftchute.systems.retry_budget import RetryLimits, RetryWindow
 from croftchute.systems.stage_balance import DemandCounts, StageDemand
 from croftchute.systems.worker_table import WorkerBelief, WorkerTable
@@ -21,6 +22,17 @@
 
 LEARN_PEERS_S = 3.0
 
+PACE_KEPT_S = 0.5
+"""Seconds for which a pace that was worked out is used: as often as peers tell of their calls."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _KnownPace:
+    """A pace, and when it was worked out."""
+
+    pace: PrefillPace
+    at: float
+
 
 @dataclass(kw_only=True)
 class ForwardingState:
@@ -47,6 +59,7 @@
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
     demand_by_service: dict[str, StageDemand] = field(default_factory=dict)
     is_stopping: bool = False
+    _pace_by_service: dict[str, _KnownPace] = field(default_factory=dict)
     background: set[asyncio.Task[None]] = field(default_factory=set)
 
     @property
@@ -59,20 +72,30 @@
         return heard
 
     def fleet_demand(self, service: str) -> DemandCounts:
-        """What was asked of a service lately, of this box and its peers."""
+        """What was asked of a service lately, of this box and of the peers that it hears."""
         now = self.clock()
-        heard = self.demand(service).counts(now) + self.peers.demand(service, now)
-        return heard.scaled(self.peers.fleet_factor(now))
+        return self.demand(service).counts(now) + self.peers.demand(service, now)
 
     def demand(self, service: str) -> StageDemand:
         """What was asked of a service at this box."""
         return self.demand_by_service.setdefault(service, StageDemand())
 
+    def prefill_pace(self, service: str) -> PrefillPace:
+        """How quickly the prefill workers of a service read, by the latest calls of all boxes."""
+        now = self.clock()
+        known = self._pace_by_service.get(service)
+        if known is not None and now - known.at < PACE_KEPT_S:
+            return known.pace
+        samples = [*self.demand(service).prefills, *self.peers.prefills(service, now)]
+        found = fit_pace(samples) if samples or known is None else known.pace
+        self._pace_by_service[service] = _KnownPace(pace=found, at=now)
+        return found
+
     def own_prefill_wait_s(self, belief: WorkerBelief) -> float:
         """How long a prompt would wait at a prefill worker, by this box's own calls."""
         if belief.worker.stage is not Stage.PREFILL:
             return 0.0
-        pace = self.demand(belief.worker.service).prefill_pace
+        pace = self.prefill_pace(belief.worker.service)
         return belief.queue.wait_s(pace=pace, now=self.clock())
 
     def prefill_wait_s(self, belief: WorkerBelief) -> float:
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -66,10 +66,12 @@
 
     async def _attempts(self) -> None:
         run = self.run
+        facts = run.facts
+        run.state.demand(run.service).note_ask(
+            run.now, prompt_tokens=facts.prompt_tokens, output_tokens=facts.likely_output
+        )
         while run.time_left_s > 0.0 and not self._is_over():
             found = await self._reserve()
-            if self.progress.events == 0 and run.arrivals == 0:
-                self._note_demand(is_refused=bool(run.full) and found is None)
             if found is None:
                 return
             source = await self.reader.read_for(found[0])
@@ -89,12 +91,6 @@
 
     # Room at a decode worker.
 
-    def _note_demand(self, *, is_refused: bool) -> None:
-        run = self.run
-        run.state.demand(run.service).note_ask(
-            run.now, is_refused=is_refused, prompt_tokens=run.facts.prompt_tokens
-        )
-
     async def _reserve(self) -> tuple[WorkerBelief, ChoiceInput] | None:
         """A decode worker that keeps room for the request, waiting for a while if all are full."""
         run = self.run
@@ -272,6 +268,7 @@
         run = self.run
         progress = self.progress
         splitter = EventSplitter()
+        is_resumed = progress.last_event is not None
         wait_s = first_wait_s
         while part := await call.part(wait_s):
             events = splitter.feed(part)
@@ -286,6 +283,12 @@
             self._start(call, head)
         call.succeeded()
         progress.is_whole = True
+        if not is_resumed and run.first_byte_at is not None:
+            run.state.demand(run.service).note_ended(
+                run.now,
+                output_tokens=run.facts.likely_output,
+                seconds=run.now - run.first_byte_at,
+            )
 
     async def _write(self, call: WorkerCall, head: ResponseHead, events: list[StreamEvent]) -> None:
         progress = self.progress
--- a/src/croftchute/peers/codec.py
+++ b/src/croftchute/peers/codec.py
@@ -17,6 +17,7 @@
 
 from croftchute.errors import MessageError
 from croftchute.peers.messages import Body
+from croftchute.systems.prefill_pace import PrefillSample
 from croftchute.tables.peers import DemandNotice, WorkerNotice
 from croftchute.tables.upstreams import ShardDigest
 
@@ -25,7 +26,7 @@
 MAX_ITEMS = 4096
 ID_FIELDS = ("request_id", "key", "token")
 MAX_DATAGRAM = 60000
-STRUCTS = (ShardDigest, WorkerNotice, DemandNotice)
+STRUCTS = (ShardDigest, WorkerNotice, PrefillSample, DemandNotice)
 STRUCTS_BY_LIST: dict[Any, type] = {tuple[kind, ...]: kind for kind in STRUCTS}  # type: ignore[valid-type]
 SCHEMA = capnp.load(str(Path(__file__).with_name("schema.capnp")))
 
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -160,11 +160,20 @@
   waitS @3 :Float32;
 }
 
+struct PrefillSample {
+  tokens @0 :UInt32;
+  seconds @1 :Float32;
+}
+
 struct DemandNotice {
   service @0 :Text;
   asks @1 :UInt32;
-  refused @2 :UInt32;
-  acceptedTokens @3 :UInt32;
+  promptTokens @2 :UInt32;
+  outputTokens @3 :UInt32;
+  ended @4 :UInt32;
+  endedTokens @5 :UInt32;
+  endedS @6 :Float32;
+  prefills @7 :List(PrefillSample);
 }
 
 struct BoxNotice {
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from croftchute.peers.messages import BoxNotice
+from croftchute.systems.prefill_pace import PrefillSample
 from croftchute.systems.prefill_queue import faded
 from croftchute.systems.stage_balance import DemandCounts
 from croftchute.tables.peers import Peer, WorkerNotice
@@ -84,11 +85,6 @@
         heard = sum(now - peer.heard_at <= COUNTED_S for peer in self.peers_by_id.values())
         return 1 + heard
 
-    def fleet_factor(self, now: float) -> float:
-        """All boxes over those heard lately: notices reach only some peers in a large fleet."""
-        fresh = sum(now - peer.heard_at <= FRESH_S for peer in self.peers_by_id.values())
-        return self.boxes(now) / (1 + fresh)
-
     def in_flight(self, worker_id: str, now: float) -> int:
         """What other boxes have open at a worker, as far as they told lately."""
         return sum(entry.in_flight for entry in self._entries(worker_id, now))
@@ -107,6 +103,16 @@
         ]
         return max(waits, default=0.0)
 
+    def prefills(self, service: str, now: float) -> list[PrefillSample]:
+        """Latest prefill calls that other boxes told of."""
+        return [
+            sample
+            for peer in self.peers_by_id.values()
+            if now - peer.heard_at <= FRESH_S
+            and (entry := (peer.demand_by_service or {}).get(service)) is not None
+            for sample in entry.prefills
+        ]
+
     def demand(self, service: str, now: float) -> DemandCounts:
         """What was asked of a service at other boxes."""
         total = DemandCounts()
@@ -114,7 +120,12 @@
             entry = (peer.demand_by_service or {}).get(service)
             if entry is not None and now - peer.heard_at <= FRESH_S:
                 total += DemandCounts(
-                    asks=entry.asks, refused=entry.refused, accepted_tokens=entry.accepted_tokens
+                    asks=entry.asks,
+                    prompt_tokens=entry.prompt_tokens,
+                    output_tokens=entry.output_tokens,
+                    ended=entry.ended,
+                    ended_tokens=entry.ended_tokens,
+                    ended_s=entry.ended_s,
                 )
         return total
 
--- a/src/croftchute/systems/prefill_queue.py
+++ b/src/croftchute/systems/prefill_queue.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass, field
 
+from croftchute.systems.prefill_pace import PrefillPace
 from croftchute.systems.service_capacity import OWN_READING_PACE
 
 WAIT_HALF_LIFE_S = 0.5
@@ -39,24 +40,27 @@
         """A prompt goes to the worker."""
         self.open_by_request[request_id] = _OpenCall(sent_at=now, tokens=tokens)
 
-    def answered(self, request_id: str, *, pace: float, now: float) -> None:
+    def answered(self, request_id: str, *, pace: PrefillPace, now: float) -> None:
         """The worker has read the prompt."""
         call = self.open_by_request.pop(request_id, None)
         if call is not None:
-            self.seen_wait_s = max(0.0, now - call.sent_at - call.tokens / pace)
+            self.seen_wait_s = max(0.0, now - call.sent_at - pace.reading_s(call.tokens))
             self.seen_at = now
 
     def dropped(self, request_id: str) -> None:
         """The call ended without an answer."""
         self.open_by_request.pop(request_id, None)
 
-    def wait_s(self, *, pace: float, now: float) -> float:
+    def wait_s(self, *, pace: PrefillPace, now: float) -> float:
         """How long one more prompt would wait, as far as this box can tell."""
         own_tokens = sum(call.tokens for call in self.open_by_request.values())
         overdue_s = [
-            now - call.sent_at - call.tokens / pace for call in self.open_by_request.values()
+            now - call.sent_at - pace.reading_s(call.tokens)
+            for call in self.open_by_request.values()
         ]
-        return max(own_tokens / pace, faded(self.seen_wait_s, now - self.seen_at), *overdue_s, 0.0)
+        return max(
+            own_tokens / pace.pace, faded(self.seen_wait_s, now - self.seen_at), *overdue_s, 0.0
+        )
 
 
 def faded(wait_s: float, age_s: float) -> float:
@@ -77,10 +81,14 @@
     own_s: float
 
     @classmethod
-    def predict(cls, *, prompt_tokens: int, pace: float, wait_s: float) -> ReadingTimes:
+    def predict(cls, *, prompt_tokens: int, pace: PrefillPace, wait_s: float) -> ReadingTimes:
         """The times for one prompt, given the wait at the prefill worker and its pace."""
-        read_s = prompt_tokens / pace
-        return cls(wait_s=wait_s, ahead_s=wait_s + read_s, own_s=read_s / OWN_READING_PACE)
+        read_s = prompt_tokens / pace.pace
+        return cls(
+            wait_s=wait_s,
+            ahead_s=wait_s + pace.fixed_s + read_s,
+            own_s=pace.fixed_s + read_s / OWN_READING_PACE,
+        )
 
     def is_better_ahead(self, *, target_s: float) -> bool:
         """Whether the prompt should go to the prefill worker.
--- a/src/croftchute/systems/service_capacity.py
+++ b/src/croftchute/systems/service_capacity.py
@@ -83,11 +83,15 @@
 def best_split(workers: int, mix: RequestMix, power: EnginePower) -> Split:
     """The split of so many workers that serves the most, with as few prefill workers as do.
 
+    Of two workers and more one is left to read prompts: without any, each prompt holds up streams.
+
     >>> mix = RequestMix(prompt_tokens=3000, output_tokens=600, token_s=0.005)
     >>> best_split(5, mix, EnginePower(prefill_pace=30_000, kv_tokens=40_000, slots=64)).prefills
     1
     """
-    splits = [split_of(prefills, workers - prefills, mix, power) for prefills in range(workers)]
+    fewest = min(1, workers - 1)
+    counts = range(fewest, max(workers, fewest + 1))
+    splits = [split_of(prefills, workers - prefills, mix, power) for prefills in counts]
     return max(splits, key=lambda split: (split.rate, -split.prefills))
 
 
--- a/src/croftchute/systems/stage_balance.py
+++ b/src/croftchute/systems/stage_balance.py
@@ -1,24 +1,48 @@
-"""Whether an engine of a service should change its stage, and which.
+"""Which engines of a service should change their stage, so that the service can serve the most.
 
-A stage is changed only on evidence: a stage has no worker left, or decode memory is short while
-prefill workers have time to spare. A decode worker that reads prompts itself slows all of its
-streams several times, so one prefill worker always stays.
+The averages of what was asked lately, told by all boxes, go into the capacity model; the present
+split is left alone unless another one serves clearly more, since a worker that changes its stage
+serves nobody for some seconds.
 """
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from croftchute.systems.prefill_pace import PrefillSample
+from croftchute.systems.service_capacity import (
+    EnginePower,
+    RequestMix,
+    Split,
+    best_split,
+    split_of,
+)
 from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
-WINDOW_S = 5.0
+WINDOW_S = 10.0
+"""Seconds over which asks are averaged: some tens of them, and younger than a shift of the load."""
+
 MIN_ASKS = 8
-MIN_REFUSED_SHARE = 0.1
-MAX_PREFILL_USE = 0.65
-DEFAULT_PREFILL_PACE = 20_000.0
+"""Fewest asks to average: their mean prompt is then known to about a fifth."""
+
+MIN_ENDED = 3
+"""Fewest ended streams to learn the time of an output token from."""
+
+MIN_GAIN = 0.1
+"""Share by which another split must serve more: about the error of the averages, and more than
+one worker's absence of some seconds costs within a minute."""
+
+MAX_SHARE_TO_DECODE = 0.5
+"""Share of the prefill workers that may be changed at once; what is short then shows next time."""
+
+MAX_SHARE_TO_PREFILL = 0.1
+"""Share of the decode workers that may be taken from their streams at once (at least one)."""
+
+KEPT_PREFILLS = 32
+"""Latest prefill calls of this box that are kept to learn the pace from."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -32,129 +56,151 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DemandCounts:
-    """Asks for decode memory in the window, those refused, and the prompts of the others."""
+    """Sums over the window: asks with their tokens, and streams that ended with their time."""
 
     asks: int = 0
-    refused: int = 0
-    accepted_tokens: int = 0
-
-    @property
-    def refused_share(self) -> float:
-        """The share of refused asks; 0 while there are too few to judge by.
-
-        >>> DemandCounts(asks=2, refused=2).refused_share
-        0.0
-        >>> DemandCounts(asks=10, refused=4).refused_share
-        0.4
-        """
-        return self.refused / self.asks if self.asks >= MIN_ASKS else 0.0
-
-    def scaled(self, factor: float) -> DemandCounts:
-        """What a whole fleet asked, if this is the part of it that was heard.
-
-        >>> DemandCounts(asks=10, refused=2, accepted_tokens=500).scaled(2.0)
-        DemandCounts(asks=20, refused=4, accepted_tokens=1000)
-        """
-        return DemandCounts(
-            asks=round(self.asks * factor),
-            refused=round(self.refused * factor),
-            accepted_tokens=round(self.accepted_tokens * factor),
-        )
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    ended: int = 0
+    ended_tokens: int = 0
+    ended_s: float = 0.0
 
     def __add__(self, other: DemandCounts) -> DemandCounts:
         return DemandCounts(
             asks=self.asks + other.asks,
-            refused=self.refused + other.refused,
-            accepted_tokens=self.accepted_tokens + other.accepted_tokens,
+            prompt_tokens=self.prompt_tokens + other.prompt_tokens,
+            output_tokens=self.output_tokens + other.output_tokens,
+            ended=self.ended + other.ended,
+            ended_tokens=self.ended_tokens + other.ended_tokens,
+            ended_s=self.ended_s + other.ended_s,
+        )
+
+    @property
+    def mix(self) -> RequestMix | None:
+        """The averages; None while there is too little to go by.
+
+        >>> DemandCounts(asks=2).mix is None
+        True
+        """
+        if self.asks < MIN_ASKS or self.ended < MIN_ENDED or self.ended_tokens == 0:
+            return None
+        return RequestMix(
+            prompt_tokens=self.prompt_tokens / self.asks,
+            output_tokens=self.output_tokens / self.asks,
+            token_s=self.ended_s / self.ended_tokens,
         )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _Ask:
-    """One request that asked for decode memory."""
+class _Timed:
+    """Counts of one event, and when it was."""
 
     at: float
-    is_refused: bool
-    prompt_tokens: int
+    counts: DemandCounts
 
 
 @dataclass(kw_only=True)
 class StageDemand:
-    """What requests of a service have asked for lately, and how quickly prompts are read."""
+    """What requests of a service have asked for lately, and its latest prefill calls."""
 
-    asks: deque[_Ask] = field(default_factory=deque)
-    prefill_pace: float = DEFAULT_PREFILL_PACE
+    events: deque[_Timed] = field(default_factory=deque)
+    prefills: deque[PrefillSample] = field(
+        default_factory=lambda: deque(maxlen=KEPT_PREFILLS),
+    )
 
-    def note_ask(self, now: float, *, is_refused: bool, prompt_tokens: int) -> None:
+    def note_ask(self, now: float, *, prompt_tokens: int, output_tokens: int) -> None:
         """Count one request that asked for room."""
-        self.asks.append(_Ask(at=now, is_refused=is_refused, prompt_tokens=prompt_tokens))
-        self._expire(now)
+        counts = DemandCounts(asks=1, prompt_tokens=prompt_tokens, output_tokens=output_tokens)
+        self._add(now, counts)
+
+    def note_ended(self, now: float, *, output_tokens: int, seconds: float) -> None:
+        """Count a stream that one decode worker brought from its first event to its end."""
+        self._add(now, DemandCounts(ended=1, ended_tokens=output_tokens, ended_s=seconds))
 
     def note_prefill(self, tokens: int, seconds: float) -> None:
-        """Learn the pace, in tokens a second, from the quickest prefill seen."""
-        if seconds > 0.0:
-            self.prefill_pace = max(self.prefill_pace, tokens / seconds)
+        """Keep how long a prefill call took."""
+        self.prefills.append(PrefillSample(tokens=tokens, seconds=seconds))
 
     def counts(self, now: float) -> DemandCounts:
-        """What was asked in the window."""
+        """What was asked, and what ended, in the window."""
         self._expire(now)
-        return DemandCounts(
-            asks=len(self.asks),
-            refused=sum(ask.is_refused for ask in self.asks),
-            accepted_tokens=sum(ask.prompt_tokens for ask in self.asks if not ask.is_refused),
-        )
+        return sum((event.counts for event in self.events), DemandCounts())
 
-    def clear(self) -> None:
-        """Forget the asks, once something has been done about them."""
-        self.asks.clear()
+    def _add(self, now: float, counts: DemandCounts) -> None:
+        self.events.append(_Timed(at=now, counts=counts))
+        self._expire(now)
 
     def _expire(self, now: float) -> None:
-        while self.asks and now - self.asks[0].at > WINDOW_S:
-            self.asks.popleft()
+        while self.events and now - self.events[0].at > WINDOW_S:
+            self.events.popleft()
 
 
-def prefill_use(counts: DemandCounts, *, workers: int, pace: float) -> float:
-    """The share of their time that so many prefill workers would be busy.
+def wanted_changes(
+    beliefs: Sequence[WorkerBelief],
+    counts: DemandCounts,
+    power: EnginePower,
+    *,
+    ordered: dict[str, Stage],
+) -> list[StageChange]:
+    """The stage changes that a service needs, given what all boxes were asked for lately.
 
-    >>> prefill_use(DemandCounts(accepted_tokens=250_000), workers=2, pace=50_000.0)
-    0.5
+    ``ordered`` are stages of workers whose orders are on their way; they count as changed.
     """
-    return counts.accepted_tokens / WINDOW_S / (workers * pace) if workers else 1.0
-
-
-def wanted_change(
-    beliefs: Sequence[WorkerBelief], counts: DemandCounts, *, prefill_pace: float
-) -> StageChange | None:
-    """The stage change that a service needs, given the asks of all boxes lately."""
-    prefills = _of_stage(beliefs, Stage.PREFILL)
-    decodes = _of_stage(beliefs, Stage.DECODE)
-    if not decodes and prefills:
-        return _change(prefills, Stage.DECODE, "no decode worker is listed")
-    if not prefills and len(decodes) > 1:
-        return _change(decodes, Stage.PREFILL, "no prefill worker is listed")
-    if len(prefills) < 2:
-        return None
-    use = prefill_use(counts, workers=len(prefills) - 1, pace=prefill_pace)
-    if use > MAX_PREFILL_USE:
-        return None
-    if len(prefills) >= len(decodes):
-        return _change(prefills, Stage.DECODE, f"{len(prefills)} prefill, {len(decodes)} decode")
-    share = counts.refused_share
-    if share < MIN_REFUSED_SHARE:
-        return None
-    reason = f"{share:.2f} of asks for decode memory refused, prefill use {use:.2f} without it"
-    return _change(prefills, Stage.DECODE, reason)
-
-
-def _of_stage(beliefs: Sequence[WorkerBelief], stage: Stage) -> list[WorkerBelief]:
     listed = [b for b in beliefs if b.gone_at is None and b.worker.state is WorkerState.READY]
-    return [belief for belief in listed if belief.worker.stage is stage]
+    by_stage = {
+        stage: [b for b in listed if ordered.get(b.worker.id, b.worker.stage) is stage]
+        for stage in Stage
+    }
+    prefills, decodes = len(by_stage[Stage.PREFILL]), len(by_stage[Stage.DECODE])
+    if prefills and not decodes:
+        reason = "no decode worker is listed"
+        return _changes(by_stage, Stage.DECODE, 1, ordered, reason)
+    mix = counts.mix
+    if mix is None or not decodes:
+        return []
+    present = split_of(prefills, decodes, mix, power)
+    best = best_split(prefills + decodes, mix, power)
+    if best.rate < (1.0 + MIN_GAIN) * present.rate:
+        return []
+    reason = _reason(present, best, mix, power)
+    if best.prefills < prefills:
+        most = max(1, int(MAX_SHARE_TO_DECODE * prefills))
+        number = min(most, prefills - best.prefills)
+        return _changes(by_stage, Stage.DECODE, number, ordered, reason)
+    most = max(1, int(MAX_SHARE_TO_PREFILL * decodes))
+    number = min(most, best.prefills - prefills)
+    return _changes(by_stage, Stage.PREFILL, number, ordered, reason)
+
+
+def _changes(
+    by_stage: dict[Stage, list[WorkerBelief]],
+    stage: Stage,
+    number: int,
+    ordered: dict[str, Stage],
+    reason: str,
+) -> list[StageChange]:
+    """So many workers of the other stage, the idlest of halls that are short of decode workers."""
+    other = Stage.PREFILL if stage is Stage.DECODE else Stage.DECODE
+    decodes_by_hall = Counter(belief.worker.zone for belief in by_stage[Stage.DECODE])
+    sign = 1 if stage is Stage.DECODE else -1
+    left = [belief for belief in by_stage[other] if belief.worker.id not in ordered]
+    chosen: list[StageChange] = []
+    while left and len(chosen) < number:
+        best = min(left, key=lambda b: (sign * decodes_by_hall[b.worker.zone], *_idleness(b)))
+        left.remove(best)
+        decodes_by_hall[best.worker.zone] += sign
+        chosen.append(StageChange(worker=best.worker, stage=stage, reason=reason))
+    return chosen
 
 
 def _idleness(belief: WorkerBelief) -> tuple[int, str]:
     return belief.tokens_in_flight, belief.worker.id
 
 
-def _change(beliefs: Sequence[WorkerBelief], stage: Stage, reason: str) -> StageChange:
-    idlest = min(beliefs, key=_idleness)
-    return StageChange(worker=idlest.worker, stage=stage, reason=reason)
+def _reason(present: Split, best: Split, mix: RequestMix, power: EnginePower) -> str:
+    return (
+        f"{present.prefills}+{present.decodes} serve {present.rate:.1f}/s, "
+        f"{best.prefills}+{best.decodes} serve {best.rate:.1f}/s; prompts of "
+        f"{mix.prompt_tokens:.0f} tokens at {power.prefill_pace:.0f}/s, "
+        f"streams of {mix.decode_s:.2f} s with {mix.held_tokens:.0f} tokens"
+    )
--- a/src/croftchute/tables/peers.py
+++ b/src/croftchute/tables/peers.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from croftchute.systems.prefill_pace import PrefillSample
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerNotice:
@@ -17,12 +19,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DemandNotice:
-    """Asks for decode memory at a box in its window, those refused, the prompts of the others."""
+    """What was asked of a service at a box in its window, and the streams that ended there."""
 
     service: str
     asks: int
-    refused: int
-    accepted_tokens: int
+    prompt_tokens: int
+    output_tokens: int
+    ended: int
+    ended_tokens: int
+    ended_s: float
+    prefills: tuple[PrefillSample, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -168,3 +168,8 @@
     output_tokens: int = 0
     expected_output: int | None = None
     prompt_parts: tuple[str, ...] = ()
+
+    @property
+    def likely_output(self) -> int:
+        """Output tokens to reckon with: the caller's guess, or the most it asks for."""
+        return self.output_tokens if self.expected_output is None else self.expected_output
--- a/tests/forwarding/test_stage_orders.py
+++ b/tests/forwarding/test_stage_orders.py
@@ -1,6 +1,7 @@
 """Orders: given under a lease that is surely held, and not doubled when one gets no answer."""
 
 import asyncio
+from dataclasses import replace
 
 from platform_fleet import fleet, run
 
@@ -35,7 +36,7 @@
     orders.turn = Turn(token=token, lease=1, since=now - 60.0)
     orders._renew_at = now + 60.0
     orders._next_try_at = now
-    await asyncio.wait_for(orders._use_turn(orders.turn, change), 30)
+    await asyncio.wait_for(orders._use_turn(orders.turn, [change]), 30)
     return orders, sent
 
 
@@ -46,7 +47,8 @@
         async with fleet() as made:
             late = AnswerLateError("no head")
             orders, sent = await order_once(made, monkeypatch, answer=late)
-            assert sent == ["p0"] and orders._is_settling("llm")
+            assert sent == ["p0"]
+            assert orders._ordered() == {"p0": Stage.DECODE}
 
     run(body)
 
@@ -58,3 +60,24 @@
             assert sent == [] and orders.turn is None
 
     run(body)
+
+
+def test_an_order_that_the_worker_refused_is_not_waited_for(monkeypatch):
+    async def body():
+        async with fleet() as made:
+            orders, sent = await order_once(made, monkeypatch, answer=409)
+            assert sent == ["p0"] and orders._ordered() == {}
+
+    run(body)
+
+
+def test_an_order_is_over_once_the_list_shows_it(monkeypatch):
+    async def body():
+        async with fleet() as made:
+            orders, _ = await order_once(made, monkeypatch)
+            assert orders._ordered() == {"p0": Stage.DECODE}
+            belief = orders.state.workers.beliefs_by_id["p0"]
+            belief.worker = replace(belief.worker, stage=Stage.DECODE)
+            assert orders._ordered() == {}
+
+    run(body)
--- a/tests/systems/test_peer_table.py
+++ b/tests/systems/test_peer_table.py
@@ -14,7 +14,17 @@
     config_version=3,
     workers_revision=9,
     workers=(WorkerNotice(worker="w", in_flight=2, failures=1.5),),
-    demands=(DemandNotice(service="s", asks=10, refused=4, accepted_tokens=500),),
+    demands=(
+        DemandNotice(
+            service="s",
+            asks=10,
+            prompt_tokens=500,
+            output_tokens=90,
+            ended=4,
+            ended_tokens=30,
+            ended_s=1.5,
+        ),
+    ),
 )
 
 
@@ -23,7 +33,9 @@
     assert table.hear("b", NOTICE, 0.0)
     assert table.in_flight("w", 1.0) == 2
     assert table.failures("w", 1.0) == 1.5
-    told = DemandCounts(asks=10, refused=4, accepted_tokens=500)
+    told = DemandCounts(
+        asks=10, prompt_tokens=500, output_tokens=90, ended=4, ended_tokens=30, ended_s=1.5
+    )
     assert table.demand("s", 1.0) == told
     assert table.in_flight("w", 10.0) == 0
     assert table.demand("s", 10.0) == DemandCounts()
@@ -74,12 +86,16 @@
 
 
 def test_what_some_boxes_told_stands_for_all():
+    """Averages do not depend on how many peers were heard lately."""
     table = PeerTable(own_id="me")
     table.hear("b", NOTICE, 0.0)
     table.hear("c", NOTICE, 5.0)
     table.hear("d", NOTICE, 5.0)
-    assert table.fleet_factor(0.5) == 4 / 4
-    assert table.fleet_factor(6.0) == 4 / 3
+    assert table.boxes(6.0) == 4
+    all_heard, two_heard = table.demand("s", 0.5), table.demand("s", 6.0)
+    assert (all_heard.asks, two_heard.asks) == (30, 20)
+    assert all_heard.mix == two_heard.mix
+    assert all_heard.mix is not None and all_heard.mix.prompt_tokens == 50.0
 
 
 def test_the_longest_wait_that_peers_told_of_fades():
--- a/tests/systems/test_prefill_queue.py
+++ b/tests/systems/test_prefill_queue.py
@@ -1,6 +1,7 @@
+from croftchute.systems.prefill_pace import PrefillPace
 from croftchute.systems.prefill_queue import PrefillQueue, ReadingTimes
 
-PACE = 30_000.0
+PACE = PrefillPace(pace=30_000.0)
 
 
 def test_an_idle_worker_makes_no_prompt_wait():
--- a/tests/systems/test_stage_balance.py
+++ b/tests/systems/test_stage_balance.py
@@ -1,80 +1,132 @@
-from croftchute.systems.stage_balance import DemandCounts, StageDemand, wanted_change
+from croftchute.systems.service_capacity import EnginePower
+from croftchute.systems.stage_balance import DemandCounts, StageDemand, wanted_changes
 from croftchute.systems.worker_table import WorkerTable
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
-CALM = DemandCounts(asks=100, refused=0, accepted_tokens=100_000)
-SHORT = DemandCounts(asks=40, refused=10, accepted_tokens=100_000)
-BUSY = DemandCounts(asks=40, refused=10, accepted_tokens=900_000)
-PACE = 50_000.0
+POWER = EnginePower(prefill_pace=30_000.0, kv_tokens=40_000, slots=64)
 
 
-def beliefs(prefills, decodes, state=WorkerState.READY):
+def demand(*, prompt, output, asks=40, ended=10):
+    """Asks of one size, and streams that took 5 ms for each token."""
+    return DemandCounts(
+        asks=asks,
+        prompt_tokens=asks * prompt,
+        output_tokens=asks * output,
+        ended=ended,
+        ended_tokens=ended * output,
+        ended_s=ended * output * 0.005,
+    )
+
+
+LONG_ANSWERS = demand(prompt=3000, output=600)
+LONG_PROMPTS = demand(prompt=12_000, output=60)
+BALANCED = demand(prompt=6000, output=400)
+
+
+def beliefs(prefills, decodes, state=WorkerState.READY, zones=("z",)):
     table = WorkerTable()
     for stage, count in ((Stage.PREFILL, prefills), (Stage.DECODE, decodes)):
         for number in range(count):
             name = f"{stage.value}-{number}"
+            zone = zones[number % len(zones)]
             entry = Worker(
-                id=name, service="s", host="h", port=1, zone="z", stage=stage, state=state
+                id=name, service="s", host="h", port=1, zone=zone, stage=stage, state=state
             )
             table.upsert(entry, 0.0)
     return list(table.beliefs_by_id.values())
 
 
-def change(found, counts):
-    return wanted_change(found, counts, prefill_pace=PACE)
+def changes(found, counts, *, ordered=None):
+    wanted = wanted_changes(found, counts, POWER, ordered=ordered or {})
+    return [(change.worker.id, change.stage) for change in wanted]
 
 
 def test_nothing_is_ordered_without_need():
-    assert change(beliefs(2, 3), CALM) is None
-    assert change(beliefs(2, 3), DemandCounts(asks=2, refused=2)) is None
+    assert changes(beliefs(2, 3), BALANCED) == []
+    assert changes(beliefs(1, 4), LONG_ANSWERS) == []
+
 
+def test_nothing_is_ordered_on_little_evidence():
+    assert changes(beliefs(2, 3), demand(prompt=3000, output=600, asks=7)) == []
+    assert changes(beliefs(2, 3), demand(prompt=3000, output=600, ended=2)) == []
+    assert changes(beliefs(2, 3), DemandCounts()) == []
 
-def test_shortage_takes_an_idle_prefill_worker():
-    found = beliefs(2, 3)
+
+def test_long_answers_take_an_idle_prefill_worker():
+    found = beliefs(2, 2)
     found[0].tokens_in_flight = 500
-    wanted = change(found, SHORT)
-    assert wanted is not None
-    assert (wanted.worker.id, wanted.stage) == ("prefill-1", Stage.DECODE)
+    assert changes(found, LONG_ANSWERS) == [("prefill-1", Stage.DECODE)]
 
 
 def test_prefill_workers_that_are_needed_stay():
-    assert change(beliefs(2, 3), BUSY) is None
+    assert changes(beliefs(2, 2), demand(prompt=12_000, output=200)) == []
+
+
+def test_long_prompts_take_an_idle_decode_worker():
+    found = beliefs(1, 4)
+    for belief in found[1:4]:
+        belief.tokens_in_flight = 500
+    assert changes(found, LONG_PROMPTS) == [("decode-3", Stage.PREFILL)]
 
 
 def test_the_last_prefill_worker_of_a_service_stays():
-    assert change(beliefs(1, 4), SHORT) is None
-    assert change(beliefs(1, 1), SHORT) is None
+    assert changes(beliefs(1, 4), demand(prompt=100, output=900)) == []
+    assert changes(beliefs(1, 1), demand(prompt=100, output=900)) == []
+
+
+def test_the_last_decode_worker_of_a_service_stays():
+    assert changes(beliefs(1, 1), LONG_PROMPTS) == []
 
 
-def test_as_many_prefill_as_decode_workers_is_put_right_without_waiting_for_refusals():
-    wanted = change(beliefs(2, 1), CALM)
-    assert wanted is not None
-    assert wanted.stage is Stage.DECODE
-    assert change(beliefs(2, 1), BUSY) is None
+def test_too_many_prefill_workers_are_put_right_without_waiting_for_refusals():
+    assert changes(beliefs(2, 1), LONG_ANSWERS) == [("prefill-0", Stage.DECODE)]
 
 
 def test_a_stage_without_workers_gets_one():
-    wanted = change(beliefs(1, 0), DemandCounts())
-    assert wanted is not None and wanted.stage is Stage.DECODE
-    wanted = change(beliefs(0, 3), DemandCounts())
-    assert wanted is not None and wanted.stage is Stage.PREFILL
-    assert change(beliefs(0, 1), DemandCounts()) is None
+    assert changes(beliefs(1, 0), DemandCounts()) == [("prefill-0", Stage.DECODE)]
+    assert changes(beliefs(0, 3), LONG_PROMPTS) == [("decode-0", Stage.PREFILL)]
+    assert changes(beliefs(0, 1), LONG_PROMPTS) == []
 
 
 def test_draining_workers_are_given_no_orders():
-    assert change(beliefs(2, 0, WorkerState.DRAINING), DemandCounts()) is None
+    assert changes(beliefs(2, 0, WorkerState.DRAINING), LONG_ANSWERS) == []
 
 
-def test_demand_is_of_the_last_seconds():
-    demand = StageDemand()
-    for second in range(4):
-        demand.note_ask(float(second), is_refused=second == 0, prompt_tokens=100)
-    assert demand.counts(4.0) == DemandCounts(asks=4, refused=1, accepted_tokens=300)
-    assert demand.counts(60.0) == DemandCounts()
+def test_an_order_on_its_way_counts_as_carried_out():
+    ordered = {"prefill-0": Stage.DECODE}
+    assert changes(beliefs(2, 2), LONG_ANSWERS, ordered=ordered) == []
+
+
+def test_a_large_fleet_changes_several_at_once_but_half_of_its_prefill_workers_at_most():
+    wanted = changes(beliefs(30, 15), LONG_ANSWERS)
+    assert len(wanted) == 15
+    assert {stage for _, stage in wanted} == {Stage.DECODE}
+
 
+def test_few_decode_workers_are_taken_from_their_streams_at_once():
+    wanted = changes(beliefs(2, 43), LONG_PROMPTS)
+    assert len(wanted) == 4
+    assert {stage for _, stage in wanted} == {Stage.PREFILL}
 
-def test_the_pace_is_that_of_the_quickest_prefill():
-    demand = StageDemand()
-    demand.note_prefill(5000, 0.1)
-    demand.note_prefill(5000, 0.5)
-    assert demand.prefill_pace == 50_000.0
+
+def test_halls_without_decode_workers_get_them_first():
+    found = beliefs(3, 0, zones=("a", "b", "c")) + beliefs(0, 3, zones=("a", "a", "b"))
+    assert changes(found, LONG_ANSWERS)[:1] == [("prefill-2", Stage.DECODE)]
+
+
+def test_demand_is_of_the_last_seconds():
+    lately = StageDemand()
+    for second in range(4):
+        lately.note_ask(float(second), prompt_tokens=100, output_tokens=20)
+    lately.note_ended(4.0, output_tokens=20, seconds=0.5)
+    found = lately.counts(4.0)
+    assert (found.asks, found.prompt_tokens, found.output_tokens) == (4, 400, 80)
+    assert (found.ended, found.ended_tokens, found.ended_s) == (1, 20, 0.5)
+    assert lately.counts(60.0) == DemandCounts()
+
+
+def test_the_latest_prefill_calls_are_kept():
+    lately = StageDemand()
+    for number in range(100):
+        lately.note_prefill(number, 0.1)
+    assert [sample.tokens for sample in lately.prefills] == list(range(68, 100))
