Give a decode worker time for its own reading; pass over unreachable prefill workers

Change: patience with a decode worker's own reading follows the predicted time (4 times it, at least as before); a prefill worker to which no connection came up gets no prompts for 1.5 s. Ruled out: passing over prefill workers by their failure score, which also counts what cost no caller anything.

--- a/src/croftchute/forwarding/prompt_reader.py
+++ b/src/croftchute/forwarding/prompt_reader.py
@@ -81,11 +81,12 @@
             pace=run.state.prefill_pace(run.service),
             wait_s=run.state.prefill_wait_s(prefill),
         )
-        if times.is_better_ahead(target_s=run.route.target_s):
+        is_unreachable = run.now < prefill.unreachable_until
+        if not is_unreachable and times.is_better_ahead(target_s=run.route.target_s):
             return True
         run.log(
             Decision.READ_AT_DECODE,
-            outcome="prefill queue too long",
+            outcome="prefill worker unreachable" if is_unreachable else "prefill queue too long",
             worker=decode.worker.id,
             prefill=prefill.worker.id,
             wait_ms=round(times.wait_s * 1000),
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -286,6 +286,8 @@
             Code.UPSTREAM_SLOW: WEIGHT_LATE,
         }.get(error.code, WEIGHT_BROKEN)
         self.run.avoid.add(self.worker.id)
+        if error.code is Code.TARGET_UNREACHABLE:
+            self.run.state.workers.note_unreachable(self.worker.id, self.run.now)
         self._hold_against(weight, error.code.value, error.message)
 
     def rejected(self, verdict: Verdict) -> None:
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -15,6 +15,7 @@
 from croftchute.forwarding.request_run import RequestRun, WorkerCall, within
 from croftchute.forwarding.worker_control import drop_hold, take_hold
 from croftchute.systems import patience
+from croftchute.systems.prefill_queue import ReadingTimes
 from croftchute.systems.worker_choice import ChoiceInput
 from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import EngineTraits, HeaderList, Stage
@@ -223,7 +224,7 @@
         run = self.run
         wait_s = run.time_left_s
         if self._may_go_elsewhere():
-            wait_s = patience.first_event_patience(run.route, time_left_s=wait_s)
+            wait_s = self._first_event_patience(source)
         head = await call.head(wait_s)
         verdict = run.state.workers_speak.verdict(head)
         if verdict is Verdict.ANSWERED:
@@ -244,6 +245,19 @@
         else:
             call.rejected(verdict)
 
+    def _first_event_patience(self, source: PrefillHandle | None) -> float:
+        run = self.run
+        if source is not None:
+            return patience.first_event_patience(run.route, time_left_s=run.time_left_s)
+        times = ReadingTimes.predict(
+            prompt_tokens=run.facts.prompt_tokens,
+            pace=run.state.prefill_pace(run.service),
+            wait_s=0.0,
+        )
+        return patience.own_reading_patience(
+            run.route, predicted_s=times.own_s, time_left_s=run.time_left_s
+        )
+
     def _may_go_elsewhere(self) -> bool:
         run = self.run
         has_attempts = len(run.workers_sent_to) < run.route.max_attempts
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -7,6 +7,9 @@
 REPEAT_SHARE_OF_TARGET = 0.6
 FIRST_EVENT_SHARE_OF_TARGET = 0.6
 TYPICAL_MULTIPLE = 3.0
+OWN_READING_MULTIPLE = 4.0
+"""Predicted times of its own reading that a decode worker is given: others may be read first."""
+
 PREFILL_SHARE_OF_TARGET = 0.7
 PREFILL_RETRY_SHARE_OF_TARGET = 0.5
 GAP_MULTIPLE = 3.0
@@ -42,6 +45,15 @@
     return min(FIRST_EVENT_SHARE_OF_TARGET * route.target_s, time_left_s)
 
 
+def own_reading_patience(route: Route, *, predicted_s: float, time_left_s: float) -> float:
+    """How long a decode worker may take to read a prompt itself.
+
+    It has just granted room, so it lives; giving it up would have the prompt read a second time.
+    """
+    wanted = max(FIRST_EVENT_SHARE_OF_TARGET * route.target_s, OWN_READING_MULTIPLE * predicted_s)
+    return min(wanted, time_left_s)
+
+
 def prefill_patience(route: Route, *, time_left_s: float) -> float:
     """How long a prefill call may take before the decode worker reads the prompt itself.
 
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -23,6 +23,10 @@
 MIN_LAPSED = 2
 LOAD_TTL_S = 0.3
 
+UNREACHABLE_S = 1.5
+"""Seconds for which a worker to which no connection came up is passed over where it can be: a try
+costs a caller the time of one connection, and cuts and crashes last for some seconds."""
+
 
 @dataclass(kw_only=True, slots=True)
 class WorkerBelief:
@@ -44,6 +48,7 @@
     in_flight_at_load: int = 0
     displaced: bool = False
     full_until: float = 0.0
+    unreachable_until: float = 0.0
     queue: PrefillQueue = field(default_factory=PrefillQueue)
 
     def failure_score(self, now: float) -> float:
@@ -223,6 +228,12 @@
         if belief is not None:
             belief.full_until = until
 
+    def note_unreachable(self, worker_id: str, now: float) -> None:
+        """No connection to a worker came up: what can do without it should, for a while."""
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is not None:
+            belief.unreachable_until = now + UNREACHABLE_S
+
     def note_displaced(self, worker_id: str) -> None:
         """Another worker answered at this one's address: it is not there any more."""
         belief = self.beliefs_by_id.get(worker_id)
--- a/tests/platform_adapter/test_streams.py
+++ b/tests/platform_adapter/test_streams.py
@@ -74,6 +74,24 @@
     run(body)
 
 
+def test_a_prefill_worker_that_cannot_be_reached_is_passed_over_for_a_while():
+    """In a zone that was cut off each prompt cost the time of a connection, or two."""
+
+    async def body():
+        async with fleet() as made:
+            box, decode, prefill = await engines(made, decodes=1)
+            prefill[0].stop()
+            assert (await ask(box, "/stream/x", "r1")).is_whole
+            belief = box.state.workers.beliefs_by_id["p0"]
+            assert belief.unreachable_until > box.state.clock()
+            failures = belief.failures
+            assert (await ask(box, "/stream/x", "r2")).is_whole
+            assert belief.failures == failures
+            assert ran(decode, "r2") == 1
+
+    run(body)
+
+
 def test_full_decode_workers_refuse_before_any_prompt_is_read():
     async def body():
         async with fleet() as made:
--- a/tests/systems/test_patience.py
+++ b/tests/systems/test_patience.py
@@ -44,3 +44,12 @@
     begun = patience.room_patience(ROUTE, time_left_s=9.0, is_begun=True)
     assert begun > patience.room_patience(ROUTE, time_left_s=9.0, is_begun=False)
     assert patience.room_patience(ROUTE, time_left_s=0.5, is_begun=True) == 0.5
+
+
+def test_a_decode_worker_that_reads_a_prompt_itself_is_given_time_by_what_it_has_to_read():
+    """It was given up while it read for others first, and the prompt was read a second time."""
+    short = patience.own_reading_patience(ROUTE, predicted_s=0.1, time_left_s=9.0)
+    assert short == patience.first_event_patience(ROUTE, time_left_s=9.0)
+    long = patience.own_reading_patience(ROUTE, predicted_s=0.5, time_left_s=9.0)
+    assert long == 2.0
+    assert patience.own_reading_patience(ROUTE, predicted_s=0.5, time_left_s=0.7) == 0.7
