Say the unit and origin of the constants of waiting, choice and belief

Earlier code: 40 constants of patience, worker_choice and worker_table had neither. No value changed.

--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -5,33 +5,85 @@
 from croftchute.tables.routing import Route
 
 REPEAT_SHARE_OF_TARGET = 0.6
+"""Share of the target after which a repeatable call goes to another worker: two usual tries
+then fit into the target."""
+
 FIRST_EVENT_SHARE_OF_TARGET = 0.6
+"""Share of the target that a decode worker's first event is given where it could be moved; 1.2 did
+worse on worst seconds (docs/EXPERIMENTS.md)."""
+
 TYPICAL_MULTIPLE = 3.0
+"""Usual times of a worker that a repeatable call is given, where that is longer."""
+
 OWN_READING_MULTIPLE = 4.0
 """Predicted times of its own reading that a decode worker is given: others may be read first."""
 
 PREFILL_SHARE_OF_TARGET = 0.7
+"""Share of the target that a prefill call is given: its decode worker can just still read the
+prompt in time; 1.5, and 0.4 to 0.7 by prediction, did no better (docs/EXPERIMENTS.md)."""
+
 PREFILL_RETRY_SHARE_OF_TARGET = 0.5
+"""Share of the target within which a second prefill worker is asked; reading fits the rest."""
+
 GAP_MULTIPLE = 3.0
+"""Longest good pauses after which a stream is taken as stuck: callers bear eight."""
+
 MIN_GAP_S = 0.6
+"""Seconds of pause that are always borne: a preempted stream mostly goes on within them."""
+
 PREFILL_FULL_TOKENS = 12_000
+"""Prompt tokens in flight at which a prefill worker costs as much as a full one: three prompts."""
+
 CONNECT_S = 0.25
+"""Seconds for a connection: many round trips, and little of any target."""
+
 REFUSAL_SHARE_OF_TARGET = 0.25
+"""Share of the target within which a refusal still lets the caller's next try count in full."""
+
 RETRY_AFTER_SHARE = 0.25
+"""Share of the caller's time left after which it is asked back when workers were not full."""
+
 MIN_RETRY_AFTER_S = 0.1
+"""Seconds after which a caller is asked back at the soonest."""
+
 MAX_RETRY_AFTER_S = 1.0
+"""Seconds after which a caller is asked back at the latest when workers were not full."""
+
 FULL_RETRY_AFTER_SHARE = 0.32
+"""The same share when workers were full: callers keep to at most a third of the time they have."""
+
 MAX_FULL_RETRY_AFTER_S = 6.0
+"""The same when workers were full: most surges are over then."""
+
 FULL_RETRY_AFTER_SPREAD = 0.1
+"""Share of that time over which callers are spread, so that they do not return together."""
+
 RETURN_SHARE = 0.9
+"""Share of the route's time below which a caller must have tried before."""
+
 RETURN_WAIT_SHARE_OF_TARGET = 0.5
+"""Share of the target that a caller who came back waits for room; reading fits the rest."""
+
 RESUME_WAIT_S = 2.0
+"""Seconds that a stream which has begun waits for room: callers bear pauses of 2 s and more."""
+
 ROOM_POLL_S = 0.1
+"""Seconds between two asks for room of a first try: streams end as often at a full worker."""
+
 RETURN_ROOM_POLL_S = 0.04
+"""The same of a caller who came back, or a stream that was cut: they go first."""
+
 HOLD_OUTPUT_MARGIN = 0.9
+"""Share of the likely output that a hold covers (trials in docs/DESIGN.md)."""
+
 FULL_FOR_S = 0.03
+"""Seconds for which a worker that had no room is not asked again."""
+
 ORDER_TIMEOUT_S = 1.0
+"""Seconds for a worker's answer to an order."""
+
 HOLD_TIMEOUT_S = 0.08
+"""Seconds for a worker's answer to an ask for room: some round trips; it needs no slot there."""
 
 
 def answer_patience(route: Route, *, typical_s: float, time_left_s: float) -> float:
--- a/src/croftchute/systems/worker_choice.py
+++ b/src/croftchute/systems/worker_choice.py
@@ -11,13 +11,28 @@
 from croftchute.tables.routing import Route, Stage
 
 FAILURE_COST = 1.0
+"""Cost of one failure held against a worker, in full workers: others are tried first."""
+
 PEER_FAILURE_COST = 0.4
+"""The same of one that another box told of: its news are older, and may be of its own links."""
+
 MAX_PEER_FAILURES = 4.0
+"""Most failures of peers that count: many boxes see the same crash."""
+
 TYPICAL_TOKENS = 5000
+"""Decode tokens that a request of another box is taken to hold: its size is not told."""
+
 FAR_COST = 0.12
+"""Cost of a worker in another hall: a few requests; 0.3 did no better (docs/EXPERIMENTS.md)."""
+
 LATENCY_COST = 0.5
+"""Cost of taking twice as long as workers usually do."""
+
 SAMPLE = 12
+"""Workers looked at for one choice in a large service: more find hardly better ones."""
+
 COST_DIGITS = 2
+"""Digits of a cost that decide: smaller differences are ties, broken at random."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -15,13 +15,29 @@
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
 LATENCY_WEIGHT = 0.3
+"""Weight of the newest answer in a worker's usual time: some answers make it."""
+
 FAILURE_HALF_LIFE_S = 2.0
+"""Seconds in which a failure counts half: crashes and cuts last for a few."""
+
 MAX_FAILURES = 8.0
+"""Highest failure score: it is under a tenth after four half-lives."""
+
 GONE_GRACE_S = 1.2
+"""Seconds for which a worker that left the list is a last resort: it serves on for 2 s and more."""
+
 LAPSED_GRACE_S = 2.0
+"""Seconds for which workers whose entries lapsed together are used: the living are back by then."""
+
 LAPSED_SHARE = 0.5
+"""Share of a service's entries that must go at once to count as lapsed."""
+
 MIN_LAPSED = 2
+"""Fewest entries that count as lapsed: one that goes alone has left."""
+
 LOAD_TTL_S = 0.3
+"""Seconds for which a load told with an answer counts: requests of others end about as soon."""
+
 
 UNREACHABLE_S = 1.5
 """Seconds for which a worker to which no connection came up is passed over where it can be: a try
