Send a stream whose caller came back to the worker that still keeps its prompt

Change: for a stream that a caller resumes, the decode workers (8 at most) are asked at once what prompt parts they keep; the one that keeps the request's own part is asked for room first and gets no prefill.

--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -48,6 +48,7 @@
     REQUEST_REFUSED = "request_refused"
     REQUEST_BROKEN = "request_broken"
     CALLER_LEFT = "caller_left"
+    KEEPER_ASKED = "keeper_asked"
     HOLD_ASKED = "hold_asked"
     HOLD_DROPPED = "hold_dropped"
     HANDLE_FREED = "handle_freed"
--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -137,6 +137,14 @@
         """The request for a worker's own account of itself."""
         ...
 
+    def ask_kept(self, worker: Worker) -> bytes:
+        """The request for the prompt parts that a worker keeps."""
+        ...
+
+    def kept(self, body: bytes) -> dict[str, int]:
+        """Tokens that a worker keeps by prompt part; raises MessageError."""
+        ...
+
     def orders_taken(self, body: bytes) -> int | None:
         """How many orders a worker has taken, from its account."""
         ...
--- /dev/null
+++ b/src/croftchute/forwarding/kept_prompts.py
@@ -0,0 +1,53 @@
+"""Finds the decode worker that still keeps the prompt of a stream whose caller has come back.
+
+A box that was restarted has forgotten where its streams ran, and a caller may come back at another
+box. The workers know: each lists the prompt parts that it keeps.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from croftchute.errors import MessageError
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.failures import ExchangeError
+from croftchute.forwarding.request_run import RequestRun
+from croftchute.forwarding.worker_control import ask_kept_parts
+from croftchute.systems.worker_table import WorkerBelief
+from croftchute.tables.routing import Stage
+
+MAX_WORKERS_ASKED = 8
+"""Most decode workers that are asked about one prompt: a list holds its worker up for a moment."""
+
+
+async def find_keeper(run: RequestRun) -> str | None:
+    """The id of the decode worker that keeps the prompt's own part; None if none is found."""
+    part = run.facts.own_part
+    usable = run.state.workers.usable(run.service, run.now, stage=Stage.DECODE)
+    if not part or run.engine is None or len(usable) > MAX_WORKERS_ASKED:
+        return None
+    answers = await asyncio.gather(*(_kept_tokens(run, belief, part) for belief in usable))
+    tokens, keeper = max(zip(answers, (b.worker.id for b in usable), strict=True), default=(0, ""))
+    run.log(
+        Decision.KEEPER_ASKED,
+        outcome="found" if tokens > 0 else "none keeps it",
+        worker=keeper if tokens > 0 else "",
+        kept_tokens=tokens,
+        workers_asked=len(usable),
+    )
+    return keeper if tokens > 0 else None
+
+
+async def _kept_tokens(run: RequestRun, belief: WorkerBelief, part: str) -> int:
+    """How much of a prompt part a worker keeps; 0 if it does not tell in time."""
+    try:
+        kept = await ask_kept_parts(run.state, belief.worker)
+    except (ExchangeError, MessageError) as error:
+        run.log(
+            Decision.KEEPER_ASKED,
+            outcome=error.code.value,
+            worker=belief.worker.id,
+            detail=error.message,
+        )
+        return 0
+    return kept.get(part, 0)
--- a/src/croftchute/forwarding/prompt_reader.py
+++ b/src/croftchute/forwarding/prompt_reader.py
@@ -24,6 +24,7 @@
     def __init__(self, *, run: RequestRun) -> None:
         self.run = run
         self.unused: PrefillHandle | None = None
+        self.keeper: str | None = None
         self._lapses_at = 0.0
         self._has_begun = False
         self._refusals = 0
@@ -31,10 +32,13 @@
     async def read_for(self, decode: WorkerBelief) -> PrefillHandle | None:
         """A handle for a decode worker; None if that worker must read the prompt itself.
 
-        The prompt is read ahead once; a handle that was not taken serves the next decode worker
+        A worker that keeps the prompt (``keeper``) reads next to nothing. The prompt is read ahead
+        once; a handle that was not taken serves the next decode worker
         as long as it is kept.
         """
         run = self.run
+        if decode.worker.id == self.keeper:
+            return None
         if self._has_begun or decode.worker.stage is None:
             return self.unused if run.now < self._lapses_at else None
         self._has_begun = True
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -11,6 +11,7 @@
 from croftchute.forwarding.event_stream import EventSplitter, StreamEvent
 from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
 from croftchute.forwarding.http_client import ResponseHead
+from croftchute.forwarding.kept_prompts import find_keeper
 from croftchute.forwarding.prompt_reader import PromptReader
 from croftchute.forwarding.request_run import RequestRun, WorkerCall, within
 from croftchute.forwarding.worker_control import drop_hold, take_hold
@@ -45,7 +46,7 @@
         self.progress = StreamProgress(last_event=run.facts.resume_after)
         self.reader = PromptReader(run=run)
         self.unused_hold: Hold | None = None
-        self._broken_at: str | None = None
+        self._kept_at: str | None = None
         self._resumed_in_place = False
 
     async def serve(self) -> None:
@@ -71,6 +72,8 @@
         run.state.demand(run.service).note_ask(
             run.now, prompt_tokens=facts.prompt_tokens, output_tokens=facts.likely_output
         )
+        if facts.resume_after is not None:
+            self.reader.keeper = self._kept_at = await find_keeper(run)
         while run.time_left_s > 0.0 and not self._is_over():
             found = await self._reserve()
             if found is None:
@@ -125,8 +128,8 @@
                 return found
 
     def _same_worker(self) -> tuple[WorkerBelief, ChoiceInput] | None:
-        """The worker whose connection broke: if it lives, it still keeps the prompt's cache."""
-        worker_id, self._broken_at = self._broken_at, None
+        """The worker that the stream ran at: if it lives, it still keeps the prompt's cache."""
+        worker_id, self._kept_at = self._kept_at, None
         if worker_id is None or self._resumed_in_place:
             return None
         self._resumed_in_place = True
@@ -216,7 +219,7 @@
             call.failed(error)
             progress.code, progress.detail = error.code, error.message
             if error.code is Code.UPSTREAM_FAILED:
-                self._broken_at = belief.worker.id
+                self._kept_at = belief.worker.id
         finally:
             call.close()
 
--- a/src/croftchute/forwarding/worker_control.py
+++ b/src/croftchute/forwarding/worker_control.py
@@ -11,7 +11,7 @@
 from croftchute.systems import patience
 from croftchute.tables.routing import Stage, Worker
 
-MAX_CONTROL_BYTES = 65536
+MAX_CONTROL_BYTES = 1 << 20
 STATUS_OK = 200
 
 
@@ -57,6 +57,13 @@
     await _release(state, handle.worker, data, Decision.HANDLE_FREED, request_id)
 
 
+async def ask_kept_parts(state: ForwardingState, worker: Worker) -> dict[str, int]:
+    """Tokens that a worker keeps by prompt part; ExchangeError or MessageError if it fails."""
+    data = state.workers_speak.ask_kept(worker)
+    status, body = await control_call(state, worker, data, patience.KEPT_TIMEOUT_S)
+    return state.workers_speak.kept(body) if status == STATUS_OK else {}
+
+
 async def give_stage_order(
     state: ForwardingState, worker: Worker, stage: Stage, *, holder: str, token: int
 ) -> int:
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -86,6 +86,7 @@
     finished: list[str] = field(default_factory=list)
     holds: set[str] = field(default_factory=set)
     handles: set[str] = field(default_factory=set)
+    kept: dict[str, int] = field(default_factory=dict)
     orders: list[dict[str, object]] = field(default_factory=list)
     connections: int = 0
 
@@ -166,6 +167,10 @@
         if request.path == "/report":
             self._send(writer, request, 200, {}, msgspec.json.encode({"Sequence": 5}))
             return True
+        if request.path == "/kv-list":
+            held = [["", part, tokens, "m"] for part, tokens in self.kept.items()]
+            self._send(writer, request, 200, {}, msgspec.json.encode({"epoch": 1, "held": held}))
+            return True
         if request.path == "/order":
             self.orders.append(msgspec.json.decode(request.body))
             self._send(writer, request, 202, {})
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -86,6 +86,10 @@
 """Seconds for a worker's answer to an ask for room: some round trips; it needs no slot there."""
 
 
+KEPT_TIMEOUT_S = 0.1
+"""Seconds for a worker's list of kept prompt parts: less than reading a prompt again takes."""
+
+
 def answer_patience(route: Route, *, typical_s: float, time_left_s: float) -> float:
     """How long a worker may take before a repeatable request is put to another one."""
     wanted = max(REPEAT_SHARE_OF_TARGET * route.target_s, TYPICAL_MULTIPLE * typical_s)
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -169,6 +169,11 @@
     expected_output: int | None = None
     prompt_parts: tuple[str, ...] = ()
 
+    @property
+    def own_part(self) -> str:
+        """The id of the prompt's last part, which is the request's own; empty if not told."""
+        return self.prompt_parts[-1].partition(":")[0] if self.prompt_parts else ""
+
     @property
     def likely_output(self) -> int:
         """Output tokens to reckon with: the caller's guess, or the most it asks for."""
--- a/tests/platform_adapter/test_streams.py
+++ b/tests/platform_adapter/test_streams.py
@@ -92,6 +92,36 @@
     run(body)
 
 
+def test_a_caller_that_comes_back_meets_the_worker_that_keeps_the_prompt():
+    """After a restart the box does not know it, and had the prompt read a second time."""
+
+    async def body():
+        async with fleet() as made:
+            box, decode, prefill = await engines(made, decodes=3)
+            decode[1].kept["91bd"] = 7
+            prefer(box, "d0")
+            extra = ("Last-Event-Id: 2", "X-Croftchute-Prompt-Prefix: 5c1e:3,91bd:7")
+            answer = await ask(box, "/resume/x", extra=extra)
+            assert answer.is_whole and numbers(answer) == [3, 4]
+            assert decode[1].finished == ["r1"]
+            assert prefill[0].received == []
+
+    run(body)
+
+
+def test_a_prompt_that_nobody_keeps_is_read_anew():
+    async def body():
+        async with fleet() as made:
+            box, decode, prefill = await engines(made)
+            decode[0].kept["ffff"] = 7
+            extra = ("Last-Event-Id: 2", "X-Croftchute-Prompt-Prefix: 5c1e:3,91bd:7")
+            answer = await ask(box, "/resume/x", extra=extra)
+            assert answer.is_whole and numbers(answer) == [3, 4]
+            assert len(prefill[0].received) == 1
+
+    run(body)
+
+
 def test_full_decode_workers_refuse_before_any_prompt_is_read():
     async def body():
         async with fleet() as made:
