--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -21,6 +21,10 @@
 KILL_AFTER_S = 8.5
 START_S = 1.5
 DRAIN_AFTER_S = 4.5
+
+LEAVE_GAP_S = 0.7
+"""Seconds between two workers of a service that leave one by one: two changes of the list."""
+
 LISTED_AFTER_CRASH_S = 1.5
 REUSE_AFTER_S = 2.0
 LAPSE_BACK_S = 1.5
@@ -97,6 +101,7 @@
             FaultKind.CONFIG_CHANGE: self._change_config,
             FaultKind.CONFIG_STORM: self._storm_config,
             FaultKind.BURST: self._burst,
+            FaultKind.HALF_LEAVES: self._half_leaves,
         }
 
     @property
@@ -248,11 +253,31 @@
     async def _drain_worker(self, fault: PlannedFault) -> None:
         """A new worker is listed, then one of its kind says that it leaves, and leaves."""
         listed = self._victim(fault)
-        if listed is None:
-            return
-        listed.leaving_at = self.now
+        if listed is not None:
+            listed.leaving_at = self.now
+            await self._leave(listed, says_so=bool(fault.pick % 2))
+
+    async def _half_leaves(self, fault: PlannedFault) -> None:
+        """Half of a service leaves: one by one as they say so, or entries that go in one moment."""
+        service = (DESK, ENGINES)[fault.pick % 2]
+        says_so = bool(fault.pick // 2 % 2)
+        live = self.world.live(service)
+        leaving = live[: len(live) // 2]
+        for listed in leaving:
+            listed.leaving_at = self.now
+        gap_s = LEAVE_GAP_S if says_so else 0.0
+        await asyncio.gather(
+            *(
+                self._leave(listed, says_so=says_so, after_s=number * gap_s)
+                for number, listed in enumerate(leaving)
+            )
+        )
+
+    async def _leave(self, listed: ListedWorker, *, says_so: bool, after_s: float = 0.0) -> None:
+        """A worker that no other fault strikes any more leaves, once another stands for it."""
         await self._add_like(listed)
-        if fault.pick % 2:
+        await asyncio.sleep(after_s)
+        if says_so:
             self.world.write_entry(listed, "draining")
         else:
             self.world.remove_entry(listed)
--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -32,6 +32,7 @@
     CONFIG_CHANGE = "config_change"
     CONFIG_STORM = "config_storm"
     BURST = "burst"
+    HALF_LEAVES = "half_leaves"
 
 
 PLANNED = (
@@ -40,6 +41,7 @@
     FaultKind.WORKER_DRAIN,
     FaultKind.CONFIG_CHANGE,
     FaultKind.BURST,
+    FaultKind.HALF_LEAVES,
 )
 LASTING = frozenset(
     {
