Say the unit and origin of more constants of the forwarding daemon

Earlier code: prompt reader, peers, budget, failure weights, store follower and the process had none. Only comments; no value and no statement changed.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -28,7 +28,11 @@
 
 STDOUT = 1
 FLUSH_S = 0.5
+"""Seconds between two tries to write log lines that were kept back."""
+
 SWEEP_S = 1.0
+"""Seconds between two sweeps of workers that are gone and of idle connections."""
+
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
 
@@ -43,6 +47,7 @@
 """Seconds between two looks at what is still open during a stop."""
 
 LAPSED_SHARE_OF_DRAIN = 0.7
+"""Share of the time until new work is barred for which lapsed workers are used."""
 
 
 def make_state(
--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -24,11 +24,23 @@
 from croftchute.tables.peers import DemandNotice, Peer, WorkerNotice
 
 NOTICE_S = 0.5
+"""Seconds between two notices: docs/CAPACITY.md works out the bytes."""
+
 FETCH_AFTER_S = 0.6
+"""Seconds that the store is given to tell what a peer knows already."""
+
 FETCH_TIMEOUT_S = 0.5
+"""Seconds for each step of a fetch from a peer."""
+
 MAX_FETCH_BYTES = 8 << 20
+"""Longest answer of a peer in bytes: a configuration of many routes, and all workers."""
+
 MAX_WORKER_NOTICES = 32
+"""Workers told of in one notice: bounds a datagram."""
+
 MIN_FAILURES_TOLD = 0.05
+"""Lowest failure score that is told."""
+
 MAX_PREFILLS_TOLD = 6
 """Latest prefill calls told with a notice: with those of ten peers enough to learn a pace from."""
 
--- a/src/croftchute/forwarding/prompt_reader.py
+++ b/src/croftchute/forwarding/prompt_reader.py
@@ -15,7 +15,10 @@
 from croftchute.tables.routing import Stage
 
 MAX_TRIES = 2
+"""Prefill workers asked for one prompt: a second only if the first surely read nothing."""
+
 HANDLE_SHARE = 0.8
+"""Share of the time that a handle is kept within which another decode worker may still take it."""
 
 
 class PromptReader:
@@ -32,9 +35,9 @@
     async def read_for(self, decode: WorkerBelief) -> PrefillHandle | None:
         """A handle for a decode worker; None if that worker must read the prompt itself.
 
-        A worker that keeps the prompt (``keeper``) reads next to nothing. The prompt is read ahead
-        once; a handle that was not taken serves the next decode worker
-        as long as it is kept.
+        The decode worker itself reads where it keeps the prompt (``keeper``), or where that is
+        quicker. Else the prompt is read ahead, once; a handle that was not taken serves the next
+        decode worker as long as it is kept.
         """
         run = self.run
         if decode.worker.id == self.keeper:
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -21,14 +21,31 @@
 T = TypeVar("T")
 
 MAX_CONNECT_TRIES = 4
+"""Workers to which no connection came up before a request is given up."""
+
 MAX_ANSWER_BYTES = 16 << 20
+"""Longest whole answer in bytes: four times the longest body of a caller."""
+
 WEIGHT_CONNECT = 2.0
+"""Failure score of a connection that did not come up: the worker is likely gone."""
+
 WEIGHT_BROKEN = 1.0
+"""Failure score of an answer that broke off."""
+
 WEIGHT_LATE = 1.0
+"""Failure score of an answer that did not come in time."""
+
 WEIGHT_REJECTED = 0.5
+"""Failure score of a request that the worker did not run: it is full, or leaving."""
+
 WEIGHT_DISPLACED = 4.0
+"""Failure score of an address at which another worker answered: for peers to hear of."""
+
 WEIGHT_FAILED = 0.3
+"""Failure score of a worker's own failure: some requests fail at any worker."""
+
 WEIGHT_LACKED = 1.0
+"""Failure score of a source whose cache could not be fetched."""
 
 
 class RequestRun:
--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -19,9 +19,16 @@
 from croftchute.tables.routing import RoutingTable
 
 WATCH_WAIT_S = 10.0
+"""Seconds that a watch waits for a change: few calls, and a third of the longest allowed."""
+
 MIN_BACKOFF_S = 0.1
+"""Seconds before a failed call is repeated at first."""
+
 MAX_BACKOFF_S = 1.0
+"""Seconds before a failed call is repeated at most: news must not be older by more."""
+
 WORKERS_PAUSE_S = 0.25
+"""Seconds between two watches of the workers: gathers changes; 0.8 broke a bound (finding 27)."""
 
 
 class Dependency:
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -12,11 +12,22 @@
 from croftchute.tables.peers import Peer, WorkerNotice
 
 FRESH_S = 1.5
+"""Seconds for which a notice counts: three notices may be lost."""
+
 COUNTED_S = 12.0
+"""Seconds after its last notice for which a box counts as one that shares the budgets."""
+
 FORGET_S = 60.0
+"""Seconds after which a silent box is forgotten."""
+
 FANOUT = 10
+"""Boxes that a notice goes to: bounds the bytes of a box however large the fleet."""
+
 INTRODUCED = 4
+"""Addresses of other boxes in a notice: a new box knows all within a few."""
+
 MAX_PEERS = 1024
+"""Boxes known at most: above twice the size that docs/CAPACITY.md works out."""
 
 
 @dataclass(kw_only=True)
--- a/src/croftchute/systems/retry_budget.py
+++ b/src/croftchute/systems/retry_budget.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 SAFETY = 0.7
+"""Share of the budget that is used: boxes count each other late, and windows slide."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
