Hall readers: few boxes of a hall watch the store, the others follow them

Change: two boxes of each hall of six or more read the store, by rank of a hash over the live boxes of the hall; the others wait at one of them for what changes after their own revision. A reader that does not answer, lost the store or stops is passed over; after four a follower reads the store itself. A box that is behind what peers tell asks one for the prefix it lacks, no longer for everything. Notices go mostly to boxes of the own hall. Only readers try for the lease of orders.

Ruled out: an elected reader (needs store calls or agreement); followers that learn by notices alone (0.6 s and more late, and whole lists each time).

Tests: ranks, shares, takeover, positions not kept, two readers lost, a reader without the store.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -12,8 +12,9 @@
 from croftchute.forwarding.decision_log import Decision, DecisionLog, LineWriter
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
 from croftchute.forwarding.forwarder import Forwarder
+from croftchute.forwarding.hall_news import KNOWN_PATH, NEWS_PATH
 from croftchute.forwarding.http_server import Exchange, HttpIngress
-from croftchute.forwarding.peer_exchange import SHARED_PATH, PeerExchange
+from croftchute.forwarding.peer_exchange import PeerExchange
 from croftchute.forwarding.stage_orders import StageOrders
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.store_follower import StoreFollower
@@ -35,6 +36,7 @@
 
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
+JSON = b"application/json"
 
 ENTRY_GRACE_S = 2.8
 """Seconds for which a stopping box takes callers: the balancer asks for readiness once a second
@@ -85,7 +87,7 @@
     own = parse_address(settings.control).host
     hosts = [parse_address(seed).host for seed in settings.seeds]
     seeds = tuple((host, settings.notice_port) for host in hosts if host != own)
-    return PeerTable(own_id=settings.box, seeds=seeds)
+    return PeerTable(own_id=settings.box, hall=settings.hall, seeds=seeds)
 
 
 def retry_limits(settings: RouterSettings) -> RetryLimits:
@@ -112,7 +114,12 @@
         self.follower = StoreFollower(
             state=state, store=store, vocabulary=vocabulary, on_change=self._note_readiness
         )
-        self.orders = StageOrders(state=state, store=store, holder_gap_s=settings.order_gap_s)
+        self.orders = StageOrders(
+            state=state,
+            store=store,
+            holder_gap_s=settings.order_gap_s,
+            may_try=lambda: self.follower.is_reader,
+        )
         control = parse_address(settings.control)
         self.exchange = PeerExchange(
             state=state,
@@ -161,8 +168,8 @@
         if settings.metrics is not None:
             await self._listen(self.metrics, settings.metrics)
         for work in (
-            self.follower.follow_config(),
-            self.follower.follow_workers(),
+            self.follower.config.run(),
+            self.follower.workers.run(),
             self.orders.run(),
             self.exchange.run(),
             self._sweep(),
@@ -183,6 +190,7 @@
         self.is_stopping = True
         self.ingress.is_stopping = True
         self.state.is_stopping = True
+        self.follower.stop_telling()
         self._note_readiness()
         self.state.log.decide(Decision.STOPPING, open_requests=self.ingress.open_requests)
         end_at = begun_at + self.settings.stop_limit_s - STOP_MARGIN_S
@@ -267,9 +275,12 @@
         elif path == METRICS_PATH:
             kind = b"text/plain; version=0.0.4"
             exchange.send(HTTPStatus.OK, [(b"content-type", kind)], self.state.metrics.text())
-        elif path == SHARED_PATH:
-            kind = b"application/json"
-            exchange.send(HTTPStatus.OK, [(b"content-type", kind)], self.exchange.shared())
+        elif path == NEWS_PATH:
+            found, body = await self.follower.answer_news(exchange.request.target)
+            exchange.send(found, [(b"content-type", JSON)], body)
+        elif path == KNOWN_PATH:
+            found, body = self.follower.answer_known(exchange.request.target)
+            exchange.send(found, [(b"content-type", JSON)], body)
         else:
             exchange.send(HTTPStatus.NOT_FOUND, [], b"")
 
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -56,6 +56,7 @@
     PEER_LISTED = "peer_listed"
     PEER_GONE = "peer_gone"
     PEER_FETCH = "peer_fetch"
+    NEWS_SOURCE = "news_source"
 
 
 class LineWriter:
--- /dev/null
+++ b/src/croftchute/forwarding/news_log.py
@@ -0,0 +1,114 @@
+"""The latest changes of one prefix of the store, for the boxes of the hall that follow this one."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from croftchute.errors import Code, StoreError
+from croftchute.storage.watched import Changes, HistoryGoneError, Listing, StoredItem
+
+MAX_ENTRIES = 256
+"""Answers of the store that are kept: at four a second the changes of a minute."""
+
+MAX_ITEMS = 2048
+"""Items that are kept in all of them: some ten times as many as a large fleet has workers."""
+
+
+class NotReadingError(StoreError):
+    """This box does not know the store's news at first hand at the moment."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(Code.STORE_UNAVAILABLE, message)
+
+
+@dataclass(kw_only=True)
+class NewsLog:
+    """Changes after ``base`` up to ``position``, which are revisions of the store."""
+
+    base: int | None = None
+    position: int = 0
+    entries: deque[Changes] = field(default_factory=deque)
+    _fresh_until: float = float("-inf")
+    _items: int = 0
+    _arrived: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def note_listing(self, listing: Listing) -> None:
+        """Begin anew behind a whole listing."""
+        self.entries.clear()
+        self._items = 0
+        self.base = self.position = listing.revision
+        self._wake()
+
+    def note_changes(self, changes: Changes) -> None:
+        """Take in what has changed since the position."""
+        self.position = max(self.position, changes.revision)
+        if not changes.written and not changes.removed:
+            return
+        self.entries.append(changes)
+        self._items += _size(changes)
+        while len(self.entries) > MAX_ENTRIES or self._items > MAX_ITEMS:
+            dropped = self.entries.popleft()
+            self._items -= _size(dropped)
+            self.base = dropped.revision
+        self._wake()
+
+    def note_reading(self, fresh_until: float) -> None:
+        """The store answers this box, and is to answer again by some time."""
+        self._fresh_until = fresh_until
+
+    def note_lost(self) -> None:
+        """The store does not answer this box, or the box stops: waiting followers are told so."""
+        self._fresh_until = float("-inf")
+        self._wake()
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether this box hears the store's news at first hand."""
+        return now < self._fresh_until
+
+    def since(self, after: int) -> Changes:
+        """What has changed after a revision; raises HistoryGoneError if that is not known."""
+        if self.base is None or after < self.base:
+            raise HistoryGoneError(f"changes after {after} are not kept")
+        return merged((e for e in self.entries if e.revision > after), position=self.position)
+
+    async def wait_for_change(self, after: int, wait_s: float) -> None:
+        """Return when something has changed after a revision, or after some time."""
+        found = self.since(after)
+        if found.written or found.removed:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._arrived.wait()
+
+    def _wake(self) -> None:
+        self._arrived.set()
+        self._arrived = asyncio.Event()
+
+
+def merged(parts: Iterable[Changes], *, position: int) -> Changes:
+    """Changes that follow each other as one: the last word on each key counts."""
+    written: dict[str, StoredItem] = {}
+    removed: dict[str, None] = {}
+    newest = 0
+    for part in parts:
+        for key in part.removed:
+            written.pop(key, None)
+            removed[key] = None
+        for item in part.written:
+            removed.pop(item.key, None)
+            written[item.key] = item
+        newest = max(newest, part.newest)
+    return Changes(
+        written=tuple(written.values()),
+        removed=tuple(removed),
+        revision=position,
+        newest=newest,
+    )
+
+
+def _size(changes: Changes) -> int:
+    return len(changes.written) + len(changes.removed)
--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -7,20 +7,16 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-from typing import Any, cast
-
-import msgspec
+from collections.abc import Awaitable, Callable
+from typing import cast
 
 from croftchute.errors import CroftchuteError, MessageError
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.failures import ExchangeError
-from croftchute.forwarding.request_run import within
+from croftchute.forwarding.hall_news import ask_known
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.store_follower import StoreFollower
 from croftchute.peers.codec import Codec, Envelope
 from croftchute.peers.messages import BoxNotice
-from croftchute.storage.watched import Listing, StoredItem
 from croftchute.tables.peers import DemandNotice, Peer, WorkerNotice
 
 NOTICE_S = 0.5
@@ -29,12 +25,6 @@
 FETCH_AFTER_S = 0.6
 """Seconds that the store is given to tell what a peer knows already."""
 
-FETCH_TIMEOUT_S = 0.5
-"""Seconds for each step of a fetch from a peer."""
-
-MAX_FETCH_BYTES = 8 << 20
-"""Longest answer of a peer in bytes: a configuration of many routes, and all workers."""
-
 MAX_WORKER_NOTICES = 32
 """Workers told of in one notice: bounds a datagram."""
 
@@ -46,7 +36,6 @@
 
 MIN_WAIT_TOLD_S = 0.05
 """Shortest wait at a prefill worker that peers are told of: half of a prompt's reading."""
-SHARED_PATH = "/shared"
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -116,22 +105,6 @@
         for peer_id in self.state.peers.forget(now):
             self.state.log.decide(Decision.PEER_GONE, peer=peer_id)
 
-    def shared(self) -> bytes:
-        """What a peer may fetch: the configuration and the worker list as the store had them."""
-        state = self.state
-        workers = [
-            _encoded(belief.item)
-            for belief in state.workers.beliefs_by_id.values()
-            if belief.gone_at is None and belief.item is not None
-        ]
-        return msgspec.json.encode(
-            {
-                "config": _encoded(state.table_item) if state.table_item else None,
-                "workers": workers,
-                "workers_revision": state.workers.revision,
-            }
-        )
-
     def _notice(self, now: float) -> BoxNotice:
         state = self.state
         entries = []
@@ -170,6 +143,7 @@
             config_version=state.table.version if state.table else 0,
             workers_revision=state.workers.revision,
             is_leaving=state.is_stopping,
+            hall=state.zone,
             workers=tuple(entries[:MAX_WORKER_NOTICES]),
             demands=tuple(demands),
             introduced=state.peers.introduced(now, state.rng),
@@ -197,59 +171,34 @@
             self._transport.sendto(self.codec.encode(envelope), (host, port))
 
     async def _catch_up(self) -> None:
-        """Fetch what a peer knows, if the store has not told it here after a short while."""
+        """Ask a peer for what it knows, if it does not come here by itself in a short while."""
         state = self.state
         now = state.clock()
         by_config, by_workers = state.peers.newest(now)
         version = state.table.version if state.table else 0
-        ahead = None
-        if by_config is not None and by_config.config_version > version:
-            ahead = by_config
-        elif by_workers is not None and by_workers.workers_revision > state.workers.revision:
-            ahead = by_workers
-        if ahead is None:
+        is_config_old = by_config is not None and by_config.config_version > version
+        revision = state.workers.revision
+        is_list_old = by_workers is not None and by_workers.workers_revision > revision
+        if not is_config_old and not is_list_old:
             self._behind_since = None
             return
         if self._behind_since is None:
             self._behind_since = now
         if now - self._behind_since < FETCH_AFTER_S and state.table is not None:
             return
-        try:
-            await self._fetch(ahead)
-        except (ExchangeError, CroftchuteError, msgspec.DecodeError, KeyError) as error:
-            state.log.decide(
-                Decision.PEER_FETCH, peer=ahead.id, outcome="failed", detail=str(error)
-            )
+        if by_config is not None and is_config_old:
+            await self._fetch(by_config, self._fetch_config)
+        if by_workers is not None and is_list_old:
+            await self._fetch(by_workers, self._fetch_workers)
 
-    async def _fetch(self, peer: Peer) -> None:
-        state = self.state
-        connection = await state.pool.acquire(
-            peer.host,
-            peer.control_port,
-            owner=peer.id,
-            now=state.clock(),
-            timeout_s=FETCH_TIMEOUT_S,
-        )
+    async def _fetch(self, peer: Peer, fetch: Callable[[Peer], Awaitable[None]]) -> None:
         try:
-            request = f"GET {SHARED_PATH} HTTP/1.1\r\nHost: {peer.host}\r\n\r\n"
-            connection.send(request.encode("ascii"), expected=None)
-            await within(connection.read_head(), FETCH_TIMEOUT_S, "no head")
-            body = await within(
-                connection.read_body(MAX_FETCH_BYTES), FETCH_TIMEOUT_S, "no whole body"
-            )
-        finally:
-            state.pool.release(
-                connection, peer.host, peer.control_port, owner=peer.id, now=state.clock()
+            await fetch(peer)
+        except CroftchuteError as error:
+            self.state.log.decide(
+                Decision.PEER_FETCH, peer=peer.id, outcome="failed", detail=error.message
             )
-        self._adopt(peer, msgspec.json.decode(body))
-
-    def _adopt(self, peer: Peer, shared: dict[str, Any]) -> None:
-        if shared["config"] is not None:
-            self.follower.take_config(_decoded(shared["config"]), source=peer.id)
-        if shared["workers_revision"] > self.state.workers.revision:
-            items = tuple(_decoded(entry) for entry in shared["workers"])
-            listing = Listing(items=items, revision=shared["workers_revision"])
-            self.follower.take_listing(listing, source=peer.id)
+            return
         self.follower.on_change()
         self.state.log.decide(
             Decision.PEER_FETCH,
@@ -259,16 +208,12 @@
             workers_revision=self.state.workers.revision,
         )
 
+    async def _fetch_config(self, peer: Peer) -> None:
+        listing = await ask_known(self.state, peer, self.follower.config.prefix)
+        for item in listing.items:
+            self.follower.take_config(item, source=peer.id)
 
-def _encoded(item: StoredItem) -> dict[str, object]:
-    value = base64.b64encode(item.value).decode("ascii")
-    return {"key": item.key, "value": value, "revision": item.revision}
-
-
-def _decoded(entry: dict[str, Any]) -> StoredItem:
-    try:
-        return StoredItem(
-            key=entry["key"], value=base64.b64decode(entry["value"]), revision=entry["revision"]
-        )
-    except (KeyError, ValueError, TypeError) as error:
-        raise MessageError(f"not an item: {error}") from None
+    async def _fetch_workers(self, peer: Peer) -> None:
+        listing = await ask_known(self.state, peer, self.follower.workers.prefix)
+        if listing.revision > self.state.workers.revision:
+            self.follower.take_listing(listing, source=peer.id)
--- /dev/null
+++ b/src/croftchute/forwarding/prefix_follower.py
@@ -0,0 +1,189 @@
+"""Follows one prefix of the store: at the store itself, or through a reader of the hall."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from croftchute.errors import MessageError, StoreError
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.failures import ExchangeError
+from croftchute.forwarding.hall_news import ask_news
+from croftchute.forwarding.news_log import NewsLog
+from croftchute.forwarding.state import ForwardingState
+from croftchute.storage.watched import Changes, HistoryGoneError, Listing, WatchedStore
+from croftchute.systems.hall_readers import HallReaders
+from croftchute.tables.peers import Peer
+
+WATCH_WAIT_S = 10.0
+"""Seconds that a watch waits for a change: few calls, and a third of the longest allowed."""
+
+READER_WAIT_S = 3.0
+"""The same of a box that others follow: a silent store is noticed some time after."""
+
+FRESH_MARGIN_S = 1.5
+"""Seconds beside the waiting after which the store must have answered a reader."""
+
+MIN_BACKOFF_S = 0.1
+"""Seconds before a failed call is repeated at first."""
+
+MAX_BACKOFF_S = 1.0
+"""Seconds before a failed call is repeated at most: news must not be older by more."""
+
+
+class Dependency:
+    """Whether something the process depends on answers; logs each loss and return once."""
+
+    def __init__(self, *, name: str, state: ForwardingState) -> None:
+        self.name = name
+        self.state = state
+        self.is_lost = False
+        self.heard_at = state.clock()
+
+    def answered(self) -> None:
+        """It answered."""
+        now = self.state.clock()
+        if self.is_lost:
+            silent_s = round(now - self.heard_at, 2)
+            self.state.log.decide(
+                Decision.DEPENDENCY_REGAINED, dependency=self.name, silent_s=silent_s
+            )
+        self.is_lost = False
+        self.heard_at = now
+
+    def failed(self, error: StoreError) -> None:
+        """It did not answer, or refused."""
+        if self.is_lost:
+            return
+        self.is_lost = True
+        self.state.log.decide(
+            Decision.DEPENDENCY_LOST,
+            dependency=self.name,
+            outcome=error.code.value,
+            detail=error.message,
+            last_heard_s=round(self.state.clock() - self.heard_at, 2),
+        )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PrefixHandlers:
+    """What is done with the news of a prefix."""
+
+    on_listing: Callable[[Listing], None]
+    on_changes: Callable[[Changes], None]
+    on_heard: Callable[[], None]
+
+
+class PrefixFollower:
+    """One prefix: reads a listing once, then each change in its order, from whoever tells it."""
+
+    def __init__(
+        self,
+        *,
+        prefix: str,
+        pause_s: float,
+        state: ForwardingState,
+        store: WatchedStore,
+        readers: HallReaders,
+        handlers: PrefixHandlers,
+    ) -> None:
+        self.prefix = prefix
+        self.pause_s = pause_s
+        self.state = state
+        self.store = store
+        self.readers = readers
+        self.handlers = handlers
+        self.log = NewsLog()
+        self._dependency = Dependency(name=f"store:{prefix}", state=state)
+        self._after: int | None = None
+        self._backoff_s = MIN_BACKOFF_S
+        self._reader_id = ""
+
+    async def run(self) -> None:
+        """Follow the prefix; never returns."""
+        while True:
+            reader = self._reader()
+            if reader is None:
+                await self._read_store()
+            else:
+                await self._ask_reader(reader)
+
+    def _reader(self) -> Peer | None:
+        """Whom to ask; None for the store. A whole listing comes from the store alone."""
+        if self._after is None:
+            return None
+        now = self.state.clock()
+        return self.readers.to_follow(self.state.peers.hall_mates(self.readers.hall, now), now)
+
+    async def _read_store(self) -> None:
+        self._note_source("", outcome="reads the store")
+        try:
+            if self._after is None:
+                listing = await self.store.listing(self.prefix)
+                self._after = listing.revision
+                self.log.note_listing(listing)
+                self.handlers.on_listing(listing)
+            else:
+                await self._watch(self._after)
+            self._dependency.answered()
+            self._note_fresh()
+            self._backoff_s = MIN_BACKOFF_S
+            self.handlers.on_heard()
+        except HistoryGoneError as error:
+            self._dependency.failed(error)
+            self._after = None
+        except StoreError as error:
+            self._dependency.failed(error)
+            self.log.note_lost()
+            await asyncio.sleep(self._backoff_s * self.state.rng.uniform(0.5, 1.0))
+            self._backoff_s = min(MAX_BACKOFF_S, 2.0 * self._backoff_s)
+
+    async def _watch(self, after: int) -> None:
+        changes = await self.store.changes(self.prefix, after=after, wait_s=self._wait_s())
+        self._take(changes, after)
+        await asyncio.sleep(self.pause_s)
+
+    def _wait_s(self) -> float:
+        is_asked = self.readers.is_asked(self.state.clock())
+        return READER_WAIT_S if is_asked else WATCH_WAIT_S
+
+    def _note_fresh(self) -> None:
+        if not self.state.is_stopping:
+            self.log.note_reading(self.state.clock() + self._wait_s() + FRESH_MARGIN_S)
+
+    async def _ask_reader(self, reader: Peer) -> None:
+        self.log.note_lost()
+        self._note_source(reader.id, outcome="follows a box of the hall")
+        after = self._after or 0
+        try:
+            changes = await ask_news(self.state, reader, self.prefix, after=after)
+        except HistoryGoneError:
+            self._after = None
+            return
+        except (ExchangeError, MessageError, StoreError) as error:
+            self.readers.pass_over(reader.id, self.state.clock())
+            self._note_source("", outcome=error.code.value, detail=error.message)
+            return
+        self._take(changes, after)
+        self.handlers.on_heard()
+
+    def _take(self, changes: Changes, after: int) -> None:
+        self.log.note_changes(changes)
+        self.handlers.on_changes(changes)
+        self._after = max(after, changes.revision)
+
+    def _note_source(self, reader_id: str, *, outcome: str, detail: str = "") -> None:
+        """Write a line when the news begin to come from elsewhere."""
+        if reader_id == self._reader_id:
+            return
+        previous, self._reader_id = self._reader_id, reader_id
+        self.state.log.decide(
+            Decision.NEWS_SOURCE,
+            outcome=outcome,
+            prefix=self.prefix,
+            reader=reader_id,
+            previous=previous,
+            detail=detail,
+            revision=self._after or 0,
+        )
--- a/src/croftchute/forwarding/stage_orders.py
+++ b/src/croftchute/forwarding/stage_orders.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from croftchute.errors import StoreError
@@ -86,9 +87,17 @@
 class StageOrders:
     """Holds the lease if it gets it, and carries out the stage changes that are wanted."""
 
-    def __init__(self, *, state: ForwardingState, store: LeaseStore, holder_gap_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        state: ForwardingState,
+        store: LeaseStore,
+        holder_gap_s: float,
+        may_try: Callable[[], bool],
+    ) -> None:
         self.state = state
         self.store = store
+        self.may_try = may_try
         self.quiet_s = holder_gap_s + QUIET_MARGIN_S
         self.turn: Turn | None = None
         self._next_try_at = 0.0
@@ -161,9 +170,12 @@
         return now - first >= wait_s
 
     async def _try_for_turn(self, *, is_first: bool, is_needed: bool) -> bool:
-        """Take the lease if nobody has it: once after the start, later when it is needed."""
+        """Take the lease if nobody has it: once after the start, later when it is needed.
+
+        Only boxes that read the store try: each try is a call of it.
+        """
         now = self.state.clock()
-        if now < self._next_try_at or not (is_first or is_needed):
+        if now < self._next_try_at or not (is_first or is_needed) or not self.may_try():
             return is_first
         self._next_try_at = now + COOL_DOWN_S
         if await self.store.item(LEASE_KEY) is not None:
--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -2,69 +2,22 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
+from http import HTTPStatus
 
-from croftchute.errors import DocumentError, StoreError
+from croftchute.errors import DocumentError
 from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.hall_news import Answer, answer_known, answer_news, prefix_of
+from croftchute.forwarding.prefix_follower import PrefixFollower, PrefixHandlers
 from croftchute.forwarding.state import ForwardingState
-from croftchute.storage.watched import (
-    Changes,
-    HistoryGoneError,
-    Listing,
-    StoredItem,
-    Vocabulary,
-    WatchedStore,
-)
+from croftchute.storage.watched import Changes, Listing, StoredItem, Vocabulary, WatchedStore
+from croftchute.systems.hall_readers import HallReaders
 from croftchute.tables.routing import RoutingTable
 
-WATCH_WAIT_S = 10.0
-"""Seconds that a watch waits for a change: few calls, and a third of the longest allowed."""
-
-MIN_BACKOFF_S = 0.1
-"""Seconds before a failed call is repeated at first."""
-
-MAX_BACKOFF_S = 1.0
-"""Seconds before a failed call is repeated at most: news must not be older by more."""
-
 WORKERS_PAUSE_S = 0.25
 """Seconds between two watches of the workers: gathers changes; 0.8 broke a bound (finding 27)."""
 
 
-class Dependency:
-    """Whether something the process depends on answers; logs each loss and return once."""
-
-    def __init__(self, *, name: str, state: ForwardingState) -> None:
-        self.name = name
-        self.state = state
-        self.is_lost = False
-        self.heard_at = state.clock()
-
-    def answered(self) -> None:
-        """It answered."""
-        now = self.state.clock()
-        if self.is_lost:
-            silent_s = round(now - self.heard_at, 2)
-            self.state.log.decide(
-                Decision.DEPENDENCY_REGAINED, dependency=self.name, silent_s=silent_s
-            )
-        self.is_lost = False
-        self.heard_at = now
-
-    def failed(self, error: StoreError) -> None:
-        """It did not answer, or refused."""
-        if self.is_lost:
-            return
-        self.is_lost = True
-        self.state.log.decide(
-            Decision.DEPENDENCY_LOST,
-            dependency=self.name,
-            outcome=error.code.value,
-            detail=error.message,
-            last_heard_s=round(self.state.clock() - self.heard_at, 2),
-        )
-
-
 class StoreFollower:
     """Follows two prefixes of the store: the configuration and the worker list."""
 
@@ -77,56 +30,82 @@
         on_change: Callable[[], None],
     ) -> None:
         self.state = state
-        self.store = store
         self.vocabulary = vocabulary
         self.on_change = on_change
-
-    async def follow_config(self) -> None:
-        """Keep the routing table new; never returns."""
-        await self._follow(
-            self.vocabulary.config_prefix, self._config_listed, self._config_changed, 0.0
+        self.readers = HallReaders(own_id=state.box, hall=state.zone)
+        self.config = PrefixFollower(
+            prefix=vocabulary.config_prefix,
+            pause_s=0.0,
+            state=state,
+            store=store,
+            readers=self.readers,
+            handlers=PrefixHandlers(
+                on_listing=self._config_listed,
+                on_changes=self._config_changed,
+                on_heard=on_change,
+            ),
         )
-
-    async def follow_workers(self) -> None:
-        """Keep the worker list new; never returns."""
-        await self._follow(
-            self.vocabulary.workers_prefix,
-            self._workers_listed,
-            self._workers_changed,
-            WORKERS_PAUSE_S,
+        self.workers = PrefixFollower(
+            prefix=vocabulary.workers_prefix,
+            pause_s=WORKERS_PAUSE_S,
+            state=state,
+            store=store,
+            readers=self.readers,
+            handlers=PrefixHandlers(
+                on_listing=self._workers_listed,
+                on_changes=self._workers_changed,
+                on_heard=on_change,
+            ),
         )
 
-    async def _follow(
-        self,
-        prefix: str,
-        on_listing: Callable[[Listing], None],
-        on_changes: Callable[[Changes], None],
-        pause_s: float,
-    ) -> None:
-        dependency = Dependency(name=f"store:{prefix}", state=self.state)
-        after: int | None = None
-        backoff_s = MIN_BACKOFF_S
-        while True:
-            try:
-                if after is None:
-                    listing = await self.store.listing(prefix)
-                    on_listing(listing)
-                    after = listing.revision
-                else:
-                    changes = await self.store.changes(prefix, after=after, wait_s=WATCH_WAIT_S)
-                    on_changes(changes)
-                    after = max(after, changes.revision)
-                    await asyncio.sleep(pause_s)
-                dependency.answered()
-                backoff_s = MIN_BACKOFF_S
-                self.on_change()
-            except HistoryGoneError as error:
-                dependency.failed(error)
-                after = None
-            except StoreError as error:
-                dependency.failed(error)
-                await asyncio.sleep(backoff_s * self.state.rng.uniform(0.5, 1.0))
-                backoff_s = min(MAX_BACKOFF_S, 2.0 * backoff_s)
+    @property
+    def is_reader(self) -> bool:
+        """Whether this box reads the store itself, for others or for want of a reader."""
+        now = self.state.clock()
+        mates = self.state.peers.hall_mates(self.state.zone, now)
+        return self.readers.to_follow(mates, now) is None
+
+    # What other boxes ask.
+
+    async def answer_news(self, target: str) -> Answer:
+        """What a box that follows this one wants to know."""
+        self.readers.note_asked(self.state.clock())
+        follower = self._follower(target)
+        if follower is None:
+            return HTTPStatus.NOT_FOUND, b""
+        return await answer_news(follower.log, target, self.state)
+
+    def answer_known(self, target: str) -> Answer:
+        """What a box that is behind wants to know."""
+        follower = self._follower(target)
+        if follower is None:
+            return HTTPStatus.NOT_FOUND, b""
+        is_config = follower is self.config
+        return answer_known(self._known_config() if is_config else self._known_workers())
+
+    def stop_telling(self) -> None:
+        """Send the boxes that follow this one elsewhere."""
+        self.config.log.note_lost()
+        self.workers.log.note_lost()
+
+    def _follower(self, target: str) -> PrefixFollower | None:
+        prefix = prefix_of(target)
+        followers = (self.config, self.workers)
+        return next((found for found in followers if found.prefix == prefix), None)
+
+    def _known_config(self) -> Listing:
+        item = self.state.table_item
+        items = (item,) if item is not None else ()
+        return Listing(items=items, revision=item.revision if item is not None else 0)
+
+    def _known_workers(self) -> Listing:
+        workers = self.state.workers
+        items = tuple(
+            belief.item
+            for belief in workers.beliefs_by_id.values()
+            if belief.gone_at is None and belief.item is not None
+        )
+        return Listing(items=items, revision=workers.revision)
 
     # The configuration.
 
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -189,6 +189,7 @@
     workers: tuple[WorkerNotice, ...] = ()
     demands: tuple[DemandNotice, ...] = ()
     introduced: tuple[str, ...] = ()
+    hall: str = ""
 
 
 Body: TypeAlias = (
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -187,4 +187,5 @@
   workers @7 :List(WorkerNotice);
   demands @8 :List(DemandNotice);
   introduced @9 :List(Text);
+  hall @10 :Text;
 }
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from croftchute.peers.messages import BoxNotice
+from croftchute.systems.hall_readers import LIVE_S
 from croftchute.systems.prefill_pace import PrefillSample
 from croftchute.systems.prefill_queue import faded
 from croftchute.systems.stage_balance import DemandCounts
@@ -23,6 +24,10 @@
 FANOUT = 10
 """Boxes that a notice goes to: bounds the bytes of a box however large the fleet."""
 
+HALL_FANOUT = 7
+"""How many of these are in the box's own hall, if so many are: bytes between halls are dear, and
+boxes of a hall follow one another's news."""
+
 INTRODUCED = 4
 """Addresses of other boxes in a notice: a new box knows all within a few."""
 
@@ -35,6 +40,7 @@
     """Peers by id; ``seeds`` are addresses to ask while too few peers are known."""
 
     own_id: str
+    hall: str = ""
     seeds: tuple[tuple[str, int], ...] = ()
     peers_by_id: dict[str, Peer] = field(default_factory=dict)
 
@@ -57,6 +63,7 @@
             config_version=notice.config_version,
             workers_revision=notice.workers_revision,
             is_leaving=notice.is_leaving,
+            hall=notice.hall,
             workers_by_id={entry.worker: entry for entry in notice.workers},
             demand_by_service={entry.service: entry for entry in notice.demands},
         )
@@ -71,17 +78,30 @@
 
     def targets(self, now: float, rng: random.Random) -> list[tuple[str, int]]:
         """Where the next notice goes: a bounded number of peers, and seeds while few answer."""
-        addresses = [
-            (peer.host, peer.notice_port)
-            for peer in self.peers_by_id.values()
-            if now - peer.heard_at <= FORGET_S
-        ]
-        chosen = addresses if len(addresses) <= FANOUT else rng.sample(addresses, FANOUT)
+        peers = [peer for peer in self.peers_by_id.values() if now - peer.heard_at <= FORGET_S]
+        if len(peers) > FANOUT:
+            peers = self._some_of(peers, rng)
+        chosen = [(peer.host, peer.notice_port) for peer in peers]
         fresh = sum(now - peer.heard_at <= FRESH_S for peer in self.peers_by_id.values())
         if fresh < len(self.seeds):
             chosen += [seed for seed in self.seeds if seed not in chosen]
         return chosen
 
+    def _some_of(self, peers: list[Peer], rng: random.Random) -> list[Peer]:
+        """As many as a notice goes to, most of them of the own hall."""
+        near = [peer for peer in peers if peer.hall == self.hall]
+        far = [peer for peer in peers if peer.hall != self.hall]
+        near_count = min(len(near), max(HALL_FANOUT, FANOUT - len(far)))
+        return rng.sample(near, near_count) + rng.sample(far, FANOUT - near_count)
+
+    def hall_mates(self, hall: str, now: float) -> list[Peer]:
+        """The other boxes of a hall that live and are not leaving."""
+        return [
+            peer
+            for peer in self.peers_by_id.values()
+            if peer.hall == hall and not peer.is_leaving and now - peer.heard_at <= LIVE_S
+        ]
+
     def introduced(self, now: float, rng: random.Random) -> tuple[str, ...]:
         """Addresses of some live peers, for others to learn of."""
         live = [
--- a/src/croftchute/tables/peers.py
+++ b/src/croftchute/tables/peers.py
@@ -44,5 +44,6 @@
     config_version: int = 0
     workers_revision: int = 0
     is_leaving: bool = False
+    hall: str = ""
     workers_by_id: dict[str, WorkerNotice] | None = None
     demand_by_service: dict[str, DemandNotice] | None = None
--- /dev/null
+++ b/tests/platform_adapter/test_hall_news.py
@@ -0,0 +1,129 @@
+"""A large hall: few boxes read the store, all know what it says, also when a reader is lost."""
+
+import asyncio
+
+import pytest
+from platform_fleet import config, fleet, run, until
+
+from croftchute.systems.hall_readers import ranked
+from croftchute.tables.routing import WorkerState
+
+BOXES = 8
+
+
+async def hall_of(made, count=BOXES):
+    """Boxes that know each other, and those that read, by rank."""
+    await made.add_worker("w1")
+    boxes = [await made.add_box(f"box-{number}") for number in range(count)]
+    hub = (("127.0.0.1", boxes[0].exchange.port),)
+    for box in boxes[1:]:
+        box.state.peers.seeds = hub
+    for box in boxes:
+        await until(lambda box=box: box.state.peers.boxes(box.state.clock()) == count)
+    rank = ranked("a", [box.state.box for box in boxes])
+    return sorted(boxes, key=lambda box: rank.index(box.state.box))
+
+
+async def settle(made, boxes):
+    """Change something until all but the first two boxes follow one of these."""
+    version = 100
+    while any(box.follower.config._reader_id == "" for box in boxes[2:]):
+        version += 1
+        made.store.put("op/config", config(version))
+        for box in boxes:
+            await until(lambda box=box, v=version: box.state.table.version == v)
+        await asyncio.sleep(0.05)
+    return version
+
+
+def test_a_change_is_in_force_everywhere_and_few_boxes_asked_the_store_for_it():
+    async def body():
+        async with fleet() as made:
+            boxes = await hall_of(made)
+            version = await settle(made, boxes)
+            made.store.calls.clear()
+            for number in range(1, 6):
+                made.store.put("op/config", config(version + number))
+                for box in boxes:
+                    await until(lambda box=box, v=version + number: box.state.table.version >= v)
+            watches = [name for name in made.store.calls if name == "kv-watch"]
+            assert len(watches) <= 2 * (5 + 2)
+
+    run(body)
+
+
+def test_a_worker_that_leaves_is_known_to_the_followers():
+    async def body():
+        async with fleet() as made:
+            boxes = await hall_of(made)
+            await settle(made, boxes)
+            worker = made.workers_by_id["w1"]
+            made.store.put("servers/w1", worker.entry("desk", "a", "draining"))
+            for box in boxes:
+                beliefs = box.state.workers.beliefs_by_id
+                await until(lambda b=beliefs: b["w1"].worker.state is WorkerState.DRAINING)
+            made.store.remove("servers/w1")
+            for box in boxes:
+                beliefs = box.state.workers.beliefs_by_id
+                await until(lambda b=beliefs: "w1" not in b or b["w1"].gone_at is not None)
+
+    run(body)
+
+
+@pytest.mark.parametrize("lost", [1, 2])
+def test_followers_go_on_when_their_readers_are_lost(lost):
+    async def body():
+        async with fleet() as made:
+            boxes = await hall_of(made)
+            version = await settle(made, boxes)
+            for reader in boxes[:lost]:
+                for task in reader._tasks:
+                    task.cancel()
+                reader.control.stop_accepting()
+                for connection in list(reader.control.connections):
+                    connection.abort()
+            made.store.put("op/config", config(version + 1))
+            for box in boxes[lost:]:
+                await until(lambda box=box: box.state.table.version == version + 1)
+
+    run(body)
+
+
+def test_a_reader_that_lost_the_store_sends_its_followers_elsewhere():
+    async def body():
+        async with fleet() as made:
+            boxes = await hall_of(made)
+            version = await settle(made, boxes)
+            boxes[0].follower.config.store.port = 1
+            boxes[0].follower.stop_telling()
+            made.store.put("op/config", config(version + 1))
+            for box in boxes:
+                await until(lambda box=box: box.state.table.version == version + 1)
+            following = {box.follower.config._reader_id for box in boxes[2:]}
+            assert boxes[0].state.box not in following
+
+    run(body)
+
+
+def test_a_follower_whose_position_is_not_kept_reads_the_whole_list():
+    async def body():
+        async with fleet() as made:
+            boxes = await hall_of(made)
+            version = await settle(made, boxes)
+            for reader in boxes[:2]:
+                reader.follower.config.log.base = 10**9
+            made.store.put("op/config", config(version + 1))
+            for box in boxes:
+                await until(lambda box=box: box.state.table.version == version + 1)
+
+    run(body)
+
+
+def test_only_boxes_that_read_the_store_try_for_the_lease_of_orders():
+    async def body():
+        async with fleet() as made:
+            boxes = await hall_of(made)
+            await settle(made, boxes)
+            assert [box.orders.may_try() for box in boxes] == [True, True] + [False] * (BOXES - 2)
+
+    run(body)
