Streams that come back find the worker that keeps their prompt among many; what never fits is refused at once

Cause: find_keeper gave up above eight decode workers, so after a power-off of all boxes 62 engines were asked by nobody and prompts were read again.

Change: a choice among many decode workers looks at the twelve that the prompt's own part prefers (rendezvous hash, alike at all boxes, nothing stored), and a returning stream asks the first sixteen. A prompt that no engine can hold is answered 503 with code prompt_too_long at once; a hold never asks for more than an engine has.

Ruled out: telling where streams run in notices (bytes, and a killed box tells nothing); asking all 62 (each list holds its engine up).

--- a/src/croftchute/errors.py
+++ b/src/croftchute/errors.py
@@ -30,6 +30,7 @@
     NO_CONFIG = "no_config"
     NO_CAPACITY = "no_capacity"
     NO_UPSTREAM = "no_upstream"
+    PROMPT_TOO_LONG = "prompt_too_long"
     TARGET_UNREACHABLE = "target_unreachable"
     DEADLINE_PASSED = "deadline_passed"
     OVER_SHARE = "over_share"
@@ -61,6 +62,7 @@
 HTTP_STATUS: dict[Code, int] = {
     Code.BAD_REQUEST: 400,
     Code.BODY_TOO_LARGE: 413,
+    Code.PROMPT_TOO_LONG: 413,
     Code.CALLER_UNKNOWN: 401,
     Code.MODEL_UNKNOWN: 404,
     Code.PATH_UNKNOWN: 404,
--- a/src/croftchute/forwarding/kept_prompts.py
+++ b/src/croftchute/forwarding/kept_prompts.py
@@ -13,19 +13,22 @@
 from croftchute.forwarding.failures import ExchangeError
 from croftchute.forwarding.request_run import RequestRun
 from croftchute.forwarding.worker_control import ask_kept_parts
+from croftchute.systems.worker_choice import by_affinity
 from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import Stage
 
-MAX_WORKERS_ASKED = 8
-"""Most decode workers that are asked about one prompt: a list holds its worker up for a moment."""
+MAX_WORKERS_ASKED = 16
+"""Most decode workers that are asked about one prompt, those that it prefers: a list holds its
+worker up for a moment. A choice looks at 12 of those that are not full."""
 
 
 async def find_keeper(run: RequestRun) -> str | None:
     """The id of the decode worker that keeps the prompt's own part; None if none is found."""
     part = run.facts.own_part
     usable = run.state.workers.usable(run.service, run.now, stage=Stage.DECODE)
-    if not part or run.engine is None or len(usable) > MAX_WORKERS_ASKED:
+    if not part or run.engine is None:
         return None
+    usable = by_affinity(usable, part)[:MAX_WORKERS_ASKED]
     answers = await asyncio.gather(*(_kept_tokens(run, belief, part) for belief in usable))
     tokens, keeper = max(zip(answers, (b.worker.id for b in usable), strict=True), default=(0, ""))
     run.log(
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -111,6 +111,7 @@
             avoid=self.avoid | self.full,
             now=self.now,
             rng=self.state.rng,
+            affinity=self.facts.own_part if stage is Stage.DECODE else "",
         )
 
     def has_other_worker(self, stage: Stage | None) -> bool:
@@ -180,7 +181,9 @@
     def refuse(self, code: Code, ran: Ran, detail: str) -> None:
         """Give the request up: the final answer goes out at once."""
         retry_after_s = None
-        if ran is Ran.NOT_RUN:
+        if code is Code.PROMPT_TOO_LONG:
+            retry_after_s = patience.NEVER_FITS_RETRY_AFTER_S
+        elif ran is Ran.NOT_RUN:
             retry_after_s = patience.retry_after(
                 self.time_left_s, is_full=bool(self.full), spread=self.state.rng.random()
             )
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -69,6 +69,13 @@
     async def _attempts(self) -> None:
         run = self.run
         facts = run.facts
+        engine = run.engine
+        if engine is not None and not patience.can_ever_fit(facts.prompt_tokens, engine.kv_tokens):
+            self.progress.code = Code.PROMPT_TOO_LONG
+            self.progress.detail = (
+                f"a prompt of {facts.prompt_tokens} tokens; an engine keeps {engine.kv_tokens}"
+            )
+            return
         run.state.demand(run.service).note_ask(
             run.now, prompt_tokens=facts.prompt_tokens, output_tokens=facts.likely_output
         )
@@ -146,7 +153,7 @@
         run = self.run
         facts = run.facts
         tokens = patience.hold_tokens(
-            facts.prompt_tokens, facts.output_tokens, facts.expected_output
+            facts.prompt_tokens, facts.output_tokens, facts.expected_output, engine.kv_tokens
         )
         outcome = "granted"
         try:
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -76,6 +76,10 @@
 HOLD_OUTPUT_MARGIN = 0.9
 """Share of the likely output that a hold covers (trials in docs/DESIGN.md)."""
 
+NEVER_FITS_RETRY_AFTER_S = 60.0
+"""Seconds after which a caller may ask again whose prompt no engine can hold: only the operator's
+next configuration can change that, and none comes within the time that callers wait."""
+
 FULL_FOR_S = 0.03
 """Seconds for which a worker that had no room is not asked again."""
 
@@ -172,13 +176,29 @@
     return ROOM_POLL_S
 
 
-def hold_tokens(prompt_tokens: int, output_tokens: int, expected_output: int | None) -> int:
+def can_ever_fit(prompt_tokens: int, kv_tokens: int) -> bool:
+    """Whether an empty engine has the memory for a prompt and one token of its answer.
+
+    >>> can_ever_fit(45_000, 45_991), can_ever_fit(47_020, 45_991)
+    (True, False)
+    """
+    return prompt_tokens < kv_tokens
+
+
+def hold_tokens(
+    prompt_tokens: int, output_tokens: int, expected_output: int | None, kv_tokens: int
+) -> int:
     """How much decode memory to reserve: the prompt, and what the answer will likely add.
 
-    >>> hold_tokens(5000, 800, 200)
+    No engine grants more than it has, ``kv_tokens``; what fits by less than its answer is reserved
+    a whole engine.
+
+    >>> hold_tokens(5000, 800, 200, 45_991)
     5180
+    >>> hold_tokens(45_500, 800, None, 45_991)
+    45991
     """
     output = output_tokens
     if expected_output is not None:
         output = min(output_tokens, int(HOLD_OUTPUT_MARGIN * expected_output))
-    return prompt_tokens + output
+    return min(prompt_tokens + output, kv_tokens)
--- a/src/croftchute/systems/worker_choice.py
+++ b/src/croftchute/systems/worker_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, replace
@@ -29,7 +30,9 @@
 """Cost of taking twice as long as workers usually do."""
 
 SAMPLE = 12
-"""Workers looked at for one choice in a large service: more find hardly better ones."""
+"""Workers looked at for one choice in a large service: more find hardly better ones. With an
+affinity they are the same ones for each try, so that a box that knows nothing of an earlier try
+finds the worker that keeps its prompt."""
 
 COST_DIGITS = 2
 """Digits of a cost that decide: smaller differences are ties, broken at random."""
@@ -107,13 +110,17 @@
     avoid: Collection[str],
     now: float,
     rng: random.Random,
+    affinity: str = "",
 ) -> tuple[WorkerBelief, ChoiceInput] | None:
-    """The cheapest candidate that is not to be avoided; ties are broken at random."""
+    """The cheapest candidate that is not to be avoided; ties are broken at random.
+
+    Of many candidates some are looked at: any, or those that ``affinity`` names.
+    """
     left = [belief for belief in candidates if belief.worker.id not in avoid]
     if not left:
         return None
     if len(left) > SAMPLE:
-        left = rng.sample(left, SAMPLE)
+        left = by_affinity(left, affinity)[:SAMPLE] if affinity else rng.sample(left, SAMPLE)
     latencies = sorted(belief.latency_s for belief in left if belief.latency_s > 0.0)
     typical_s = latencies[len(latencies) // 2] if latencies else 0.0
     around = replace(around, typical_s=typical_s)
@@ -129,6 +136,16 @@
     return best, describe(best, around, now, candidates=len(left))
 
 
+def by_affinity(candidates: Sequence[WorkerBelief], affinity: str) -> list[WorkerBelief]:
+    """Workers in the order in which a text prefers them, alike at all boxes (rendezvous hash)."""
+
+    def weight(belief: WorkerBelief) -> bytes:
+        text = f"{affinity}/{belief.worker.id}"
+        return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+    return sorted(candidates, key=weight)
+
+
 def describe(
     belief: WorkerBelief, around: Surroundings, now: float, *, candidates: int
 ) -> ChoiceInput:
--- a/tests/platform_adapter/platform_fleet.py
+++ b/tests/platform_adapter/platform_fleet.py
@@ -169,14 +169,23 @@
     asyncio.run(limited())
 
 
-def request_bytes(path, request_id="r1", *, method="POST", body=b"hello", extra=(), deadline=5000):
+def request_bytes(
+    path,
+    request_id="r1",
+    *,
+    method="POST",
+    body=b"hello",
+    extra=(),
+    deadline=5000,
+    tokens="10,20",
+):
     lines = [
         f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
         f"X-Croftchute-Request-Id: {request_id}",
         f"X-Croftchute-Deadline-Ms: {deadline}",
         "X-Croftchute-Model: m",
-        "X-Croftchute-Token-Usage: 10,20",
+        f"X-Croftchute-Token-Usage: {tokens}",
         *extra,
     ]
     if body:
--- a/tests/platform_adapter/test_streams.py
+++ b/tests/platform_adapter/test_streams.py
@@ -23,6 +23,9 @@
     return box, decode, prefill
 
 
+PARTS = "X-Croftchute-Prompt-Prefix: 5c1e:3,91bd:7"
+
+
 def numbers(answer):
     return [int(event.split(b"\n")[0].removeprefix(b"id: ")) for event in answer.events]
 
@@ -109,6 +112,40 @@
     run(body)
 
 
+def test_the_worker_that_keeps_a_prompt_is_found_among_many():
+    """With more than eight decode workers nobody was asked."""
+
+    async def body():
+        async with fleet() as made:
+            box, decode, prefill = await engines(made, decodes=20)
+            assert (await ask(box, "/resume/x", "r1", extra=(PARTS,))).is_whole
+            first = next(worker for worker in decode if worker.finished)
+            first.kept["91bd"] = 7
+            box.state.workers.note_failure(first.id, 8.0, box.state.clock())
+            read = len(prefill[0].received)
+            extra = ("Last-Event-Id: 2", PARTS)
+            assert (await ask(box, "/resume/x", "r2", extra=extra)).is_whole
+            assert first.finished == ["r1", "r2"]
+            assert len(prefill[0].received) == read
+
+    run(body)
+
+
+def test_a_prompt_that_no_engine_can_hold_is_refused_at_once():
+    """It was asked for again and again, waited for, and asked back to be refused once more."""
+
+    async def body():
+        async with fleet() as made:
+            box, decode, prefill = await engines(made)
+            answer = await ask(box, "/stream/x", tokens="70000,80")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) == 60.0
+            assert b"prompt_too_long" in answer.body
+            assert [w.received for w in decode + prefill] == [[], [], []]
+
+    run(body)
+
+
 def test_a_prompt_that_nobody_keeps_is_read_anew():
     async def body():
         async with fleet() as made:
--- a/tests/systems/test_worker_choice.py
+++ b/tests/systems/test_worker_choice.py
@@ -1,7 +1,13 @@
 import random
 
 from croftchute.systems.peer_table import PeerTable
-from croftchute.systems.worker_choice import Surroundings, choose, pick_service
+from croftchute.systems.worker_choice import (
+    SAMPLE,
+    Surroundings,
+    by_affinity,
+    choose,
+    pick_service,
+)
 from croftchute.systems.worker_table import WorkerTable
 from croftchute.tables.routing import Route, RouteKind, Stage, WeightedService, Worker
 
@@ -92,3 +98,21 @@
     rng = random.Random(7)
     picked = [pick_service(route, rng) for _ in range(2000)]
     assert 120 < picked.count("b") < 280
+
+
+def test_a_prompt_is_offered_to_the_same_few_of_many_workers_at_every_box():
+    """After all boxes were restarted nobody knew which of 62 engines kept a prompt."""
+    table = table_of(*(worker(f"w{number}") for number in range(60)))
+    usable = table.usable("s", 0.0)
+
+    def choice(seed):
+        found = choose(
+            usable, around=AROUND, avoid=(), now=0.0, rng=random.Random(seed), affinity="91bd"
+        )
+        return found[0].worker.id
+
+    preferred = {belief.worker.id for belief in by_affinity(usable, "91bd")[:SAMPLE]}
+    found = {choice(seed) for seed in range(60)}
+    assert found <= preferred and len(found) > SAMPLE // 2
+    others = {belief.worker.id for belief in by_affinity(usable, "5c1e")[:SAMPLE]}
+    assert others != preferred
