Wait for room and refuse by a forecast of when room comes

Hypothesis: fixed windows (a fifth of the target for a first try, half of it on return, return after a third of the time left) make callers wait in vain and come back to be refused again.

Change: boxes count what requests that found no room waited and how often one of them got it, with a half-life of 2 s, and tell each other. From the mean wait follows whether a request can still be in time; if not it waits only where room is near and the caller is still there, else it is refused at once, and asked back after four mean waits. The four windows are gone.

--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -50,6 +50,7 @@
     CALLER_LEFT = "caller_left"
     KEEPER_ASKED = "keeper_asked"
     HOLD_ASKED = "hold_asked"
+    WAIT_ENDED = "wait_ended"
     HOLD_DROPPED = "hold_dropped"
     HANDLE_FREED = "handle_freed"
     STAGE_ORDER = "stage_order"
--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -123,6 +123,7 @@
         demands = []
         for service, demand in state.demand_by_service.items():
             counts = demand.counts(now)
+            room = state.room(service).counts(now)
             demands.append(
                 DemandNotice(
                     service=service,
@@ -133,6 +134,8 @@
                     ended_tokens=counts.ended_tokens,
                     ended_s=counts.ended_s,
                     prefills=tuple(demand.prefills)[-MAX_PREFILLS_TOLD:],
+                    room_waited_s=room.waited_s,
+                    room_grants=room.grants,
                 )
             )
         return BoxNotice(
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -185,7 +185,9 @@
             retry_after_s = patience.NEVER_FITS_RETRY_AFTER_S
         elif ran is Ran.NOT_RUN:
             retry_after_s = patience.retry_after(
-                self.time_left_s, is_full=bool(self.full), spread=self.state.rng.random()
+                self.time_left_s,
+                mean_wait_s=self.state.mean_room_wait_s(self.service) if self.full else None,
+                spread=self.state.rng.random(),
             )
         refusal = Refusal(code=code, ran=ran, detail=detail, retry_after_s=retry_after_s)
         answer = self.state.callers.refuse(refusal, self.facts.id)
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -16,6 +16,7 @@
 from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.prefill_pace import PrefillPace, fit_pace
 from croftchute.systems.retry_budget import RetryLimits, RetryWindow
+from croftchute.systems.room_forecast import RoomHistory
 from croftchute.systems.stage_balance import DemandCounts, StageDemand
 from croftchute.systems.worker_table import WorkerBelief, WorkerTable
 from croftchute.tables.routing import IngressLimits, RoutingTable, Stage
@@ -58,6 +59,7 @@
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
     demand_by_service: dict[str, StageDemand] = field(default_factory=dict)
+    room_by_service: dict[str, RoomHistory] = field(default_factory=dict)
     is_stopping: bool = False
     _pace_by_service: dict[str, _KnownPace] = field(default_factory=dict)
     background: set[asyncio.Task[None]] = field(default_factory=set)
@@ -80,6 +82,15 @@
         """What was asked of a service at this box."""
         return self.demand_by_service.setdefault(service, StageDemand())
 
+    def room(self, service: str) -> RoomHistory:
+        """What requests waited for room at the engines of a service, at this box."""
+        return self.room_by_service.setdefault(service, RoomHistory())
+
+    def mean_room_wait_s(self, service: str) -> float:
+        """The mean time until room comes, by what this box and its peers saw lately."""
+        now = self.clock()
+        return (self.room(service).counts(now) + self.peers.room(service, now)).mean_wait_s
+
     def prefill_pace(self, service: str) -> PrefillPace:
         """How quickly the prefill workers of a service read, by the latest calls of all boxes."""
         now = self.clock()
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -17,6 +17,7 @@
 from croftchute.forwarding.worker_control import drop_hold, take_hold
 from croftchute.systems import patience
 from croftchute.systems.prefill_queue import ReadingTimes
+from croftchute.systems.room_forecast import RoomWait
 from croftchute.systems.worker_choice import ChoiceInput
 from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import EngineTraits, HeaderList, Stage
@@ -105,16 +106,46 @@
     async def _reserve(self) -> tuple[WorkerBelief, ChoiceInput] | None:
         """A decode worker that keeps room for the request, waiting for a while if all are full."""
         run = self.run
-        left_s, is_begun = run.time_left_s, run.exchange.is_started
-        end_at = run.now + patience.room_patience(run.route, time_left_s=left_s, is_begun=is_begun)
-        pause_s = patience.room_poll(run.route, time_left_s=left_s, is_begun=is_begun)
+        is_begun = run.exchange.is_started
+        pause_s = patience.room_poll(run.route, time_left_s=run.time_left_s, is_begun=is_begun)
+        asked_at = run.now
+        has_waited = False
         while True:
             found = await self._ask_for_room()
-            if found is not None or not run.full or run.now + pause_s > end_at:
+            if found is not None:
+                if has_waited:
+                    run.state.room(run.service).note_granted(run.now)
                 return found
+            if not run.full or not self._may_wait(asked_at, is_begun=is_begun):
+                return None
             await asyncio.sleep(pause_s)
+            has_waited = True
+            run.state.room(run.service).note_waited(pause_s, run.now)
             run.full.clear()
 
+    def _may_wait(self, asked_at: float, *, is_begun: bool) -> bool:
+        """Whether to go on waiting for room: it will likely come while the caller wants it."""
+        run = self.run
+        if is_begun:
+            return run.now - asked_at < min(patience.RESUME_WAIT_S, run.time_left_s)
+        mean_wait_s = run.state.mean_room_wait_s(run.service)
+        pace = run.state.prefill_pace(run.service)
+        wait = RoomWait(
+            elapsed_s=run.now - run.started_at,
+            time_left_s=run.time_left_s,
+            reading_s=pace.reading_s(run.facts.prompt_tokens),
+        )
+        if wait.is_worthwhile(run.route, mean_wait_s=mean_wait_s):
+            return True
+        run.log(
+            Decision.WAIT_ENDED,
+            outcome="room is not expected in time",
+            mean_wait_s=mean_wait_s,
+            reading_s=round(wait.reading_s, 3),
+            tokens=run.facts.prompt_tokens,
+        )
+        return False
+
     async def _ask_for_room(self) -> tuple[WorkerBelief, ChoiceInput] | None:
         """Ask the decode workers, the cheapest first; None if none has room."""
         run = self.run
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -174,6 +174,8 @@
   endedTokens @5 :UInt32;
   endedS @6 :Float32;
   prefills @7 :List(PrefillSample);
+  roomWaitedS @8 :Float32;
+  roomGrants @9 :Float32;
 }
 
 struct BoxNotice {
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -37,33 +37,27 @@
 CONNECT_S = 0.25
 """Seconds for a connection: many round trips, and little of any target."""
 
-REFUSAL_SHARE_OF_TARGET = 0.25
-"""Share of the target within which a refusal still lets the caller's next try count in full."""
-
-RETRY_AFTER_SHARE = 0.25
-"""Share of the caller's time left after which it is asked back when workers were not full."""
+RETURN_SHARE = 0.9
+"""Share of the route's time below which a caller must have tried before."""
 
 MIN_RETRY_AFTER_S = 0.1
 """Seconds after which a caller is asked back at the soonest."""
 
-MAX_RETRY_AFTER_S = 1.0
-"""Seconds after which a caller is asked back at the latest when workers were not full."""
+USUAL_RETRY_AFTER_S = 1.0
+"""Seconds after which a caller is asked back where no engine was full: a worker that crashed, or a
+list that is short for a moment, mostly takes a second or two."""
 
-FULL_RETRY_AFTER_SHARE = 0.32
-"""The same share when workers were full: callers keep to at most a third of the time they have."""
+MEAN_WAITS_TO_RETURN = 4.0
+"""Mean times until room comes after which a caller is asked back: of requests that wait so long all
+but one in fifty have found room (exponential), so that the next try need not fail."""
 
-MAX_FULL_RETRY_AFTER_S = 6.0
-"""The same when workers were full: most surges are over then."""
+RETRY_AFTER_LIMIT_SHARE = 0.32
+"""Share of the caller's time left after which it is asked back at the latest: callers keep to at
+most a third of it."""
 
-FULL_RETRY_AFTER_SPREAD = 0.1
+RETRY_AFTER_SPREAD = 0.1
 """Share of that time over which callers are spread, so that they do not return together."""
 
-RETURN_SHARE = 0.9
-"""Share of the route's time below which a caller must have tried before."""
-
-RETURN_WAIT_SHARE_OF_TARGET = 0.5
-"""Share of the target that a caller who came back waits for room; reading fits the rest."""
-
 RESUME_WAIT_S = 2.0
 """Seconds that a stream which has begun waits for room: callers bear pauses of 2 s and more."""
 
@@ -132,22 +126,22 @@
     return min(max(MIN_GAP_S, GAP_MULTIPLE * route.target_gap_s), time_left_s)
 
 
-def retry_after(time_left_s: float, *, is_full: bool, spread: float) -> float:
-    """When a refused caller should come back: soon enough that its deadline allows it.
+def retry_after(time_left_s: float, *, mean_wait_s: float | None, spread: float) -> float:
+    """When a refused caller should come back: once it will likely be served, if it can wait.
 
-    Where workers were full, refused callers come back spread over the seconds that a surge
-    lasts; ``spread`` lies between 0 and 1.
+    ``mean_wait_s`` is the mean time until room comes; None if it was not room that lacked.
+    ``spread`` lies between 0 and 1.
 
-    >>> retry_after(1.5, is_full=False, spread=0.5)
-    0.375
-    >>> retry_after(14.0, is_full=True, spread=0.5)
+    >>> retry_after(14.0, mean_wait_s=0.5, spread=0.0)
+    2.0
+    >>> retry_after(14.0, mean_wait_s=5.0, spread=0.5)
     4.256
+    >>> retry_after(1.5, mean_wait_s=None, spread=0.0)
+    0.48
     """
-    wanted = min(MAX_RETRY_AFTER_S, RETRY_AFTER_SHARE * time_left_s)
-    if is_full:
-        longest = min(MAX_FULL_RETRY_AFTER_S, FULL_RETRY_AFTER_SHARE * time_left_s)
-        wanted = longest * (1.0 - FULL_RETRY_AFTER_SPREAD * spread)
-    return round(max(MIN_RETRY_AFTER_S, wanted), 3)
+    wanted = USUAL_RETRY_AFTER_S if mean_wait_s is None else MEAN_WAITS_TO_RETURN * mean_wait_s
+    longest = min(wanted, RETRY_AFTER_LIMIT_SHARE * time_left_s)
+    return round(max(MIN_RETRY_AFTER_S, longest * (1.0 - RETRY_AFTER_SPREAD * spread)), 3)
 
 
 def has_come_back(route: Route, *, time_left_s: float) -> bool:
@@ -155,20 +149,6 @@
     return time_left_s < RETURN_SHARE * route.timeout_s
 
 
-def room_patience(route: Route, *, time_left_s: float, is_begun: bool) -> float:
-    """How long a request may wait for decode memory before it is refused.
-
-    A stream that has begun waits as long as callers bear a pause: giving up would cut it.
-    A caller's first attempt is told within a quarter of its target, so that it can come back. One
-    that evidently came back waits as long as it can still be answered in time.
-    """
-    if is_begun:
-        return min(RESUME_WAIT_S, time_left_s)
-    if has_come_back(route, time_left_s=time_left_s):
-        return RETURN_WAIT_SHARE_OF_TARGET * route.target_s
-    return 0.8 * REFUSAL_SHARE_OF_TARGET * route.target_s
-
-
 def room_poll(route: Route, *, time_left_s: float, is_begun: bool) -> float:
     """How often to ask for room: those who cannot come back, or are cut off, ask more often."""
     if is_begun or has_come_back(route, time_left_s=time_left_s):
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -9,6 +9,7 @@
 from croftchute.systems.hall_readers import LIVE_S
 from croftchute.systems.prefill_pace import PrefillSample
 from croftchute.systems.prefill_queue import faded
+from croftchute.systems.room_forecast import RoomCounts
 from croftchute.systems.stage_balance import DemandCounts
 from croftchute.tables.peers import Peer, WorkerNotice
 
@@ -160,6 +161,15 @@
                 )
         return total
 
+    def room(self, service: str, now: float) -> RoomCounts:
+        """What requests at other boxes waited for room at the engines of a service."""
+        total = RoomCounts()
+        for peer in self.peers_by_id.values():
+            entry = (peer.demand_by_service or {}).get(service)
+            if entry is not None and now - peer.heard_at <= FRESH_S:
+                total += RoomCounts(waited_s=entry.room_waited_s, grants=entry.room_grants)
+        return total
+
     def newest(self, now: float) -> tuple[Peer | None, Peer | None]:
         """The live peers with the newest configuration and the newest worker list."""
         live = [peer for peer in self.peers_by_id.values() if now - peer.heard_at <= FRESH_S]
--- a/src/croftchute/tables/peers.py
+++ b/src/croftchute/tables/peers.py
@@ -19,7 +19,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DemandNotice:
-    """What was asked of a service at a box in its window, and the streams that ended there."""
+    """What was asked of a service at a box in its window, and the streams that ended there.
+
+    ``room_waited_s`` and ``room_grants``: see ``systems/room_forecast.py``.
+    """
 
     service: str
     asks: int
@@ -29,6 +32,8 @@
     ended_tokens: int
     ended_s: float
     prefills: tuple[PrefillSample, ...] = ()
+    room_waited_s: float = 0.0
+    room_grants: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
