--- a/src/croftchute/cli/commands.py
+++ b/src/croftchute/cli/commands.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Any
 
+from croftchute.account.log_lines import parse_lines, stories
+from croftchute.account.tables import account
 from croftchute.cli.fleet import fetch_status, fetch_timelines, find_boxes
 from croftchute.config.checks import parse_document
 from croftchute.config.documents import Document
@@ -52,6 +54,13 @@
                     f" committed {engine['kv_committed']} tokens"
                 )
 
+    def account(self, *files: str) -> None:
+        """Tell from the decision logs of one or all boxes where service was lost."""
+        if not files:
+            raise CroftchuteError(Code.BAD_REQUEST, "no log file was named")
+        by_id = stories(line for name in files for line in parse_lines(_lines_of(Path(name))))
+        print("\n\n".join(table.text() for table in account(list(by_id.values()))))
+
     def drain(self, upstream: str, store: str = DEFAULT_STORE, json: bool = False) -> None:
         """Mark an upstream as leaving: it gets no new work from the next revision on."""
         service = EtcdStore(urls=[store])
@@ -201,5 +210,12 @@
         print("  ".join(f"{name}: {value}" for name, value in fields.items()))
 
 
+def _lines_of(path: Path) -> list[str]:
+    try:
+        return path.read_text(errors="replace").splitlines()
+    except OSError as error:
+        raise CroftchuteError(Code.BAD_REQUEST, f"cannot read {path}: {error}") from None
+
+
 def _print_json(value: Any) -> None:
     print(jsonlib.dumps(value, indent=2))
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -81,3 +81,18 @@
 def test_a_policy_that_is_no_policy_is_refused(source):
     with pytest.raises(CroftchuteError):
         compile_policy("p", source)
+
+
+def test_the_account_of_a_log_is_printed(monkeypatch, capsys, tmp_path):
+    path = tmp_path / "box.log"
+    path.write_text(
+        '{"at":"2026-12-02T10:00:00.000+00:00","box":"b","event":"request_refused",'
+        '"request_id":"r1","outcome":"no_capacity","route":"survey","elapsed_ms":400}\n'
+    )
+    assert croftchute(monkeypatch, "account", str(path)) == 0
+    assert "refused: no_capacity" in capsys.readouterr().out
+
+
+def test_a_log_that_cannot_be_read_is_named(monkeypatch, capsys, tmp_path):
+    assert croftchute(monkeypatch, "account", str(tmp_path / "none.log")) == 2
+    assert "none.log" in capsys.readouterr().err
