Readers pass no long values on; boxes that are behind spread over the newest peers

Cause: a configuration of a thousand routes is some 400 KB; passed on to twenty followers by a box with a link of 10 Mbit/s it would be in force after the bound. A log of long configurations would fill a small box.

Change: values over 16 KB are named, and read from the store by each box (one call); a box that is behind asks any of the newest peers, of its own hall if it can be; the log is bounded by bytes.

Ruled out: compressing (names are random, a sixth remains, and 20 copies still take a second).

--- a/src/croftchute/forwarding/hall_news.py
+++ b/src/croftchute/forwarding/hall_news.py
@@ -31,6 +31,10 @@
 MARGIN_S = 0.5
 """Seconds given to a peer for an answer beside the waiting: many round trips within a hall."""
 
+MAX_TOLD_BYTES = 16_384
+"""Longest value in bytes that a reader passes on: twenty followers' copies of it then take a box's
+link of 10 Mbit/s for a third of a second; a longer one they read from the store themselves."""
+
 MAX_ANSWER_BYTES = 8 << 20
 """Longest answer of a peer in bytes: a configuration of many routes, and all workers."""
 
@@ -51,8 +55,11 @@
         changes = log.since(after)
     except HistoryGoneError:
         return HTTPStatus.GONE, b""
+    told = [item for item in changes.written if len(item.value) <= MAX_TOLD_BYTES]
+    untold = [item.key for item in changes.written if len(item.value) > MAX_TOLD_BYTES]
     answer = {
-        "written": [_encoded(item) for item in changes.written],
+        "written": [_encoded(item) for item in told],
+        "untold": untold,
         "removed": list(changes.removed),
         "revision": changes.revision,
         "newest": changes.newest,
@@ -88,6 +95,7 @@
             removed=tuple(answer["removed"]),
             revision=answer["revision"],
             newest=answer["newest"],
+            untold=tuple(answer["untold"]),
         )
     except (KeyError, TypeError) as error:
         raise MessageError(f"not news: {error!r}") from None
--- a/src/croftchute/forwarding/news_log.py
+++ b/src/croftchute/forwarding/news_log.py
@@ -14,8 +14,12 @@
 MAX_ENTRIES = 256
 """Answers of the store that are kept: at four a second the changes of a minute."""
 
-MAX_ITEMS = 2048
-"""Items that are kept in all of them: some ten times as many as a large fleet has workers."""
+MAX_BYTES = 262_144
+"""Bytes that all of them take, but for the newest: some hundred changes of workers. Long
+configurations that follow each other would otherwise fill a small box."""
+
+ENTRY_BYTES = 128
+"""Bytes that an item takes beside its value."""
 
 
 class NotReadingError(StoreError):
@@ -33,13 +37,13 @@
     position: int = 0
     entries: deque[Changes] = field(default_factory=deque)
     _fresh_until: float = float("-inf")
-    _items: int = 0
+    _bytes: int = 0
     _arrived: asyncio.Event = field(default_factory=asyncio.Event)
 
     def note_listing(self, listing: Listing) -> None:
         """Begin anew behind a whole listing."""
         self.entries.clear()
-        self._items = 0
+        self._bytes = 0
         self.base = self.position = listing.revision
         self._wake()
 
@@ -49,10 +53,10 @@
         if not changes.written and not changes.removed:
             return
         self.entries.append(changes)
-        self._items += _size(changes)
-        while len(self.entries) > MAX_ENTRIES or self._items > MAX_ITEMS:
+        self._bytes += _bytes_of(changes)
+        while self._is_too_long():
             dropped = self.entries.popleft()
-            self._items -= _size(dropped)
+            self._bytes -= _bytes_of(dropped)
             self.base = dropped.revision
         self._wake()
 
@@ -84,6 +88,11 @@
             async with asyncio.timeout(wait_s):
                 await self._arrived.wait()
 
+    def _is_too_long(self) -> bool:
+        if len(self.entries) <= 1:
+            return False
+        return len(self.entries) > MAX_ENTRIES or self._bytes > MAX_BYTES
+
     def _wake(self) -> None:
         self._arrived.set()
         self._arrived = asyncio.Event()
@@ -110,5 +119,6 @@
     )
 
 
-def _size(changes: Changes) -> int:
-    return len(changes.written) + len(changes.removed)
+def _bytes_of(changes: Changes) -> int:
+    values = sum(len(item.value) for item in changes.written)
+    return values + ENTRY_BYTES * (len(changes.written) + len(changes.removed))
--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -177,7 +177,7 @@
         """Ask a peer for what it knows, if it does not come here by itself in a short while."""
         state = self.state
         now = state.clock()
-        by_config, by_workers = state.peers.newest(now)
+        by_config, by_workers = state.peers.newest(now, state.rng)
         version = state.table.version if state.table else 0
         is_config_old = by_config is not None and by_config.config_version > version
         revision = state.workers.revision
--- a/src/croftchute/forwarding/prefix_follower.py
+++ b/src/croftchute/forwarding/prefix_follower.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from croftchute.errors import MessageError, StoreError
 from croftchute.forwarding.decision_log import Decision
@@ -12,7 +12,7 @@
 from croftchute.forwarding.hall_news import ask_news
 from croftchute.forwarding.news_log import NewsLog
 from croftchute.forwarding.state import ForwardingState
-from croftchute.storage.watched import Changes, HistoryGoneError, Listing, WatchedStore
+from croftchute.storage.watched import Changes, HistoryGoneError, Listing, SharedStore
 from croftchute.systems.hall_readers import HallReaders
 from croftchute.tables.peers import Peer
 
@@ -84,7 +84,7 @@
         prefix: str,
         pause_s: float,
         state: ForwardingState,
-        store: WatchedStore,
+        store: SharedStore,
         readers: HallReaders,
         handlers: PrefixHandlers,
     ) -> None:
@@ -158,6 +158,7 @@
         after = self._after or 0
         try:
             changes = await ask_news(self.state, reader, self.prefix, after=after)
+            changes = await self._with_untold(changes)
         except HistoryGoneError:
             self._after = None
             return
@@ -168,6 +169,12 @@
         self._take(changes, after)
         self.handlers.on_heard()
 
+    async def _with_untold(self, changes: Changes) -> Changes:
+        """The same with the values that the reader did not pass on, as the store has them now."""
+        found = [await self.store.item(key) for key in changes.untold]
+        read = tuple(item for item in found if item is not None)
+        return replace(changes, written=changes.written + read, untold=())
+
     def _take(self, changes: Changes, after: int) -> None:
         self.log.note_changes(changes)
         self.handlers.on_changes(changes)
--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -10,7 +10,7 @@
 from croftchute.forwarding.hall_news import Answer, answer_known, answer_news, prefix_of
 from croftchute.forwarding.prefix_follower import PrefixFollower, PrefixHandlers
 from croftchute.forwarding.state import ForwardingState
-from croftchute.storage.watched import Changes, Listing, StoredItem, Vocabulary, WatchedStore
+from croftchute.storage.watched import Changes, Listing, SharedStore, StoredItem, Vocabulary
 from croftchute.systems.hall_readers import HallReaders
 from croftchute.tables.routing import RoutingTable
 
@@ -25,7 +25,7 @@
         self,
         *,
         state: ForwardingState,
-        store: WatchedStore,
+        store: SharedStore,
         vocabulary: Vocabulary,
         on_change: Callable[[], None],
     ) -> None:
--- a/src/croftchute/storage/watched.py
+++ b/src/croftchute/storage/watched.py
@@ -33,12 +33,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Changes:
-    """Items written and keys removed up to a revision; ``newest`` is that of the last of them."""
+    """Items written and keys removed up to a revision; ``newest`` is that of the last of them.
+
+    ``untold`` are keys that were written and whose values are to be read from the store.
+    """
 
     written: tuple[StoredItem, ...]
     removed: tuple[str, ...]
     revision: int
     newest: int = 0
+    untold: tuple[str, ...] = ()
 
 
 class HistoryGoneError(StoreError):
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -170,13 +170,21 @@
                 total += RoomCounts(waited_s=entry.room_waited_s, grants=entry.room_grants)
         return total
 
-    def newest(self, now: float) -> tuple[Peer | None, Peer | None]:
-        """The live peers with the newest configuration and the newest worker list."""
+    def newest(self, now: float, rng: random.Random) -> tuple[Peer | None, Peer | None]:
+        """Live peers with the newest configuration and the newest worker list.
+
+        Of several any one, of the own hall if it can be: all that are behind would otherwise turn
+        to the box that most of them heard of first.
+        """
         live = [peer for peer in self.peers_by_id.values() if now - peer.heard_at <= FRESH_S]
         if not live:
             return None, None
-        by_config = max(live, key=lambda peer: peer.config_version)
-        by_workers = max(live, key=lambda peer: peer.workers_revision)
+        by_config = max(
+            live, key=lambda peer: (peer.config_version, peer.hall == self.hall, rng.random())
+        )
+        by_workers = max(
+            live, key=lambda peer: (peer.workers_revision, peer.hall == self.hall, rng.random())
+        )
         return by_config, by_workers
 
     def _entries(self, worker_id: str, now: float) -> list[WorkerNotice]:
--- a/tests/forwarding/test_news_log.py
+++ b/tests/forwarding/test_news_log.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from croftchute.forwarding.news_log import MAX_ENTRIES, NewsLog
+from croftchute.forwarding.news_log import MAX_BYTES, MAX_ENTRIES, NewsLog
 from croftchute.storage.watched import Changes, HistoryGoneError, Listing, StoredItem
 
 
@@ -93,3 +93,13 @@
     log = log_from(10)
     log.note_reading(5.0)
     assert log.is_fresh(4.9) and not log.is_fresh(5.0)
+
+
+def test_long_values_that_follow_each_other_are_not_all_kept():
+    log = log_from(10)
+    for revision in range(11, 31):
+        value = b"x" * (MAX_BYTES // 2)
+        long = StoredItem(key="config", value=value, revision=revision)
+        log.note_changes(Changes(written=(long,), removed=(), revision=revision, newest=revision))
+    assert len(log.entries) <= 2
+    assert log.since(29).written[0].revision == 30
--- a/tests/platform_adapter/test_hall_news.py
+++ b/tests/platform_adapter/test_hall_news.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from platform_fleet import config, fleet, run, until
+from platform_fleet import config, fleet, route, run, until
 
 from croftchute.systems.hall_readers import ranked
 from croftchute.tables.routing import WorkerState
@@ -105,6 +105,23 @@
     run(body)
 
 
+def test_a_long_configuration_is_read_from_the_store_by_each_box_itself():
+    """One box of a slow link would take seconds to pass it on to all others of its hall."""
+
+    async def body():
+        async with fleet() as made:
+            boxes = await hall_of(made)
+            version = await settle(made, boxes)
+            routes = [route(f"r{n}", f"/p{n}/", "idempotent", "desk") for n in range(400)]
+            made.store.calls.clear()
+            made.store.put("op/config", config(version + 1, routes=routes))
+            for box in boxes:
+                await until(lambda box=box: box.state.table.version == version + 1)
+            assert made.store.calls.count("kv-key") == BOXES - 2
+
+    run(body)
+
+
 def test_a_follower_whose_position_is_not_kept_reads_the_whole_list():
     async def body():
         async with fleet() as made:
--- a/tests/systems/test_peer_table.py
+++ b/tests/systems/test_peer_table.py
@@ -2,7 +2,7 @@
 from dataclasses import replace
 
 from croftchute.peers.messages import BoxNotice
-from croftchute.systems.peer_table import COUNTED_S, FANOUT, FORGET_S, PeerTable
+from croftchute.systems.peer_table import COUNTED_S, FANOUT, FORGET_S, HALL_FANOUT, PeerTable
 from croftchute.systems.stage_balance import DemandCounts
 from croftchute.tables.peers import DemandNotice, WorkerNotice
 
@@ -79,10 +79,10 @@
     table = PeerTable(own_id="me")
     table.hear("old", NOTICE, 0.0)
     table.hear("new", replace(NOTICE, config_version=4, workers_revision=2), 0.0)
-    by_config, by_workers = table.newest(0.5)
+    by_config, by_workers = table.newest(0.5, random.Random(1))
     assert by_config is not None and by_config.id == "new"
     assert by_workers is not None and by_workers.id == "old"
-    assert table.newest(60.0) == (None, None)
+    assert table.newest(60.0, random.Random(1)) == (None, None)
 
 
 def test_what_some_boxes_told_stands_for_all():
@@ -106,3 +106,34 @@
     assert table.prefill_wait_s("p", 0.0) == 0.8
     assert table.prefill_wait_s("p", 0.5) == 0.4
     assert table.prefill_wait_s("p", 10.0) == 0.0
+
+
+def test_notices_go_mostly_to_the_own_hall_and_always_to_some_others():
+    table = PeerTable(own_id="me", hall="north")
+    for number in range(60):
+        hall = "north" if number % 3 == 0 else "south"
+        table.hear(f"box-{number}", replace(NOTICE, host=f"10.0.1.{number}", hall=hall), 0.0)
+    north = {p.host for p in table.peers_by_id.values() if p.hall == "north"}
+    targets = table.targets(0.5, random.Random(1))
+    assert len(targets) == FANOUT
+    assert sum(host in north for host, _ in targets) == HALL_FANOUT
+
+
+def test_a_small_hall_leaves_its_notices_to_the_others():
+    table = PeerTable(own_id="me", hall="north")
+    for number in range(60):
+        hall = "north" if number < 2 else "south"
+        table.hear(f"box-{number}", replace(NOTICE, host=f"10.0.1.{number}", hall=hall), 0.0)
+    assert len(table.targets(0.5, random.Random(1))) == FANOUT
+
+
+def test_boxes_that_are_behind_do_not_all_ask_the_same_peer():
+    asked = set()
+    for seed in range(40):
+        table = PeerTable(own_id="me", hall="north")
+        for number in range(8):
+            hall = "north" if number < 4 else "south"
+            table.hear(f"box-{number}", replace(NOTICE, hall=hall), 0.0)
+        by_config, _ = table.newest(0.5, random.Random(seed))
+        asked.add(by_config.id)
+    assert asked == {f"box-{number}" for number in range(4)}
