One rendezvous ranking for shards, relays and prompts; the product's word is relay box

Cause: the hash and the ranking stood in sharding, and again in the new modules; the glossary has long had relay box for what was called a reader there.

Change: systems/rendezvous.py; HallReaders became HallRelays. No change of behaviour but which boxes rank first.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -118,7 +118,7 @@
             state=state,
             store=store,
             holder_gap_s=settings.order_gap_s,
-            may_try=lambda: self.follower.is_reader,
+            may_try=lambda: self.follower.is_relay,
         )
         control = parse_address(settings.control)
         self.exchange = PeerExchange(
--- a/src/croftchute/forwarding/hall_news.py
+++ b/src/croftchute/forwarding/hall_news.py
@@ -16,7 +16,7 @@
 
 from croftchute.errors import MessageError
 from croftchute.forwarding.failures import ConnectionBrokenError
-from croftchute.forwarding.news_log import NewsLog, NotReadingError
+from croftchute.forwarding.news_log import NewsLog, NotARelayError
 from croftchute.forwarding.request_run import within
 from croftchute.forwarding.state import ForwardingState
 from croftchute.storage.watched import Changes, HistoryGoneError, Listing, StoredItem
@@ -26,13 +26,13 @@
 KNOWN_PATH = "/known"
 
 NEWS_WAIT_S = 3.0
-"""Seconds that a call for news waits: a reader that falls silent is noticed some time after."""
+"""Seconds that a call for news waits: a relay that falls silent is noticed some time after."""
 
 MARGIN_S = 0.5
 """Seconds given to a peer for an answer beside the waiting: many round trips within a hall."""
 
 MAX_TOLD_BYTES = 16_384
-"""Longest value in bytes that a reader passes on: twenty followers' copies of it then take a box's
+"""Longest value in bytes that a relay passes on: twenty followers' copies of it then take a box's
 link of 10 Mbit/s for a third of a second; a longer one they read from the store themselves."""
 
 MAX_ANSWER_BYTES = 8 << 20
@@ -83,7 +83,7 @@
 
 
 async def ask_news(state: ForwardingState, peer: Peer, prefix: str, *, after: int) -> Changes:
-    """What a reader of the hall tells of a prefix; waits for a change for some time.
+    """What a relay of the hall tells of a prefix; waits for a change for some time.
 
     Raises ExchangeError, StoreError or MessageError.
     """
@@ -130,7 +130,7 @@
     if head.status == HTTPStatus.GONE:
         raise HistoryGoneError(f"{peer.id} does not know so far back")
     if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
-        raise NotReadingError(f"{peer.id} does not read the store")
+        raise NotARelayError(f"{peer.id} does not read the store")
     if head.status != HTTPStatus.OK:
         raise ConnectionBrokenError(f"status {head.status}")
     try:
--- a/src/croftchute/forwarding/news_log.py
+++ b/src/croftchute/forwarding/news_log.py
@@ -22,7 +22,7 @@
 """Bytes that an item takes beside its value."""
 
 
-class NotReadingError(StoreError):
+class NotARelayError(StoreError):
     """This box does not know the store's news at first hand at the moment."""
 
     def __init__(self, message: str) -> None:
--- a/src/croftchute/forwarding/prefix_follower.py
+++ b/src/croftchute/forwarding/prefix_follower.py
@@ -1,4 +1,4 @@
-"""Follows one prefix of the store: at the store itself, or through a reader of the hall."""
+"""Follows one prefix of the store: at the store itself, or through a relay of the hall."""
 
 from __future__ import annotations
 
@@ -13,17 +13,17 @@
 from croftchute.forwarding.news_log import NewsLog
 from croftchute.forwarding.state import ForwardingState
 from croftchute.storage.watched import Changes, HistoryGoneError, Listing, SharedStore
-from croftchute.systems.hall_readers import HallReaders
+from croftchute.systems.hall_relays import HallRelays
 from croftchute.tables.peers import Peer
 
 WATCH_WAIT_S = 10.0
 """Seconds that a watch waits for a change: few calls, and a third of the longest allowed."""
 
-READER_WAIT_S = 3.0
+RELAY_WAIT_S = 3.0
 """The same of a box that others follow: a silent store is noticed some time after."""
 
 FRESH_MARGIN_S = 1.5
-"""Seconds beside the waiting after which the store must have answered a reader."""
+"""Seconds beside the waiting after which the store must have answered a relay."""
 
 MIN_BACKOFF_S = 0.1
 """Seconds before a failed call is repeated at first."""
@@ -85,36 +85,36 @@
         pause_s: float,
         state: ForwardingState,
         store: SharedStore,
-        readers: HallReaders,
+        relays: HallRelays,
         handlers: PrefixHandlers,
     ) -> None:
         self.prefix = prefix
         self.pause_s = pause_s
         self.state = state
         self.store = store
-        self.readers = readers
+        self.relays = relays
         self.handlers = handlers
         self.log = NewsLog()
         self._dependency = Dependency(name=f"store:{prefix}", state=state)
         self._after: int | None = None
         self._backoff_s = MIN_BACKOFF_S
-        self._reader_id = ""
+        self._relay_id = ""
 
     async def run(self) -> None:
         """Follow the prefix; never returns."""
         while True:
-            reader = self._reader()
-            if reader is None:
+            relay = self._relay()
+            if relay is None:
                 await self._read_store()
             else:
-                await self._ask_reader(reader)
+                await self._ask_relay(relay)
 
-    def _reader(self) -> Peer | None:
+    def _relay(self) -> Peer | None:
         """Whom to ask; None for the store. A whole listing comes from the store alone."""
         if self._after is None:
             return None
         now = self.state.clock()
-        return self.readers.to_follow(self.state.peers.hall_mates(self.readers.hall, now), now)
+        return self.relays.to_follow(self.state.peers.hall_mates(self.relays.hall, now), now)
 
     async def _read_store(self) -> None:
         self._note_source("", outcome="reads the store")
@@ -145,32 +145,32 @@
         await asyncio.sleep(self.pause_s)
 
     def _wait_s(self) -> float:
-        is_asked = self.readers.is_asked(self.state.clock())
-        return READER_WAIT_S if is_asked else WATCH_WAIT_S
+        is_asked = self.relays.is_asked(self.state.clock())
+        return RELAY_WAIT_S if is_asked else WATCH_WAIT_S
 
     def _note_fresh(self) -> None:
         if not self.state.is_stopping:
             self.log.note_reading(self.state.clock() + self._wait_s() + FRESH_MARGIN_S)
 
-    async def _ask_reader(self, reader: Peer) -> None:
+    async def _ask_relay(self, relay: Peer) -> None:
         self.log.note_lost()
-        self._note_source(reader.id, outcome="follows a box of the hall")
+        self._note_source(relay.id, outcome="follows a box of the hall")
         after = self._after or 0
         try:
-            changes = await ask_news(self.state, reader, self.prefix, after=after)
+            changes = await ask_news(self.state, relay, self.prefix, after=after)
             changes = await self._with_untold(changes)
         except HistoryGoneError:
             self._after = None
             return
         except (ExchangeError, MessageError, StoreError) as error:
-            self.readers.pass_over(reader.id, self.state.clock())
+            self.relays.pass_over(relay.id, self.state.clock())
             self._note_source("", outcome=error.code.value, detail=error.message)
             return
         self._take(changes, after)
         self.handlers.on_heard()
 
     async def _with_untold(self, changes: Changes) -> Changes:
-        """The same with the values that the reader did not pass on, as the store has them now."""
+        """The same with the values that the relay did not pass on, as the store has them now."""
         found = [await self.store.item(key) for key in changes.untold]
         read = tuple(item for item in found if item is not None)
         return replace(changes, written=changes.written + read, untold=())
@@ -180,16 +180,16 @@
         self.handlers.on_changes(changes)
         self._after = max(after, changes.revision)
 
-    def _note_source(self, reader_id: str, *, outcome: str, detail: str = "") -> None:
+    def _note_source(self, relay_id: str, *, outcome: str, detail: str = "") -> None:
         """Write a line when the news begin to come from elsewhere."""
-        if reader_id == self._reader_id:
+        if relay_id == self._relay_id:
             return
-        previous, self._reader_id = self._reader_id, reader_id
+        previous, self._relay_id = self._relay_id, relay_id
         self.state.log.decide(
             Decision.NEWS_SOURCE,
             outcome=outcome,
             prefix=self.prefix,
-            reader=reader_id,
+            relay=relay_id,
             previous=previous,
             detail=detail,
             revision=self._after or 0,
--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -11,7 +11,7 @@
 from croftchute.forwarding.prefix_follower import PrefixFollower, PrefixHandlers
 from croftchute.forwarding.state import ForwardingState
 from croftchute.storage.watched import Changes, Listing, SharedStore, StoredItem, Vocabulary
-from croftchute.systems.hall_readers import HallReaders
+from croftchute.systems.hall_relays import HallRelays
 from croftchute.tables.routing import RoutingTable
 
 WORKERS_PAUSE_S = 0.25
@@ -32,13 +32,13 @@
         self.state = state
         self.vocabulary = vocabulary
         self.on_change = on_change
-        self.readers = HallReaders(own_id=state.box, hall=state.zone)
+        self.relays = HallRelays(own_id=state.box, hall=state.zone)
         self.config = PrefixFollower(
             prefix=vocabulary.config_prefix,
             pause_s=0.0,
             state=state,
             store=store,
-            readers=self.readers,
+            relays=self.relays,
             handlers=PrefixHandlers(
                 on_listing=self._config_listed,
                 on_changes=self._config_changed,
@@ -50,7 +50,7 @@
             pause_s=WORKERS_PAUSE_S,
             state=state,
             store=store,
-            readers=self.readers,
+            relays=self.relays,
             handlers=PrefixHandlers(
                 on_listing=self._workers_listed,
                 on_changes=self._workers_changed,
@@ -59,17 +59,17 @@
         )
 
     @property
-    def is_reader(self) -> bool:
-        """Whether this box reads the store itself, for others or for want of a reader."""
+    def is_relay(self) -> bool:
+        """Whether this box reads the store itself, for others or for want of a relay."""
         now = self.state.clock()
         mates = self.state.peers.hall_mates(self.state.zone, now)
-        return self.readers.to_follow(mates, now) is None
+        return self.relays.to_follow(mates, now) is None
 
     # What other boxes ask.
 
     async def answer_news(self, target: str) -> Answer:
         """What a box that follows this one wants to know."""
-        self.readers.note_asked(self.state.clock())
+        self.relays.note_asked(self.state.clock())
         follower = self._follower(target)
         if follower is None:
             return HTTPStatus.NOT_FOUND, b""
--- a/src/croftchute/systems/box.py
+++ b/src/croftchute/systems/box.py
@@ -35,8 +35,9 @@
 from croftchute.systems.membership import Membership
 from croftchute.systems.owner import Orderer, Owner
 from croftchute.systems.prefix_index import CacheEvent
+from croftchute.systems.rendezvous import rank
 from croftchute.systems.shard_choice import ShardChooser
-from croftchute.systems.sharding import assign, build_topology, rank
+from croftchute.systems.sharding import assign, build_topology
 from croftchute.tables.boxes import Box, BoxState
 from croftchute.tables.dedupe import Member, RangeMap
 from croftchute.tables.requests import Request
--- a/src/croftchute/systems/dedupe_map.py
+++ b/src/croftchute/systems/dedupe_map.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
-from croftchute.systems.sharding import rank
+from croftchute.systems.rendezvous import rank
 from croftchute.tables.dedupe import RANGES, Member, RangeMap, RangeRow
 
 CLOCK_SKEW_S = 5.0
--- a/src/croftchute/systems/hall_readers.py
+++ b/src/croftchute/systems/hall_relays.py
@@ -8,16 +8,16 @@
 
 from __future__ import annotations
 
-import hashlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from croftchute.systems.rendezvous import rank, weight
 from croftchute.tables.peers import Peer
 
-READERS = 2
+RELAYS = 2
 """Boxes of a hall that read the store: one may be gone, slow or cut off from it."""
 
-MOST_READERS = 4
+MOST_RELAYS = 4
 """Boxes that a follower asks, one after the other, before it reads the store itself."""
 
 MIN_HALL = 6
@@ -28,23 +28,14 @@
 other every two to three seconds in a hall of forty."""
 
 PASSED_OVER_S = 4.0
-"""Seconds for which a reader that did not answer, or has lost the store, is not asked again."""
+"""Seconds for which a relay that did not answer, or has lost the store, is not asked again."""
 
 ASKED_S = 15.0
 """Seconds for which a box that was asked for news reads the store, even if it ranks itself low."""
 
 
-def ranked(hall: str, box_ids: Iterable[str]) -> list[str]:
-    """The boxes of a hall in the order in which they are to read the store.
-
-    >>> ranked("north", ["a", "b", "c"]) == ranked("north", ["c", "a", "b"])
-    True
-    """
-    return sorted(box_ids, key=lambda box_id: _digest(f"{hall}/{box_id}"))
-
-
 @dataclass(kw_only=True)
-class HallReaders:
+class HallRelays:
     """What one box makes of its hall: whether it reads the store, or whom it follows."""
 
     own_id: str
@@ -60,10 +51,10 @@
         if len(mates) + 1 < MIN_HALL or now < self._asked_until:
             return None
         mates_by_id = {mate.id: mate for mate in mates}
-        order = ranked(self.hall, [*mates_by_id, self.own_id])
-        if self.own_id in order[:READERS]:
+        order = rank(self.hall, [*mates_by_id, self.own_id])
+        if self.own_id in order[:RELAYS]:
             return None
-        asked = self._turned(order[:READERS]) + order[READERS:MOST_READERS]
+        asked = self._turned(order[:RELAYS]) + order[RELAYS:MOST_RELAYS]
         usable = [box for box in asked if now >= self._passed_over_until.get(box, 0.0)]
         return next((mates_by_id[box] for box in usable if box in mates_by_id), None)
 
@@ -75,18 +66,14 @@
         self._passed_over_until[box_id] = now + PASSED_OVER_S
 
     def note_asked(self, now: float) -> None:
-        """Another box takes this one for a reader: read the store for a while."""
+        """Another box takes this one for a relay: read the store for a while."""
         self._asked_until = now + ASKED_S
 
     def is_asked(self, now: float) -> bool:
         """Whether another box asked for news lately."""
         return now < self._asked_until
 
-    def _turned(self, readers: list[str]) -> list[str]:
-        """The readers in this box's own order, so that each gets its share of the followers."""
-        turn = int.from_bytes(_digest(self.own_id)) % len(readers)
-        return readers[turn:] + readers[:turn]
-
-
-def _digest(text: str) -> bytes:
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+    def _turned(self, relays: list[str]) -> list[str]:
+        """The relays in this box's own order, so that each gets its share of the followers."""
+        turn = weight(self.hall, self.own_id) % len(relays)
+        return relays[turn:] + relays[:turn]
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from croftchute.peers.messages import BoxNotice
-from croftchute.systems.hall_readers import LIVE_S
+from croftchute.systems.hall_relays import LIVE_S
 from croftchute.systems.prefill_pace import PrefillSample
 from croftchute.systems.prefill_queue import faded
 from croftchute.systems.room_forecast import RoomCounts
--- a/src/croftchute/systems/sharding.py
+++ b/src/croftchute/systems/sharding.py
@@ -6,25 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from math import ceil
 
-import xxhash
-
 from croftchute.config.documents import Document, EngineSpec, PoolSpec, Role, UpstreamState
+from croftchute.systems.rendezvous import rank
 from croftchute.tables.upstreams import EngineFact, ModelFact, Shard, Topology, engine_hash
 
 
-def weight(key: str, place: str) -> int:
-    """The rendezvous weight of a key at a place."""
-    return int(xxhash.xxh3_64_intdigest(f"{key}|{place}".encode()))
-
-
-def rank(key: str, places: Iterable[str]) -> list[str]:
-    """Places for a key, best first."""
-    return sorted(places, key=lambda place: (weight(key, place), place), reverse=True)
-
-
 def assign(keys: Sequence[str], places: Sequence[str]) -> dict[str, str]:
     """A place for each key, with at most an even share of keys (rounded up) at a place.
 
--- a/src/croftchute/systems/worker_choice.py
+++ b/src/croftchute/systems/worker_choice.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, replace
 from typing import Protocol
 
+from croftchute.systems.rendezvous import weight
 from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import Route, Stage
 
@@ -138,12 +138,7 @@
 
 def by_affinity(candidates: Sequence[WorkerBelief], affinity: str) -> list[WorkerBelief]:
     """Workers in the order in which a text prefers them, alike at all boxes (rendezvous hash)."""
-
-    def weight(belief: WorkerBelief) -> bytes:
-        text = f"{affinity}/{belief.worker.id}"
-        return hashlib.blake2b(text.encode(), digest_size=8).digest()
-
-    return sorted(candidates, key=weight)
+    return sorted(candidates, key=lambda belief: weight(affinity, belief.worker.id), reverse=True)
 
 
 def describe(
--- a/tests/forwarding/test_news_log.py
+++ b/tests/forwarding/test_news_log.py
@@ -1,4 +1,4 @@
-"""The changes that a reader keeps for the boxes that follow it."""
+"""The changes that a relay keeps for the boxes that follow it."""
 
 import asyncio
 
--- a/tests/platform_adapter/test_hall_news.py
+++ b/tests/platform_adapter/test_hall_news.py
@@ -1,11 +1,11 @@
-"""A large hall: few boxes read the store, all know what it says, also when a reader is lost."""
+"""A large hall: few boxes read the store, all know what it says, also when a relay is lost."""
 
 import asyncio
 
 import pytest
 from platform_fleet import config, fleet, route, run, until
 
-from croftchute.systems.hall_readers import ranked
+from croftchute.systems.rendezvous import rank
 from croftchute.tables.routing import WorkerState
 
 BOXES = 8
@@ -20,14 +20,14 @@
         box.state.peers.seeds = hub
     for box in boxes:
         await until(lambda box=box: box.state.peers.boxes(box.state.clock()) == count)
-    rank = ranked("a", [box.state.box for box in boxes])
-    return sorted(boxes, key=lambda box: rank.index(box.state.box))
+    order = rank("a", [box.state.box for box in boxes])
+    return sorted(boxes, key=lambda box: order.index(box.state.box))
 
 
 async def settle(made, boxes):
     """Change something until all but the first two boxes follow one of these."""
     version = 100
-    while any(box.follower.config._reader_id == "" for box in boxes[2:]):
+    while any(box.follower.config._relay_id == "" for box in boxes[2:]):
         version += 1
         made.store.put("op/config", config(version))
         for box in boxes:
@@ -76,11 +76,11 @@
         async with fleet() as made:
             boxes = await hall_of(made)
             version = await settle(made, boxes)
-            for reader in boxes[:lost]:
-                for task in reader._tasks:
+            for relay in boxes[:lost]:
+                for task in relay._tasks:
                     task.cancel()
-                reader.control.stop_accepting()
-                for connection in list(reader.control.connections):
+                relay.control.stop_accepting()
+                for connection in list(relay.control.connections):
                     connection.abort()
             made.store.put("op/config", config(version + 1))
             for box in boxes[lost:]:
@@ -99,7 +99,7 @@
             made.store.put("op/config", config(version + 1))
             for box in boxes:
                 await until(lambda box=box: box.state.table.version == version + 1)
-            following = {box.follower.config._reader_id for box in boxes[2:]}
+            following = {box.follower.config._relay_id for box in boxes[2:]}
             assert boxes[0].state.box not in following
 
     run(body)
@@ -127,8 +127,8 @@
         async with fleet() as made:
             boxes = await hall_of(made)
             version = await settle(made, boxes)
-            for reader in boxes[:2]:
-                reader.follower.config.log.base = 10**9
+            for relay in boxes[:2]:
+                relay.follower.config.log.base = 10**9
             made.store.put("op/config", config(version + 1))
             for box in boxes:
                 await until(lambda box=box: box.state.table.version == version + 1)
--- /dev/null
+++ b/tests/systems/test_hall_relays.py
@@ -0,0 +1,91 @@
+"""Who reads the store in a hall: a few boxes, the same in all views, and others once they fail."""
+
+from croftchute.systems.hall_relays import (
+    ASKED_S,
+    MIN_HALL,
+    MOST_RELAYS,
+    PASSED_OVER_S,
+    RELAYS,
+    HallRelays,
+)
+from croftchute.systems.rendezvous import rank
+from croftchute.tables.peers import Peer
+
+IDS = [f"box-{number}" for number in range(20)]
+
+
+def peer(box_id):
+    return Peer(
+        id=box_id, host="10.0.0.1", notice_port=1, control_port=2, started_at=0.0, heard_at=0.0
+    )
+
+
+def mates_of(box_id, ids=IDS):
+    return [peer(other) for other in ids if other != box_id]
+
+
+def followed(ids=IDS, now=0.0):
+    """Whom each box of a hall follows; None for those that read the store."""
+    found = {}
+    for box_id in ids:
+        relays = HallRelays(own_id=box_id, hall="north")
+        mate = relays.to_follow(mates_of(box_id, ids), now)
+        found[box_id] = mate.id if mate is not None else None
+    return found
+
+
+def test_two_boxes_read_and_all_others_follow_one_of_them():
+    found = followed()
+    reading = {box for box, relay in found.items() if relay is None}
+    assert reading == set(rank("north", IDS)[:RELAYS])
+    assert {relay for relay in found.values() if relay is not None} == reading
+
+
+def test_the_followers_are_shared_out():
+    found = followed()
+    counts = [list(found.values()).count(relay) for relay in rank("north", IDS)[:RELAYS]]
+    assert min(counts) >= 4
+
+
+def test_all_boxes_of_a_small_hall_read():
+    assert set(followed(IDS[: MIN_HALL - 1]).values()) == {None}
+
+
+def test_a_reader_that_gave_no_news_is_passed_over_for_a_while():
+    own = rank("north", IDS)[-1]
+    relays = HallRelays(own_id=own, hall="north")
+    mates = mates_of(own)
+    first = relays.to_follow(mates, 0.0)
+    relays.pass_over(first.id, 0.0)
+    second = relays.to_follow(mates, 0.1)
+    assert second.id != first.id
+    assert relays.to_follow(mates, PASSED_OVER_S + 0.1).id == first.id
+
+
+def test_a_box_whom_no_reader_answers_reads_the_store_itself():
+    own = rank("north", IDS)[-1]
+    relays = HallRelays(own_id=own, hall="north")
+    mates = mates_of(own)
+    asked = set()
+    while (relay := relays.to_follow(mates, 0.0)) is not None:
+        asked.add(relay.id)
+        relays.pass_over(relay.id, 0.0)
+    assert asked == set(rank("north", IDS)[:MOST_RELAYS])
+
+
+def test_a_box_that_is_asked_reads_for_a_while_even_if_it_ranks_low():
+    own = rank("north", IDS)[-1]
+    relays = HallRelays(own_id=own, hall="north")
+    mates = mates_of(own)
+    relays.note_asked(0.0)
+    assert relays.to_follow(mates, ASKED_S - 0.1) is None
+    assert relays.to_follow(mates, ASKED_S + 0.1) is not None
+
+
+def test_when_a_reader_is_gone_the_next_in_rank_takes_its_place():
+    gone, *_, last = rank("north", IDS)
+    left = [box for box in IDS if box != gone]
+    assert {box for box, relay in followed(left).items() if relay is None} == set(
+        rank("north", left)[:RELAYS]
+    )
+    assert followed(left)[last] != gone
