--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -12,9 +12,11 @@
 from croftchute.soak.disturbances import STORE, Disturbances
 from croftchute.soak.plan import FaultKind, PlannedFault, SoakSpec
 from croftchute.soak.proxy import FaultyLink, LinkFault
-from croftchute.soak.world import DESK, ENGINES, ListedWorker, SoakWorld
+from croftchute.soak.world import DESK, ENGINES, HALLS, ListedWorker, SoakWorld
 from croftchute.standins.metadata_store import StoreFaults
 from croftchute.standins.platform_worker import WorkerFaults
+from croftchute.systems.hall_relays import RELAYS
+from croftchute.systems.rendezvous import rank
 
 T = TypeVar("T")
 
@@ -25,6 +27,9 @@
 LEAVE_GAP_S = 0.7
 """Seconds between two workers of a service that leave one by one: two changes of the list."""
 
+RELAY_GAP_S = 0.3
+"""Seconds between the losses of two relays of a hall: followers have just gone to the second."""
+
 LISTED_AFTER_CRASH_S = 1.5
 REUSE_AFTER_S = 2.0
 LAPSE_BACK_S = 1.5
@@ -102,6 +107,7 @@
             FaultKind.CONFIG_STORM: self._storm_config,
             FaultKind.BURST: self._burst,
             FaultKind.HALF_LEAVES: self._half_leaves,
+            FaultKind.RELAYS_STRUCK: self._strike_relays,
         }
 
     @property
@@ -138,12 +144,28 @@
         self._end_box(box, signal.SIGKILL)
 
     async def _pause_box(self, fault: PlannedFault) -> None:
-        box = _pick(self.boxes, fault)
-        self.disturbances.note(box.name, self.now, self.now + fault.for_s + START_S)
+        await self._pause(_pick(self.boxes, fault), fault.for_s)
+
+    async def _pause(self, box: SoakBox, for_s: float) -> None:
+        self.disturbances.note(box.name, self.now, self.now + for_s + START_S)
         box.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(fault.for_s)
+        await asyncio.sleep(for_s)
         box.send_signal(signal.SIGCONT)
 
+    async def _strike_relays(self, fault: PlannedFault) -> None:
+        """The boxes that read the store for their hall are killed or paused one after another."""
+        hall = _pick(HALLS, fault)
+        boxes_by_name = {box.name: box for box in self.boxes if box.hall == hall}
+        pauses = []
+        for number, name in enumerate(rank(hall, boxes_by_name)[:RELAYS]):
+            if (fault.pick + number) % 2:
+                self._end_box(boxes_by_name[name], signal.SIGKILL)
+            else:
+                pause = self._pause(boxes_by_name[name], fault.for_s)
+                pauses.append(asyncio.get_running_loop().create_task(pause))
+            await asyncio.sleep(RELAY_GAP_S)
+        await asyncio.gather(*pauses)
+
     async def _stop_box(self, fault: PlannedFault) -> None:
         box = _pick(self.boxes, fault)
         life = box.life
--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -33,6 +33,7 @@
     CONFIG_STORM = "config_storm"
     BURST = "burst"
     HALF_LEAVES = "half_leaves"
+    RELAYS_STRUCK = "relays_struck"
 
 
 PLANNED = (
@@ -46,6 +47,7 @@
 LASTING = frozenset(
     {
         FaultKind.BOX_PAUSE,
+        FaultKind.RELAYS_STRUCK,
         FaultKind.LINK_STORE,
         FaultKind.LINK_WORKER,
         FaultKind.LINK_CALLERS,
