--- a/src/croftchute/systems/room_forecast.py
+++ b/src/croftchute/systems/room_forecast.py
@@ -21,7 +21,7 @@
 """Wait taken as usual until some were seen: an engine of a dozen streams of a second or two ends
 one every tenth of a second, and several engines are asked."""
 
-LATE_WAIT_S = 0.0
+LATE_WAIT_S = 0.4
 """Mean time until room up to which a request that is late already goes on waiting: a late answer
 is worth a fifth of one in time, and a wait in vain costs by its length, so room must be near."""
 
