--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -33,29 +33,31 @@
         self.vocabulary = vocabulary
         self.on_change = on_change
         self.relays = HallRelays(own_id=state.box, hall=state.zone)
-        self.config = PrefixFollower(
-            prefix=vocabulary.config_prefix,
-            pause_s=0.0,
-            state=state,
-            store=store,
-            relays=self.relays,
-            handlers=PrefixHandlers(
-                on_listing=self._config_listed,
-                on_changes=self._config_changed,
-                on_heard=on_change,
-            ),
+        self._store = store
+        self.config = self._follow(
+            vocabulary.config_prefix, 0.0, self._config_listed, self._config_changed
+        )
+        self.workers = self._follow(
+            vocabulary.workers_prefix, WORKERS_PAUSE_S, self._workers_listed, self._workers_changed
+        )
+
+    def _follow(
+        self,
+        prefix: str,
+        pause_s: float,
+        on_listing: Callable[[Listing], None],
+        on_changes: Callable[[Changes], None],
+    ) -> PrefixFollower:
+        handlers = PrefixHandlers(
+            on_listing=on_listing, on_changes=on_changes, on_heard=self.on_change
         )
-        self.workers = PrefixFollower(
-            prefix=vocabulary.workers_prefix,
-            pause_s=WORKERS_PAUSE_S,
-            state=state,
-            store=store,
+        return PrefixFollower(
+            prefix=prefix,
+            pause_s=pause_s,
+            state=self.state,
+            store=self._store,
             relays=self.relays,
-            handlers=PrefixHandlers(
-                on_listing=self._workers_listed,
-                on_changes=self._workers_changed,
-                on_heard=on_change,
-            ),
+            handlers=handlers,
         )
 
     @property
