--- a/src/croftchute/daemon/knowledge_feed.py
+++ b/src/croftchute/daemon/knowledge_feed.py
@@ -2,29 +2,53 @@
 
 from __future__ import annotations
 
+import threading
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import urllib3
 from loguru import logger
 
 from croftchute.commands import Command, ProposeRanges
 from croftchute.config.checks import parse_document
-from croftchute.daemon.shared_state import fetch_shared
+from croftchute.daemon.runner import Job
+from croftchute.daemon.shared_state import SharedState, fetch_shared
+from croftchute.daemon.store_sync import StoreSync
 from croftchute.errors import CroftchuteError
+from croftchute.peers.codec import Codec
+from croftchute.policies.runner import PolicyRunner
+from croftchute.settings import Settings
 from croftchute.storage.store import Entry, ListedBox
+from croftchute.systems.box import BoxSystems
 from croftchute.tables.boxes import Box
 from croftchute.tables.dedupe import RangeMap
 from croftchute.timeline.events import Event, Kind
 
-if TYPE_CHECKING:
-    from croftchute.daemon.box_process import BoxProcess
+
+class KnowledgeHolder(Protocol):
+    """The box that knowledge is for: its systems, and what they share with its other parts."""
+
+    systems: BoxSystems
+    codec: Codec
+    settings: Settings
+    stopping: threading.Event
+    shared: SharedState
+    sync: StoreSync
+    policies: PolicyRunner
+
+    def submit(self, job: Job) -> None:
+        """Have something done by the thread that runs the systems."""
+        ...
+
+    def note(self, event: Event) -> None:
+        """Put an event on the time line."""
+        ...
 
 
 class KnowledgeFeed:
     """Hands configurations, range maps and box lists to the box's systems, newest only."""
 
-    def __init__(self, *, box: BoxProcess) -> None:
+    def __init__(self, *, box: KnowledgeHolder) -> None:
         self._box = box
         self._pool = urllib3.PoolManager(retries=False, maxsize=4)
 
