Greet strangers a few at a time, with the notice that is there

Change: at most ten greetings between two notices, of the latest notice's bytes. A box that is left out is heard of again by later notices.

Ruled out: no greetings (a new box is then met only by chance).

The test fails before (no such bound).

--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -25,6 +25,10 @@
 FETCH_AFTER_S = 0.6
 """Seconds that the store is given to tell what a peer knows already."""
 
+MAX_GREETINGS = 10
+"""Strangers greeted between two notices at most, as many as a notice goes to: when all boxes of a
+large fleet start at once, each hears of eighty strangers a second."""
+
 MAX_WORKER_NOTICES = 32
 """Workers told of in one notice: bounds a datagram."""
 
@@ -59,6 +63,8 @@
         self.port = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._behind_since: float | None = None
+        self._datagram = b""
+        self._greetings_left = MAX_GREETINGS
 
     async def listen(self, port: int) -> None:
         """Take notices on a port."""
@@ -96,12 +102,13 @@
         """Tell some peers how things stand here."""
         now = self.state.clock()
         targets = self.state.peers.targets(now, self.state.rng)
-        if not targets or self._transport is None:
+        if self._transport is None:
             return
         envelope = Envelope(sender=self.state.box, stamp=0, bodies=(self._notice(now),))
-        data = self.codec.encode(envelope)
+        self._datagram = self.codec.encode(envelope)
+        self._greetings_left = MAX_GREETINGS
         for address in targets:
-            self._transport.sendto(data, address)
+            self._transport.sendto(self._datagram, address)
         for peer_id in self.state.peers.forget(now):
             self.state.log.decide(Decision.PEER_GONE, peer=peer_id)
 
@@ -166,12 +173,14 @@
         for address in notice.introduced:
             host, _, port = address.rpartition(":")
             if (host, int(port)) not in known and (host, int(port)) != (self.host, self.port):
-                self._greet(host, int(port), now)
+                self._greet(host, int(port))
 
-    def _greet(self, host: str, port: int, now: float) -> None:
-        if self._transport is not None:
-            envelope = Envelope(sender=self.state.box, stamp=0, bodies=(self._notice(now),))
-            self._transport.sendto(self.codec.encode(envelope), (host, port))
+    def _greet(self, host: str, port: int) -> None:
+        """Send a stranger the latest notice; one that is left out is heard of again."""
+        if self._transport is None or not self._datagram or self._greetings_left <= 0:
+            return
+        self._greetings_left -= 1
+        self._transport.sendto(self._datagram, (host, port))
 
     async def _catch_up(self) -> None:
         """Ask a peer for what it knows, if it does not come here by itself in a short while."""
--- a/tests/platform_adapter/test_store_and_peers.py
+++ b/tests/platform_adapter/test_store_and_peers.py
@@ -1,9 +1,12 @@
 """What a box knows, and does, while the store fails it; and what it learns from its peers."""
 
 import asyncio
+from types import SimpleNamespace
 
 from platform_fleet import ask, config, fleet, run, until
 
+from croftchute.forwarding.peer_exchange import MAX_GREETINGS
+from croftchute.peers.messages import BoxNotice
 from croftchute.tables.routing import WorkerState
 
 
@@ -132,6 +135,40 @@
     run(body)
 
 
+def test_strangers_are_greeted_a_few_at_a_time_with_the_notice_that_is_there():
+    """All boxes of a fleet that start at once greeted each other tens of times a second, and
+    each greeting was made anew."""
+
+    async def body():
+        async with fleet() as made:
+            box = await made.add_box()
+            sent = []
+            box.exchange._transport.close()
+            box.exchange._transport = SimpleNamespace(sendto=lambda data, to: sent.append(to))
+            box.exchange.send_notices()
+            made_at_first = box.exchange._datagram
+            for number in range(30):
+                strangers = tuple(f"10.0.{number}.{n}:7000" for n in range(4))
+                notice = BoxNotice(
+                    started_at=1.0,
+                    host=f"10.1.0.{number}",
+                    notice_port=7000,
+                    control_port=7001,
+                    config_version=0,
+                    workers_revision=0,
+                    introduced=strangers,
+                )
+                box.exchange._hear(f"box-{number}", notice)
+            assert len(sent) == MAX_GREETINGS
+            assert box.exchange._datagram is made_at_first
+            box.exchange.send_notices()
+            sent.clear()
+            box.exchange._hear("box-0", notice)
+            assert len(sent) == 4
+
+    run(body)
+
+
 def test_damaged_notices_are_dropped():
     async def body():
         async with fleet() as made:
