A worker that took a stage order gets no work until it has changed, and all boxes hear of it

Change: an order answered 202 takes its worker out of use for the switch (from the configuration) and 2.5 s, or until the list shows the new stage; boxes pass that on with their notices, once.

Tests fail before (no such belief).

--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -35,6 +35,7 @@
     WORKER_LISTED = "worker_listed"
     WORKER_GONE = "worker_gone"
     WORKER_SUSPECTED = "worker_suspected"
+    WORKER_CHANGING = "worker_changing"
     WORKER_DISPLACED = "worker_displaced"
     READY_CHANGED = "ready_changed"
     PREFILL_SENT = "prefill_sent"
--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -18,6 +18,7 @@
 from croftchute.peers.codec import Codec, Envelope
 from croftchute.peers.messages import BoxNotice
 from croftchute.tables.peers import DemandNotice, Peer, WorkerNotice
+from croftchute.tables.routing import Stage
 
 NOTICE_S = 0.5
 """Seconds between two notices: docs/CAPACITY.md works out the bytes."""
@@ -118,13 +119,17 @@
         for belief in state.workers.beliefs_by_id.values():
             failures = belief.failure_score(now)
             wait_s = state.own_prefill_wait_s(belief)
-            if belief.in_flight or failures > MIN_FAILURES_TOLD or wait_s > MIN_WAIT_TOLD_S:
+            changing_s = max(0.0, belief.changing_until - now)
+            is_told = belief.in_flight or changing_s or wait_s > MIN_WAIT_TOLD_S
+            if is_told or failures > MIN_FAILURES_TOLD:
                 entries.append(
                     WorkerNotice(
                         worker=belief.worker.id,
                         in_flight=belief.in_flight,
                         failures=failures,
                         wait_s=wait_s,
+                        changing_to=belief.changing_to or "" if changing_s else "",
+                        changing_s=changing_s,
                     )
                 )
         demands = []
@@ -169,12 +174,31 @@
                 config_version=notice.config_version,
                 boxes=self.state.peers.boxes(now),
             )
+        for entry in notice.workers:
+            if entry.changing_s > 0.0:
+                self._hear_of_change(entry, now)
         known = {(p.host, p.notice_port) for p in self.state.peers.peers_by_id.values()}
         for address in notice.introduced:
             host, _, port = address.rpartition(":")
             if (host, int(port)) not in known and (host, int(port)) != (self.host, self.port):
                 self._greet(host, int(port))
 
+    def _hear_of_change(self, entry: WorkerNotice, now: float) -> None:
+        """A worker changes its stage: believed here, and so passed on with the next notices."""
+        try:
+            stage = Stage(entry.changing_to)
+        except ValueError:
+            return
+        for_s = entry.changing_s
+        if self.state.workers.note_changing(entry.worker, stage, now, for_s=for_s):
+            self.state.log.decide(
+                Decision.WORKER_CHANGING,
+                outcome=stage.value,
+                worker=entry.worker,
+                for_s=round(for_s, 2),
+                source="peer",
+            )
+
     def _greet(self, host: str, port: int) -> None:
         """Send a stranger the latest notice; one that is left out is heard of again."""
         if self._transport is None or not self._datagram or self._greetings_left <= 0:
--- a/src/croftchute/forwarding/stage_orders.py
+++ b/src/croftchute/forwarding/stage_orders.py
@@ -63,6 +63,13 @@
 PREFILL_LASTS_S = 5.0
 """The same for a change to prefill: a prefill worker that crashed is mostly back within 5 s."""
 
+ACCEPTED = 202
+"""Status of an order that the worker has begun to carry out: it takes no work until it is done."""
+
+CHANGE_MARGIN_S = 2.5
+"""Seconds beside the switch itself for which a changing worker is passed over, unless the list
+shows its new stage before: its streams end first, and the list tells of it within a second."""
+
 MAX_LAPSE_S = 1.5
 """A need that was not seen for so many seconds begins anew."""
 
@@ -225,6 +232,8 @@
             outcome = f"status_{status}"
             if status not in TAKEN:
                 del self._orders_by_worker[worker_id]
+            if status == ACCEPTED:
+                self._note_changing(change)
         except ConnectFailedError as error:
             del self._orders_by_worker[worker_id]
             outcome = error.code.value
@@ -233,6 +242,16 @@
             outcome = error.code.value
         self._log(outcome, change, turn)
 
+    def _note_changing(self, change: StageChange) -> None:
+        """Give the worker no work until it has changed; peers hear of it in notices."""
+        table = self.state.table
+        service = table.services_by_name.get(change.worker.service) if table is not None else None
+        if service is None or service.engine is None:
+            return
+        for_s = service.engine.switch_s + CHANGE_MARGIN_S
+        now = self.state.clock()
+        self.state.workers.note_changing(change.worker.id, change.stage, now, for_s=for_s)
+
     def _give_up_turn(self, turn: Turn) -> None:
         self.turn = None
         self.state.log.decide(Decision.STAGE_ORDER, outcome="lease_lost", token=turn.token)
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -158,6 +158,8 @@
   inFlight @1 :UInt32;
   failures @2 :Float32;
   waitS @3 :Float32;
+  changingTo @4 :Text;
+  changingS @5 :Float32;
 }
 
 struct PrefillSample {
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -38,6 +38,9 @@
 LOAD_TTL_S = 0.3
 """Seconds for which a load told with an answer counts: requests of others end about as soon."""
 
+CHANGE_KNOWN_S = 15.0
+"""Seconds after which a worker's change to the same stage would be another one: an order that is
+carried out is over within ten."""
 
 UNREACHABLE_S = 1.5
 """Seconds for which a worker to which no connection came up is passed over where it can be: a try
@@ -65,6 +68,9 @@
     displaced: bool = False
     full_until: float = 0.0
     unreachable_until: float = 0.0
+    changing_to: Stage | None = None
+    changing_since: float = 0.0
+    changing_until: float = 0.0
     queue: PrefillQueue = field(default_factory=PrefillQueue)
 
     def failure_score(self, now: float) -> float:
@@ -114,6 +120,9 @@
         if belief.worker.service != worker.service:
             del self._beliefs_by_service[belief.worker.service][worker.id]
             self._beliefs_by_service.setdefault(worker.service, {})[worker.id] = belief
+        if belief.worker.stage is not worker.stage:
+            belief.changing_to = None
+            belief.changing_until = 0.0
         belief.worker = worker
         belief.listed_at = now
         belief.gone_at = None
@@ -174,7 +183,7 @@
                 continue
             if stage is not None and worker.stage is not None and worker.stage is not stage:
                 continue
-            if worker.state is not WorkerState.READY:
+            if worker.state is not WorkerState.READY or now < belief.changing_until:
                 continue
             if belief.gone_at is None:
                 listed.append(belief)
@@ -250,6 +259,22 @@
         if belief is not None:
             belief.unreachable_until = now + UNREACHABLE_S
 
+    def note_changing(self, worker_id: str, stage: Stage, now: float, *, for_s: float) -> bool:
+        """A worker changes its stage and takes no work meanwhile; True if that is news.
+
+        The same change is news once: it is passed on from box to box, and comes back older.
+        """
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is None or belief.worker.stage is stage:
+            return False
+        is_known = belief.changing_to is stage and now - belief.changing_since < CHANGE_KNOWN_S
+        if is_known:
+            return False
+        belief.changing_to = stage
+        belief.changing_since = now
+        belief.changing_until = now + for_s
+        return True
+
     def note_displaced(self, worker_id: str) -> None:
         """Another worker answered at this one's address: it is not there any more."""
         belief = self.beliefs_by_id.get(worker_id)
--- a/src/croftchute/tables/peers.py
+++ b/src/croftchute/tables/peers.py
@@ -9,12 +9,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerNotice:
-    """What one box has open at a worker, holds against it, and how long prompts wait there."""
+    """What one box has open at a worker, holds against it, and how long prompts wait there.
+
+    ``changing_to`` is the stage that the worker is about to have, ``changing_s`` for how long it
+    takes no work until then; empty and 0 while it changes nothing.
+    """
 
     worker: str
     in_flight: int
     failures: float
     wait_s: float = 0.0
+    changing_to: str = ""
+    changing_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -61,13 +61,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EngineTraits:
-    """What all engines of a service have in common; sizes in tokens unless named otherwise."""
+    """What all engines of a service have in common; sizes in tokens unless named otherwise.
+
+    ``switch_s`` is how long an engine that changes its stage is away once its streams have ended.
+    """
 
     slots: int
     kv_tokens: int
     kv_bytes_per_token: float
     handle_ttl_s: float
     hold_ttl_s: float = 0.0
+    switch_s: float = 0.0
     models: tuple[str, ...] = ()
 
 
--- a/tests/forwarding/test_stage_orders.py
+++ b/tests/forwarding/test_stage_orders.py
@@ -81,3 +81,16 @@
             assert orders._ordered() == {}
 
     run(body)
+
+
+def test_a_worker_that_took_an_order_gets_no_work_and_one_that_gave_no_answer_does(monkeypatch):
+    """An order without an answer may be carried out much later, or never."""
+
+    async def body():
+        for answer, is_passed_over in ((202, True), (AnswerLateError("no head"), False)):
+            async with fleet() as made:
+                orders, _ = await order_once(made, monkeypatch, answer=answer)
+                belief = orders.state.workers.beliefs_by_id["p0"]
+                assert (belief.changing_until > orders.state.clock()) is is_passed_over
+
+    run(body)
--- a/tests/platform_adapter/test_store_and_peers.py
+++ b/tests/platform_adapter/test_store_and_peers.py
@@ -7,7 +7,7 @@
 
 from croftchute.forwarding.peer_exchange import MAX_GREETINGS
 from croftchute.peers.messages import BoxNotice
-from croftchute.tables.routing import WorkerState
+from croftchute.tables.routing import Stage, WorkerState
 
 
 def test_a_new_configuration_is_in_force_and_an_older_one_never_again():
@@ -236,3 +236,26 @@
             assert box.orders.turn is None
 
     run(body)
+
+
+def test_all_boxes_hear_of_a_worker_that_changes_its_stage():
+    """Each learnt it by a prompt that was refused; calls that may be sent once were lost so."""
+
+    async def body():
+        async with fleet() as made:
+            for name, stage in (("p0", "prefill"), ("p1", "prefill"), ("d0", "decode")):
+                await made.add_worker(name, service="llm", stage=stage)
+            boxes = [await made.add_box(f"box-{n}") for n in range(3)]
+            for box in boxes:
+                await made.ready(box)
+            for box, peer in zip(boxes, boxes[1:], strict=False):
+                box.state.peers.seeds = (("127.0.0.1", peer.exchange.port),)
+            first = boxes[0].state
+            assert first.workers.note_changing("p0", Stage.DECODE, first.clock(), for_s=60.0)
+            for box in boxes:
+                await until(lambda s=box.state: s.workers.beliefs_by_id["p0"].changing_until > 0)
+            answer = await ask(boxes[2], "/stream/x")
+            assert answer.is_whole
+            assert made.workers_by_id["p0"].received == []
+
+    run(body)
--- a/tests/systems/test_worker_table.py
+++ b/tests/systems/test_worker_table.py
@@ -168,3 +168,38 @@
     assert table.usable("s", 0.5) == []
     table.upsert(worker("a", stage=Stage.DECODE), 1.0)
     assert ids(table.usable("s", 1.0, stage=Stage.DECODE)) == ["a"]
+
+
+def test_a_worker_that_changes_its_stage_gets_no_work_until_the_list_shows_it():
+    """It granted room and refused the work; a call that may be sent once was lost by that."""
+    table = WorkerTable()
+    table.upsert(worker("a", stage=Stage.PREFILL), 0.0)
+    table.upsert(worker("b", stage=Stage.PREFILL), 0.0)
+    assert table.note_changing("a", Stage.DECODE, 1.0, for_s=8.0)
+    assert ids(table.usable("s", 2.0, stage=Stage.PREFILL)) == ["b"]
+    table.upsert(worker("a", stage=Stage.DECODE), 5.0)
+    assert ids(table.usable("s", 5.0, stage=Stage.DECODE)) == ["a"]
+
+
+def test_a_change_that_comes_to_nothing_is_believed_for_some_seconds_only():
+    table = WorkerTable()
+    table.upsert(worker("a", stage=Stage.PREFILL), 0.0)
+    table.note_changing("a", Stage.DECODE, 1.0, for_s=8.0)
+    assert ids(table.usable("s", 9.1, stage=Stage.PREFILL)) == ["a"]
+
+
+def test_a_change_that_is_told_again_and_again_is_news_once():
+    """Boxes pass it on to each other; each would otherwise renew what another had it from."""
+    table = WorkerTable()
+    table.upsert(worker("a", stage=Stage.PREFILL), 0.0)
+    assert table.note_changing("a", Stage.DECODE, 1.0, for_s=8.0)
+    for step in range(1, 10):
+        assert not table.note_changing("a", Stage.DECODE, 1.0 + step, for_s=8.0)
+    assert ids(table.usable("s", 9.1, stage=Stage.PREFILL)) == ["a"]
+
+
+def test_a_change_that_the_list_shows_already_is_no_news():
+    table = WorkerTable()
+    table.upsert(worker("a", stage=Stage.DECODE), 0.0)
+    assert not table.note_changing("a", Stage.DECODE, 1.0, for_s=8.0)
+    assert ids(table.usable("s", 1.0, stage=Stage.DECODE)) == ["a"]
