Followers leave a store that is down to the relays; changes are gathered for longer after a start

Change: a follower whose relays say that they lost the store tries it itself after 2 s on average; within 3 s of its start a box watches the list once a second. A box counts as in touch only some seconds after its start, and what is news comes from peers meanwhile.

Ruled out: never trying the store (the relays alone may be turned away).

The boxes now meet at one hub, and the test waits until they have; its assertions stand.

--- a/src/croftchute/forwarding/prefix_follower.py
+++ b/src/croftchute/forwarding/prefix_follower.py
@@ -10,7 +10,7 @@
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.failures import ExchangeError
 from croftchute.forwarding.hall_news import ask_news
-from croftchute.forwarding.news_log import NewsLog
+from croftchute.forwarding.news_log import NewsLog, NotARelayError
 from croftchute.forwarding.state import ForwardingState
 from croftchute.storage.watched import Changes, HistoryGoneError, Listing, SharedStore
 from croftchute.systems.hall_relays import HallRelays
@@ -25,6 +25,17 @@
 FRESH_MARGIN_S = 1.5
 """Seconds beside the waiting after which the store must have answered a relay."""
 
+LOST_STORE_WAIT_S = 2.0
+"""Mean seconds before a follower tries the store itself while relays of its hall lost it: all
+boxes of a fleet would otherwise call a store that is down. News come from peers meanwhile."""
+
+START_S = 3.0
+"""Seconds after the start in which changes are gathered for longer: the workers of a fleet that
+starts register one by one, peers are not known yet, and new boxes are not sent callers at once."""
+
+START_PAUSE_S = 1.0
+"""Seconds between two watches in that time."""
+
 MIN_BACKOFF_S = 0.1
 """Seconds before a failed call is repeated at first."""
 
@@ -118,6 +129,8 @@
 
     async def _read_store(self) -> None:
         self._note_source("", outcome="reads the store")
+        if self.relays.is_store_lost(self.state.clock()):
+            await asyncio.sleep(LOST_STORE_WAIT_S * self.state.rng.uniform(0.5, 1.5))
         try:
             if self._after is None:
                 listing = await self.store.listing(self.prefix)
@@ -142,7 +155,8 @@
     async def _watch(self, after: int) -> None:
         changes = await self.store.changes(self.prefix, after=after, wait_s=self._wait_s())
         self._take(changes, after)
-        await asyncio.sleep(self.pause_s)
+        is_new = self.state.clock() - self.state.started_at < START_S
+        await asyncio.sleep(START_PAUSE_S if is_new and self.pause_s else self.pause_s)
 
     def _wait_s(self) -> float:
         is_asked = self.relays.is_asked(self.state.clock())
@@ -163,7 +177,8 @@
             self._after = None
             return
         except (ExchangeError, MessageError, StoreError) as error:
-            self.relays.pass_over(relay.id, self.state.clock())
+            has_lost_store = isinstance(error, NotARelayError)
+            self.relays.pass_over(relay.id, self.state.clock(), has_lost_store=has_lost_store)
             self._note_source("", outcome=error.code.value, detail=error.message)
             return
         self._take(changes, after)
--- a/src/croftchute/systems/hall_relays.py
+++ b/src/croftchute/systems/hall_relays.py
@@ -30,6 +30,9 @@
 PASSED_OVER_S = 4.0
 """Seconds for which a relay that did not answer, or has lost the store, is not asked again."""
 
+MIN_LOST = 2
+"""Relays that say that they lost the store for a follower to take it as lost for the hall."""
+
 ASKED_S = 15.0
 """Seconds for which a box that was asked for news reads the store, even if it ranks itself low."""
 
@@ -41,6 +44,7 @@
     own_id: str
     hall: str
     _passed_over_until: dict[str, float] = field(default_factory=dict)
+    _lost_until: dict[str, float] = field(default_factory=dict)
     _asked_until: float = 0.0
 
     def to_follow(self, mates: Sequence[Peer], now: float) -> Peer | None:
@@ -58,12 +62,17 @@
         usable = [box for box in asked if now >= self._passed_over_until.get(box, 0.0)]
         return next((mates_by_id[box] for box in usable if box in mates_by_id), None)
 
-    def pass_over(self, box_id: str, now: float) -> None:
+    def pass_over(self, box_id: str, now: float, *, has_lost_store: bool = False) -> None:
         """A box gave no news: ask others for a while."""
-        self._passed_over_until = {
-            box: until for box, until in self._passed_over_until.items() if until > now
-        }
+        self._passed_over_until = _still(self._passed_over_until, now)
         self._passed_over_until[box_id] = now + PASSED_OVER_S
+        self._lost_until = _still(self._lost_until, now)
+        if has_lost_store:
+            self._lost_until[box_id] = now + PASSED_OVER_S
+
+    def is_store_lost(self, now: float) -> bool:
+        """Whether several relays of the hall do not reach the store either."""
+        return len(_still(self._lost_until, now)) >= MIN_LOST
 
     def note_asked(self, now: float) -> None:
         """Another box takes this one for a relay: read the store for a while."""
@@ -77,3 +86,8 @@
         """The relays in this box's own order, so that each gets its share of the followers."""
         turn = weight(self.hall, self.own_id) % len(relays)
         return relays[turn:] + relays[:turn]
+
+
+def _still(until_by_box: dict[str, float], now: float) -> dict[str, float]:
+    """What is not over yet."""
+    return {box: until for box, until in until_by_box.items() if until > now}
--- a/tests/platform_adapter/test_hall_news.py
+++ b/tests/platform_adapter/test_hall_news.py
@@ -5,6 +5,8 @@
 import pytest
 from platform_fleet import config, fleet, route, run, until
 
+from croftchute.forwarding import prefix_follower
+from croftchute.systems.hall_relays import MOST_RELAYS
 from croftchute.systems.rendezvous import rank
 from croftchute.tables.routing import WorkerState
 
@@ -144,3 +146,28 @@
             assert [box.orders.may_try() for box in boxes] == [True, True] + [False] * (BOXES - 2)
 
     run(body)
+
+
+def test_followers_leave_a_store_that_is_down_to_the_relays(monkeypatch):
+    """All boxes of the fleet called it twice a second, and each call is paid for."""
+    monkeypatch.setattr(prefix_follower, "LOST_STORE_WAIT_S", 3600.0)
+
+    async def body():
+        async with fleet() as made:
+            boxes = await hall_of(made)
+            await settle(made, boxes)
+            for box in boxes:
+                box.follower.relays._passed_over_until.clear()
+            made.store.faults.refuses = True
+            made.store.forget_history()
+            followers = boxes[MOST_RELAYS:]
+            for box in followers:
+                await until(lambda b=box: b.follower.relays.is_store_lost(b.state.clock()))
+            made.store.calls.clear()
+            for _ in range(3):
+                made.store.put("op/config", config(1))
+                await until(lambda: len(made.store.calls) > 8)
+                made.store.calls.clear()
+            assert all(box.follower.config._dependency.is_lost is False for box in followers)
+
+    run(body)
--- a/tests/platform_adapter/test_store_and_peers.py
+++ b/tests/platform_adapter/test_store_and_peers.py
@@ -248,8 +248,11 @@
             boxes = [await made.add_box(f"box-{n}") for n in range(3)]
             for box in boxes:
                 await made.ready(box)
-            for box, peer in zip(boxes, boxes[1:], strict=False):
-                box.state.peers.seeds = (("127.0.0.1", peer.exchange.port),)
+            hub = (("127.0.0.1", boxes[0].exchange.port),)
+            for box in boxes[1:]:
+                box.state.peers.seeds = hub
+            for box in boxes:
+                await until(lambda b=box: b.state.peers.boxes(b.state.clock()) == 3)
             first = boxes[0].state
             assert first.workers.note_changing("p0", Stage.DECODE, first.clock(), for_s=60.0)
             for box in boxes:
--- a/tests/systems/test_hall_relays.py
+++ b/tests/systems/test_hall_relays.py
@@ -89,3 +89,13 @@
         rank("north", left)[:RELAYS]
     )
     assert followed(left)[last] != gone
+
+
+def test_the_store_counts_as_lost_once_several_relays_say_so_and_not_for_long():
+    relays = HallRelays(own_id="x", hall="north")
+    relays.pass_over("a", 0.0, has_lost_store=True)
+    relays.pass_over("b", 0.0)
+    assert not relays.is_store_lost(0.1)
+    relays.pass_over("c", 0.1, has_lost_store=True)
+    assert relays.is_store_lost(0.2)
+    assert not relays.is_store_lost(PASSED_OVER_S + 0.2)
