--- a/tests/platform_adapter/test_streams.py
+++ b/tests/platform_adapter/test_streams.py
@@ -382,6 +382,29 @@
     run(body)
 
 
+def test_where_room_is_far_off_a_begun_stream_waits_and_a_new_request_is_refused_at_once():
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made, decodes=1)
+            decode[0].faults.hangs_after_events = 2
+            good = await made.add_worker("good", service="llm", stage="decode", zone="far")
+            good.faults.has_no_room = True
+            await made.ready(box)
+            asking = asyncio.create_task(ask(box, "/resume/x", "r1", deadline=8000))
+            await until(lambda: any(r.path == "/hold-take" for r in good.received))
+            box.state.room("llm").note_waited(600.0, box.state.clock())
+            decode[0].faults.has_no_room = True
+            refused = await ask(box, "/stream/x", "r2")
+            assert refused.status == 503
+            asks = sum(r.path == "/hold-take" for r in good.received)
+            await until(lambda: sum(r.path == "/hold-take" for r in good.received) > asks + 3)
+            good.faults.has_no_room = False
+            answer = await asking
+            assert answer.is_whole and numbers(answer) == [1, 2, 3, 4]
+
+    run(body)
+
+
 def test_a_pause_is_borne_when_there_is_no_other_worker_to_go_to():
     async def body():
         async with fleet() as made:
