Transfers from the store and from peers: size, time and end in log and metrics

Now each long or cut body gets a line (`transfer_ended`: call, source, bytes, time, error), and bytes and seconds are counted by call. No logic changes.

--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -59,6 +59,7 @@
     PEER_GONE = "peer_gone"
     PEER_FETCH = "peer_fetch"
     NEWS_SOURCE = "news_source"
+    TRANSFER_ENDED = "transfer_ended"
 
 
 class LineWriter:
--- a/src/croftchute/forwarding/hall_news.py
+++ b/src/croftchute/forwarding/hall_news.py
@@ -19,6 +19,7 @@
 from croftchute.forwarding.news_log import NewsLog, NotARelayError
 from croftchute.forwarding.request_run import within
 from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.transfer import TransferMeter
 from croftchute.storage.watched import Changes, HistoryGoneError, Listing, StoredItem
 from croftchute.tables.peers import Peer
 
@@ -88,7 +89,7 @@
     Raises ExchangeError, StoreError or MessageError.
     """
     target = f"{NEWS_PATH}?prefix={quote(prefix, safe='')}&after={after}"
-    answer = await _call(state, peer, target, NEWS_WAIT_S + MARGIN_S)
+    answer = await _call(state, peer, "news", target, NEWS_WAIT_S + MARGIN_S)
     try:
         return Changes(
             written=tuple(_decoded(entry) for entry in answer["written"]),
@@ -104,7 +105,7 @@
 async def ask_known(state: ForwardingState, peer: Peer, prefix: str) -> Listing:
     """All that a peer knows of a prefix; raises ExchangeError, StoreError or MessageError."""
     target = f"{KNOWN_PATH}?prefix={quote(prefix, safe='')}"
-    answer = await _call(state, peer, target, MARGIN_S)
+    answer = await _call(state, peer, "known", target, MARGIN_S)
     try:
         items = tuple(_decoded(entry) for entry in answer["items"])
         return Listing(items=items, revision=answer["revision"])
@@ -113,8 +114,28 @@
 
 
 async def _call(
-    state: ForwardingState, peer: Peer, target: str, timeout_s: float
+    state: ForwardingState, peer: Peer, name: str, target: str, timeout_s: float
 ) -> dict[str, Any]:
+    meter = TransferMeter(call=name, source=peer.id, clock=state.clock, observe=state.note_transfer)
+    with meter:
+        status, body = await _exchange(state, peer, target, timeout_s, meter)
+    if status == HTTPStatus.GONE:
+        raise HistoryGoneError(f"{peer.id} does not know so far back")
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        raise NotARelayError(f"{peer.id} does not read the store")
+    if status != HTTPStatus.OK:
+        raise ConnectionBrokenError(f"status {status}")
+    try:
+        answer: dict[str, Any] = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise MessageError(f"not an answer: {error}") from None
+    return answer
+
+
+async def _exchange(
+    state: ForwardingState, peer: Peer, target: str, timeout_s: float, meter: TransferMeter
+) -> tuple[int, bytes]:
+    """Status and body of a call; raises ExchangeError."""
     connection = await state.pool.acquire(
         peer.host, peer.control_port, owner=peer.id, now=state.clock(), timeout_s=MARGIN_S
     )
@@ -122,22 +143,13 @@
         request = f"GET {target} HTTP/1.1\r\nHost: {peer.host}\r\n\r\n"
         connection.send(request.encode("ascii"), expected=None)
         head = await within(connection.read_head(), timeout_s, "no head")
+        meter.begin(connection, head.status)
         body = await within(connection.read_body(MAX_ANSWER_BYTES), MARGIN_S, "no whole body")
+        return head.status, body
     finally:
         state.pool.release(
             connection, peer.host, peer.control_port, owner=peer.id, now=state.clock()
         )
-    if head.status == HTTPStatus.GONE:
-        raise HistoryGoneError(f"{peer.id} does not know so far back")
-    if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
-        raise NotARelayError(f"{peer.id} does not read the store")
-    if head.status != HTTPStatus.OK:
-        raise ConnectionBrokenError(f"status {head.status}")
-    try:
-        answer: dict[str, Any] = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
-        raise MessageError(f"not an answer: {error}") from None
-    return answer
 
 
 def _query(target: str) -> dict[str, str]:
--- a/src/croftchute/forwarding/http_client.py
+++ b/src/croftchute/forwarding/http_client.py
@@ -61,6 +61,7 @@
         self.idle_since = 0.0
         self.uses = 0
         self.skipped_answers = 0
+        self.body_bytes = 0
         self._expected: tuple[bytes, bytes] | None = None
         self._is_open_ended = False
         self._is_skipping = False
@@ -150,6 +151,7 @@
         if self._is_skipping or self.is_complete:
             return
         self._parts.append(bytes(body))
+        self.body_bytes += len(body)
         self._changed.set()
 
     def on_message_complete(self) -> None:
@@ -172,6 +174,7 @@
         self.is_complete = False
         self._error = ""
         self._parts.clear()
+        self.body_bytes = 0
         self._expected = expected
         self._is_bodiless = is_bodiless
         self._is_open_ended = False
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -8,10 +8,11 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
-from croftchute.forwarding.decision_log import DecisionLog
+from croftchute.forwarding.decision_log import Decision, DecisionLog
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
 from croftchute.forwarding.http_client import ConnectionPool
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
+from croftchute.forwarding.transfer import Transfer
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.prefill_pace import PrefillPace, fit_pace
@@ -114,6 +115,20 @@
         told_s = self.peers.prefill_wait_s(belief.worker.id, self.clock())
         return max(told_s, self.own_prefill_wait_s(belief))
 
+    def note_transfer(self, transfer: Transfer) -> None:
+        """Count an answer of the store or of a peer; a long or cut one gets a line."""
+        self.metrics.observe_transfer(transfer)
+        if transfer.is_notable:
+            self.log.decide(
+                Decision.TRANSFER_ENDED,
+                outcome=transfer.outcome if transfer.is_whole else "cut_off",
+                call=transfer.call,
+                source=transfer.source,
+                bytes=transfer.size,
+                took_ms=round(transfer.seconds * 1000, 1),
+                error="" if transfer.is_whole else transfer.outcome,
+            )
+
     def spawn(self, work: Coroutine[None, None, None]) -> None:
         """Do something beside the requests."""
         task = asyncio.get_running_loop().create_task(work)
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -4,6 +4,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from croftchute.forwarding.transfer import Transfer
+
 SECONDS_BUCKETS = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.9, 1.5, 3.0, 6.0, 14.0]
 
 
@@ -17,6 +19,17 @@
         self.decisions = Counter("croftchute_decisions_total", "Log lines by kind", **own)
         self.sends = Counter("croftchute_sends_total", "Sends to workers by outcome", **own)
         self.store_calls = Counter("croftchute_store_calls_total", "Store calls by outcome", **own)
+        self.transfer_bytes = Counter(
+            "croftchute_transfer_bytes_total",
+            "Bytes of bodies from the store and from peers, by call and outcome",
+            **own,
+        )
+        self.transfer_seconds = Histogram(
+            "croftchute_transfer_seconds",
+            "Time from the head of an answer of the store or a peer to its end, by call",
+            buckets=SECONDS_BUCKETS,
+            **own,
+        )
         self.open = Gauge("croftchute_open_requests", "Requests that are open", **own)
         self.config_version = Gauge("croftchute_config_version", "Version in force", **own)
         self.first_byte = Histogram(
@@ -32,9 +45,14 @@
             **own,
         )
 
-    def observe_store_call(self, call: str, outcome: str) -> None:
-        """Count a call of the store."""
-        self.store_calls.inc({"call": call, "outcome": outcome})
+    def observe_transfer(self, transfer: Transfer) -> None:
+        """Count a call of the store or of a peer, and what it brought."""
+        labels = {"call": transfer.call, "outcome": transfer.outcome}
+        if transfer.source == "store":
+            self.store_calls.inc(labels)
+        if transfer.size:
+            self.transfer_bytes.add(labels, transfer.size)
+            self.transfer_seconds.observe({"call": transfer.call}, transfer.seconds)
 
     def text(self) -> bytes:
         """All metrics as text."""
--- /dev/null
+++ b/src/croftchute/forwarding/transfer.py
@@ -0,0 +1,95 @@
+"""How the bodies of calls to the store and to peers come in: their size, their time, their end.
+
+A configuration of thousands of routes takes seconds on a slow link, so what a call brought, and
+where it was cut, is told in the log and in the metrics.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from types import TracebackType
+
+from croftchute.errors import CroftchuteError
+from croftchute.forwarding.http_client import ClientConnection
+
+STORE = "store"
+"""The source of what the store itself answers."""
+
+LONG_BODY_BYTES = 65_536
+"""Size of a body in bytes from which on its transfer is logged: a tenth of a second at 5 Mbit/s."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Transfer:
+    """One call's answer: ``size`` in bytes as far as it came, ``seconds`` from head to end.
+
+    ``source`` is "store" or a peer's id; ``outcome`` is "status_200" and the like, or an error's
+    code.
+    """
+
+    call: str
+    source: str
+    outcome: str
+    size: int = 0
+    seconds: float = 0.0
+    is_whole: bool = False
+
+    @property
+    def is_notable(self) -> bool:
+        """Whether it deserves a line: long, or cut off in its middle."""
+        return self.size >= LONG_BODY_BYTES or (self.size > 0 and not self.is_whole)
+
+
+TransferObserver = Callable[[Transfer], None]
+
+
+class TransferMeter:
+    """Observes one call: enter it before the call, tell it when the head has come."""
+
+    def __init__(
+        self,
+        *,
+        call: str,
+        source: str,
+        clock: Callable[[], float],
+        observe: TransferObserver,
+    ) -> None:
+        self.call = call
+        self.source = source
+        self._clock = clock
+        self._observe = observe
+        self._connection: ClientConnection | None = None
+        self._begun_at = 0.0
+        self._status = 0
+
+    def begin(self, connection: ClientConnection, status: int) -> None:
+        """The head has come on a connection; the body follows."""
+        self._connection = connection
+        self._begun_at = self._clock()
+        self._status = status
+
+    def __enter__(self) -> TransferMeter:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Tell what came of it; a call that was cancelled is no answer of anyone."""
+        if error is not None and not isinstance(error, CroftchuteError):
+            return
+        outcome = error.code.value if error is not None else f"status_{self._status}"
+        connection = self._connection
+        self._observe(
+            Transfer(
+                call=self.call,
+                source=self.source,
+                outcome=outcome,
+                size=connection.body_bytes if connection is not None else 0,
+                seconds=self._clock() - self._begun_at if connection is not None else 0.0,
+                is_whole=error is None,
+            )
+        )
--- a/tests/platform_adapter/platform_fleet.py
+++ b/tests/platform_adapter/platform_fleet.py
@@ -109,7 +109,7 @@
             host="127.0.0.1",
             port=port,
             clock=state.clock,
-            observe=state.metrics.observe_store_call,
+            observe=state.note_transfer,
         )
         box = RouterProcess(
             settings=settings,
