--- /dev/null
+++ b/tests/platform_adapter/test_long_configurations.py
@@ -0,0 +1,91 @@
+"""Configurations that take longer to read than a call may stay silent (incident inc2)."""
+
+import random
+
+import msgspec
+from platform_fleet import config, fleet, route, run, until
+
+from croftchute.forwarding.decision_log import Decision
+from croftchute.soak.proxy import FaultyLink, LinkFault, Target
+
+ROUTES = 4000
+NAME_BITS = 160
+"""Random bits of a route's name and prefix: what no compression takes away."""
+
+STORE_PIECE_DELAY_S = 0.3
+"""Seconds before each 64 KB of the store's answer: the whole takes three times the 1.5 s that were
+once allowed."""
+
+PEER_PIECE_DELAY_S = 0.15
+"""The same of a peer's answer, for which 0.5 s were allowed; a head comes well within that."""
+
+MOST_TRIES = 4
+
+
+def long_config(version, count=ROUTES):
+    """A configuration of many routes whose names are all different."""
+    rng = random.Random(version)
+    names = [f"{rng.getrandbits(NAME_BITS):x}" for _ in range(count)]
+    routes = [route(f"r-{name}", f"/{name}/", "idempotent", "desk") for name in names]
+    return config(version, routes=routes)
+
+
+async def slow_link(port):
+    """A link that brings what is asked for piece by piece."""
+    link = FaultyLink(name="slow", target=Target(host="127.0.0.1", port=port))
+    await link.start()
+    return link
+
+
+def test_a_configuration_that_takes_seconds_to_read_is_read_once_and_put_in_force():
+    """Readings were cut after 1.5 s and begun anew for ever; every other call waited behind."""
+
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            link = await slow_link(made.store.ingress.port)
+            box = await made.add_box(store_port=link.port)
+            await made.ready(box)
+            link.set_fault(LinkFault.DELAYED, delay_s=STORE_PIECE_DELAY_S)
+            made.store.put("op/config", long_config(9))
+            made.store.calls.clear()
+            await until(
+                lambda: box.state.table.version == 9
+                or made.store.calls.count("kv-watch") > MOST_TRIES
+            )
+            assert box.state.table.version == 9
+            link.stop()
+
+    run(body)
+
+
+def test_a_configuration_that_takes_seconds_to_read_comes_from_a_peer_too():
+    """A peer's copy was cut after half a second, and asked for again once or twice a second."""
+
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            first = await made.add_box("box-1")
+            await made.ready(first)
+            made.store.put("op/config", long_config(9))
+            await until(lambda: first.state.table.version == 9)
+            link = await slow_link(first.control.port)
+            link.set_fault(LinkFault.DELAYED, delay_s=PEER_PIECE_DELAY_S)
+            first.exchange.control_port = link.port
+            second = await made.add_box("box-2", store_port=1)
+            seen = []
+            second.state.log.observer = seen.append
+            first.state.peers.seeds = (("127.0.0.1", second.exchange.port),)
+            first.exchange.send_notices()
+            await until(
+                lambda: second.state.table is not None
+                or seen.count(Decision.PEER_FETCH) > MOST_TRIES
+            )
+            assert second.state.table is not None and second.state.table.version == 9
+            link.stop()
+
+    run(body)
+
+
+def test_the_long_configuration_of_these_tests_is_near_the_longest_that_the_store_holds():
+    assert 0.5 * 2**20 < len(msgspec.json.encode(long_config(9))) < 2**20
