Bodies are given up when nothing of them comes, not when the whole takes long

The configuration of 4,200 routes is 1.03 MB as the store sends it, 1.65 s at 5 Mbit/s; each reading was cut and begun anew, so 52 of 58 links were full for ever and no small box ever had it. Ruled out: a relay that is behind (H2: the store's own readings failed), slow decoding (H3: processors of the boxes at 0 to 2%).

--- a/src/croftchute/forwarding/hall_news.py
+++ b/src/croftchute/forwarding/hall_news.py
@@ -15,11 +15,11 @@
 import msgspec
 
 from croftchute.errors import MessageError
+from croftchute.forwarding.deadline import within
 from croftchute.forwarding.failures import ConnectionBrokenError
 from croftchute.forwarding.news_log import NewsLog, NotARelayError
-from croftchute.forwarding.request_run import within
 from croftchute.forwarding.state import ForwardingState
-from croftchute.forwarding.transfer import TransferMeter
+from croftchute.forwarding.transfer import TransferMeter, read_while_it_comes
 from croftchute.storage.watched import Changes, HistoryGoneError, Listing, StoredItem
 from croftchute.tables.peers import Peer
 
@@ -30,7 +30,8 @@
 """Seconds that a call for news waits: a relay that falls silent is noticed some time after."""
 
 MARGIN_S = 0.5
-"""Seconds given to a peer for an answer beside the waiting: many round trips within a hall."""
+"""Seconds given to a peer for the head of an answer beside the waiting: many round trips within a
+hall. How long the body takes depends on its length and the links."""
 
 MAX_TOLD_BYTES = 16_384
 """Longest value in bytes that a relay passes on: twenty followers' copies of it then take a box's
@@ -144,7 +145,7 @@
         connection.send(request.encode("ascii"), expected=None)
         head = await within(connection.read_head(), timeout_s, "no head")
         meter.begin(connection, head.status)
-        body = await within(connection.read_body(MAX_ANSWER_BYTES), MARGIN_S, "no whole body")
+        body = await read_while_it_comes(connection, max_bytes=MAX_ANSWER_BYTES)
         return head.status, body
     finally:
         state.pool.release(
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Awaitable
-from typing import TypeVar
-
 from croftchute.errors import Code, Ran
+from croftchute.forwarding.deadline import within
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import PrefillHandle, Refusal, Send, Verdict
-from croftchute.forwarding.failures import AnswerLateError, ExchangeError
+from croftchute.forwarding.failures import ExchangeError
 from croftchute.forwarding.http_client import ClientConnection, ResponseHead
 from croftchute.forwarding.http_server import Exchange
 from croftchute.forwarding.state import ForwardingState
@@ -18,8 +15,6 @@
 from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import EngineTraits, RequestFacts, Route, Stage
 
-T = TypeVar("T")
-
 MAX_CONNECT_TRIES = 4
 """Workers to which no connection came up before a request is given up."""
 
@@ -363,12 +358,3 @@
             took_ms=round((self.run.now - self.opened_at) * 1000, 1),
             **inputs,
         )
-
-
-async def within(work: Awaitable[T], timeout_s: float, what: str) -> T:
-    """Wait for some time; raises :class:`AnswerLateError` after it."""
-    try:
-        async with asyncio.timeout(max(0.0, timeout_s)):
-            return await work
-    except TimeoutError:
-        raise AnswerLateError(f"{what} within {timeout_s * 1000:.0f} ms") from None
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from croftchute.errors import Code, Ran
+from croftchute.forwarding.deadline import within
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Hold, PrefillHandle, Send, Verdict
 from croftchute.forwarding.event_stream import EventSplitter, StreamEvent
@@ -13,7 +14,7 @@
 from croftchute.forwarding.http_client import ResponseHead
 from croftchute.forwarding.kept_prompts import find_keeper
 from croftchute.forwarding.prompt_reader import PromptReader
-from croftchute.forwarding.request_run import RequestRun, WorkerCall, within
+from croftchute.forwarding.request_run import RequestRun, WorkerCall
 from croftchute.forwarding.worker_control import drop_hold, take_hold
 from croftchute.systems import patience
 from croftchute.systems.prefill_queue import ReadingTimes
--- a/src/croftchute/forwarding/transfer.py
+++ b/src/croftchute/forwarding/transfer.py
@@ -1,7 +1,9 @@
 """How the bodies of calls to the store and to peers come in: their size, their time, their end.
 
-A configuration of thousands of routes takes seconds on a slow link, so what a call brought, and
-where it was cut, is told in the log and in the metrics.
+A configuration of thousands of routes takes seconds on a slow link. So a body is given up when
+nothing of it comes any more, not when the whole of it takes long: cutting a reading that goes on,
+and beginning it anew, fills the link for ever (docs/incidents/tmn-bergen-grown-inc2.md). What a
+call brought, and where it was cut, is told in the log and in the metrics.
 """
 
 from __future__ import annotations
@@ -11,11 +13,17 @@
 from types import TracebackType
 
 from croftchute.errors import CroftchuteError
+from croftchute.forwarding.deadline import within
+from croftchute.forwarding.failures import ConnectionBrokenError
 from croftchute.forwarding.http_client import ClientConnection
 
 STORE = "store"
 """The source of what the store itself answers."""
 
+SILENCE_S = 1.5
+"""Seconds without a byte after which a body is given up: several resendings of a lost packet, and
+less than the shortest time in which a configuration is to be in force."""
+
 LONG_BODY_BYTES = 65_536
 """Size of a body in bytes from which on its transfer is logged: a tenth of a second at 5 Mbit/s."""
 
@@ -93,3 +101,17 @@
                 is_whole=error is None,
             )
         )
+
+
+async def read_while_it_comes(connection: ClientConnection, *, max_bytes: int) -> bytes:
+    """The whole body, however long it takes as long as it keeps coming.
+
+    Raises AnswerLateError once nothing more comes, and ConnectionBrokenError if the connection
+    breaks or the body is too long.
+    """
+    parts: list[bytes] = []
+    while part := await within(connection.read_part(), SILENCE_S, "no more of the body"):
+        parts.append(part)
+        if connection.body_bytes > max_bytes:
+            raise ConnectionBrokenError("answer too large")
+    return b"".join(parts)
--- a/src/croftchute/forwarding/worker_control.py
+++ b/src/croftchute/forwarding/worker_control.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from croftchute.errors import MessageError
+from croftchute.forwarding.deadline import within
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Hold, PrefillHandle
 from croftchute.forwarding.failures import ConnectionBrokenError, ExchangeError
-from croftchute.forwarding.request_run import within
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems import patience
 from croftchute.tables.routing import Stage, Worker
