Long values cross the hall deflated; a relay keeps one of each key

Cause: each box read each version whole from the store, 1.03 MB over links of 5 Mbit/s, since relays passed on nothing over 16 KB. Boxes' messages are typed structs in MessagePack now. A relay's log drops what a later change replaces, so a follower that missed versions gets the newest alone in place of "not known". The test that each box reads a long value itself stated the old design; it is replaced by two: a long value crosses the hall in under an eighth of its size without any call of the store, and one that stays long is read by each box itself. In test_news_log one test wrote the same key 257 times to overflow the log; it writes 257 keys now, with the same assertions on what is kept.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -36,7 +36,7 @@
 
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
-JSON = b"application/json"
+MESSAGE_PACK = b"application/msgpack"
 
 ENTRY_GRACE_S = 2.8
 """Seconds for which a stopping box takes callers: the balancer asks for readiness once a second
@@ -277,10 +277,10 @@
             exchange.send(HTTPStatus.OK, [(b"content-type", kind)], self.state.metrics.text())
         elif path == NEWS_PATH:
             found, body = await self.follower.answer_news(exchange.request.target)
-            exchange.send(found, [(b"content-type", JSON)], body)
+            exchange.send(found, [(b"content-type", MESSAGE_PACK)], body)
         elif path == KNOWN_PATH:
             found, body = self.follower.answer_known(exchange.request.target)
-            exchange.send(found, [(b"content-type", JSON)], body)
+            exchange.send(found, [(b"content-type", MESSAGE_PACK)], body)
         else:
             exchange.send(HTTPStatus.NOT_FOUND, [], b"")
 
--- a/src/croftchute/forwarding/hall_news.py
+++ b/src/croftchute/forwarding/hall_news.py
@@ -7,20 +7,21 @@
 
 from __future__ import annotations
 
-import base64
 from http import HTTPStatus
-from typing import Any
 from urllib.parse import parse_qs, quote, urlsplit
 
-import msgspec
-
-from croftchute.errors import MessageError
 from croftchute.forwarding.deadline import within
 from croftchute.forwarding.failures import ConnectionBrokenError
 from croftchute.forwarding.news_log import NewsLog, NotARelayError
+from croftchute.forwarding.news_messages import (
+    decode_known,
+    decode_news,
+    encode_known,
+    encode_news,
+)
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.transfer import TransferMeter, read_while_it_comes
-from croftchute.storage.watched import Changes, HistoryGoneError, Listing, StoredItem
+from croftchute.storage.watched import Changes, HistoryGoneError, Listing
 from croftchute.tables.peers import Peer
 
 NEWS_PATH = "/news"
@@ -33,10 +34,6 @@
 """Seconds given to a peer for the head of an answer beside the waiting: many round trips within a
 hall. How long the body takes depends on its length and the links."""
 
-MAX_TOLD_BYTES = 16_384
-"""Longest value in bytes that a relay passes on: twenty followers' copies of it then take a box's
-link of 10 Mbit/s for a third of a second; a longer one they read from the store themselves."""
-
 MAX_ANSWER_BYTES = 8 << 20
 """Longest answer of a peer in bytes: a configuration of many routes, and all workers."""
 
@@ -57,22 +54,12 @@
         changes = log.since(after)
     except HistoryGoneError:
         return HTTPStatus.GONE, b""
-    told = [item for item in changes.written if len(item.value) <= MAX_TOLD_BYTES]
-    untold = [item.key for item in changes.written if len(item.value) > MAX_TOLD_BYTES]
-    answer = {
-        "written": [_encoded(item) for item in told],
-        "untold": untold,
-        "removed": list(changes.removed),
-        "revision": changes.revision,
-        "newest": changes.newest,
-    }
-    return HTTPStatus.OK, msgspec.json.encode(answer)
+    return HTTPStatus.OK, encode_news(changes)
 
 
 def answer_known(listing: Listing) -> Answer:
     """All that this box knows of a prefix."""
-    items = [_encoded(item) for item in listing.items]
-    return HTTPStatus.OK, msgspec.json.encode({"items": items, "revision": listing.revision})
+    return HTTPStatus.OK, encode_known(listing)
 
 
 def prefix_of(target: str) -> str:
@@ -90,33 +77,19 @@
     Raises ExchangeError, StoreError or MessageError.
     """
     target = f"{NEWS_PATH}?prefix={quote(prefix, safe='')}&after={after}"
-    answer = await _call(state, peer, "news", target, NEWS_WAIT_S + MARGIN_S)
-    try:
-        return Changes(
-            written=tuple(_decoded(entry) for entry in answer["written"]),
-            removed=tuple(answer["removed"]),
-            revision=answer["revision"],
-            newest=answer["newest"],
-            untold=tuple(answer["untold"]),
-        )
-    except (KeyError, TypeError) as error:
-        raise MessageError(f"not news: {error!r}") from None
+    return decode_news(await _call(state, peer, "news", target, NEWS_WAIT_S + MARGIN_S))
 
 
 async def ask_known(state: ForwardingState, peer: Peer, prefix: str) -> Listing:
     """All that a peer knows of a prefix; raises ExchangeError, StoreError or MessageError."""
     target = f"{KNOWN_PATH}?prefix={quote(prefix, safe='')}"
-    answer = await _call(state, peer, "known", target, MARGIN_S)
-    try:
-        items = tuple(_decoded(entry) for entry in answer["items"])
-        return Listing(items=items, revision=answer["revision"])
-    except (KeyError, TypeError) as error:
-        raise MessageError(f"not a listing: {error!r}") from None
+    return decode_known(await _call(state, peer, "known", target, MARGIN_S))
 
 
 async def _call(
     state: ForwardingState, peer: Peer, name: str, target: str, timeout_s: float
-) -> dict[str, Any]:
+) -> bytes:
+    """The body of an answer; raises ExchangeError or StoreError."""
     meter = TransferMeter(call=name, source=peer.id, clock=state.clock, observe=state.note_transfer)
     with meter:
         status, body = await _exchange(state, peer, target, timeout_s, meter)
@@ -126,11 +99,7 @@
         raise NotARelayError(f"{peer.id} does not read the store")
     if status != HTTPStatus.OK:
         raise ConnectionBrokenError(f"status {status}")
-    try:
-        answer: dict[str, Any] = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
-        raise MessageError(f"not an answer: {error}") from None
-    return answer
+    return body
 
 
 async def _exchange(
@@ -156,17 +125,3 @@
 def _query(target: str) -> dict[str, str]:
     values_by_name = parse_qs(urlsplit(target).query)
     return {name: values[0] for name, values in values_by_name.items()}
-
-
-def _encoded(item: StoredItem) -> dict[str, object]:
-    value = base64.b64encode(item.value).decode("ascii")
-    return {"key": item.key, "value": value, "revision": item.revision}
-
-
-def _decoded(entry: dict[str, Any]) -> StoredItem:
-    try:
-        return StoredItem(
-            key=entry["key"], value=base64.b64decode(entry["value"]), revision=entry["revision"]
-        )
-    except (KeyError, ValueError, TypeError) as error:
-        raise MessageError(f"not an item: {error}") from None
--- a/src/croftchute/forwarding/news_log.py
+++ b/src/croftchute/forwarding/news_log.py
@@ -6,7 +6,7 @@
 import contextlib
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from croftchute.errors import Code, StoreError
 from croftchute.storage.watched import Changes, HistoryGoneError, Listing, StoredItem
@@ -15,8 +15,7 @@
 """Answers of the store that are kept: at four a second the changes of a minute."""
 
 MAX_BYTES = 262_144
-"""Bytes that all of them take, but for the newest: some hundred changes of workers. Long
-configurations that follow each other would otherwise fill a small box."""
+"""Bytes that all of them take, but for the newest: some hundred changes of workers."""
 
 ENTRY_BYTES = 128
 """Bytes that an item takes beside its value."""
@@ -52,6 +51,7 @@
         self.position = max(self.position, changes.revision)
         if not changes.written and not changes.removed:
             return
+        self._drop_replaced(changes)
         self.entries.append(changes)
         self._bytes += _bytes_of(changes)
         while self._is_too_long():
@@ -88,10 +88,22 @@
             async with asyncio.timeout(wait_s):
                 await self._arrived.wait()
 
+    def _drop_replaced(self, changes: Changes) -> None:
+        """Forget earlier words on keys that have changed again: nobody needs them any more.
+
+        So a long configuration is kept once, and a follower that missed some versions of it
+        still finds its position here and gets the newest alone.
+        """
+        keys = {item.key for item in changes.written} | set(changes.removed)
+        kept = [without(entry, keys) for entry in self.entries]
+        self.entries = deque(entry for entry in kept if entry.written or entry.removed)
+        self._bytes = sum(_bytes_of(entry) for entry in self.entries)
+
     def _is_too_long(self) -> bool:
         if len(self.entries) <= 1:
             return False
-        return len(self.entries) > MAX_ENTRIES or self._bytes > MAX_BYTES
+        older_bytes = self._bytes - _bytes_of(self.entries[-1])
+        return len(self.entries) > MAX_ENTRIES or older_bytes > MAX_BYTES
 
     def _wake(self) -> None:
         self._arrived.set()
@@ -119,6 +131,17 @@
     )
 
 
+def without(changes: Changes, keys: set[str]) -> Changes:
+    """The same changes but for those of some keys."""
+    if keys.isdisjoint(item.key for item in changes.written) and keys.isdisjoint(changes.removed):
+        return changes
+    return replace(
+        changes,
+        written=tuple(item for item in changes.written if item.key not in keys),
+        removed=tuple(key for key in changes.removed if key not in keys),
+    )
+
+
 def _bytes_of(changes: Changes) -> int:
     values = sum(len(item.value) for item in changes.written)
     return values + ENTRY_BYTES * (len(changes.written) + len(changes.removed))
