Wide links read the store first; catching up runs beside the notices

Cause: relays were chosen by hash alone, so a hall's relay was a box with a link of 5 Mbit/s beside two with 100. Boxes tell the rate of their link (setting link_mbps); links of at least half of the widest rank first. One loop a prefix fetches what peers know, each with its own time.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from croftchute.errors import DocumentError
+from croftchute.forwarding.catch_up import catch_ups
 from croftchute.forwarding.decision_log import Decision, DecisionLog, LineWriter
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
 from croftchute.forwarding.forwarder import Forwarder
@@ -112,7 +113,11 @@
         self.settings_path = settings_path
         self.state = state
         self.follower = StoreFollower(
-            state=state, store=store, vocabulary=vocabulary, on_change=self._note_readiness
+            state=state,
+            store=store,
+            vocabulary=vocabulary,
+            on_change=self._note_readiness,
+            link_mbps=settings.link_mbps,
         )
         self.orders = StageOrders(
             state=state,
@@ -123,11 +128,12 @@
         control = parse_address(settings.control)
         self.exchange = PeerExchange(
             state=state,
-            follower=self.follower,
             codec=Codec(keys=settings.peer_keys),
             host=control.host,
             control_port=control.port,
+            link_mbps=settings.link_mbps,
         )
+        self.catch_ups = catch_ups(state, self.follower)
         self.ingress = HttpIngress(handler=Forwarder(state=state).handle, limits=state.limits)
         self.health = HttpIngress(handler=self._answer_health, limits=IngressLimits)
         self.control = HttpIngress(handler=self._answer_health, limits=IngressLimits)
@@ -172,6 +178,7 @@
             self.follower.workers.run(),
             self.orders.run(),
             self.exchange.run(),
+            *(catch_up.run() for catch_up in self.catch_ups),
             self._sweep(),
             self._watch_settings(),
             self.state.log.keep_flushing(FLUSH_S),
--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -1,31 +1,24 @@
 """Notices between boxes: load, failures, pressure, and how new each one's knowledge is.
 
-Notices are datagrams that may be lost; nothing waits for them. A box that sees that a peer knows
-a newer configuration or worker list, and does not hear it from the store, fetches it there.
+Notices are datagrams that may be lost; nothing waits for them, and they wait for nothing.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from typing import cast
 
-from croftchute.errors import CroftchuteError, MessageError
+from croftchute.errors import MessageError
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.hall_news import ask_known
 from croftchute.forwarding.state import ForwardingState
-from croftchute.forwarding.store_follower import StoreFollower
 from croftchute.peers.codec import Codec, Envelope
 from croftchute.peers.messages import BoxNotice
-from croftchute.tables.peers import DemandNotice, Peer, WorkerNotice
+from croftchute.tables.peers import DemandNotice, WorkerNotice
 from croftchute.tables.routing import Stage
 
 NOTICE_S = 0.5
 """Seconds between two notices: docs/CAPACITY.md works out the bytes."""
 
-FETCH_AFTER_S = 0.6
-"""Seconds that the store is given to tell what a peer knows already."""
-
 MAX_GREETINGS = 10
 """Strangers greeted between two notices at most, as many as a notice goes to: when all boxes of a
 large fleet start at once, each hears of eighty strangers a second."""
@@ -44,26 +37,25 @@
 
 
 class PeerExchange(asyncio.DatagramProtocol):
-    """Sends this box's notices, takes in those of others, and fetches what is newer."""
+    """Sends this box's notices and takes in those of others."""
 
     def __init__(
         self,
         *,
         state: ForwardingState,
-        follower: StoreFollower,
         codec: Codec,
         host: str,
         control_port: int,
+        link_mbps: float = 0.0,
     ) -> None:
         self.state = state
-        self.follower = follower
         self.codec = codec
         self.host = host
         self.control_port = control_port
+        self.link_mbps = link_mbps
         self.started_at = state.wall_clock()
         self.port = 0
         self._transport: asyncio.DatagramTransport | None = None
-        self._behind_since: float | None = None
         self._datagram = b""
         self._greetings_left = MAX_GREETINGS
 
@@ -96,7 +88,6 @@
         """Send notices at an interval; never returns."""
         while True:
             self.send_notices()
-            await self._catch_up()
             await asyncio.sleep(NOTICE_S * self.state.rng.uniform(0.8, 1.2))
 
     def send_notices(self) -> None:
@@ -159,6 +150,7 @@
             workers_revision=state.workers.revision,
             is_leaving=state.is_stopping,
             hall=state.zone,
+            link_mbps=self.link_mbps,
             workers=tuple(entries[:MAX_WORKER_NOTICES]),
             demands=tuple(demands),
             introduced=state.peers.introduced(now, state.rng),
@@ -205,51 +197,3 @@
             return
         self._greetings_left -= 1
         self._transport.sendto(self._datagram, (host, port))
-
-    async def _catch_up(self) -> None:
-        """Ask a peer for what it knows, if it does not come here by itself in a short while."""
-        state = self.state
-        now = state.clock()
-        by_config, by_workers = state.peers.newest(now, state.rng)
-        version = state.table.version if state.table else 0
-        is_config_old = by_config is not None and by_config.config_version > version
-        revision = state.workers.revision
-        is_list_old = by_workers is not None and by_workers.workers_revision > revision
-        if not is_config_old and not is_list_old:
-            self._behind_since = None
-            return
-        if self._behind_since is None:
-            self._behind_since = now
-        if now - self._behind_since < FETCH_AFTER_S and state.table is not None:
-            return
-        if by_config is not None and is_config_old:
-            await self._fetch(by_config, self._fetch_config)
-        if by_workers is not None and is_list_old:
-            await self._fetch(by_workers, self._fetch_workers)
-
-    async def _fetch(self, peer: Peer, fetch: Callable[[Peer], Awaitable[None]]) -> None:
-        try:
-            await fetch(peer)
-        except CroftchuteError as error:
-            self.state.log.decide(
-                Decision.PEER_FETCH, peer=peer.id, outcome="failed", detail=error.message
-            )
-            return
-        self.follower.on_change()
-        self.state.log.decide(
-            Decision.PEER_FETCH,
-            peer=peer.id,
-            outcome="adopted",
-            config_version=self.state.table.version if self.state.table else 0,
-            workers_revision=self.state.workers.revision,
-        )
-
-    async def _fetch_config(self, peer: Peer) -> None:
-        listing = await ask_known(self.state, peer, self.follower.config.prefix)
-        for item in listing.items:
-            self.follower.take_config(item, source=peer.id)
-
-    async def _fetch_workers(self, peer: Peer) -> None:
-        listing = await ask_known(self.state, peer, self.follower.workers.prefix)
-        if listing.revision > self.state.workers.revision:
-            self.follower.take_listing(listing, source=peer.id)
--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -28,11 +28,12 @@
         store: SharedStore,
         vocabulary: Vocabulary,
         on_change: Callable[[], None],
+        link_mbps: float = 0.0,
     ) -> None:
         self.state = state
         self.vocabulary = vocabulary
         self.on_change = on_change
-        self.relays = HallRelays(own_id=state.box, hall=state.zone)
+        self.relays = HallRelays(own_id=state.box, hall=state.zone, own_mbps=link_mbps)
         self._store = store
         self.config = self._follow(
             vocabulary.config_prefix, 0.0, self._config_listed, self._config_changed
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -176,7 +176,8 @@
 class BoxNotice:
     """How things stand at a forwarding box; ``started_at`` is Unix time, a newer life is higher.
 
-    ``introduced`` holds HOST:PORT of other boxes that the sender hears.
+    ``introduced`` holds HOST:PORT of other boxes that the sender hears; ``link_mbps`` is the rate
+    of the sender's link in Mbit/s, 0 if it does not know.
     """
 
     started_at: float
@@ -190,6 +191,7 @@
     demands: tuple[DemandNotice, ...] = ()
     introduced: tuple[str, ...] = ()
     hall: str = ""
+    link_mbps: float = 0.0
 
 
 Body: TypeAlias = (
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -192,4 +192,5 @@
   demands @8 :List(DemandNotice);
   introduced @9 :List(Text);
   hall @10 :Text;
+  linkMbps @11 :Float32;
 }
--- a/src/croftchute/systems/hall_relays.py
+++ b/src/croftchute/systems/hall_relays.py
@@ -2,8 +2,9 @@
 
 Every call of the store is paid for, so a few boxes of each hall watch it and the others follow one
 of these. Nobody is elected: each box ranks the live boxes of its hall by a hash, which all boxes
-compute alike, and the first ones read. Boxes that see different peers for a moment rank them
-differently; then a few more of them read, and nothing else comes of it.
+compute alike, and the first ones read; boxes with much wider links than others rank before these.
+Boxes that see different peers for a moment rank them differently; then a few more of them read, and
+nothing else comes of it.
 """
 
 from __future__ import annotations
@@ -17,6 +18,10 @@
 RELAYS = 2
 """Boxes of a hall that read the store: one may be gone, slow or cut off from it."""
 
+WIDE_SHARE = 0.5
+"""Share of the widest link of the hall from which on a link counts as wide: the relay of a long
+configuration reads it and passes it on to half of the hall."""
+
 MOST_RELAYS = 4
 """Boxes that a follower asks, one after the other, before it reads the store itself."""
 
@@ -43,6 +48,7 @@
 
     own_id: str
     hall: str
+    own_mbps: float = 0.0
     _passed_over_until: dict[str, float] = field(default_factory=dict)
     _lost_until: dict[str, float] = field(default_factory=dict)
     _asked_until: float = 0.0
@@ -55,7 +61,7 @@
         if len(mates) + 1 < MIN_HALL or now < self._asked_until:
             return None
         mates_by_id = {mate.id: mate for mate in mates}
-        order = rank(self.hall, [*mates_by_id, self.own_id])
+        order = self._order(mates)
         if self.own_id in order[:RELAYS]:
             return None
         asked = self._turned(order[:RELAYS]) + order[RELAYS:MOST_RELAYS]
@@ -82,6 +88,14 @@
         """Whether another box asked for news lately."""
         return now < self._asked_until
 
+    def _order(self, mates: Sequence[Peer]) -> list[str]:
+        """All boxes of the hall, those with wide links first, by rank among them."""
+        mbps_by_id = {mate.id: mate.link_mbps for mate in mates} | {self.own_id: self.own_mbps}
+        bar_mbps = WIDE_SHARE * max(mbps_by_id.values())
+        wide = [box for box, mbps in mbps_by_id.items() if mbps >= bar_mbps]
+        narrow = [box for box, mbps in mbps_by_id.items() if mbps < bar_mbps]
+        return rank(self.hall, wide) + rank(self.hall, narrow)
+
     def _turned(self, relays: list[str]) -> list[str]:
         """The relays in this box's own order, so that each gets its share of the followers."""
         turn = weight(self.hall, self.own_id) % len(relays)
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -65,6 +65,7 @@
             workers_revision=notice.workers_revision,
             is_leaving=notice.is_leaving,
             hall=notice.hall,
+            link_mbps=notice.link_mbps,
             workers_by_id={entry.worker: entry for entry in notice.workers},
             demand_by_service={entry.service: entry for entry in notice.demands},
         )
--- a/src/croftchute/tables/peers.py
+++ b/src/croftchute/tables/peers.py
@@ -44,7 +44,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Peer:
-    """Another box: where it takes notices and where its state can be fetched."""
+    """Another box: where it takes notices and where its state can be fetched.
+
+    ``link_mbps`` is the rate of its link in Mbit/s, 0 if it is not known.
+    """
 
     id: str
     host: str
@@ -56,5 +59,6 @@
     workers_revision: int = 0
     is_leaving: bool = False
     hall: str = ""
+    link_mbps: float = 0.0
     workers_by_id: dict[str, WorkerNotice] | None = None
     demand_by_service: dict[str, DemandNotice] | None = None
--- a/tests/platform_adapter/test_life.py
+++ b/tests/platform_adapter/test_life.py
@@ -217,6 +217,7 @@
         "{{Bounds.GraceS}}": "8",
         "{{Bounds.LeaseMs}}": "3000",
         "{{Bounds.DrainMs}}": "2000",
+        "{{Limits.LinkMbps}}": "1000.0",
     }
     for gap, value in values.items():
         assert gap in text
--- a/tests/systems/test_hall_relays.py
+++ b/tests/systems/test_hall_relays.py
@@ -14,9 +14,15 @@
 IDS = [f"box-{number}" for number in range(20)]
 
 
-def peer(box_id):
+def peer(box_id, mbps=0.0):
     return Peer(
-        id=box_id, host="10.0.0.1", notice_port=1, control_port=2, started_at=0.0, heard_at=0.0
+        id=box_id,
+        host="10.0.0.1",
+        notice_port=1,
+        control_port=2,
+        started_at=0.0,
+        heard_at=0.0,
+        link_mbps=mbps,
     )
 
 
@@ -99,3 +105,33 @@
     relays.pass_over("c", 0.1, has_lost_store=True)
     assert relays.is_store_lost(0.2)
     assert not relays.is_store_lost(PASSED_OVER_S + 0.2)
+
+
+def followed_by_link(mbps_by_id):
+    """Whom each box of a hall follows, where boxes know the rates of each other's links."""
+    found = {}
+    for box_id, own_mbps in mbps_by_id.items():
+        relays = HallRelays(own_id=box_id, hall="north", own_mbps=own_mbps)
+        mates = [peer(other, mbps) for other, mbps in mbps_by_id.items() if other != box_id]
+        mate = relays.to_follow(mates, 0.0)
+        found[box_id] = mate.id if mate is not None else None
+    return found
+
+
+def test_boxes_with_wide_links_read_for_those_with_narrow_ones():
+    """The relays of a hall had links of 5 Mbit/s, on which a long configuration takes seconds."""
+    wide = IDS[7:9]
+    found = followed_by_link({box: 100.0 if box in wide else 5.0 for box in IDS})
+    assert {box for box, relay in found.items() if relay is None} == set(wide)
+    assert {relay for relay in found.values() if relay is not None} == set(wide)
+
+
+def test_one_wide_link_is_joined_by_the_first_of_the_others():
+    found = followed_by_link({box: 100.0 if box == IDS[3] else 5.0 for box in IDS})
+    first = next(box for box in rank("north", IDS) if box != IDS[3])
+    assert {box for box, relay in found.items() if relay is None} == {IDS[3], first}
+
+
+def test_links_that_differ_little_change_nothing():
+    found = followed_by_link({box: 90.0 + number for number, box in enumerate(IDS)})
+    assert {box for box, relay in found.items() if relay is None} == set(rank("north", IDS)[:2])
