--- a/src/croftchute/forwarding/prefix_follower.py
+++ b/src/croftchute/forwarding/prefix_follower.py
@@ -149,11 +149,17 @@
         except StoreError as error:
             self._dependency.failed(error)
             self.log.note_lost()
-            await asyncio.sleep(self._backoff_s * self.state.rng.uniform(0.5, 1.0))
-            self._backoff_s = min(MAX_BACKOFF_S, 2.0 * self._backoff_s)
+            await self._back_off()
+
+    async def _back_off(self) -> None:
+        """Pause before the store is called again; longer each time until it answers."""
+        await asyncio.sleep(self._backoff_s * self.state.rng.uniform(0.5, 1.0))
+        self._backoff_s = min(MAX_BACKOFF_S, 2.0 * self._backoff_s)
 
     async def _watch(self, after: int) -> None:
-        changes = await self.store.changes(self.prefix, after=after, wait_s=self._wait_s())
+        changes = await self.store.changes(
+            self.prefix, after=after, wait_s=self._wait_s(), on_progress=self._note_fresh
+        )
         self._take(changes, after)
         is_new = self.state.clock() - self.state.started_at < START_S
         await asyncio.sleep(START_PAUSE_S if is_new and self.pause_s else self.pause_s)
@@ -172,15 +178,19 @@
         after = self._after or 0
         try:
             changes = await ask_news(self.state, relay, self.prefix, after=after)
-            changes = await self._with_untold(changes)
-        except HistoryGoneError:
-            self._after = None
-            return
         except (ExchangeError, MessageError, StoreError) as error:
+            # A relay that began later than this box does not know so far back: others, or the
+            # store, still do, and a whole listing is not needed.
             has_lost_store = isinstance(error, NotARelayError)
             self.relays.pass_over(relay.id, self.state.clock(), has_lost_store=has_lost_store)
             self._note_source("", outcome=error.code.value, detail=error.message)
             return
+        try:
+            changes = await self._with_untold(changes)
+        except StoreError as error:
+            self._dependency.failed(error)
+            await self._back_off()
+            return
         self._take(changes, after)
         self.handlers.on_heard()
 
--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -124,7 +124,7 @@
 
     def take_config(self, item: StoredItem, *, source: str) -> None:
         """Put a configuration in force, if it is sound and newer than the present one."""
-        if item.key != self.vocabulary.config_key:
+        if item.key != self.vocabulary.config_key or item == self.state.table_item:
             return
         try:
             table = self.vocabulary.routing_table(item)
--- a/src/croftchute/forwarding/transfer.py
+++ b/src/croftchute/forwarding/transfer.py
@@ -103,15 +103,22 @@
         )
 
 
-async def read_while_it_comes(connection: ClientConnection, *, max_bytes: int) -> bytes:
+async def read_while_it_comes(
+    connection: ClientConnection,
+    *,
+    max_bytes: int,
+    on_progress: Callable[[], None] = lambda: None,
+) -> bytes:
     """The whole body, however long it takes as long as it keeps coming.
 
+    ``on_progress`` is called for each part.
     Raises AnswerLateError once nothing more comes, and ConnectionBrokenError if the connection
     breaks or the body is too long.
     """
     parts: list[bytes] = []
     while part := await within(connection.read_part(), SILENCE_S, "no more of the body"):
         parts.append(part)
+        on_progress()
         if connection.body_bytes > max_bytes:
             raise ConnectionBrokenError("answer too large")
     return b"".join(parts)
--- a/src/croftchute/storage/watched.py
+++ b/src/croftchute/storage/watched.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -59,8 +60,13 @@
         """Everything under a prefix now."""
         ...
 
-    async def changes(self, prefix: str, *, after: int, wait_s: float) -> Changes:
-        """What has changed since a revision; waits for a change for some time."""
+    async def changes(
+        self, prefix: str, *, after: int, wait_s: float, on_progress: Callable[[], None]
+    ) -> Changes:
+        """What has changed since a revision; waits for a change for some time.
+
+        ``on_progress`` is called whenever a part of a long answer has come.
+        """
         ...
 
 
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -174,10 +174,15 @@
     def newest(self, now: float, rng: random.Random) -> tuple[Peer | None, Peer | None]:
         """Live peers with the newest configuration and the newest worker list.
 
-        Of several any one, of the own hall if it can be: all that are behind would otherwise turn
-        to the box that most of them heard of first.
+        One that is leaving would break its answer off with its end. Of several any one, of the own
+        hall if it can be: all that are behind would otherwise turn to the box that most of them
+        heard of first.
         """
-        live = [peer for peer in self.peers_by_id.values() if now - peer.heard_at <= FRESH_S]
+        live = [
+            peer
+            for peer in self.peers_by_id.values()
+            if not peer.is_leaving and now - peer.heard_at <= FRESH_S
+        ]
         if not live:
             return None, None
         by_config = max(
--- a/tests/platform_adapter/test_hall_news.py
+++ b/tests/platform_adapter/test_hall_news.py
@@ -152,15 +152,33 @@
     run(body)
 
 
-def test_a_follower_whose_position_is_not_kept_reads_the_whole_list():
+def test_a_follower_whose_position_a_relay_does_not_keep_asks_others_and_lists_nothing_anew():
+    """A relay that had begun later made half of its hall read everything from the store again."""
+
     async def body():
         async with fleet() as made:
             boxes = await hall_of(made)
             version = await settle(made, boxes)
             for relay in boxes[:2]:
                 relay.follower.config.log.base = 10**9
+            made.store.calls.clear()
             made.store.put("op/config", config(version + 1))
             await in_force(boxes, version + 1)
+            assert "kv-range" not in made.store.calls
+
+    run(body)
+
+
+def test_a_follower_whose_position_the_store_does_not_keep_either_reads_the_whole_list():
+    async def body():
+        async with fleet() as made:
+            boxes = await hall_of(made)
+            version = await settle(made, boxes)
+            for relay in boxes[:2]:
+                relay.follower.config.log.base = 10**9
+            made.store.put("op/config", config(version + 1))
+            made.store.forget_history()
+            await in_force(boxes, version + 1)
 
     run(body)
 
