--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -12,9 +12,10 @@
 from croftchute.forwarding.catch_up import catch_ups
 from croftchute.forwarding.decision_log import Decision, DecisionLog, LineWriter
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
+from croftchute.forwarding.exchange import Exchange
 from croftchute.forwarding.forwarder import Forwarder
 from croftchute.forwarding.hall_news import KNOWN_PATH, NEWS_PATH
-from croftchute.forwarding.http_server import Exchange, HttpIngress
+from croftchute.forwarding.http_server import HttpIngress
 from croftchute.forwarding.peer_exchange import PeerExchange
 from croftchute.forwarding.stage_orders import StageOrders
 from croftchute.forwarding.state import ForwardingState
--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -7,8 +7,8 @@
 from typing import Protocol
 
 from croftchute.errors import Code, Ran
+from croftchute.forwarding.exchange import IncomingRequest
 from croftchute.forwarding.http_client import ResponseHead
-from croftchute.forwarding.http_server import IncomingRequest
 from croftchute.tables.routing import HeaderList, RequestFacts, Stage, Worker
 
 
--- a/src/croftchute/forwarding/forwarder.py
+++ b/src/croftchute/forwarding/forwarder.py
@@ -5,7 +5,7 @@
 from croftchute.errors import Code, Ran, RequestError
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Refusal
-from croftchute.forwarding.http_server import Exchange
+from croftchute.forwarding.exchange import Exchange
 from croftchute.forwarding.plain_run import run_plain
 from croftchute.forwarding.request_run import RequestRun
 from croftchute.forwarding.state import ForwardingState
--- a/src/croftchute/forwarding/http_server.py
+++ b/src/croftchute/forwarding/http_server.py
@@ -12,12 +12,12 @@
 import socket
 import struct
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 import httptools
 
+from croftchute.forwarding.exchange import Exchange, IncomingRequest, encode_head
 from croftchute.tables.routing import HeaderList, IngressLimits
 
 MAX_WAITING_REQUESTS = 4
@@ -25,97 +25,7 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 HIGH_WATER_BYTES = 65536
 
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class IncomingRequest:
-    """A whole request as it was read; header names are in lower case."""
-
-    method: str
-    target: str
-    headers: HeaderList
-    body: bytes
-    is_http_1_0: bool
-    read_at: float
-
-    def get(self, name: bytes) -> bytes | None:
-        """The first header of that name, which must be given in lower case."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-
-Handler = Callable[["Exchange"], Awaitable[None]]
-
-
-class Exchange:
-    """One request and the means to answer it."""
-
-    def __init__(self, *, connection: CallerConnection, request: IncomingRequest) -> None:
-        self.request = request
-        self.is_started = False
-        self.is_finished = False
-        self._connection = connection
-        self._is_chunked = False
-
-    def send(self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> None:
-        """Answer with a whole body."""
-        if self.is_started:
-            return
-        self.is_started = True
-        self.is_finished = True
-        lines = [*headers]
-        if status != HTTPStatus.NO_CONTENT and status != HTTPStatus.NOT_MODIFIED:
-            lines.append((b"content-length", str(len(body)).encode()))
-        lines += self._connection.persistence_headers(self.request)
-        payload = b"" if self.request.method == "HEAD" else body
-        self._connection.write(encode_head(status, b"", lines) + payload)
-
-    def start(self, status: int, reason: bytes, headers: Iterable[tuple[bytes, bytes]]) -> None:
-        """Begin an answer whose length is not known."""
-        self.is_started = True
-        lines = [*headers]
-        if not self.request.is_http_1_0:
-            self._is_chunked = True
-            lines.append((b"transfer-encoding", b"chunked"))
-        lines += self._connection.persistence_headers(self.request)
-        self._connection.write(encode_head(status, reason, lines))
-
-    async def write(self, data: bytes) -> None:
-        """Pass on some bytes; waits while the caller does not read."""
-        if not data:
-            return
-        if self._is_chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._connection.write(data)
-        await self._connection.drained()
-
-    def finish(self) -> None:
-        """Mark a started answer as whole."""
-        self.is_finished = True
-        if self._is_chunked:
-            self._connection.write(b"0\r\n\r\n")
-        else:
-            self._connection.close_soon()
-
-    def abort(self) -> None:
-        """Break the connection off, so that a cut answer cannot look whole."""
-        self.is_finished = True
-        self._connection.abort()
-
-
-def encode_head(status: int, reason: bytes, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
-    """The head of an answer as bytes.
-
-    >>> encode_head(204, b"", [(b"a", b"b")])
-    b'HTTP/1.1 204 No Content\\r\\na: b\\r\\n\\r\\n'
-    """
-    if not reason:
-        with contextlib.suppress(ValueError):
-            reason = HTTPStatus(status).phrase.encode()
-    lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason)]
-    lines += [b"%b: %b\r\n" % pair for pair in headers]
-    return b"".join(lines) + b"\r\n"
+Handler = Callable[[Exchange], Awaitable[None]]
 
 
 class CallerConnection(asyncio.Protocol):
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -6,9 +6,9 @@
 from croftchute.forwarding.deadline import within
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import PrefillHandle, Refusal, Send, Verdict
+from croftchute.forwarding.exchange import Exchange
 from croftchute.forwarding.failures import ExchangeError
 from croftchute.forwarding.http_client import ClientConnection, ResponseHead
-from croftchute.forwarding.http_server import Exchange
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems import patience
 from croftchute.systems.worker_choice import ChoiceInput, Surroundings, choose, describe
--- a/src/croftchute/standins/metadata_store.py
+++ b/src/croftchute/standins/metadata_store.py
@@ -15,7 +15,8 @@
 
 import msgspec
 
-from croftchute.forwarding.http_server import Exchange, HttpIngress
+from croftchute.forwarding.exchange import Exchange
+from croftchute.forwarding.http_server import HttpIngress
 from croftchute.tables.routing import IngressLimits
 
 JsonObject = dict[str, Any]
