A request that comes during a stop tells how it came, and a stop what its connections are at

The line `stopping` counts idle connections, half-read and queued requests; a line `taken_while_stopping` for each request that reaches its handler during a stop says how long the stop has lasted, how long ago the connection was made, the request's number on it, and how long it was read and queued. croftchute_decisions_total counts these lines by kind.

Ruled out: no decision differs.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -197,10 +197,17 @@
         begun_at = clock()
         self.is_stopping = True
         self.ingress.is_stopping = True
-        self.state.is_stopping = True
+        self.state.stop_began_at = begun_at
         self.follower.stop_telling()
         self._note_readiness()
-        self.state.log.decide(Decision.STOPPING, open_requests=self.ingress.open_requests)
+        counts = self.ingress.counts()
+        self.state.log.decide(
+            Decision.STOPPING,
+            open_requests=self.ingress.open_requests,
+            idle_connections=counts.idle,
+            half_read_requests=counts.reading,
+            queued_requests=counts.queued_requests,
+        )
         end_at = begun_at + self.settings.stop_limit_s - STOP_MARGIN_S
         while clock() < end_at:
             if clock() - begun_at >= ENTRY_GRACE_S:
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -26,6 +26,7 @@
     STARTED = "started"
     STOPPING = "stopping"
     STOPPED = "stopped"
+    TAKEN_WHILE_STOPPING = "taken_while_stopping"
     RELOADED = "reloaded"
     RELOAD_FAILED = "reload_failed"
     DEPENDENCY_LOST = "dependency_lost"
--- a/src/croftchute/forwarding/exchange.py
+++ b/src/croftchute/forwarding/exchange.py
@@ -14,6 +14,16 @@
     from croftchute.forwarding.http_server import CallerConnection
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Arrival:
+    """How a request came: times on the event loop's clock, and its place on its connection."""
+
+    connected_at: float
+    begun_at: float
+    read_at: float
+    number: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class IncomingRequest:
     """A whole request as it was read; header names are in lower case."""
@@ -23,7 +33,7 @@
     headers: HeaderList
     body: bytes
     is_http_1_0: bool
-    read_at: float
+    arrival: Arrival
 
     def get(self, name: bytes) -> bytes | None:
         """The first header of that name, which must be given in lower case."""
--- a/src/croftchute/forwarding/forwarder.py
+++ b/src/croftchute/forwarding/forwarder.py
@@ -5,7 +5,7 @@
 from croftchute.errors import Code, Ran, RequestError
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Refusal
-from croftchute.forwarding.exchange import Exchange
+from croftchute.forwarding.exchange import Arrival, Exchange
 from croftchute.forwarding.plain_run import run_plain
 from croftchute.forwarding.request_run import RequestRun
 from croftchute.forwarding.state import ForwardingState
@@ -16,6 +16,22 @@
 NO_CONFIG_RETRY_AFTER_S = 0.5
 
 
+def stop_facts(arrival: Arrival, *, stop_began_at: float, now: float) -> dict[str, float | int]:
+    """How a request came to a box that stops, for the log.
+
+    >>> arrival = Arrival(connected_at=1.0, begun_at=7.0, read_at=7.25, number=3)
+    >>> stop_facts(arrival, stop_began_at=4.0, now=8.0)["queued_ms"]
+    750
+    """
+    return {
+        "stopping_for_s": round(now - stop_began_at, 3),
+        "connected_for_s": round(now - arrival.connected_at, 3),
+        "number_on_connection": arrival.number,
+        "reading_ms": round((arrival.read_at - arrival.begun_at) * 1000),
+        "queued_ms": round((now - arrival.read_at) * 1000),
+    }
+
+
 class Forwarder:
     """Serves one exchange after the other, many at a time."""
 
@@ -33,6 +49,14 @@
                 exchange, "", Refusal(code=error.code, ran=Ran.NOT_RUN, detail=error.message)
             )
             return
+        if state.stop_began_at is not None:
+            state.log.decide(
+                Decision.TAKEN_WHILE_STOPPING,
+                request_id=facts.id,
+                stop=stop_facts(
+                    exchange.request.arrival, stop_began_at=state.stop_began_at, now=started_at
+                ),
+            )
         table = state.table
         if table is None:
             refusal = Refusal(
--- a/src/croftchute/forwarding/http_server.py
+++ b/src/croftchute/forwarding/http_server.py
@@ -13,11 +13,12 @@
 import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import httptools
 
-from croftchute.forwarding.exchange import Exchange, IncomingRequest, encode_head
+from croftchute.forwarding.exchange import Arrival, Exchange, IncomingRequest, encode_head
 from croftchute.tables.routing import HeaderList, IngressLimits
 
 MAX_WAITING_REQUESTS = 4
@@ -28,6 +29,16 @@
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConnectionCounts:
+    """Connections by what they are at: idle, reading a request, serving one; and the queue."""
+
+    idle: int
+    reading: int
+    serving: int
+    queued_requests: int
+
+
 class CallerConnection(asyncio.Protocol):
     """One caller's connection: requests are served one after the other, in their order."""
 
@@ -44,6 +55,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._must_close = False
         self._is_reading = False
+        self._connected_at = self._loop.time()
+        self._requests_read = 0
         self._begin_message()
 
     @property
@@ -51,6 +64,21 @@
         """Whether a request has been read, or is being read, and not answered."""
         return self._task is not None or self._is_reading or bool(self._waiting)
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether a handler is at work on a request."""
+        return self._task is not None
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether a request has come in part."""
+        return self._is_reading
+
+    @property
+    def queued_requests(self) -> int:
+        """How many whole requests wait for the answers before theirs."""
+        return len(self._waiting)
+
     # What asyncio calls.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -137,13 +165,19 @@
             return
         self._is_reading = False
         self._cancel_timer()
+        self._requests_read += 1
         request = IncomingRequest(
             method=self._parser.get_method().decode("ascii"),
             target=self._target.decode("latin-1"),
             headers=self._headers,
             body=b"".join(self._body_parts),
             is_http_1_0=self._parser.get_http_version() == "1.0",
-            read_at=self._loop.time(),
+            arrival=Arrival(
+                connected_at=self._connected_at,
+                begun_at=self._begun_at,
+                read_at=self._loop.time(),
+                number=self._requests_read,
+            ),
         )
         if not self._parser.should_keep_alive():
             self._closes_after = True
@@ -187,6 +221,7 @@
         self.transport.abort()
 
     def _begin_message(self) -> None:
+        self._begun_at = self._loop.time()
         self._target = b""
         self._headers: HeaderList = []
         self._head_bytes = 0
@@ -272,6 +307,15 @@
         """How many connections have a request that is not answered yet."""
         return sum(connection.is_busy for connection in self.connections)
 
+    def counts(self) -> ConnectionCounts:
+        """What the connections are at."""
+        return ConnectionCounts(
+            idle=sum(not connection.is_busy for connection in self.connections),
+            reading=sum(connection.is_reading for connection in self.connections),
+            serving=sum(connection.is_serving for connection in self.connections),
+            queued_requests=sum(connection.queued_requests for connection in self.connections),
+        )
+
     @property
     def port(self) -> int:
         """The port that is listened on."""
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -61,10 +61,15 @@
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
     demand_by_service: dict[str, StageDemand] = field(default_factory=dict)
     room_by_service: dict[str, RoomHistory] = field(default_factory=dict)
-    is_stopping: bool = False
+    stop_began_at: float | None = None
     _pace_by_service: dict[str, _KnownPace] = field(default_factory=dict)
     background: set[asyncio.Task[None]] = field(default_factory=set)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process was told to end."""
+        return self.stop_began_at is not None
+
     @property
     def boxes(self) -> int:
         """How many boxes share the budgets; the settings' figure until peers had time to tell."""
--- a/tests/forwarding/test_http_server.py
+++ b/tests/forwarding/test_http_server.py
@@ -188,3 +188,31 @@
         assert len(written) < 2000
 
     serve(test, handler=flood)
+
+
+def test_a_request_tells_how_it_came_and_connections_are_counted_by_what_they_are_at():
+    seen = []
+    gate = asyncio.Event()
+
+    async def hold(exchange):
+        seen.append(exchange.request.arrival)
+        await gate.wait()
+        await echo(exchange)
+
+    async def test(reader, writer, ingress):
+        while not ingress.connections:
+            await asyncio.sleep(0.01)
+        assert ingress.counts().idle == 1
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 2 + b"GET / HTTP/1.1\r\n")
+        while not seen or not ingress.counts().reading:
+            await asyncio.sleep(0.01)
+        counts = ingress.counts()
+        assert (counts.idle, counts.reading, counts.serving, counts.queued_requests) == (0, 1, 1, 1)
+        gate.set()
+        for _ in range(2):
+            assert (await answer_to(reader))[0] == 200
+        assert [arrival.number for arrival in seen] == [1, 2]
+        for arrival in seen:
+            assert arrival.connected_at <= arrival.begun_at <= arrival.read_at
+
+    serve(test, handler=hold, limits=IngressLimits())
