A stopping box sends no request to a worker that came after its entry ended, whatever way it came

Cause: when callers were no longer taken (2.8 s after SIGTERM) the box closed its listener and, every 50 ms, the connections that were idle just then. Nothing looked at requests themselves: one that came on a connection whose stream had ended between two looks, waited behind another, was read in parts or came on a connection let in late was served, and cut at the end of the stop's time.

A connection closes with its last answer once the entry is over; a request that has come in part is read to its end and refused. Before 2.8 s nothing differs; what a handler has begun is not cut earlier. The ingresses for health, peers and metrics have no such end.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -42,7 +42,8 @@
 
 ENTRY_GRACE_S = 2.8
 """Seconds for which a stopping box takes callers: the balancer asks for readiness once a second
-and goes by two misses; callers taken later than 3 s after the stop began may not be cut off."""
+and goes by two misses; callers taken later than 3 s after the stop began may not be cut off.
+Requests whose turn comes later are turned away, whatever way they came."""
 
 STOP_MARGIN_S = 0.5
 """Seconds before the end of the stop's time at which the process ends by itself."""
@@ -135,7 +136,10 @@
             link_mbps=settings.link_mbps,
         )
         self.catch_ups = catch_ups(state, self.follower)
-        self.ingress = HttpIngress(handler=Forwarder(state=state).handle, limits=state.limits)
+        forwarder = Forwarder(state=state)
+        self.ingress = HttpIngress(
+            handler=forwarder.handle, limits=state.limits, turn_away=forwarder.turn_away
+        )
         self.health = HttpIngress(handler=self._answer_health, limits=IngressLimits)
         self.control = HttpIngress(handler=self._answer_health, limits=IngressLimits)
         self.metrics = HttpIngress(handler=self._answer_health, limits=IngressLimits)
@@ -197,6 +201,7 @@
         begun_at = clock()
         self.is_stopping = True
         self.ingress.is_stopping = True
+        self.ingress.entry_ends_at = begun_at + ENTRY_GRACE_S
         self.state.stop_began_at = begun_at
         self.follower.stop_telling()
         self._note_readiness()
--- a/src/croftchute/forwarding/forwarder.py
+++ b/src/croftchute/forwarding/forwarder.py
@@ -15,6 +15,10 @@
 
 NO_CONFIG_RETRY_AFTER_S = 0.5
 
+TURNED_AWAY_RETRY_AFTER_S = 0.05
+"""Seconds after which a caller of a stopping process may come back: other processes serve it, and
+the balancer sends new connections to them by then. As good as at once, but not a busy loop."""
+
 
 def stop_facts(arrival: Arrival, *, stop_began_at: float, now: float) -> dict[str, float | int]:
     """How a request came to a box that stops, for the log.
@@ -49,13 +53,9 @@
                 exchange, "", Refusal(code=error.code, ran=Ran.NOT_RUN, detail=error.message)
             )
             return
-        if state.stop_began_at is not None:
+        if state.is_stopping:
             state.log.decide(
-                Decision.TAKEN_WHILE_STOPPING,
-                request_id=facts.id,
-                stop=stop_facts(
-                    exchange.request.arrival, stop_began_at=state.stop_began_at, now=started_at
-                ),
+                Decision.TAKEN_WHILE_STOPPING, request_id=facts.id, stop=self._stop_facts(exchange)
             )
         table = state.table
         if table is None:
@@ -87,6 +87,28 @@
         else:
             await run_plain(run)
 
+    async def turn_away(self, exchange: Exchange) -> None:
+        """Refuse a request that came when this process, which stops, takes none any more."""
+        state = self.state
+        try:
+            request_id = state.callers.read(exchange.request).id
+        except RequestError:
+            request_id = ""
+        refusal = Refusal(
+            code=Code.DRAINING,
+            ran=Ran.NOT_RUN,
+            detail="this box stops and takes no more requests",
+            retry_after_s=TURNED_AWAY_RETRY_AFTER_S,
+        )
+        self._refuse(exchange, request_id, refusal)
+
+    def _stop_facts(self, exchange: Exchange) -> dict[str, float | int] | None:
+        stop_began_at = self.state.stop_began_at
+        if stop_began_at is None:
+            return None
+        arrival = exchange.request.arrival
+        return stop_facts(arrival, stop_began_at=stop_began_at, now=self.state.clock())
+
     def _refuse(self, exchange: Exchange, request_id: str, refusal: Refusal) -> None:
         answer = self.state.callers.refuse(refusal, request_id)
         exchange.send(answer.status, answer.headers, answer.body)
@@ -100,4 +122,5 @@
             ran=refusal.ran.value,
             detail=refusal.detail,
             config_version=version,
+            stop=self._stop_facts(exchange),
         )
--- a/src/croftchute/forwarding/http_server.py
+++ b/src/croftchute/forwarding/http_server.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import struct
 from collections import deque
@@ -243,7 +244,7 @@
 
     async def _serve(self, exchange: Exchange) -> None:
         try:
-            await self.server.handler(exchange)
+            await self.server.handler_at(self._loop.time())(exchange)
         finally:
             self._task = None
             if not exchange.is_finished:
@@ -253,7 +254,7 @@
     def _after_answer(self) -> None:
         if self.is_lost:
             return
-        if self._closes_after and not self._waiting:
+        if self._ends_here():
             self.close_soon()
             return
         if self.transport is not None and not self.transport.is_closing():
@@ -263,6 +264,18 @@
         elif not self._is_reading:
             self._wait_for(self.server.limits().idle_timeout_s)
 
+    def _ends_here(self) -> bool:
+        """Whether the connection closes with the answer that has just ended.
+
+        An answer that began before a stop has not told its caller that the connection closes. If
+        it were left open until it is found idle, the caller's next request could come first.
+        """
+        if self._waiting:
+            return False
+        if self._closes_after:
+            return True
+        return self.server.is_entry_over(self._loop.time()) and not self._is_reading
+
     def _refuse(self, status: HTTPStatus) -> None:
         """Answer a request that cannot be read, behind those before it, and close."""
         if self._must_close:
@@ -293,11 +306,23 @@
 
 
 class HttpIngress:
-    """Listens for callers and hands their requests to a handler."""
-
-    def __init__(self, *, handler: Handler, limits: Callable[[], IngressLimits]) -> None:
+    """Listens for callers and hands their requests to a handler.
+
+    Once the entry is over, requests go to ``turn_away`` instead, whatever way they came: on a kept
+    connection, behind another request, read in parts, or on a connection that was accepted late.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: Callable[[], IngressLimits],
+        turn_away: Handler | None = None,
+    ) -> None:
         self.handler = handler
         self.limits = limits
+        self.turn_away = turn_away or handler
+        self.entry_ends_at = math.inf
         self.connections: set[CallerConnection] = set()
         self.is_stopping = False
         self._server: asyncio.Server | None = None
@@ -307,6 +332,14 @@
         """How many connections have a request that is not answered yet."""
         return sum(connection.is_busy for connection in self.connections)
 
+    def is_entry_over(self, now: float) -> bool:
+        """Whether requests are turned away at this time of the event loop's clock."""
+        return now >= self.entry_ends_at
+
+    def handler_at(self, now: float) -> Handler:
+        """What answers a request whose turn comes now."""
+        return self.turn_away if self.is_entry_over(now) else self.handler
+
     def counts(self) -> ConnectionCounts:
         """What the connections are at."""
         return ConnectionCounts(
--- a/tests/forwarding/test_http_server.py
+++ b/tests/forwarding/test_http_server.py
@@ -216,3 +216,48 @@
             assert arrival.connected_at <= arrival.begun_at <= arrival.read_at
 
     serve(test, handler=hold, limits=IngressLimits())
+
+
+async def turned_away(exchange):
+    exchange.send(503, [], exchange.request.body)
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_once_the_entry_is_over_a_request_is_turned_away_and_its_connection_ends(version):
+    async def test(reader, writer, ingress):
+        ingress.turn_away = turned_away
+        ingress.is_stopping = True
+        ingress.entry_ends_at = asyncio.get_running_loop().time()
+        writer.write(b"POST / HTTP/%b\r\nHost: a\r\nContent-Length: 2\r\n\r\nab" % version)
+        status, head, body = await answer_to(reader)
+        assert (status, body) == (503, b"ab")
+        assert "connection: close" in head
+        assert await reader.read() == b""
+
+    serve(test)
+
+
+def test_a_request_that_is_read_in_parts_is_not_cut_when_the_answer_before_it_ends():
+    gate = asyncio.Event()
+
+    async def stream(exchange):
+        exchange.start(200, b"", [])
+        await gate.wait()
+        exchange.finish()
+
+    async def test(reader, writer, ingress):
+        ingress.turn_away = turned_away
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"close" not in head
+        while not ingress.counts().reading:
+            await asyncio.sleep(0.01)
+        ingress.is_stopping = True
+        ingress.entry_ends_at = asyncio.get_running_loop().time()
+        gate.set()
+        assert await reader.readuntil(b"0\r\n\r\n")
+        writer.write(b"Content-Length: 2\r\n\r\nab")
+        assert (await answer_to(reader))[::2] == (503, b"ab")
+        assert await reader.read() == b""
+
+    serve(test, handler=stream, limits=IngressLimits())
--- a/tests/platform_adapter/test_stop.py
+++ b/tests/platform_adapter/test_stop.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import contextlib
+import json
 
-from platform_fleet import ask, fleet, read_answer, read_chunks, request_bytes, run, until
+import pytest
+from platform_fleet import ask, config, fleet, read_answer, read_chunks, request_bytes, run, until
 
 from croftchute.daemon import router_process
+from croftchute.forwarding.decision_log import Decision
 
 
 class Gate:
@@ -25,8 +28,12 @@
 
 @contextlib.asynccontextmanager
 async def one_box():
-    """A box before a plain worker and a decode worker, and a connection to it."""
-    async with fleet() as made:
+    """A box before a plain worker and a decode worker, and a connection to it.
+
+    Connections may be idle for an hour, so that only the stop can end them in a test.
+    """
+    limits = config()["Limits"] | {"IdleTimeoutMs": 3_600_000}
+    async with fleet(config=config(limits=limits)) as made:
         desk = await made.add_worker("w1")
         engine = await made.add_worker("d1", service="llm", stage="decode", gap_s=1.0)
         box = await made.add_box()
@@ -123,3 +130,111 @@
 
     run(body)
     assert {way: ended for way, ended in found.items() if ended not in ((503, 0), (None, 0))} == {}
+
+
+def test_a_connection_ends_with_the_stream_that_did_not_say_that_it_closes(monkeypatch):
+    """No look at what is open comes in between, and the caller sends nothing."""
+    monkeypatch.setattr(router_process, "ENTRY_GRACE_S", 0.0)
+    monkeypatch.setattr(router_process, "STOP_CHECK_S", 3600.0)
+
+    async def body():
+        async with one_box() as (box, _, engine, reader, writer):
+            gate = Gate(engine)
+            writer.write(request_bytes("/stream/x", "r1"))
+            await reader.readuntil(b"\r\n\r\n")
+            async with stopped_entry(box):
+                gate.opened.set()
+                assert (await read_chunks(reader))[1]
+                assert await reader.read() == b""
+
+    run(body)
+
+
+@pytest.mark.parametrize(
+    "way", [behind_another_request, read_in_parts, on_a_connection_let_in_late]
+)
+def test_a_refusal_of_a_stopping_box_says_that_nothing_ran_and_that_the_connection_ends(
+    monkeypatch, way
+):
+    monkeypatch.setattr(router_process, "ENTRY_GRACE_S", 0.0)
+    monkeypatch.setattr(router_process, "STOP_CHECK_S", 3600.0)
+
+    async def body():
+        answer, runs = await way()
+        assert (answer.status, runs) == (503, 0)
+        assert json.loads(answer.body) == {"code": "draining", "ran": "not_run"}
+        assert answer.headers["x-croftchute-request-id"] == "r2"
+        assert 0.0 < float(answer.headers["retry-after"]) < 1.0
+        assert answer.headers["connection"] == "close"
+
+    run(body)
+
+
+def test_all_that_wait_on_a_connection_are_refused_in_their_order_and_counted(monkeypatch):
+    monkeypatch.setattr(router_process, "ENTRY_GRACE_S", 0.0)
+    monkeypatch.setattr(router_process, "STOP_CHECK_S", 3600.0)
+
+    async def body():
+        async with one_box() as (box, desk, _, reader, writer):
+            gate = Gate(desk)
+            writer.write(b"".join(request_bytes("/once/x", f"r{n}") for n in range(4)))
+            await until(lambda: desk.received and box.ingress.counts().queued_requests == 3)
+            seen = []
+            box.state.log.decide = lambda kind, **facts: seen.append((kind, facts))
+            async with stopped_entry(box):
+                gate.opened.set()
+                answers = [await read_answer(reader) for _ in range(4)]
+                assert await reader.read() == b""
+            assert [answer.status for answer in answers] == [200, 503, 503, 503]
+            ids = [answer.headers["x-croftchute-request-id"] for answer in answers]
+            assert ids == ["r0", "r1", "r2", "r3"]
+            assert desk.ran == ["r0"]
+            refused = [facts for kind, facts in seen if kind is Decision.REQUEST_REFUSED]
+            assert [facts["outcome"] for facts in refused] == ["draining"] * 3
+            assert [facts["stop"]["number_on_connection"] for facts in refused] == [2, 3, 4]
+            text = box.state.metrics.text().decode()
+            assert 'croftchute_requests_total{outcome="draining",route=""} 3' in text
+
+    run(body)
+
+
+def test_a_kept_connection_is_served_while_a_stop_still_takes_callers(monkeypatch):
+    monkeypatch.setattr(router_process, "ENTRY_GRACE_S", 3600.0)
+
+    async def body():
+        async with one_box() as (box, _, engine, reader, writer):
+            gate = Gate(engine)
+            writer.write(request_bytes("/stream/x", "r1"))
+            await reader.readuntil(b"\r\n\r\n")
+            seen = []
+            box.state.log.observer = seen.append
+            async with stopped_entry(box):
+                gate.opened.set()
+                assert (await read_chunks(reader))[1]
+                writer.write(request_bytes("/stream/x", "r2"))
+                answer = await read_answer(reader)
+                assert (answer.status, answer.is_whole) == (200, True)
+                assert answer.headers["connection"] == "close"
+                assert await reader.read() == b""
+            assert engine.runs_of("r2") == 1
+            assert Decision.TAKEN_WHILE_STOPPING in seen
+
+    run(body)
+
+
+def test_peers_are_answered_on_their_connection_throughout_a_stop(monkeypatch):
+    monkeypatch.setattr(router_process, "ENTRY_GRACE_S", 0.0)
+    monkeypatch.setattr(router_process, "STOP_CHECK_S", 3600.0)
+
+    async def body():
+        async with one_box() as (box, _, _, _, _):
+            reader, writer = await asyncio.open_connection("127.0.0.1", box.control.port)
+            async with stopped_entry(box):
+                for _ in range(3):
+                    writer.write(b"GET /known?prefix=op%2Fconfig HTTP/1.1\r\nHost: x\r\n\r\n")
+                    answer = await read_answer(reader)
+                    assert answer.status == 200
+                    assert "connection" not in answer.headers
+            writer.close()
+
+    run(body)
