Soak proxy: links with a pace, and open connections that fall silent for good

Change: LinkFault.PACED brings slices of 4 KB at a pace that all connections of the link share; silence_open marks a share of the open connections, which pass neither bytes nor an end from then on. Ruled out: dropping packets in the kernel, which needs rights that a soak has not; so TCP keep-alive of the boxes is still answered on a silenced connection, which is stricter than the platform.

--- a/src/croftchute/soak/proxy.py
+++ b/src/croftchute/soak/proxy.py
@@ -1,9 +1,10 @@
-"""A loopback proxy that harms what passes: delay, silence, one way cut, resets, refusal."""
+"""A loopback proxy that harms what passes: delay, pace, silence, one way cut, resets, refusal."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import random
 import socket
 import struct
 from dataclasses import dataclass
@@ -14,12 +15,16 @@
 HELD_POLL_S = 0.02
 CONNECT_S = 1.0
 
+PACED_SLICE_BYTES = 4096
+"""Bytes that a paced link brings at a time, so that connections take turns on it."""
+
 
 class LinkFault(StrEnum):
     """What a link does to the bytes on it."""
 
     NONE = "none"
     DELAYED = "delayed"
+    PACED = "paced"
     SILENT = "silent"
     CUT_FORWARD = "cut_forward"
     CUT_BACK = "cut_back"
@@ -35,6 +40,18 @@
     port: int
 
 
+@dataclass(eq=False, kw_only=True, slots=True)
+class LinkConnection:
+    """One connection over a link: the near and the far side of the proxy.
+
+    A silenced one brings nothing any more, neither bytes nor an end, until the link is stopped.
+    """
+
+    near: asyncio.StreamWriter
+    far: asyncio.StreamWriter
+    is_silenced: bool = False
+
+
 class FaultyLink:
     """Listens on an address of its own and leads to a target; ``fault`` is set from outside."""
 
@@ -45,8 +62,11 @@
         self.port = 0
         self.fault = LinkFault.NONE
         self.delay_s = 0.0
+        self.bytes_a_second = 0.0
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._connections: set[LinkConnection] = set()
+        self._stopped = asyncio.Event()
+        self._free_at = 0.0
 
     async def start(self) -> int:
         """Begin to listen; returns the port."""
@@ -54,29 +74,43 @@
         self.port = int(self._server.sockets[0].getsockname()[1])
         return self.port
 
-    def set_fault(self, fault: LinkFault, *, delay_s: float = 0.0) -> None:
-        """Put a fault in force, for open connections too."""
+    def set_fault(
+        self, fault: LinkFault, *, delay_s: float = 0.0, bytes_a_second: float = 0.0
+    ) -> None:
+        """Put a fault in force, for open connections too; all share ``bytes_a_second``."""
         self.fault = fault
         self.delay_s = delay_s
+        self.bytes_a_second = bytes_a_second
         if fault is LinkFault.RESET:
             self.reset_all()
 
     def reset_all(self) -> None:
         """Reset all connections that are open."""
-        for writer in list(self._writers):
-            reset(writer)
+        for connection in list(self._connections):
+            reset(connection.near)
+            reset(connection.far)
+
+    def silence_open(self, share: float, rng: random.Random) -> int:
+        """Silence a share of the open connections for good; returns how many."""
+        open_ones = [one for one in self._connections if not one.is_silenced]
+        chosen = [one for one in open_ones if rng.random() < share]
+        for connection in chosen:
+            connection.is_silenced = True
+        return len(chosen)
 
     def stop(self) -> None:
         """Listen no more, and reset what is open."""
         if self._server is not None:
             self._server.close()
+        self._stopped.set()
         self.reset_all()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.fault in (LinkFault.REFUSED, LinkFault.RESET):
             reset(writer)
             return
-        await self._hold((LinkFault.SILENT, LinkFault.CUT_FORWARD))
+        while self.fault in (LinkFault.SILENT, LinkFault.CUT_FORWARD):
+            await asyncio.sleep(HELD_POLL_S)
         try:
             async with asyncio.timeout(CONNECT_S):
                 far_reader, far_writer = await asyncio.open_connection(
@@ -85,39 +119,64 @@
         except (OSError, TimeoutError):
             reset(writer)
             return
-        self._writers |= {writer, far_writer}
+        connection = LinkConnection(near=writer, far=far_writer)
+        self._connections.add(connection)
         try:
             await asyncio.gather(
-                self._pump(reader, far_writer, writer, LinkFault.CUT_FORWARD),
-                self._pump(far_reader, writer, far_writer, LinkFault.CUT_BACK),
+                self._pump(connection, reader, far_writer, LinkFault.CUT_FORWARD),
+                self._pump(connection, far_reader, writer, LinkFault.CUT_BACK),
             )
         finally:
-            self._writers -= {writer, far_writer}
+            self._connections.discard(connection)
 
     async def _pump(
         self,
+        connection: LinkConnection,
         source: asyncio.StreamReader,
         sink: asyncio.StreamWriter,
-        source_writer: asyncio.StreamWriter,
         cut: LinkFault,
     ) -> None:
         """Pass one direction on; how the source ends is passed on too."""
         try:
             while data := await source.read(READ_BYTES):
-                await self._hold((LinkFault.SILENT, cut))
+                await self._hold(connection, cut)
                 if self.fault is LinkFault.DELAYED:
                     await asyncio.sleep(self.delay_s)
-                sink.write(data)
-                await sink.drain()
-            await self._hold((LinkFault.SILENT, cut))
+                await self._bring(connection, data, sink, cut)
+            await self._hold(connection, cut)
             sink.close()
         except (OSError, RuntimeError):
-            reset(sink)
-            reset(source_writer)
+            if connection.is_silenced:
+                await self._stopped.wait()
+            reset(connection.near)
+            reset(connection.far)
 
-    async def _hold(self, faults: tuple[LinkFault, ...]) -> None:
-        while self.fault in faults:
+    async def _bring(
+        self, connection: LinkConnection, data: bytes, sink: asyncio.StreamWriter, cut: LinkFault
+    ) -> None:
+        """Write what was read, slice by slice for as long as the link is paced."""
+        while data:
+            size = len(data)
+            if self.fault is LinkFault.PACED:
+                size = min(size, PACED_SLICE_BYTES)
+                await self._wait_for_turn(size)
+                await self._hold(connection, cut)
+            sink.write(data[:size])
+            await sink.drain()
+            data = data[size:]
+
+    async def _wait_for_turn(self, size: int) -> None:
+        """Wait until the link, which all its connections share, has brought ``size`` bytes."""
+        now = asyncio.get_running_loop().time()
+        self._free_at = max(now, self._free_at) + size / self.bytes_a_second
+        await asyncio.sleep(self._free_at - now)
+
+    async def _hold(self, connection: LinkConnection, cut: LinkFault) -> None:
+        """Wait while the link brings nothing this way; a silenced connection waits for the end."""
+        while self.fault in (LinkFault.SILENT, cut) and not connection.is_silenced:
             await asyncio.sleep(HELD_POLL_S)
+        if connection.is_silenced:
+            await self._stopped.wait()
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
