Soak callers: slow streams one behind the other on a kept connection, versions probed again

A version was probed once, 2.6 s after it was accepted. Change: one caller in four asks for slow streams (4 s) alone; after half of the whole streams a caller sends its next request in the same step of the loop, if the box left the connection open; each box is asked for the newest version every 1.5 s. The world can accept a configuration of 4,200 routes more, and keeps the size of each version. Ruled out: longer streams for all, which would be cut in a stop by right.

--- a/src/croftchute/soak/traffic.py
+++ b/src/croftchute/soak/traffic.py
@@ -1,4 +1,8 @@
-"""Callers of the soak: each keeps its connection, asks one request after the other, may leave."""
+"""Callers of the soak: each keeps its connection, asks one request after the other, may leave.
+
+Some ask for one slow stream after another, and send the next one in the moment in which the last
+byte of the one before has come, also while their box stops.
+"""
 
 from __future__ import annotations
 
@@ -11,6 +15,7 @@
 from croftchute.soak.proxy import FaultyLink
 from croftchute.soak.world import TIMEOUT_S, VIRTUAL_HOST, SoakWorld, added_path
 from croftchute.standins.platform_caller import PlatformCaller, RequestKind, Try
+from croftchute.standins.platform_worker import SLOW_PATH
 
 PAUSE_S = 0.25
 BURST_PAUSE_S = 0.03
@@ -23,6 +28,16 @@
 DEADLINES_S = (2.5, 4.0, TIMEOUT_S)
 ADDED_SHARE = 0.15
 PROBE_AFTER_S = 2.6
+
+PROBE_AGAIN_S = 1.5
+"""Seconds between further probes of the same version: slow links bring it late."""
+
+AT_ONCE_SHARE = 0.5
+"""Share of whole streams after which a caller sends its next request at once."""
+
+STREAM_CALLER_EVERY = 4
+"""One in so many callers asks for slow streams alone."""
+
 SERVED = 200
 
 
@@ -47,13 +62,23 @@
                 if caller is not None:
                     caller.close()
                 caller = self._caller(self.rng.randrange(len(self.boxes)))
-            attempt = await self.ask(caller, *self._draw_request())
-            await self._pause(attempt, caller)
+            if number % STREAM_CALLER_EVERY == 0:
+                attempt = await self._ask_slow(caller)
+            else:
+                attempt = await self.ask(caller, *self._draw_request())
+            if not self._goes_on_at_once(attempt, caller):
+                await self._pause(attempt, caller)
         if caller is not None:
             caller.close()
 
     async def ask(
-        self, caller: PlatformCaller, kind: RequestKind, path: str = "", *, may_leave: bool = True
+        self,
+        caller: PlatformCaller,
+        kind: RequestKind,
+        path: str = "",
+        *,
+        may_leave: bool = True,
+        deadline_s: float | None = None,
     ) -> Try:
         """Make one try on a caller's connection and keep what came of it."""
         number = len(self.tries_by_id)
@@ -70,22 +95,24 @@
         leave_after_s = self.rng.uniform(0.0, MAX_LEAVE_S) if leaves else None
         box = next(box for box in self.boxes if box.name == caller.box)
         life = box.life
-        deadline_s = self.rng.choice(DEADLINES_S)
+        if deadline_s is None:
+            deadline_s = self.rng.choice(DEADLINES_S)
         await caller.send(attempt, deadline_s=deadline_s, leave_after_s=leave_after_s)
         self.lives_by_id[attempt.request_id] = (life, box.life)
         return attempt
 
     async def probe_versions(self) -> None:
-        """Ask every box for the route that the newest configuration added, some time after it."""
-        probed = 0
+        """Ask every box for the route that the newest configuration added, again and again."""
+        probed, next_at = 0, 0.0
         while not self.is_over:
             await asyncio.sleep(PAUSE_S)
             version = self.world.version
             accepted_at = self.world.accepted_at_by_version[version]
-            is_due = asyncio.get_running_loop().time() - accepted_at >= PROBE_AFTER_S
-            if version == probed or not is_due:
+            now = asyncio.get_running_loop().time()
+            is_due = now - accepted_at >= PROBE_AFTER_S and (version != probed or now >= next_at)
+            if not is_due:
                 continue
-            probed = version
+            probed, next_at = version, now + PROBE_AGAIN_S
             await asyncio.gather(*(self._probe(index, version) for index in range(len(self.boxes))))
 
     async def wave(self, count: int) -> list[Try]:
@@ -105,6 +132,18 @@
         await self.ask(caller, RequestKind.REPEATABLE, path, may_leave=False)
         caller.close()
 
+    async def _ask_slow(self, caller: PlatformCaller) -> Try:
+        """Ask for a slow stream, with all the time that its route allows."""
+        path = f"/{RequestKind.STREAM.value}{SLOW_PATH}{len(self.tries_by_id)}"
+        return await self.ask(
+            caller, RequestKind.STREAM, path, may_leave=False, deadline_s=TIMEOUT_S
+        )
+
+    def _goes_on_at_once(self, attempt: Try, caller: PlatformCaller) -> bool:
+        """Whether the next request goes out before anything else is done."""
+        is_whole_stream = attempt.is_whole and attempt.kind.is_stream and caller.is_kept
+        return is_whole_stream and self.rng.random() < AT_ONCE_SHARE
+
     async def _pause(self, attempt: Try, caller: PlatformCaller) -> None:
         pause_s = BURST_PAUSE_S if self.is_burst else PAUSE_S
         if attempt.failure and not attempt.status:
--- a/src/croftchute/soak/world.py
+++ b/src/croftchute/soak/world.py
@@ -20,6 +20,14 @@
 HOLD_TTL_S = 2.0
 TARGET_S = 0.9
 TIMEOUT_S = 6.0
+
+SLOW_EVENT_GAP_S = 0.25
+"""Seconds between events of a slow stream: 4 s in all. One sent before a stop and another one
+right behind it last longer than the stop; one sent within the first 3 s of a stop does not."""
+
+FILLER_ROUTES = 4200
+"""Routes that make a configuration long: about 0.8 MB of JSON, as in incident inc2."""
+
 MAX_ATTEMPTS = 2
 DESK = "desk"
 ENGINES = "engines"
@@ -61,7 +69,9 @@
     all_workers: list[ListedWorker] = field(default_factory=list)
     version: int = 0
     accepted_at_by_version: dict[int, float] = field(default_factory=dict)
+    size_by_version: dict[int, int] = field(default_factory=dict)
     routes: list[JsonObject] = field(default_factory=list)
+    fillers: list[JsonObject] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self._numbers = itertools.count(1)
@@ -93,6 +103,7 @@
             gap_s=EVENT_GAP_S if stage == "decode" else 0.0,
             work_s=WORK_S,
             handle_ttl_s=HANDLE_TTL_S,
+            slow_gap_s=SLOW_EVENT_GAP_S if stage == "decode" else 0.0,
         )
         target = Target(host=LOCALHOST, port=await worker.start())
         if link is None:
@@ -125,7 +136,7 @@
         self.routes.append(added)
         document = {
             "Version": self.version,
-            "Routes": self.routes,
+            "Routes": self.routes + self.fillers,
             "Services": [
                 {"Name": ENGINES, "MaxConnections": 600, "Engine": ENGINE_TRAITS},
                 {"Name": DESK, "MaxConnections": 100},
@@ -138,9 +149,23 @@
             },
         }
         self.store.put("op/config", document)
+        self.size_by_version[self.version] = len(self.store.items_by_key["op/config"].value)
         self.accepted_at_by_version[self.version] = asyncio.get_running_loop().time()
         return self.version
 
+    def lengthen_config(self) -> int:
+        """Accept a configuration of thousands of routes; those after it keep them."""
+        self.fillers = [
+            _route(f"filler-{number}", f"/filler/{number}/", "idempotent", DESK)
+            for number in range(FILLER_ROUTES)
+        ]
+        return self.accept_config()
+
+    def shorten_config(self) -> int:
+        """Accept a configuration without the routes that made it long."""
+        self.fillers = []
+        return self.accept_config()
+
     def live(self, service: str | None = None) -> list[ListedWorker]:
         """Workers that are listed and not leaving, in the order of their ids."""
         return [
--- a/src/croftchute/standins/platform_caller.py
+++ b/src/croftchute/standins/platform_caller.py
@@ -98,6 +98,11 @@
             self.close()
         attempt.ended_at = loop.time()
 
+    @property
+    def is_kept(self) -> bool:
+        """Whether the connection is open for a next request, as far as the caller knows."""
+        return self._writer is not None
+
     def close(self) -> None:
         """Close the connection."""
         if self._writer is not None:
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -18,6 +18,10 @@
 
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+SLOW_PATH = "/slow/"
+"""Part of a path whose streams keep ``slow_gap_s`` between events in place of ``gap_s``."""
+
 Headers = dict[str, str]
 
 
@@ -75,6 +79,7 @@
     stage: str = ""
     events: int = 4
     gap_s: float = 0.0
+    slow_gap_s: float = 0.0
     work_s: float = 0.0
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     port: int = 0
@@ -324,15 +329,18 @@
             _write_chunk(writer, event)
             if faults.repeats_event == sent:
                 _write_chunk(writer, event)
-            if self.gap_s > 0.0 and not await self._pause(request, reader):
+            if not await self._pause(request, reader):
                 return False
         writer.write(b"0\r\n\r\n")
         self.finished.append(request.id)
         return True
 
     async def _pause(self, request: Received, reader: asyncio.StreamReader) -> bool:
+        gap_s = self.slow_gap_s if SLOW_PATH in request.path else self.gap_s
+        if gap_s <= 0.0:
+            return True
         try:
-            async with asyncio.timeout(self.gap_s):
+            async with asyncio.timeout(gap_s):
                 await self._wait_for_close(request, reader)
         except TimeoutError:
             return True
