Soak: long configurations on slow links, silenced connections, stops in series

`--kinds` draws from named kinds only. Workers that leave go after 6.5 s in place of 4.5 s, so that a slow stream given at the last allowed moment ends.

--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -1,4 +1,7 @@
-"""Carries a plan of faults out: signals to boxes, harm on links, trouble at the stand-ins."""
+"""Carries a plan of faults out: signals to boxes, harm on links, trouble at the stand-ins.
+
+Kinds that consist of several blows in series are in ``series``.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +15,8 @@
 from croftchute.soak.disturbances import STORE, Disturbances
 from croftchute.soak.plan import FaultKind, PlannedFault, SoakSpec
 from croftchute.soak.proxy import FaultyLink, LinkFault
+from croftchute.soak.series import SeriesFaults
+from croftchute.soak.signals import BoxSignals
 from croftchute.soak.world import DESK, ENGINES, HALLS, ListedWorker, SoakWorld
 from croftchute.standins.metadata_store import StoreFaults
 from croftchute.standins.platform_worker import WorkerFaults
@@ -20,9 +25,10 @@
 
 T = TypeVar("T")
 
-KILL_AFTER_S = 8.5
-START_S = 1.5
-DRAIN_AFTER_S = 4.5
+
+DRAIN_AFTER_S = 6.5
+"""Seconds after which a worker that said it leaves is gone: the longest stream, 4 s, that it was
+given at the last moment allowed, 2 s into its leaving, has ended."""
 
 LEAVE_GAP_S = 0.7
 """Seconds between two workers of a service that leave one by one: two changes of the list."""
@@ -40,7 +46,7 @@
 CLOCK_STEPS_S = (-6.0, -2.0, 2.0, 6.0)
 RETRY_SLACKS = (20.0, 40.0, 60.0)
 DELAYS_S = (0.03, 0.1, 0.4)
-LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
+LINK_FAULTS = tuple(fault for fault in LinkFault if fault not in (LinkFault.NONE, LinkFault.PACED))
 WORKER_FAULTS = (
     {"is_full": True},
     {"has_no_room": True},
@@ -83,6 +89,16 @@
         self.injected: Counter[FaultKind] = Counter()
         self._tasks: set[asyncio.Task[None]] = set()
         self._bursts = 0
+        self._signals = BoxSignals(disturbances=disturbances)
+        series = SeriesFaults(
+            spec=spec,
+            world=world,
+            boxes=boxes,
+            store_links=store_links,
+            caller_links=caller_links,
+            disturbances=disturbances,
+            signals=self._signals,
+        )
         self._actions: dict[FaultKind, Callable[[PlannedFault], Coroutine[None, None, None]]] = {
             FaultKind.BOX_KILL: self._kill_box,
             FaultKind.BOX_PAUSE: self._pause_box,
@@ -108,6 +124,9 @@
             FaultKind.BURST: self._burst,
             FaultKind.HALF_LEAVES: self._half_leaves,
             FaultKind.RELAYS_STRUCK: self._strike_relays,
+            FaultKind.LONG_CONFIG: series.long_config,
+            FaultKind.CONNECTIONS_SILENCED: series.silence_connections,
+            FaultKind.STOPS_IN_SERIES: series.stop_boxes,
         }
 
     @property
@@ -130,27 +149,21 @@
     # Boxes.
 
     async def _kill_box(self, fault: PlannedFault) -> None:
-        self._end_box(_pick(self.boxes, fault), signal.SIGKILL)
+        self._signals.end(_pick(self.boxes, fault), signal.SIGKILL)
 
     async def _kill_all(self, fault: PlannedFault) -> None:
         for box in self.boxes:
-            self._end_box(box, signal.SIGKILL)
+            self._signals.end(box, signal.SIGKILL)
 
     async def _step_clock(self, fault: PlannedFault) -> None:
         """The time of day of a box is another one after its next start."""
         box = _pick(self.boxes, fault)
         offset_s = CLOCK_STEPS_S[fault.pick % len(CLOCK_STEPS_S)]
         box.alteration = Alteration(clock_offset_s=offset_s, broken=self.spec.broken)
-        self._end_box(box, signal.SIGKILL)
+        self._signals.end(box, signal.SIGKILL)
 
     async def _pause_box(self, fault: PlannedFault) -> None:
-        await self._pause(_pick(self.boxes, fault), fault.for_s)
-
-    async def _pause(self, box: SoakBox, for_s: float) -> None:
-        self.disturbances.note(box.name, self.now, self.now + for_s + START_S)
-        box.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(for_s)
-        box.send_signal(signal.SIGCONT)
+        await self._signals.pause(_pick(self.boxes, fault), fault.for_s)
 
     async def _strike_relays(self, fault: PlannedFault) -> None:
         """The boxes that read the store for their hall are killed or paused one after another."""
@@ -159,22 +172,15 @@
         pauses = []
         for number, name in enumerate(rank(hall, boxes_by_name)[:RELAYS]):
             if (fault.pick + number) % 2:
-                self._end_box(boxes_by_name[name], signal.SIGKILL)
+                self._signals.end(boxes_by_name[name], signal.SIGKILL)
             else:
-                pause = self._pause(boxes_by_name[name], fault.for_s)
+                pause = self._signals.pause(boxes_by_name[name], fault.for_s)
                 pauses.append(asyncio.get_running_loop().create_task(pause))
             await asyncio.sleep(RELAY_GAP_S)
         await asyncio.gather(*pauses)
 
     async def _stop_box(self, fault: PlannedFault) -> None:
-        box = _pick(self.boxes, fault)
-        life = box.life
-        end = self.now + KILL_AFTER_S + START_S
-        self.disturbances.note(box.name, self.now, end, is_planned=True)
-        box.end(signal.SIGTERM)
-        await asyncio.sleep(KILL_AFTER_S)
-        if box.life == life:
-            self._end_box(box, signal.SIGKILL)
+        await self._signals.stop(_pick(self.boxes, fault))
 
     async def _reload_box(self, fault: PlannedFault) -> None:
         box = _pick(self.boxes, fault)
@@ -183,10 +189,6 @@
         if box.is_up:
             box.send_signal(signal.SIGHUP)
 
-    def _end_box(self, box: SoakBox, number: signal.Signals) -> None:
-        self.disturbances.note(box.name, self.now, self.now + START_S)
-        box.end(number)
-
     # Links.
 
     async def _harm_store_link(self, fault: PlannedFault) -> None:
--- a/src/croftchute/soak/main.py
+++ b/src/croftchute/soak/main.py
@@ -13,7 +13,7 @@
 
 import fire
 
-from croftchute.soak.plan import SoakSpec
+from croftchute.soak.plan import FaultKind, SoakSpec
 from croftchute.soak.run import SoakResult, run_soak
 
 MAX_SEED = 1 << 31
@@ -29,16 +29,20 @@
     callers: int = 16,
     planned: bool = False,
     broken: str = "",
+    kinds: str = "",
     keep: str = "",
 ) -> int:
     """Run ``seeds`` seeds for ``seconds`` of faults each; logs of broken runs stay in ``keep``.
 
     Fresh seeds are drawn unless ``first_seed`` is given. ``planned`` strikes with planned work
-    only, so that lost requests can be told; ``broken`` puts a fault into the boxes on purpose.
+    only, so that lost requests can be told; ``broken`` puts a fault into the boxes on purpose;
+    ``kinds`` names the kinds of faults to draw from, joined by "+" (all, if it is empty).
     """
     total: Counter[str] = Counter()
     injected: Counter[str] = Counter()
     folder = Path(keep) if keep else Path(tempfile.mkdtemp(prefix="croftchute-soak-"))
+    names = kinds.split("+") if kinds else list(FaultKind)
+    chosen = tuple(FaultKind(name) for name in names)
     for number in range(seeds):
         seed = first_seed + number if first_seed is not None else secrets.randbelow(MAX_SEED)
         spec = SoakSpec(
@@ -48,6 +52,7 @@
             callers=callers,
             only_planned=planned,
             broken=broken,
+            kinds=chosen,
         )
         result = run_in(spec, folder / f"seed-{seed}")
         report(result)
--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -34,6 +34,9 @@
     BURST = "burst"
     HALF_LEAVES = "half_leaves"
     RELAYS_STRUCK = "relays_struck"
+    LONG_CONFIG = "long_config"
+    CONNECTIONS_SILENCED = "connections_silenced"
+    STOPS_IN_SERIES = "stops_in_series"
 
 
 PLANNED = (
@@ -43,6 +46,8 @@
     FaultKind.CONFIG_CHANGE,
     FaultKind.BURST,
     FaultKind.HALF_LEAVES,
+    FaultKind.LONG_CONFIG,
+    FaultKind.STOPS_IN_SERIES,
 )
 LASTING = frozenset(
     {
@@ -92,6 +97,7 @@
     engines: int = 5
     callers: int = 16
     only_planned: bool = False
+    kinds: tuple[FaultKind, ...] = tuple(FaultKind)
     broken: str = ""
     judge_times: bool = True
 
@@ -104,7 +110,7 @@
     (True, True)
     """
     rng = random.Random(spec.seed)
-    kinds = PLANNED if spec.only_planned else tuple(FaultKind)
+    kinds = [kind for kind in spec.kinds if kind in PLANNED or not spec.only_planned]
     faults: list[PlannedFault] = []
     at = QUIET_START_S
     while at < spec.seconds:
--- a/src/croftchute/soak/run.py
+++ b/src/croftchute/soak/run.py
@@ -30,6 +30,7 @@
 IDLE_S = 2.6
 LAG_TICK_S = 0.02
 END_LIMIT_S = 10.0
+LINKS_END_S = 0.1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -225,6 +226,7 @@
         world.stop()
         for link in (*store_links, *caller_links):
             link.stop()
+        await asyncio.sleep(LINKS_END_S)
 
 
 async def _take_down(boxes: list[SoakBox], running: list[asyncio.Task[None]]) -> None:
