Soak checks: versions over slow links, requests taken late in a stop

A box that was only told to stop must not cut a request that reached a worker, whatever else is struck; one sent within 3 s of the stop may be cut in the last sixth of the stop's time. Ruled out: a fixed bound for slow links; changes in series queue on them by right.

--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -10,8 +10,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from croftchute.soak.boxes import DRAIN_S, OWN_ENDS_ALLOWED, SoakBox
-from croftchute.soak.disturbances import STORE, Disturbances
+from croftchute.soak.boxes import DRAIN_S, OWN_ENDS_ALLOWED, STOP_LIMIT_S, SoakBox
+from croftchute.soak.disturbances import STORE, Disturbance, Disturbances
+from croftchute.soak.paces import transfer_allowance_s
 from croftchute.soak.traffic import Traffic
 from croftchute.soak.world import EVENTS, MAX_ATTEMPTS, ListedWorker, SoakWorld, added_path
 from croftchute.standins.platform_caller import Try, fault_of
@@ -21,6 +22,16 @@
 APPLY_S = 2.0
 LEFT_S = 0.5
 SLACK_S = 0.4
+
+ENTRY_S = 3.0
+"""Seconds of a stop; a request sent later than that may not be cut, however long it takes."""
+
+END_S = STOP_LIMIT_S + SLACK_S
+"""Seconds of a stop after which what a box cuts off belongs to a later one."""
+
+LAST_SIXTH_S = STOP_LIMIT_S * 5.0 / 6.0
+"""Seconds of a stop from which on work for a request sent before ``ENTRY_S`` may be cut."""
+
 MAX_JUDGED_LAG_S = 0.25
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 NOT_FOUND = 404
@@ -80,6 +91,8 @@
             found += self._versions_in_time()
             if self.only_planned:
                 found += self._planned_stops()
+            else:
+                found += self._stops_amid_trouble()
         return found
 
     # Without a time.
@@ -176,7 +189,8 @@
             if version is None or attempt.status != NOT_FOUND:
                 continue
             age_s = attempt.sent_at - self.world.accepted_at_by_version[version]
-            if age_s > APPLY_S + self.slack_s and self._in_touch(attempt.box, attempt.sent_at):
+            allowed_s = APPLY_S + self.slack_s + self._transfer_s(attempt, version)
+            if age_s > allowed_s and self._in_touch(attempt.box, attempt.sent_at, allowed_s):
                 detail = f"version {version} accepted {age_s:.2f} s before"
                 yield _broken("configuration in force in time", attempt, detail)
 
@@ -187,8 +201,46 @@
             if was_cut and attempt.request_id in self.runs_by_id:
                 yield _broken("a planned stop cuts off nothing", attempt, attempt.failure)
 
-    def _in_touch(self, box: str, at: float) -> bool:
-        return self.disturbances.are_calm((box, STORE), at - CONTACT_S, at)
+    def _transfer_s(self, attempt: Try, version: int) -> float:
+        """What the pace of a slow link adds to the time in which a version is to be in force."""
+        world = self.world
+        accepted_at = world.accepted_at_by_version[version]
+        paces = self.disturbances.paces_about(attempt.box, accepted_at, attempt.sent_at)
+        allowances = [
+            transfer_allowance_s(
+                pace,
+                version,
+                accepted_at_by_version=world.accepted_at_by_version,
+                size_by_version=world.size_by_version,
+                until=attempt.sent_at,
+            )
+            for pace in paces
+        ]
+        return max(allowances, default=0.0)
+
+    def _stops_amid_trouble(self) -> Iterator[Violation]:
+        """A box that was only told to stop cuts nothing off, whatever happens elsewhere."""
+        for attempt in self.traffic.tries_by_id.values():
+            runs = self.runs_by_id.get(attempt.request_id)
+            was_cut = attempt.is_sent and not attempt.is_whole and attempt.left_at is None
+            if not was_cut or not runs or attempt.ended_at is None:
+                continue
+            names = (attempt.box, *(listed.worker.id for listed, _ in runs))
+            since = attempt.sent_at - CONTACT_S
+            stops = self.disturbances.stops_about(attempt.box, attempt.sent_at, attempt.ended_at)
+            is_calm = self.disturbances.are_calm(names, since, attempt.ended_at, but_planned=True)
+            if stops and is_calm and not any(_may_cut(stop, attempt) for stop in stops):
+                recent = [one.start for one in stops if attempt.ended_at < one.start + END_S]
+                begun_at = min(recent, default=stops[-1].start)
+                detail = (
+                    f"{attempt.failure}, sent {attempt.sent_at - begun_at:.2f} s and cut "
+                    f"{attempt.ended_at - begun_at:.2f} s after a stop began"
+                )
+                yield _broken("a stop cuts off nothing", attempt, detail)
+
+    def _in_touch(self, box: str, at: float, for_s: float = 0.0) -> bool:
+        """Whether box and store were in touch for ``CONTACT_S`` before, or for longer."""
+        return self.disturbances.are_calm((box, STORE), at - max(CONTACT_S, for_s), at)
 
 
 def check_wave(tries: list[Try]) -> list[Violation]:
@@ -210,6 +262,13 @@
     return version
 
 
+def _may_cut(stop: Disturbance, attempt: Try) -> bool:
+    """Whether a request came early in a stop and was still worked on as its time ran out."""
+    assert attempt.ended_at is not None
+    is_early = attempt.sent_at <= stop.start + ENTRY_S
+    return is_early and attempt.ended_at >= stop.start + LAST_SIXTH_S
+
+
 def _broken(promise: str, attempt: Try, detail: str) -> Violation:
     return Violation(
         promise=promise,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,7 +5,7 @@
 import pytest
 
 from croftchute.soak.checks import Checker, check_wave
-from croftchute.soak.disturbances import STORE, Disturbances
+from croftchute.soak.disturbances import STORE, Disturbances, Pace
 from croftchute.soak.world import EVENTS
 from croftchute.standins.platform_caller import RequestKind, Try
 from croftchute.standins.platform_worker import Run
@@ -185,3 +185,86 @@
     assert [violation.promise for violation in check_wave([good] * 8 + [bad] * 2)] == [
         "served again after faults"
     ]
+
+
+def paced(bytes_a_second, start=5.0):
+    slow = Disturbances()
+    slow.paces.append(Pace(box="box-1", start=start, end=30.0, bytes_a_second=bytes_a_second))
+    return slow
+
+
+def sized_world(*, accepted_at_by_version):
+    return SimpleNamespace(
+        all_workers=[],
+        accepted_at_by_version=accepted_at_by_version,
+        size_by_version=dict.fromkeys(accepted_at_by_version, 1000),
+    )
+
+
+def test_a_configuration_that_a_slow_link_would_have_brought_in_time_is_found_late():
+    world = sized_world(accepted_at_by_version={1: 0.0, 2: 5.0})
+    refused = attempt(path="/added/2/x", status=404, sent_at=14.0)
+    late = {"configuration in force in time"}
+    assert promises([refused], world=world, disturbances=paced(400.0)) == late
+    assert promises([refused], world=world, disturbances=paced(300.0)) == set()
+
+
+def test_versions_before_it_on_a_slow_link_are_counted_in():
+    world = sized_world(accepted_at_by_version={1: 0.0, 2: 5.0, 3: 5.5, 4: 6.0})
+    refused = attempt(path="/added/4/x", status=404, sent_at=14.0)
+    assert promises([refused], world=world, disturbances=paced(400.0)) == set()
+    refused = attempt(path="/added/4/x", status=404, sent_at=21.0)
+    late = {"configuration in force in time"}
+    assert promises([refused], world=world, disturbances=paced(400.0)) == late
+
+
+def test_the_slow_link_of_another_box_excuses_nothing():
+    world = sized_world(accepted_at_by_version={1: 0.0, 2: 5.0})
+    refused = attempt(path="/added/2/x", status=404, box="box-2", sent_at=10.0)
+    late = {"configuration in force in time"}
+    assert promises([refused], world=world, disturbances=paced(100.0)) == late
+
+
+def test_a_box_that_was_disturbed_is_given_the_whole_time_of_its_link_again():
+    world = sized_world(accepted_at_by_version={1: 0.0, 2: 5.0})
+    refused = attempt(path="/added/2/x", status=404, sent_at=14.0)
+    restarted = paced(400.0)
+    restarted.note("box-1", 7.0, 8.0)
+    assert promises([refused], world=world, disturbances=restarted) == set()
+
+
+def stopped(at, *others):
+    known = Disturbances()
+    known.note("box-1", at, at + 10.0, is_planned=True)
+    for name, start, end in others:
+        known.note(name, start, end)
+    return known
+
+
+def cut(sent_at, ended_at):
+    return attempt(is_whole=False, status=0, failure="reset", sent_at=sent_at, ended_at=ended_at)
+
+
+def test_a_request_taken_late_in_a_stop_and_cut_is_found_amid_trouble():
+    late, workers = [cut(14.0, 17.5)], [worker("w", run(14.0, 17.5))]
+    found = {"a stop cuts off nothing"}
+    assert promises(late, workers, disturbances=stopped(10.0)) == found
+    elsewhere = stopped(10.0, ("box-2", 12.0, 15.0), (STORE, 12.0, 15.0))
+    assert promises(late, workers, disturbances=elsewhere) == found
+
+
+@pytest.mark.parametrize("name", ["box-1", "w"])
+def test_a_cut_of_a_box_or_worker_that_was_not_only_stopped_is_not_judged(name):
+    late, workers = [cut(14.0, 17.5)], [worker("w", run(14.0, 17.5))]
+    assert promises(late, workers, disturbances=stopped(10.0, (name, 13.0, 15.0))) == set()
+
+
+def test_a_request_taken_early_in_a_stop_may_be_cut_at_its_end_only():
+    workers = [worker("w", run(12.0, 17.5))]
+    assert promises([cut(12.0, 17.5)], workers, disturbances=stopped(10.0)) == set()
+    found = {"a stop cuts off nothing"}
+    assert promises([cut(12.0, 15.0)], workers, disturbances=stopped(10.0)) == found
+
+
+def test_a_cut_of_a_request_that_reached_no_worker_is_not_judged():
+    assert promises([cut(14.0, 17.5)], disturbances=stopped(10.0)) == set()
