Soak variants: bodies cut after 1.5 s whole, callers taken until a stop ends

Cause: the new checks need a box that is broken on purpose, whatever the real code does. Change: cut_long_bodies patches ClientConnection.read_part for answers that tell their length; late_entry replaces RouterProcess.stop.

--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -19,8 +19,11 @@
 
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "platform")]
 
+from croftchute.daemon.router_process import RouterProcess  # noqa: E402
 from croftchute.errors import Code, Ran  # noqa: E402
 from croftchute.forwarding import store_follower  # noqa: E402
+from croftchute.forwarding.failures import AnswerLateError  # noqa: E402
+from croftchute.forwarding.http_client import ClientConnection  # noqa: E402
 from croftchute.forwarding.request_run import RequestRun, WorkerCall  # noqa: E402
 from croftchute.forwarding.state import ForwardingState  # noqa: E402
 from croftchute.systems.worker_table import WorkerBelief, WorkerTable  # noqa: E402
@@ -29,6 +32,12 @@
 OLDER_AFTER_S = 2.5
 FAR_FUTURE_S = 1e9
 
+WHOLE_BODY_S = 1.5
+"""Seconds for a whole body, however long it is: the bound that incident inc2 broke."""
+
+END_MARGIN_S = 0.5
+"""Seconds before the end of a stop's time at which a box that takes callers until then ends."""
+
 
 def shift_clock(offset_s: float) -> None:
     """Let the box see a time of day that is off."""
@@ -106,6 +115,44 @@
     RequestRun.refuse = promise  # type: ignore[method-assign]
 
 
+def cut_long_bodies() -> None:
+    """Give a body whose length is told a fixed time as a whole, though its bytes still come."""
+    read_soundly = ClientConnection.read_part
+    ends_by_exchange: dict[tuple[ClientConnection, int], float] = {}
+
+    async def read_part(self: ClientConnection) -> bytes:
+        if self.head is None or self.head.get(b"content-length") is None:
+            return await read_soundly(self)
+        now = asyncio.get_running_loop().time()
+        end = ends_by_exchange.setdefault((self, self.uses), now + WHOLE_BODY_S)
+        try:
+            async with asyncio.timeout(max(0.0, end - now)):
+                part = await read_soundly(self)
+        except TimeoutError:
+            raise AnswerLateError("no whole body") from None
+        if not part:
+            del ends_by_exchange[self, self.uses]
+        return part
+
+    ClientConnection.read_part = read_part  # type: ignore[method-assign]
+
+
+def late_entry() -> None:
+    """Take callers, on new and on kept connections, until a stop ends."""
+
+    async def stop(self: RouterProcess) -> int:
+        self.is_stopping = True
+        self.state.is_stopping = True
+        self.follower.stop_telling()
+        await asyncio.sleep(self.settings.stop_limit_s - END_MARGIN_S)
+        for task in self._tasks:
+            task.cancel()
+        self.state.log.writer.flush()
+        return 9 if self.ingress.open_requests else 0
+
+    RouterProcess.stop = stop  # type: ignore[method-assign]
+
+
 KEPT: list[object] = []
 BROKEN: dict[str, Callable[[], None]] = {
     "send_twice": send_twice,
@@ -113,6 +160,8 @@
     "lower_revision": lower_revision,
     "hold_memory": hold_memory,
     "say_not_run": say_not_run,
+    "cut_long_bodies": cut_long_bodies,
+    "late_entry": late_entry,
 }
 
 
