--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -142,7 +142,7 @@
 
     async def stop(self: RouterProcess) -> int:
         self.is_stopping = True
-        self.state.is_stopping = True
+        self.state.stop_began_at = self.state.clock()
         self.follower.stop_telling()
         await asyncio.sleep(self.settings.stop_limit_s - END_MARGIN_S)
         for task in self._tasks:
