One place sets how silent connections are noticed, on all opened and accepted ones

Cause: keep-alive probes were set on connections to the store only. Connections to workers and to boxes had TCP_USER_TIMEOUT alone, which acts only while bytes of ours are outstanding; accepted ones had neither. So a stream or a wait for news over a connection that went silent ended at its deadline.

Ruled out: TCP_USER_TIMEOUT of a few seconds on accepted connections. It also ends a caller that reads nothing for as long; 10 s is longer than any pause that callers bear in a stream.

The test of the template fills the new gap and checks the value.

--- a/src/croftchute/forwarding/hall_news.py
+++ b/src/croftchute/forwarding/hall_news.py
@@ -107,7 +107,12 @@
 ) -> tuple[int, bytes]:
     """Status and body of a call; raises ExchangeError."""
     connection = await state.pool.acquire(
-        peer.host, peer.control_port, owner=peer.id, now=state.clock(), timeout_s=MARGIN_S
+        peer.host,
+        peer.control_port,
+        owner=peer.id,
+        now=state.clock(),
+        timeout_s=MARGIN_S,
+        limits=state.knowledge_limits,
     )
     try:
         request = f"GET {target} HTTP/1.1\r\nHost: {peer.host}\r\n\r\n"
--- a/src/croftchute/forwarding/http_client.py
+++ b/src/croftchute/forwarding/http_client.py
@@ -7,14 +7,13 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
 from collections import deque
 from dataclasses import dataclass
 
 import httptools
 
 from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError
+from croftchute.forwarding.silence import WORK, SilenceLimits, watch_for_silence
 from croftchute.tables.routing import HeaderList
 
 MAX_WAITING_PARTS = 64
@@ -22,9 +21,6 @@
 KEEP_ALIVE_SHARE = 0.8
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset({204, 304})
-USER_TIMEOUT_MS = 1500
-PROBE_S = 1
-PROBES = 2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -50,8 +46,8 @@
     value belong to earlier requests and are passed over.
     """
 
-    def __init__(self, *, is_probed: bool = False) -> None:
-        self.is_probed = is_probed
+    def __init__(self, *, limits: SilenceLimits = WORK) -> None:
+        self.limits = limits
         self.transport: asyncio.Transport | None = None
         self.head: ResponseHead | None = None
         self.is_complete = False
@@ -80,12 +76,7 @@
         """Keep the transport and let a dead peer be noticed."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        raw = transport.get_extra_info("socket")
-        if raw is not None:
-            with contextlib.suppress(OSError):
-                raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-                if self.is_probed:
-                    _probe_while_silent(raw)
+        watch_for_silence(transport.get_extra_info("socket"), self.limits)
 
     def data_received(self, data: bytes) -> None:
         """Parse; bytes that no request asked for make the connection unusable."""
@@ -295,23 +286,15 @@
     return DEFAULT_KEEP_ALIVE_S
 
 
-def _probe_while_silent(raw: socket.socket) -> None:
-    """Have a peer that vanished noticed while nothing is sent to it."""
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
-
-
 async def open_connection(
-    host: str, port: int, timeout_s: float, *, is_probed: bool = False
+    host: str, port: int, timeout_s: float, *, limits: SilenceLimits = WORK
 ) -> ClientConnection:
     """Connect within some time; raises :class:`ConnectFailedError`."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(
-                lambda: ClientConnection(is_probed=is_probed), host, port
+                lambda: ClientConnection(limits=limits), host, port
             )
     except (OSError, TimeoutError) as error:
         raise ConnectFailedError(f"{host}:{port}: {error or 'timed out'}") from None
@@ -321,23 +304,33 @@
 class ConnectionPool:
     """Idle connections by server; the one used last is used first."""
 
-    def __init__(self, *, max_idle: int = 8, is_probed: bool = False) -> None:
+    def __init__(self, *, max_idle: int = 8, limits: SilenceLimits = WORK) -> None:
         self.max_idle = max_idle
-        self.is_probed = is_probed
+        self.limits = limits
         self.opened = 0
         self._idle_by_server: dict[tuple[str, int, str], list[ClientConnection]] = {}
 
     async def acquire(
-        self, host: str, port: int, *, owner: str, now: float, timeout_s: float
+        self,
+        host: str,
+        port: int,
+        *,
+        owner: str,
+        now: float,
+        timeout_s: float,
+        limits: SilenceLimits | None = None,
     ) -> ClientConnection:
-        """An idle connection to this incarnation of a server, or a new one."""
+        """An idle connection to this incarnation of a server, or a new one.
+
+        ``limits`` are those of a new one, where they differ from the pool's.
+        """
         idle = self._idle_by_server.get((host, port, owner), [])
         while idle:
             connection = idle.pop()
             if connection.is_fresh(now):
                 return connection
             connection.abort()
-        connection = await open_connection(host, port, timeout_s, is_probed=self.is_probed)
+        connection = await open_connection(host, port, timeout_s, limits=limits or self.limits)
         self.opened += 1
         return connection
 
--- a/src/croftchute/forwarding/http_server.py
+++ b/src/croftchute/forwarding/http_server.py
@@ -20,6 +20,7 @@
 import httptools
 
 from croftchute.forwarding.exchange import Arrival, Exchange, IncomingRequest, encode_head
+from croftchute.forwarding.silence import ACCEPTED, watch_for_silence
 from croftchute.tables.routing import HeaderList, IngressLimits
 
 MAX_WAITING_REQUESTS = 4
@@ -87,6 +88,7 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
+        watch_for_silence(transport.get_extra_info("socket"), ACCEPTED)
         self.server.connections.add(self)
         self._wait_for(self.server.limits().idle_timeout_s)
 
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -11,6 +11,7 @@
 from croftchute.forwarding.decision_log import Decision, DecisionLog
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
 from croftchute.forwarding.http_client import ConnectionPool
+from croftchute.forwarding.silence import KNOWLEDGE, SilenceLimits
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.forwarding.transfer import Transfer
 from croftchute.storage.watched import StoredItem
@@ -58,6 +59,7 @@
     table_item: StoredItem | None = None
     workers: WorkerTable = field(default_factory=WorkerTable)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
+    knowledge_limits: SilenceLimits = KNOWLEDGE
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
     demand_by_service: dict[str, StageDemand] = field(default_factory=dict)
     room_by_service: dict[str, RoomHistory] = field(default_factory=dict)
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -63,6 +63,7 @@
     boxes: Annotated[int, msgspec.Meta(ge=1)] = 12
     stop_limit_s: Positive = 8.0
     drain_s: Positive = 2.0
+    contact_s: Positive = 3.0
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     reload_check_s: Positive = 2.0
 
--- a/tests/platform_adapter/test_life.py
+++ b/tests/platform_adapter/test_life.py
@@ -217,6 +217,7 @@
         "{{Bounds.GraceS}}": "8",
         "{{Bounds.LeaseMs}}": "3000",
         "{{Bounds.DrainMs}}": "2000",
+        "{{Bounds.ContactMs}}": "2500",
         "{{Limits.LinkMbps}}": "1000.0",
     }
     for gap, value in values.items():
@@ -226,6 +227,7 @@
     settings = parse_router_settings(text.encode())
     assert settings.order_gap_s == 3.0
     assert settings.drain_s == 2.0
+    assert settings.contact_s == 2.5
     assert settings.retry.slack == 56.0
 
 
