A stream's pause is looked at again: another worker may have come meanwhile

Cause: whether a stream could go on elsewhere was asked once, when its last part had come. If no other worker was known at that moment, a worker or connection that then went silent was waited for until the caller's deadline, though others came within it.

Change: PartReader waits one patience at a time and asks anew after each.

Test: test_a_resumable_stream_goes_on_elsewhere_when_its_connection_goes_silent; without the change the answer is broken off at the deadline.

--- /dev/null
+++ b/src/croftchute/forwarding/part_reader.py
@@ -0,0 +1,48 @@
+"""Reads a stream's parts from its worker, and gives the worker up where another may go on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from croftchute.forwarding.failures import AnswerLateError
+from croftchute.forwarding.request_run import RequestRun, WorkerCall
+from croftchute.systems import patience
+
+
+class PartReader:
+    """The parts of one attempt, each within the patience that its place in the stream asks for.
+
+    Where nobody else could go on at the moment, a pause is borne, and looked at again after each
+    further patience: another worker may have come meanwhile.
+    """
+
+    def __init__(
+        self,
+        *,
+        run: RequestRun,
+        call: WorkerCall,
+        first_wait_s: float,
+        may_go_elsewhere: Callable[[], bool],
+    ) -> None:
+        self.run = run
+        self.call = call
+        self.first_wait_s = first_wait_s
+        self.may_go_elsewhere = may_go_elsewhere
+        self._has_begun = False
+
+    async def next(self) -> bytes:
+        """The next part, empty at the end; raises AnswerLateError or ConnectionBrokenError."""
+        run = self.run
+        while True:
+            time_left_s = run.time_left_s
+            wait_s = self.first_wait_s
+            if self._has_begun:
+                wait_s = patience.gap_patience(run.route, time_left_s=time_left_s)
+            try:
+                part = await self.call.part(min(wait_s, time_left_s))
+            except AnswerLateError:
+                if run.time_left_s <= 0.0 or self.may_go_elsewhere():
+                    raise
+                continue
+            self._has_begun = True
+            return part
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -13,6 +13,7 @@
 from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
 from croftchute.forwarding.http_client import ResponseHead
 from croftchute.forwarding.kept_prompts import find_keeper
+from croftchute.forwarding.part_reader import PartReader
 from croftchute.forwarding.prompt_reader import PromptReader
 from croftchute.forwarding.request_run import RequestRun, WorkerCall
 from croftchute.forwarding.worker_control import drop_hold, take_hold
@@ -325,14 +326,16 @@
         progress = self.progress
         splitter = EventSplitter()
         is_resumed = progress.last_event is not None
-        wait_s = first_wait_s
-        while part := await call.part(wait_s):
+        parts = PartReader(
+            run=run,
+            call=call,
+            first_wait_s=first_wait_s,
+            may_go_elsewhere=self._may_go_elsewhere,
+        )
+        while part := await parts.next():
             events = splitter.feed(part)
             if events:
                 await self._write(call, head, events)
-            wait_s = run.time_left_s
-            if self._may_go_elsewhere():
-                wait_s = patience.gap_patience(run.route, time_left_s=wait_s)
         if splitter.leftover:
             raise ConnectionBrokenError("stream ended inside an event")
         if not run.exchange.is_started:
--- a/tests/platform_adapter/test_silent_connections.py
+++ b/tests/platform_adapter/test_silent_connections.py
@@ -4,7 +4,7 @@
 import contextlib
 
 import pytest
-from platform_fleet import ask, fleet, run
+from platform_fleet import ask, fleet, request_bytes, run
 from silent_link import SilentLink
 
 OLD_S = 1.0
@@ -100,3 +100,30 @@
                 assert [answer.status for answer in answers] == [200] * 8
 
     run(body)
+
+
+async def rest_of_chunks(reader):
+    """The events of an answer's rest; its first bytes were read up to an event's number."""
+    data = await reader.readuntil(b"\r\n0\r\n\r\n")
+    return [int(part.split(b"\n")[0]) for part in data.split(b"id: ")[1:]]
+
+
+def test_a_resumable_stream_goes_on_elsewhere_when_its_connection_goes_silent():
+    """The other worker comes only after the last event: the pause is looked at again."""
+
+    async def body():
+        async with fleet() as made:
+            options = {"service": "llm", "stage": "decode", "events": 6}
+            slow = await made.add_worker("w1", gap_s=0.1, **options)
+            async with linked(made, "w1") as link:
+                box = await box_before_one_worker(made, link, service="llm")
+                reader, writer = await asyncio.open_connection("127.0.0.1", box.ingress.port)
+                writer.write(request_bytes("/resume/x", "r1", deadline=8000))
+                await reader.readuntil(b"id: 1")
+                link.hush()
+                other = await made.add_worker("w2", **options)
+                assert [1, *await rest_of_chunks(reader)] == [1, 2, 3, 4, 5, 6]
+                assert slow.runs_of("r1") == other.runs_of("r1") == 1
+                writer.close()
+
+    run(body)
