--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -214,6 +214,7 @@
             queued_requests=counts.queued_requests,
         )
         end_at = begun_at + self.settings.stop_limit_s - STOP_MARGIN_S
+        self.state.stop_ends_at = end_at
         while clock() < end_at:
             if clock() - begun_at >= ENTRY_GRACE_S:
                 self.ingress.stop_accepting()
--- a/src/croftchute/forwarding/exchange.py
+++ b/src/croftchute/forwarding/exchange.py
@@ -53,6 +53,11 @@
         self._connection = connection
         self._is_chunked = False
 
+    @property
+    def caller_has_left(self) -> bool:
+        """Whether the connection is gone."""
+        return self._connection.is_lost
+
     def send(self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> None:
         """Answer with a whole body."""
         if self.is_started:
--- a/src/croftchute/forwarding/hall_news.py
+++ b/src/croftchute/forwarding/hall_news.py
@@ -119,7 +119,7 @@
         connection.send(request.encode("ascii"), expected=None)
         head = await within(connection.read_head(), timeout_s, "no head")
         meter.begin(connection, head.status)
-        body = await read_while_it_comes(connection, max_bytes=MAX_ANSWER_BYTES)
+        body = await read_while_it_comes(connection, max_bytes=MAX_ANSWER_BYTES, clock=state.clock)
         return head.status, body
     finally:
         state.pool.release(
--- a/src/croftchute/forwarding/http_server.py
+++ b/src/croftchute/forwarding/http_server.py
@@ -28,6 +28,10 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 HIGH_WATER_BYTES = 65536
 
+MIN_BODY_BYTES_PER_S = 4096
+"""Least pace of a caller's body, beside the time for which a connection may rest: a caller that
+sends a byte now and then does not hold its connection for ever."""
+
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
@@ -147,6 +151,7 @@
     def on_headers_complete(self) -> None:
         """Allow a body if one is announced."""
         limits = self.server.limits()
+        self._body_begun_at = self._loop.time()
         self._wait_for(limits.idle_timeout_s)
         for name, value in self._headers:
             if name == b"content-length" and int(value) > limits.max_body_bytes:
@@ -157,9 +162,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
-        self._wait_for(self.server.limits().idle_timeout_s)
         self._body_parts.append(bytes(body))
         self._body_bytes += len(body)
+        self._wait_for(self._body_time_s())
         if self._body_bytes > self.server.limits().max_body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
@@ -225,7 +230,7 @@
         self.transport.abort()
 
     def _begin_message(self) -> None:
-        self._begun_at = self._loop.time()
+        self._begun_at = self._body_begun_at = self._loop.time()
         self._target = b""
         self._headers: HeaderList = []
         self._head_bytes = 0
@@ -238,6 +243,12 @@
         if self._head_bytes > self.server.limits().max_header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
+    def _body_time_s(self) -> float:
+        """Seconds until the next part of a body must have come."""
+        idle_s = self.server.limits().idle_timeout_s
+        allowed_s = idle_s + self._body_bytes / MIN_BODY_BYTES_PER_S
+        return min(idle_s, self._body_begun_at + allowed_s - self._loop.time())
+
     def _serve_next(self) -> None:
         if self._task is not None or not self._waiting or self.is_lost:
             return
--- a/src/croftchute/forwarding/prefix_follower.py
+++ b/src/croftchute/forwarding/prefix_follower.py
@@ -12,7 +12,14 @@
 from croftchute.forwarding.hall_news import ask_news
 from croftchute.forwarding.news_log import NewsLog, NotARelayError
 from croftchute.forwarding.state import ForwardingState
-from croftchute.storage.watched import Changes, HistoryGoneError, Listing, SharedStore
+from croftchute.forwarding.transfer import LONG_BODY_BYTES
+from croftchute.storage.watched import (
+    Changes,
+    HistoryGoneError,
+    Listing,
+    SharedStore,
+    StoredItem,
+)
 from croftchute.systems.hall_relays import HallRelays
 from croftchute.tables.peers import Peer
 
@@ -118,6 +125,7 @@
         self._relay_id = ""
         self._coming_since: float | None = None
         self._may_be_behind = False
+        self._has_long_value = False
 
     async def run(self) -> None:
         """Follow the prefix; never returns."""
@@ -141,8 +149,9 @@
             await asyncio.sleep(LOST_STORE_WAIT_S * self.state.rng.uniform(0.5, 1.5))
         try:
             if self._after is None:
-                listing = await self.store.listing(self.prefix)
+                listing = await self.store.listing(self.prefix, on_progress=self._note_part)
                 self._after = listing.revision
+                self._note_length(listing.items)
                 self.log.note_listing(listing)
                 self.handlers.on_listing(listing)
             elif self._may_be_behind:
@@ -159,6 +168,7 @@
         except StoreError as error:
             self._dependency.failed(error)
             self.log.note_lost()
+            self._may_be_behind = self._has_long_value
             await self._back_off()
 
     async def _back_off(self) -> None:
@@ -178,7 +188,7 @@
 
     async def _read_newest(self, after: int) -> None:
         """Pass over the versions between the last one read and the newest one."""
-        listing = await self.store.listing(self.prefix)
+        listing = await self.store.listing(self.prefix, on_progress=self._note_part)
         written = tuple(item for item in listing.items if item.revision > after)
         self._may_be_behind = bool(written)
         changes = Changes(
@@ -187,10 +197,15 @@
         self._take(changes, after)
 
     def _note_part(self) -> None:
-        """A part of the store's answer has come."""
+        """A part of the store's answer has come.
+
+        Only a long value makes a relay fresh by that: of a list that comes slowly its followers
+        are to hear elsewhere.
+        """
         if self._coming_since is None:
             self._coming_since = self.state.clock()
-        self._note_fresh()
+        if self.has_one_key:
+            self._note_fresh()
 
     def _was_slow(self) -> bool:
         since = self._coming_since
@@ -223,6 +238,7 @@
             self._dependency.failed(error)
             await self._back_off()
             return
+        self._backoff_s = MIN_BACKOFF_S
         self._take(changes, after)
         self.handlers.on_heard()
 
@@ -232,7 +248,13 @@
         read = tuple(item for item in found if item is not None)
         return replace(changes, written=changes.written + read, untold=())
 
+    def _note_length(self, items: tuple[StoredItem, ...]) -> None:
+        """Whether a watch that failed had better not be asked for all versions since then."""
+        if items and self.has_one_key:
+            self._has_long_value = len(items[-1].value) >= LONG_BODY_BYTES
+
     def _take(self, changes: Changes, after: int) -> None:
+        self._note_length(changes.written)
         self.log.note_changes(changes)
         self.handlers.on_changes(changes)
         self._after = max(after, changes.revision)
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
 from collections.abc import Callable, Coroutine
@@ -25,6 +26,10 @@
 
 LEARN_PEERS_S = 3.0
 
+LAST_ANSWERS_S = 0.3
+"""Seconds before the end of a stop in which nothing waits for a worker any more: time for some
+hundred refusals to be written on a slow link."""
+
 PACE_KEPT_S = 0.5
 """Seconds for which a pace that was worked out is used: as often as peers tell of their calls."""
 
@@ -64,6 +69,7 @@
     demand_by_service: dict[str, StageDemand] = field(default_factory=dict)
     room_by_service: dict[str, RoomHistory] = field(default_factory=dict)
     stop_began_at: float | None = None
+    stop_ends_at: float = math.inf
     _pace_by_service: dict[str, _KnownPace] = field(default_factory=dict)
     background: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -72,6 +78,10 @@
         """Whether the process was told to end."""
         return self.stop_began_at is not None
 
+    def is_ending(self, now: float) -> bool:
+        """Whether what waits for a worker is to be answered now: the process ends shortly."""
+        return now >= self.stop_ends_at - LAST_ANSWERS_S
+
     @property
     def boxes(self) -> int:
         """How many boxes share the budgets; the settings' figure until peers had time to tell."""
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -130,6 +130,8 @@
         run = self.run
         if is_begun:
             return run.now - asked_at < min(patience.RESUME_WAIT_S, run.time_left_s)
+        if run.state.is_ending(run.now):
+            return False
         mean_wait_s = run.state.mean_room_wait_s(run.service)
         pace = run.state.prefill_pace(run.service)
         wait = RoomWait(
@@ -393,5 +395,6 @@
     try:
         await stream.serve()
     except asyncio.CancelledError:
-        run.log(Decision.CALLER_LEFT, events=stream.progress.events, worker=run.last_worker)
+        kind = Decision.CALLER_LEFT if run.exchange.caller_has_left else Decision.REQUEST_BROKEN
+        run.log(kind, events=stream.progress.events, worker=run.last_worker)
         raise
--- a/src/croftchute/forwarding/transfer.py
+++ b/src/croftchute/forwarding/transfer.py
@@ -14,7 +14,7 @@
 
 from croftchute.errors import CroftchuteError
 from croftchute.forwarding.deadline import within
-from croftchute.forwarding.failures import ConnectionBrokenError
+from croftchute.forwarding.failures import AnswerLateError, ConnectionBrokenError
 from croftchute.forwarding.http_client import ClientConnection
 
 STORE = "store"
@@ -24,6 +24,10 @@
 """Seconds without a byte after which a body is given up: several resendings of a lost packet, and
 less than the shortest time in which a configuration is to be in force."""
 
+MIN_PACE_BYTES_PER_S = 10_000
+"""Pace below which a body counts as silent too: a sixtieth of a link of 5 Mbit/s, so that one that
+shares its link with much else is not cut. A peer that sends a byte now and then is left by it."""
+
 LONG_BODY_BYTES = 65_536
 """Size of a body in bytes from which on its transfer is logged: a tenth of a second at 5 Mbit/s."""
 
@@ -107,6 +111,7 @@
     connection: ClientConnection,
     *,
     max_bytes: int,
+    clock: Callable[[], float],
     on_progress: Callable[[], None] = lambda: None,
 ) -> bytes:
     """The whole body, however long it takes as long as it keeps coming.
@@ -116,9 +121,21 @@
     breaks or the body is too long.
     """
     parts: list[bytes] = []
+    begun_at = clock()
     while part := await within(connection.read_part(), SILENCE_S, "no more of the body"):
         parts.append(part)
         on_progress()
+        if is_trickle(connection.body_bytes, clock() - begun_at):
+            raise AnswerLateError(f"{connection.body_bytes} bytes of the body, too slowly")
         if connection.body_bytes > max_bytes:
             raise ConnectionBrokenError("answer too large")
     return b"".join(parts)
+
+
+def is_trickle(size: int, seconds: float) -> bool:
+    """Whether a body of which ``size`` bytes came in some time is given up as a silent one is.
+
+    >>> is_trickle(1_000_000, 90.0), is_trickle(5, 5.0)
+    (False, True)
+    """
+    return seconds > SILENCE_S + size / MIN_PACE_BYTES_PER_S
--- a/src/croftchute/storage/watched.py
+++ b/src/croftchute/storage/watched.py
@@ -56,8 +56,8 @@
 class WatchedStore(Protocol):
     """Calls of the service; each may raise :class:`croftchute.errors.StoreError`."""
 
-    async def listing(self, prefix: str) -> Listing:
-        """Everything under a prefix now."""
+    async def listing(self, prefix: str, *, on_progress: Callable[[], None]) -> Listing:
+        """Everything under a prefix now; ``on_progress`` as for :meth:`changes`."""
         ...
 
     async def changes(
--- a/tests/platform_adapter/test_hall_news.py
+++ b/tests/platform_adapter/test_hall_news.py
@@ -6,6 +6,7 @@
 import pytest
 from platform_fleet import config, fleet, route, run, until
 
+from croftchute.errors import Code, StoreError
 from croftchute.forwarding import news_messages, prefix_follower
 from croftchute.systems.hall_relays import MOST_RELAYS
 from croftchute.systems.rendezvous import rank
@@ -44,6 +45,13 @@
     return version
 
 
+def stop_catching_up(boxes):
+    """From now on news come from the store and from relays alone, not from what peers know."""
+    for box in boxes:
+        for catch_up in box.catch_ups:
+            catch_up._newer_peer = lambda _: None
+
+
 def test_a_change_is_in_force_everywhere_and_few_boxes_asked_the_store_for_it():
     async def body():
         async with fleet() as made:
@@ -161,6 +169,7 @@
             version = await settle(made, boxes)
             for relay in boxes[:2]:
                 relay.follower.config.log.base = 10**9
+            stop_catching_up(boxes)
             made.store.calls.clear()
             made.store.put("op/config", config(version + 1))
             await in_force(boxes, version + 1)
@@ -176,6 +185,7 @@
             version = await settle(made, boxes)
             for relay in boxes[:2]:
                 relay.follower.config.log.base = 10**9
+            stop_catching_up(boxes)
             made.store.put("op/config", config(version + 1))
             made.store.forget_history()
             await in_force(boxes, version + 1)
@@ -216,3 +226,69 @@
             assert all(box.follower.config._dependency.is_lost is False for box in followers)
 
     run(body)
+
+
+def test_a_relay_stays_fresh_while_a_long_answer_of_the_store_comes_in():
+    """Its followers took it for one that had lost the store, and read the same themselves."""
+
+    async def body():
+        async with fleet() as made:
+            box = await made.add_box()
+            follower = box.follower.config
+            follower.log.note_lost()
+            follower._note_part()
+            assert follower.log.is_fresh(box.state.clock())
+            workers = box.follower.workers
+            workers.log.note_lost()
+            workers._note_part()
+            assert not workers.log.is_fresh(box.state.clock())
+
+    run(body)
+
+
+def test_a_configuration_that_is_in_force_is_not_decoded_again():
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            box = await made.add_box()
+            await made.ready(box)
+            decoded = []
+            decode = box.follower.vocabulary.routing_table
+            box.follower.vocabulary.routing_table = lambda item: (
+                decoded.append(item.revision),
+                decode(item),
+            )[1]
+            box.follower.take_config(box.state.table_item, source="peer")
+            assert decoded == []
+            made.store.put("op/config", config(9))
+            await in_force([box], 9)
+            assert len(decoded) == 1
+
+    run(body)
+
+
+def test_a_value_that_the_store_does_not_give_is_not_held_against_the_relay(monkeypatch):
+    """Four relays in a row were passed over, and the store was asked four times without a pause."""
+    monkeypatch.setattr(news_messages, "MAX_TOLD_BYTES", 100)
+
+    async def body():
+        async with fleet() as made:
+            boxes = await hall_of(made)
+            version = await settle(made, boxes)
+            stop_catching_up(boxes)
+            follower = boxes[-1].follower.config
+            relay = follower._relay_id
+            asked = []
+
+            async def refuse(key):
+                asked.append(key)
+                raise StoreError(Code.STORE_UNAVAILABLE, "not now")
+
+            follower.store.item, give = refuse, follower.store.item
+            made.store.put("op/config", config(version + 1))
+            await until(lambda: len(asked) > 2)
+            assert follower._relay_id == relay and not follower.relays._passed_over_until
+            follower.store.item = give
+            await in_force(boxes, version + 1)
+
+    run(body)
--- a/tests/platform_adapter/test_stop.py
+++ b/tests/platform_adapter/test_stop.py
@@ -4,8 +4,19 @@
 import contextlib
 import json
 
+import msgspec
 import pytest
-from platform_fleet import ask, config, fleet, read_answer, read_chunks, request_bytes, run, until
+from platform_fleet import (
+    ask,
+    config,
+    fleet,
+    read_answer,
+    read_chunks,
+    request_bytes,
+    route,
+    run,
+    until,
+)
 
 from croftchute.daemon import router_process
 from croftchute.forwarding.decision_log import Decision
@@ -240,3 +251,28 @@
             writer.close()
 
     run(body)
+
+
+def test_a_stream_that_waits_for_room_is_refused_before_the_stop_ends(monkeypatch):
+    """It got no answer at all when the process ended, though no worker was ever asked to run it."""
+
+    async def body():
+        routes = [
+            route("stream", "/stream/", "streaming", "llm", MaxAttempts=1, TargetLatencyMs=60_000)
+        ]
+        async with fleet(config=config(routes=routes)) as made:
+            engine = await made.add_worker("d1", service="llm", stage="decode")
+            engine.faults.has_no_room = True
+            box = await made.add_box()
+            await made.ready(box)
+            asking = asyncio.create_task(ask(box, "/stream/x", "r1", deadline=120_000))
+            await until(lambda: any(r.path == "/hold-take" for r in engine.received))
+            box.settings = msgspec.structs.replace(
+                box.settings, stop_limit_s=router_process.STOP_MARGIN_S + 1.0
+            )
+            assert await box.stop() == 0
+            answer = await asking
+            assert answer.status == 503 and float(answer.headers["retry-after"]) > 0.0
+            assert engine.runs_of("r1") == 0
+
+    run(body)
