--- a/src/croftchute/daemon/box_process.py
+++ b/src/croftchute/daemon/box_process.py
@@ -185,6 +185,7 @@
         self.sync = StoreSync(
             store=self.store,
             is_relay=lambda: self.systems.is_relay,
+            held_revision=lambda: self.shared.revision,
             on_config=self.knowledge.config_from_store,
             on_ranges=self.knowledge.ranges_found,
             on_boxes=self.knowledge.boxes_listed,
--- a/src/croftchute/storage/etcd.py
+++ b/src/croftchute/storage/etcd.py
@@ -15,11 +15,16 @@
 import urllib3
 
 from croftchute.errors import Code, StoreError
-from croftchute.storage.store import BOXES_KEY, Entry, ListedBox
+from croftchute.storage.store import BOXES_KEY, CompactedError, Entry, ListedBox
 
 CONNECT_S = 1.0
 READ_S = 3.0
-WATCH_READ_S = 3600.0
+
+WATCH_READ_S = 60.0
+"""Seconds without a byte after which a watch is given up and begun anew from where it was: a
+connection that went silent (a dropped route, a stalled proxy) hides changes for no longer. Our own
+choice: a new watch brings nothing twice, so that one a minute for each relay costs little."""
+
 HTTP_OK = 200
 HTTP_TOO_MANY = 429
 
@@ -84,9 +89,16 @@
                 preload_content=False,
                 timeout=timeout,
             )
+        except urllib3.exceptions.HTTPError as error:
+            raise StoreError(Code.STORE_UNAVAILABLE, f"watch: {error}") from None
+        try:
             yield from _watched(key, response)
+        except urllib3.exceptions.ReadTimeoutError:
+            return
         except urllib3.exceptions.HTTPError as error:
             raise StoreError(Code.STORE_UNAVAILABLE, f"watch: {error}") from None
+        finally:
+            response.close()
 
     def boxes(self) -> list[ListedBox]:
         """The platform's list of boxes."""
@@ -125,8 +137,17 @@
         pending += chunk
         *lines, pending = pending.split(b"\n")
         for line in filter(None, lines):
-            for event in json.loads(line).get("result", {}).get("events", []):
-                yield _entry(key, event["kv"])
+            yield from _events(key, json.loads(line))
+
+
+def _events(key: str, message: Body) -> Iterator[Entry]:
+    result = message.get("result", {})
+    for event in result.get("events", []):
+        yield _entry(key, event["kv"])
+    if oldest := int(result.get("compact_revision", 0)):
+        raise CompactedError(f"watch: history begins at {oldest}", oldest=oldest)
+    if "error" in message or result.get("canceled", False):
+        raise StoreError(Code.STORE_UNAVAILABLE, "watch: ended by the store")
 
 
 def _b64(raw: bytes) -> str:
--- a/src/croftchute/storage/store.py
+++ b/src/croftchute/storage/store.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from croftchute.errors import Code, StoreError
+
 CONFIG_KEY = "croftchute/config"
 HISTORY_PREFIX = "croftchute/history/"
 RANGES_KEY = "croftchute/ranges"
@@ -33,6 +35,14 @@
     leaving: bool = False
 
 
+class CompactedError(StoreError):
+    """A watch from before what the store still knows, which begins at revision ``oldest``."""
+
+    def __init__(self, message: str, *, oldest: int) -> None:
+        super().__init__(Code.STORE_UNAVAILABLE, message)
+        self.oldest = oldest
+
+
 class Store(Protocol):
     """Calls to the service; every one may raise :class:`croftchute.errors.StoreError`."""
 
@@ -53,7 +63,10 @@
         ...
 
     def watch(self, key: str, *, after: int) -> Iterator[Entry]:
-        """Writes of a key after a revision, as they come, until the connection ends."""
+        """Writes of a key after a revision, as they come, until the connection ends.
+
+        Raises :class:`CompactedError` where the store no longer knows all of them.
+        """
         ...
 
     def boxes(self) -> list[ListedBox]:
