OpenAI daemon: one fetch at a time per box; readiness is answered beside slow readers

Change: KnowledgeFeed passes over an order while a fetch is under way (it is given again as long as peers tell of something newer), which leaves a thread for proposals. AdminApp gives the shared state to two readers at a time and answers others 503 at once; a slot is free again when the answer was sent or its reader is gone.

Ruled out: a server of its own for readiness (another port in settings and command line).

Not measured on a fleet or slow link.

--- a/src/croftchute/daemon/admin.py
+++ b/src/croftchute/daemon/admin.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterable
+import threading
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Protocol
 
 from croftchute.daemon.metrics import Metrics
@@ -17,6 +18,11 @@
 
 TEXT = "text/plain; version=0.0.4"
 
+MAX_SHARED_READERS = 2
+"""Answers of shared state under way at once: half of the admin port's threads, so that readiness is
+answered while slow peers read. A peer that is refused asks again, or another box, after 0.3 s
+(FETCH_RETRY_S of systems.box)."""
+
 
 class AdminBox(Protocol):
     """What the admin port shows of its box."""
@@ -40,6 +46,7 @@
 
     def __init__(self, *, box: AdminBox) -> None:
         self._box = box
+        self._shared_slots = threading.BoundedSemaphore(MAX_SHARED_READERS)
         self._handlers: dict[str, Callable[[StartResponse], Iterable[bytes]]] = {
             "/healthz": self._health,
             "/readyz": self._readiness,
@@ -78,9 +85,32 @@
         return reply(start_response, 200, self._box.metrics.text(), content_type=TEXT)
 
     def _shared(self, start_response: StartResponse) -> Iterable[bytes]:
-        body = dump_shared(self._box.shared)
-        headers = {TAG_HEADER: self._box.codec.sign(body)}
-        return reply(start_response, 200, body, headers=headers)
+        if not self._shared_slots.acquire(blocking=False):
+            return reply(start_response, 503, b'{"error": "busy"}')
+        answer = _SlotAnswer(slots=self._shared_slots)
+        try:
+            body = dump_shared(self._box.shared)
+            headers = {TAG_HEADER: self._box.codec.sign(body)}
+            answer.parts = reply(start_response, 200, body, headers=headers)
+        except BaseException:
+            answer.close()
+            raise
+        return answer
+
+
+class _SlotAnswer:
+    """An answer that holds one of some slots until it was sent, or its reader is gone."""
+
+    def __init__(self, *, slots: threading.BoundedSemaphore) -> None:
+        self.parts: list[bytes] = []
+        self._slots = slots
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self.parts)
+
+    def close(self) -> None:
+        """Called by the server at the end, whole or not."""
+        self._slots.release()
 
 
 def status_of(box: AdminBox) -> dict[str, Any]:
--- a/src/croftchute/daemon/knowledge_feed.py
+++ b/src/croftchute/daemon/knowledge_feed.py
@@ -51,12 +51,21 @@
     def __init__(self, *, box: KnowledgeHolder) -> None:
         self._box = box
         self._pool = urllib3.PoolManager(retries=False, maxsize=4)
+        self._fetching = threading.Lock()
 
     def fetch(self, box_id: str) -> None:
-        """Fetch what a peer knows of configuration and ranges."""
+        """Fetch what a peer knows of configuration and ranges, unless a fetch is under way.
+
+        It is ordered again as long as peers tell of something newer, so nothing is missed; a
+        second copy over the same link would only make both late.
+        """
         box = self._box.systems.membership.boxes_by_id.get(box_id)
-        if box is not None:
+        if box is None or not self._fetching.acquire(blocking=False):
+            return
+        try:
             self._fetch_from(f"http://{box.address}:{box.admin_port}")
+        finally:
+            self._fetching.release()
 
     def _fetch_from(self, url: str) -> bool:
         try:
@@ -74,7 +83,9 @@
         for peer in self._box.settings.peers:
             if self._box.stopping.is_set() or self._box.shared.revision:
                 return
-            if self._fetch_from(f"http://{peer.address}:{peer.admin_port}"):
+            with self._fetching:
+                is_found = self._fetch_from(f"http://{peer.address}:{peer.admin_port}")
+            if is_found:
                 return
 
     def propose(self, command: ProposeRanges) -> None:
