--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -198,7 +198,7 @@
                 self._note_full(belief)
         except ExchangeError as error:
             outcome = error.code.value
-            # A late one may have room once its link is less busy: it is asked again like a full one.
+            # A late one may have room once its link is less busy: asked again like a full one.
             (run.full if error.code is Code.UPSTREAM_SLOW else run.avoid).add(belief.worker.id)
             run.state.workers.note_failure(belief.worker.id, 1.0, run.now)
             self.progress.detail = error.message
