A stream's patience goes by the usual pause of its worker too

Cause: a resumable stream was moved after three of the route's good pauses (0.9 s at 0.3 s) whatever its worker's pace, so one at an engine that turns eight times slower could be moved, and its prompt read again, though its connection lives.

Change: workers' pauses between parts are learnt (a mean of some ten); ten of them are borne, up to 0.75 of what callers bear.

Ruled out: the longest of the latest pauses as the measure; prefills beside make it ten times too long.

Tests: tests/systems/test_patience.py, test_worker_table.py, and test_a_stream_at_an_engine_that_turned_slow_is_not_moved; with the multiple at 0 three fail.

--- a/src/croftchute/forwarding/part_reader.py
+++ b/src/croftchute/forwarding/part_reader.py
@@ -28,21 +28,32 @@
         self.call = call
         self.first_wait_s = first_wait_s
         self.may_go_elsewhere = may_go_elsewhere
-        self._has_begun = False
+        self._last_at: float | None = None
 
     async def next(self) -> bytes:
         """The next part, empty at the end; raises AnswerLateError or ConnectionBrokenError."""
         run = self.run
         while True:
-            time_left_s = run.time_left_s
-            wait_s = self.first_wait_s
-            if self._has_begun:
-                wait_s = patience.gap_patience(run.route, time_left_s=time_left_s)
             try:
-                part = await self.call.part(min(wait_s, time_left_s))
+                part = await self.call.part(self._wait_s())
             except AnswerLateError:
                 if run.time_left_s <= 0.0 or self.may_go_elsewhere():
                     raise
                 continue
-            self._has_begun = True
+            if part:
+                self._note_part()
             return part
+
+    def _wait_s(self) -> float:
+        run = self.run
+        if self._last_at is None:
+            return min(self.first_wait_s, run.time_left_s)
+        return patience.gap_patience(
+            run.route, time_left_s=run.time_left_s, pause_s=self.call.belief.pause_s
+        )
+
+    def _note_part(self) -> None:
+        now = self.run.now
+        if self._last_at is not None:
+            self.run.state.workers.note_pause(self.call.worker.id, now - self._last_at)
+        self._last_at = now
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -34,6 +34,23 @@
 PREFILL_FULL_TOKENS = 12_000
 """Prompt tokens in flight at which a prefill worker costs as much as a full one: three prompts."""
 
+PACE_MULTIPLE = 10.0
+"""Usual pauses of a worker after which a stream there is taken as stuck: an engine that turns eight
+times slower at once still goes on within them."""
+
+MIN_BORNE_GAP_S = 2.0
+"""Seconds of pause that callers bear at least."""
+
+BORNE_TARGETS = 4.0
+"""Targets that callers bear as a pause, where that is longer."""
+
+BORNE_GAPS = 8.0
+"""Longest good pauses that callers bear, where that is longer."""
+
+BORNE_SHARE = 0.75
+"""Share of the pause that callers bear after which a stream is moved, however slow its worker: what
+is left is for room elsewhere and the next event."""
+
 CONNECT_S = 0.25
 """Seconds for a connection: many round trips, and little of any target."""
 
@@ -126,9 +143,14 @@
     return PREFILL_RETRY_SHARE_OF_TARGET * route.target_s
 
 
-def gap_patience(route: Route, *, time_left_s: float) -> float:
-    """How long a stream that may be resumed may pause before it is moved."""
-    return min(max(MIN_GAP_S, GAP_MULTIPLE * route.target_gap_s), time_left_s)
+def gap_patience(route: Route, *, time_left_s: float, pause_s: float = 0.0) -> float:
+    """How long a stream that may be resumed may pause before it is moved.
+
+    ``pause_s`` is the usual pause at its worker, 0 if it is not known.
+    """
+    borne_s = max(MIN_BORNE_GAP_S, BORNE_TARGETS * route.target_s, BORNE_GAPS * route.target_gap_s)
+    by_pace_s = min(PACE_MULTIPLE * pause_s, BORNE_SHARE * borne_s)
+    return min(max(MIN_GAP_S, GAP_MULTIPLE * route.target_gap_s, by_pace_s), time_left_s)
 
 
 def retry_after(time_left_s: float, *, mean_wait_s: float | None, spread: float) -> float:
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -17,6 +17,9 @@
 LATENCY_WEIGHT = 0.3
 """Weight of the newest answer in a worker's usual time: some answers make it."""
 
+PAUSE_WEIGHT = 0.1
+"""Weight of the newest pause between a stream's parts in a worker's usual one: some ten make it."""
+
 FAILURE_HALF_LIFE_S = 2.0
 """Seconds in which a failure counts half: crashes and cuts last for a few."""
 
@@ -61,6 +64,7 @@
     failures: float = 0.0
     failed_at: float = 0.0
     latency_s: float = 0.0
+    pause_s: float = 0.0
     load_running: int = 0
     load_waiting: int = 0
     load_at: float = -1e9
@@ -229,6 +233,15 @@
             belief.latency_s = latency_s
         belief.latency_s += LATENCY_WEIGHT * (latency_s - belief.latency_s)
 
+    def note_pause(self, worker_id: str, pause_s: float) -> None:
+        """A part of a stream came some time after the one before it."""
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is None:
+            return
+        if belief.pause_s == 0.0:
+            belief.pause_s = pause_s
+        belief.pause_s += PAUSE_WEIGHT * (pause_s - belief.pause_s)
+
     def note_failure(self, worker_id: str, weight: float, now: float) -> float:
         """Hold a failure against a worker; returns its score afterwards."""
         belief = self.beliefs_by_id.get(worker_id)
--- a/tests/platform_adapter/test_silent_connections.py
+++ b/tests/platform_adapter/test_silent_connections.py
@@ -4,9 +4,12 @@
 import contextlib
 
 import pytest
-from platform_fleet import ask, fleet, request_bytes, run
+from platform_fleet import ask, fleet, request_bytes, run, until
 from silent_link import SilentLink
 
+USUAL_S = 0.3
+"""Usual seconds between events of a slow engine."""
+
 OLD_S = 1.0
 """Seconds by which kept connections are made older: under the time for which they are kept."""
 
@@ -127,3 +130,23 @@
                 writer.close()
 
     run(body)
+
+
+def test_a_stream_at_an_engine_that_turned_slow_is_not_moved():
+    """Its pauses are four times the usual ones of its worker; its connection lives."""
+
+    async def body():
+        async with fleet() as made:
+            options = {"service": "llm", "stage": "decode", "events": 3}
+            slow = await made.add_worker("w1", gap_s=4.0 * USUAL_S, **options)
+            box = await made.add_box()
+            await made.ready(box)
+            box.state.workers.note_pause("w1", USUAL_S)
+            asking = asyncio.create_task(ask(box, "/resume/x", "r1", deadline=8000))
+            await until(lambda: slow.runs_of("r1") == 1)
+            other = await made.add_worker("w2", **options)
+            answer = await asking
+            assert answer.is_whole and len(answer.events) == 3
+            assert not other.ran
+
+    run(body)
--- a/tests/systems/test_patience.py
+++ b/tests/systems/test_patience.py
@@ -1,5 +1,7 @@
 import random
 
+import pytest
+
 from croftchute.systems import patience
 from croftchute.tables.routing import Route, RouteKind, WeightedService
 
@@ -46,3 +48,16 @@
     long = patience.own_reading_patience(ROUTE, predicted_s=0.5, time_left_s=9.0)
     assert long == 2.0
     assert patience.own_reading_patience(ROUTE, predicted_s=0.5, time_left_s=0.7) == 0.7
+
+
+@pytest.mark.parametrize("usual_s", [0.005, 0.06, 0.15, 0.3])
+def test_an_engine_that_turns_eight_times_slower_is_not_taken_as_stuck(usual_s):
+    borne_s = 0.75 * max(2.0, 4.0 * ROUTE.target_s, 8.0 * ROUTE.target_gap_s)
+    found = patience.gap_patience(ROUTE, time_left_s=60.0, pause_s=usual_s)
+    assert found >= min(8.0 * usual_s, borne_s)
+    assert found <= max(borne_s, patience.gap_patience(ROUTE, time_left_s=60.0))
+
+
+def test_a_quick_engine_is_given_no_longer_for_its_pace():
+    known = patience.gap_patience(ROUTE, time_left_s=60.0, pause_s=0.02)
+    assert known == patience.gap_patience(ROUTE, time_left_s=60.0)
--- a/tests/systems/test_worker_table.py
+++ b/tests/systems/test_worker_table.py
@@ -1,3 +1,5 @@
+import pytest
+
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.worker_table import GONE_GRACE_S, LAPSED_GRACE_S, WorkerTable
 from croftchute.tables.routing import Stage, Worker, WorkerState
@@ -203,3 +205,14 @@
     table.upsert(worker("a", stage=Stage.DECODE), 0.0)
     assert not table.note_changing("a", Stage.DECODE, 1.0, for_s=8.0)
     assert ids(table.usable("s", 1.0, stage=Stage.DECODE)) == ["a"]
+
+
+def test_the_usual_pause_of_a_worker_is_learnt_from_its_steps():
+    table = WorkerTable()
+    table.upsert(worker("a"), 0.0)
+    table.note_pause("unknown", 1.0)
+    table.note_pause("a", 0.1)
+    assert table.beliefs_by_id["a"].pause_s == pytest.approx(0.1)
+    for _ in range(40):
+        table.note_pause("a", 0.8)
+    assert table.beliefs_by_id["a"].pause_s == pytest.approx(0.8, rel=0.05)
