Callers that read slowly are under no limit of the kernel; those that wait are noticed in 6 s

Change: none on accepted connections. Probes (3 s, then three) notice a caller that is gone while nothing is outstanding within 6 s, which 10 s of the other option had put off too. While an answer is on its way the request's deadline frees worker and memory, as before.

Ruled out: TCP_INFO's age of the last packet. Probes of a closed window are spaced ever further apart, so a living caller looks silent there too.

--- a/src/croftchute/forwarding/silence.py
+++ b/src/croftchute/forwarding/silence.py
@@ -3,9 +3,9 @@
 An open connection may carry nothing for good without a reset while new ones work. While bytes of
 ours are outstanding the kernel sends them again and gives up after ``TCP_USER_TIMEOUT``; while
 nothing is outstanding it sends keep-alive probes, and gives up once nothing has come for as long,
-at the next probe. Probes are not sent while bytes are outstanding, so both are set. Both leave
-connections alone that are merely quiet: the other end's kernel answers probes, however slow its
-program is. docs/DESIGN.md, "Silent connections", has the bounds that these times meet.
+at the next probe. Probes are not sent while bytes are outstanding, so opened connections get both.
+Probes leave connections alone that are merely quiet: the other end's kernel answers them, however
+slow its program is. docs/DESIGN.md, "Silent connections", has the bounds that these times meet.
 """
 
 from __future__ import annotations
@@ -23,9 +23,9 @@
 class SilenceLimits:
     """When a silent connection is given up.
 
-    ``idle_s`` and ``interval_s`` are whole seconds, as the kernel takes them. ``probes`` counts
-    only on systems where ``unread_ms``, the milliseconds for which the other end may leave bytes
-    unread or unanswered, does not bear on probes.
+    ``idle_s`` and ``interval_s`` are whole seconds, as the kernel takes them. ``unread_ms`` is for
+    how many milliseconds the other end may leave bytes unread or unanswered, 0 for no such limit;
+    where it is set the kernel goes by it for probes too, and by ``probes`` where it is not.
     """
 
     idle_s: int
@@ -40,6 +40,8 @@
         >>> SilenceLimits(idle_s=1, interval_s=1, probes=2, unread_ms=1500).notice_s
         2.0
         """
+        if self.unread_ms == 0:
+            return float(self.idle_s + self.probes * self.interval_s)
         after_idle_s = self.unread_ms / MS_PER_S - self.idle_s
         unanswered = max(1, math.ceil(after_idle_s / self.interval_s))
         return float(self.idle_s + unanswered * self.interval_s)
@@ -54,8 +56,8 @@
         """
         if self.notice_s <= bound_s:
             return self
-        unread_s = max(1.0, math.floor(bound_s))
-        return replace(self, idle_s=1, interval_s=1, probes=1, unread_ms=int(unread_s * MS_PER_S))
+        unread_ms = min(self.unread_ms, max(1, math.floor(bound_s)) * MS_PER_S)
+        return replace(self, idle_s=1, interval_s=1, probes=1, unread_ms=unread_ms)
 
 
 KNOWLEDGE = SilenceLimits(idle_s=1, interval_s=1, probes=2, unread_ms=1500)
@@ -66,10 +68,10 @@
 """Towards workers: given up after 3 s, once two probes were lost. One lost packet must not end a
 request that may be sent once; callers of streams bear pauses of 2 s and more."""
 
-ACCEPTED = SilenceLimits(idle_s=3, interval_s=1, probes=7, unread_ms=10_000)
-"""From callers and boxes: given up after 10 s. A caller that reads nothing looks the same to the
-kernel as one that is gone while bytes are outstanding, so this is longer than any pause that
-callers themselves bear in a stream, and shorter than most streams may last."""
+ACCEPTED = SilenceLimits(idle_s=3, interval_s=1, probes=3, unread_ms=0)
+"""From callers and boxes: given up after 6 s without a packet while nothing is outstanding. While
+an answer is on its way the request's deadline ends it: ``TCP_USER_TIMEOUT`` also ends a connection
+whose other end lives and reads too slowly to open its window."""
 
 
 def watch_for_silence(raw: socket.socket | None, limits: SilenceLimits) -> None:
--- a/tests/platform_adapter/test_silent_connections.py
+++ b/tests/platform_adapter/test_silent_connections.py
@@ -150,3 +150,22 @@
             assert not other.ran
 
     run(body)
+
+
+def test_a_caller_that_takes_nothing_of_its_answer_frees_the_worker_at_its_deadline():
+    """To the box it looks the same as one whose connection went silent while it is answered."""
+
+    async def body():
+        async with fleet() as made:
+            options = {"service": "llm", "stage": "decode", "events": 1_000_000}
+            worker = await made.add_worker("w1", **options)
+            async with linked(made, "w1") as link:
+                box = await box_before_one_worker(made, link, service="llm")
+                _, writer = await asyncio.open_connection("127.0.0.1", box.ingress.port, limit=1)
+                writer.write(request_bytes("/stream/x", "r1", deadline=600))
+                await until(lambda: worker.runs_of("r1") == 1)
+                await until(lambda: box.ingress.open_requests == 0)
+                assert box.state.workers.beliefs_by_id["w1"].in_flight == 0
+                writer.transport.abort()
+
+    run(body)
