--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -232,10 +232,16 @@
             self._tokens += run.facts.output_tokens
         self._is_counted = False
 
-    @property
-    def _may_repeat(self) -> bool:
-        """Whether the same may be sent again if nothing is heard of it."""
-        return self.send.is_prefill or self.run.route.may_repeat
+    def _max_idle_s(self) -> float:
+        """How long a kept connection may have been idle that this sending takes.
+
+        One that went silent would cost a request that may be sent once; but a worker that is full
+        resets new connections, and that costs it as well, where a kept one brings a rejection.
+        """
+        may_repeat = self.send.is_prefill or self.run.route.may_repeat
+        if may_repeat or self.belief.has_rejected_lately(self.run.now):
+            return math.inf
+        return patience.ONCE_IDLE_S
 
     async def open(self) -> None:
         """Connect and send; raises :class:`ConnectFailedError` if nothing went out."""
@@ -250,7 +256,7 @@
             owner=worker.id,
             now=run.now,
             timeout_s=min(patience.CONNECT_S, run.time_left_s),
-            max_idle_s=math.inf if self._may_repeat else patience.ONCE_IDLE_S,
+            max_idle_s=self._max_idle_s(),
         )
         self.connection = connection
         data = run.state.workers_speak.encode(run.facts, self.send)
@@ -319,6 +325,7 @@
         """The worker did not run the request, or another one answered in its place."""
         self.run.avoid.add(self.worker.id)
         weight = WEIGHT_REJECTED
+        self.run.state.workers.note_rejected(self.worker.id, self.run.now)
         if verdict is Verdict.WRONG_WORKER:
             # Peers hear of the weight: each would lose a prompt there before it knows.
             weight = WEIGHT_DISPLACED
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -20,6 +20,10 @@
 PAUSE_WEIGHT = 0.1
 """Weight of the newest pause between a stream's parts in a worker's usual one: some ten make it."""
 
+REJECTED_LATELY_S = 3.0
+"""Seconds after a rejection for which a worker counts as full: then it resets new connections too.
+On a logged day of overload this told 81 of 83 such resets beforehand (docs/EXPERIMENTS.md)."""
+
 FAILURE_HALF_LIFE_S = 2.0
 """Seconds in which a failure counts half: crashes and cuts last for a few."""
 
@@ -65,6 +69,7 @@
     failed_at: float = 0.0
     latency_s: float = 0.0
     pause_s: float = 0.0
+    rejected_at: float = -1e9
     load_running: int = 0
     load_waiting: int = 0
     load_at: float = -1e9
@@ -77,6 +82,10 @@
     changing_until: float = 0.0
     queue: PrefillQueue = field(default_factory=PrefillQueue)
 
+    def has_rejected_lately(self, now: float) -> bool:
+        """Whether it seems full."""
+        return now - self.rejected_at < REJECTED_LATELY_S
+
     def failure_score(self, now: float) -> float:
         """Recent failures, each counting half as much after every half-life."""
         age = max(0.0, now - self.failed_at)
@@ -242,6 +251,12 @@
             belief.pause_s = pause_s
         belief.pause_s += PAUSE_WEIGHT * (pause_s - belief.pause_s)
 
+    def note_rejected(self, worker_id: str, now: float) -> None:
+        """A worker said that it did not run a request: it is full, or leaving."""
+        belief = self.beliefs_by_id.get(worker_id)
+        if belief is not None:
+            belief.rejected_at = now
+
     def note_failure(self, worker_id: str, weight: float, now: float) -> float:
         """Hold a failure against a worker; returns its score afterwards."""
         belief = self.beliefs_by_id.get(worker_id)
--- a/tests/platform_adapter/test_silent_connections.py
+++ b/tests/platform_adapter/test_silent_connections.py
@@ -7,6 +7,8 @@
 from platform_fleet import ask, fleet, request_bytes, run, until
 from silent_link import SilentLink
 
+from croftchute.systems.worker_table import REJECTED_LATELY_S
+
 USUAL_S = 0.3
 """Usual seconds between events of a slow engine."""
 
@@ -75,6 +77,40 @@
     run(body)
 
 
+def test_a_worker_that_seems_full_gets_requests_on_the_connections_that_there_are():
+    """A full worker resets new connections, and a request that may be sent once is lost so."""
+
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            async with linked(made, "w1") as link:
+                box = await box_before_one_worker(made, link)
+                assert (await ask(box, "/once/x", "r1")).status == 200
+                age_kept(box, OLD_S)
+                box.state.workers.note_rejected("w1", box.state.clock())
+                assert (await ask(box, "/once/x", "r2")).status == 200
+                assert link.opened == 1
+
+    run(body)
+
+
+def test_a_rejection_by_a_worker_is_remembered_for_some_seconds():
+    async def body():
+        async with fleet() as made:
+            worker = await made.add_worker("w1")
+            box = await made.add_box()
+            await made.ready(box)
+            belief = box.state.workers.beliefs_by_id["w1"]
+            assert not belief.has_rejected_lately(box.state.clock())
+            worker.faults.is_full = True
+            assert (await ask(box, "/once/x", "r1")).status == 503
+            now = box.state.clock()
+            assert belief.has_rejected_lately(now)
+            assert not belief.has_rejected_lately(now + REJECTED_LATELY_S)
+
+    run(body)
+
+
 def test_a_connection_that_has_just_answered_is_used_again_for_any_request():
     async def body():
         async with fleet() as made:
