--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -239,7 +239,7 @@
                 yield _broken("a stop cuts off nothing", attempt, detail)
 
     def _in_touch(self, box: str, at: float, for_s: float = 0.0) -> bool:
-        """Whether box and store were in touch for ``CONTACT_S`` before, or for longer."""
+        """Whether box and store were undisturbed for ``CONTACT_S`` before, or for longer."""
         return self.disturbances.are_calm((box, STORE), at - max(CONTACT_S, for_s), at)
 
 
--- a/tests/platform_adapter/test_long_configurations.py
+++ b/tests/platform_adapter/test_long_configurations.py
@@ -33,6 +33,17 @@
     return config(version, routes=routes)
 
 
+def transfer_sizes(box):
+    """A list to which the size of each answer from the store or a peer is added."""
+    sizes = []
+    observe = box.state.metrics.observe_transfer
+    box.state.metrics.observe_transfer = lambda transfer: (
+        sizes.append(transfer.size),
+        observe(transfer),
+    )
+    return sizes
+
+
 def encoded_length(version):
     """The length in bytes of a configuration as the store sends it."""
     return len(base64.b64encode(msgspec.json.encode(long_config(version))))
@@ -104,12 +115,7 @@
             link = await slow_link(made.store.ingress.port)
             box = await made.add_box(store_port=link.port)
             await made.ready(box)
-            sizes = []
-            observe = box.state.metrics.observe_transfer
-            box.state.metrics.observe_transfer = lambda transfer: (
-                sizes.append(transfer.size),
-                observe(transfer),
-            )
+            sizes = transfer_sizes(box)
             link.set_fault(LinkFault.DELAYED, delay_s=PEER_PIECE_DELAY_S)
             made.store.put("op/config", long_config(9))
             await until(lambda: box.follower.config._coming_since is not None)
@@ -140,12 +146,7 @@
             newest = 9 + STORM
             for version in range(10, newest + 1):
                 made.store.put("op/config", long_config(version))
-            sizes = []
-            observe = box.state.metrics.observe_transfer
-            box.state.metrics.observe_transfer = lambda transfer: (
-                sizes.append(transfer.size),
-                observe(transfer),
-            )
+            sizes = transfer_sizes(box)
             link.set_fault(LinkFault.NONE)
             await until(lambda: box.state.table.version == newest)
             assert sum(sizes) < 2 * encoded_length(newest)
