A watch that a silent store swallowed is made anew within 2.8 s

Cause: a watch of the configuration waited 10 s and 1.5 s more for its head. Sent while the store is silent it is never answered, also once the store is back, and hung for 11.5 s. Ruled out: probes of the connection (the store's side answers them); making watches anew after trouble is noticed elsewhere (all calls may hang alike). Change: the watch waits 2 s, its head has 0.8 s more.

--- a/src/croftchute/forwarding/prefix_follower.py
+++ b/src/croftchute/forwarding/prefix_follower.py
@@ -23,11 +23,13 @@
 from croftchute.systems.hall_relays import HallRelays
 from croftchute.tables.peers import Peer
 
-WATCH_WAIT_S = 10.0
-"""Seconds that a watch waits for a change: few calls, and a third of the longest allowed."""
+WATCH_WAIT_S = 2.0
+"""Seconds that a watch waits for a change. One that a silent store swallowed is made anew within
+this and ``WATCH_MARGIN_S``, also once the store is back: less than the 3 s after trouble in which a
+box must be up to date again. With 10 s it hung for up to 11.5 s (findings 10 and 60)."""
 
-RELAY_WAIT_S = 3.0
-"""The same of a box that others follow: a silent store is noticed some time after."""
+WATCH_MARGIN_S = 0.8
+"""Seconds for the head of a watch's answer beside the waiting: two hundred times the usual."""
 
 FRESH_MARGIN_S = 1.5
 """Seconds beside the waiting after which the store must have answered a relay."""
@@ -179,7 +181,11 @@
     async def _watch(self, after: int) -> None:
         self._coming_since = None
         changes = await self.store.changes(
-            self.prefix, after=after, wait_s=self._wait_s(), on_progress=self._note_part
+            self.prefix,
+            after=after,
+            wait_s=WATCH_WAIT_S,
+            margin_s=WATCH_MARGIN_S,
+            on_progress=self._note_part,
         )
         self._may_be_behind = self.has_one_key and self._was_slow()
         self._take(changes, after)
@@ -211,13 +217,9 @@
         since = self._coming_since
         return since is not None and self.state.clock() - since > SLOW_TRANSFER_S
 
-    def _wait_s(self) -> float:
-        is_asked = self.relays.is_asked(self.state.clock())
-        return RELAY_WAIT_S if is_asked else WATCH_WAIT_S
-
     def _note_fresh(self) -> None:
         if not self.state.is_stopping:
-            self.log.note_reading(self.state.clock() + self._wait_s() + FRESH_MARGIN_S)
+            self.log.note_reading(self.state.clock() + WATCH_WAIT_S + FRESH_MARGIN_S)
 
     async def _ask_relay(self, relay: Peer) -> None:
         self.log.note_lost()
--- a/src/croftchute/storage/watched.py
+++ b/src/croftchute/storage/watched.py
@@ -61,11 +61,18 @@
         ...
 
     async def changes(
-        self, prefix: str, *, after: int, wait_s: float, on_progress: Callable[[], None]
+        self,
+        prefix: str,
+        *,
+        after: int,
+        wait_s: float,
+        margin_s: float,
+        on_progress: Callable[[], None],
     ) -> Changes:
         """What has changed since a revision; waits for a change for some time.
 
-        ``on_progress`` is called whenever a part of a long answer has come.
+        An answer must begin within ``margin_s`` beside that. ``on_progress`` is called whenever a
+        part of a long answer has come.
         """
         ...
 
--- a/tests/platform_adapter/test_store_and_peers.py
+++ b/tests/platform_adapter/test_store_and_peers.py
@@ -6,6 +6,7 @@
 from platform_fleet import ask, config, fleet, run, until
 
 from croftchute.forwarding.peer_exchange import MAX_GREETINGS
+from croftchute.forwarding.prefix_follower import WATCH_MARGIN_S, WATCH_WAIT_S
 from croftchute.peers.messages import BoxNotice
 from croftchute.tables.routing import Stage, WorkerState
 
@@ -73,6 +74,30 @@
     run(body)
 
 
+def test_a_watch_that_a_silent_store_swallowed_is_made_anew_soon_after_it_is_back():
+    """It hung for up to 11.5 s, while new versions were written and none was heard of."""
+    up_to_date_again_s = 3.0
+    assert up_to_date_again_s > WATCH_WAIT_S + WATCH_MARGIN_S
+
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            box = await made.add_box()
+            await made.ready(box)
+            made.store.faults.is_silent = True
+            made.store.put("op/config", config(9))
+            await until(lambda: box.state.table.version == 9)
+            made.store.calls.clear()
+            await until(lambda: "kv-watch" in made.store.calls)
+            made.store.faults.is_silent = False
+            made.store.put("op/config", config(10))
+            made.store.calls.clear()
+            await until(lambda: box.state.table.version == 10)
+            assert made.store.calls.count("kv-watch") <= 4
+
+    run(body)
+
+
 def test_a_listing_of_many_pages_is_read_whole():
     async def body():
         async with fleet() as made:
