Keys of organisations are checked at the box; workers see the name alone

Cause: nothing in the forwarding path knew of organisations; every key was served, a caller's own tenant header and its key went on to workers. Now the configuration's organisations are typed entries (tables/organisations.py); a request without one sound key of an organisation is answered 401 at once on routes that don't take anyone, and workers get the organisation's name, set here, in place of key and header. The organisation's priority goes before the route's.

--- a/src/croftchute/errors.py
+++ b/src/croftchute/errors.py
@@ -34,6 +34,7 @@
     TARGET_UNREACHABLE = "target_unreachable"
     DEADLINE_PASSED = "deadline_passed"
     OVER_SHARE = "over_share"
+    OVER_LIMIT = "over_limit"
     POLICY_REFUSED = "policy_refused"
     DRAINING = "draining"
     NOT_OWNER = "not_owner"
@@ -69,6 +70,7 @@
     Code.KEY_REQUIRED: 400,
     Code.KEY_INVALID: 400,
     Code.OVER_SHARE: 429,
+    Code.OVER_LIMIT: 429,
     Code.NO_CAPACITY: 429,
     Code.TARGET_UNREACHABLE: 429,
     Code.POLICY_REFUSED: 403,
--- a/src/croftchute/forwarding/forwarder.py
+++ b/src/croftchute/forwarding/forwarder.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from croftchute.errors import Code, Ran, RequestError
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Refusal
@@ -11,7 +13,8 @@
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.stream_run import run_stream
 from croftchute.systems.worker_choice import pick_service
-from croftchute.tables.routing import RouteKind
+from croftchute.tables.organisations import KeyClaim, KeyState
+from croftchute.tables.routing import RequestFacts, Route, RouteKind
 
 NO_CONFIG_RETRY_AFTER_S = 0.5
 
@@ -36,6 +39,14 @@
     }
 
 
+def may_be_anonymous(key: KeyClaim, route: Route) -> bool:
+    """Whether a request that no organisation's key vouches for may be served all the same.
+
+    A key that was given and is not known is refused on every route.
+    """
+    return route.allows_anonymous and key.state is KeyState.ABSENT
+
+
 class Forwarder:
     """Serves one exchange after the other, many at a time."""
 
@@ -73,10 +84,19 @@
             refusal = Refusal(code=Code.PATH_UNKNOWN, ran=Ran.NOT_RUN, detail=detail)
             self._refuse(exchange, facts.id, refusal)
             return
+        organisation = None
+        if table.organisations is not None:
+            organisation = table.organisations.holder(facts.key)
+            if organisation is None and not may_be_anonymous(facts.key, route):
+                self._refuse_key(exchange, facts)
+                return
+        if organisation is not None:
+            facts = replace(facts, organisation=organisation.name)
         run = RequestRun(
             state=state,
             exchange=exchange,
             facts=facts,
+            organisation=organisation,
             route=route,
             service=pick_service(route, state.rng),
             started_at=started_at,
@@ -87,6 +107,12 @@
         else:
             await run_plain(run)
 
+    def _refuse_key(self, exchange: Exchange, facts: RequestFacts) -> None:
+        shown = f" {facts.key.fingerprint}" if facts.key.fingerprint else ""
+        detail = f"key{shown}: {facts.key.state.value}, held by no organisation"
+        refusal = Refusal(code=Code.CALLER_UNKNOWN, ran=Ran.NOT_RUN, detail=detail)
+        self._refuse(exchange, facts.id, refusal)
+
     async def turn_away(self, exchange: Exchange) -> None:
         """Refuse a request that came when this process, which stops, takes none any more."""
         state = self.state
--- a/src/croftchute/forwarding/plain_run.py
+++ b/src/croftchute/forwarding/plain_run.py
@@ -54,7 +54,7 @@
 async def _attempt(
     run: RequestRun, belief: WorkerBelief, chosen: ChoiceInput, progress: Progress
 ) -> WholeAnswer | None:
-    send = Send(worker=belief.worker, time_left_s=run.time_left_s, priority=run.route.priority)
+    send = Send(worker=belief.worker, time_left_s=run.time_left_s, priority=run.priority)
     call = WorkerCall(run=run, belief=belief, send=send, chosen=chosen)
     try:
         await call.open()
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -15,6 +15,7 @@
 from croftchute.systems import patience
 from croftchute.systems.worker_choice import ChoiceInput, Surroundings, choose, describe
 from croftchute.systems.worker_table import WorkerBelief
+from croftchute.tables.organisations import Organisation
 from croftchute.tables.routing import EngineTraits, RequestFacts, Route, Stage
 
 MAX_CONNECT_TRIES = 4
@@ -57,8 +58,10 @@
         route: Route,
         service: str,
         started_at: float,
+        organisation: Organisation | None = None,
     ) -> None:
         self.state = state
+        self.organisation = organisation
         self.exchange = exchange
         self.facts = facts
         self.route = route
@@ -88,6 +91,13 @@
         service = table.services_by_name.get(self.service) if table is not None else None
         return service.engine if service is not None else None
 
+    @property
+    def priority(self) -> int:
+        """The request's rank, 0 first: its organisation's if that has one, else its route's."""
+        if self.organisation is not None and self.organisation.priority is not None:
+            return self.organisation.priority
+        return self.route.priority
+
     @property
     def time_left_s(self) -> float:
         """How long the caller still waits."""
@@ -169,6 +179,7 @@
             Decision.REQUEST_ANSWERED,
             outcome=outcome,
             route=self.route.name,
+            organisation=self.facts.organisation,
             worker=worker,
             first_byte_ms=round((first - self.started_at) * 1000, 1),
             target_ms=round(self.route.target_s * 1000),
@@ -198,6 +209,7 @@
             ran=ran.value,
             detail=detail,
             route=self.route.name,
+            organisation=self.facts.organisation,
             worker=self.last_worker,
             time_left_ms=round(self.time_left_s * 1000),
             retry_after_s=retry_after_s,
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -237,7 +237,7 @@
         send = Send(
             worker=belief.worker,
             time_left_s=run.time_left_s,
-            priority=run.route.priority,
+            priority=run.priority,
             source=source,
             hold=self.unused_hold,
             resume_after=progress.last_event,
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from croftchute.tables.organisations import NO_KEY, KeyClaim, Organisations
+
 
 class RouteKind(StrEnum):
     """What may be done with the requests of a route."""
@@ -52,6 +54,7 @@
     priority: int = 5
     is_resumable: bool = False
     target_gap_s: float = 0.0
+    allows_anonymous: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -96,12 +99,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoutingTable:
-    """One version of the routes, services and limits; replaced whole."""
+    """One version of the routes, services, limits and organisations; replaced whole.
+
+    ``organisations`` is None if the configuration has none: then no request needs a key.
+    """
 
     version: int
     routes_by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     services_by_name: dict[str, Service] = field(default_factory=dict)
     limits: IngressLimits = field(default_factory=IngressLimits)
+    organisations: Organisations | None = None
 
     def match(self, host: str, path: str) -> Route | None:
         """The route of the host with the longest prefix that begins the path.
@@ -155,7 +162,9 @@
 
     ``headers`` are those to hand on: without those that concern one connection only and
     without those that the router sets itself. ``time_left_s`` is None if the caller names
-    no deadline; ``resume_after`` is the last event that the caller already has.
+    no deadline; ``resume_after`` is the last event that the caller already has. ``organisation``
+    is what the router found by the key, empty if the request needs none; ``named_tokens`` is None
+    if the caller names no tokens.
     """
 
     id: str
@@ -172,6 +181,9 @@
     output_tokens: int = 0
     expected_output: int | None = None
     prompt_parts: tuple[str, ...] = ()
+    key: KeyClaim = NO_KEY
+    organisation: str = ""
+    named_tokens: int | None = None
 
     @property
     def own_part(self) -> str:
--- a/tests/platform_adapter/platform_fleet.py
+++ b/tests/platform_adapter/platform_fleet.py
@@ -39,7 +39,15 @@
     } | changes
 
 
-def config(version=7, *, routes=None, limits=None):
+def organisation(name, *keys, **changes):
+    return {"Name": name, "ApiKeys": list(keys), "Unit": "token_stream"} | changes
+
+
+def bearer(key):
+    return f"Authorization: Bearer {key}"
+
+
+def config(version=7, *, routes=None, limits=None, organisations=()):
     """The configuration of the tests: every kind of route, an engine service, a plain one."""
     return {
         "Version": version,
@@ -61,7 +69,7 @@
             "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000,
         },
-    }
+    } | ({"Tenants": list(organisations)} if organisations else {})
 
 
 @dataclass
