A box that was held up itself suspects nobody before it has read what came meanwhile

Ruled out: boxes that had died (they answered later). Now a look that comes late starts the time anew for all.

--- a/src/croftchute/systems/membership.py
+++ b/src/croftchute/systems/membership.py
@@ -9,6 +9,10 @@
 from croftchute.tables.boxes import Box, BoxState
 from croftchute.timeline.events import Event, Kind
 
+PAUSE_SHARE = 0.25
+"""Share of the time to suspicion that may lie between two looks: after more than that this box was
+itself held up, and heartbeats that came meanwhile may not have been read yet."""
+
 
 class Membership:
     """The boxes this one knows of. A box counts as live while its heartbeats keep coming."""
@@ -17,6 +21,8 @@
         self.own = own
         self.suspect_after_s = suspect_after_s
         self.boxes_by_id: dict[str, Box] = {}
+        self._looked_at: float | None = None
+        self._resumed_at = 0.0
 
     def __repr__(self) -> str:
         return f"Membership(own={self.own.id!r}, live={self.live_ids()!r})"
@@ -51,14 +57,22 @@
 
     def expire(self, now: float) -> list[str]:
         """Suspect the boxes that have fallen silent for too long; returns which."""
+        self._note_look(now)
         suspected = []
         for box in list(self.boxes_by_id.values()):
-            silent = now - box.heard_at > self.suspect_after_s
+            heard_at = max(box.heard_at, self._resumed_at)
+            silent = now - heard_at > self.suspect_after_s
             if silent and box.state in (BoxState.LIVE, BoxState.LEAVING):
                 self.boxes_by_id[box.id] = replace(box, state=BoxState.SUSPECT)
                 suspected.append(box.id)
         return suspected
 
+    def _note_look(self, now: float) -> None:
+        """After a pause of this box others get the whole time anew."""
+        looked_at, self._looked_at = self._looked_at, now
+        if looked_at is not None and now - looked_at > PAUSE_SHARE * self.suspect_after_s:
+            self._resumed_at = now
+
     def is_live(self, box_id: str) -> bool:
         """Whether a box is this one or has been heard lately."""
         if box_id == self.own.id:
--- /dev/null
+++ b/tests/systems/test_membership.py
@@ -0,0 +1,58 @@
+"""Which boxes count as live, also after this box itself was held up."""
+
+from croftchute.peers.messages import Heartbeat
+from croftchute.systems.membership import Membership
+from croftchute.tables.boxes import Box
+
+SUSPECT_AFTER_S = 1.0
+
+
+def make_membership():
+    own = Box(id="own", hall="a", address="127.0.0.1", peer_port=1, admin_port=2)
+    membership = Membership(own=own, suspect_after_s=SUSPECT_AFTER_S)
+    beat(membership, 0.0)
+    return membership
+
+
+def beat(membership, now, sender="other"):
+    heartbeat = Heartbeat(
+        incarnation=1,
+        revision=1,
+        map_version=1,
+        leaving=False,
+        hall="a",
+        address="127.0.0.1",
+        peer_port=3,
+        admin_port=4,
+    )
+    membership.hear(sender, heartbeat, now)
+
+
+def look_until(membership, begin, end, step=0.1):
+    found = []
+    for n in range(int((end - begin) / step) + 1):
+        found += [(begin + n * step, box) for box in membership.expire(begin + n * step)]
+    return found
+
+
+def test_a_silent_box_is_suspected_after_its_time():
+    membership = make_membership()
+    ((when, box),) = look_until(membership, 0.0, 3.0)
+    assert box == "other"
+    assert SUSPECT_AFTER_S < when < SUSPECT_AFTER_S + 0.2
+
+
+def test_a_box_that_was_held_up_itself_suspects_nobody_at_once():
+    """Streams were cancelled for entry boxes that were alive, on a machine at its limit."""
+    membership = make_membership()
+    membership.expire(0.1)
+    assert membership.expire(2.6) == []
+    beat(membership, 2.7)
+    assert look_until(membership, 2.7, 3.5) == []
+
+
+def test_a_box_that_died_meanwhile_is_suspected_in_the_whole_time_after_a_pause():
+    membership = make_membership()
+    membership.expire(0.1)
+    ((when, _),) = look_until(membership, 2.6, 6.0)
+    assert 2.6 + SUSPECT_AFTER_S < when < 2.8 + SUSPECT_AFTER_S
