--- a/tests/systems/test_size_lanes.py
+++ b/tests/systems/test_size_lanes.py
@@ -82,13 +82,16 @@
     assert lane_all > 0.8 * blind_all
 
 
-@pytest.mark.parametrize("seed", [1, 2, 3])
-def test_where_there_is_room_for_most_lanes_cost_next_to_nothing(seed):
-    rate = 16.0
-    blind_large, blind_all = served_shares(random.Random(seed), rate, has_lanes=False)
-    lane_large, lane_all = served_shares(random.Random(seed), rate, has_lanes=True)
-    assert lane_large > blind_large - 0.05
-    assert lane_all > blind_all - 0.02
+def test_where_there_is_room_for_most_lanes_cost_next_to_nothing():
+    """By the mean of six seeds: single ones differ by up to 0.09 either way."""
+    seeds = range(1, 7)
+    blind = [served_shares(random.Random(seed), 16.0, has_lanes=False) for seed in seeds]
+    lanes = [served_shares(random.Random(seed), 16.0, has_lanes=True) for seed in seeds]
+    lost_large, lost_all = (
+        sum(b[n] - w[n] for b, w in zip(blind, lanes, strict=True)) / len(blind) for n in (0, 1)
+    )
+    assert lost_large < 0.03
+    assert lost_all < 0.01
 
 
 def test_without_large_requests_there_is_no_lane():
