--- a/src/croftchute/account/log_lines.py
+++ b/src/croftchute/account/log_lines.py
@@ -34,6 +34,7 @@
     id: str
     began_at: float
     route: str = ""
+    organisation: str = ""
     tokens: int = 0
     fate: Fate = Fate.OPEN
     cause: str = ""
@@ -84,6 +85,7 @@
     event = line["event"]
     outcome = str(line.get("outcome", ""))
     story.route = line.get("route") or story.route
+    story.organisation = line.get("organisation") or story.organisation
     if event == Decision.HOLD_ASKED:
         story.tokens = int(line.get("tokens", 0))
         story.count(f"room {outcome}")
@@ -104,6 +106,7 @@
         Decision.READ_AT_DECODE,
         Decision.WAIT_ENDED,
         Decision.REPEAT_DENIED,
+        Decision.LIMIT_DENIED,
     }
 )
 
--- a/src/croftchute/account/tables.py
+++ b/src/croftchute/account/tables.py
@@ -63,6 +63,7 @@
     begun_at = min((story.began_at for story in stories), default=0.0)
     return [
         _fates("Requests by route", stories, lambda s: s.route or "route not logged"),
+        _fates("Requests by organisation", stories, lambda s: s.organisation or "none"),
         _fates("Streams by size", _streams(stories), lambda s: size_group(s.tokens)),
         _fates("Requests by second", stories, lambda s: f"{int(s.began_at - begun_at):4d}"),
         _ends("Refused or broken off, by cause", stories),
--- a/tests/account/test_account.py
+++ b/tests/account/test_account.py
@@ -25,7 +25,15 @@
         target_ms=900.0,
     ),
     line("hold_asked", "r2", second=2.0, outcome="no_room", tokens=47_000),
-    line("request_refused", "r2", second=2.4, elapsed_ms=400.0, outcome="no_capacity", route="s"),
+    line(
+        "request_refused",
+        "r2",
+        second=2.4,
+        elapsed_ms=400.0,
+        outcome="no_capacity",
+        route="s",
+        organisation="crew",
+    ),
     line(
         "request_answered",
         "r3",
@@ -35,7 +43,14 @@
         first_byte_ms=20.0,
         target_ms=120.0,
     ),
-    line("request_answered", "r4", second=3.0, outcome="status_500", route="status"),
+    line(
+        "request_answered",
+        "r4",
+        second=3.0,
+        outcome="status_500",
+        route="status",
+        organisation="crew",
+    ),
     line("request_sent", "r5", second=3.0),
     "not a line of the log",
     '{"half": ',
@@ -57,7 +72,11 @@
 
 def test_the_tables_add_up_and_name_causes():
     found = list(stories(parse_lines(LOG)).values())
-    by_route, by_size, by_second, causes, steps = account(found)
+    by_route, by_organisation, by_size, by_second, causes, steps = account(found)
+    assert [(row[0], row[-1]) for row in by_organisation.rows] == [
+        ("crew", "0.000"),
+        ("none", "0.333"),
+    ]
     assert sum(int(cell) for row in by_route.rows for cell in row[1:-1]) == len(found)
     assert [row[0] for row in by_size.rows] == ["10-20k", "45k and more"]
     assert len(by_second.rows) == 3
