Callers that can still be served in time go first, where room is short

Users value a late answer a fifth of one in time, counted from the first try; room went from the one to the other. How long ago a caller first tried is learnt from the time that first tries of its route have left, since the route's own time may be longer than callers wait. ways.returns = returned_first stands. Ruled out: judging by the route's time alone (wrong for all as soon as an operator raises it).

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -80,7 +80,7 @@
         rng=random.Random(random.SystemRandom().getrandbits(64)),
         default_boxes=settings.boxes,
         peers=peer_table(settings),
-        room_way=settings.ways.room,
+        ways=settings.ways,
         started_at=clock(),
         workers=WorkerTable(lapsed_grace_s=lapsed_grace_s(settings)),
     )
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -72,6 +72,7 @@
         if facts.time_left_s is not None:
             limit = min(limit, facts.time_left_s)
         self.deadline_at = started_at + limit
+        self.before_s = state.first_tries.time_before(route.name, facts.time_left_s, started_at)
         self.arrivals = 0
         self.workers_sent_to: set[str] = set()
         self.avoid: set[str] = set()
@@ -136,7 +137,7 @@
     def _within_lane(self, candidates: list[WorkerBelief]) -> list[WorkerBelief]:
         """The decode workers that requests of this size may have."""
         engine = self.engine
-        if engine is None or self.state.room_way is RoomWay.BLIND:
+        if engine is None or self.state.ways.room is RoomWay.BLIND:
             return candidates
         return by_lane(
             candidates,
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -15,12 +15,14 @@
 from croftchute.forwarding.silence import KNOWLEDGE, SilenceLimits
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.forwarding.transfer import Transfer
+from croftchute.router_settings import DecisionWays
 from croftchute.storage.watched import StoredItem
+from croftchute.systems.first_tries import FirstTries
 from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.prefill_pace import PrefillPace, fit_pace
 from croftchute.systems.retry_budget import RetryLimits, RetryWindow
 from croftchute.systems.room_forecast import RoomHistory
-from croftchute.systems.size_lanes import RoomWay, lane_share
+from croftchute.systems.size_lanes import lane_share
 from croftchute.systems.stage_balance import DemandCounts, StageDemand
 from croftchute.systems.worker_table import WorkerBelief, WorkerTable
 from croftchute.tables.routing import IngressLimits, RoutingTable, Stage
@@ -81,7 +83,8 @@
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
     demand_by_service: dict[str, StageDemand] = field(default_factory=dict)
     room_by_service: dict[str, RoomHistory] = field(default_factory=dict)
-    room_way: RoomWay = RoomWay.LANES
+    ways: DecisionWays = DecisionWays()
+    first_tries: FirstTries = field(default_factory=FirstTries)
     stop_began_at: float | None = None
     stop_ends_at: float = math.inf
     _lane_by_service: dict[str, _KnownLane] = field(default_factory=dict)
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -18,6 +18,7 @@
 from croftchute.forwarding.request_run import RequestRun, WorkerCall
 from croftchute.forwarding.worker_control import drop_hold, take_hold
 from croftchute.systems import patience
+from croftchute.systems.patience import ReturnWay
 from croftchute.systems.prefill_queue import ReadingTimes
 from croftchute.systems.room_forecast import RoomWait
 from croftchute.systems.worker_choice import ChoiceInput
@@ -110,7 +111,9 @@
         """A decode worker that keeps room for the request, waiting for a while if all are full."""
         run = self.run
         is_begun = run.exchange.is_started
-        pause_s = patience.room_poll(run.route, time_left_s=run.time_left_s, is_begun=is_begun)
+        pause_s = patience.room_poll(
+            run.route, run.state.ways.returns, before_s=run.before_s, is_begun=is_begun
+        )
         asked_at = run.now
         has_waited = False
         while True:
@@ -141,6 +144,7 @@
             elapsed_s=run.now - run.started_at,
             time_left_s=run.time_left_s,
             reading_s=pace.reading_s(run.facts.prompt_tokens),
+            before_s=run.before_s if run.state.ways.returns is ReturnWay.IN_TIME_FIRST else 0.0,
         )
         if wait.is_worthwhile(run.route, mean_wait_s=mean_wait_s):
             return True
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from croftchute.errors import Code, DocumentError, Fault
+from croftchute.systems.patience import ReturnWay
 from croftchute.systems.size_lanes import RoomWay
 from croftchute.tables.organisations import LimitWay
 
@@ -60,6 +61,7 @@
 
     limits: LimitWay = LimitWay.POOLED
     room: RoomWay = RoomWay.LANES
+    returns: ReturnWay = ReturnWay.IN_TIME_FIRST
 
 
 class RouterSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -2,8 +2,18 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 from croftchute.tables.routing import Route
 
+
+class ReturnWay(StrEnum):
+    """Who goes first where room is short: callers who came back, or those still in time."""
+
+    RETURNED_FIRST = "returned_first"
+    IN_TIME_FIRST = "in_time_first"
+
+
 REPEAT_SHARE_OF_TARGET = 0.6
 """Share of the target after which a repeatable call goes to another worker: two usual tries
 then fit into the target."""
@@ -89,6 +99,12 @@
 RETURN_ROOM_POLL_S = 0.04
 """The same of a caller who came back, or a stream that was cut: they go first."""
 
+FRESH_ROOM_POLL_S = 0.05
+"""The same of a request that can still be served in time, where these go first."""
+
+LATE_ROOM_POLL_S = 0.2
+"""The same of one that is late already: it takes room that nobody in time asked for."""
+
 HOLD_OUTPUT_MARGIN = 0.9
 """Share of the likely output that a hold covers (trials in docs/DESIGN.md)."""
 
@@ -185,16 +201,18 @@
     return round(max(MIN_RETRY_AFTER_S, wait_s * (1.0 + RETURN_SPREAD * spread)), 3)
 
 
-def has_come_back(route: Route, *, time_left_s: float) -> bool:
-    """Whether so much of the route's time is gone that the caller must have tried before."""
-    return time_left_s < RETURN_SHARE * route.timeout_s
+def room_poll(route: Route, way: ReturnWay, *, before_s: float, is_begun: bool) -> float:
+    """How often to ask for room; ``before_s`` is the time since the caller's first try.
 
-
-def room_poll(route: Route, *, time_left_s: float, is_begun: bool) -> float:
-    """How often to ask for room: those who cannot come back, or are cut off, ask more often."""
-    if is_begun or has_come_back(route, time_left_s=time_left_s):
+    Streams that were cut ask most often. Of the others, either those who came back ask more often
+    than first tries, since they cannot come again, or those who can still be served in time do.
+    """
+    if is_begun:
         return RETURN_ROOM_POLL_S
-    return ROOM_POLL_S
+    if way is ReturnWay.RETURNED_FIRST:
+        has_come_back = before_s > (1.0 - RETURN_SHARE) * route.timeout_s
+        return RETURN_ROOM_POLL_S if has_come_back else ROOM_POLL_S
+    return LATE_ROOM_POLL_S if before_s >= route.target_s else FRESH_ROOM_POLL_S
 
 
 def can_ever_fit(prompt_tokens: int, kv_tokens: int) -> bool:
--- a/src/croftchute/systems/room_forecast.py
+++ b/src/croftchute/systems/room_forecast.py
@@ -93,17 +93,21 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoomWait:
-    """One request that finds no room: seconds since it came, to its deadline, and to read it."""
+    """One request that finds no room: seconds since it came, to its deadline, and to read it.
+
+    ``before_s`` is the time since its caller's first try, 0 if it is to be judged as a first one.
+    """
 
     elapsed_s: float
     time_left_s: float
     reading_s: float
+    before_s: float = 0.0
 
     def is_worthwhile(self, route: Route, *, mean_wait_s: float) -> bool:
         """Whether to go on waiting, given the mean time until room comes."""
         if mean_wait_s + self.reading_s > self.time_left_s:
             return False
-        if self.elapsed_s + mean_wait_s + self.reading_s <= route.target_s:
+        if self.before_s + self.elapsed_s + mean_wait_s + self.reading_s <= route.target_s:
             return True
         longest_s = LATE_SHARE_OF_PATIENCE * caller_patience(route)
         return mean_wait_s <= LATE_WAIT_S and self.elapsed_s + mean_wait_s <= longest_s
