--- a/src/croftchute/forwarding/stage_orders.py
+++ b/src/croftchute/forwarding/stage_orders.py
@@ -17,9 +17,9 @@
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.worker_control import give_stage_order
 from croftchute.storage.watched import LeaseStore
-from croftchute.systems.service_capacity import EnginePower
+from croftchute.systems.service_capacity import READ_SHARE_OF_TARGET, EnginePower, SplitWay
 from croftchute.systems.stage_balance import StageChange, wanted_changes
-from croftchute.tables.routing import Stage
+from croftchute.tables.routing import RoutingTable, Stage
 
 CHECK_S = 0.5
 """Seconds between two looks at what is wanted."""
@@ -147,6 +147,7 @@
                     prefill_pace=self.state.prefill_pace(service.name).pace,
                     kv_tokens=service.engine.kv_tokens,
                     slots=service.engine.slots,
+                    read_limit_s=self._read_limit_s(table, service.name),
                 ),
                 ordered=self._ordered(),
             )
@@ -154,6 +155,13 @@
                 return changes[:MAX_AT_ONCE]
         return []
 
+    def _read_limit_s(self, table: RoutingTable, service: str) -> float:
+        """The time in which prompts of a service should be read; 0 where that is not looked at."""
+        targets = table.stream_targets(service)
+        if self.state.ways.split is SplitWay.FIXED_USE or not targets:
+            return 0.0
+        return READ_SHARE_OF_TARGET * min(targets)
+
     def _ordered(self) -> dict[str, Stage]:
         """Stages of workers whose orders are on their way; forgets orders that are not."""
         now = self.state.clock()
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -9,6 +9,7 @@
 
 from croftchute.errors import Code, DocumentError, Fault
 from croftchute.systems.patience import ReturnWay
+from croftchute.systems.service_capacity import SplitWay
 from croftchute.systems.size_lanes import RoomWay
 from croftchute.tables.organisations import LimitWay
 
@@ -61,6 +62,7 @@
 
     limits: LimitWay = LimitWay.POOLED
     room: RoomWay = RoomWay.LANES
+    split: SplitWay = SplitWay.BY_TARGET
     returns: ReturnWay = ReturnWay.IN_TIME_FIRST
 
 
--- a/src/croftchute/systems/service_capacity.py
+++ b/src/croftchute/systems/service_capacity.py
@@ -9,10 +9,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 PREFILL_USE = 0.85
-"""Share of its time that a prefill worker can be busy before prompts wait long. Prompts arrive at
-random; above this a queue of some prompts is the rule (single-server queue)."""
+"""Share of its time that a prefill worker can be busy at the most. Prompts arrive at random; above
+this a queue of some prompts is the rule (single-server queue)."""
+
+MIN_PREFILL_USE = 0.3
+"""The same at the least, however long prompts take to read."""
+
+READ_SHARE_OF_TARGET = 0.6
+"""Share of the target within which a prompt should be read, its wait included: the rest is for
+room, the move of the cache and the first event."""
 
 MEMORY_USE = 0.9
 """Share of decode memory that holds can fill: a request of average size does not fit the rest."""
@@ -21,6 +29,13 @@
 """Pace of a decode worker that reads a prompt itself, over that of a prefill worker (platform)."""
 
 
+class SplitWay(StrEnum):
+    """How busy prefill workers may be: as their prompts and the target allow, or a fixed share."""
+
+    BY_TARGET = "by_target"
+    FIXED_USE = "fixed_use"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestMix:
     """Averages over the requests of a service; ``token_s`` is the time of one output token."""
@@ -42,11 +57,32 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EnginePower:
-    """What one engine can do: ``prefill_pace`` in tokens a second, memory in tokens."""
+    """What one engine can do: ``prefill_pace`` in tokens a second, memory in tokens.
+
+    ``read_limit_s`` is the time in which a prompt should be read, wait included; 0 if none is set.
+    """
 
     prefill_pace: float
     kv_tokens: int
     slots: int
+    read_limit_s: float = 0.0
+
+    def prefill_use(self, prompt_tokens: float) -> float:
+        """The share of its time that a prefill worker may be busy with prompts of a mean length.
+
+        So much that the mean wait at one server with random arrivals and like prompts,
+        ``use * reading / (2 * (1 - use))``, still fits the limit.
+
+        >>> power = EnginePower(prefill_pace=33_000, kv_tokens=26_000, slots=16, read_limit_s=0.55)
+        >>> round(power.prefill_use(9_000), 2), power.prefill_use(3_000)
+        (0.67, 0.85)
+        """
+        if self.read_limit_s <= 0.0:
+            return PREFILL_USE
+        reading_s = prompt_tokens / self.prefill_pace
+        wait_s = max(0.0, self.read_limit_s - reading_s)
+        use = 2.0 * wait_s / (reading_s + 2.0 * wait_s)
+        return min(PREFILL_USE, max(MIN_PREFILL_USE, use))
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -71,7 +107,7 @@
     by_memory = mix.held_tokens / (MEMORY_USE * power.kv_tokens)
     worker_s = mix.decode_s * max(by_memory, 1.0 / max(1, power.slots))
     prefill_s = mix.prompt_tokens / power.prefill_pace
-    read_ahead = prefills * PREFILL_USE
+    read_ahead = prefills * power.prefill_use(mix.prompt_tokens)
     by_decode = decodes / worker_s
     if by_decode * prefill_s <= read_ahead:
         return by_decode
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -121,6 +121,16 @@
                 return route
         return None
 
+    def stream_targets(self, service: str) -> list[float]:
+        """The targets in seconds of the streaming routes to a service."""
+        return [
+            route.target_s
+            for routes in self.routes_by_host.values()
+            for route in routes
+            if route.kind is RouteKind.STREAM
+            and any(target.service == service for target in route.targets)
+        ]
+
 
 def by_host(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
     """Routes grouped by host, those with the longest prefix first."""
