--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -63,7 +63,7 @@
     limits: LimitWay = LimitWay.POOLED
     room: RoomWay = RoomWay.LANES
     split: SplitWay = SplitWay.BY_TARGET
-    returns: ReturnWay = ReturnWay.IN_TIME_FIRST
+    returns: ReturnWay = ReturnWay.RETURNED_FIRST
 
 
 class RouterSettings(msgspec.Struct, frozen=True, kw_only=True):
