Soak: organisations, keys that rotate with versions, a limit over all boxes

Callers now bear standing, rotating, gone, unknown and limited keys, drawn from a generator of their own, so that the traffic of the seeds that stay as regressions is drawn as before. Checks: no run for a key that nobody held, none for one taken away once that was to be in force, no refusal of a key in force, workers see the organisation and no key, a limit in any window. A 429 says when to return. Tests: each check is found broken where it is; broken variants keep_keys, pass_keys_on, new_credit.

--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -19,19 +19,32 @@
 
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "platform")]
 
+from croftchute_platform import headers  # noqa: E402
+
 from croftchute.daemon.router_process import RouterProcess  # noqa: E402
 from croftchute.errors import Code, Ran  # noqa: E402
 from croftchute.forwarding import store_follower  # noqa: E402
 from croftchute.forwarding.failures import AnswerLateError  # noqa: E402
 from croftchute.forwarding.http_client import ClientConnection  # noqa: E402
+from croftchute.forwarding.limits import GRANTED, Allowance, AllowanceOutcome  # noqa: E402
+from croftchute.forwarding.pooled_limits import PooledLimits  # noqa: E402
 from croftchute.forwarding.request_run import RequestRun, WorkerCall  # noqa: E402
 from croftchute.forwarding.state import ForwardingState  # noqa: E402
+from croftchute.systems.usage_bucket import UsageBucket  # noqa: E402
 from croftchute.systems.worker_table import WorkerBelief, WorkerTable  # noqa: E402
+from croftchute.tables.organisations import (  # noqa: E402
+    KeyClaim,
+    Organisation,
+    Organisations,
+)
 from croftchute.tables.routing import Route, RoutingTable, Stage  # noqa: E402
 
 OLDER_AFTER_S = 2.5
 FAR_FUTURE_S = 1e9
 
+KEY_KEPT_S = 30.0
+"""Seconds for which a key that was taken away opens a box."""
+
 WHOLE_BODY_S = 1.5
 """Seconds for a whole body, however long it is: the bound that incident inc2 broke."""
 
@@ -161,6 +174,46 @@
     RouterProcess.stop = stop  # type: ignore[method-assign]
 
 
+def keep_keys() -> None:
+    """Let in whoever held a key once, some time after it was taken away."""
+    holder = Organisations.holder
+    seen: dict[bytes, tuple[Organisation, float]] = {}
+
+    def remembered(self: Organisations, claim: KeyClaim) -> Organisation | None:
+        found = holder(self, claim)
+        if found is not None:
+            seen[claim.digest] = (found, time.monotonic())
+            return found
+        known, at = seen.get(claim.digest, (None, 0.0))
+        return known if time.monotonic() - at < KEY_KEPT_S else None
+
+    Organisations.holder = remembered  # type: ignore[method-assign]
+
+
+def pass_keys_on() -> None:
+    """Hand callers' keys on to workers."""
+    headers.SET_BY_THE_ROUTER = headers.SET_BY_THE_ROUTER - {headers.AUTHORIZATION}
+
+
+def new_credit() -> None:
+    """Give each box the whole of every limit, and a full bucket at its start."""
+
+    async def admit(self: PooledLimits, organisation: Organisation, units: float) -> Allowance:
+        limit = organisation.limit
+        if limit is None:
+            return GRANTED
+        now = self.state.clock()
+        full = UsageBucket(level=limit.burst, filled_to=now)
+        bucket = BUCKETS.setdefault(organisation.name, full)
+        bucket.fill(now, limit=limit, capacity=limit.burst)
+        if bucket.take(units, extra=0.0, capacity=limit.burst):
+            return GRANTED
+        return Allowance(outcome=AllowanceOutcome.DENIED, wait_s=1.0)
+
+    PooledLimits.admit = admit  # type: ignore[method-assign]
+
+
+BUCKETS: dict[str, UsageBucket] = {}
 KEPT: list[object] = []
 BROKEN: dict[str, Callable[[], None]] = {
     "send_twice": send_twice,
@@ -170,6 +223,9 @@
     "say_not_run": say_not_run,
     "cut_long_bodies": cut_long_bodies,
     "late_entry": late_entry,
+    "keep_keys": keep_keys,
+    "pass_keys_on": pass_keys_on,
+    "new_credit": new_credit,
 }
 
 
--- a/src/croftchute/soak/boxes.py
+++ b/src/croftchute/soak/boxes.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from croftchute.soak.keys import TERMS
+
 ROOT = Path(__file__).resolve().parents[3]
 PROGRAM = ROOT / "platform" / "start.py"
 ALTERED_PROGRAM = Path(__file__).with_name("box_program.py")
@@ -92,6 +94,11 @@
             "seeds": self.seeds,
             "peer_keys": ["soak-key-soak-key"],
             "retry": {"ratio": 0.2, "window_s": 10.0, "slack": self.retry_slack},
+            "limits": {
+                "window_s": TERMS.window_s,
+                "overage": TERMS.overage,
+                "slack": TERMS.slack,
+            },
             "stop_limit_s": STOP_LIMIT_S,
             "drain_s": DRAIN_S,
             "reload_check_s": 1.0,
--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -12,8 +12,10 @@
 
 from croftchute.soak.boxes import DRAIN_S, OWN_ENDS_ALLOWED, STOP_LIMIT_S, SoakBox
 from croftchute.soak.disturbances import STORE, Disturbance, Disturbances
+from croftchute.soak.key_checks import DENIED, KeyChecks
 from croftchute.soak.paces import transfer_allowance_s
 from croftchute.soak.traffic import Traffic
+from croftchute.soak.violation import Violation, broken
 from croftchute.soak.world import EVENTS, MAX_ATTEMPTS, ListedWorker, SoakWorld, added_path
 from croftchute.standins.platform_caller import Try, fault_of
 from croftchute.standins.platform_worker import Run
@@ -36,20 +38,12 @@
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 NOT_FOUND = 404
 UNAVAILABLE = 503
+TOO_MANY = 429
 SUCCESSES = range(200, 300)
 OWN_REFUSALS = frozenset({400, 401, 403, 404, 405, 413, 414, 431})
 MIN_WAVE_SERVED = 0.9
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Violation:
-    """A promise that was broken, by which request, and how."""
-
-    promise: str
-    request_id: str
-    detail: str
-
-
 @dataclass(kw_only=True)
 class Checker:
     """Looks through all that callers and workers saw in one run."""
@@ -85,27 +79,41 @@
         found += self._versions_of_lives()
         found += self._ends()
         found += self._memory()
+        keys = self._key_checks()
+        found += keys.always(self.world.all_workers)
         if self.judges_times:
             found += self._draining()
             found += self._callers_who_left()
             found += self._versions_in_time()
+            found += keys.in_time()
             if self.only_planned:
                 found += self._planned_stops()
             else:
                 found += self._stops_amid_trouble()
         return found
 
+    def _key_checks(self) -> KeyChecks:
+        return KeyChecks(
+            tries=self.traffic.tries_by_id,
+            keys_by_id=self.traffic.keys_by_id,
+            runs_by_id=self.runs_by_id,
+            accepted_at_by_version=self.world.accepted_at_by_version,
+            is_due=self._is_due,
+        )
+
     # Without a time.
 
     def _answers(self) -> Iterator[Violation]:
         for attempt in self.traffic.tries_by_id.values():
             if fault := fault_of(attempt, EVENTS):
-                yield _broken("whole answer to its own request", attempt, fault)
-            if attempt.status == UNAVAILABLE and attempt.retry_after_s is None:
-                yield _broken("refusals say when to come back", attempt, "no Retry-After")
-            is_denied = attempt.status in OWN_REFUSALS and not attempt.path.startswith("/added/")
+                yield broken("whole answer to its own request", attempt, fault)
+            is_told_to_return = attempt.status in (UNAVAILABLE, TOO_MANY)
+            if is_told_to_return and attempt.retry_after_s is None:
+                yield broken("refusals say when to come back", attempt, "no Retry-After")
+            is_judged_by_key = attempt.status == DENIED or attempt.path.startswith("/added/")
+            is_denied = attempt.status in OWN_REFUSALS and not is_judged_by_key
             if is_denied:
-                yield _broken("proper requests are not denied", attempt, str(attempt.status))
+                yield broken("proper requests are not denied", attempt, str(attempt.status))
 
     def _runs(self) -> Iterator[Violation]:
         for request_id, runs in self.runs_by_id.items():
@@ -114,14 +122,14 @@
                 yield Violation(promise="nothing unasked", request_id=request_id, detail="no try")
                 continue
             if any((run.path, run.body) != (attempt.path, attempt.body) for _, run in runs):
-                yield _broken("nothing unasked", attempt, "path or body was changed")
+                yield broken("nothing unasked", attempt, "path or body was changed")
             workers = [listed.worker.id for listed, _ in runs]
             if attempt.kind.runs_once and len(runs) > 1:
-                yield _broken("at most once", attempt, f"ran at {workers}")
+                yield broken("at most once", attempt, f"ran at {workers}")
             if len(set(workers)) > MAX_ATTEMPTS:
-                yield _broken("attempts of the route", attempt, f"ran at {workers}")
+                yield broken("attempts of the route", attempt, f"ran at {workers}")
             if attempt.kind.runs_once and attempt.status in PROMISES_NOT_RUN:
-                yield _broken("not run is true", attempt, f"{attempt.status}, ran at {workers}")
+                yield broken("not run is true", attempt, f"{attempt.status}, ran at {workers}")
 
     def _versions_of_lives(self) -> Iterator[Violation]:
         """A life of a box that has served a version's route knows all up to it from then on."""
@@ -134,7 +142,7 @@
             life = (attempt.box, first_life)
             known, since = newest.get(life, (0, 0.0))
             if attempt.status == NOT_FOUND and version <= known and attempt.sent_at > since:
-                yield _broken("configuration never reverts", attempt, f"{known} was in force")
+                yield broken("configuration never reverts", attempt, f"{known} was in force")
             elif attempt.status in SUCCESSES and version > known:
                 newest[life] = (version, attempt.ended_at or 0.0)
 
@@ -168,7 +176,7 @@
                 late_s = run.started_at - listed.leaving_at - DRAIN_S
                 if late_s > self.slack_s and self._in_touch(attempt.box, run.started_at):
                     detail = f"{listed.worker.id}, {late_s:.2f} s too late"
-                    yield _broken("no new work on leaving workers", attempt, detail)
+                    yield broken("no new work on leaving workers", attempt, detail)
 
     def _callers_who_left(self) -> Iterator[Violation]:
         for attempt in self.traffic.tries_by_id.values():
@@ -181,25 +189,30 @@
                 is_calm = self.disturbances.are_calm(names, attempt.left_at - CONTACT_S, until)
                 if ended_at > until and is_calm:
                     detail = f"{listed.worker.id} at work {ended_at - attempt.left_at:.2f} s later"
-                    yield _broken("memory of callers who left is freed", attempt, detail)
+                    yield broken("memory of callers who left is freed", attempt, detail)
 
     def _versions_in_time(self) -> Iterator[Violation]:
         for attempt in self.traffic.tries_by_id.values():
             version = _version_of(attempt)
             if version is None or attempt.status != NOT_FOUND:
                 continue
-            age_s = attempt.sent_at - self.world.accepted_at_by_version[version]
-            allowed_s = APPLY_S + self.slack_s + self._transfer_s(attempt, version)
-            if age_s > allowed_s and self._in_touch(attempt.box, attempt.sent_at, allowed_s):
+            if self._is_due(attempt, version):
+                age_s = attempt.sent_at - self.world.accepted_at_by_version[version]
                 detail = f"version {version} accepted {age_s:.2f} s before"
-                yield _broken("configuration in force in time", attempt, detail)
+                yield broken("configuration in force in time", attempt, detail)
+
+    def _is_due(self, attempt: Try, version: int) -> bool:
+        """Whether a version was to be in force at a try's box when the try was sent."""
+        age_s = attempt.sent_at - self.world.accepted_at_by_version[version]
+        allowed_s = APPLY_S + self.slack_s + self._transfer_s(attempt, version)
+        return age_s > allowed_s and self._in_touch(attempt.box, attempt.sent_at, allowed_s)
 
     def _planned_stops(self) -> Iterator[Violation]:
         """With nothing but planned work about, a request that was passed on is answered."""
         for attempt in self.traffic.tries_by_id.values():
             was_cut = attempt.is_sent and not attempt.is_whole and attempt.left_at is None
             if was_cut and attempt.request_id in self.runs_by_id:
-                yield _broken("a planned stop cuts off nothing", attempt, attempt.failure)
+                yield broken("a planned stop cuts off nothing", attempt, attempt.failure)
 
     def _transfer_s(self, attempt: Try, version: int) -> float:
         """What the pace of a slow link adds to the time in which a version is to be in force."""
@@ -236,7 +249,7 @@
                     f"{attempt.failure}, sent {attempt.sent_at - begun_at:.2f} s and cut "
                     f"{attempt.ended_at - begun_at:.2f} s after a stop began"
                 )
-                yield _broken("a stop cuts off nothing", attempt, detail)
+                yield broken("a stop cuts off nothing", attempt, detail)
 
     def _in_touch(self, box: str, at: float, for_s: float = 0.0) -> bool:
         """Whether box and store were undisturbed for ``CONTACT_S`` before, or for longer."""
@@ -267,11 +280,3 @@
     assert attempt.ended_at is not None
     is_early = attempt.sent_at <= stop.start + ENTRY_S
     return is_early and attempt.ended_at >= stop.start + LAST_SIXTH_S
-
-
-def _broken(promise: str, attempt: Try, detail: str) -> Violation:
-    return Violation(
-        promise=promise,
-        request_id=attempt.request_id,
-        detail=f"{attempt.kind.value} at {attempt.box}: {detail}",
-    )
--- a/src/croftchute/soak/run.py
+++ b/src/croftchute/soak/run.py
@@ -210,7 +210,13 @@
         caller_links.append(caller_link)
     disturbances = Disturbances()
     running = [asyncio.create_task(box.keep_running(lambda _: None)) for box in boxes]
-    traffic = Traffic(world=world, boxes=boxes, links=caller_links, rng=random.Random(spec.seed))
+    traffic = Traffic(
+        world=world,
+        boxes=boxes,
+        links=caller_links,
+        rng=random.Random(spec.seed),
+        key_rng=random.Random(-spec.seed),
+    )
     try:
         yield Stage(
             spec=spec,
--- a/src/croftchute/soak/traffic.py
+++ b/src/croftchute/soak/traffic.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from croftchute.soak.boxes import SoakBox
+from croftchute.soak.keys import STANDING, CallerKey, draw_key
 from croftchute.soak.proxy import FaultyLink
 from croftchute.soak.world import TIMEOUT_S, VIRTUAL_HOST, SoakWorld, added_path
 from croftchute.standins.platform_caller import PlatformCaller, RequestKind, Try
@@ -53,6 +54,8 @@
     is_over: bool = False
     tries_by_id: dict[str, Try] = field(default_factory=dict)
     lives_by_id: dict[str, tuple[int, int]] = field(default_factory=dict)
+    keys_by_id: dict[str, CallerKey] = field(default_factory=dict)
+    key_rng: random.Random = field(default_factory=lambda: random.Random(0))
 
     async def keep_calling(self, number: int) -> None:
         """One caller; ends once the run is over."""
@@ -79,9 +82,12 @@
         *,
         may_leave: bool = True,
         deadline_s: float | None = None,
+        key: CallerKey | None = None,
     ) -> Try:
-        """Make one try on a caller's connection and keep what came of it."""
+        """Make one try on a caller's connection, by some key, and keep what came of it."""
         number = len(self.tries_by_id)
+        if key is None:
+            key = draw_key(self.key_rng, self.world.version)
         attempt = Try(
             request_id=f"r{number:06d}",
             kind=kind,
@@ -89,7 +95,9 @@
             body=f"body of {number}".encode(),
             box=caller.box,
             sent_at=asyncio.get_running_loop().time(),
+            key=key.key,
         )
+        self.keys_by_id[attempt.request_id] = key
         self.tries_by_id[attempt.request_id] = attempt
         leaves = may_leave and self.rng.random() < LEAVE_SHARE
         leave_after_s = self.rng.uniform(0.0, MAX_LEAVE_S) if leaves else None
@@ -121,7 +129,7 @@
         callers = [self._caller(number % len(self.boxes)) for number in range(count)]
         return await asyncio.gather(
             *(
-                self.ask(caller, kinds[number % len(kinds)], may_leave=False)
+                self.ask(caller, kinds[number % len(kinds)], may_leave=False, key=STANDING)
                 for number, caller in enumerate(callers)
             )
         )
@@ -129,14 +137,19 @@
     async def _probe(self, index: int, version: int) -> None:
         caller = self._caller(index)
         path = f"{added_path(version)}probe"
-        await self.ask(caller, RequestKind.REPEATABLE, path, may_leave=False)
+        await self.ask(caller, RequestKind.REPEATABLE, path, may_leave=False, key=STANDING)
         caller.close()
 
     async def _ask_slow(self, caller: PlatformCaller) -> Try:
         """Ask for a slow stream, with all the time that its route allows."""
         path = f"/{RequestKind.STREAM.value}{SLOW_PATH}{len(self.tries_by_id)}"
         return await self.ask(
-            caller, RequestKind.STREAM, path, may_leave=False, deadline_s=TIMEOUT_S
+            caller,
+            RequestKind.STREAM,
+            path,
+            may_leave=False,
+            deadline_s=TIMEOUT_S,
+            key=STANDING,
         )
 
     def _goes_on_at_once(self, attempt: Try, caller: PlatformCaller) -> bool:
--- a/src/croftchute/soak/world.py
+++ b/src/croftchute/soak/world.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from croftchute.soak.keys import organisations
 from croftchute.soak.proxy import FaultyLink, Target
 from croftchute.standins.metadata_store import MetadataStore
 from croftchute.standins.platform_worker import PlatformWorker
@@ -147,6 +148,7 @@
                 "HeaderTimeoutMs": 3000,
                 "IdleTimeoutMs": 4000,
             },
+            "Tenants": organisations(self.version),
         }
         self.store.put("op/config", document)
         self.size_by_version[self.version] = len(self.store.items_by_key["op/config"].value)
--- a/src/croftchute/standins/platform_caller.py
+++ b/src/croftchute/standins/platform_caller.py
@@ -49,6 +49,7 @@
     body: bytes
     box: str
     sent_at: float
+    key: str = ""
     is_sent: bool = False
     left_at: float | None = None
     ended_at: float | None = None
@@ -156,6 +157,8 @@
             f"X-Croftchute-Deadline-Ms: {int(deadline_s * 1000)}",
             f"Content-Length: {len(attempt.body)}",
         ]
+        if attempt.key:
+            lines.append(f"Authorization: Bearer {attempt.key}")
         if attempt.kind.is_stream:
             lines += ["X-Croftchute-Model: m", "X-Croftchute-Token-Usage: 100,20"]
         return "\r\n".join([*lines, "", ""]).encode() + attempt.body
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -38,7 +38,9 @@
 
 
 def worker(name, *runs, leaving_at=None, holds=()):
-    stand_in = SimpleNamespace(id=name, runs=list(runs), holds=set(holds), handles=set())
+    stand_in = SimpleNamespace(
+        id=name, runs=list(runs), holds=set(holds), handles=set(), received=[]
+    )
     return SimpleNamespace(worker=stand_in, leaving_at=leaving_at)
 
 
@@ -50,6 +52,7 @@
         "traffic": SimpleNamespace(
             tries_by_id={one.request_id: one for one in tries},
             lives_by_id={one.request_id: (1, 1) for one in tries},
+            keys_by_id={},
         ),
         "boxes": [],
         "disturbances": Disturbances(),
