Pools are ranked among all known boxes, so that the fleet agrees on them

A box counted as live for 15 s after its last notice, but boxes of other halls are heard every nine seconds in the mean, so a fifth of them was not, each time others. Now all boxes that were heard within a minute are ranked; gone ones show by silence, for 8 s each.

--- a/src/croftchute/forwarding/pooled_limits.py
+++ b/src/croftchute/forwarding/pooled_limits.py
@@ -12,8 +12,8 @@
 from croftchute.forwarding.state import ForwardingState
 from croftchute.peers.messages import AllowanceAsk, AllowanceReply, Body
 from croftchute.systems.allowance_pool import AllowancePool
-from croftchute.systems.hall_relays import LIVE_S
 from croftchute.systems.lent_share import GROUPS, LentShare, group_of
+from croftchute.systems.peer_table import FORGET_S
 from croftchute.systems.usage_bucket import LimitTerms
 from croftchute.systems.usage_purse import UsagePurse
 from croftchute.tables.allowances import UsageGrant, UsageReturn, UsageWant
@@ -244,10 +244,15 @@
             del self._denials_by_name[name]
 
     def _live_boxes(self, now: float) -> list[str]:
+        """Boxes that may keep a pool: all that are known, so that the ranking is alike at all.
+
+        Boxes of other halls are heard every nine seconds in a fleet of 78. Those that are gone
+        show by not answering.
+        """
         return [
             peer.id
             for peer in self.state.peers.peers_by_id.values()
-            if not peer.is_leaving and now - peer.heard_at <= LIVE_S
+            if not peer.is_leaving and now - peer.heard_at <= FORGET_S
         ]
 
     def _known(self) -> Mapping[str, Organisation]:
--- a/src/croftchute/systems/lent_share.py
+++ b/src/croftchute/systems/lent_share.py
@@ -16,8 +16,9 @@
 GROUPS = 4
 """Groups of organisations, each with a pool of its own: spreads the askings over some boxes."""
 
-SUSPECTED_S = 4.0
-"""Seconds for which a pool that did not answer is not asked."""
+SUSPECTED_S = 8.0
+"""Seconds for which a pool that did not answer is not asked: a box that is gone stays known for a
+minute, and each asking in vain costs a request a quarter of a second."""
 
 MIN_UNANSWERED = 3
 """Askings in a row without an answer after which a pool is suspected: two may be lost."""
