One sending of a request has a module of its own; the template's section is tested; the naive limit beside

The test of the template did not know sections, so it failed since the limits came into it; it now fills the template both with and without the section and checks what is read, which is stricter.

--- a/src/croftchute/forwarding/part_reader.py
+++ b/src/croftchute/forwarding/part_reader.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from croftchute.forwarding.failures import AnswerLateError
-from croftchute.forwarding.request_run import RequestRun, WorkerCall
+from croftchute.forwarding.request_run import RequestRun
+from croftchute.forwarding.worker_call import WorkerCall
 from croftchute.systems import patience
 
 
--- a/src/croftchute/forwarding/prompt_reader.py
+++ b/src/croftchute/forwarding/prompt_reader.py
@@ -6,7 +6,8 @@
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
 from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
-from croftchute.forwarding.request_run import RequestRun, WorkerCall
+from croftchute.forwarding.request_run import RequestRun
+from croftchute.forwarding.worker_call import WorkerCall
 from croftchute.forwarding.worker_control import free_handle
 from croftchute.systems import patience
 from croftchute.systems.prefill_queue import ReadingTimes
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -15,7 +15,8 @@
 from croftchute.forwarding.kept_prompts import find_keeper
 from croftchute.forwarding.part_reader import PartReader
 from croftchute.forwarding.prompt_reader import PromptReader
-from croftchute.forwarding.request_run import RequestRun, WorkerCall
+from croftchute.forwarding.request_run import RequestRun
+from croftchute.forwarding.worker_call import WorkerCall
 from croftchute.forwarding.worker_control import drop_hold, take_hold
 from croftchute.systems import patience
 from croftchute.systems.patience import ReturnWay
--- /dev/null
+++ b/src/croftchute/forwarding/worker_call.py
@@ -0,0 +1,201 @@
+"""One sending of a request to one worker, and what is held against the worker if it fails."""
+
+from __future__ import annotations
+
+import math
+
+from croftchute.errors import Code
+from croftchute.forwarding.deadline import within
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
+from croftchute.forwarding.failures import ExchangeError
+from croftchute.forwarding.http_client import ClientConnection, ResponseHead
+from croftchute.forwarding.request_run import RequestRun
+from croftchute.systems import patience
+from croftchute.systems.worker_choice import ChoiceInput
+from croftchute.systems.worker_table import WorkerBelief
+
+MAX_ANSWER_BYTES = 16 << 20
+"""Longest whole answer in bytes: four times the longest body of a caller."""
+
+WEIGHT_CONNECT = 2.0
+"""Failure score of a connection that did not come up: the worker is likely gone."""
+
+WEIGHT_BROKEN = 1.0
+"""Failure score of an answer that broke off."""
+
+WEIGHT_LATE = 1.0
+"""Failure score of an answer that did not come in time."""
+
+WEIGHT_REJECTED = 0.5
+"""Failure score of a request that the worker did not run: it is full, or leaving."""
+
+WEIGHT_DISPLACED = 4.0
+"""Failure score of an address at which another worker answered: for peers to hear of."""
+
+WEIGHT_FAILED = 0.3
+"""Failure score of a worker's own failure: some requests fail at any worker."""
+
+WEIGHT_LACKED = 1.0
+"""Failure score of a source whose cache could not be fetched."""
+
+
+class WorkerCall:
+    """One sending of a request to one worker; always end it with :meth:`close`."""
+
+    def __init__(
+        self, *, run: RequestRun, belief: WorkerBelief, send: Send, chosen: ChoiceInput
+    ) -> None:
+        self.run = run
+        self.belief = belief
+        self.worker = belief.worker
+        self.send = send
+        self.chosen = chosen
+        self.opened_at = run.now
+        self.connection: ClientConnection | None = None
+        self._tokens = run.facts.prompt_tokens
+        if not send.is_prefill:
+            self._tokens += run.facts.output_tokens
+        self._is_counted = False
+
+    def _max_idle_s(self) -> float:
+        """How long a kept connection may have been idle that this sending takes.
+
+        One that went silent would cost a request that may be sent once; but a worker that is full
+        resets new connections, and that costs it as well, where a kept one brings a rejection.
+        """
+        may_repeat = self.send.is_prefill or self.run.route.may_repeat
+        if may_repeat or self.belief.has_rejected_lately(self.run.now):
+            return math.inf
+        return patience.ONCE_IDLE_S
+
+    async def open(self) -> None:
+        """Connect and send; raises :class:`ConnectFailedError` if nothing went out."""
+        run = self.run
+        worker = self.worker
+        run.last_worker = worker.id
+        self._is_counted = True
+        run.state.workers.note_sent(worker.id, self._tokens)
+        connection = await run.state.pool.acquire(
+            worker.host,
+            worker.port,
+            owner=worker.id,
+            now=run.now,
+            timeout_s=min(patience.CONNECT_S, run.time_left_s),
+            max_idle_s=self._max_idle_s(),
+        )
+        self.connection = connection
+        data = run.state.workers_speak.encode(run.facts, self.send)
+        connection.send(
+            data,
+            expected=run.state.workers_speak.expected(run.facts),
+            is_bodiless=run.facts.method == "HEAD",
+        )
+        kind = Decision.PREFILL_SENT if self.send.is_prefill else Decision.REQUEST_SENT
+        run.log(
+            kind,
+            worker=worker.id,
+            zone=worker.zone,
+            cost=self.chosen.cost,
+            in_flight=self.chosen.in_flight,
+            others=self.chosen.others,
+            failures=self.chosen.failures,
+            candidates=self.chosen.candidates,
+            belief_age_s=self.chosen.age_s,
+            config_version=run.state.table.version if run.state.table else 0,
+            reused=connection.uses > 1,
+            source=self.send.source.worker.id if self.send.source else "",
+            resume_after=self.send.resume_after,
+        )
+
+    async def head(self, timeout_s: float) -> ResponseHead:
+        """The head of the answer; raises AnswerLateError or ConnectionBrokenError."""
+        assert self.connection is not None
+        head = await within(self.connection.read_head(), timeout_s, "no head")
+        load = self.run.state.workers_speak.load(head)
+        if load is not None:
+            self.run.state.workers.note_load(
+                self.worker.id, load.running, load.waiting, self.run.now
+            )
+        return head
+
+    async def part(self, timeout_s: float) -> bytes:
+        """The next part of the body; empty at its end."""
+        assert self.connection is not None
+        return await within(self.connection.read_part(), timeout_s, "no part of the body")
+
+    async def body(self, timeout_s: float) -> bytes:
+        """The rest of the answer, in whole."""
+        assert self.connection is not None
+        return await within(self.connection.read_body(MAX_ANSWER_BYTES), timeout_s, "no whole body")
+
+    def succeeded(self) -> None:
+        """The worker answered: what was held against it loses weight."""
+        self._ended("ok")
+        self.run.state.workers.note_answer(
+            self.worker.id, self.run.now - self.opened_at, self.run.now
+        )
+
+    def failed(self, error: ExchangeError) -> None:
+        """Hold a failed exchange against the worker."""
+        weight = {
+            Code.TARGET_UNREACHABLE: WEIGHT_CONNECT,
+            Code.UPSTREAM_SLOW: WEIGHT_LATE,
+        }.get(error.code, WEIGHT_BROKEN)
+        self.run.avoid.add(self.worker.id)
+        if error.code is Code.TARGET_UNREACHABLE:
+            self.run.state.workers.note_unreachable(self.worker.id, self.run.now)
+        self._hold_against(weight, error.code.value, error.message)
+
+    def rejected(self, verdict: Verdict) -> None:
+        """The worker did not run the request, or another one answered in its place."""
+        self.run.avoid.add(self.worker.id)
+        weight = WEIGHT_REJECTED
+        self.run.state.workers.note_rejected(self.worker.id, self.run.now)
+        if verdict is Verdict.WRONG_WORKER:
+            # Peers hear of the weight: each would lose a prompt there before it knows.
+            weight = WEIGHT_DISPLACED
+            self.run.state.workers.note_displaced(self.worker.id)
+            self.run.log(Decision.WORKER_DISPLACED, worker=self.worker.id)
+        self._hold_against(weight, verdict.value, "")
+
+    def lacked(self, source: PrefillHandle) -> None:
+        """The worker could not fetch the prompt's cache: that is held against its source."""
+        workers = self.run.state.workers
+        score = workers.note_failure(source.worker.id, WEIGHT_LACKED, self.run.now)
+        self._ended("cache_not_fetched", source=source.worker.id, failures_now=round(score, 2))
+
+    def faulty(self, status: int) -> None:
+        """The worker ran the request and failed."""
+        self.run.avoid.add(self.worker.id)
+        self._hold_against(WEIGHT_FAILED, f"status_{status}", "")
+
+    def close(self) -> None:
+        """Give the connection back, or close it if the answer is not whole."""
+        if self._is_counted:
+            self._is_counted = False
+            self.run.state.workers.note_ended(self.worker.id, self._tokens)
+        if self.connection is not None:
+            self.run.state.pool.release(
+                self.connection,
+                self.worker.host,
+                self.worker.port,
+                owner=self.worker.id,
+                now=self.run.now,
+            )
+            self.connection = None
+
+    def _hold_against(self, weight: float, outcome: str, detail: str) -> None:
+        score = self.run.state.workers.note_failure(self.worker.id, weight, self.run.now)
+        self._ended(outcome, failures_now=round(score, 2), detail=detail)
+
+    def _ended(self, outcome: str, **inputs: object) -> None:
+        kind = Decision.PREFILL_ENDED if self.send.is_prefill else Decision.ATTEMPT_ENDED
+        self.run.state.metrics.sends.inc({"outcome": outcome})
+        self.run.log(
+            kind,
+            outcome=outcome,
+            worker=self.worker.id,
+            took_ms=round((self.run.now - self.opened_at) * 1000, 1),
+            **inputs,
+        )
--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -28,8 +28,9 @@
 from croftchute.forwarding.http_client import ClientConnection  # noqa: E402
 from croftchute.forwarding.limits import GRANTED, Allowance, AllowanceOutcome  # noqa: E402
 from croftchute.forwarding.pooled_limits import PooledLimits  # noqa: E402
-from croftchute.forwarding.request_run import RequestRun, WorkerCall  # noqa: E402
+from croftchute.forwarding.request_run import RequestRun  # noqa: E402
 from croftchute.forwarding.state import ForwardingState  # noqa: E402
+from croftchute.forwarding.worker_call import WorkerCall  # noqa: E402
 from croftchute.systems.usage_bucket import UsageBucket  # noqa: E402
 from croftchute.systems.worker_table import WorkerBelief, WorkerTable  # noqa: E402
 from croftchute.tables.organisations import (  # noqa: E402
--- a/tests/platform_adapter/test_life.py
+++ b/tests/platform_adapter/test_life.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -17,7 +18,7 @@
 from croftchute.errors import DocumentError
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.store_follower import WORKERS_PAUSE_S
-from croftchute.router_settings import parse_router_settings
+from croftchute.router_settings import LimitSettings, parse_router_settings
 from croftchute.systems.worker_table import GONE_GRACE_S
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -198,9 +199,23 @@
     assert line["event"] == "start_failed" and line["detail"]
 
 
-def test_the_template_makes_settings_that_are_read():
-    """Each gap of the template is filled with the example of the platform's page."""
+QUOTA_SECTION = re.compile(r"\{\{#Bounds\.QuotaWindowS\}\}(.*)\{\{/Bounds\.QuotaWindowS\}\}")
+QUOTA_VALUES = {
+    "{{Bounds.QuotaWindowS}}": "8",
+    "{{Bounds.QuotaOverage}}": "0.1",
+    "{{Bounds.QuotaSlack}}": "190000",
+}
+
+
+@pytest.mark.parametrize("has_quotas", [True, False])
+def test_the_template_makes_settings_that_are_read(has_quotas):
+    """Each gap of the template is filled with the example of the platform's page.
+
+    A section stands where the platform gives its field, and is left out where it does not.
+    """
     text = (ROOT / "platform" / "settings.json.template").read_text()
+    assert len(QUOTA_SECTION.findall(text)) == 1
+    text = QUOTA_SECTION.sub(r"\1" if has_quotas else "", text)
     values = {
         "{{NodeName|json}}": '"edge-plateau-1"',
         "{{Zone|json}}": '"plateau"',
@@ -219,7 +234,7 @@
         "{{Bounds.DrainMs}}": "2000",
         "{{Bounds.ContactMs}}": "2500",
         "{{Limits.LinkMbps}}": "1000.0",
-    }
+    } | (QUOTA_VALUES if has_quotas else {})
     for gap, value in values.items():
         assert gap in text
         text = text.replace(gap, value)
@@ -229,6 +244,9 @@
     assert settings.drain_s == 2.0
     assert settings.contact_s == 2.5
     assert settings.retry.slack == 56.0
+    assert settings.limits == (
+        LimitSettings(window_s=8.0, overage=0.1, slack=190_000.0) if has_quotas else LimitSettings()
+    )
 
 
 def test_the_program_of_the_deploy_file_serves_and_ends_on_sigterm(tmp_path):
--- a/tests/platform_adapter/test_streams.py
+++ b/tests/platform_adapter/test_streams.py
@@ -7,7 +7,7 @@
 
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.failures import AnswerLateError, ConnectFailedError
-from croftchute.forwarding.request_run import WorkerCall
+from croftchute.forwarding.worker_call import WorkerCall
 from croftchute.forwarding.worker_control import take_hold
 from croftchute.systems import patience
 
--- a/tests/systems/test_lent_shares.py
+++ b/tests/systems/test_lent_shares.py
@@ -5,11 +5,15 @@
 are those of a fleet of 78 boxes with 16 organisations, some requests of 4,000 tokens.
 """
 
+import random
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from limit_world import CREW, TERMS, LimitWorld, crew_limit
 
+from croftchute.systems.usage_bucket import UsageBucket
+
 FLOOD = 400_000.0
 """Tokens a second: four times the limit, as one organisation at seven times its usual asks."""
 
@@ -33,6 +37,27 @@
     assert world.refused + world.unanswered == 0
 
 
+def refused_by_fixed_shares(through, units_per_s, *, boxes=24, request=4000.0):
+    """The naive way: each box keeps to its own share of the same limit."""
+    limit = crew_limit()
+    capacity = TERMS.capacity(limit) / boxes
+    buckets = [UsageBucket(level=capacity, filled_to=0.0) for _ in range(through)]
+    rng = random.Random(1)
+    now, refused, asked = 0.0, 0, 0
+    while now < 25.0:
+        now += rng.expovariate(units_per_s / request)
+        bucket = rng.choice(buckets)
+        bucket.fill(now / boxes, limit=limit, capacity=capacity)
+        asked += 1
+        refused += not bucket.take(request, extra=0.0, capacity=capacity)
+    return refused / asked
+
+
+def test_the_naive_way_refuses_most_of_what_comes_through_few_boxes_below_the_limit():
+    assert refused_by_fixed_shares(3, 60_000.0) > 0.5
+    assert refused_by_fixed_shares(24, 60_000.0) < refused_by_fixed_shares(3, 60_000.0)
+
+
 @pytest.mark.parametrize("through", [None, ["b0", "b1", "b2"], ["b7"]])
 def test_a_flood_gets_its_limit_and_not_more(through):
     world = world_with_leases(boxes=24)
