While a hall is silent no pool is looked for there

Cause: in a cut hall two of three pools are beyond the cut, and so are two of three boxes that rank next; each was suspected after three askings, one after the other, and asked again after 8 s. Now boxes of a hall from which nothing was heard for 1.5 s are passed over, together. Ruled out: judging boxes by their own notices (other halls' are heard every nine seconds).

--- a/src/croftchute/forwarding/pooled_limits.py
+++ b/src/croftchute/forwarding/pooled_limits.py
@@ -13,7 +13,6 @@
 from croftchute.peers.messages import AllowanceAsk, AllowanceReply, Body
 from croftchute.systems.allowance_pool import AllowancePool
 from croftchute.systems.lent_share import GROUPS, LentShare, group_of
-from croftchute.systems.peer_table import FORGET_S
 from croftchute.systems.usage_bucket import LimitTerms
 from croftchute.systems.usage_purse import UsagePurse
 from croftchute.tables.allowances import UsageGrant, UsageReturn, UsageWant
@@ -176,7 +175,7 @@
         now = self.state.clock()
         group.asked_at = now
         share = own_share(self.state, group.told_boxes)
-        lease = group.share.asked(self._live_boxes(now), share, now)
+        lease = group.share.asked(self.state.peers.reachable(now), share, now)
         returns, group.returns = tuple(group.returns), []
         ask = AllowanceAsk(
             number=number,
@@ -243,18 +242,6 @@
         for name in [n for n, denial in self._denials_by_name.items() if denial.until <= now]:
             del self._denials_by_name[name]
 
-    def _live_boxes(self, now: float) -> list[str]:
-        """Boxes that may keep a pool: all that are known, so that the ranking is alike at all.
-
-        Boxes of other halls are heard every nine seconds in a fleet of 78. Those that are gone
-        show by not answering.
-        """
-        return [
-            peer.id
-            for peer in self.state.peers.peers_by_id.values()
-            if not peer.is_leaving and now - peer.heard_at <= FORGET_S
-        ]
-
     def _known(self) -> Mapping[str, Organisation]:
         table = self.state.table
         if table is None or table.organisations is None:
--- a/src/croftchute/systems/allowance_pool.py
+++ b/src/croftchute/systems/allowance_pool.py
@@ -17,8 +17,7 @@
 
 LEASE_S = 1.0
 """Seconds for which a share is lent: three times between two askings, so that one may be lost and
-answers take 0.3 s. As long is nothing lent after a start, or after the end of a pool; with 1.8 s the
-two seconds after a power loss of all boxes were served to 0.07."""
+answers take 0.3 s. For as long nothing is lent after a start, or after the end of a pool."""
 
 SETTLE_S = 0.02
 """Seconds between two looks at all leases, which end this much earlier for it."""
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -22,6 +22,10 @@
 FORGET_S = 60.0
 """Seconds after which a silent box is forgotten."""
 
+HALL_SILENT_S = 1.5
+"""Seconds without a notice of any box of a hall after which it counts as cut off: of 26 boxes some
+three are heard a second, of two both twice a second."""
+
 FANOUT = 10
 """Boxes that a notice goes to: bounds the bytes of a box however large the fleet."""
 
@@ -104,6 +108,23 @@
             if peer.hall == hall and not peer.is_leaving and now - peer.heard_at <= LIVE_S
         ]
 
+    def reachable(self, now: float) -> list[str]:
+        """Boxes that are not leaving, of halls from which something was heard just now.
+
+        Single boxes are heard too seldom to be judged by their own notices; halls are cut as one.
+        """
+        heard_at_by_hall: dict[str, float] = {}
+        for peer in self.peers_by_id.values():
+            latest = heard_at_by_hall.get(peer.hall, peer.heard_at)
+            heard_at_by_hall[peer.hall] = max(latest, peer.heard_at)
+        return [
+            peer.id
+            for peer in self.peers_by_id.values()
+            if not peer.is_leaving
+            and now - peer.heard_at <= FORGET_S
+            and now - heard_at_by_hall[peer.hall] <= HALL_SILENT_S
+        ]
+
     def introduced(self, now: float, rng: random.Random) -> tuple[str, ...]:
         """Addresses of some live peers, for others to learn of."""
         live = [
--- a/tests/systems/test_peer_table.py
+++ b/tests/systems/test_peer_table.py
@@ -2,7 +2,14 @@
 from dataclasses import replace
 
 from croftchute.peers.messages import BoxNotice
-from croftchute.systems.peer_table import COUNTED_S, FANOUT, FORGET_S, HALL_FANOUT, PeerTable
+from croftchute.systems.peer_table import (
+    COUNTED_S,
+    FANOUT,
+    FORGET_S,
+    HALL_FANOUT,
+    HALL_SILENT_S,
+    PeerTable,
+)
 from croftchute.systems.stage_balance import DemandCounts
 from croftchute.tables.peers import DemandNotice, WorkerNotice
 
@@ -149,3 +156,36 @@
     table.hear("staying", replace(NOTICE, config_version=9), 0.1)
     by_config, _ = table.newest(0.5, random.Random(1))
     assert by_config is not None and by_config.id == "staying"
+
+
+def two_halls(now):
+    """Boxes of two halls, each heard at another time; one of each hall was heard just now."""
+    table = PeerTable(own_id="me", hall="north")
+    for hall in ("north", "south"):
+        for number, ago_s in enumerate((0.1, 9.0, 30.0)):
+            table.hear(f"{hall}-{number}", replace(NOTICE, hall=hall), now - ago_s)
+    return table
+
+
+def test_boxes_that_are_heard_of_seldom_are_reachable_while_their_hall_is_heard():
+    """In a fleet of 78, a fifth of the boxes of other halls was not heard for 15 s at any time."""
+    now = 100.0
+    table = two_halls(now)
+    assert len(table.reachable(now)) == 6
+    table.hear("gone", replace(NOTICE, hall="south"), now - FORGET_S - 1.0)
+    table.hear("leaving", replace(NOTICE, hall="south", is_leaving=True), now)
+    assert len(table.reachable(now)) == 6
+
+
+def test_a_hall_that_fell_silent_is_not_reachable_until_it_is_heard_again():
+    now = 100.0
+    table = two_halls(now)
+    later = now + HALL_SILENT_S
+    table.hear("north-1", replace(NOTICE, hall="north"), later)
+    assert sorted(table.reachable(later)) == ["north-0", "north-1", "north-2"]
+    table.hear("south-2", replace(NOTICE, hall="south"), later + 0.1)
+    assert len(table.reachable(later + 0.1)) == 6
+
+
+def test_a_box_that_hears_nobody_reaches_nobody():
+    assert two_halls(100.0).reachable(100.0 + 2 * HALL_SILENT_S) == []
