Test of waiting requests waits until both threads are busy

One connection in the queue is also the first or second one, before a thread has taken it; the test went by the queue alone and counted too early. The server counts rightly: it notes a connection before it queues it. Change: wait until no thread is idle and one connection is queued, which needs all three. The assertions are unchanged.

--- a/tests/test_httpd.py
+++ b/tests/test_httpd.py
@@ -87,7 +87,8 @@
     socks = [connect(server) for _ in range(3)]
     for sock in socks:
         sock.sendall(HEAD)
-    wait_until(lambda: server.pool.qsize == 1)
+    # One in the queue alone may also be the first one, before a thread has taken it.
+    wait_until(lambda: server.pool.idle == 0 and server.pool.qsize == 1)
     assert server.open_requests == 3
     for sock in socks:
         sock.sendall(b"abcd")
