The number of boxes is on record in the store: limits are divided by it from the first second

Ruled out: waiting until the count is stable, as both sides of a cut that the fleet is started in would each find a stable half. Change: systems/fleet_size and forwarding/fleet_record. A box that knows a configuration has met the store or a peer that has. Measured in virtual time, 12 boxes started within a cut under a flood of four times the limit: over 1.2 of what is allowed without the record, within it with the record (both are tests).

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -13,6 +13,7 @@
 from croftchute.forwarding.decision_log import Decision, DecisionLog, LineWriter
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
 from croftchute.forwarding.exchange import Exchange
+from croftchute.forwarding.fleet_record import FleetRecord
 from croftchute.forwarding.forwarder import Forwarder
 from croftchute.forwarding.hall_news import KNOWN_PATH, NEWS_PATH
 from croftchute.forwarding.http_server import HttpIngress
@@ -27,6 +28,7 @@
 from croftchute.peers.messages import BoxNotice
 from croftchute.router_settings import RouterSettings, parse_address, read_router_settings
 from croftchute.storage.watched import SharedStore, Vocabulary
+from croftchute.systems.fleet_size import FleetSize
 from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.retry_budget import RetryLimits
 from croftchute.systems.usage_bucket import LimitTerms
@@ -149,7 +151,15 @@
             link_mbps=settings.link_mbps,
         )
         self.catch_ups = catch_ups(state, self.follower)
+        self.fleet_size = FleetSize()
         self.usage_limits = self._make_usage_limits()
+        self.fleet_record = FleetRecord(
+            state=state,
+            store=store,
+            size=self.fleet_size,
+            has_limits=state.has_limits,
+            is_keeper=self.usage_limits.is_pool,
+        )
         forwarder = Forwarder(state=state, usage_limits=self.usage_limits)
         self.ingress = HttpIngress(
             handler=forwarder.handle, limits=state.limits, turn_away=forwarder.turn_away
@@ -167,8 +177,10 @@
         """The way in which limits of organisations are kept here, as the settings name it."""
         terms = limit_terms(self.settings)
         if self.settings.ways.limits is LimitWay.FIXED:
-            return FixedShares(state=self.state, terms=terms)
-        limits = PooledLimits(state=self.state, terms=terms, tell=self.exchange.tell)
+            return FixedShares(state=self.state, terms=terms, size=self.fleet_size)
+        limits = PooledLimits(
+            state=self.state, terms=terms, size=self.fleet_size, tell=self.exchange.tell
+        )
         self.exchange.on_allowance_ask = limits.note_ask
         self.exchange.on_allowance_reply = limits.note_reply
         return limits
@@ -208,6 +220,7 @@
             self.orders.run(),
             self.exchange.run(),
             self.usage_limits.run(),
+            self.fleet_record.run(),
             *(catch_up.run() for catch_up in self.catch_ups),
             self._sweep(),
             self._watch_settings(),
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -62,6 +62,7 @@
     PEER_GONE = "peer_gone"
     PEER_FETCH = "peer_fetch"
     NEWS_SOURCE = "news_source"
+    FLEET_SIZE = "fleet_size"
     TRANSFER_ENDED = "transfer_ended"
 
 
--- a/src/croftchute/forwarding/limits.py
+++ b/src/croftchute/forwarding/limits.py
@@ -7,7 +7,8 @@
 from typing import Protocol
 
 from croftchute.forwarding.state import ForwardingState
-from croftchute.systems.lent_share import LEASE_S
+from croftchute.systems.allowance_pool import LEASE_S, NO_SHARE_WAIT_S
+from croftchute.systems.fleet_size import FleetSize
 from croftchute.systems.usage_bucket import LimitTerms, UsageBucket
 from croftchute.tables.organisations import Organisation, UsageLimit
 
@@ -52,21 +53,18 @@
         """What goes on beside the requests; never returns."""
         ...
 
-
-def own_share(state: ForwardingState, told_boxes: int = 0) -> float:
-    """The part of each limit that is this box's own: one in as many as there are boxes.
-
-    Boxes that have been silent for less than a minute count: they may be cut off and serve on.
-    """
-    return 1.0 / max(1, told_boxes, 1 + len(state.peers.peers_by_id))
+    def is_pool(self) -> bool:
+        """Whether this box says yes or no for others."""
+        ...
 
 
 class FixedShares:
     """Each box keeps to its own share. Nothing is said between boxes, little of it fits."""
 
-    def __init__(self, *, state: ForwardingState, terms: LimitTerms) -> None:
+    def __init__(self, *, state: ForwardingState, terms: LimitTerms, size: FleetSize) -> None:
         self.state = state
         self.terms = terms
+        self.size = size
         self.buckets_by_name: dict[str, UsageBucket] = {}
         self._share_seconds = 0.0
         self._counted_to = state.clock()
@@ -96,13 +94,19 @@
     async def run(self) -> None:
         """Nothing is to be done beside the requests."""
 
+    def is_pool(self) -> bool:
+        """Every box is its own pool, and each may correct the record of how many there are."""
+        return True
+
     def _wait_s(self, bucket: UsageBucket, limit: UsageLimit, wanted: float, share: float) -> float:
+        if share <= 0.0:
+            return NO_SHARE_WAIT_S
         return max(0.0, wanted - bucket.level) / (limit.rate_per_s * share)
 
     def _count(self, now: float) -> float:
         """Count this box's share up to now; none in its first seconds, as it may be a new life."""
         begin = max(self._counted_to, self.state.started_at + LEASE_S)
-        share = own_share(self.state)
+        share = self.size.share(self.state.peers.known_boxes)
         self._share_seconds += share * max(0.0, now - begin)
         self._counted_to = now
         return share
--- a/src/croftchute/forwarding/pooled_limits.py
+++ b/src/croftchute/forwarding/pooled_limits.py
@@ -8,10 +8,11 @@
 from dataclasses import dataclass, field
 
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.limits import GRANTED, Allowance, AllowanceOutcome, own_share
+from croftchute.forwarding.limits import GRANTED, Allowance, AllowanceOutcome
 from croftchute.forwarding.state import ForwardingState
 from croftchute.peers.messages import AllowanceAsk, AllowanceReply, Body
 from croftchute.systems.allowance_pool import AllowancePool
+from croftchute.systems.fleet_size import FleetSize
 from croftchute.systems.lent_share import GROUPS, LentShare, group_of
 from croftchute.systems.usage_bucket import LimitTerms
 from croftchute.systems.usage_purse import UsagePurse
@@ -54,7 +55,6 @@
     pool: AllowancePool
     share: LentShare
     asked_at: float = -math.inf
-    told_boxes: int = 0
     returns: list[UsageReturn] = field(default_factory=list)
 
 
@@ -62,9 +62,15 @@
     """Asks the pool of an organisation before each request, unless something is left here."""
 
     def __init__(
-        self, *, state: ForwardingState, terms: LimitTerms, tell: Callable[[str, Body], None]
+        self,
+        *,
+        state: ForwardingState,
+        terms: LimitTerms,
+        size: FleetSize,
+        tell: Callable[[str, Body], None],
     ) -> None:
         self.state = state
+        self.size = size
         self.tell = tell
         self.purses_by_name: dict[str, UsagePurse] = {}
         self.groups = [
@@ -174,7 +180,7 @@
         """Ask the pool of a group, or give out of it if it is kept here; returns which it is."""
         now = self.state.clock()
         group.asked_at = now
-        share = own_share(self.state, group.told_boxes)
+        share = self.size.share(self.state.peers.known_boxes)
         lease = group.share.asked(self.state.peers.reachable(now), share, now)
         returns, group.returns = tuple(group.returns), []
         ask = AllowanceAsk(
@@ -202,7 +208,8 @@
             return
         group = self.groups[reply.group]
         group.share.answered(sender, reply.stamp)
-        group.told_boxes = reply.boxes
+        if sender != self.state.box:
+            self.size.note_told(reply.boxes)
         answer = self._answers_by_number.pop(reply.number, None)
         if answer is not None and not answer.done() and reply.grants:
             answer.set_result(reply.grants[0])
@@ -218,17 +225,21 @@
             number=ask.number,
             group=ask.group,
             stamp=now,
-            boxes=1 + len(self.state.peers.peers_by_id),
+            boxes=self.size.boxes(self.state.peers.known_boxes) if self.size.is_known else 0,
             grants=tuple(pool.give(want, known, now) for want in ask.wants),
         )
 
     # Beside the requests.
 
+    def is_pool(self) -> bool:
+        """Whether this box lends its own share to the pool that it keeps itself."""
+        return any(group.share.pool == self.state.box for group in self.groups)
+
     async def run(self) -> None:
         """Keep the leases up while some organisation has a limit; never returns."""
         while True:
             await asyncio.sleep(ASK_INTERVAL_S * self.state.rng.uniform(0.8, 1.2))
-            if any(organisation.limit for organisation in self._known().values()):
+            if self.state.has_limits():
                 self._renew(self.state.clock())
 
     def _renew(self, now: float) -> None:
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -180,6 +180,11 @@
         self.background.add(task)
         task.add_done_callback(self.background.discard)
 
+    def has_limits(self) -> bool:
+        """Whether some organisation has a limit."""
+        organisations = self.table.organisations if self.table is not None else None
+        return organisations is not None and organisations.has_limits
+
     def limits(self) -> IngressLimits:
         """The limits in force; defaults until a configuration is known."""
         return self.table.limits if self.table is not None else IngressLimits()
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -134,6 +134,14 @@
         ]
         return tuple(live if len(live) <= INTRODUCED else rng.sample(live, INTRODUCED))
 
+    @property
+    def known_boxes(self) -> int:
+        """Boxes that are known, this one among them.
+
+        Boxes that have been silent for less than a minute count: they may be cut off and serve on.
+        """
+        return 1 + len(self.peers_by_id)
+
     def boxes(self, now: float) -> int:
         """How many boxes there are, this one and those heard in the last seconds."""
         heard = sum(now - peer.heard_at <= COUNTED_S for peer in self.peers_by_id.values())
--- a/src/croftchute/tables/organisations.py
+++ b/src/croftchute/tables/organisations.py
@@ -108,6 +108,11 @@
     by_name: dict[str, Organisation] = field(default_factory=dict)
     name_by_digest: dict[bytes, str] = field(default_factory=dict)
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether some organisation has a limit."""
+        return any(organisation.limit is not None for organisation in self.by_name.values())
+
     def holder(self, claim: KeyClaim) -> Organisation | None:
         """The organisation that holds a key; None if no organisation does.
 
--- /dev/null
+++ b/tests/forwarding/test_fleet_record.py
@@ -0,0 +1,126 @@
+"""The record of how many boxes there are: who reads it, who writes it, and when."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from croftchute.errors import Code, StoreError
+from croftchute.forwarding.fleet_record import RECORD_KEY, FleetRecord
+from croftchute.storage.watched import StoredItem
+from croftchute.systems.fleet_size import LOWER_AFTER_S, FleetSize
+
+
+class Store:
+    """One key, its revision, and the calls that were made."""
+
+    def __init__(self, value=None):
+        self.found = None if value is None else StoredItem(key=RECORD_KEY, value=value, revision=7)
+        self.calls = []
+        self.is_down = False
+        self.meanwhile = None
+
+    async def item(self, key):
+        self.calls.append("item")
+        if self.is_down:
+            raise StoreError(Code.STORE_UNAVAILABLE, "down")
+        return self.found
+
+    async def put_if(self, key, value, *, revision, lease):
+        self.calls.append("put")
+        if self.meanwhile is not None:
+            self.found, self.meanwhile = self.meanwhile, None
+        if revision != (self.found.revision if self.found else 0):
+            return None
+        self.found = StoredItem(key=key, value=value, revision=revision + 1)
+        return revision + 1
+
+
+def made(store, *, known=1, is_keeper=False, has_limits=True, size=None):
+    state = SimpleNamespace(
+        peers=SimpleNamespace(known_boxes=known),
+        clock=lambda: state.now,
+        now=0.0,
+        log=SimpleNamespace(decide=lambda kind, **inputs: None),
+    )
+    return FleetRecord(
+        state=state,
+        store=store,
+        size=size or FleetSize(),
+        has_limits=lambda: has_limits,
+        is_keeper=lambda: is_keeper,
+    )
+
+
+def look(record, times=1):
+    for _ in range(times):
+        asyncio.run(record.look())
+
+
+def test_the_record_is_read_once():
+    store = Store(b"78")
+    record = made(store)
+    look(record, times=3)
+    assert record.size.recorded == 78
+    assert store.calls == ["item"]
+
+
+def test_without_limits_the_store_is_not_called():
+    store = Store(b"78")
+    look(made(store, has_limits=False))
+    assert store.calls == []
+
+
+def test_the_first_keeper_writes_what_it_knows_and_others_write_nothing():
+    store = Store()
+    look(made(store, known=30))
+    assert store.found is None
+    look(made(store, known=30, is_keeper=True))
+    assert store.found.value == b"30"
+
+
+def test_a_keeper_that_knows_fewer_leaves_the_record():
+    store = Store(b"78")
+    record = made(store, known=30, is_keeper=True)
+    look(record, times=3)
+    assert store.found.value == b"78"
+    assert "put" not in store.calls
+
+
+def test_of_two_keepers_the_greater_count_stands():
+    store = Store(b"10")
+    store.meanwhile = StoredItem(key=RECORD_KEY, value=b"60", revision=9)
+    record = made(store, known=40, is_keeper=True)
+    look(record, times=2)
+    assert store.found.value == b"60"
+    assert record.size.boxes(40) == 60
+
+
+def test_a_fleet_that_shrank_is_recorded_by_its_keeper_and_counted_by_all():
+    store = Store(b"78")
+    keeper = made(store, known=40, is_keeper=True)
+    other = made(store, known=40)
+    for record in (keeper, other):
+        look(record)
+        record.state.now = LOWER_AFTER_S + 1.0
+        look(record)
+    assert store.found.value == b"40"
+    assert (keeper.size.recorded, other.size.recorded) == (40, 40)
+
+
+def test_while_the_store_is_down_the_box_has_no_share():
+    store = Store(b"78")
+    store.is_down = True
+    record = made(store)
+    with pytest.raises(StoreError):
+        look(record)
+    assert record.size.share(1) == 0.0
+    store.is_down = False
+    look(record)
+    assert record.size.share(1) == pytest.approx(1 / 78)
+
+
+def test_a_record_that_is_no_number_is_written_anew():
+    store = Store(b"many")
+    look(made(store, known=5, is_keeper=True))
+    assert store.found.value == b"5"
--- a/tests/systems/limit_world.py
+++ b/tests/systems/limit_world.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from croftchute.systems.allowance_pool import AllowancePool
+from croftchute.systems.fleet_size import FleetSize
 from croftchute.systems.lent_share import LentShare
 from croftchute.systems.usage_bucket import LimitTerms
 from croftchute.tables.allowances import UsageWant
@@ -41,7 +42,11 @@
 
 @dataclass
 class LimitWorld:
-    """A fleet under one organisation's limit; ``taken`` is what was used, and when."""
+    """A fleet under one organisation's limit; ``taken`` is what was used, and when.
+
+    Boxes count all there are, or with ``counts_by_sight`` only those that they see, as boxes do
+    that were just started; ``size`` is what the store has on record.
+    """
 
     seed: int
     boxes: int
@@ -49,6 +54,8 @@
     loss: float = 0.0
     repeats: float = 0.0
     delay_s: tuple[float, float] = (0.001, 0.005)
+    size: FleetSize = field(default_factory=lambda: FleetSize(recorded=0))
+    counts_by_sight: bool = False
 
     def __post_init__(self):
         self.rng = random.Random(self.seed)
@@ -114,7 +121,8 @@
         if box_id in self.is_dead or box.paused_until > self.now:
             return
         seen = [other for other in self.live() if not self.apart(box_id, other)]
-        lease = box.share.asked(seen, 1.0 / self.boxes, box.clock(self.now))
+        share = self.size.share(len(seen) if self.counts_by_sight else self.boxes)
+        lease = box.share.asked(seen, share, box.clock(self.now))
         asked_at = self.now
         state = {"done": False}
         if units:
--- /dev/null
+++ b/tests/systems/test_fleet_size.py
@@ -0,0 +1,43 @@
+"""The count of boxes that limits are divided by: never too small, and right again in the end."""
+
+import pytest
+
+from croftchute.systems.fleet_size import LOWER_AFTER_S, FleetSize
+
+
+def test_a_box_that_knows_neither_the_record_nor_anybody_has_no_share():
+    assert FleetSize().share(1) == 0.0
+    assert FleetSize().share(40) == 0.0
+
+
+def test_a_box_that_was_just_started_counts_by_the_record():
+    assert FleetSize(recorded=78).share(1) == pytest.approx(1 / 78)
+
+
+def test_more_known_boxes_than_recorded_count_at_once_and_are_recorded():
+    size = FleetSize(recorded=40)
+    assert size.share(50) == pytest.approx(1 / 50)
+    assert size.to_record(50, now=1.0) == 50
+
+
+def test_a_count_that_was_told_stands_for_the_record_and_never_lowers_it():
+    size = FleetSize()
+    size.note_told(0)
+    assert not size.is_known
+    size.note_told(60)
+    size.note_told(20)
+    assert size.recorded == 60
+
+
+def test_fewer_boxes_are_recorded_only_after_they_have_been_fewer_for_long():
+    size = FleetSize(recorded=78)
+    assert size.to_record(52, now=10.0) is None
+    assert size.to_record(52, now=10.0 + LOWER_AFTER_S - 1.0) is None
+    assert size.to_record(52, now=10.0 + LOWER_AFTER_S) == 52
+
+
+def test_boxes_that_come_back_meanwhile_begin_the_wait_anew():
+    size = FleetSize(recorded=78)
+    assert size.to_record(52, now=10.0) is None
+    assert size.to_record(78, now=200.0) is None
+    assert size.to_record(52, now=10.0 + LOWER_AFTER_S) is None
--- a/tests/systems/test_lent_shares.py
+++ b/tests/systems/test_lent_shares.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 from limit_world import CREW, TERMS, LimitWorld, crew_limit
 
+from croftchute.systems.fleet_size import FleetSize
 from croftchute.systems.usage_bucket import UsageBucket
 
 FLOOD = 400_000.0
@@ -105,6 +106,31 @@
     assert world.most_in_a_window() <= allowed(world)
 
 
+def most_after_a_start_within_a_cut(recorded):
+    """All boxes lose power while a hall is cut off, and know nobody beyond the cut."""
+    size = FleetSize(recorded=recorded)
+    world = world_with_leases(boxes=12, size=size, counts_by_sight=True)
+    world.load(5.0, 30.0, FLOOD)
+    hall = {f"b{n}" for n in range(5)}
+
+    def cut(is_cut):
+        world.apart = (lambda a, b: (a in hall) != (b in hall)) if is_cut else (lambda a, b: False)
+
+    world.at(10.0, lambda: cut(True))
+    world.at(10.0, lambda: [world.start(f"b{n}") for n in range(12)])
+    world.at(24.0, lambda: cut(False))
+    world.run(31.0)
+    return world.most_in_a_window() / allowed(world)
+
+
+def test_boxes_started_within_a_cut_lend_no_more_than_the_limit_by_the_record():
+    assert most_after_a_start_within_a_cut(recorded=12) <= 1.0
+
+
+def test_without_a_record_both_sides_of_the_cut_would_lend_the_whole_limit():
+    assert most_after_a_start_within_a_cut(recorded=0) > 1.2
+
+
 def test_the_end_of_a_pool_costs_two_seconds_of_its_group():
     world = world_with_leases(boxes=12)
     world.load(5.0, 30.0, 60_000.0)
