Many rows of a message go by columns, and fields are read by name: notices cost a third to a half less

Cause: boxes read some twenty notices a second from one another, row by row through attribute access, which pycapnp answers after a failed look-up: 3.2 us a field. Change: worker notices and samples of prefill calls stand as a list for each field, under new fields of the schema; boxes of an earlier release see none of them and keep the rest. Ruled out: to_dict, which takes twice as long as rows. Measured on one core, encode and decode in us: notice without workers 56 and 113 before, 43 and 71 after; with 8 workers 108 and 255, 86 and 155; with 24 workers 217 and 542, 131 and 271. A datagram of 24 workers is 886 bytes in place of 1,019.

--- a/src/croftchute/peers/codec.py
+++ b/src/croftchute/peers/codec.py
@@ -9,7 +9,7 @@
 import hmac
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, fields
-from enum import StrEnum
+from enum import Enum, StrEnum, auto
 from pathlib import Path
 from typing import Any, get_args, get_type_hints
 
@@ -36,6 +36,11 @@
     UsageGrant,
     UsageReturn,
 )
+COLUMN_STRUCTS = (WorkerNotice, PrefillSample)
+"""Those of which a message holds many: their lists are sent column by column, under a name of their
+own. Reading 24 worker notices takes 46 us in place of 260, and boxes read some twenty a second."""
+
+COLUMNS_SUFFIX = "Columns"
 STRUCTS_BY_LIST: dict[Any, type] = {tuple[kind, ...]: kind for kind in STRUCTS}  # type: ignore[valid-type]
 SCHEMA = capnp.load(str(Path(__file__).with_name("schema.capnp")))
 
@@ -49,6 +54,14 @@
     bodies: tuple[Body, ...]
 
 
+class _Form(Enum):
+    """How a field stands in a message: as one value, or as structs, row by row or by columns."""
+
+    VALUE = auto()
+    ROWS = auto()
+    COLUMNS = auto()
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Field:
     """How one field of a message class is written and read."""
@@ -57,7 +70,7 @@
     wire_name: str
     write: Callable[[Any], Any]
     read: Callable[[Any], Any]
-    is_structs: bool
+    form: _Form
 
 
 class Codec:
@@ -164,25 +177,37 @@
     hints = get_type_hints(kind)
     plan = []
     for field in fields(kind):
+        hint = hints[field.name]
         if field.name in ID_FIELDS:
             write, read = ID_CONVERTERS
         else:
-            write, read = _converters(hints[field.name])
+            write, read = _converters(hint)
+        form = _form(hint)
+        suffix = COLUMNS_SUFFIX if form is _Form.COLUMNS else ""
         plan.append(
             _Field(
                 name=field.name,
-                wire_name=_camel(field.name),
+                wire_name=_camel(field.name) + suffix,
                 write=write,
                 read=read,
-                is_structs=hints[field.name] in STRUCTS_BY_LIST,
+                form=form,
             )
         )
     return plan
 
 
+def _form(hint: Any) -> _Form:
+    kind = STRUCTS_BY_LIST.get(hint)
+    if kind is None:
+        return _Form.VALUE
+    return _Form.COLUMNS if kind in COLUMN_STRUCTS else _Form.ROWS
+
+
 def _converters(hint: Any) -> tuple[Callable[[Any], Any], Callable[[Any], Any]]:
     if hint in STRUCTS_BY_LIST:
         kind = STRUCTS_BY_LIST[hint]
+        if kind in COLUMN_STRUCTS:
+            return _same, lambda value: _read_columns(kind, value)
         return _same, lambda value: tuple(_read(kind, entry) for entry in _bounded(value))
     if getattr(hint, "__origin__", None) is tuple:
         return list, lambda value: tuple(_bounded(value))
@@ -202,20 +227,43 @@
     """Write a body's fields one by one; building from a dict takes six times as long."""
     for field in _PLANS[type(body)]:
         value = getattr(body, field.name)
-        if not field.is_structs:
+        if field.form is _Form.VALUE:
             setattr(builder, field.wire_name, field.write(value))
-            continue
-        for entry, item in zip(builder.init(field.wire_name, len(value)), value, strict=True):
-            _fill(entry, item)
+        elif field.form is _Form.COLUMNS:
+            _fill_columns(builder, field, value)
+        else:
+            for entry, item in zip(builder.init(field.wire_name, len(value)), value, strict=True):
+                _fill(entry, item)
+
+
+def _fill_columns(builder: Any, field: _Field, items: Sequence[Any]) -> None:
+    """Write structs of one kind as a list for each of their fields; nothing if there are none."""
+    if not items:
+        return
+    columns = builder.init(field.wire_name)
+    for part in _PLANS[type(items[0])]:
+        setattr(columns, part.wire_name, [part.write(getattr(item, part.name)) for item in items])
+
+
+def _read_columns(kind: type, wire: Any) -> tuple[Any, ...]:
+    """Read what :func:`_fill_columns` wrote; columns of unequal length are no message."""
+    plan = _PLANS[kind]
+    columns = [_bounded(wire._get(part.wire_name)) for part in plan]
+    if not len(columns[0]):
+        return ()
+    names = [part.name for part in plan]
+    rows = zip(*map(list, columns), strict=True)
+    return tuple(kind(**dict(zip(names, row, strict=True))) for row in rows)
 
 
 def _read(kind: type, wire: Any) -> Any:
-    return kind(
-        **{field.name: field.read(getattr(wire, field.wire_name)) for field in _PLANS[kind]}
-    )
+    # By name as the library does itself: attribute access goes through a failed look-up first and
+    # takes 3.2 us a field in place of 0.7.
+    get = wire._get
+    return kind(**{field.name: field.read(get(field.wire_name)) for field in _PLANS[kind]})
 
 
 def _from_wire(entry: Any) -> Body:
     which = str(entry.which())
-    body: Body = _read(_KINDS[which], getattr(entry, which))
+    body: Body = _read(_KINDS[which], entry._get(which))
     return body
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -184,6 +184,24 @@
   largeTokens @11 :UInt32;
   granted @12 :UInt32;
   largeGranted @13 :UInt32;
+  prefillsColumns @14 :PrefillSampleColumns;
+}
+
+# Rows sent column by column: reading takes a sixth of the time. The row forms of these fields stand
+# for boxes of an earlier release and are not written any more.
+
+struct WorkerNoticeColumns {
+  worker @0 :List(Text);
+  inFlight @1 :List(UInt32);
+  failures @2 :List(Float32);
+  waitS @3 :List(Float32);
+  changingTo @4 :List(Text);
+  changingS @5 :List(Float32);
+}
+
+struct PrefillSampleColumns {
+  tokens @0 :List(UInt32);
+  seconds @1 :List(Float32);
 }
 
 struct BoxNotice {
@@ -199,6 +217,7 @@
   introduced @9 :List(Text);
   hall @10 :Text;
   linkMbps @11 :Float32;
+  workersColumns @12 :WorkerNoticeColumns;
 }
 
 struct UsageWant {
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 
 from croftchute.errors import Code, MessageError
-from croftchute.peers.codec import STRUCTS_BY_LIST, Codec, Envelope
-from croftchute.peers.messages import Body, Released
+from croftchute.peers.codec import MAX_ITEMS, SCHEMA, STRUCTS_BY_LIST, Codec, Envelope
+from croftchute.peers.messages import Body, BoxNotice, Released
+from croftchute.tables.peers import WorkerNotice
 
 CODEC = Codec(keys=["k" * 16])
 VALUES = {str: "text", int: 7, float: 0.5, bytes: b"raw", bool: True, Code: Code.NO_CAPACITY}
@@ -70,3 +71,48 @@
             CODEC.decode(bytes.fromhex(CODEC.sign(payload)) + payload)
         except MessageError:
             continue
+
+
+def notice_with(columns):
+    """A notice whose columns of worker notices are filled in by hand."""
+    message = SCHEMA.Envelope.new_message()
+    notice = message.init("messages", 1)[0].init("boxNotice")
+    made = notice.init("workersColumns")
+    for name, values in columns.items():
+        setattr(made, name, values)
+    payload = message.to_bytes_packed()
+    return bytes.fromhex(CODEC.sign(payload)) + payload
+
+
+def whole_columns(rows):
+    names = ("inFlight", "failures", "waitS", "changingS")
+    texts = {"worker": ["w"] * rows, "changingTo": [""] * rows}
+    return texts | {name: [1] * rows for name in names}
+
+
+def test_rows_sent_by_columns_come_back_in_their_order():
+    rows = tuple(
+        WorkerNotice(
+            worker=f"w{n}",
+            in_flight=70_000 + n,
+            failures=0.5 * n,
+            wait_s=0.25,
+            changing_to="decode" if n == 2 else "",
+            changing_s=1.5,
+        )
+        for n in range(5)
+    )
+    body = dataclasses.replace(example(BoxNotice), workers=rows)
+    datagram = CODEC.encode(Envelope(sender="b", stamp=3, bodies=(body,)))
+    assert CODEC.decode(datagram).bodies[0].workers == rows
+
+
+def test_columns_of_unequal_length_are_no_message():
+    assert len(CODEC.decode(notice_with(whole_columns(3))).bodies[0].workers) == 3
+    with pytest.raises(MessageError):
+        CODEC.decode(notice_with(whole_columns(3) | {"inFlight": [1, 2]}))
+
+
+def test_columns_of_more_rows_than_a_datagram_can_mean_are_no_message():
+    with pytest.raises(MessageError):
+        CODEC.decode(notice_with(whole_columns(MAX_ITEMS + 1)))
