What peers told of a worker is looked up by worker, not by going through all peers

Cause: each of the twelve workers looked at for a choice was asked of all 77 peers, three times over. Change: an index by worker beside the peers, kept as notices come and peers are forgotten; a test compares it with the look through all peers.

--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -48,6 +48,7 @@
     hall: str = ""
     seeds: tuple[tuple[str, int], ...] = ()
     peers_by_id: dict[str, Peer] = field(default_factory=dict)
+    _entries_by_worker: dict[str, dict[str, WorkerNotice]] = field(default_factory=dict)
 
     def hear(self, sender: str, notice: BoxNotice, now: float) -> bool:
         """Take in a notice; True if the sender was not known, or has been restarted."""
@@ -58,6 +59,9 @@
             return False
         if known is None and len(self.peers_by_id) >= MAX_PEERS:
             return False
+        self._drop_entries(known)
+        for entry in notice.workers:
+            self._entries_by_worker.setdefault(entry.worker, {})[sender] = entry
         self.peers_by_id[sender] = Peer(
             id=sender,
             host=notice.host,
@@ -79,9 +83,19 @@
         """Drop peers that have been silent for long; returns their ids."""
         old = [peer.id for peer in self.peers_by_id.values() if now - peer.heard_at > FORGET_S]
         for peer_id in old:
-            del self.peers_by_id[peer_id]
+            self._drop_entries(self.peers_by_id.pop(peer_id))
         return old
 
+    def _drop_entries(self, peer: Peer | None) -> None:
+        """Forget what a peer told of workers."""
+        if peer is None:
+            return
+        for worker_id in peer.workers_by_id or ():
+            entries = self._entries_by_worker[worker_id]
+            del entries[peer.id]
+            if not entries:
+                del self._entries_by_worker[worker_id]
+
     def targets(self, now: float, rng: random.Random) -> list[tuple[str, int]]:
         """Where the next notice goes: a bounded number of peers, and seeds while few answer."""
         peers = [peer for peer in self.peers_by_id.values() if now - peer.heard_at <= FORGET_S]
@@ -149,20 +163,15 @@
 
     def in_flight(self, worker_id: str, now: float) -> int:
         """What other boxes have open at a worker, as far as they told lately."""
-        return sum(entry.in_flight for entry in self._entries(worker_id, now))
+        return sum(entry.in_flight for entry, _ in self._entries(worker_id, now))
 
     def failures(self, worker_id: str, now: float) -> float:
         """What other boxes hold against a worker."""
-        return sum(entry.failures for entry in self._entries(worker_id, now))
+        return sum(entry.failures for entry, _ in self._entries(worker_id, now))
 
     def prefill_wait_s(self, worker_id: str, now: float) -> float:
         """The longest wait at a prefill worker that other boxes told of lately."""
-        waits = [
-            faded(entry.wait_s, now - peer.heard_at)
-            for peer in self.peers_by_id.values()
-            if now - peer.heard_at <= FRESH_S
-            and (entry := (peer.workers_by_id or {}).get(worker_id)) is not None
-        ]
+        waits = [faded(entry.wait_s, age_s) for entry, age_s in self._entries(worker_id, now)]
         return max(waits, default=0.0)
 
     def prefills(self, service: str, now: float) -> list[PrefillSample]:
@@ -225,10 +234,10 @@
     def _ease(self, peer: Peer) -> tuple[bool, bool]:
         return not peer.is_leaving, peer.hall == self.hall
 
-    def _entries(self, worker_id: str, now: float) -> list[WorkerNotice]:
-        return [
-            entry
-            for peer in self.peers_by_id.values()
-            if now - peer.heard_at <= FRESH_S
-            and (entry := (peer.workers_by_id or {}).get(worker_id)) is not None
-        ]
+    def _entries(self, worker_id: str, now: float) -> list[tuple[WorkerNotice, float]]:
+        """What peers told of a worker lately, each with its age in seconds."""
+        ages = (
+            (entry, now - self.peers_by_id[peer_id].heard_at)
+            for peer_id, entry in self._entries_by_worker.get(worker_id, {}).items()
+        )
+        return [(entry, age_s) for entry, age_s in ages if age_s <= FRESH_S]
--- a/tests/systems/test_peer_table.py
+++ b/tests/systems/test_peer_table.py
@@ -6,6 +6,7 @@
     COUNTED_S,
     FANOUT,
     FORGET_S,
+    FRESH_S,
     HALL_FANOUT,
     HALL_SILENT_S,
     PeerTable,
@@ -189,3 +190,35 @@
 
 def test_a_box_that_hears_nobody_reaches_nobody():
     assert two_halls(100.0).reachable(100.0 + 2 * HALL_SILENT_S) == []
+
+
+def told_naively(table, worker_id, now):
+    """What a look through all that each peer told finds."""
+    return [
+        entry
+        for peer in table.peers_by_id.values()
+        if now - peer.heard_at <= FRESH_S
+        and (entry := (peer.workers_by_id or {}).get(worker_id)) is not None
+    ]
+
+
+def test_what_is_known_of_a_worker_is_what_all_peers_told_of_it():
+    rng = random.Random(7)
+    table = PeerTable(own_id="me")
+    now = 0.0
+    for _ in range(600):
+        now += rng.choice((0.01, 0.05, 2.0, FORGET_S / 2))
+        told = tuple(
+            WorkerNotice(
+                worker=f"w{n}", in_flight=rng.randrange(5), failures=1.0, wait_s=rng.random()
+            )
+            for n in rng.sample(range(6), rng.randrange(4))
+        )
+        peer = f"b{rng.randrange(9)}"
+        table.hear(peer, replace(NOTICE, started_at=100.0 + rng.randrange(3), workers=told), now)
+        if rng.random() < 0.1:
+            table.forget(now)
+        for n in range(6):
+            naive = told_naively(table, f"w{n}", now)
+            assert table.in_flight(f"w{n}", now) == sum(entry.in_flight for entry in naive)
+            assert table.failures(f"w{n}", now) == sum(entry.failures for entry in naive)
