The first second after a start refuses nobody below the limit: requests wait for shares, which bring a part of the excess

Change, three parts: (1) a life counts from the begin of its process, before the program is loaded; an earlier life was over by then. (2) In the three seconds after a start, or after the end of a pool, a request is held for up to half of its caller's time, 1.5 s at the most, in place of a refusal. (3) A box's share brings a fifth of the allowed excess along once in each life. Ruled out: lending at once (an earlier life may have lent the same), shorter leases (twice the messages).

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -63,9 +63,13 @@
 
 
 def make_state(
-    settings: RouterSettings, *, callers: CallerDialect, workers: WorkerDialect
+    settings: RouterSettings,
+    *,
+    callers: CallerDialect,
+    workers: WorkerDialect,
+    begun_at: float | None = None,
 ) -> ForwardingState:
-    """The state of a process that has heard nothing yet."""
+    """The state of a process that has heard nothing yet; ``begun_at`` as in the state, or now."""
     clock = asyncio.get_running_loop().time
     metrics = TrafficMetrics()
     log = DecisionLog(box=settings.box, writer=LineWriter(descriptor=STDOUT, now=clock))
@@ -84,6 +88,7 @@
         peers=peer_table(settings),
         ways=settings.ways,
         started_at=clock(),
+        begun_at=clock() if begun_at is None else begun_at,
         workers=WorkerTable(lapsed_grace_s=lapsed_grace_s(settings)),
     )
 
--- a/src/croftchute/forwarding/fleet_record.py
+++ b/src/croftchute/forwarding/fleet_record.py
@@ -20,8 +20,9 @@
 NO_LEASE = 0
 """The record outlives every box."""
 
-READ_AGAIN_S = 0.3
-"""Seconds between two tries to read the record: some seventy answers of a sound store."""
+READ_AGAIN_S = 0.1
+"""Seconds between two tries to read the record in a box's first moments, in which it has no share
+of any limit: some twenty answers of a sound store."""
 
 CHECK_S = 1.0
 """Seconds between two looks at whether the record still fits: two notices of each peer."""
@@ -54,7 +55,12 @@
                 self._is_lost = False
             except StoreError as error:
                 self._note_lost(error)
-            await asyncio.sleep(CHECK_S if self.size.is_known else READ_AGAIN_S)
+            await asyncio.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        """Until the next look: short while the record is wanted and could come."""
+        knows_its_needs = self.state.table is not None and not self.has_limits()
+        return CHECK_S if self.size.is_known or knows_its_needs or self._is_lost else READ_AGAIN_S
 
     async def look(self) -> None:
         """Read the record if it is not known, and write it if it is wrong."""
--- a/src/croftchute/forwarding/forwarder.py
+++ b/src/croftchute/forwarding/forwarder.py
@@ -123,7 +123,7 @@
             await self._run(run)
             return
         units = organisation.limit.cost(run.facts.named_tokens)
-        allowance = await self.usage_limits.admit(organisation, units)
+        allowance = await self.usage_limits.admit(organisation, units, patience_s=run.time_left_s)
         if not allowance.is_granted:
             self._refuse_over_limit(run, allowance, units)
             return
@@ -148,6 +148,7 @@
             units=units,
             pool=allowance.pool,
             wait_s=round(allowance.wait_s, 3),
+            live_share=round(allowance.live_share, 3),
         )
         if allowance.outcome is AllowanceOutcome.UNKNOWN:
             run.refuse(Code.LIMIT_UNKNOWN, Ran.NOT_RUN, f"no word of {allowance.pool}")
--- a/src/croftchute/forwarding/limits.py
+++ b/src/croftchute/forwarding/limits.py
@@ -23,11 +23,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Allowance:
-    """Whether a request may run, and what decided it; ``wait_s`` is when to come back if not."""
+    """Whether a request may run, and what decided it; ``wait_s`` is when to come back if not.
+
+    ``live_share`` is the part of all limits that the pool had at the time.
+    """
 
     outcome: AllowanceOutcome
     wait_s: float = 0.0
     pool: str = ""
+    live_share: float = 0.0
 
     @property
     def is_granted(self) -> bool:
@@ -41,8 +45,13 @@
 class UsageLimits(Protocol):
     """Keeps the limits of organisations over all boxes."""
 
-    async def admit(self, organisation: Organisation, units: float) -> Allowance:
-        """Take units for a request, or say when to come back."""
+    async def admit(
+        self, organisation: Organisation, units: float, *, patience_s: float
+    ) -> Allowance:
+        """Take units for a request, or say when to come back.
+
+        ``patience_s`` is how long the request may be held while boxes are still finding a pool.
+        """
         ...
 
     def give_back(self, organisation: str, units: float) -> None:
@@ -69,8 +78,10 @@
         self._share_seconds = 0.0
         self._counted_to = state.clock()
 
-    async def admit(self, organisation: Organisation, units: float) -> Allowance:
-        """Take units out of this box's share."""
+    async def admit(
+        self, organisation: Organisation, units: float, *, patience_s: float
+    ) -> Allowance:
+        """Take units out of this box's share; nothing is waited for."""
         limit = organisation.limit
         if limit is None:
             return GRANTED
@@ -105,7 +116,7 @@
 
     def _count(self, now: float) -> float:
         """Count this box's share up to now; none in its first seconds, as it may be a new life."""
-        begin = max(self._counted_to, self.state.started_at + LEASE_S)
+        begin = max(self._counted_to, self.state.begun_at + LEASE_S)
         share = self.size.share(self.state.peers.known_boxes)
         self._share_seconds += share * max(0.0, now - begin)
         self._counted_to = now
--- a/src/croftchute/forwarding/pooled_limits.py
+++ b/src/croftchute/forwarding/pooled_limits.py
@@ -34,6 +34,23 @@
 DENIED_FOR_S = 0.2
 """Seconds for which a denial is repeated without asking: keeps callers that hammer cheap."""
 
+SETTLED_SHARE = 0.5
+"""Part of all limits from which on a pool is taken for the one that most boxes lend to."""
+
+SETTLE_POLL_S = 0.15
+"""Longest pause before a pool that is not settled is asked again: shares come in with rounds of
+askings, which are a third of a second apart."""
+
+MIN_PAUSE_S = 0.02
+"""Shortest pause before a pool is asked again: it counts what shares bring in as often."""
+
+HELD_SHARE_OF_TIME = 0.5
+"""Share of the time that a caller still waits for which a request is held while boxes find their
+pool. A refusal would cost the caller a way back and its target; what is left is enough to run."""
+
+MAX_HELD_S = 1.5
+"""Longest time for which a request is held there: by then shares have come together."""
+
 MAX_NUMBER = (1 << 32) - 1
 """Numbers of askings that fit the wire; they begin again after that."""
 
@@ -46,6 +63,16 @@
     until: float
     ready_at: float
     pool: str
+    live_share: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _PoolAnswer:
+    """What a pool answered in time: the grant is None if nothing came."""
+
+    pool: str
+    grant: UsageGrant | None = None
+    live_share: float = 0.0
 
 
 @dataclass(kw_only=True)
@@ -76,17 +103,19 @@
         self.groups = [
             _Group(
                 pool=AllowancePool(terms=terms),
-                share=LentShare(own_id=state.box, group=number, started_at=state.started_at),
+                share=LentShare(own_id=state.box, group=number, started_at=state.begun_at),
             )
             for number in range(GROUPS)
         ]
         self._denials_by_name: dict[str, _Denial] = {}
-        self._answers_by_number: dict[int, asyncio.Future[UsageGrant]] = {}
+        self._answers_by_number: dict[int, asyncio.Future[AllowanceReply]] = {}
         self._number = 0
 
     # For requests.
 
-    async def admit(self, organisation: Organisation, units: float) -> Allowance:
+    async def admit(
+        self, organisation: Organisation, units: float, *, patience_s: float
+    ) -> Allowance:
         """Take units for a request, or say when to come back."""
         limit = organisation.limit
         if limit is None:
@@ -102,7 +131,9 @@
         if denial is not None and now < denial.until and missing >= denial.units:
             purse.restore(taken)
             return self._denied(denial, now)
-        allowance = await self._ask_until_answered(organisation.name, limit, missing)
+        allowance = await self._ask_until_answered(
+            organisation.name, limit, missing, patience_s=patience_s
+        )
         if not allowance.is_granted:
             purse.restore(taken)
         return allowance
@@ -113,25 +144,42 @@
             UsageReturn(organisation=organisation, units=units)
         )
 
-    async def _ask_until_answered(self, name: str, limit: UsageLimit, units: float) -> Allowance:
+    async def _ask_until_answered(
+        self, name: str, limit: UsageLimit, units: float, *, patience_s: float
+    ) -> Allowance:
         group = self.groups[group_of(name)]
-        wait_ends_at = self.state.clock() + WORTH_WAITING_S
-        for _ in range(ASK_TRIES):
-            pool, grant = await self._ask_for(group, name, limit, units)
+        begun_at = self.state.clock()
+        tries = 0
+        while tries < ASK_TRIES:
+            answer = await self._ask_for(group, name, limit, units)
+            grant = answer.grant
             now = self.state.clock()
             if grant is None:
+                tries += 1
                 continue
             if grant.units >= units:
                 self.purses_by_name[name].put(grant.units - units, now)
                 return GRANTED
-            if now + grant.wait_s > wait_ends_at:
-                return self._note_denied(name, units, grant, pool)
-            await asyncio.sleep(grant.wait_s)
+            held_s = WORTH_WAITING_S
+            if group.share.is_settling(now):
+                held_s = min(MAX_HELD_S, HELD_SHARE_OF_TIME * patience_s)
+            else:
+                tries += 1
+            pause_s = self._pause_s(answer, grant)
+            if now + pause_s > begun_at + held_s:
+                return self._note_denied(name, units, grant, answer)
+            await asyncio.sleep(pause_s)
         return Allowance(outcome=AllowanceOutcome.UNKNOWN, pool=group.share.pool)
 
+    def _pause_s(self, answer: _PoolAnswer, grant: UsageGrant) -> float:
+        """When to ask again: as the pool says, sooner where few boxes have lent to it yet."""
+        if answer.live_share < SETTLED_SHARE:
+            return max(MIN_PAUSE_S, min(SETTLE_POLL_S, grant.wait_s))
+        return max(MIN_PAUSE_S, grant.wait_s)
+
     async def _ask_for(
         self, group: _Group, name: str, limit: UsageLimit, units: float
-    ) -> tuple[str, UsageGrant | None]:
+    ) -> _PoolAnswer:
         """The pool that was asked, and what it answered in time."""
         want = UsageWant(
             organisation=name,
@@ -146,23 +194,27 @@
         try:
             pool = self._ask(group, number, (want,))
             async with asyncio.timeout(ANSWER_S):
-                return pool, await answer
+                reply = await answer
+                return _PoolAnswer(pool=pool, grant=reply.grants[0], live_share=reply.live_share)
         except TimeoutError:
             if group.share.unanswered(pool, self.state.clock()):
                 self.state.log.decide(
                     Decision.LIMIT_POOL_SILENT, pool=pool, group=group.share.group
                 )
-            return pool, None
+            return _PoolAnswer(pool=pool)
         finally:
             self._answers_by_number.pop(number, None)
 
-    def _note_denied(self, name: str, units: float, grant: UsageGrant, pool: str) -> Allowance:
+    def _note_denied(
+        self, name: str, units: float, grant: UsageGrant, answer: _PoolAnswer
+    ) -> Allowance:
         now = self.state.clock()
         denial = _Denial(
             units=units,
             until=now + min(DENIED_FOR_S, grant.wait_s),
             ready_at=now + grant.wait_s,
-            pool=pool,
+            pool=answer.pool,
+            live_share=answer.live_share,
         )
         self._denials_by_name[name] = denial
         return self._denied(denial, now)
@@ -172,6 +224,7 @@
             outcome=AllowanceOutcome.DENIED,
             wait_s=max(0.0, denial.ready_at - now),
             pool=denial.pool,
+            live_share=denial.live_share,
         )
 
     # Askings and answers.
@@ -190,6 +243,7 @@
             echo=lease.echo,
             wants=wants,
             returns=returns,
+            is_first=lease.is_first,
         )
         if lease.pool == self.state.box:
             self.note_reply(lease.pool, self._answer(lease.pool, ask))
@@ -212,12 +266,12 @@
             self.size.note_told(reply.boxes)
         answer = self._answers_by_number.pop(reply.number, None)
         if answer is not None and not answer.done() and reply.grants:
-            answer.set_result(reply.grants[0])
+            answer.set_result(reply)
 
     def _answer(self, sender: str, ask: AllowanceAsk) -> AllowanceReply:
         now = self.state.clock()
         pool = self.groups[ask.group].pool
-        pool.lend(sender, ask.share, echo=ask.echo, now=now)
+        pool.lend(sender, ask.share, echo=ask.echo, now=now, is_first=ask.is_first)
         for returned in ask.returns:
             pool.take_back(returned)
         known = self._known()
@@ -227,6 +281,7 @@
             stamp=now,
             boxes=self.size.boxes(self.state.peers.known_boxes) if self.size.is_known else 0,
             grants=tuple(pool.give(want, known, now) for want in ask.wants),
+            live_share=pool.live_share(now),
         )
 
     # Beside the requests.
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -59,7 +59,11 @@
 
 @dataclass(kw_only=True)
 class ForwardingState:
-    """Shared by all requests of a process; only its event loop touches it."""
+    """Shared by all requests of a process; only its event loop touches it.
+
+    ``begun_at`` is when the process began: an earlier life of the box was over by then. Loading the
+    program takes a small box the better part of a second until ``started_at``.
+    """
 
     box: str
     zone: str
@@ -73,6 +77,7 @@
     default_boxes: int
     peers: PeerTable
     started_at: float
+    begun_at: float
     wall_clock: Callable[[], float] = time.time
     table: RoutingTable | None = None
     table_at: float = 0.0
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -208,17 +208,23 @@
     echo: float
     wants: tuple[UsageWant, ...] = ()
     returns: tuple[UsageReturn, ...] = ()
+    is_first: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AllowanceReply:
-    """A pool's answer to :class:`AllowanceAsk`: its clock, the boxes it knows, what it gives."""
+    """A pool's answer to :class:`AllowanceAsk`: its clock, how many boxes there are, what it gives.
+
+    ``boxes`` is 0 if the pool does not know; ``live_share`` is the part of all limits that is lent
+    to it at the moment.
+    """
 
     number: int
     group: int
     stamp: float
     boxes: int
     grants: tuple[UsageGrant, ...] = ()
+    live_share: float = 0.0
 
 
 Body: TypeAlias = (
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -246,6 +246,7 @@
   echo @3 :Float64;
   wants @4 :List(UsageWant);
   returns @5 :List(UsageReturn);
+  isFirst @6 :Bool;
 }
 
 struct AllowanceReply {
@@ -254,4 +255,5 @@
   stamp @2 :Float64;
   boxes @3 :UInt16;
   grants @4 :List(UsageGrant);
+  liveShare @5 :Float32;
 }
--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -199,7 +199,13 @@
 def new_credit() -> None:
     """Give each box the whole of every limit, and a full bucket at its start."""
 
-    async def admit(self: PooledLimits, organisation: Organisation, units: float) -> Allowance:
+    async def admit(
+        self: PooledLimits,
+        organisation: Organisation,
+        units: float,
+        *,
+        patience_s: float,  # noqa: ARG001
+    ) -> Allowance:
         limit = organisation.limit
         if limit is None:
             return GRANTED
--- a/src/croftchute/systems/allowance_pool.py
+++ b/src/croftchute/systems/allowance_pool.py
@@ -46,13 +46,18 @@
     buckets_by_name: dict[str, UsageBucket] = field(default_factory=dict)
     _share_seconds: float = 0.0
     _saved_seconds: float = 0.0
+    _starts: float = 0.0
+    _saved_starts: float = 0.0
     _live_share: float = 0.0
     _settled_at: float = 0.0
 
-    def lend(self, box: str, share: float, *, echo: float, now: float) -> None:
+    def lend(
+        self, box: str, share: float, *, echo: float, now: float, is_first: bool = False
+    ) -> None:
         """Take in a lease; ``echo`` is the time of this pool that the lender heard last.
 
-        A share without an echo counts from the lender's next message on.
+        A share without an echo counts from the lender's next message on. ``is_first`` says that the
+        lender's present life lends it for the first time.
         """
         self._settle(now)
         lender = self.lenders_by_box.get(box)
@@ -64,6 +69,9 @@
         if lender is None:
             lender = _Lender(share=share, counted_to=now, expires_at=expires_at)
             self.lenders_by_box[box] = lender
+            if is_first:
+                self._starts += share
+                self._saved_starts += share
         lender.share = share
         lender.expires_at = max(lender.expires_at, expires_at)
         self._live_share = self.live_share(now)
@@ -106,19 +114,33 @@
 
     def _is_as_unused(self, bucket: UsageBucket, limit: UsageLimit) -> bool:
         capacity = self.terms.capacity(limit) * min(1.0, self._live_share)
-        bucket.fill(self._share_seconds, limit=limit, capacity=capacity)
-        return bucket.level >= min(capacity, limit.rate_per_s * self._saved_seconds) > 0.0
+        self._fill(bucket, limit, capacity)
+        return bucket.level >= self._saved_up(limit, capacity) > 0.0
 
     def _bucket(self, name: str, limit: UsageLimit, capacity: float) -> UsageBucket:
         """The bucket of an organisation; one that was not used has saved since the pool began."""
         bucket = self.buckets_by_name.get(name)
         if bucket is None:
-            level = min(capacity, limit.rate_per_s * self._saved_seconds)
-            bucket = UsageBucket(level=level, filled_to=self._share_seconds)
+            bucket = UsageBucket(
+                level=self._saved_up(limit, capacity),
+                filled_to=self._share_seconds,
+                starts=self._starts,
+            )
             self.buckets_by_name[name] = bucket
-        bucket.fill(self._share_seconds, limit=limit, capacity=capacity)
+        self._fill(bucket, limit, capacity)
         return bucket
 
+    def _saved_up(self, limit: UsageLimit, capacity: float) -> float:
+        """What an organisation has that used nothing since the pool began."""
+        started = self.terms.start_credit(limit) * self._saved_starts
+        return min(capacity, limit.rate_per_s * self._saved_seconds + started)
+
+    def _fill(self, bucket: UsageBucket, limit: UsageLimit, capacity: float) -> None:
+        """Add what the lent shares have brought in since the last time."""
+        extra = self.terms.start_credit(limit) * (self._starts - bucket.starts)
+        bucket.starts = self._starts
+        bucket.fill(self._share_seconds, limit=limit, capacity=capacity, extra=extra)
+
     def _wait_s(
         self, units: float, bucket: UsageBucket, limit: UsageLimit, capacity: float
     ) -> float:
@@ -148,6 +170,7 @@
         if live < self._live_share:
             kept = live / self._live_share
             self._saved_seconds *= kept
+            self._saved_starts *= kept
             for bucket in self.buckets_by_name.values():
                 bucket.level = min(bucket.level, bucket.level * kept)
         self._live_share = live
--- a/src/croftchute/systems/lent_share.py
+++ b/src/croftchute/systems/lent_share.py
@@ -28,6 +28,11 @@
 """Seconds without an answer before a pool is suspected: many askings may be under way at once."""
 
 
+SETTLING_S = 3.0
+"""Seconds in which shares come together after a start or the end of a pool: a lease that must run
+out, and some rounds of notices until boxes rank the same pool first."""
+
+
 def group_of(organisation: str) -> int:
     """The group that an organisation belongs to.
 
@@ -42,11 +47,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Lease:
-    """What goes to a pool with an asking: the share lent, 0 if none, and the echo of its clock."""
+    """What goes to a pool with an asking: the share lent, 0 if none, and the echo of its clock.
+
+    ``is_first`` marks the first share that the box lends in its present life.
+    """
 
     pool: str
     share: float
     echo: float
+    is_first: bool = False
 
 
 @dataclass(kw_only=True)
@@ -60,6 +69,8 @@
     group: int
     started_at: float
     pool: str = ""
+    pool_since: float = 0.0
+    _has_lent: bool = False
     _lent_until: float = 0.0
     _echo: float = 0.0
     _unanswered: int = 0
@@ -72,6 +83,7 @@
             return
         if not self.pool or now >= self._lent_until:
             self.pool = wanted
+            self.pool_since = now
             self._echo = 0.0
             self._heard()
 
@@ -88,7 +100,13 @@
         if echo <= 0.0 or now - self.started_at < LEASE_S:
             return Lease(pool=self.pool, share=0.0, echo=0.0)
         self._lent_until = now + LEASE_S
-        return Lease(pool=self.pool, share=share, echo=echo)
+        is_first = share > 0.0 and not self._has_lent
+        self._has_lent = self._has_lent or is_first
+        return Lease(pool=self.pool, share=share, echo=echo, is_first=is_first)
+
+    def is_settling(self, now: float) -> bool:
+        """Whether boxes are still finding their pool: after a start, or the end of the last one."""
+        return now - max(self.started_at, self.pool_since) < SETTLING_S
 
     def answered(self, pool: str, stamp: float) -> None:
         """A pool answered; ``stamp`` is its clock."""
--- a/src/croftchute/systems/usage_bucket.py
+++ b/src/croftchute/systems/usage_bucket.py
@@ -11,6 +11,13 @@
 used later than it was given, and boxes that count each other late."""
 
 
+START_CREDIT = 0.2
+"""Share of the allowed excess that a box's share brings along once in each life of the box. A pool
+that begins with nothing refuses an organisation for as long as one request takes to save up, after
+each start of a fleet. Beside ``SLACK_USED`` two starts of all boxes within one window fit; a third
+takes them longer than what is saved meanwhile."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LimitTerms:
     """How strictly limits are judged: over which window, and what may come on top.
@@ -34,6 +41,20 @@
         plain = limit.rate_per_s * self.window_s + limit.burst
         return plain * (1.0 + self.overage) + self.slack
 
+    def excess(self, limit: UsageLimit) -> float:
+        """What may be used in a window beside the rate and the burst.
+
+        >>> LimitTerms(window_s=8, overage=0.1, slack=50).excess(
+        ...     UsageLimit(rate_per_s=100, burst=200)
+        ... )
+        150.0
+        """
+        return self.allowed(limit) - limit.rate_per_s * self.window_s - limit.burst
+
+    def start_credit(self, limit: UsageLimit) -> float:
+        """What a pool has at once of a share whose box was just started; a whole limit's."""
+        return START_CREDIT * self.excess(limit)
+
     def capacity(self, limit: UsageLimit) -> float:
         """What may be saved up: the burst, and a part of the allowed excess.
 
@@ -42,22 +63,25 @@
         ... )
         275.0
         """
-        excess = self.allowed(limit) - limit.rate_per_s * self.window_s - limit.burst
-        return limit.burst + SLACK_USED * excess
+        return limit.burst + SLACK_USED * self.excess(limit)
 
 
 @dataclass(kw_only=True, slots=True)
 class UsageBucket:
     """Units saved up; ``filled_to`` is the share-seconds up to which it has been filled.
 
-    A share-second is the whole limit for one second, or half of it for two.
+    A share-second is the whole limit for one second, or half of it for two. ``starts`` is how many
+    whole limits of boxes that were just started have been counted.
     """
 
     level: float
     filled_to: float
+    starts: float = 0.0
 
-    def fill(self, share_seconds: float, *, limit: UsageLimit, capacity: float) -> None:
-        """Add what has come since the last time, up to a capacity.
+    def fill(
+        self, share_seconds: float, *, limit: UsageLimit, capacity: float, extra: float = 0.0
+    ) -> None:
+        """Add what has come since the last time and something ``extra``, up to a capacity.
 
         >>> bucket = UsageBucket(level=0.0, filled_to=1.0)
         >>> bucket.fill(3.0, limit=UsageLimit(rate_per_s=10, burst=0), capacity=15.0)
@@ -66,7 +90,7 @@
         """
         gained = limit.rate_per_s * max(0.0, share_seconds - self.filled_to)
         self.filled_to = share_seconds
-        self.level = min(capacity, self.level + gained)
+        self.level = min(capacity, self.level + gained + extra)
 
     def take(self, units: float, *, extra: float, capacity: float) -> float:
         """What is given for a request of ``units``: at least that, or nothing.
--- a/tests/platform_adapter/test_limits.py
+++ b/tests/platform_adapter/test_limits.py
@@ -5,6 +5,7 @@
 import pytest
 from platform_fleet import ask, bearer, config, fleet, organisation, run, until
 
+from croftchute.systems.allowance_pool import LEASE_S
 from croftchute.systems.lent_share import group_of
 
 KEY = bearer("crew-key")
@@ -58,6 +59,47 @@
     run(body)
 
 
+def test_a_request_in_the_first_second_of_a_box_waits_for_its_share_in_place_of_a_refusal():
+    async def body():
+        async with fleet(config=limited(RatePerS=20_000)) as made:
+            await made.add_worker("w1")
+            box = await made.add_box()
+            await made.ready(box)
+            assert box.state.clock() - box.state.begun_at < LEASE_S
+            answer = await ask(box, "/safe/x", "r1", extra=(KEY,), tokens="300,100")
+            assert answer.status == 200
+            assert box.state.clock() - box.state.begun_at >= LEASE_S
+
+    run(body)
+
+
+def test_a_caller_with_little_time_is_refused_at_once_while_a_box_has_no_share():
+    async def body():
+        async with fleet(config=limited(RatePerS=20_000)) as made:
+            await made.add_worker("w1")
+            box = await made.add_box()
+            await made.ready(box)
+            box.state.begun_at += 60.0
+            for group in box.usage_limits.groups:
+                group.share.started_at += 60.0
+            began_at = box.state.clock()
+            answer = await ask(box, "/safe/x", "r1", extra=(KEY,), tokens="300,100", deadline=300)
+            assert answer.status == 429
+            assert box.state.clock() - began_at < 0.3
+
+    run(body)
+
+
+def test_a_life_counts_from_the_begin_of_its_process():
+    async def body():
+        async with fleet(config=limited()) as made:
+            box = await made.add_box()
+            shares = [group.share for group in box.usage_limits.groups]
+            assert [share.started_at for share in shares] == [box.state.begun_at] * len(shares)
+
+    run(body)
+
+
 def test_organisations_without_a_limit_are_not_held_up_by_the_others():
     async def body():
         async with fleet(config=limited()) as made:
--- a/tests/systems/limit_world.py
+++ b/tests/systems/limit_world.py
@@ -131,7 +131,9 @@
         def at_pool():
             pool_box = self.by_id[lease.pool]
             at = pool_box.clock(self.now)
-            pool_box.pool.lend(box_id, lease.share, echo=lease.echo, now=at)
+            pool_box.pool.lend(
+                box_id, lease.share, echo=lease.echo, now=at, is_first=lease.is_first
+            )
             want = UsageWant(organisation=CREW, units=units)
             grant = pool_box.pool.give(want, self.known, at) if units else None
             if lease.pool == box_id:
--- a/tests/systems/test_allowance_pool.py
+++ b/tests/systems/test_allowance_pool.py
@@ -32,3 +32,45 @@
 def test_boxes_that_count_too_few_others_bring_in_no_more_than_the_limit():
     """After a power loss of a whole fleet boxes know few others for seconds."""
     assert given_in(20.0, 4.0 / BOXES) <= 1.0
+
+
+def given_at_once(pool, now=100.0):
+    """What an organisation gets of a pool in one moment, in requests of 100 units."""
+    known = {CREW: Organisation(name=CREW, limit=crew_limit())}
+    want = UsageWant(organisation=CREW, units=100.0)
+    given = 0.0
+    while units := pool.give(want, known, now).units:
+        given += units
+    return given
+
+
+def lend_all(pool, *, is_first, now=100.0):
+    for box in range(BOXES):
+        pool.lend(f"b{box}", 1.0 / BOXES, echo=now, now=now, is_first=is_first)
+
+
+def test_shares_of_boxes_that_were_just_started_bring_a_part_of_the_excess_at_once():
+    pool = AllowancePool(terms=TERMS)
+    lend_all(pool, is_first=True)
+    credit = TERMS.start_credit(crew_limit())
+    assert credit - 100.0 <= given_at_once(pool) <= credit
+
+
+def test_shares_that_come_from_another_pool_bring_nothing_at_once():
+    pool = AllowancePool(terms=TERMS)
+    lend_all(pool, is_first=False)
+    assert given_at_once(pool) == 0.0
+
+
+def test_a_first_share_that_comes_again_brings_nothing_more():
+    pool = AllowancePool(terms=TERMS)
+    lend_all(pool, is_first=True)
+    given_at_once(pool)
+    lend_all(pool, is_first=True)
+    assert given_at_once(pool) == 0.0
+    now = 100.0
+    while now < 110.0:
+        now += 0.25
+        lend_all(pool, is_first=True, now=now)
+    saved = crew_limit().rate_per_s * 10.0
+    assert given_at_once(pool, now) <= min(saved, TERMS.capacity(crew_limit()))
--- a/tests/systems/test_lent_shares.py
+++ b/tests/systems/test_lent_shares.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 from limit_world import CREW, TERMS, LimitWorld, crew_limit
 
+from croftchute.systems.allowance_pool import LEASE_S
 from croftchute.systems.fleet_size import FleetSize
 from croftchute.systems.usage_bucket import UsageBucket
 
@@ -106,6 +107,32 @@
     assert world.most_in_a_window() <= allowed(world)
 
 
+@pytest.mark.parametrize("limit", [crew_limit(), crew_limit(10_000.0, 20_000.0)])
+@pytest.mark.parametrize("starts", [(12.0, 15.0), (10.0, 11.5, 13.0, 14.5, 16.0)])
+def test_starts_of_all_boxes_in_a_row_stay_within_the_limit(limit, starts):
+    world = world_with_leases(boxes=12, limit=limit)
+    world.load(5.0, 30.0, 4.0 * limit.rate_per_s + limit.burst)
+    for when in starts:
+        world.at(when, lambda: [world.start(f"b{n}") for n in range(12)])
+    world.run(31.0)
+    assert world.most_in_a_window() <= allowed(world)
+
+
+def refused_after_a_start_of_all(seed):
+    """The share of requests at half of the limit that is not served in the first 2.5 seconds."""
+    world = world_with_leases(seed=seed, boxes=24, limit=crew_limit(20_000.0, 20_000.0))
+    world.load(5.0, 14.0, 10_000.0)
+    world.at(10.0, lambda: [world.start(f"b{n}") for n in range(24)])
+    world.run(10.0 + LEASE_S + 0.35)
+    before = world.asked, world.refused + world.unanswered
+    world.run(12.5)
+    return (world.refused + world.unanswered - before[1]) / (world.asked - before[0])
+
+
+def test_after_a_start_of_all_boxes_an_organisation_is_served_as_soon_as_shares_are_lent():
+    assert sum(refused_after_a_start_of_all(seed) for seed in range(6)) / 6 < 0.05
+
+
 def most_after_a_start_within_a_cut(recorded):
     """All boxes lose power while a hall is cut off, and know nobody beyond the cut."""
     size = FleetSize(recorded=recorded)
