--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -191,11 +191,11 @@
         for entry in notice.workers:
             if entry.changing_s > 0.0:
                 self._hear_of_change(entry, now)
-        known = {(p.host, p.notice_port) for p in self.state.peers.peers_by_id.values()}
-        for address in notice.introduced:
-            host, _, port = address.rpartition(":")
-            if (host, int(port)) not in known and (host, int(port)) != (self.host, self.port):
-                self._greet(host, int(port))
+        for introduced in notice.introduced:
+            host, _, port = introduced.rpartition(":")
+            address = (host, int(port))
+            if address != (self.host, self.port) and not self.state.peers.knows(address):
+                self._greet(*address)
 
     def _hear_of_change(self, entry: WorkerNotice, now: float) -> None:
         """A worker changes its stage: believed here, and so passed on with the next notices."""
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -49,6 +49,7 @@
     seeds: tuple[tuple[str, int], ...] = ()
     peers_by_id: dict[str, Peer] = field(default_factory=dict)
     _entries_by_worker: dict[str, dict[str, WorkerNotice]] = field(default_factory=dict)
+    _id_by_address: dict[tuple[str, int], str] = field(default_factory=dict)
 
     def hear(self, sender: str, notice: BoxNotice, now: float) -> bool:
         """Take in a notice; True if the sender was not known, or has been restarted."""
@@ -60,6 +61,7 @@
         if known is None and len(self.peers_by_id) >= MAX_PEERS:
             return False
         self._drop_entries(known)
+        self._id_by_address[notice.host, notice.notice_port] = sender
         for entry in notice.workers:
             self._entries_by_worker.setdefault(entry.worker, {})[sender] = entry
         self.peers_by_id[sender] = Peer(
@@ -86,10 +88,17 @@
             self._drop_entries(self.peers_by_id.pop(peer_id))
         return old
 
+    def knows(self, address: tuple[str, int]) -> bool:
+        """Whether some peer takes notices at an address."""
+        return address in self._id_by_address
+
     def _drop_entries(self, peer: Peer | None) -> None:
-        """Forget what a peer told of workers."""
+        """Forget where a peer was, and what it told of workers."""
         if peer is None:
             return
+        address = (peer.host, peer.notice_port)
+        if self._id_by_address.get(address) == peer.id:
+            del self._id_by_address[address]
         for worker_id in peer.workers_by_id or ():
             entries = self._entries_by_worker[worker_id]
             del entries[peer.id]
--- a/tests/systems/test_peer_table.py
+++ b/tests/systems/test_peer_table.py
@@ -222,3 +222,18 @@
             naive = told_naively(table, f"w{n}", now)
             assert table.in_flight(f"w{n}", now) == sum(entry.in_flight for entry in naive)
             assert table.failures(f"w{n}", now) == sum(entry.failures for entry in naive)
+
+
+def test_an_address_is_known_while_a_peer_is_there():
+    table = PeerTable(own_id="me")
+    address, moved = ("10.0.0.2", 7000), ("10.0.0.9", 7000)
+    assert not table.knows(address)
+    table.hear("b", NOTICE, 0.0)
+    assert table.knows(address)
+    table.hear("b", replace(NOTICE, started_at=101.0, host="10.0.0.9"), 1.0)
+    assert not table.knows(address) and table.knows(moved)
+    table.hear("c", replace(NOTICE, host="10.0.0.9"), 2.0)
+    table.forget(1.5 + FORGET_S)
+    assert table.knows(moved)
+    table.forget(2.5 + FORGET_S)
+    assert not table.knows(moved)
