The record of the fleet names the keeper of the pool: after a start all boxes turn to it at once

Change: the record holds the keeper's id and address beside the count; a box asks it in its first ten seconds though it was not heard yet, and a pool answers to where an asking came from. A keeper is the box to which most shares are lent. In the first seconds of a life a silent pool is suspected for 0.3 s in place of 8, as it may be starting too, and the first share is lent on time, not at the next round. Tests: a box that knows nobody asks the keeper on record and lends to it; who writes, reads and corrects the record.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -163,7 +163,8 @@
             store=store,
             size=self.fleet_size,
             has_limits=state.has_limits,
-            is_keeper=self.usage_limits.is_pool,
+            address=lambda: (self.exchange.host, self.exchange.port),
+            is_keeper=self.usage_limits.is_keeper,
         )
         forwarder = Forwarder(state=state, usage_limits=self.usage_limits)
         self.ingress = HttpIngress(
--- a/src/croftchute/forwarding/fleet_record.py
+++ b/src/croftchute/forwarding/fleet_record.py
@@ -1,7 +1,10 @@
 """The record of how many boxes there are, in the platform's store: read at the start, kept since.
 
-Only the box that keeps the pool of the limits writes it, and only when the count changes: a few
-calls after a start of the whole fleet, one for each box otherwise.
+It also names the box that keeps the pool of the limits. After a start of the whole fleet boxes take
+some six seconds to hear of one another; with the name all turn to the same pool at once.
+
+Only the keeper writes it, and only when something in it changes: a few calls after a start of the
+whole fleet, one for each box otherwise.
 """
 
 from __future__ import annotations
@@ -9,13 +12,16 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from croftchute.errors import StoreError
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.state import ForwardingState
 from croftchute.storage.watched import LeaseStore, StoredItem
 from croftchute.systems.fleet_size import FleetSize
+from croftchute.tables.fleet import FleetEntry
 
-RECORD_KEY = "croftchute/boxes"
+RECORD_KEY = "croftchute/fleet"
 
 NO_LEASE = 0
 """The record outlives every box."""
@@ -37,12 +43,14 @@
         state: ForwardingState,
         store: LeaseStore,
         size: FleetSize,
+        address: Callable[[], tuple[str, int]],
         has_limits: Callable[[], bool],
         is_keeper: Callable[[], bool],
     ) -> None:
         self.state = state
         self.store = store
         self.size = size
+        self.address = address
         self.has_limits = has_limits
         self.is_keeper = is_keeper
         self._is_lost = False
@@ -68,46 +76,56 @@
             return
         if not self.size.is_known:
             await self._read()
-        wanted = self._wanted()
-        if wanted is None:
-            return
+        wanted = self._wanted_count()
         if self.is_keeper():
-            await self._correct()
-        elif wanted < self.size.boxes(0):
+            if wanted is not None or self.size.keeper != self.state.box:
+                await self._correct()
+        elif wanted is not None and wanted < self.size.boxes(0):
             self.size.recorded = wanted
 
     async def _read(self) -> StoredItem | None:
         item = await self.store.item(RECORD_KEY)
         found = self._parse(item)
-        if found != self.size.recorded:
-            self.size.recorded = found
+        if (found.boxes, found.keeper) != (self.size.recorded, self.size.keeper):
+            self._take(found)
             self._log("read")
         return item
 
     async def _correct(self) -> None:
         """Write what the record should say, unless another box did so meanwhile."""
         item = await self._read()
-        wanted = self._wanted()
-        if wanted is None:
+        wanted = self._wanted_count()
+        if wanted is None and self.size.keeper == self.state.box:
             return
+        host, port = self.address()
+        boxes = wanted if wanted is not None else self.size.boxes(0)
+        entry = FleetEntry(boxes=boxes, keeper=self.state.box, host=host, port=port)
         revision = item.revision if item is not None else 0
-        value = str(wanted).encode()
+        value = msgspec.json.encode(entry)
         if await self.store.put_if(RECORD_KEY, value, revision=revision, lease=NO_LEASE):
-            self.size.recorded = wanted
+            self._take(entry)
             self._log("written")
 
-    def _wanted(self) -> int | None:
+    def _take(self, entry: FleetEntry) -> None:
+        self.size.recorded = entry.boxes
+        self.size.keeper = entry.keeper
+        if entry.keeper:
+            self.state.peers.note_named(entry.keeper, entry.host, entry.port)
+
+    def _wanted_count(self) -> int | None:
         return self.size.to_record(self.state.peers.known_boxes, self.state.clock())
 
-    def _parse(self, item: StoredItem | None) -> int:
-        """The count in a record; one that is no number counts as none, and is written anew."""
+    def _parse(self, item: StoredItem | None) -> FleetEntry:
+        """What is on record; what can't be read counts as nothing, and is written anew."""
         if item is None:
-            return 0
+            return FleetEntry(boxes=0)
         try:
-            return max(0, int(item.value))
-        except ValueError:
-            self._log("not_a_number")
-            return 0
+            return msgspec.json.decode(item.value, type=FleetEntry)
+        except msgspec.DecodeError as error:
+            self.state.log.decide(
+                Decision.FLEET_SIZE, outcome="unreadable", revision=item.revision, detail=str(error)
+            )
+            return FleetEntry(boxes=0)
 
     def _note_lost(self, error: StoreError) -> None:
         if not self._is_lost:
@@ -119,5 +137,6 @@
             Decision.FLEET_SIZE,
             outcome=outcome,
             recorded=self.size.recorded,
+            keeper=self.size.keeper,
             known=self.state.peers.known_boxes,
         )
--- a/src/croftchute/forwarding/limits.py
+++ b/src/croftchute/forwarding/limits.py
@@ -62,8 +62,8 @@
         """What goes on beside the requests; never returns."""
         ...
 
-    def is_pool(self) -> bool:
-        """Whether this box says yes or no for others."""
+    def is_keeper(self) -> bool:
+        """Whether this box says yes or no for most others, and keeps the record of the fleet."""
         ...
 
 
@@ -105,9 +105,9 @@
     async def run(self) -> None:
         """Nothing is to be done beside the requests."""
 
-    def is_pool(self) -> bool:
-        """Every box is its own pool, and each may correct the record of how many there are."""
-        return True
+    def is_keeper(self) -> bool:
+        """No box answers for others; the first of all that are known keeps the record."""
+        return self.state.box <= min(self.state.peers.peers_by_id, default=self.state.box)
 
     def _wait_s(self, bucket: UsageBucket, limit: UsageLimit, wanted: float, share: float) -> float:
         if share <= 0.0:
--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -58,7 +58,7 @@
         self.on_notice = on_notice
         self.started_at = state.wall_clock()
         self.port = 0
-        self.on_allowance_ask: Callable[[str, AllowanceAsk], None] = _ignore
+        self.on_allowance_ask: Callable[[str, AllowanceAsk], AllowanceReply | None] = _ignore
         self.on_allowance_reply: Callable[[str, AllowanceReply], None] = _ignore
         self._transport: asyncio.DatagramTransport | None = None
         self._datagram = b""
@@ -86,7 +86,10 @@
             if isinstance(body, BoxNotice):
                 self._hear(envelope.sender, body)
             elif isinstance(body, AllowanceAsk):
-                self.on_allowance_ask(envelope.sender, body)
+                reply = self.on_allowance_ask(envelope.sender, body)
+                if reply is not None:
+                    # The asker may be a stranger yet: it hears from where it asked.
+                    self._send(addr, reply)
             elif isinstance(body, AllowanceReply):
                 self.on_allowance_reply(envelope.sender, body)
 
@@ -94,12 +97,15 @@
         """A datagram was not delivered; the next one may be."""
 
     def tell(self, peer_id: str, body: Body) -> None:
-        """Send one message to a peer, if it is known; it may be lost."""
-        peer = self.state.peers.peers_by_id.get(peer_id)
-        if peer is None or self._transport is None:
-            return
-        envelope = Envelope(sender=self.state.box, stamp=0, bodies=(body,))
-        self._transport.sendto(self.codec.encode(envelope), (peer.host, peer.notice_port))
+        """Send one message to a box whose address is known; it may be lost."""
+        address = self.state.peers.address_of(peer_id)
+        if address is not None:
+            self._send(address, body)
+
+    def _send(self, address: tuple[str, int], body: Body) -> None:
+        if self._transport is not None:
+            envelope = Envelope(sender=self.state.box, stamp=0, bodies=(body,))
+            self._transport.sendto(self.codec.encode(envelope), address)
 
     async def run(self) -> None:
         """Send notices at an interval; never returns."""
--- a/src/croftchute/forwarding/pooled_limits.py
+++ b/src/croftchute/forwarding/pooled_limits.py
@@ -11,7 +11,7 @@
 from croftchute.forwarding.limits import GRANTED, Allowance, AllowanceOutcome
 from croftchute.forwarding.state import ForwardingState
 from croftchute.peers.messages import AllowanceAsk, AllowanceReply, Body
-from croftchute.systems.allowance_pool import AllowancePool
+from croftchute.systems.allowance_pool import LEASE_S, AllowancePool
 from croftchute.systems.fleet_size import FleetSize
 from croftchute.systems.lent_share import GROUPS, LentShare, group_of
 from croftchute.systems.usage_bucket import LimitTerms
@@ -41,6 +41,10 @@
 """Longest pause before a pool that is not settled is asked again: shares come in with rounds of
 askings, which are a third of a second apart."""
 
+KEEPER_NAMED_S = 10.0
+"""Seconds of a life in which the keeper on record is asked though it was not heard yet: by then
+boxes of a fleet of eighty know one another."""
+
 MIN_PAUSE_S = 0.02
 """Shortest pause before a pool is asked again: it counts what shares bring in as often."""
 
@@ -234,7 +238,7 @@
         now = self.state.clock()
         group.asked_at = now
         share = self.size.share(self.state.peers.known_boxes)
-        lease = group.share.asked(self.state.peers.reachable(now), share, now)
+        lease = group.share.asked(self._candidates(now), share, now)
         returns, group.returns = tuple(group.returns), []
         ask = AllowanceAsk(
             number=number,
@@ -251,10 +255,18 @@
             self.tell(lease.pool, ask)
         return lease.pool
 
-    def note_ask(self, sender: str, ask: AllowanceAsk) -> None:
-        """Another box asks the pool that is kept here."""
-        if 0 <= ask.group < GROUPS:
-            self.tell(sender, self._answer(sender, ask))
+    def _candidates(self, now: float) -> list[str]:
+        """Boxes that may keep the pool: those heard of, and the one on record until it is heard."""
+        boxes = self.state.peers.reachable(now)
+        keeper = self.size.keeper
+        is_young = now - self.state.begun_at < KEEPER_NAMED_S
+        if keeper and is_young and keeper not in self.state.peers.peers_by_id:
+            boxes.append(keeper)
+        return boxes
+
+    def note_ask(self, sender: str, ask: AllowanceAsk) -> AllowanceReply | None:
+        """Another box asks the pool that is kept here; the answer, if there is such a pool."""
+        return self._answer(sender, ask) if 0 <= ask.group < GROUPS else None
 
     def note_reply(self, sender: str, reply: AllowanceReply) -> None:
         """A pool answered; what comes too late for its request is not used."""
@@ -286,20 +298,30 @@
 
     # Beside the requests.
 
-    def is_pool(self) -> bool:
-        """Whether this box lends its own share to the pool that it keeps itself."""
-        return any(group.share.pool == self.state.box for group in self.groups)
+    def is_keeper(self) -> bool:
+        """Whether most boxes lend to the pool that is kept here, this one among them."""
+        now = self.state.clock()
+        return any(
+            group.share.pool == self.state.box and group.pool.live_share(now) >= SETTLED_SHARE
+            for group in self.groups
+        )
 
     async def run(self) -> None:
         """Keep the leases up while some organisation has a limit; never returns."""
         while True:
-            await asyncio.sleep(ASK_INTERVAL_S * self.state.rng.uniform(0.8, 1.2))
+            await asyncio.sleep(self._renewal_pause_s())
             if self.state.has_limits():
                 self._renew(self.state.clock())
 
+    def _renewal_pause_s(self) -> float:
+        """Until the next renewal; the first share is lent as soon as it may be."""
+        pause_s = ASK_INTERVAL_S * self.state.rng.uniform(0.8, 1.2)
+        until_first_s = self.state.begun_at + LEASE_S - self.state.clock()
+        return min(pause_s, until_first_s + MIN_PAUSE_S) if until_first_s > 0.0 else pause_s
+
     def _renew(self, now: float) -> None:
         for group in self.groups:
-            if now - group.asked_at >= ASK_INTERVAL_S / 2:
+            if now - group.asked_at >= ASK_INTERVAL_S / 2 or not group.share.has_lent:
                 self._ask(group, self._next_number(), ())
                 group.share.unanswered(group.share.pool, now)
             group.pool.sweep(self._known(), now)
--- a/src/croftchute/systems/lent_share.py
+++ b/src/croftchute/systems/lent_share.py
@@ -21,6 +21,10 @@
 """Seconds for which a pool that did not answer is not asked: a box that is gone stays known for a
 minute, and each asking in vain costs a request a quarter of a second."""
 
+SUSPECTED_YOUNG_S = 0.3
+"""The same in the first seconds of a life: after a loss of all power the pool may be a box that
+starts more slowly than this one."""
+
 MIN_UNANSWERED = 3
 """Askings in a row without an answer after which a pool is suspected: two may be lost."""
 
@@ -70,7 +74,7 @@
     started_at: float
     pool: str = ""
     pool_since: float = 0.0
-    _has_lent: bool = False
+    has_lent: bool = False
     _lent_until: float = 0.0
     _echo: float = 0.0
     _unanswered: int = 0
@@ -100,8 +104,8 @@
         if echo <= 0.0 or now - self.started_at < LEASE_S:
             return Lease(pool=self.pool, share=0.0, echo=0.0)
         self._lent_until = now + LEASE_S
-        is_first = share > 0.0 and not self._has_lent
-        self._has_lent = self._has_lent or is_first
+        is_first = share > 0.0 and not self.has_lent
+        self.has_lent = self.has_lent or is_first
         return Lease(pool=self.pool, share=share, echo=echo, is_first=is_first)
 
     def is_settling(self, now: float) -> bool:
@@ -122,7 +126,8 @@
             return False
         if self._unanswered < MIN_UNANSWERED or now - silent_since < MIN_SILENCE_S:
             return False
-        self._suspected_until[pool] = now + SUSPECTED_S
+        is_young = now - self.started_at < SETTLING_S
+        self._suspected_until[pool] = now + (SUSPECTED_YOUNG_S if is_young else SUSPECTED_S)
         return True
 
     def _heard(self) -> None:
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -48,6 +48,7 @@
     hall: str = ""
     seeds: tuple[tuple[str, int], ...] = ()
     peers_by_id: dict[str, Peer] = field(default_factory=dict)
+    _named_by_id: dict[str, tuple[str, int]] = field(default_factory=dict)
     _entries_by_worker: dict[str, dict[str, WorkerNotice]] = field(default_factory=dict)
     _id_by_address: dict[tuple[str, int], str] = field(default_factory=dict)
 
@@ -88,6 +89,17 @@
             self._drop_entries(self.peers_by_id.pop(peer_id))
         return old
 
+    def note_named(self, box: str, host: str, port: int) -> None:
+        """Keep where a box takes notices that was not heard yet; the last one named."""
+        self._named_by_id = {box: (host, port)}
+
+    def address_of(self, box: str) -> tuple[str, int] | None:
+        """Where a box takes notices, by its own word or as it was named; None if neither is so."""
+        peer = self.peers_by_id.get(box)
+        if peer is not None:
+            return peer.host, peer.notice_port
+        return self._named_by_id.get(box)
+
     def knows(self, address: tuple[str, int]) -> bool:
         """Whether some peer takes notices at an address."""
         return address in self._id_by_address
--- a/tests/forwarding/test_fleet_record.py
+++ b/tests/forwarding/test_fleet_record.py
@@ -3,12 +3,18 @@
 import asyncio
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
 from croftchute.errors import Code, StoreError
 from croftchute.forwarding.fleet_record import RECORD_KEY, FleetRecord
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.fleet_size import LOWER_AFTER_S, FleetSize
+from croftchute.tables.fleet import FleetEntry
+
+
+def entry(boxes, keeper="b1", host="10.0.0.1"):
+    return msgspec.json.encode(FleetEntry(boxes=boxes, keeper=keeper, host=host, port=7000))
 
 
 class Store:
@@ -37,8 +43,11 @@
 
 
 def made(store, *, known=1, is_keeper=False, has_limits=True, size=None):
+    named = []
     state = SimpleNamespace(
-        peers=SimpleNamespace(known_boxes=known),
+        box="b1",
+        peers=SimpleNamespace(known_boxes=known, note_named=lambda *where: named.append(where)),
+        named=named,
         clock=lambda: state.now,
         now=0.0,
         log=SimpleNamespace(decide=lambda kind, **inputs: None),
@@ -47,6 +56,7 @@
         state=state,
         store=store,
         size=size or FleetSize(),
+        address=lambda: ("10.0.0.1", 7000),
         has_limits=lambda: has_limits,
         is_keeper=lambda: is_keeper,
     )
@@ -58,7 +68,7 @@
 
 
 def test_the_record_is_read_once():
-    store = Store(b"78")
+    store = Store(entry(78))
     record = made(store)
     look(record, times=3)
     assert record.size.recorded == 78
@@ -66,7 +76,7 @@
 
 
 def test_without_limits_the_store_is_not_called():
-    store = Store(b"78")
+    store = Store(entry(78))
     look(made(store, has_limits=False))
     assert store.calls == []
 
@@ -76,40 +86,40 @@
     look(made(store, known=30))
     assert store.found is None
     look(made(store, known=30, is_keeper=True))
-    assert store.found.value == b"30"
+    assert store.found.value == entry(30)
 
 
 def test_a_keeper_that_knows_fewer_leaves_the_record():
-    store = Store(b"78")
+    store = Store(entry(78))
     record = made(store, known=30, is_keeper=True)
     look(record, times=3)
-    assert store.found.value == b"78"
+    assert store.found.value == entry(78)
     assert "put" not in store.calls
 
 
 def test_of_two_keepers_the_greater_count_stands():
-    store = Store(b"10")
-    store.meanwhile = StoredItem(key=RECORD_KEY, value=b"60", revision=9)
+    store = Store(entry(10))
+    store.meanwhile = StoredItem(key=RECORD_KEY, value=entry(60), revision=9)
     record = made(store, known=40, is_keeper=True)
     look(record, times=2)
-    assert store.found.value == b"60"
+    assert store.found.value == entry(60)
     assert record.size.boxes(40) == 60
 
 
 def test_a_fleet_that_shrank_is_recorded_by_its_keeper_and_counted_by_all():
-    store = Store(b"78")
+    store = Store(entry(78))
     keeper = made(store, known=40, is_keeper=True)
     other = made(store, known=40)
     for record in (keeper, other):
         look(record)
         record.state.now = LOWER_AFTER_S + 1.0
         look(record)
-    assert store.found.value == b"40"
+    assert store.found.value == entry(40)
     assert (keeper.size.recorded, other.size.recorded) == (40, 40)
 
 
 def test_while_the_store_is_down_the_box_has_no_share():
-    store = Store(b"78")
+    store = Store(entry(78))
     store.is_down = True
     record = made(store)
     with pytest.raises(StoreError):
@@ -120,7 +130,23 @@
     assert record.size.share(1) == pytest.approx(1 / 78)
 
 
-def test_a_record_that_is_no_number_is_written_anew():
+def test_a_record_that_cannot_be_read_is_written_anew():
     store = Store(b"many")
     look(made(store, known=5, is_keeper=True))
-    assert store.found.value == b"5"
+    assert store.found.value == entry(5)
+
+
+def test_a_new_keeper_writes_its_name_and_a_box_that_reads_it_knows_where_to_ask():
+    store = Store(entry(78, keeper="b9", host="10.0.0.9"))
+    look(made(store, known=78, is_keeper=True))
+    assert store.found.value == entry(78)
+    other = made(store, known=1)
+    look(other)
+    assert other.size.keeper == "b1"
+    assert other.state.named == [("b1", "10.0.0.1", 7000)]
+
+
+def test_a_record_that_fits_is_not_written_again():
+    store = Store(entry(78))
+    look(made(store, known=78, is_keeper=True), times=3)
+    assert store.calls == ["item"]
--- a/tests/platform_adapter/test_limits.py
+++ b/tests/platform_adapter/test_limits.py
@@ -7,6 +7,7 @@
 
 from croftchute.systems.allowance_pool import LEASE_S
 from croftchute.systems.lent_share import group_of
+from croftchute.systems.rendezvous import rank
 
 KEY = bearer("crew-key")
 
@@ -173,6 +174,28 @@
     run(body)
 
 
+def test_a_box_that_knows_nobody_asks_the_keeper_on_record():
+    async def body():
+        async with fleet(config=limited(RatePerS=20_000)) as made:
+            await made.add_worker("w1")
+            keeper_id, other_id = rank(f"limits-{group_of('crew')}", ("box-1", "box-2"))
+            keeper = await made.add_box(keeper_id)
+            await made.ready(keeper)
+            grow_old(keeper)
+            await until(lambda: keeper.fleet_size.keeper == keeper_id)
+            other = await made.add_box(other_id)
+            await made.ready(other)
+            assert not other.state.peers.peers_by_id
+            answer = await ask(other, "/safe/x", "r1", extra=(KEY,), tokens="300,100")
+            assert answer.status == 200
+            assert other.usage_limits.groups[0].share.pool == keeper_id
+            grow_old(other)
+            lenders = keeper.usage_limits.groups[0].pool.lenders_by_box
+            await until(lambda: {keeper_id, other_id} <= set(lenders))
+
+    run(body)
+
+
 def test_a_caller_that_hammers_does_not_ask_the_pool_each_time():
     async def body():
         async with fleet(config=limited()) as made:
