--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -196,7 +196,11 @@
         run = self.run
         facts = run.facts
         tokens = patience.hold_tokens(
-            facts.prompt_tokens, facts.output_tokens, facts.expected_output, engine.kv_tokens
+            facts.prompt_tokens,
+            facts.output_tokens,
+            facts.expected_output,
+            engine.kv_tokens,
+            run.state.ways.hold,
         )
         outcome = "granted"
         try:
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from croftchute.errors import Code, DocumentError, Fault
-from croftchute.systems.patience import ReturnWay
+from croftchute.systems.patience import HoldWay, ReturnWay
 from croftchute.systems.service_capacity import SplitWay
 from croftchute.systems.size_lanes import RoomWay
 from croftchute.tables.organisations import LimitWay
@@ -64,6 +64,7 @@
     room: RoomWay = RoomWay.LANES
     split: SplitWay = SplitWay.FIXED_USE
     returns: ReturnWay = ReturnWay.RETURNED_FIRST
+    hold: HoldWay = HoldWay.LIKELY
 
 
 class RouterSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -14,6 +14,13 @@
     IN_TIME_FIRST = "in_time_first"
 
 
+class HoldWay(StrEnum):
+    """How much memory is asked for ahead of a stream: what is likely, or with some to spare."""
+
+    LIKELY = "likely"
+    AMPLE = "ample"
+
+
 REPEAT_SHARE_OF_TARGET = 0.6
 """Share of the target after which a repeatable call goes to another worker: two usual tries
 then fit into the target."""
@@ -105,8 +112,9 @@
 LATE_ROOM_POLL_S = 0.2
 """The same of one that is late already: it takes room that nobody in time asked for."""
 
-HOLD_OUTPUT_MARGIN = 0.9
-"""Share of the likely output that a hold covers (trials in docs/DESIGN.md)."""
+HOLD_OUTPUT_MARGINS = {HoldWay.LIKELY: 0.9, HoldWay.AMPLE: 1.4}
+"""Share of the likely output that a hold covers (trials in docs/DESIGN.md). Half of all answers are
+longer than their hint; what outgrows its hold may be preempted, and its prompt is read again."""
 
 NEVER_FITS_RETRY_AFTER_S = 60.0
 """Seconds after which a caller may ask again whose prompt no engine can hold: only the operator's
@@ -225,7 +233,11 @@
 
 
 def hold_tokens(
-    prompt_tokens: int, output_tokens: int, expected_output: int | None, kv_tokens: int
+    prompt_tokens: int,
+    output_tokens: int,
+    expected_output: int | None,
+    kv_tokens: int,
+    way: HoldWay = HoldWay.LIKELY,
 ) -> int:
     """How much decode memory to reserve: the prompt, and what the answer will likely add.
 
@@ -234,10 +246,12 @@
 
     >>> hold_tokens(5000, 800, 200, 45_991)
     5180
+    >>> hold_tokens(5000, 800, 200, 45_991, HoldWay.AMPLE)
+    5280
     >>> hold_tokens(45_500, 800, None, 45_991)
     45991
     """
     output = output_tokens
     if expected_output is not None:
-        output = min(output_tokens, int(HOLD_OUTPUT_MARGIN * expected_output))
+        output = min(output_tokens, int(HOLD_OUTPUT_MARGINS[way] * expected_output))
     return min(prompt_tokens + output, kv_tokens)
