--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -164,7 +164,7 @@
             size=self.fleet_size,
             has_limits=state.has_limits,
             address=lambda: (self.exchange.host, self.exchange.port),
-            is_keeper=self.usage_limits.is_keeper,
+            is_main_pool=self.usage_limits.is_main_pool,
         )
         forwarder = Forwarder(state=state, usage_limits=self.usage_limits)
         self.ingress = HttpIngress(
--- a/src/croftchute/forwarding/fleet_record.py
+++ b/src/croftchute/forwarding/fleet_record.py
@@ -1,10 +1,11 @@
 """The record of how many boxes there are, in the platform's store: read at the start, kept since.
 
-It also names the box that keeps the pool of the limits. After a start of the whole fleet boxes take
-some six seconds to hear of one another; with the name all turn to the same pool at once.
+It also names the main pool of the limits, the box that most others lend their shares to. After a
+start of the whole fleet boxes take some six seconds to hear of one another; with the name all turn
+to the same pool at once.
 
-Only the keeper writes it, and only when something in it changes: a few calls after a start of the
-whole fleet, one for each box otherwise.
+Only the main pool writes the record, and only when something in it changes: a few calls after a
+start of the whole fleet, one for each box otherwise.
 """
 
 from __future__ import annotations
@@ -35,7 +36,7 @@
 
 
 class FleetRecord:
-    """Reads the record once limits are in force, and keeps it where the pool is kept."""
+    """Reads the record once limits are in force, and keeps it at the main pool."""
 
     def __init__(
         self,
@@ -45,14 +46,14 @@
         size: FleetSize,
         address: Callable[[], tuple[str, int]],
         has_limits: Callable[[], bool],
-        is_keeper: Callable[[], bool],
+        is_main_pool: Callable[[], bool],
     ) -> None:
         self.state = state
         self.store = store
         self.size = size
         self.address = address
         self.has_limits = has_limits
-        self.is_keeper = is_keeper
+        self.is_main_pool = is_main_pool
         self._is_lost = False
 
     async def run(self) -> None:
@@ -77,8 +78,8 @@
         if not self.size.is_known:
             await self._read()
         wanted = self._wanted_count()
-        if self.is_keeper():
-            if wanted is not None or self.size.keeper != self.state.box:
+        if self.is_main_pool():
+            if wanted is not None or self.size.pool != self.state.box:
                 await self._correct()
         elif wanted is not None and wanted < self.size.boxes(0):
             self.size.recorded = wanted
@@ -86,7 +87,7 @@
     async def _read(self) -> StoredItem | None:
         item = await self.store.item(RECORD_KEY)
         found = self._parse(item)
-        if (found.boxes, found.keeper) != (self.size.recorded, self.size.keeper):
+        if (found.boxes, found.pool) != (self.size.recorded, self.size.pool):
             self._take(found)
             self._log("read")
         return item
@@ -95,11 +96,11 @@
         """Write what the record should say, unless another box did so meanwhile."""
         item = await self._read()
         wanted = self._wanted_count()
-        if wanted is None and self.size.keeper == self.state.box:
+        if wanted is None and self.size.pool == self.state.box:
             return
         host, port = self.address()
         boxes = wanted if wanted is not None else self.size.boxes(0)
-        entry = FleetEntry(boxes=boxes, keeper=self.state.box, host=host, port=port)
+        entry = FleetEntry(boxes=boxes, pool=self.state.box, host=host, port=port)
         revision = item.revision if item is not None else 0
         value = msgspec.json.encode(entry)
         if await self.store.put_if(RECORD_KEY, value, revision=revision, lease=NO_LEASE):
@@ -108,9 +109,9 @@
 
     def _take(self, entry: FleetEntry) -> None:
         self.size.recorded = entry.boxes
-        self.size.keeper = entry.keeper
-        if entry.keeper:
-            self.state.peers.note_named(entry.keeper, entry.host, entry.port)
+        self.size.pool = entry.pool
+        if entry.pool:
+            self.state.peers.note_named(entry.pool, entry.host, entry.port)
 
     def _wanted_count(self) -> int | None:
         return self.size.to_record(self.state.peers.known_boxes, self.state.clock())
@@ -137,6 +138,6 @@
             Decision.FLEET_SIZE,
             outcome=outcome,
             recorded=self.size.recorded,
-            keeper=self.size.keeper,
+            pool=self.size.pool,
             known=self.state.peers.known_boxes,
         )
--- a/src/croftchute/forwarding/limits.py
+++ b/src/croftchute/forwarding/limits.py
@@ -62,7 +62,7 @@
         """What goes on beside the requests; never returns."""
         ...
 
-    def is_keeper(self) -> bool:
+    def is_main_pool(self) -> bool:
         """Whether this box says yes or no for most others, and keeps the record of the fleet."""
         ...
 
@@ -105,7 +105,7 @@
     async def run(self) -> None:
         """Nothing is to be done beside the requests."""
 
-    def is_keeper(self) -> bool:
+    def is_main_pool(self) -> bool:
         """No box answers for others; the first of all that are known keeps the record."""
         return self.state.box <= min(self.state.peers.peers_by_id, default=self.state.box)
 
--- a/src/croftchute/forwarding/pooled_limits.py
+++ b/src/croftchute/forwarding/pooled_limits.py
@@ -41,8 +41,8 @@
 """Longest pause before a pool that is not settled is asked again: shares come in with rounds of
 askings, which are a third of a second apart."""
 
-KEEPER_NAMED_S = 10.0
-"""Seconds of a life in which the keeper on record is asked though it was not heard yet: by then
+POOL_NAMED_S = 10.0
+"""Seconds of a life in which the pool on record is asked though it was not heard yet: by then
 boxes of a fleet of eighty know one another."""
 
 MIN_PAUSE_S = 0.02
@@ -258,10 +258,10 @@
     def _candidates(self, now: float) -> list[str]:
         """Boxes that may keep the pool: those heard of, and the one on record until it is heard."""
         boxes = self.state.peers.reachable(now)
-        keeper = self.size.keeper
-        is_young = now - self.state.begun_at < KEEPER_NAMED_S
-        if keeper and is_young and keeper not in self.state.peers.peers_by_id:
-            boxes.append(keeper)
+        recorded = self.size.pool
+        is_young = now - self.state.begun_at < POOL_NAMED_S
+        if recorded and is_young and recorded not in self.state.peers.peers_by_id:
+            boxes.append(recorded)
         return boxes
 
     def note_ask(self, sender: str, ask: AllowanceAsk) -> AllowanceReply | None:
@@ -298,7 +298,7 @@
 
     # Beside the requests.
 
-    def is_keeper(self) -> bool:
+    def is_main_pool(self) -> bool:
         """Whether most boxes lend to the pool that is kept here, this one among them."""
         now = self.state.clock()
         return any(
--- a/src/croftchute/systems/fleet_size.py
+++ b/src/croftchute/systems/fleet_size.py
@@ -21,11 +21,11 @@
 class FleetSize:
     """The count as recorded, None while it has not been read; 0 if there is no record yet.
 
-    ``keeper`` is the box that kept the pool of the limits when the record was written.
+    ``pool`` is the box that most others lent their shares to when the record was written.
     """
 
     recorded: int | None = None
-    keeper: str = ""
+    pool: str = ""
     _fewer_since: float = math.inf
 
     @property
--- a/src/croftchute/tables/fleet.py
+++ b/src/croftchute/tables/fleet.py
@@ -7,13 +7,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FleetEntry:
-    """How many boxes there are, and which of them keeps the pool of the limits, as last written.
+    """How many boxes there are, and which of them is the main pool of the limits, as last written.
 
-    ``keeper`` is a box's id, ``host`` and ``port`` are where it takes notices; all are empty where
-    no box kept the pool yet.
+    ``pool`` is the id of the box that most others lend to, ``host`` and ``port`` are where it takes
+    notices; all are empty where there was no such box yet.
     """
 
     boxes: int
-    keeper: str = ""
+    pool: str = ""
     host: str = ""
     port: int = 0
--- a/tests/forwarding/test_fleet_record.py
+++ b/tests/forwarding/test_fleet_record.py
@@ -13,8 +13,8 @@
 from croftchute.tables.fleet import FleetEntry
 
 
-def entry(boxes, keeper="b1", host="10.0.0.1"):
-    return msgspec.json.encode(FleetEntry(boxes=boxes, keeper=keeper, host=host, port=7000))
+def entry(boxes, pool="b1", host="10.0.0.1"):
+    return msgspec.json.encode(FleetEntry(boxes=boxes, pool=pool, host=host, port=7000))
 
 
 class Store:
@@ -42,7 +42,7 @@
         return revision + 1
 
 
-def made(store, *, known=1, is_keeper=False, has_limits=True, size=None):
+def made(store, *, known=1, is_main_pool=False, has_limits=True, size=None):
     named = []
     state = SimpleNamespace(
         box="b1",
@@ -58,7 +58,7 @@
         size=size or FleetSize(),
         address=lambda: ("10.0.0.1", 7000),
         has_limits=lambda: has_limits,
-        is_keeper=lambda: is_keeper,
+        is_main_pool=lambda: is_main_pool,
     )
 
 
@@ -81,41 +81,41 @@
     assert store.calls == []
 
 
-def test_the_first_keeper_writes_what_it_knows_and_others_write_nothing():
+def test_the_first_main_pool_writes_what_it_knows_and_others_write_nothing():
     store = Store()
     look(made(store, known=30))
     assert store.found is None
-    look(made(store, known=30, is_keeper=True))
+    look(made(store, known=30, is_main_pool=True))
     assert store.found.value == entry(30)
 
 
-def test_a_keeper_that_knows_fewer_leaves_the_record():
+def test_a_main_pool_that_knows_fewer_leaves_the_record():
     store = Store(entry(78))
-    record = made(store, known=30, is_keeper=True)
+    record = made(store, known=30, is_main_pool=True)
     look(record, times=3)
     assert store.found.value == entry(78)
     assert "put" not in store.calls
 
 
-def test_of_two_keepers_the_greater_count_stands():
+def test_of_two_main_pools_the_greater_count_stands():
     store = Store(entry(10))
     store.meanwhile = StoredItem(key=RECORD_KEY, value=entry(60), revision=9)
-    record = made(store, known=40, is_keeper=True)
+    record = made(store, known=40, is_main_pool=True)
     look(record, times=2)
     assert store.found.value == entry(60)
     assert record.size.boxes(40) == 60
 
 
-def test_a_fleet_that_shrank_is_recorded_by_its_keeper_and_counted_by_all():
+def test_a_fleet_that_shrank_is_recorded_by_its_main_pool_and_counted_by_all():
     store = Store(entry(78))
-    keeper = made(store, known=40, is_keeper=True)
+    main = made(store, known=40, is_main_pool=True)
     other = made(store, known=40)
-    for record in (keeper, other):
+    for record in (main, other):
         look(record)
         record.state.now = LOWER_AFTER_S + 1.0
         look(record)
     assert store.found.value == entry(40)
-    assert (keeper.size.recorded, other.size.recorded) == (40, 40)
+    assert (main.size.recorded, other.size.recorded) == (40, 40)
 
 
 def test_while_the_store_is_down_the_box_has_no_share():
@@ -132,21 +132,21 @@
 
 def test_a_record_that_cannot_be_read_is_written_anew():
     store = Store(b"many")
-    look(made(store, known=5, is_keeper=True))
+    look(made(store, known=5, is_main_pool=True))
     assert store.found.value == entry(5)
 
 
-def test_a_new_keeper_writes_its_name_and_a_box_that_reads_it_knows_where_to_ask():
-    store = Store(entry(78, keeper="b9", host="10.0.0.9"))
-    look(made(store, known=78, is_keeper=True))
+def test_a_new_main_pool_writes_its_name_and_a_box_that_reads_it_knows_where_to_ask():
+    store = Store(entry(78, pool="b9", host="10.0.0.9"))
+    look(made(store, known=78, is_main_pool=True))
     assert store.found.value == entry(78)
     other = made(store, known=1)
     look(other)
-    assert other.size.keeper == "b1"
+    assert other.size.pool == "b1"
     assert other.state.named == [("b1", "10.0.0.1", 7000)]
 
 
 def test_a_record_that_fits_is_not_written_again():
     store = Store(entry(78))
-    look(made(store, known=78, is_keeper=True), times=3)
+    look(made(store, known=78, is_main_pool=True), times=3)
     assert store.calls == ["item"]
--- a/tests/platform_adapter/test_limits.py
+++ b/tests/platform_adapter/test_limits.py
@@ -174,24 +174,24 @@
     run(body)
 
 
-def test_a_box_that_knows_nobody_asks_the_keeper_on_record():
+def test_a_box_that_knows_nobody_asks_the_pool_on_record():
     async def body():
         async with fleet(config=limited(RatePerS=20_000)) as made:
             await made.add_worker("w1")
-            keeper_id, other_id = rank(f"limits-{group_of('crew')}", ("box-1", "box-2"))
-            keeper = await made.add_box(keeper_id)
-            await made.ready(keeper)
-            grow_old(keeper)
-            await until(lambda: keeper.fleet_size.keeper == keeper_id)
+            pool_id, other_id = rank(f"limits-{group_of('crew')}", ("box-1", "box-2"))
+            pool = await made.add_box(pool_id)
+            await made.ready(pool)
+            grow_old(pool)
+            await until(lambda: pool.fleet_size.pool == pool_id)
             other = await made.add_box(other_id)
             await made.ready(other)
             assert not other.state.peers.peers_by_id
             answer = await ask(other, "/safe/x", "r1", extra=(KEY,), tokens="300,100")
             assert answer.status == 200
-            assert other.usage_limits.groups[0].share.pool == keeper_id
+            assert other.usage_limits.groups[0].share.pool == pool_id
             grow_old(other)
-            lenders = keeper.usage_limits.groups[0].pool.lenders_by_box
-            await until(lambda: {keeper_id, other_id} <= set(lenders))
+            lenders = pool.usage_limits.groups[0].pool.lenders_by_box
+            await until(lambda: {pool_id, other_id} <= set(lenders))
 
     run(body)
 
