--- a/src/croftchute/systems/lent_share.py
+++ b/src/croftchute/systems/lent_share.py
@@ -110,7 +110,8 @@
 
     def is_settling(self, now: float) -> bool:
         """Whether boxes are still finding their pool: after a start, or the end of the last one."""
-        return now - max(self.started_at, self.pool_since) < SETTLING_S
+        is_new = now - max(self.started_at, self.pool_since) < SETTLING_S
+        return is_new or self._is_suspected(self.pool, now)
 
     def answered(self, pool: str, stamp: float) -> None:
         """A pool answered; ``stamp`` is its clock."""
--- a/tests/systems/test_lent_shares.py
+++ b/tests/systems/test_lent_shares.py
@@ -14,6 +14,7 @@
 
 from croftchute.systems.allowance_pool import LEASE_S
 from croftchute.systems.fleet_size import FleetSize
+from croftchute.systems.lent_share import SETTLING_S, SUSPECTED_S, LentShare
 from croftchute.systems.usage_bucket import UsageBucket
 
 FLOOD = 400_000.0
@@ -158,6 +159,23 @@
     assert most_after_a_start_within_a_cut(recorded=0) > 1.2
 
 
+def test_boxes_are_settling_from_the_silence_of_their_pool_until_some_seconds_of_the_next_one():
+    share = LentShare(own_id="b1", group=0, started_at=0.0)
+    others = ["b2", "b3"]
+    pool = share.asked(others, 0.5, 10.0).pool
+    assert share.is_settling(11.0)
+    share.answered(pool, 10.0)
+    assert not share.is_settling(20.0)
+    for when in (20.0, 20.1, 20.2):
+        share.asked(others, 0.5, when)
+    assert share.unanswered(pool, 20.3)
+    assert share.is_settling(20.4)
+    later = 20.3 + SUSPECTED_S
+    assert share.asked(others, 0.5, later - 1.0).pool != pool
+    assert share.is_settling(later - 1.0 + SETTLING_S / 2)
+    assert not share.is_settling(later + SETTLING_S)
+
+
 def test_the_end_of_a_pool_costs_two_seconds_of_its_group():
     world = world_with_leases(boxes=12)
     world.load(5.0, 30.0, 60_000.0)
