A request is held once, until shares should have come together, in place of asking again and again

Cause, by the log of limits_power on: with the main pool on record 1.02 of all limits were lent to one pool 1.0 s after the start, as meant; but held requests asked every 20 to 150 ms, and from 8.2 s on the pool's link was full: it was taken as silent 448 times within a quarter of a second, shares went elsewhere, and until 11 s 70 to 140 requests were served each half second, where 200 to 260 were before. Change: a denied request sleeps once until 1.2 s after the start, or after the silence of its pool, and asks once more. The state named settling is gone; the share knows when it settles.

--- a/src/croftchute/forwarding/pooled_limits.py
+++ b/src/croftchute/forwarding/pooled_limits.py
@@ -37,9 +37,8 @@
 SETTLED_SHARE = 0.5
 """Part of all limits from which on a pool is taken for the one that most boxes lend to."""
 
-SETTLE_POLL_S = 0.15
-"""Longest pause before a pool that is not settled is asked again: shares come in with rounds of
-askings, which are a third of a second apart."""
+SETTLE_SPREAD_S = 0.15
+"""Seconds over which held requests ask again, so that they do not do so together."""
 
 POOL_NAMED_S = 10.0
 """Seconds of a life in which the pool on record is asked though it was not heard yet: by then
@@ -153,33 +152,39 @@
     ) -> Allowance:
         group = self.groups[group_of(name)]
         begun_at = self.state.clock()
-        tries = 0
-        while tries < ASK_TRIES:
+        wait_ends_at = begun_at + WORTH_WAITING_S
+        was_held = False
+        for _ in range(ASK_TRIES):
             answer = await self._ask_for(group, name, limit, units)
             grant = answer.grant
             now = self.state.clock()
             if grant is None:
-                tries += 1
                 continue
             if grant.units >= units:
                 self.purses_by_name[name].put(grant.units - units, now)
                 return GRANTED
-            held_s = WORTH_WAITING_S
-            if group.share.is_settling(now):
-                held_s = min(MAX_HELD_S, HELD_SHARE_OF_TIME * patience_s)
-            else:
-                tries += 1
-            pause_s = self._pause_s(answer, grant)
-            if now + pause_s > begun_at + held_s:
+            if answer.live_share < SETTLED_SHARE and not was_held:
+                was_held = await self._hold(group, begun_at, patience_s)
+                wait_ends_at = self.state.clock() + WORTH_WAITING_S
+                if was_held:
+                    continue
+            if now + grant.wait_s > wait_ends_at:
                 return self._note_denied(name, units, grant, answer)
-            await asyncio.sleep(pause_s)
+            await asyncio.sleep(grant.wait_s)
         return Allowance(outcome=AllowanceOutcome.UNKNOWN, pool=group.share.pool)
 
-    def _pause_s(self, answer: _PoolAnswer, grant: UsageGrant) -> float:
-        """When to ask again: as the pool says, sooner where few boxes have lent to it yet."""
-        if answer.live_share < SETTLED_SHARE:
-            return max(MIN_PAUSE_S, min(SETTLE_POLL_S, grant.wait_s))
-        return max(MIN_PAUSE_S, grant.wait_s)
+    async def _hold(self, group: _Group, begun_at: float, patience_s: float) -> bool:
+        """Hold a request until shares will have come together; False if that takes too long.
+
+        Each request is held once: asking again and again, all that wait would overload the pool.
+        """
+        now = self.state.clock()
+        ends_at = group.share.settles_at + SETTLE_SPREAD_S * self.state.rng.random()
+        longest_s = min(MAX_HELD_S, HELD_SHARE_OF_TIME * patience_s)
+        if not now < ends_at <= begun_at + longest_s:
+            return False
+        await asyncio.sleep(ends_at - now)
+        return True
 
     async def _ask_for(
         self, group: _Group, name: str, limit: UsageLimit, units: float
--- a/src/croftchute/systems/lent_share.py
+++ b/src/croftchute/systems/lent_share.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -32,9 +33,12 @@
 """Seconds without an answer before a pool is suspected: many askings may be under way at once."""
 
 
-SETTLING_S = 3.0
+SETTLING_S = 1.2
 """Seconds in which shares come together after a start or the end of a pool: a lease that must run
-out, and some rounds of notices until boxes rank the same pool first."""
+out, and one more round of askings in part."""
+
+YOUNG_S = 3.0
+"""Seconds of a life in which other boxes may still be starting too."""
 
 
 def group_of(organisation: str) -> int:
@@ -73,11 +77,11 @@
     group: int
     started_at: float
     pool: str = ""
-    pool_since: float = 0.0
     has_lent: bool = False
     _lent_until: float = 0.0
     _echo: float = 0.0
     _unanswered: int = 0
+    _silence_noted_at: float = -math.inf
     _silent_since: float | None = None
     _suspected_until: dict[str, float] = field(default_factory=dict)
 
@@ -87,7 +91,6 @@
             return
         if not self.pool or now >= self._lent_until:
             self.pool = wanted
-            self.pool_since = now
             self._echo = 0.0
             self._heard()
 
@@ -108,10 +111,10 @@
         self.has_lent = self.has_lent or is_first
         return Lease(pool=self.pool, share=share, echo=echo, is_first=is_first)
 
-    def is_settling(self, now: float) -> bool:
-        """Whether boxes are still finding their pool: after a start, or the end of the last one."""
-        is_new = now - max(self.started_at, self.pool_since) < SETTLING_S
-        return is_new or self._is_suspected(self.pool, now)
+    @property
+    def settles_at(self) -> float:
+        """When shares will have come together after a start, or after a pool fell silent."""
+        return max(self.started_at, self._silence_noted_at) + SETTLING_S
 
     def answered(self, pool: str, stamp: float) -> None:
         """A pool answered; ``stamp`` is its clock."""
@@ -127,7 +130,8 @@
             return False
         if self._unanswered < MIN_UNANSWERED or now - silent_since < MIN_SILENCE_S:
             return False
-        is_young = now - self.started_at < SETTLING_S
+        self._silence_noted_at = now
+        is_young = now - self.started_at < YOUNG_S
         self._suspected_until[pool] = now + (SUSPECTED_YOUNG_S if is_young else SUSPECTED_S)
         return True
 
