A request that is outrun at its limit is told so: 429, not that no pool answered

The outcome after the last try was always unknown. Change: an answered last try is a denial, and is remembered as one. The test fails before (503).

--- a/src/croftchute/forwarding/pooled_limits.py
+++ b/src/croftchute/forwarding/pooled_limits.py
@@ -171,6 +171,8 @@
             if now + grant.wait_s > wait_ends_at:
                 return self._note_denied(name, units, grant, answer)
             await asyncio.sleep(grant.wait_s)
+        if grant is not None:
+            return self._note_denied(name, units, grant, answer)
         return Allowance(outcome=AllowanceOutcome.UNKNOWN, pool=group.share.pool)
 
     async def _hold(self, group: _Group, begun_at: float, patience_s: float) -> bool:
--- a/tests/platform_adapter/test_limits.py
+++ b/tests/platform_adapter/test_limits.py
@@ -8,6 +8,7 @@
 from croftchute.systems.allowance_pool import LEASE_S
 from croftchute.systems.lent_share import group_of
 from croftchute.systems.rendezvous import rank
+from croftchute.tables.allowances import UsageGrant
 
 KEY = bearer("crew-key")
 
@@ -174,6 +175,20 @@
     run(body)
 
 
+def test_a_request_that_others_outrun_again_and_again_is_over_the_limit_and_no_unknown_case():
+    async def body():
+        async with fleet(config=limited()) as made:
+            box = await one_box(made)
+            pool = box.usage_limits.groups[0].pool
+            pool.give = lambda want, known, now: UsageGrant(
+                organisation=want.organisation, units=0.0, wait_s=0.01
+            )
+            answer = await ask(box, "/safe/x", "r1", extra=(KEY,), tokens="300,100")
+            assert answer.status == 429
+
+    run(body)
+
+
 def test_a_box_that_knows_nobody_asks_the_pool_on_record():
     async def body():
         async with fleet(config=limited(RatePerS=20_000)) as made:
