Tests of streams are split by what they are about

557 lines in one file: prefill and decode, going on elsewhere, and room have a file each, what they share stands in stream_fleet.

--- /dev/null
+++ b/tests/platform_adapter/stream_fleet.py
@@ -0,0 +1,33 @@
+"""What tests of streams share: a box before engines, and what came of a stream."""
+
+PARTS = "X-Croftchute-Prompt-Prefix: 5c1e:3,91bd:7"
+
+
+async def engines(made, *, decodes=2, prefills=1, **options):
+    decode = [
+        await made.add_worker(f"d{n}", service="llm", stage="decode", **options)
+        for n in range(decodes)
+    ]
+    prefill = [
+        await made.add_worker(f"p{n}", service="llm", stage="prefill") for n in range(prefills)
+    ]
+    box = await made.add_box()
+    await made.ready(box)
+    return box, decode, prefill
+
+
+def numbers(answer):
+    return [int(event.split(b"\n")[0].removeprefix(b"id: ")) for event in answer.events]
+
+
+def ran(workers, request_id="r1"):
+    return sum(worker.runs_of(request_id) for worker in workers)
+
+
+def prefer(box, worker_id):
+    """Have a box choose one worker before all others of its stage."""
+    beliefs = box.state.workers.beliefs_by_id
+    for other in beliefs.values():
+        if other.worker.stage is beliefs[worker_id].worker.stage:
+            box.state.workers.note_failure(other.worker.id, 2.0, box.state.clock())
+    beliefs[worker_id].failures = 0.0
