Soak: a worker that hangs on a silenced connection can't learn of its close

The stand-in was told to hang after two events, and waits for its connection's end; the connection had been silenced for good (CONNECTIONS_SILENCED), which brings no end. Ruled out: a close that the box did not make; its log has the caller's leaving. Change: links note the ports of silenced connections, runs the port that they came from, and the check takes runs on such ports out, and nothing else; holds are judged as before.

--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -154,13 +154,20 @@
                     yield Violation(promise="boxes run on", request_id="", detail=detail)
 
     def _memory(self) -> Iterator[Violation]:
-        """After all is over and holds have lapsed, workers keep nothing and run nothing."""
+        """After all is over and holds have lapsed, workers keep nothing and run nothing.
+
+        A run that hangs, on a connection that fell silent for good, learns of no close by its box.
+        """
         for listed in self.world.all_workers:
             worker = listed.worker
             if listed.leaving_at is not None:
                 continue
             kept = [*sorted(worker.holds), *sorted(worker.handles)]
-            kept += [run.request_id for run in worker.runs if run.ended_at is None]
+            kept += [
+                run.request_id
+                for run in worker.runs
+                if run.ended_at is None and run.peer_port not in listed.link.silenced_ports
+            ]
             if kept:
                 detail = f"{worker.id} keeps {kept[:5]}"
                 yield Violation(promise="memory is freed", request_id="", detail=detail)
--- a/src/croftchute/soak/proxy.py
+++ b/src/croftchute/soak/proxy.py
@@ -67,6 +67,8 @@
         self._connections: set[LinkConnection] = set()
         self._stopped = asyncio.Event()
         self._free_at = 0.0
+        self.silenced_ports: set[int] = set()
+        """Ports from which the target saw those connections come that were silenced."""
 
     async def start(self) -> int:
         """Begin to listen; returns the port."""
@@ -96,6 +98,7 @@
         chosen = [one for one in open_ones if rng.random() < share]
         for connection in chosen:
             connection.is_silenced = True
+            self.silenced_ports.add(connection.far.get_extra_info("sockname")[1])
         return len(chosen)
 
     def stop(self) -> None:
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -42,13 +42,17 @@
 
 @dataclass(kw_only=True)
 class Run:
-    """One run of a request; ``ended_at`` is None while the worker is at work on it."""
+    """One run of a request; ``ended_at`` is None while the worker is at work on it.
+
+    ``peer_port`` is the port that its connection came from.
+    """
 
     request_id: str
     path: str
     body: bytes
     started_at: float
     ended_at: float | None = None
+    peer_port: int = 0
 
 
 @dataclass(kw_only=True)
@@ -209,20 +213,21 @@
             self._send(writer, request, 503, {"X-Croftchute-Not-Executed": "1"})
             return True
         self.holds.discard(request.headers.get("x-croftchute-kv-hold", ""))
-        run = self._begin_run(request) if not is_prefill else None
+        run = self._begin_run(request, writer) if not is_prefill else None
         try:
             return await self._answer_run(request, reader, writer, is_prefill=is_prefill)
         finally:
             if run is not None:
                 run.ended_at = asyncio.get_running_loop().time()
 
-    def _begin_run(self, request: Received) -> Run:
+    def _begin_run(self, request: Received, writer: asyncio.StreamWriter) -> Run:
         self.ran.append(request.id)
         run = Run(
             request_id=request.id,
             path=request.path,
             body=request.body,
             started_at=asyncio.get_running_loop().time(),
+            peer_port=writer.get_extra_info("peername")[1],
         )
         self.runs.append(run)
         return run
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -31,17 +31,23 @@
     return Try(**(fields | changes))
 
 
-def run(started_at=10.0, ended_at=10.1, request_id="r1", path="/p", body=b"b"):
+def run(started_at=10.0, ended_at=10.1, request_id="r1", path="/p", body=b"b", peer_port=4001):
     return Run(
-        request_id=request_id, path=path, body=body, started_at=started_at, ended_at=ended_at
+        request_id=request_id,
+        path=path,
+        body=body,
+        started_at=started_at,
+        ended_at=ended_at,
+        peer_port=peer_port,
     )
 
 
-def worker(name, *runs, leaving_at=None, holds=()):
+def worker(name, *runs, leaving_at=None, holds=(), silenced_ports=()):
     stand_in = SimpleNamespace(
         id=name, runs=list(runs), holds=set(holds), handles=set(), received=[]
     )
-    return SimpleNamespace(worker=stand_in, leaving_at=leaving_at)
+    link = SimpleNamespace(silenced_ports=set(silenced_ports))
+    return SimpleNamespace(worker=stand_in, leaving_at=leaving_at, link=link)
 
 
 def checker(tries, workers=(), **changes):
@@ -151,6 +157,15 @@
 def test_memory_that_stays_held_is_found():
     assert promises([attempt()], [worker("w", run(ended_at=None))]) == {"memory is freed"}
     assert promises([], [worker("w", holds=["h"])]) == {"memory is freed"}
+    others = [worker("w", run(ended_at=None, peer_port=4001), silenced_ports=(4002,))]
+    assert promises([attempt()], others) == {"memory is freed"}
+
+
+def test_a_run_on_a_silenced_connection_learns_of_no_close():
+    hung = [worker("w", run(ended_at=None, peer_port=4001), silenced_ports=(4001,))]
+    assert promises([attempt()], hung) == set()
+    held = [worker("w", run(ended_at=None, peer_port=4001), holds=["h"], silenced_ports=(4001,))]
+    assert promises([attempt()], held) == {"memory is freed"}
     assert promises([], [worker("w", holds=["h"], leaving_at=1.0)]) == set()
 
 
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -132,6 +132,32 @@
     linked(body)
 
 
+def test_a_link_tells_from_which_ports_its_target_saw_silenced_connections_come():
+    seen = []
+
+    async def note(reader, writer):
+        seen.append(writer.get_extra_info("peername")[1])
+        await echo(reader, writer)
+
+    async def body():
+        server = await asyncio.start_server(note, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        link = FaultyLink(name="l", target=Target(host="127.0.0.1", port=port))
+        await link.start()
+        for _ in range(2):
+            reader, writer = await asyncio.open_connection("127.0.0.1", link.port)
+            writer.write(b"x")
+            assert await reader.readexactly(1) == b"x"
+            if not link.silenced_ports:
+                link.silence_open(1.0, random.Random(1))
+        assert link.silenced_ports == {seen[0]}
+        assert len(set(seen)) == 2
+        link.stop()
+        server.close()
+
+    asyncio.run(body())
+
+
 def test_the_end_of_a_silenced_connection_is_not_passed_on():
     async def body(link, reader, writer):
         writer.write(b"x")
