--- a/src/croftchute/forwarding/fleet_record.py
+++ b/src/croftchute/forwarding/fleet_record.py
@@ -36,7 +36,11 @@
 
 
 class FleetRecord:
-    """Reads the record once limits are in force, and keeps it at the main pool."""
+    """Reads the record once limits are in force, and keeps it at the main pool.
+
+    ``address`` tells where this box takes notices, and ``is_main_pool`` whether most boxes lend to
+    it at the moment.
+    """
 
     def __init__(
         self,
--- a/src/croftchute/systems/allowance_pool.py
+++ b/src/croftchute/systems/allowance_pool.py
@@ -4,8 +4,7 @@
 lease. A pool gives out what the shares lent to it bring in. It knows a lease to be good only as far
 as its own clock, echoed by the lender, says so: whatever is lost, late, repeated, paused or cut, a
 share never counts at two pools at a time, so all pools together give no more than the limit, as
-long as boxes count each other alike. Where they count too few, one pool gives no more than the
-limit; several at a time, as in a fleet that was started and cut at once, may.
+long as no box counts fewer boxes than there are: see ``fleet_size``.
 """
 
 from __future__ import annotations
--- a/src/croftchute/systems/lent_share.py
+++ b/src/croftchute/systems/lent_share.py
@@ -70,7 +70,8 @@
 class LentShare:
     """The share of one box for one group; times are those of the box's steady clock.
 
-    Nothing is lent in the first seconds of a life: an earlier life of the box may have lent it.
+    Nothing is lent in the first second of a life, which begins at ``started_at``: an earlier life
+    of the box may have lent it.
     """
 
     own_id: str
