--- a/src/croftchute/forwarding/fleet_record.py
+++ b/src/croftchute/forwarding/fleet_record.py
@@ -1,8 +1,8 @@
 """The record of how many boxes there are, in the platform's store: read at the start, kept since.
 
 It also names the main pool of the limits, the box that most others lend their shares to. After a
-start of the whole fleet boxes take some six seconds to hear of one another; with the name all turn
-to the same pool at once.
+start of a whole fleet of 78 the middle box counts 60 after six seconds, and some pairs hear of each
+other after twenty only; with the name all turn to the same pool at once.
 
 Only the main pool writes the record, and only when something in it changes: a few calls after a
 start of the whole fleet, one for each box otherwise.
--- a/src/croftchute/forwarding/pooled_limits.py
+++ b/src/croftchute/forwarding/pooled_limits.py
@@ -41,8 +41,8 @@
 """Seconds over which held requests ask again, so that they do not do so together."""
 
 POOL_NAMED_S = 10.0
-"""Seconds of a life in which the pool on record is asked though it was not heard yet: by then
-boxes of a fleet of eighty know one another."""
+"""Seconds of a life in which the pool on record is asked though it was not heard yet: by then most
+boxes of a fleet of eighty know one another. It is asked no longer, as it may be gone for good."""
 
 MIN_PAUSE_S = 0.02
 """Shortest pause before a pool is asked again: it counts what shares bring in as often."""
