Logs tell which requests are the same one: a digest on failed attempts and refusals

Ruled out: the id (new for each try), the prompt's own part (plain calls have none). Measured: 12 us for a body of 5 KB, timed alone, on failed attempts and refusals only; adapter and forwarding tests pass.

--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -52,12 +52,20 @@
         self.first_byte_at: float | None = None
         self.last_worker = ""
         self.has_not_run = False
+        self._digest = ""
 
     @property
     def now(self) -> float:
         """The present time of the process's steady clock."""
         return self.state.clock()
 
+    @property
+    def digest(self) -> str:
+        """What all tries of this request have in common, worked out once."""
+        if not self._digest:
+            self._digest = self.facts.digest
+        return self._digest
+
     @property
     def engine(self) -> EngineTraits | None:
         """What the engines of the request's service have in common; None if it has none."""
@@ -215,6 +223,7 @@
             route=self.route.name,
             organisation=self.facts.organisation,
             worker=self.last_worker,
+            digest=self.digest,
             time_left_ms=round(self.time_left_s * 1000),
             retry_after_s=retry_after_s,
             config_version=self.state.table.version if self.state.table else 0,
--- a/src/croftchute/forwarding/worker_call.py
+++ b/src/croftchute/forwarding/worker_call.py
@@ -191,6 +191,8 @@
 
     def _ended(self, outcome: str, **inputs: object) -> None:
         kind = Decision.PREFILL_ENDED if self.send.is_prefill else Decision.ATTEMPT_ENDED
+        if outcome != "ok":
+            inputs["digest"] = self.run.digest
         self.run.state.metrics.sends.inc({"outcome": outcome})
         self.run.log(
             kind,
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from croftchute.tables.organisations import NO_KEY, KeyClaim, Organisations
 
+DIGEST_BYTES = 16
+"""Length of a request's digest: no two requests that are remembered share one by chance."""
+
 
 class RouteKind(StrEnum):
     """What may be done with the requests of a route."""
@@ -174,7 +178,7 @@
     without those that the router sets itself. ``time_left_s`` is None if the caller names
     no deadline; ``resume_after`` is the last event that the caller already has. ``organisation``
     is what the router found by the key, empty if the request needs none; ``named_tokens`` is None
-    if the caller names no tokens.
+    if the caller names no tokens. ``caller`` tells one caller from another, alike at all boxes.
     """
 
     id: str
@@ -194,6 +198,19 @@
     key: KeyClaim = NO_KEY
     organisation: str = ""
     named_tokens: int | None = None
+    caller: str = ""
+
+    @property
+    def digest(self) -> str:
+        """What all tries of one request have in common, at whatever box: 32 hexadecimal digits.
+
+        A body of 5 KB takes 12 us, timed alone. Nothing is kept: few requests are asked for it.
+        """
+        found = hashlib.blake2b(digest_size=DIGEST_BYTES, person=b"croftchute-req")
+        for text in (self.caller, self.method, self.host, self.target):
+            found.update(text.encode() + b"\n")
+        found.update(self.body)
+        return found.hexdigest()
 
     @property
     def own_part(self) -> str:
--- /dev/null
+++ b/tests/tables/test_routing.py
@@ -0,0 +1,37 @@
+"""What a request's facts say of it."""
+
+import pytest
+
+from croftchute.tables.routing import RequestFacts
+
+SENT = {
+    "id": "r1",
+    "method": "POST",
+    "target": "/safe/x",
+    "host": "shop.example",
+    "path": "/safe/x",
+    "headers": [],
+    "body": b"hello",
+    "caller": "192.0.2.7",
+}
+
+
+def test_all_tries_of_a_request_have_one_digest():
+    first = RequestFacts(**SENT)
+    again = RequestFacts(**SENT | {"id": "r2", "headers": [(b"x", b"y")], "time_left_s": 1.0})
+    assert first.digest == again.digest
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"caller": "192.0.2.8"},
+        {"target": "/safe/y"},
+        {"body": b"bye"},
+        {"host": "other.example"},
+        {"method": "PUT"},
+    ],
+    ids=lambda change: next(iter(change)),
+)
+def test_another_callers_paths_or_bodys_request_has_another_digest(change):
+    assert RequestFacts(**SENT).digest != RequestFacts(**SENT | change).digest
