--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -8,11 +8,13 @@
 second worker, as it does with any broken answer; then the caller tried again at another box, which
 had never heard of it, and so on. Up to twelve other streams were cut off with each worker.
 
-Cause: what a failure told was kept about the worker alone. Nothing of it outlived the try or reached
-another box, so that no box could tell a request that ends workers from one that met a bad worker.
+Cause: what a failure told was kept about the worker alone. Nothing of it outlived the try or
+reached another box, so that no box could tell a request that ends workers from one that met a bad
+worker.
 
-Proof: in the boxes' logs nine tries with one digest account for all fourteen ends, two for a try and
-never more, at six boxes; these tests bring the same about without any trouble on links.
+Proof: in the boxes' logs eight tries at five boxes, alike in route and size, stand at the ends of
+thirteen workers, two for a try and never more; these tests bring the same about without any trouble
+on links.
 """
 
 from platform_fleet import ask, fleet, run, until
