A request is refused at every box once three workers have ended under it

Class: a fault that travels with the request, seen only as faults of the places it went to. The mend: what all tries of a request have in common is the key of a record of the lives of workers that ended under it. A worker that broke an answer off is looked at (a port that refuses is an end; resets and workers that go on are not); ends are told to other boxes at once and on from box to box, stand in the platform's store under a lease for halls that are cut off and for boxes that start later, and lapse. Ends that stand on the record of a request with more of them don't count against one with fewer. The same holds for streams resumed, for plain calls sent to a second worker (one copy, in the call of a worker), and for prompts read ahead, which then are read where they run. Tests of the adapter, forwarding, systems and peers pass.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -10,6 +10,8 @@
 
 from croftchute.errors import DocumentError
 from croftchute.forwarding.catch_up import catch_ups
+from croftchute.forwarding.crash_gossip import CrashGossip
+from croftchute.forwarding.crash_register import CrashRegister
 from croftchute.forwarding.decision_log import Decision, DecisionLog, LineWriter
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
 from croftchute.forwarding.exchange import Exchange
@@ -155,6 +157,11 @@
             on_notice=self._note_notice,
             link_mbps=settings.link_mbps,
         )
+        self.crash_gossip = CrashGossip(state=state, exchange=self.exchange)
+        self.crash_register = CrashRegister(state=state, store=store, gossip=self.crash_gossip)
+        self.exchange.on_crash_news = self.crash_gossip.hear
+        self.exchange.next_crash_news = self.crash_gossip.next_news
+        state.on_crash_news = self._note_crashes
         self.catch_ups = catch_ups(state, self.follower)
         self.fleet_size = FleetSize()
         self.usage_limits = self._make_usage_limits()
@@ -227,6 +234,7 @@
             self.exchange.run(),
             self.usage_limits.run(),
             self.fleet_record.run(),
+            self.crash_register.run(),
             *(catch_up.run() for catch_up in self.catch_ups),
             self._sweep(),
             self._watch_settings(),
@@ -317,6 +325,7 @@
             await asyncio.sleep(SWEEP_S)
             now = self.state.clock()
             self.state.workers.sweep(now)
+            self.state.crashes.sweep(now)
             self.state.pool.sweep(now)
             self.state.metrics.open.set({}, self.ingress.open_requests)
 
@@ -324,6 +333,11 @@
         for catch_up in self.catch_ups:
             catch_up.note_notice(notice, now)
 
+    def _note_crashes(self, digests: list[str]) -> None:
+        """A worker ended here under some requests."""
+        self.crash_gossip.tell(digests)
+        self.crash_register.note(digests)
+
     def _note_readiness(self) -> None:
         if self.is_ready == self._was_ready:
             return
--- a/src/croftchute/errors.py
+++ b/src/croftchute/errors.py
@@ -31,6 +31,7 @@
     NO_CAPACITY = "no_capacity"
     NO_UPSTREAM = "no_upstream"
     PROMPT_TOO_LONG = "prompt_too_long"
+    ENDS_WORKERS = "ends_workers"
     TARGET_UNREACHABLE = "target_unreachable"
     DEADLINE_PASSED = "deadline_passed"
     OVER_SHARE = "over_share"
--- /dev/null
+++ b/src/croftchute/forwarding/crash_watch.py
@@ -0,0 +1,62 @@
+"""Finds out whether a worker that broke an answer off has ended, and under which requests.
+
+A broken answer alone says little: connections are reset, and faulty workers break off and go on.
+A worker whose process has ended refuses connections at once.
+"""
+
+from __future__ import annotations
+
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.failures import ConnectFailedError, ConnectRefusedError
+from croftchute.forwarding.http_client import open_connection
+from croftchute.forwarding.state import ForwardingState
+from croftchute.tables.routing import Worker, WorkerState
+
+LOOK_S = 1.5
+"""Seconds until a connection must be up or refused: time for one lost packet to be sent again.
+Meanwhile the end is taken for likely, which only matters to requests that lost two workers."""
+
+MAX_DIGESTS_LOGGED = 16
+"""Digests in one line: some more than a worker of eight slots runs for one box."""
+
+
+def note_broken(state: ForwardingState, worker: Worker, digest: str) -> None:
+    """A worker broke the answer to a request off: look whether it has ended.
+
+    Workers that were leaving end as planned, whatever they run.
+    """
+    belief = state.workers.beliefs_by_id.get(worker.id)
+    if belief is None or belief.worker.state is not WorkerState.READY or belief.gone_at is not None:
+        return
+    state.crashes.note_doubt(digest, worker.life, state.clock())
+    if worker.life not in state.lives_looked_at:
+        state.lives_looked_at.add(worker.life)
+        state.spawn(_look(state, worker))
+
+
+async def _look(state: ForwardingState, worker: Worker) -> None:
+    broke_at = state.clock()
+    outcome = "lives"
+    try:
+        connection = await open_connection(
+            worker.host, worker.port, LOOK_S, limits=state.pool.limits
+        )
+        state.pool.keep(connection, worker.host, worker.port, owner=worker.id, now=state.clock())
+    except ConnectRefusedError:
+        outcome = "ended"
+    except ConnectFailedError:
+        outcome = "unknown"
+    finally:
+        state.lives_looked_at.discard(worker.life)
+    has_ended = outcome == "ended"
+    digests = state.crashes.settle(worker.life, ended_at=broke_at if has_ended else None)
+    state.log.decide(
+        Decision.WORKER_LOOKED_AT,
+        outcome=outcome,
+        worker=worker.id,
+        took_ms=round((state.clock() - broke_at) * 1000, 1),
+        digests=digests[:MAX_DIGESTS_LOGGED],
+        requests=len(digests),
+    )
+    if digests:
+        state.on_crash_news(digests)
--- a/src/croftchute/forwarding/failures.py
+++ b/src/croftchute/forwarding/failures.py
@@ -20,6 +20,10 @@
         super().__init__(Code.TARGET_UNREACHABLE, message, ran=Ran.NOT_RUN)
 
 
+class ConnectRefusedError(ConnectFailedError):
+    """Nobody listens at the address: the process there has ended."""
+
+
 class ConnectionBrokenError(ExchangeError):
     """The connection ended, or carried bytes that are no answer, after the request was sent."""
 
--- a/src/croftchute/forwarding/forwarder.py
+++ b/src/croftchute/forwarding/forwarder.py
@@ -114,6 +114,11 @@
             service=pick_service(route, state.rng),
             started_at=started_at,
         )
+        if run.ends_workers:
+            # Refused at every box, before a worker reads it or a limit counts it: each further try
+            # would cost the service a worker, and up to a dozen others' streams with it.
+            run.refuse(Code.ENDS_WORKERS, Ran.NOT_RUN, "refused at arrival")
+            return
         await self._run_within_limit(run)
 
     async def _run_within_limit(self, run: RequestRun) -> None:
--- a/src/croftchute/forwarding/http_client.py
+++ b/src/croftchute/forwarding/http_client.py
@@ -13,7 +13,11 @@
 
 import httptools
 
-from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError
+from croftchute.forwarding.failures import (
+    ConnectFailedError,
+    ConnectionBrokenError,
+    ConnectRefusedError,
+)
 from croftchute.forwarding.silence import WORK, SilenceLimits, watch_for_silence
 from croftchute.tables.routing import HeaderList
 
@@ -297,6 +301,8 @@
             _, protocol = await loop.create_connection(
                 lambda: ClientConnection(limits=limits), host, port
             )
+    except ConnectionRefusedError as error:
+        raise ConnectRefusedError(f"{host}:{port}: {error}") from None
     except (OSError, TimeoutError) as error:
         raise ConnectFailedError(f"{host}:{port}: {error or 'timed out'}") from None
     return protocol
@@ -341,8 +347,18 @@
         self, connection: ClientConnection, host: str, port: int, *, owner: str, now: float
     ) -> None:
         """Give a connection back; it is kept if it can serve again."""
-        if not connection.finish(now):
-            return
+        if connection.finish(now):
+            self._keep(connection, host, port, owner)
+
+    def keep(
+        self, connection: ClientConnection, host: str, port: int, *, owner: str, now: float
+    ) -> None:
+        """Keep a new connection for the next exchange."""
+        self.opened += 1
+        connection.idle_since = now
+        self._keep(connection, host, port, owner)
+
+    def _keep(self, connection: ClientConnection, host: str, port: int, owner: str) -> None:
         idle = self._idle_by_server.setdefault((host, port, owner), [])
         if len(idle) >= self.max_idle:
             connection.abort()
--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -13,7 +13,13 @@
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.state import ForwardingState
 from croftchute.peers.codec import Codec, Envelope
-from croftchute.peers.messages import AllowanceAsk, AllowanceReply, Body, BoxNotice
+from croftchute.peers.messages import (
+    AllowanceAsk,
+    AllowanceReply,
+    Body,
+    BoxNotice,
+    CrashNews,
+)
 from croftchute.tables.peers import DemandNotice, WorkerNotice
 from croftchute.tables.routing import Stage
 
@@ -60,6 +66,8 @@
         self.port = 0
         self.on_allowance_ask: Callable[[str, AllowanceAsk], AllowanceReply | None] = _ignore
         self.on_allowance_reply: Callable[[str, AllowanceReply], None] = _ignore
+        self.on_crash_news: Callable[[str, CrashNews], None] = _ignore
+        self.next_crash_news: Callable[[], CrashNews | None] = lambda: None
         self._transport: asyncio.DatagramTransport | None = None
         self._datagram = b""
         self._greetings_left = MAX_GREETINGS
@@ -92,6 +100,8 @@
                     self._send(addr, reply)
             elif isinstance(body, AllowanceReply):
                 self.on_allowance_reply(envelope.sender, body)
+            elif isinstance(body, CrashNews):
+                self.on_crash_news(envelope.sender, body)
 
     def error_received(self, exc: Exception) -> None:
         """A datagram was not delivered; the next one may be."""
@@ -102,10 +112,20 @@
         if address is not None:
             self._send(address, body)
 
+    def spread(self, body: Body) -> None:
+        """Send one message to as many boxes as a notice goes to."""
+        self._send_all(self.state.peers.targets(self.state.clock(), self.state.rng), body)
+
     def _send(self, address: tuple[str, int], body: Body) -> None:
-        if self._transport is not None:
-            envelope = Envelope(sender=self.state.box, stamp=0, bodies=(body,))
-            self._transport.sendto(self.codec.encode(envelope), address)
+        self._send_all([address], body)
+
+    def _send_all(self, addresses: list[tuple[str, int]], body: Body) -> None:
+        if self._transport is None:
+            return
+        envelope = Envelope(sender=self.state.box, stamp=0, bodies=(body,))
+        datagram = self.codec.encode(envelope)
+        for address in addresses:
+            self._transport.sendto(datagram, address)
 
     async def run(self) -> None:
         """Send notices at an interval; never returns."""
@@ -124,6 +144,9 @@
         self._greetings_left = MAX_GREETINGS
         for address in targets:
             self._transport.sendto(self._datagram, address)
+        crash_news = self.next_crash_news()
+        if crash_news is not None:
+            self._send_all(targets, crash_news)
         for peer_id in self.state.peers.forget(now):
             self.state.log.decide(Decision.PEER_GONE, peer=peer_id)
 
--- a/src/croftchute/forwarding/prompt_reader.py
+++ b/src/croftchute/forwarding/prompt_reader.py
@@ -47,6 +47,9 @@
             return self.unused if run.now < self._lapses_at else None
         self._has_begun = True
         for number in range(MAX_TRIES):
+            if run.ends_readers:
+                run.log(Decision.READ_AT_DECODE, outcome="reading it ends workers")
+                return None
             found = run.choose(Stage.PREFILL, near=decode.worker.zone)
             if found is None or (number > 0 and not self._may_read_again()):
                 return None
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -66,6 +66,27 @@
             self._digest = self.facts.digest
         return self._digest
 
+    @property
+    def reading_digest(self) -> str:
+        """The same of its prompt's reading ahead, which other workers do: one may be sound."""
+        return f"{self.digest}-read"
+
+    @property
+    def ends_workers(self) -> bool:
+        """Whether the request is refused as one that ends the workers that run it."""
+        return self._refused_s > 0.0
+
+    @property
+    def ends_readers(self) -> bool:
+        """Whether its prompt is not read ahead, as workers ended that did so."""
+        crashes = self.state.crashes
+        return crashes.may_refuse and crashes.refused_s(self.reading_digest, self.now) > 0.0
+
+    @property
+    def _refused_s(self) -> float:
+        crashes = self.state.crashes
+        return crashes.refused_s(self.digest, self.now) if crashes.may_refuse else 0.0
+
     @property
     def engine(self) -> EngineTraits | None:
         """What the engines of the request's service have in common; None if it has none."""
@@ -148,7 +169,12 @@
         return describe(belief, around, self.now, candidates=candidates)
 
     def may_send_again(self) -> bool:
-        """Take a repeat out of the budget; the first sending needs none."""
+        """Take a repeat out of the budget; the first sending needs none.
+
+        Nothing is sent on that ends workers: another box may have seen the third one end meanwhile.
+        """
+        if self.ends_workers:
+            return False
         if self.arrivals == 0:
             return True
         window = self.state.budget(self.service)
@@ -197,10 +223,14 @@
 
         ``expected_wait_s`` is when it will likely be served, if that is known.
         """
+        if self.ends_workers and ran is Ran.NOT_RUN:
+            code, detail = Code.ENDS_WORKERS, self._crash_detail()
         self.has_not_run = ran is Ran.NOT_RUN
         retry_after_s = None
         if expected_wait_s is not None:
             retry_after_s = patience.return_after(expected_wait_s, spread=self.state.rng.random())
+        elif code is Code.ENDS_WORKERS:
+            retry_after_s = round(self._refused_s, 3)
         elif code is Code.PROMPT_TOO_LONG:
             retry_after_s = patience.NEVER_FITS_RETRY_AFTER_S
         elif ran is Ran.NOT_RUN:
@@ -231,6 +261,10 @@
             workers_age_s=round(self.now - self.state.workers.heard_at, 1),
         )
 
+    def _crash_detail(self) -> str:
+        lives = self.state.crashes.lives_ended(self.digest)
+        return f"{lives} workers ended under this request of the same caller"
+
     def broken(self, reason: str) -> None:
         """Break a begun answer off, so that it cannot look whole."""
         self.exchange.abort()
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -17,6 +17,7 @@
 from croftchute.forwarding.transfer import Transfer
 from croftchute.router_settings import DecisionWays
 from croftchute.storage.watched import StoredItem
+from croftchute.systems.crash_records import CrashRecords
 from croftchute.systems.first_tries import FirstTries
 from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.prefill_pace import PrefillPace, fit_pace
@@ -62,7 +63,8 @@
     """Shared by all requests of a process; only its event loop touches it.
 
     ``begun_at`` is when the process began: an earlier life of the box was over by then. Loading the
-    program takes a small box the better part of a second until ``started_at``.
+    program takes a small box the better part of a second until ``started_at``. ``on_crash_news``
+    is called with the digests of requests under which this box saw a worker end.
     """
 
     box: str
@@ -90,6 +92,9 @@
     room_by_service: dict[str, RoomHistory] = field(default_factory=dict)
     ways: DecisionWays = DecisionWays()
     first_tries: FirstTries = field(default_factory=FirstTries)
+    crashes: CrashRecords = field(default_factory=CrashRecords)
+    lives_looked_at: set[str] = field(default_factory=set)
+    on_crash_news: Callable[[list[str]], None] = lambda _: None
     stop_began_at: float | None = None
     stop_ends_at: float = math.inf
     _lane_by_service: dict[str, _KnownLane] = field(default_factory=dict)
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -102,7 +102,7 @@
 
     def _is_over(self) -> bool:
         progress = self.progress
-        if progress.is_whole or progress.is_answered:
+        if progress.is_whole or progress.is_answered or self.run.ends_workers:
             return True
         return progress.may_have_run and not self.run.route.may_repeat
 
--- a/src/croftchute/forwarding/worker_call.py
+++ b/src/croftchute/forwarding/worker_call.py
@@ -5,6 +5,7 @@
 import math
 
 from croftchute.errors import Code
+from croftchute.forwarding.crash_watch import note_broken
 from croftchute.forwarding.deadline import within
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
@@ -58,6 +59,11 @@
             self._tokens += run.facts.output_tokens
         self._is_counted = False
 
+    @property
+    def _digest(self) -> str:
+        """What an end of the worker is held against: the request, or the reading of its prompt."""
+        return self.run.reading_digest if self.send.is_prefill else self.run.digest
+
     def _max_idle_s(self) -> float:
         """How long a kept connection may have been idle that this sending takes.
 
@@ -135,6 +141,8 @@
         self.run.state.workers.note_answer(
             self.worker.id, self.run.now - self.opened_at, self.run.now
         )
+        if self.run.state.crashes.by_digest:
+            self.run.state.crashes.note_good_end(self._digest, self.run.now)
 
     def failed(self, error: ExchangeError) -> None:
         """Hold a failed exchange against the worker."""
@@ -145,6 +153,8 @@
         self.run.avoid.add(self.worker.id)
         if error.code is Code.TARGET_UNREACHABLE:
             self.run.state.workers.note_unreachable(self.worker.id, self.run.now)
+        if error.code is Code.UPSTREAM_FAILED:
+            note_broken(self.run.state, self.worker, self._digest)
         self._hold_against(weight, error.code.value, error.message)
 
     def rejected(self, verdict: Verdict) -> None:
@@ -192,7 +202,7 @@
     def _ended(self, outcome: str, **inputs: object) -> None:
         kind = Decision.PREFILL_ENDED if self.send.is_prefill else Decision.ATTEMPT_ENDED
         if outcome != "ok":
-            inputs["digest"] = self.run.digest
+            inputs["digest"] = self._digest
         self.run.state.metrics.sends.inc({"outcome": outcome})
         self.run.log(
             kind,
--- a/src/croftchute/peers/codec.py
+++ b/src/croftchute/peers/codec.py
@@ -19,13 +19,14 @@
 from croftchute.peers.messages import Body
 from croftchute.systems.prefill_pace import PrefillSample
 from croftchute.tables.allowances import UsageGrant, UsageReturn, UsageWant
+from croftchute.tables.crashes import CrashNotice
 from croftchute.tables.peers import DemandNotice, WorkerNotice
 from croftchute.tables.upstreams import ShardDigest
 
 TAG_BYTES = 16
 HEX_DIGITS = 32
 MAX_ITEMS = 4096
-ID_FIELDS = ("request_id", "key", "token")
+ID_FIELDS = ("request_id", "key", "token", "digest")
 MAX_DATAGRAM = 60000
 STRUCTS = (
     ShardDigest,
@@ -35,8 +36,9 @@
     UsageWant,
     UsageGrant,
     UsageReturn,
+    CrashNotice,
 )
-COLUMN_STRUCTS = (WorkerNotice, PrefillSample)
+COLUMN_STRUCTS = (WorkerNotice, PrefillSample, CrashNotice)
 """Those of which a message holds many: their lists are sent column by column, under a name of their
 own. Reading 24 worker notices takes 46 us in place of 260, and boxes read some twenty a second."""
 
@@ -178,7 +180,7 @@
     plan = []
     for field in fields(kind):
         hint = hints[field.name]
-        if field.name in ID_FIELDS:
+        if field.name in ID_FIELDS and hint is str:
             write, read = ID_CONVERTERS
         else:
             write, read = _converters(hint)
@@ -252,7 +254,11 @@
     if not len(columns[0]):
         return ()
     names = [part.name for part in plan]
-    rows = zip(*map(list, columns), strict=True)
+    values = [
+        list(column) if part.read is _same else [part.read(value) for value in column]
+        for part, column in zip(plan, columns, strict=True)
+    ]
+    rows = zip(*values, strict=True)
     return tuple(kind(**dict(zip(names, row, strict=True))) for row in rows)
 
 
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -7,6 +7,7 @@
 
 from croftchute.errors import Code
 from croftchute.tables.allowances import UsageGrant, UsageReturn, UsageWant
+from croftchute.tables.crashes import CrashNotice
 from croftchute.tables.peers import DemandNotice, WorkerNotice
 from croftchute.tables.upstreams import ShardDigest
 
@@ -227,6 +228,13 @@
     live_share: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CrashNews:
+    """Workers that ended under requests, and good ends of such requests, as the sender knows."""
+
+    notices: tuple[CrashNotice, ...] = ()
+
+
 Body: TypeAlias = (
     Heartbeat
     | Reserve
@@ -244,4 +252,5 @@
     | BoxNotice
     | AllowanceAsk
     | AllowanceReply
+    | CrashNews
 )
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -25,6 +25,7 @@
     boxNotice @13 :BoxNotice;
     allowanceAsk @14 :AllowanceAsk;
     allowanceReply @15 :AllowanceReply;
+    crashNews @16 :CrashNews;
   }
 }
 
@@ -257,3 +258,13 @@
   grants @4 :List(UsageGrant);
   liveShare @5 :Float32;
 }
+
+struct CrashNoticeColumns {
+  digest @0 :List(Data);
+  life @1 :List(Text);
+  ageS @2 :List(Float32);
+}
+
+struct CrashNews {
+  noticesColumns @0 :CrashNoticeColumns;
+}
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -79,7 +79,8 @@
 class PlatformWorker:
     """One worker; ``stage`` is empty for plain services.
 
-    It ends when it begins to run a request whose body is ``crashes_on``.
+    It ends when it begins to run a request whose body is ``crashes_on``, or to read the prompt of
+    one ahead whose body is ``crashes_on_reading``.
     """
 
     id: str
@@ -102,6 +103,7 @@
     orders: list[dict[str, object]] = field(default_factory=list)
     connections: int = 0
     crashes_on: bytes | None = None
+    crashes_on_reading: bytes | None = None
     has_crashed: bool = False
 
     def __post_init__(self) -> None:
@@ -219,7 +221,7 @@
             return True
         self.holds.discard(request.headers.get("x-croftchute-kv-hold", ""))
         run = self._begin_run(request, writer) if not is_prefill else None
-        if run is not None and request.body == self.crashes_on:
+        if request.body == (self.crashes_on_reading if is_prefill else self.crashes_on):
             self.has_crashed = True
             self.stop()
             return False
--- a/src/croftchute/systems/box.py
+++ b/src/croftchute/systems/box.py
@@ -20,6 +20,7 @@
     Begin,
     Body,
     BoxNotice,
+    CrashNews,
     Declined,
     Finish,
     Granted,
@@ -199,7 +200,7 @@
                 return self.entry.audit(sender, body)
             case Audited():
                 return self.owner.audited(body, now)
-            case BoxNotice() | AllowanceAsk() | AllowanceReply():
+            case BoxNotice() | AllowanceAsk() | AllowanceReply() | CrashNews():
                 return []  # meant for forwarding boxes, which keep a table of their own
             case Begin() | Mirror() | Mirrored() | Verdict() | Finish():
                 return self.dedupe.receive(sender, body, now)
--- /dev/null
+++ b/src/croftchute/systems/crash_records.py
@@ -0,0 +1,280 @@
+"""Which requests end the workers that run them, by what this box and others saw.
+
+A worker that ends leaves every request on it broken off, and which of them ended it can't be told
+from one end. The request that did it is there again at the next one; so a request is refused once
+three workers have ended under it. Most others that were caught beside it are told apart by what
+explains their losses: ends that stand on the record of a request with more of them don't count
+against one with fewer.
+
+Pure state, bounded. Times are seconds of the box's steady clock.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import groupby
+
+from croftchute.tables.crashes import CrashNotice
+
+LIVES_TO_REFUSE = 3
+"""Workers that ended under a request after which it is refused: the users' own bound. Two would
+refuse bystanders: of 40 streams caught beside such a request on a logged day, 15 lost two workers,
+and one, which its caller repeated, three."""
+
+REFUSED_S = 600.0
+"""Seconds for which a request is refused after the third end, doubled with each further one: what
+made it end workers is mended by people, in minutes to hours. When the time is over it may run once
+more, and one more end has it refused again: a request that comes for ever costs two workers in the
+first hour after the third, and one an hour later."""
+
+MAX_REFUSED_S = 3600.0
+"""Longest time in seconds for which a request is refused after an end."""
+
+KEPT_S = 600.0
+"""Seconds for which ends are kept that refuse nothing, or nothing any more."""
+
+MAX_RECORDS = 1024
+"""Requests of which ends are kept, some 0.6 KB each. Each takes a worker's end to be there."""
+
+MAX_LIVES = 16
+"""Ends kept of one request, the latest: six have it refused for the longest time, and what explains
+the losses of others reaches some minutes back."""
+
+GOOD_END_MARGIN_S = 1.0
+"""A good end that another box tells is news if it is later by this many seconds: each telling on
+makes it seem later by the time that it takes."""
+
+
+@dataclass(kw_only=True, slots=True)
+class CrashRecord:
+    """The ends of workers under one request, and its own latest good end.
+
+    ``doubted`` are lives that broke its answer off, and of which it is not known if they ended.
+    """
+
+    ended_at_by_life: dict[str, float] = field(default_factory=dict)
+    doubted: set[str] = field(default_factory=set)
+    good_end_at: float = -math.inf
+
+    @property
+    def lives(self) -> set[str]:
+        """What counts against the request before others' records are looked at."""
+        ended = {life for life, at in self.ended_at_by_life.items() if at > self.good_end_at}
+        return ended | self.doubted
+
+    @property
+    def latest_at(self) -> float:
+        """When the latest of the workers ended, or the request did well."""
+        return max(self.ended_at_by_life.values(), default=self.good_end_at)
+
+    def note_ended(self, life: str, at: float) -> bool:
+        """Take an end in; True if it is news. Of several tellings the earliest time is the best."""
+        self.doubted.discard(life)
+        known_at = self.ended_at_by_life.get(life)
+        if known_at is not None:
+            self.ended_at_by_life[life] = min(known_at, at)
+            return False
+        self.ended_at_by_life[life] = at
+        if len(self.ended_at_by_life) > MAX_LIVES:
+            oldest = min(self.ended_at_by_life, key=lambda key: self.ended_at_by_life[key])
+            del self.ended_at_by_life[oldest]
+            return oldest != life
+        return True
+
+
+def refused_for_s(lives: int) -> float:
+    """For how long after the latest end a request is refused that so many workers ended under.
+
+    >>> [refused_for_s(lives) for lives in (2, 3, 4, 9)]
+    [0.0, 600.0, 1200.0, 3600.0]
+    """
+    if lives < LIVES_TO_REFUSE:
+        return 0.0
+    return min(MAX_REFUSED_S, REFUSED_S * 2.0 ** (lives - LIVES_TO_REFUSE))
+
+
+@dataclass(kw_only=True)
+class CrashRecords:
+    """All requests under which workers ended lately, by digest."""
+
+    by_digest: dict[str, CrashRecord] = field(default_factory=dict)
+    _refused_until_by_digest: dict[str, float] = field(default_factory=dict)
+    _told: int = 0
+
+    def refused_s(self, digest: str, now: float) -> float:
+        """For how many seconds from now on a request is refused; 0 if it is not."""
+        return max(0.0, self._refused_until_by_digest.get(digest, -math.inf) - now)
+
+    @property
+    def may_refuse(self) -> bool:
+        """Whether any request may be refused: else no digest needs to be worked out."""
+        return bool(self._refused_until_by_digest)
+
+    def lives_ended(self, digest: str) -> int:
+        """How many workers ended under a request, as far as is known."""
+        record = self.by_digest.get(digest)
+        return len(record.ended_at_by_life) if record is not None else 0
+
+    # What this box sees.
+
+    def note_doubt(self, digest: str, life: str, now: float) -> None:
+        """A worker broke the request's answer off; whether it ended will be known in a moment."""
+        record = self._record(digest, now)
+        if record is not None and life not in record.ended_at_by_life:
+            record.doubted.add(life)
+            self._judge_if_due([digest])
+
+    def settle(self, life: str, *, ended_at: float | None) -> list[str]:
+        """Whether a doubted worker ended is known; the requests for which its end is news."""
+        doubted = [key for key, record in self.by_digest.items() if life in record.doubted]
+        if ended_at is None:
+            self._clear_doubt(life, doubted)
+            return []
+        news = [key for key in doubted if self.by_digest[key].note_ended(life, ended_at)]
+        self._judge_if_due(news)
+        return news
+
+    def _clear_doubt(self, life: str, digests: list[str]) -> None:
+        for digest in digests:
+            record = self.by_digest[digest]
+            record.doubted.discard(life)
+            if not record.lives and record.good_end_at == -math.inf:
+                del self.by_digest[digest]
+        self._judge_if_due(digests)
+
+    def note_good_end(self, digest: str, now: float) -> bool:
+        """The request ran to a good end, so it does not end workers; True if that is news."""
+        record = self.by_digest.get(digest)
+        if record is None:
+            return False
+        record.good_end_at = max(record.good_end_at, now)
+        self._judge_if_due([digest])
+        return True
+
+    # What boxes tell one another.
+
+    def take(self, notices: Iterable[CrashNotice], now: float) -> list[str]:
+        """Take in what another box or the store told; the requests that are refused by it."""
+        notices = list(notices)
+        digests = {notice.digest for notice in notices}
+        refused = {digest for digest in digests if self.refused_s(digest, now) > 0.0}
+        self._judge_if_due([notice.digest for notice in notices if self._take(notice, now)])
+        return [key for key in digests - refused if self.refused_s(key, now) > 0.0]
+
+    def notices(self, digest: str, now: float) -> list[CrashNotice]:
+        """All that is known of one request."""
+        record = self.by_digest.get(digest)
+        if record is None:
+            return []
+        found = [
+            CrashNotice(digest=digest, life=life, age_s=max(0.0, now - at))
+            for life, at in record.ended_at_by_life.items()
+        ]
+        if record.good_end_at > -math.inf:
+            age_s = max(0.0, now - record.good_end_at)
+            found.append(CrashNotice(digest=digest, life="", age_s=age_s))
+        return found
+
+    def next_notices(self, now: float, most: int) -> list[CrashNotice]:
+        """Some of what is known, a further part with each call: whole requests, at least one."""
+        found: list[CrashNotice] = []
+        digests = list(self.by_digest)
+        for _ in digests:
+            told = self.notices(digests[self._told % len(digests)], now)
+            if found and len(found) + len(told) > most:
+                break
+            found += told
+            self._told += 1
+        return found
+
+    def sweep(self, now: float) -> None:
+        """Forget what is too old to matter."""
+        old = [
+            digest
+            for digest, record in self.by_digest.items()
+            if not record.doubted and now > record.latest_at + self._kept_s(digest, record)
+        ]
+        for digest in old:
+            del self.by_digest[digest]
+        self._judge_if_due(old)
+
+    def _kept_s(self, digest: str, record: CrashRecord) -> float:
+        refused_until = self._refused_until_by_digest.get(digest, record.latest_at)
+        return max(0.0, refused_until - record.latest_at) + KEPT_S
+
+    def _take(self, notice: CrashNotice, now: float) -> bool:
+        at = now - notice.age_s
+        if notice.is_good_end:
+            record = self.by_digest.get(notice.digest)
+            if record is None or at <= record.good_end_at + GOOD_END_MARGIN_S:
+                return False
+            record.good_end_at = at
+            return True
+        if notice.age_s > MAX_REFUSED_S + KEPT_S:
+            return False
+        record = self._record(notice.digest, at)
+        return record is not None and record.note_ended(notice.life, at)
+
+    def _record(self, digest: str, at: float) -> CrashRecord | None:
+        """The record of a request, a new one if there is room for it or an older one gives way."""
+        record = self.by_digest.get(digest)
+        if record is not None:
+            return record
+        if len(self.by_digest) >= MAX_RECORDS and not self._make_room(at):
+            return None
+        record = self.by_digest[digest] = CrashRecord()
+        return record
+
+    def _make_room(self, at: float) -> bool:
+        """Forget the oldest record that refuses nothing, if it is older than the new one."""
+        idle = [key for key in self.by_digest if key not in self._refused_until_by_digest]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda key: self.by_digest[key].latest_at)
+        if self.by_digest[oldest].latest_at > at:
+            return False
+        del self.by_digest[oldest]
+        return True
+
+    def _judge_if_due(self, digests: Iterable[str]) -> None:
+        """Judge anew if one of the requests that have changed is refused, or may be now.
+
+        Each worker that ends changes as many records as it ran requests; few of them matter.
+        """
+        refused = self._refused_until_by_digest
+        for digest in digests:
+            record = self.by_digest.get(digest)
+            if digest in refused or (record and len(record.lives) >= LIVES_TO_REFUSE):
+                self._judge()
+                return
+
+    def _judge(self) -> None:
+        """Work out which requests are refused, those with the most ends first.
+
+        Ends of requests with more of them explain those of requests with fewer; requests with
+        equally many are judged side by side, as either may be the one.
+        """
+        lives_by_digest = {digest: record.lives for digest, record in self.by_digest.items()}
+        heavy = [key for key, lives in lives_by_digest.items() if len(lives) >= LIVES_TO_REFUSE]
+        heavy.sort(key=lambda key: -len(lives_by_digest[key]))
+        refused: dict[str, float] = {}
+        explained: set[str] = set()
+        for _, group in groupby(heavy, key=lambda key: len(lives_by_digest[key])):
+            found = [key for key in group if _is_to_blame(lives_by_digest[key], explained)]
+            for digest in found:
+                record = self.by_digest[digest]
+                refused[digest] = record.latest_at + refused_for_s(len(lives_by_digest[digest]))
+            explained = explained.union(*(lives_by_digest[digest] for digest in found))
+        self._refused_until_by_digest = refused
+
+
+def _is_to_blame(lives: set[str], explained: set[str]) -> bool:
+    """Whether a request is refused, of whose ends some are explained by others' records.
+
+    One end more than three is enough if nothing explains it. Of several such requests that come
+    side by side each may stand at the others' ends: without this one of them ends three more.
+    """
+    left = len(lives - explained)
+    return left >= LIVES_TO_REFUSE or (left > 0 and len(lives) > LIVES_TO_REFUSE)
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -161,6 +161,11 @@
     stage: Stage | None = None
     model_versions: dict[str, int] = field(default_factory=dict)
 
+    @property
+    def life(self) -> str:
+        """Names this incarnation, alike at all boxes: another one has another name."""
+        return self.id
+
     @property
     def address(self) -> str:
         """Where the worker listens, as HOST:PORT."""
