Failing test: one request from three addresses ends three workers for each

Cause: the digest of a request holds the address that its connection came from, taken for its caller. Conclusion: the address is no sign of the caller.

--- a/tests/platform_adapter/platform_fleet.py
+++ b/tests/platform_adapter/platform_fleet.py
@@ -201,9 +201,11 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-async def ask(box, path, request_id="r1", **options):
-    """One request on a connection of its own."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", box.ingress.port)
+async def ask(box, path, request_id="r1", *, source="127.0.0.1", **options):
+    """One request on a connection of its own, from an address of the loopback range."""
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", box.ingress.port, local_addr=(source, 0)
+    )
     try:
         writer.write(request_bytes(path, request_id, **options))
         return await read_answer(reader)
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -132,7 +132,21 @@
     run(body)
 
 
-def test_requests_of_other_paths_bodies_and_keys_are_not_touched():
+def test_such_a_request_is_the_same_one_from_whatever_address_it_comes():
+    """Seen: three workers ended for each of the three halls that its caller called from."""
+
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made, decodes=8, crashes_on=CRASHES)
+            for number in range(TRIES):
+                source = f"127.0.0.{1 + number % 3}"
+                await ask(box, "/resume/x", f"r{number}", body=CRASHES, source=source)
+            assert len(ended(decode)) == 3
+
+    run(body)
+
+
+def test_requests_of_other_paths_bodies_and_organisations_are_not_touched():
     async def body():
         organisations = [organisation("crew", "crew-key"), organisation("desk", "desk-key")]
         async with fleet(config=config(organisations=organisations)) as made:
