Lives of workers, strictly read entries, tasks that are begun anew

Cause: all that is believed of a worker hung on its id, so that a new life under an old id inherited it, and a request that ends workers which come back under their ids would have had fewer ends on its record than there were. Now: a worker's id in the tables names one life (name and start); its name on the wire is a field of its own. A newer life ends the older one: no new work, connections closed, what ran there goes on elsewhere, late news change nothing. A task of the process that fails is logged and begun anew.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -25,6 +25,7 @@
 from croftchute.forwarding.stage_orders import StageOrders
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.store_follower import StoreFollower
+from croftchute.forwarding.supervision import Task, keep_going
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.peers.codec import Codec
 from croftchute.peers.messages import BoxNotice
@@ -227,22 +228,29 @@
         await self.exchange.listen(settings.notice_port)
         if settings.metrics is not None:
             await self._listen(self.metrics, settings.metrics)
-        for work in (
-            self.follower.config.run(),
-            self.follower.workers.run(),
-            self.orders.run(),
-            self.exchange.run(),
-            self.usage_limits.run(),
-            self.fleet_record.run(),
-            self.crash_register.run(),
-            *(catch_up.run() for catch_up in self.catch_ups),
-            self._sweep(),
-            self._watch_settings(),
-            self.state.log.keep_flushing(FLUSH_S),
-        ):
+        for task in self._lasting_tasks():
+            work = keep_going(task, log=self.state.log, clock=self.state.clock)
             self._tasks.append(loop.create_task(work))
         self.state.log.decide(Decision.STARTED, hall=settings.hall, callers_port=self.ingress.port)
 
+    def _lasting_tasks(self) -> list[Task]:
+        """What goes on for as long as the process does."""
+        tasks = [
+            Task(name="config", work=self.follower.config.run),
+            Task(name="workers", work=self.follower.workers.run),
+            Task(name="stage_orders", work=self.orders.run),
+            Task(name="notices", work=self.exchange.run),
+            Task(name="limits", work=self.usage_limits.run),
+            Task(name="fleet_record", work=self.fleet_record.run),
+            Task(name="crash_register", work=self.crash_register.run),
+            *(Task(name="catch_up", work=catch_up.run) for catch_up in self.catch_ups),
+            Task(name="sweep", work=self._sweep),
+            Task(name="log", work=lambda: self.state.log.keep_flushing(FLUSH_S)),
+        ]
+        if self.settings_path is not None:
+            tasks.append(Task(name="settings", work=self._watch_settings))
+        return tasks
+
     async def _listen(self, ingress: HttpIngress, where: str) -> None:
         address = parse_address(where)
         await ingress.listen(address.host, address.port)
--- a/src/croftchute/forwarding/crash_watch.py
+++ b/src/croftchute/forwarding/crash_watch.py
@@ -1,7 +1,7 @@
 """Finds out whether a worker that broke an answer off has ended, and under which requests.
 
 A broken answer alone says little: connections are reset, and faulty workers break off and go on.
-A worker whose process has ended refuses connections at once.
+A worker whose process has ended refuses connections at once, or has begun another life since.
 """
 
 from __future__ import annotations
@@ -19,6 +19,9 @@
 MAX_DIGESTS_LOGGED = 16
 """Digests in one line: some more than a worker of eight slots runs for one box."""
 
+LIVES, ENDED, UNKNOWN, RESTARTED = "lives", "ended", "unknown", "restarted"
+"""What a look at a worker finds."""
+
 
 def note_broken(state: ForwardingState, worker: Worker, digest: str) -> None:
     """A worker broke the answer to a request off: look whether it has ended.
@@ -26,30 +29,48 @@
     Workers that were leaving end as planned, whatever they run.
     """
     belief = state.workers.beliefs_by_id.get(worker.id)
-    if belief is None or belief.worker.state is not WorkerState.READY or belief.gone_at is not None:
+    if belief is None or belief.worker.state is not WorkerState.READY:
+        return
+    now = state.clock()
+    if belief.has_ended:
+        state.crashes.note_doubt(digest, worker.id, now)
+        _settle(state, worker, RESTARTED, broke_at=now)
+        return
+    if belief.gone_at is not None:
         return
-    state.crashes.note_doubt(digest, worker.life, state.clock())
-    if worker.life not in state.lives_looked_at:
-        state.lives_looked_at.add(worker.life)
+    state.crashes.note_doubt(digest, worker.id, now)
+    if worker.id not in state.lives_looked_at:
+        state.lives_looked_at.add(worker.id)
         state.spawn(_look(state, worker))
 
 
 async def _look(state: ForwardingState, worker: Worker) -> None:
     broke_at = state.clock()
-    outcome = "lives"
+    outcome = LIVES
     try:
         connection = await open_connection(
             worker.host, worker.port, LOOK_S, limits=state.pool.limits
         )
-        state.pool.keep(connection, worker.host, worker.port, owner=worker.id, now=state.clock())
+        belief = state.workers.beliefs_by_id.get(worker.id)
+        if belief is None or belief.has_ended:
+            connection.abort()
+            outcome = RESTARTED
+        else:
+            state.pool.keep(
+                connection, worker.host, worker.port, owner=worker.id, now=state.clock()
+            )
     except ConnectRefusedError:
-        outcome = "ended"
+        outcome = ENDED
     except ConnectFailedError:
-        outcome = "unknown"
+        outcome = UNKNOWN
     finally:
-        state.lives_looked_at.discard(worker.life)
-    has_ended = outcome == "ended"
-    digests = state.crashes.settle(worker.life, ended_at=broke_at if has_ended else None)
+        state.lives_looked_at.discard(worker.id)
+    _settle(state, worker, outcome, broke_at=broke_at)
+
+
+def _settle(state: ForwardingState, worker: Worker, outcome: str, *, broke_at: float) -> None:
+    has_ended = outcome in (ENDED, RESTARTED)
+    digests = state.crashes.settle(worker.id, ended_at=broke_at if has_ended else None)
     state.log.decide(
         Decision.WORKER_LOOKED_AT,
         outcome=outcome,
--- a/src/croftchute/forwarding/http_client.py
+++ b/src/croftchute/forwarding/http_client.py
@@ -316,6 +316,7 @@
         self.limits = limits
         self.opened = 0
         self._idle_by_server: dict[tuple[str, int, str], list[ClientConnection]] = {}
+        self._busy_by_owner: dict[str, set[ClientConnection]] = {}
 
     async def acquire(
         self,
@@ -337,16 +338,23 @@
         while idle and now - idle[-1].idle_since < max_idle_s:
             connection = idle.pop()
             if connection.is_fresh(now):
+                self._busy_by_owner.setdefault(owner, set()).add(connection)
                 return connection
             connection.abort()
         connection = await open_connection(host, port, timeout_s, limits=limits or self.limits)
         self.opened += 1
+        self._busy_by_owner.setdefault(owner, set()).add(connection)
         return connection
 
     def release(
         self, connection: ClientConnection, host: str, port: int, *, owner: str, now: float
     ) -> None:
         """Give a connection back; it is kept if it can serve again."""
+        busy = self._busy_by_owner.get(owner)
+        if busy is not None:
+            busy.discard(connection)
+            if not busy:
+                del self._busy_by_owner[owner]
         if connection.finish(now):
             self._keep(connection, host, port, owner)
 
@@ -365,6 +373,16 @@
             return
         idle.append(connection)
 
+    def close_owner(self, owner: str) -> int:
+        """Close all connections to one incarnation of a server; how many exchanges that breaks."""
+        for server in [server for server in self._idle_by_server if server[2] == owner]:
+            for connection in self._idle_by_server.pop(server):
+                connection.abort()
+        busy = self._busy_by_owner.get(owner, set())
+        for connection in busy:
+            connection.abort()
+        return len(busy)
+
     def sweep(self, now: float) -> None:
         """Close connections that have been idle for long."""
         for server, idle in list(self._idle_by_server.items()):
--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from http import HTTPStatus
 
 from croftchute.errors import DocumentError
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.hall_news import Answer, answer_known, answer_news, prefix_of
+from croftchute.forwarding.life_end import end_life
 from croftchute.forwarding.prefix_follower import PrefixFollower, PrefixHandlers
 from croftchute.forwarding.state import ForwardingState
 from croftchute.storage.watched import Changes, Listing, SharedStore, StoredItem, Vocabulary
@@ -17,6 +19,14 @@
 WORKERS_PAUSE_S = 0.25
 """Seconds between two watches of the workers: gathers changes; 0.8 broke a bound (finding 27)."""
 
+UNREADABLE_LOG_S = 1.0
+"""Seconds between two lines about entries that name no worker in use: a writer that spoils 1,000
+entries a second costs a line a second."""
+
+MAX_KEY_LOGGED = 100
+MAX_DETAIL_LOGGED = 200
+"""Most characters of a foreign key and of what is wrong with it in one line."""
+
 
 class StoreFollower:
     """Follows two prefixes of the store: the configuration and the worker list."""
@@ -35,6 +45,8 @@
         self.on_change = on_change
         self.relays = HallRelays(own_id=state.box, hall=state.zone, own_mbps=link_mbps)
         self._store = store
+        self._unreadable = 0
+        self._unreadable_logged_at = -math.inf
         self.config = self._follow(
             vocabulary.config_prefix,
             0.0,
@@ -151,18 +163,18 @@
     def take_listing(self, listing: Listing, *, source: str) -> None:
         """Take in a whole worker list; those that it does not name are gone."""
         now = self.state.clock()
-        ids = {self.vocabulary.worker_id(item.key) for item in listing.items}
+        names = {self.vocabulary.worker_name(item.key) for item in listing.items}
         for item in listing.items:
             self._take_worker(item)
-        gone = self.state.workers.keep_only(ids, now)
+        gone = self.state.workers.keep_only(names, now)
         self._log_gone(gone, revision=listing.revision, source=source)
         self._heard(listing.newest if source == "store" else listing.revision)
 
     def _workers_changed(self, changes: Changes) -> None:
         for item in changes.written:
             self._take_worker(item)
-        ids = [self.vocabulary.worker_id(key) for key in changes.removed]
-        gone = self.state.workers.remove(ids, self.state.clock())
+        names = [self.vocabulary.worker_name(key) for key in changes.removed]
+        gone = self.state.workers.remove(names, self.state.clock())
         self._log_gone(gone, revision=changes.revision, source="watch")
         self._heard(changes.newest)
 
@@ -180,11 +192,12 @@
         try:
             worker = self.vocabulary.worker(item)
         except DocumentError as error:
-            self.state.log.decide(
-                Decision.CONFIG_REJECTED, revision=item.revision, detail=error.message
-            )
+            self._take_unreadable(item, error)
             return
-        if self.state.workers.upsert(worker, self.state.clock(), item):
+        is_changed = self.state.workers.upsert(worker, self.state.clock(), item)
+        for ended in self.state.workers.take_ended():
+            end_life(self.state, ended, revision=item.revision)
+        if is_changed:
             self.state.log.decide(
                 Decision.WORKER_LISTED,
                 worker=worker.id,
@@ -196,6 +209,24 @@
                 revision=item.revision,
             )
 
+    def _take_unreadable(self, item: StoredItem, error: DocumentError) -> None:
+        """An entry that names no worker: one that was in use gets a line, others one a second."""
+        now = self.state.clock()
+        self._unreadable += 1
+        name = self.vocabulary.worker_name(item.key)
+        was_in_use = self.state.workers.note_unreadable(name, item)
+        if not was_in_use and now < self._unreadable_logged_at + UNREADABLE_LOG_S:
+            return
+        self._unreadable_logged_at = now
+        self.state.log.decide(
+            Decision.ENTRY_REFUSED,
+            outcome="withheld" if was_in_use else "passed over",
+            key=item.key[:MAX_KEY_LOGGED],
+            revision=item.revision,
+            detail=error.message[:MAX_DETAIL_LOGGED],
+            refused_in_all=self._unreadable,
+        )
+
     def _heard(self, revision: int) -> None:
         workers = self.state.workers
         workers.revision = max(workers.revision, revision)
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -102,6 +102,7 @@
     kept: dict[str, int] = field(default_factory=dict)
     orders: list[dict[str, object]] = field(default_factory=list)
     connections: int = 0
+    born_ms: int | None = None
     crashes_on: bytes | None = None
     crashes_on_reading: bytes | None = None
     has_crashed: bool = False
@@ -143,6 +144,8 @@
             "ColdLeftMs": 0,
             "Sequence": 1,
         }
+        if self.born_ms is not None:
+            entry["born"] = self.born_ms
         if self.stage:
             entry |= {"Stage": self.stage, "Models": [{"Name": "m", "Version": 1, "Adapters": []}]}
         return entry
--- a/src/croftchute/storage/watched.py
+++ b/src/croftchute/storage/watched.py
@@ -116,6 +116,6 @@
         """An entry of the worker list; raises :class:`croftchute.errors.DocumentError`."""
         ...
 
-    def worker_id(self, key: str) -> str:
-        """The worker that a key of the list is about."""
+    def worker_name(self, key: str) -> str:
+        """The worker that a key of the list is about, whichever life of it."""
         ...
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -56,7 +56,11 @@
 
 @dataclass(kw_only=True, slots=True)
 class WorkerBelief:
-    """One worker with everything believed about it, and the age of each belief."""
+    """One life of a worker with everything believed about it, and the age of each belief.
+
+    ``has_ended``: the worker has begun another life. ``is_unreadable``: its newest entry names no
+    worker; what runs there goes on.
+    """
 
     worker: Worker
     listed_at: float
@@ -75,6 +79,8 @@
     load_at: float = -1e9
     in_flight_at_load: int = 0
     displaced: bool = False
+    has_ended: bool = False
+    is_unreadable: bool = False
     full_until: float = 0.0
     unreachable_until: float = 0.0
     changing_to: Stage | None = None
@@ -82,6 +88,11 @@
     changing_until: float = 0.0
     queue: PrefillQueue = field(default_factory=PrefillQueue)
 
+    @property
+    def is_barred(self) -> bool:
+        """Whether no new work may go there, not even as a last resort."""
+        return self.displaced or self.has_ended or self.is_unreadable
+
     def has_rejected_lately(self, now: float) -> bool:
         """Whether it seems full."""
         return now - self.rejected_at < REJECTED_LATELY_S
@@ -105,7 +116,7 @@
 
 @dataclass(kw_only=True)
 class WorkerTable:
-    """All workers by id; ``revision`` is the store's revision of the newest change.
+    """All lives of workers by id; ``revision`` is the store's revision of the newest change.
 
     ``lapsed_grace_s`` is for how long workers are used whose entries lapsed together, as they do
     when the store was away: those that live write themselves down again within about two seconds.
@@ -116,20 +127,26 @@
     lapsed_grace_s: float = LAPSED_GRACE_S
     beliefs_by_id: dict[str, WorkerBelief] = field(default_factory=dict)
     _beliefs_by_service: dict[str, dict[str, WorkerBelief]] = field(default_factory=dict)
+    _current_by_name: dict[str, WorkerBelief] = field(default_factory=dict)
+    _ended: list[Worker] = field(default_factory=list)
 
     def upsert(self, worker: Worker, now: float, item: StoredItem | None = None) -> bool:
         """Take in a listed worker; True if something besides its age has changed.
 
         An entry that is older than what is known already changes nothing.
         """
+        current = self._current_by_name.get(worker.list_name)
+        if current is not None and _is_older(item, current):
+            return False
+        if current is not None and current.worker.id != worker.id:
+            self._end_life(current, now)
         belief = self.beliefs_by_id.get(worker.id)
         if belief is None:
             self._add(WorkerBelief(worker=worker, listed_at=now, item=item))
             return True
-        if item is not None and belief.item is not None and item.revision < belief.item.revision:
-            return False
+        self._current_by_name[worker.list_name] = belief
         belief.item = item
-        is_changed = belief.worker != worker or belief.gone_at is not None
+        is_changed = belief.worker != worker or belief.gone_at is not None or belief.is_unreadable
         if belief.worker.service != worker.service:
             del self._beliefs_by_service[belief.worker.service][worker.id]
             self._beliefs_by_service.setdefault(worker.service, {})[worker.id] = belief
@@ -139,18 +156,39 @@
         belief.worker = worker
         belief.listed_at = now
         belief.gone_at = None
+        belief.has_ended = False
+        belief.is_unreadable = False
         belief.has_lapsed = False
         if is_changed and belief.displaced:
             belief.displaced = False
             belief.failures = 0.0
         return is_changed
 
-    def remove(self, worker_ids: Collection[str], now: float) -> list[str]:
+    def note_unreadable(self, name: str, item: StoredItem) -> bool:
+        """The newest entry of a worker names none: no new work goes there until one does again.
+
+        True if the worker was in use until now.
+        """
+        current = self._current_by_name.get(name)
+        if current is None or _is_older(item, current):
+            return False
+        current.item = item
+        was_readable = not current.is_unreadable
+        current.is_unreadable = True
+        return was_readable and current.gone_at is None
+
+    def take_ended(self) -> list[Worker]:
+        """Lives that ended since the last call, as their workers have begun another one."""
+        ended, self._ended = self._ended, []
+        return ended
+
+    def remove(self, names: Collection[str], now: float) -> list[str]:
         """Mark workers as gone from the list; they are forgotten after a grace period.
 
         Entries of half of a service that go at once have lapsed, rather than been taken away.
+        Returns the ids of the lives that are gone.
         """
-        known = (self.beliefs_by_id.get(worker_id) for worker_id in worker_ids)
+        known = (self._current_by_name.get(name) for name in names)
         gone = [belief for belief in known if belief is not None and belief.gone_at is None]
         gone_by_service = Counter(belief.worker.service for belief in gone)
         lapsed = {service for service, n in gone_by_service.items() if self._is_lapse(service, n)}
@@ -159,9 +197,9 @@
             belief.has_lapsed = belief.worker.service in lapsed
         return [belief.worker.id for belief in gone]
 
-    def keep_only(self, ids: set[str], now: float) -> list[str]:
+    def keep_only(self, names: set[str], now: float) -> list[str]:
         """Mark all workers as gone that a whole listing did not name; returns those."""
-        return self.remove([key for key in self.beliefs_by_id if key not in ids], now)
+        return self.remove([name for name in self._current_by_name if name not in names], now)
 
     def has_lapsed(self, worker_id: str) -> bool:
         """Whether a worker's entry went together with those of others of its service."""
@@ -180,6 +218,8 @@
         for worker_id in old:
             belief = self.beliefs_by_id.pop(worker_id)
             del self._beliefs_by_service[belief.worker.service][worker_id]
+            if self._current_by_name.get(belief.worker.list_name) is belief:
+                del self._current_by_name[belief.worker.list_name]
         return old
 
     def usable(self, service: str, now: float, *, stage: Stage | None = None) -> list[WorkerBelief]:
@@ -192,7 +232,7 @@
         just_gone: list[WorkerBelief] = []
         for belief in self._beliefs_by_service.get(service, {}).values():
             worker = belief.worker
-            if belief.displaced:
+            if belief.is_barred:
                 continue
             if stage is not None and worker.stage is not None and worker.stage is not stage:
                 continue
@@ -208,6 +248,14 @@
         worker = belief.worker
         self.beliefs_by_id[worker.id] = belief
         self._beliefs_by_service.setdefault(worker.service, {})[worker.id] = belief
+        self._current_by_name[worker.list_name] = belief
+
+    def _end_life(self, belief: WorkerBelief, now: float) -> None:
+        """A worker has begun another life: nothing of this one is there any more."""
+        if belief.gone_at is None:
+            belief.gone_at = now
+        belief.has_ended = True
+        self._ended.append(belief.worker)
 
     def _is_lapse(self, service: str, gone: int) -> bool:
         listed = sum(b.gone_at is None for b in self._beliefs_by_service[service].values())
@@ -308,3 +356,10 @@
         belief = self.beliefs_by_id.get(worker_id)
         if belief is not None:
             belief.displaced = True
+
+
+def _is_older(item: StoredItem | None, belief: WorkerBelief) -> bool:
+    """Whether an entry is older than the one that is believed: late news change nothing."""
+    if item is None or belief.item is None:
+        return False
+    return item.revision < belief.item.revision
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -149,7 +149,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Worker:
-    """One incarnation of a worker as the worker list describes it."""
+    """One life of a worker as the worker list describes it.
+
+    ``id`` names this life, alike at all boxes: a worker that starts again under the name that it
+    had is another one, and nothing that is known of the earlier life holds for it. ``name`` is what
+    the worker goes by on the wire and in the list, ``id`` itself if it is empty; ``born_ms`` is the
+    Unix time of its start in ms, None if it tells none.
+    """
 
     id: str
     service: str
@@ -160,11 +166,13 @@
     slots: int = 1
     stage: Stage | None = None
     model_versions: dict[str, int] = field(default_factory=dict)
+    name: str = ""
+    born_ms: int | None = None
 
     @property
-    def life(self) -> str:
-        """Names this incarnation, alike at all boxes: another one has another name."""
-        return self.id
+    def list_name(self) -> str:
+        """What the worker list and the worker itself call it."""
+        return self.name or self.id
 
     @property
     def address(self) -> str:
