The OpenAI daemon refuses requests that end engines, by the same records

Now the entry notes an engine's end (its port refuses) under the request, refuses at arrival and stops going on after the third, and tells the boxes that hear it, at once and with heartbeats. One copy of the records and of the digest; engines tell no start, so ends of one engine count apart by ten seconds. Ruled out: taking each broken answer for an end (resets), asking the owner's polls (half a second late). Not there: the store's copy, so a fleet that is replaced at once begins anew.

--- a/src/croftchute/bench/fleet_router.py
+++ b/src/croftchute/bench/fleet_router.py
@@ -26,8 +26,8 @@
 from croftchute.peers.codec import Codec, Envelope
 from croftchute.peers.messages import Body, Reserve
 from croftchute.systems.box import BoxSystems
-from croftchute.systems.entry import AttemptEnd
 from croftchute.tables.boxes import Box, BoxState
+from croftchute.tables.requests import AttemptEnd
 from croftchute.timeline.events import Event
 
 TICK_S = 0.05
--- a/src/croftchute/bench/routers.py
+++ b/src/croftchute/bench/routers.py
@@ -9,8 +9,7 @@
 
 from croftchute.bench.world import Running, Ticket, World
 from croftchute.errors import Code, Ran
-from croftchute.systems.entry import AttemptEnd
-from croftchute.tables.requests import Plan, attempt_key
+from croftchute.tables.requests import AttemptEnd, Plan, attempt_key
 from croftchute.tables.upstreams import EngineFact, EngineReport
 
 MAX_TRIES = 3
--- a/src/croftchute/bench/world.py
+++ b/src/croftchute/bench/world.py
@@ -15,8 +15,7 @@
 from croftchute.bench.prefill_model import PrefillEngine, PrefillJob
 from croftchute.bench.workload import Arrival
 from croftchute.errors import Code, Ran
-from croftchute.systems.entry import AttemptEnd
-from croftchute.tables.requests import Plan, attempt_key
+from croftchute.tables.requests import AttemptEnd, Plan, attempt_key
 from croftchute.tables.upstreams import EngineFact, EngineReport
 
 REPORT_EVERY_S = 0.2
--- a/src/croftchute/daemon/box_process.py
+++ b/src/croftchute/daemon/box_process.py
@@ -44,9 +44,8 @@
 from croftchute.storage.etcd import EtcdStore
 from croftchute.storage.store import Store
 from croftchute.systems.box import BoxSystems
-from croftchute.systems.entry import AttemptEnd
 from croftchute.tables.boxes import Box, BoxState
-from croftchute.tables.requests import Request
+from croftchute.tables.requests import AttemptEnd, Request
 from croftchute.tables.upstreams import Topology
 from croftchute.timeline.events import Event, Kind
 from croftchute.timeline.ring import EventRing
--- a/src/croftchute/gateway/app.py
+++ b/src/croftchute/gateway/app.py
@@ -31,6 +31,7 @@
 from croftchute.gateway.relay import CallerSink
 from croftchute.httpd import CHUNKED_KEY, SOCKET_KEY, Environ, StartResponse, read_body, reply
 from croftchute.ids import new_request_id
+from croftchute.tables.crashes import request_digest
 from croftchute.tables.requests import Request
 from croftchute.tables.upstreams import Topology
 
@@ -164,6 +165,13 @@
             identity=identity,
             topology=self._box.topology,
             now=self._box.clock.now(),
+            digest=request_digest(
+                caller=identity.caller,
+                method=environ["REQUEST_METHOD"],
+                host="",
+                target=environ["PATH_INFO"],
+                body=raw,
+            ),
         )
         if len(self._box.board) >= self._box.max_streams:
             message = f"{self._box.max_streams} requests are open here"
--- a/src/croftchute/gateway/bodies.py
+++ b/src/croftchute/gateway/bodies.py
@@ -43,6 +43,7 @@
     identity: Identity,
     topology: Topology,
     now: float,
+    digest: str = "",
 ) -> Request:
     """The row for a completion request; raises :class:`RequestError` naming what is wrong."""
     if not topology.revision:
@@ -73,6 +74,7 @@
         arrived_at=now,
         deadline_at=now + identity.deadline_s,
         prefix=prefix_blocks(prompt),
+        digest=digest,
     )
 
 
--- a/src/croftchute/gateway/completions.py
+++ b/src/croftchute/gateway/completions.py
@@ -11,8 +11,7 @@
 from croftchute.errors import Code, Ran, UpstreamError
 from croftchute.gateway.exchange import Exchange
 from croftchute.gateway.relay import CallerSink, Relay, RelayedStream
-from croftchute.systems.entry import AttemptEnd
-from croftchute.tables.requests import Plan, Request, attempt_key
+from croftchute.tables.requests import AttemptEnd, Plan, Request, attempt_key
 from croftchute.timeline.events import Event, Kind
 from croftchute.upstreams.engine import Engine, EngineCall
 
@@ -205,9 +204,17 @@
             code=error.code if error is not None else Code.UPSTREAM_FAILED,
             failed_engine="" if gone else _failed_engine(plan, error),
             retryable=not gone,
+            engine_has_ended=not gone and self._has_ended(plan, error),
         )
         self._box.submit(lambda now: self._box.ended(end, now))
 
+    def _has_ended(self, plan: Plan, error: UpstreamError | None) -> bool:
+        """Whether the engine that broke the attempt off is gone, as far as can be told at once."""
+        if error is None or error.code is not Code.UPSTREAM_FAILED:
+            return False
+        url = self._box.url_of(_failed_engine(plan, error))
+        return bool(url) and self._box.engine.has_ended(url)
+
     def _note(self, kind: Kind, plan: Plan, engine_id: str) -> None:
         event = Event(
             kind=kind, request_id=plan.request_id, upstream=engine_id, attempt=plan.attempt
--- a/src/croftchute/systems/box.py
+++ b/src/croftchute/systems/box.py
@@ -34,7 +34,7 @@
 from croftchute.systems.cancels import Cancels
 from croftchute.systems.dedupe import Dedupe
 from croftchute.systems.dedupe_map import first_rows, repaired_rows
-from croftchute.systems.entry import AttemptEnd, Entry
+from croftchute.systems.entry import Entry
 from croftchute.systems.membership import Membership
 from croftchute.systems.owner import Orderer, Owner
 from croftchute.systems.prefix_index import CacheEvent
@@ -43,7 +43,7 @@
 from croftchute.systems.sharding import assign, build_topology
 from croftchute.tables.boxes import Box, BoxState
 from croftchute.tables.dedupe import Member, RangeMap
-from croftchute.tables.requests import Request
+from croftchute.tables.requests import AttemptEnd, Request
 from croftchute.tables.upstreams import EngineReport, Topology
 from croftchute.timeline.events import Event, Kind
 
@@ -136,7 +136,8 @@
 
     def ended(self, end: AttemptEnd, now: float) -> list[Command]:
         """An attempt of a request ended."""
-        return self._deliver(self.entry.ended(end, now), now)
+        commands = self.entry.ended(end, now) + self._crash_news(now)
+        return self._deliver(commands, now)
 
     def gone(self, request_id: str, now: float) -> list[Command]:
         """A caller left."""
@@ -200,7 +201,10 @@
                 return self.entry.audit(sender, body)
             case Audited():
                 return self.owner.audited(body, now)
-            case BoxNotice() | AllowanceAsk() | AllowanceReply() | CrashNews():
+            case CrashNews():
+                self.entry.crashes.hear(body, now)
+                return self._crash_news(now)
+            case BoxNotice() | AllowanceAsk() | AllowanceReply():
                 return []  # meant for forwarding boxes, which keep a table of their own
             case Begin() | Mirror() | Mirrored() | Verdict() | Finish():
                 return self.dedupe.receive(sender, body, now)
@@ -293,7 +297,13 @@
                 peer_port=self.own.peer_port,
                 admin_port=self.own.admin_port,
             )
-        return [SendPeer(box=box, body=body) for box in self._listeners()]
+        bodies: list[Body] = [body, *self.entry.crashes.with_beat(now)]
+        return [SendPeer(box=box, body=part) for box in self._listeners() for part in bodies]
+
+    def _crash_news(self, now: float) -> list[Command]:
+        """Tell the boxes that hear this one under which requests engines have ended."""
+        news = self.entry.crashes.take_news(now)
+        return [SendPeer(box=box, body=part) for part in news for box in self._listeners()]
 
     @property
     def is_relay(self) -> bool:
--- a/src/croftchute/systems/entry.py
+++ b/src/croftchute/systems/entry.py
@@ -4,7 +4,6 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from croftchute.commands import Command, Emit, RefuseRequest, SendPeer, StartAttempt
 from croftchute.errors import Code, Ran
@@ -19,8 +18,16 @@
 )
 from croftchute.systems.budget import RetryBudget
 from croftchute.systems.cancels import Cancels
+from croftchute.systems.crash_guard import CrashGuard
 from croftchute.systems.shard_choice import ShardChooser
-from croftchute.tables.requests import OpenRequest, Plan, Request, RequestState, attempt_key
+from croftchute.tables.requests import (
+    AttemptEnd,
+    OpenRequest,
+    Plan,
+    Request,
+    RequestState,
+    attempt_key,
+)
 from croftchute.tables.rows import changed
 from croftchute.tables.upstreams import Topology
 from croftchute.timeline.events import Event, Kind
@@ -39,20 +46,6 @@
 FINAL_DECLINES = (Code.DEADLINE_PASSED, Code.POLICY_REFUSED, Code.MODEL_UNKNOWN)
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class AttemptEnd:
-    """How an attempt ended; ``sent`` says whether any engine may have begun it."""
-
-    request_id: str
-    attempt: int
-    ok: bool
-    output_tokens: int
-    sent: bool
-    code: Code = Code.UPSTREAM_FAILED
-    failed_engine: str = ""
-    retryable: bool = True
-
-
 class Entry:
     """The requests that came in at this box and are still open."""
 
@@ -75,6 +68,7 @@
         self.open_by_id: dict[str, OpenRequest] = {}
         self.choosing_ids: set[str] = set()
         self.budgets_by_pool: dict[str, RetryBudget] = {}
+        self.crashes = CrashGuard()
         self.stale_grants = 0
 
     def __repr__(self) -> str:
@@ -84,6 +78,9 @@
         """Begin to place a request, or refuse it at once."""
         event = Event(kind=Kind.REQUEST_ARRIVED, request_id=request.id, detail=request.model)
         commands: list[Command] = [Emit(event=event)]
+        refused_s = self.crashes.refused_s(request, now)
+        if refused_s > 0.0:
+            return commands + self._refuse(request.id, Code.ENDS_WORKERS, Ran.NOT_RUN, refused_s)
         model = self.topology.models_by_id.get(request.model)
         if model is None:
             code = Code.MODEL_UNKNOWN if self.topology.revision else Code.NO_CONFIG
@@ -185,6 +182,7 @@
         )
         commands: list[Command] = [Emit(event=event)]
         commands += self._end_plan(row, end, now)
+        self.crashes.note(row.request, end, now)
         if end.ok:
             return commands + self._close(row, Kind.REQUEST_ANSWERED)
         row = changed(row, delivered=row.delivered + end.output_tokens, plan=None)
@@ -300,6 +298,8 @@
     def _may_retry(self, row: OpenRequest, end: AttemptEnd, now: float) -> bool:
         if not end.retryable or row.attempt >= MAX_ATTEMPTS or now >= row.request.deadline_at:
             return False
+        if self.crashes.refused_s(row.request, now) > 0.0:
+            return False
         model = self.topology.models_by_id.get(row.request.model)
         return model is not None and self._budget(model.pool).spend()
 
--- a/src/croftchute/tables/crashes.py
+++ b/src/croftchute/tables/crashes.py
@@ -2,8 +2,25 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass
 
+DIGEST_BYTES = 16
+"""Length of a request's digest: no two requests that are remembered share one by chance."""
+
+
+def request_digest(*, caller: str, method: str, host: str, target: str, body: bytes) -> str:
+    """What all tries of one request have in common, at whatever box: 32 hexadecimal digits.
+
+    ``caller`` is the organisation that called. Addresses say nothing: one caller's come from
+    several halls. A body of 5 KB takes 12 us, timed alone.
+    """
+    found = hashlib.blake2b(digest_size=DIGEST_BYTES, person=b"croftchute-req")
+    for text in (caller, method, host, target):
+        found.update(text.encode() + b"\n")
+    found.update(body)
+    return found.hexdigest()
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CrashNotice:
--- a/src/croftchute/tables/requests.py
+++ b/src/croftchute/tables/requests.py
@@ -4,6 +4,7 @@
 
 from enum import StrEnum
 
+from croftchute.errors import Code
 from croftchute.tables.rows import Row
 
 
@@ -15,7 +16,10 @@
 
 
 class Request(Row, frozen=True, kw_only=True):
-    """A completion request; ``prefix`` holds hashes of its leading token blocks."""
+    """A completion request; ``prefix`` holds hashes of its leading token blocks.
+
+    ``digest`` is what all tries of it have in common; empty if it is not told from others.
+    """
 
     id: str
     caller: str
@@ -26,6 +30,7 @@
     arrived_at: float
     deadline_at: float
     prefix: tuple[int, ...] = ()
+    digest: str = ""
 
 
 class OpenRequest(Row, frozen=True, kw_only=True):
@@ -62,6 +67,23 @@
     expected_output: float
 
 
+class AttemptEnd(Row, frozen=True, kw_only=True):
+    """How an attempt ended; ``sent`` says whether any engine may have begun it.
+
+    ``engine_has_ended``: the process of the failed engine is gone, and did not just break off.
+    """
+
+    request_id: str
+    attempt: int
+    ok: bool
+    output_tokens: int
+    sent: bool
+    code: Code = Code.UPSTREAM_FAILED
+    failed_engine: str = ""
+    retryable: bool = True
+    engine_has_ended: bool = False
+
+
 class Reservation(Row, frozen=True, kw_only=True):
     """Engine time, link time and memory that an owner has set aside for one attempt."""
 
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from croftchute.tables.crashes import request_digest
 from croftchute.tables.organisations import NO_KEY, KeyClaim, Organisations
 
-DIGEST_BYTES = 16
-"""Length of a request's digest: no two requests that are remembered share one by chance."""
-
 
 class RouteKind(StrEnum):
     """What may be done with the requests of a route."""
@@ -214,16 +211,14 @@
 
     @property
     def digest(self) -> str:
-        """What all tries of one request have in common, at whatever box: 32 hexadecimal digits.
-
-        Callers are told apart by their organisation. Their addresses say nothing: one caller's come
-        from several halls. A body of 5 KB takes 12 us, timed alone; few requests are asked for it.
-        """
-        found = hashlib.blake2b(digest_size=DIGEST_BYTES, person=b"croftchute-req")
-        for text in (self.organisation, self.method, self.host, self.target):
-            found.update(text.encode() + b"\n")
-        found.update(self.body)
-        return found.hexdigest()
+        """What all tries of one request have in common; few requests are asked for it."""
+        return request_digest(
+            caller=self.organisation,
+            method=self.method,
+            host=self.host,
+            target=self.target,
+            body=self.body,
+        )
 
     @property
     def own_part(self) -> str:
--- a/src/croftchute/upstreams/engine.py
+++ b/src/croftchute/upstreams/engine.py
@@ -86,6 +86,10 @@
         """The load report and the cache events after a sequence number."""
         ...
 
+    def has_ended(self, url: str) -> bool:
+        """Whether the engine's process is gone: a dead port refuses connections at once."""
+        ...
+
     def order(self, url: str, order: Order) -> bool:
         """Give a fenced order; False if the engine has seen a higher token."""
         ...
--- a/src/croftchute/upstreams/http_engine.py
+++ b/src/croftchute/upstreams/http_engine.py
@@ -24,6 +24,10 @@
 from croftchute.upstreams.engine import EngineCall, JsonObject, Order, TokenStream
 
 CONNECT_S = 0.5
+
+LOOK_S = 0.1
+"""Seconds until a connection to an engine that broke an answer off must be refused: some round
+trips between halls. Longer would hold a stream up that goes on elsewhere."""
 CONTROL_READ_S = 1.0
 STREAM_GAP_S = 5.0
 POOL_CONNECTIONS = 64
@@ -166,6 +170,17 @@
         ]
         return report, events
 
+    def has_ended(self, url: str) -> bool:
+        """Whether nobody listens any more; an engine that says nothing may live."""
+        parts = urllib3.util.parse_url(url)
+        try:
+            with socket.create_connection((parts.host or "", parts.port or 80), LOOK_S):
+                return False
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+
     def order(self, url: str, order: Order) -> bool:
         """Give a fenced order."""
         body = {"token": order.token, "kind": order.kind, "target": order.target}
--- a/tests/systems/test_entry.py
+++ b/tests/systems/test_entry.py
@@ -5,10 +5,10 @@
 from croftchute.errors import Code, Ran
 from croftchute.peers.messages import Declined, Granted, Released, Reserve
 from croftchute.systems.cancels import Cancels
-from croftchute.systems.entry import ASK_TIMEOUT_S, AttemptEnd, Entry
+from croftchute.systems.entry import ASK_TIMEOUT_S, Entry
 from croftchute.systems.shard_choice import ShardChooser
 from croftchute.systems.sharding import build_topology
-from croftchute.tables.requests import Request
+from croftchute.tables.requests import AttemptEnd, Request
 from croftchute.tables.upstreams import engine_hash
 
 TOPOLOGY = build_topology(HALL_AT_TARGET.document(shard_engines=8), revision=1, hall="hall-1")
