Beliefs, leases and deadlines go by a clock that counts suspended time

Cause: all durations went by the monotonic clock, which stands still while a machine is suspended: a box would take leases that ran out, peers and news of before for fresh ones. Now the box's clock is CLOCK_BOOTTIME, in one module; time-outs of work in the process stay with the event loop's clock, so that what waits in a buffer is read before its worker is given up. A suspension is logged with how old the knowledge is. Ruled out: giving the event loop this clock as well: each time-out that ran out meanwhile would fire before the bytes that wait were taken (by reading asyncio: a cancelled wait loses the data that has just come).

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -30,6 +30,7 @@
 from croftchute.peers.codec import Codec
 from croftchute.peers.messages import BoxNotice
 from croftchute.router_settings import RouterSettings, parse_address, read_router_settings
+from croftchute.steady_clock import SuspensionMeter, steady_s
 from croftchute.storage.watched import SharedStore, Vocabulary
 from croftchute.systems.fleet_size import FleetSize
 from croftchute.systems.peer_table import PeerTable
@@ -73,7 +74,7 @@
     begun_at: float | None = None,
 ) -> ForwardingState:
     """The state of a process that has heard nothing yet; ``begun_at`` as in the state, or now."""
-    clock = asyncio.get_running_loop().time
+    clock = steady_s
     metrics = TrafficMetrics()
     log = DecisionLog(box=settings.box, writer=LineWriter(descriptor=STDOUT, now=clock))
     log.observer = lambda kind: metrics.decisions.inc({"kind": kind.value})
@@ -176,7 +177,10 @@
         )
         forwarder = Forwarder(state=state, usage_limits=self.usage_limits)
         self.ingress = HttpIngress(
-            handler=forwarder.handle, limits=state.limits, turn_away=forwarder.turn_away
+            handler=forwarder.handle,
+            limits=state.limits,
+            turn_away=forwarder.turn_away,
+            clock=state.clock,
         )
         self.health = HttpIngress(handler=self._answer_health, limits=IngressLimits)
         self.control = HttpIngress(handler=self._answer_health, limits=IngressLimits)
@@ -329,9 +333,14 @@
                 self.reload("file changed")
 
     async def _sweep(self) -> None:
+        loop_time = asyncio.get_running_loop().time
+        meter = SuspensionMeter(steady_at=self.state.clock(), running_at=loop_time())
         while True:
             await asyncio.sleep(SWEEP_S)
             now = self.state.clock()
+            suspended_s = meter.measure(now, loop_time())
+            if suspended_s > 0.0:
+                self._note_suspension(suspended_s)
             self.state.workers.sweep(now)
             self.state.crashes.sweep(now)
             self.state.pool.sweep(now)
@@ -341,6 +350,16 @@
         for catch_up in self.catch_ups:
             catch_up.note_notice(notice, now)
 
+    def _note_suspension(self, suspended_s: float) -> None:
+        """The machine stood still: all that is believed is older by that, as the clock tells."""
+        self.state.log.decide(
+            Decision.SUSPENDED,
+            for_s=round(suspended_s, 3),
+            config_age_s=round(self.state.clock() - self.state.table_at, 1),
+            workers_age_s=round(self.state.clock() - self.state.workers.heard_at, 1),
+            open_requests=self.ingress.open_requests,
+        )
+
     def _note_crashes(self, digests: list[str]) -> None:
         """A worker ended here under some requests."""
         self.crash_gossip.tell(digests)
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -24,6 +24,7 @@
     """What was decided, or what the process came to believe."""
 
     STARTED = "started"
+    SUSPENDED = "suspended"
     STOPPING = "stopping"
     STOPPED = "stopped"
     TAKEN_WHILE_STOPPING = "taken_while_stopping"
--- a/src/croftchute/forwarding/exchange.py
+++ b/src/croftchute/forwarding/exchange.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Arrival:
-    """How a request came: times on the event loop's clock, and its place on its connection."""
+    """How a request came: times on the ingress's clock, and its place on its connection."""
 
     connected_at: float
     begun_at: float
--- a/src/croftchute/forwarding/http_server.py
+++ b/src/croftchute/forwarding/http_server.py
@@ -21,6 +21,7 @@
 
 from croftchute.forwarding.exchange import Arrival, Exchange, IncomingRequest, encode_head
 from croftchute.forwarding.silence import ACCEPTED, watch_for_silence
+from croftchute.steady_clock import steady_s
 from croftchute.tables.routing import HeaderList, IngressLimits
 
 MAX_WAITING_REQUESTS = 4
@@ -61,7 +62,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._must_close = False
         self._is_reading = False
-        self._connected_at = self._loop.time()
+        self._connected_at = self.server.clock()
         self._requests_read = 0
         self._begin_message()
 
@@ -184,7 +185,7 @@
             arrival=Arrival(
                 connected_at=self._connected_at,
                 begun_at=self._begun_at,
-                read_at=self._loop.time(),
+                read_at=self.server.clock(),
                 number=self._requests_read,
             ),
         )
@@ -235,7 +236,8 @@
         self.transport.abort()
 
     def _begin_message(self) -> None:
-        self._begun_at = self._body_begun_at = self._loop.time()
+        self._begun_at = self.server.clock()
+        self._body_begun_at = self._loop.time()
         self._target = b""
         self._headers: HeaderList = []
         self._head_bytes = 0
@@ -263,7 +265,7 @@
 
     async def _serve(self, exchange: Exchange) -> None:
         try:
-            await self.server.handler_at(self._loop.time())(exchange)
+            await self.server.handler_at(self.server.clock())(exchange)
         finally:
             self._task = None
             if not exchange.is_finished:
@@ -293,7 +295,7 @@
             return False
         if self._closes_after:
             return True
-        return self.server.is_entry_over(self._loop.time()) and not self._is_reading
+        return self.server.is_entry_over(self.server.clock()) and not self._is_reading
 
     def _refuse(self, status: HTTPStatus) -> None:
         """Answer a request that cannot be read, behind those before it, and close."""
@@ -327,8 +329,9 @@
 class HttpIngress:
     """Listens for callers and hands their requests to a handler.
 
-    Once the entry is over, requests go to ``turn_away`` instead, whatever way they came: on a kept
-    connection, behind another request, read in parts, or on a connection that was accepted late.
+    ``clock`` tells when requests come. Once the entry is over, they go to ``turn_away`` instead,
+    whatever way they came: on a kept connection, behind another request, read in parts, or on a
+    connection that was accepted late.
     """
 
     def __init__(
@@ -337,10 +340,12 @@
         handler: Handler,
         limits: Callable[[], IngressLimits],
         turn_away: Handler | None = None,
+        clock: Callable[[], float] = steady_s,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.turn_away = turn_away or handler
+        self.clock = clock
         self.entry_ends_at = math.inf
         self.connections: set[CallerConnection] = set()
         self.is_stopping = False
@@ -352,7 +357,7 @@
         return sum(connection.is_busy for connection in self.connections)
 
     def is_entry_over(self, now: float) -> bool:
-        """Whether requests are turned away at this time of the event loop's clock."""
+        """Whether requests are turned away at this time of the ingress's clock."""
         return now >= self.entry_ends_at
 
     def handler_at(self, now: float) -> Handler:
--- a/tests/forwarding/test_http_server.py
+++ b/tests/forwarding/test_http_server.py
@@ -260,7 +260,7 @@
     async def test(reader, writer, ingress):
         ingress.turn_away = turned_away
         ingress.is_stopping = True
-        ingress.entry_ends_at = asyncio.get_running_loop().time()
+        ingress.entry_ends_at = ingress.clock()
         writer.write(b"POST / HTTP/%b\r\nHost: a\r\nContent-Length: 2\r\n\r\nab" % version)
         status, head, body = await answer_to(reader)
         assert (status, body) == (503, b"ab")
@@ -286,7 +286,7 @@
         while not ingress.counts().reading:
             await asyncio.sleep(0.01)
         ingress.is_stopping = True
-        ingress.entry_ends_at = asyncio.get_running_loop().time()
+        ingress.entry_ends_at = ingress.clock()
         gate.set()
         assert await reader.readuntil(b"0\r\n\r\n")
         writer.write(b"Content-Length: 2\r\n\r\nab")
--- a/tests/systems/limit_world.py
+++ b/tests/systems/limit_world.py
@@ -112,6 +112,13 @@
             return
         act()
 
+    def suspend(self, box_id, seconds, *, stands_still=False):
+        """Suspend a box's machine; ``stands_still`` is a clock that does not count that time."""
+        box = self.by_id[box_id]
+        box.paused_until = self.now + seconds
+        if stands_still:
+            box.skew -= seconds
+
     def live(self):
         return [box_id for box_id in self.by_id if box_id not in self.is_dead]
 
--- a/tests/systems/test_lent_shares.py
+++ b/tests/systems/test_lent_shares.py
@@ -221,6 +221,26 @@
         assert CREW not in box.pool.buckets_by_name
 
 
+def most_given(suspended_s, *, stands_still):
+    """The most in a window when the pool's machine is suspended again and again."""
+    world = world_with_leases(boxes=12)
+    world.load(5.0, 40.0, FLOOD)
+
+    def suspend_the_pool():
+        pool = world.by_id["b0"].share.pool
+        world.suspend(pool, suspended_s, stands_still=stands_still)
+
+    for when in (9.0, 20.0, 31.0):
+        world.at(when, suspend_the_pool)
+    world.run(41.0)
+    return world.most_in_a_window() / allowed(world)
+
+
+@pytest.mark.parametrize("suspended_s", [0.3, 1.0, 3.0, 8.0])
+def test_a_pool_whose_machine_was_suspended_gives_nothing_out_of_shares_lent_before(suspended_s):
+    assert most_given(suspended_s, stands_still=False) <= 1.0
+
+
 @settings(max_examples=25, deadline=None, derandomize=True)
 @given(
     seed=st.integers(0, 10_000),
