Large modules are split by job: room at a decode worker, connections kept, a box's first state

Ruled out: changing behaviour on the way; why room was refused is noted per asking, as before. Measured: tests of the adapter, forwarding, daemon, and the soak's checks pass.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import signal
 from http import HTTPStatus
 from pathlib import Path
 
+from croftchute.daemon.router_state import lapsed_grace_s, limit_terms, retry_limits
 from croftchute.errors import DocumentError
 from croftchute.forwarding.catch_up import catch_ups
 from croftchute.forwarding.crash_gossip import CrashGossip
 from croftchute.forwarding.crash_register import CrashRegister
-from croftchute.forwarding.decision_log import Decision, DecisionLog, LineWriter
-from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
+from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.exchange import Exchange
 from croftchute.forwarding.fleet_record import FleetRecord
 from croftchute.forwarding.forwarder import Forwarder
@@ -26,21 +25,15 @@
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.store_follower import StoreFollower
 from croftchute.forwarding.supervision import Task, keep_going
-from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.peers.codec import Codec
 from croftchute.peers.messages import BoxNotice
 from croftchute.router_settings import RouterSettings, parse_address, read_router_settings
-from croftchute.steady_clock import SuspensionMeter, steady_s
+from croftchute.steady_clock import SuspensionMeter
 from croftchute.storage.watched import SharedStore, Vocabulary
 from croftchute.systems.fleet_size import FleetSize
-from croftchute.systems.peer_table import PeerTable
-from croftchute.systems.retry_budget import RetryLimits
-from croftchute.systems.usage_bucket import LimitTerms
-from croftchute.systems.worker_table import LAPSED_GRACE_S, WorkerTable
 from croftchute.tables.organisations import LimitWay
 from croftchute.tables.routing import IngressLimits
 
-STDOUT = 1
 FLUSH_S = 0.5
 """Seconds between two tries to write log lines that were kept back."""
 
@@ -62,65 +55,6 @@
 STOP_CHECK_S = 0.05
 """Seconds between two looks at what is still open during a stop."""
 
-LAPSED_SHARE_OF_DRAIN = 0.7
-"""Share of the time until new work is barred for which lapsed workers are used."""
-
-
-def make_state(
-    settings: RouterSettings,
-    *,
-    callers: CallerDialect,
-    workers: WorkerDialect,
-    begun_at: float | None = None,
-) -> ForwardingState:
-    """The state of a process that has heard nothing yet; ``begun_at`` as in the state, or now."""
-    clock = steady_s
-    metrics = TrafficMetrics()
-    log = DecisionLog(box=settings.box, writer=LineWriter(descriptor=STDOUT, now=clock))
-    log.observer = lambda kind: metrics.decisions.inc({"kind": kind.value})
-    return ForwardingState(
-        box=settings.box,
-        zone=settings.hall,
-        clock=clock,
-        callers=callers,
-        workers_speak=workers,
-        log=log,
-        metrics=metrics,
-        retry_limits=retry_limits(settings),
-        rng=random.Random(random.SystemRandom().getrandbits(64)),
-        default_boxes=settings.boxes,
-        peers=peer_table(settings),
-        ways=settings.ways,
-        started_at=clock(),
-        begun_at=clock() if begun_at is None else begun_at,
-        workers=WorkerTable(lapsed_grace_s=lapsed_grace_s(settings)),
-    )
-
-
-def lapsed_grace_s(settings: RouterSettings) -> float:
-    """How long workers whose entries lapsed are used: well within the time that bars new work."""
-    return min(LAPSED_GRACE_S, LAPSED_SHARE_OF_DRAIN * settings.drain_s)
-
-
-def peer_table(settings: RouterSettings) -> PeerTable:
-    """The peers as the settings name them: seeds, at the port that is alike on all boxes."""
-    own = parse_address(settings.control).host
-    hosts = [parse_address(seed).host for seed in settings.seeds]
-    seeds = tuple((host, settings.notice_port) for host in hosts if host != own)
-    return PeerTable(own_id=settings.box, hall=settings.hall, seeds=seeds)
-
-
-def retry_limits(settings: RouterSettings) -> RetryLimits:
-    """The retry budget as the settings have it."""
-    retry = settings.retry
-    return RetryLimits(ratio=retry.ratio, window_s=retry.window_s, slack=retry.slack)
-
-
-def limit_terms(settings: RouterSettings) -> LimitTerms:
-    """How strictly limits of organisations are judged, as the settings have it."""
-    limits = settings.limits
-    return LimitTerms(window_s=limits.window_s, overage=limits.overage, slack=limits.slack)
-
 
 class RouterProcess:
     """One box: listens, follows the store, and stops when told."""
--- /dev/null
+++ b/src/croftchute/forwarding/decode_room.py
@@ -0,0 +1,166 @@
+"""Room for a streaming request at a decode worker: asked for, waited for, held till it is sent."""
+
+from __future__ import annotations
+
+import asyncio
+
+from croftchute.errors import Code
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.dialect import Hold
+from croftchute.forwarding.failures import ExchangeError
+from croftchute.forwarding.request_run import RequestRun
+from croftchute.forwarding.worker_control import drop_hold, take_hold
+from croftchute.systems import patience
+from croftchute.systems.patience import ReturnWay
+from croftchute.systems.room_forecast import RoomWait
+from croftchute.systems.worker_choice import ChoiceInput
+from croftchute.systems.worker_table import WorkerBelief
+from croftchute.tables.routing import EngineTraits, Stage
+
+
+class DecodeRoom:
+    """Finds a decode worker with room for one request, and keeps its hold until it is used.
+
+    ``kept_at`` is the worker that may still keep the request's cache: it is asked first, once.
+    ``code`` and ``detail`` say why the workers that were asked last had none.
+    """
+
+    def __init__(self, *, run: RequestRun) -> None:
+        self.run = run
+        self.hold: Hold | None = None
+        self.kept_at: str | None = None
+        self.code: Code | None = None
+        self.detail = ""
+        self._resumed_in_place = False
+
+    async def reserve(self) -> tuple[WorkerBelief, ChoiceInput] | None:
+        """A decode worker that keeps room for the request, waiting for a while if all are full."""
+        run = self.run
+        self.code = None
+        self.detail = ""
+        is_begun = run.exchange.is_started
+        pause_s = patience.room_poll(
+            run.route, run.state.ways.returns, before_s=run.before_s, is_begun=is_begun
+        )
+        asked_at = run.now
+        has_waited = False
+        while True:
+            found = await self._ask_for_room()
+            if found is not None:
+                if not is_begun:
+                    run.state.demand(run.service).note_granted(run.now, is_large=run.is_large)
+                if has_waited:
+                    run.state.room(run.service).note_granted(run.now)
+                return found
+            if not run.full or not self._may_wait(asked_at, is_begun=is_begun):
+                return None
+            await asyncio.sleep(pause_s)
+            has_waited = True
+            run.state.room(run.service).note_waited(pause_s, run.now)
+            run.full.clear()
+
+    def _may_wait(self, asked_at: float, *, is_begun: bool) -> bool:
+        """Whether to go on waiting for room: it will likely come while the caller wants it."""
+        run = self.run
+        if is_begun:
+            return run.now - asked_at < min(patience.RESUME_WAIT_S, run.time_left_s)
+        if run.state.is_ending(run.now):
+            return False
+        mean_wait_s = run.state.mean_room_wait_s(run.service)
+        pace = run.state.prefill_pace(run.service)
+        wait = RoomWait(
+            elapsed_s=run.now - run.started_at,
+            time_left_s=run.time_left_s,
+            reading_s=pace.reading_s(run.facts.prompt_tokens),
+            before_s=run.before_s if run.state.ways.returns is ReturnWay.IN_TIME_FIRST else 0.0,
+        )
+        if wait.is_worthwhile(run.route, mean_wait_s=mean_wait_s):
+            return True
+        run.log(
+            Decision.WAIT_ENDED,
+            outcome="room is not expected in time",
+            mean_wait_s=mean_wait_s,
+            reading_s=round(wait.reading_s, 3),
+            tokens=run.facts.prompt_tokens,
+        )
+        return False
+
+    async def _ask_for_room(self) -> tuple[WorkerBelief, ChoiceInput] | None:
+        """Ask the decode workers, the cheapest first; None if none has room."""
+        run = self.run
+        engine = run.engine
+        if engine is not None and (in_place := self._same_worker()) is not None:
+            belief, chosen = in_place
+            if await self._hold_at(belief, chosen, engine):
+                return in_place
+        while True:
+            found = run.choose(Stage.DECODE)
+            if found is None or engine is None or engine.hold_ttl_s <= 0.0:
+                return found
+            if found[0].full_until > run.now:
+                run.full.add(found[0].worker.id)
+                self._note_full(found[0])
+                continue
+            if await self._hold_at(*found, engine):
+                return found
+
+    def _same_worker(self) -> tuple[WorkerBelief, ChoiceInput] | None:
+        """The worker that the stream ran at: if it lives, it still keeps the prompt's cache."""
+        worker_id, self.kept_at = self.kept_at, None
+        if worker_id is None or self._resumed_in_place:
+            return None
+        self._resumed_in_place = True
+        run = self.run
+        usable = run.state.workers.usable(run.service, run.now, stage=Stage.DECODE)
+        for belief in usable:
+            if belief.worker.id == worker_id:
+                return belief, run.describe(belief, candidates=1)
+        return None
+
+    async def _hold_at(
+        self, belief: WorkerBelief, chosen: ChoiceInput, engine: EngineTraits
+    ) -> bool:
+        run = self.run
+        facts = run.facts
+        tokens = patience.hold_tokens(
+            facts.prompt_tokens,
+            facts.output_tokens,
+            facts.expected_output,
+            engine.kv_tokens,
+            run.state.ways.hold,
+        )
+        outcome = "granted"
+        try:
+            self.hold = await take_hold(run.state, belief.worker, tokens, engine.hold_ttl_s)
+            if self.hold is None:
+                outcome = "no_room"
+                run.full.add(belief.worker.id)
+                run.state.workers.note_full(belief.worker.id, run.now + patience.FULL_FOR_S)
+                self._note_full(belief)
+        except ExchangeError as error:
+            outcome = error.code.value
+            # A late one may have room once its link is less busy: asked again like a full one.
+            (run.full if error.code is Code.UPSTREAM_SLOW else run.avoid).add(belief.worker.id)
+            run.state.workers.note_failure(belief.worker.id, 1.0, run.now)
+            self.detail = error.message
+        run.log(
+            Decision.HOLD_ASKED,
+            outcome=outcome,
+            worker=belief.worker.id,
+            tokens=tokens,
+            cost=chosen.cost,
+            own_tokens=belief.tokens_in_flight,
+            failures=chosen.failures,
+        )
+        return self.hold is not None
+
+    def drop_unused(self) -> None:
+        """Give the hold back if nothing was sent with it."""
+        if self.hold is not None:
+            state = self.run.state
+            state.spawn(drop_hold(state, self.hold, self.run.facts.id))
+            self.hold = None
+
+    def _note_full(self, belief: WorkerBelief) -> None:
+        self.code = Code.NO_CAPACITY
+        self.detail = f"no room at {belief.worker.id} and others"
--- a/src/croftchute/forwarding/http_client.py
+++ b/src/croftchute/forwarding/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 towards workers and the store, on asyncio: connections, answers, reuse.
+"""HTTP/1.1 towards workers and the store, on asyncio: one connection and its answers.
 
 llhttp (``httptools``) reads the answers. urllib3 was the house's choice; it blocks a thread for
 each call and cannot see a caller leave meanwhile. docs/DESIGN.md has the measurement.
@@ -7,17 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import deque
 from dataclasses import dataclass
 
 import httptools
 
-from croftchute.forwarding.failures import (
-    ConnectFailedError,
-    ConnectionBrokenError,
-    ConnectRefusedError,
-)
+from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError
 from croftchute.forwarding.silence import WORK, SilenceLimits, watch_for_silence
 from croftchute.tables.routing import HeaderList
 
@@ -289,115 +284,3 @@
         if name.strip().lower() == b"timeout" and number.strip().isdigit():
             return float(number)
     return DEFAULT_KEEP_ALIVE_S
-
-
-async def open_connection(
-    host: str, port: int, timeout_s: float, *, limits: SilenceLimits = WORK
-) -> ClientConnection:
-    """Connect within some time; raises :class:`ConnectFailedError`."""
-    loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(timeout_s):
-            _, protocol = await loop.create_connection(
-                lambda: ClientConnection(limits=limits), host, port
-            )
-    except ConnectionRefusedError as error:
-        raise ConnectRefusedError(f"{host}:{port}: {error}") from None
-    except (OSError, TimeoutError) as error:
-        raise ConnectFailedError(f"{host}:{port}: {error or 'timed out'}") from None
-    return protocol
-
-
-class ConnectionPool:
-    """Idle connections by server; the one used last is used first."""
-
-    def __init__(self, *, max_idle: int = 8, limits: SilenceLimits = WORK) -> None:
-        self.max_idle = max_idle
-        self.limits = limits
-        self.opened = 0
-        self._idle_by_server: dict[tuple[str, int, str], list[ClientConnection]] = {}
-        self._busy_by_owner: dict[str, set[ClientConnection]] = {}
-
-    async def acquire(
-        self,
-        host: str,
-        port: int,
-        *,
-        owner: str,
-        now: float,
-        timeout_s: float,
-        max_idle_s: float = math.inf,
-        limits: SilenceLimits | None = None,
-    ) -> ClientConnection:
-        """An idle connection to this incarnation of a server, or a new one.
-
-        One that was idle for ``max_idle_s`` seconds or longer is left to others. ``limits`` are
-        those of a new one, where they differ from the pool's.
-        """
-        idle = self._idle_by_server.get((host, port, owner), [])
-        while idle and now - idle[-1].idle_since < max_idle_s:
-            connection = idle.pop()
-            if connection.is_fresh(now):
-                self._busy_by_owner.setdefault(owner, set()).add(connection)
-                return connection
-            connection.abort()
-        connection = await open_connection(host, port, timeout_s, limits=limits or self.limits)
-        self.opened += 1
-        self._busy_by_owner.setdefault(owner, set()).add(connection)
-        return connection
-
-    def release(
-        self, connection: ClientConnection, host: str, port: int, *, owner: str, now: float
-    ) -> None:
-        """Give a connection back; it is kept if it can serve again."""
-        busy = self._busy_by_owner.get(owner)
-        if busy is not None:
-            busy.discard(connection)
-            if not busy:
-                del self._busy_by_owner[owner]
-        if connection.finish(now):
-            self._keep(connection, host, port, owner)
-
-    def keep(
-        self, connection: ClientConnection, host: str, port: int, *, owner: str, now: float
-    ) -> None:
-        """Keep a new connection for the next exchange."""
-        self.opened += 1
-        connection.idle_since = now
-        self._keep(connection, host, port, owner)
-
-    def _keep(self, connection: ClientConnection, host: str, port: int, owner: str) -> None:
-        idle = self._idle_by_server.setdefault((host, port, owner), [])
-        if len(idle) >= self.max_idle:
-            connection.abort()
-            return
-        idle.append(connection)
-
-    def close_owner(self, owner: str) -> int:
-        """Close all connections to one incarnation of a server; how many exchanges that breaks."""
-        for server in [server for server in self._idle_by_server if server[2] == owner]:
-            for connection in self._idle_by_server.pop(server):
-                connection.abort()
-        busy = self._busy_by_owner.get(owner, set())
-        for connection in busy:
-            connection.abort()
-        return len(busy)
-
-    def sweep(self, now: float) -> None:
-        """Close connections that have been idle for long."""
-        for server, idle in list(self._idle_by_server.items()):
-            kept = [connection for connection in idle if connection.is_fresh(now)]
-            for connection in idle:
-                if connection not in kept:
-                    connection.abort()
-            if kept:
-                self._idle_by_server[server] = kept
-            else:
-                del self._idle_by_server[server]
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for idle in self._idle_by_server.values():
-            for connection in idle:
-                connection.abort()
-        self._idle_by_server.clear()
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
+from croftchute.forwarding.connection_pool import ConnectionPool
 from croftchute.forwarding.decision_log import Decision, DecisionLog
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
-from croftchute.forwarding.http_client import ConnectionPool
 from croftchute.forwarding.silence import KNOWLEDGE, SilenceLimits
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.forwarding.transfer import Transfer
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -8,7 +8,8 @@
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.deadline import within
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.dialect import Hold, PrefillHandle, Send, Verdict
+from croftchute.forwarding.decode_room import DecodeRoom
+from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
 from croftchute.forwarding.event_stream import EventSplitter, StreamEvent
 from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
 from croftchute.forwarding.http_client import ResponseHead
@@ -17,14 +18,11 @@
 from croftchute.forwarding.prompt_reader import PromptReader
 from croftchute.forwarding.request_run import RequestRun
 from croftchute.forwarding.worker_call import WorkerCall
-from croftchute.forwarding.worker_control import drop_hold, take_hold
 from croftchute.systems import patience
-from croftchute.systems.patience import ReturnWay
 from croftchute.systems.prefill_queue import ReadingTimes
-from croftchute.systems.room_forecast import RoomWait
 from croftchute.systems.worker_choice import ChoiceInput
 from croftchute.systems.worker_table import WorkerBelief
-from croftchute.tables.routing import EngineTraits, HeaderList, Stage
+from croftchute.tables.routing import HeaderList, Stage
 
 
 @dataclass(kw_only=True)
@@ -48,9 +46,7 @@
         self.run = run
         self.progress = StreamProgress(last_event=run.facts.resume_after)
         self.reader = PromptReader(run=run)
-        self.unused_hold: Hold | None = None
-        self._kept_at: str | None = None
-        self._resumed_in_place = False
+        self.room = DecodeRoom(run=run)
 
     async def serve(self) -> None:
         """Run the stream to its end, or give it up."""
@@ -86,9 +82,10 @@
             is_large=run.is_large,
         )
         if facts.resume_after is not None:
-            self.reader.keeper = self._kept_at = await find_keeper(run)
+            self.reader.keeper = self.room.kept_at = await find_keeper(run)
         while run.time_left_s > 0.0 and not self._is_over():
-            found = await self._reserve()
+            found = await self.room.reserve()
+            self._note_room()
             if found is None:
                 return
             source = await self.reader.read_for(found[0])
@@ -106,140 +103,16 @@
             return True
         return progress.may_have_run and not self.run.route.may_repeat
 
-    # Room at a decode worker.
-
-    async def _reserve(self) -> tuple[WorkerBelief, ChoiceInput] | None:
-        """A decode worker that keeps room for the request, waiting for a while if all are full."""
-        run = self.run
-        is_begun = run.exchange.is_started
-        pause_s = patience.room_poll(
-            run.route, run.state.ways.returns, before_s=run.before_s, is_begun=is_begun
-        )
-        asked_at = run.now
-        has_waited = False
-        while True:
-            found = await self._ask_for_room()
-            if found is not None:
-                if not is_begun:
-                    run.state.demand(run.service).note_granted(run.now, is_large=run.is_large)
-                if has_waited:
-                    run.state.room(run.service).note_granted(run.now)
-                return found
-            if not run.full or not self._may_wait(asked_at, is_begun=is_begun):
-                return None
-            await asyncio.sleep(pause_s)
-            has_waited = True
-            run.state.room(run.service).note_waited(pause_s, run.now)
-            run.full.clear()
-
-    def _may_wait(self, asked_at: float, *, is_begun: bool) -> bool:
-        """Whether to go on waiting for room: it will likely come while the caller wants it."""
-        run = self.run
-        if is_begun:
-            return run.now - asked_at < min(patience.RESUME_WAIT_S, run.time_left_s)
-        if run.state.is_ending(run.now):
-            return False
-        mean_wait_s = run.state.mean_room_wait_s(run.service)
-        pace = run.state.prefill_pace(run.service)
-        wait = RoomWait(
-            elapsed_s=run.now - run.started_at,
-            time_left_s=run.time_left_s,
-            reading_s=pace.reading_s(run.facts.prompt_tokens),
-            before_s=run.before_s if run.state.ways.returns is ReturnWay.IN_TIME_FIRST else 0.0,
-        )
-        if wait.is_worthwhile(run.route, mean_wait_s=mean_wait_s):
-            return True
-        run.log(
-            Decision.WAIT_ENDED,
-            outcome="room is not expected in time",
-            mean_wait_s=mean_wait_s,
-            reading_s=round(wait.reading_s, 3),
-            tokens=run.facts.prompt_tokens,
-        )
-        return False
-
-    async def _ask_for_room(self) -> tuple[WorkerBelief, ChoiceInput] | None:
-        """Ask the decode workers, the cheapest first; None if none has room."""
-        run = self.run
-        engine = run.engine
-        if engine is not None and (in_place := self._same_worker()) is not None:
-            belief, chosen = in_place
-            if await self._hold_at(belief, chosen, engine):
-                return in_place
-        while True:
-            found = run.choose(Stage.DECODE)
-            if found is None or engine is None or engine.hold_ttl_s <= 0.0:
-                return found
-            if found[0].full_until > run.now:
-                run.full.add(found[0].worker.id)
-                self._note_full(found[0])
-                continue
-            if await self._hold_at(*found, engine):
-                return found
-
-    def _same_worker(self) -> tuple[WorkerBelief, ChoiceInput] | None:
-        """The worker that the stream ran at: if it lives, it still keeps the prompt's cache."""
-        worker_id, self._kept_at = self._kept_at, None
-        if worker_id is None or self._resumed_in_place:
-            return None
-        self._resumed_in_place = True
-        run = self.run
-        usable = run.state.workers.usable(run.service, run.now, stage=Stage.DECODE)
-        for belief in usable:
-            if belief.worker.id == worker_id:
-                return belief, run.describe(belief, candidates=1)
-        return None
-
-    async def _hold_at(
-        self, belief: WorkerBelief, chosen: ChoiceInput, engine: EngineTraits
-    ) -> bool:
-        run = self.run
-        facts = run.facts
-        tokens = patience.hold_tokens(
-            facts.prompt_tokens,
-            facts.output_tokens,
-            facts.expected_output,
-            engine.kv_tokens,
-            run.state.ways.hold,
-        )
-        outcome = "granted"
-        try:
-            self.unused_hold = await take_hold(run.state, belief.worker, tokens, engine.hold_ttl_s)
-            if self.unused_hold is None:
-                outcome = "no_room"
-                run.full.add(belief.worker.id)
-                run.state.workers.note_full(belief.worker.id, run.now + patience.FULL_FOR_S)
-                self._note_full(belief)
-        except ExchangeError as error:
-            outcome = error.code.value
-            # A late one may have room once its link is less busy: asked again like a full one.
-            (run.full if error.code is Code.UPSTREAM_SLOW else run.avoid).add(belief.worker.id)
-            run.state.workers.note_failure(belief.worker.id, 1.0, run.now)
-            self.progress.detail = error.message
-        run.log(
-            Decision.HOLD_ASKED,
-            outcome=outcome,
-            worker=belief.worker.id,
-            tokens=tokens,
-            cost=chosen.cost,
-            own_tokens=belief.tokens_in_flight,
-            failures=chosen.failures,
-        )
-        return self.unused_hold is not None
-
-    def _note_full(self, belief: WorkerBelief) -> None:
-        self.progress.code = Code.NO_CAPACITY
-        self.progress.detail = f"no room at {belief.worker.id} and others"
+    def _note_room(self) -> None:
+        """Keep why no worker had room, for the caller's answer if none is found."""
+        if self.room.code is not None:
+            self.progress.code = self.room.code
+        if self.room.detail:
+            self.progress.detail = self.room.detail
 
     def _free_unused(self) -> None:
         self.reader.free_unused()
-        self._drop_unused_hold()
-
-    def _drop_unused_hold(self) -> None:
-        if self.unused_hold is not None:
-            state = self.run.state
-            state.spawn(drop_hold(state, self.unused_hold, self.run.facts.id))
-            self.unused_hold = None
+        self.room.drop_unused()
 
     # Decode.
 
@@ -253,18 +126,18 @@
             time_left_s=run.time_left_s,
             priority=run.priority,
             source=source,
-            hold=self.unused_hold,
+            hold=self.room.hold,
             resume_after=progress.last_event,
         )
         call = WorkerCall(run=run, belief=belief, send=send, chosen=chosen)
         try:
             await call.open()
-            self.unused_hold = None
+            self.room.hold = None
             run.arrivals += 1
             run.workers_sent_to.add(belief.worker.id)
             await self._take(call, source)
         except ConnectFailedError as error:
-            self._drop_unused_hold()
+            self.room.drop_unused()
             run.connect_failures += 1
             call.failed(error)
             progress.code, progress.detail = error.code, error.message
@@ -274,7 +147,7 @@
             call.failed(error)
             progress.code, progress.detail = error.code, error.message
             if error.code is Code.UPSTREAM_FAILED:
-                self._kept_at = belief.worker.id
+                self.room.kept_at = belief.worker.id
         finally:
             call.close()
 
--- /dev/null
+++ b/src/croftchute/standins/platform_wire.py
@@ -0,0 +1,60 @@
+"""HTTP/1.1 as the stand-in of the users' workers speaks it: requests read, answers written."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+Headers = dict[str, str]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Received:
+    """A request as the worker got it."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        """The id that the caller gave it."""
+        return self.headers.get("x-croftchute-request-id", "")
+
+
+def encode_head(status: int, request: Received, headers: Headers) -> bytes:
+    """The head of an answer, which names its request."""
+    lines = [f"HTTP/1.1 {status} Status"]
+    if request.id:
+        lines.append(f"X-Croftchute-Request-Id: {request.id}")
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Write a part of a body whose length is not told."""
+    writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+
+async def requests(reader: asyncio.StreamReader) -> AsyncIterator[Received]:
+    """Requests from a connection until it ends."""
+    while head := await _readhead(reader):
+        first, *rest = head.decode("latin-1").split("\r\n")
+        method, path, _ = first.split(" ", 2)
+        headers: Headers = {}
+        for line in rest:
+            name, _, value = line.partition(":")
+            if name:
+                headers[name.strip().lower()] = value.strip()
+        length = int(headers.get("content-length", "0"))
+        body = await reader.readexactly(length) if length else b""
+        yield Received(method=method, path=path, headers=headers, body=body)
+
+
+async def _readhead(reader: asyncio.StreamReader) -> bytes:
+    try:
+        return await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return b""
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -11,34 +11,18 @@
 import itertools
 import socket
 import struct
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import msgspec
 
+from croftchute.standins.platform_wire import Headers, Received, encode_head, requests, write_chunk
+
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 SLOW_PATH = "/slow/"
 """Part of a path whose streams keep ``slow_gap_s`` between events in place of ``gap_s``."""
 
-Headers = dict[str, str]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Received:
-    """A request as the worker got it."""
-
-    method: str
-    path: str
-    headers: Headers
-    body: bytes
-
-    @property
-    def id(self) -> str:
-        """The id that the caller gave it."""
-        return self.headers.get("x-croftchute-request-id", "")
-
 
 @dataclass(kw_only=True)
 class Run:
@@ -158,7 +142,7 @@
         self.connections += 1
         self._writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            async for request in _requests(reader):
+            async for request in requests(reader):
                 self.received.append(request)
                 if not await self._answer(request, reader, writer):
                     break
@@ -306,7 +290,7 @@
         headers = {} if faults.lacks_stamp else {"X-Croftchute-Server-Stamp": STAMP}
         headers["X-Croftchute-Server-Load"] = "1,0,8"
         if faults.is_unframed:
-            head = _head(status, request, headers)
+            head = encode_head(status, request, headers)
             writer.write(head + body)
             if faults.cuts_body:
                 self._reset(writer)
@@ -314,7 +298,7 @@
                 writer.close()
             return False
         if faults.cuts_body:
-            writer.write(_head(status, request, headers | {"Content-Length": str(len(body))}))
+            writer.write(encode_head(status, request, headers | {"Content-Length": str(len(body))}))
             writer.write(body[: len(body) // 2])
             writer.close()
             return False
@@ -331,7 +315,7 @@
             "Transfer-Encoding": "chunked",
             "X-Croftchute-Server-Stamp": STAMP,
         }
-        writer.write(_head(faults.status or 200, request, headers))
+        writer.write(encode_head(faults.status or 200, request, headers))
         first = int(request.headers.get("last-event-id", "0")) + 1
         for sent, number in enumerate(range(first, self.events + 1)):
             if faults.resets_after_events == sent:
@@ -342,12 +326,12 @@
                 return False
             event = f"id: {number}\ndata: token-{number} of {request.id}\n\n".encode()
             if faults.ends_inside_event == sent:
-                _write_chunk(writer, event[:6])
+                write_chunk(writer, event[:6])
                 writer.close()
                 return False
-            _write_chunk(writer, event)
+            write_chunk(writer, event)
             if faults.repeats_event == sent:
-                _write_chunk(writer, event)
+                write_chunk(writer, event)
             if not await self._pause(request, reader):
                 return False
         writer.write(b"0\r\n\r\n")
@@ -374,38 +358,4 @@
         body: bytes = b"",
     ) -> None:
         headers = headers | {"Content-Length": str(len(body))}
-        writer.write(_head(status, request, headers) + body)
-
-
-def _head(status: int, request: Received, headers: Headers) -> bytes:
-    lines = [f"HTTP/1.1 {status} Status"]
-    if request.id:
-        lines.append(f"X-Croftchute-Request-Id: {request.id}")
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    return "\r\n".join([*lines, "", ""]).encode()
-
-
-def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
-    writer.write(b"%x\r\n%b\r\n" % (len(data), data))
-
-
-async def _requests(reader: asyncio.StreamReader) -> AsyncIterator[Received]:
-    """Requests from a connection until it ends."""
-    while head := await _read_head(reader):
-        first, *rest = head.decode("latin-1").split("\r\n")
-        method, path, _ = first.split(" ", 2)
-        headers: Headers = {}
-        for line in rest:
-            name, _, value = line.partition(":")
-            if name:
-                headers[name.strip().lower()] = value.strip()
-        length = int(headers.get("content-length", "0"))
-        body = await reader.readexactly(length) if length else b""
-        yield Received(method=method, path=path, headers=headers, body=body)
-
-
-async def _read_head(reader: asyncio.StreamReader) -> bytes:
-    try:
-        return await reader.readuntil(b"\r\n\r\n")
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return b""
+        writer.write(encode_head(status, request, headers) + body)
--- a/src/croftchute/systems/entry.py
+++ b/src/croftchute/systems/entry.py
@@ -240,7 +240,7 @@
                 commands += self._give_up(row, Code.DEADLINE_PASSED, now)
             elif now - row.asked_at < _ask_pause_s(row):
                 continue
-            elif row.asks < ASKS_PER_SHARD or _has_only_this_shard(row):
+            elif row.asks < ASKS_PER_SHARD or row.has_only_this_shard:
                 commands += self._ask(changed(row, asks=row.asks + 1), now)
             else:
                 commands.append(self._release_asked(row))
@@ -387,15 +387,6 @@
         return self.budgets_by_pool.setdefault(pool, RetryBudget())
 
 
-def _has_only_this_shard(row: OpenRequest) -> bool:
-    """Whether an answer that has begun is lost unless the shard that was asked has a place.
-
-    Its caller cannot ask elsewhere without losing what it has, so its owner is asked until the
-    deadline; a request that has not begun is refused soon, and its caller told to come back.
-    """
-    return row.attempt > 1 and not row.candidates
-
-
 def _ask_pause_s(row: OpenRequest) -> float:
-    is_late_asking = row.asks >= ASKS_PER_SHARD and _has_only_this_shard(row)
+    is_late_asking = row.asks >= ASKS_PER_SHARD and row.has_only_this_shard
     return LAST_ASK_PAUSE_S if is_late_asking else ASK_TIMEOUT_S
--- a/src/croftchute/tables/requests.py
+++ b/src/croftchute/tables/requests.py
@@ -52,6 +52,15 @@
     retry_after_s: float = 1.0
     wait_ends_at: float = 0.0
 
+    @property
+    def has_only_this_shard(self) -> bool:
+        """Whether an answer that has begun is lost unless the shard that was asked has a place.
+
+        Its caller cannot ask elsewhere without losing what it has, so its owner is asked until the
+        deadline; a request that has not begun is refused soon, and its caller told to come back.
+        """
+        return self.attempt > 1 and not self.candidates
+
 
 class Plan(Row, frozen=True, kw_only=True):
     """Where one attempt runs: the engine for prefill and the engine for decode."""
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from croftchute.forwarding.http_client import ConnectionPool, open_connection
+from croftchute.forwarding.connection_pool import ConnectionPool, open_connection
 from croftchute.forwarding.http_server import HttpIngress
 from croftchute.forwarding.silence import ACCEPTED, KNOWLEDGE, WORK, SilenceLimits
 from croftchute.tables.routing import IngressLimits
--- a/tests/platform_adapter/platform_fleet.py
+++ b/tests/platform_adapter/platform_fleet.py
@@ -9,7 +9,8 @@
 from croftchute_platform.headers import PlatformCallers, PlatformWorkers
 from croftchute_platform.store import PlatformStore, PlatformVocabulary
 
-from croftchute.daemon.router_process import RouterProcess, make_state
+from croftchute.daemon.router_process import RouterProcess
+from croftchute.daemon.router_state import make_state
 from croftchute.router_settings import RouterSettings
 from croftchute.standins.metadata_store import MetadataStore
 from croftchute.standins.platform_worker import PlatformWorker
