--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -24,6 +24,8 @@
 from croftchute.daemon.router_process import RouterProcess  # noqa: E402
 from croftchute.errors import Code, Ran  # noqa: E402
 from croftchute.forwarding import store_follower  # noqa: E402
+from croftchute.forwarding.crash_gossip import CrashGossip  # noqa: E402
+from croftchute.forwarding.crash_register import CrashRegister  # noqa: E402
 from croftchute.forwarding.failures import AnswerLateError  # noqa: E402
 from croftchute.forwarding.http_client import ClientConnection  # noqa: E402
 from croftchute.forwarding.limits import GRANTED, Allowance, AllowanceOutcome  # noqa: E402
@@ -31,6 +33,7 @@
 from croftchute.forwarding.request_run import RequestRun  # noqa: E402
 from croftchute.forwarding.state import ForwardingState  # noqa: E402
 from croftchute.forwarding.worker_call import WorkerCall  # noqa: E402
+from croftchute.systems.crash_records import CrashRecords  # noqa: E402
 from croftchute.systems.usage_bucket import UsageBucket  # noqa: E402
 from croftchute.systems.worker_table import WorkerBelief, WorkerTable  # noqa: E402
 from croftchute.tables.organisations import (  # noqa: E402
@@ -220,6 +223,18 @@
     PooledLimits.admit = admit  # type: ignore[method-assign]
 
 
+def run_crashing() -> None:
+    """Run requests that end workers without an end."""
+    CrashRecords.refused_s = lambda self, digest, now: 0.0  # type: ignore[method-assign]  # noqa: ARG005
+
+
+def crashes_untold() -> None:
+    """Keep what is known of such requests to the box itself."""
+    CrashGossip.tell = lambda self, digests: None  # type: ignore[method-assign]  # noqa: ARG005
+    CrashGossip.next_news = lambda self: None  # type: ignore[method-assign]  # noqa: ARG005
+    CrashRegister.note = lambda self, digests: None  # type: ignore[method-assign]  # noqa: ARG005
+
+
 BUCKETS: dict[str, UsageBucket] = {}
 KEPT: list[object] = []
 BROKEN: dict[str, Callable[[], None]] = {
@@ -233,6 +248,8 @@
     "keep_keys": keep_keys,
     "pass_keys_on": pass_keys_on,
     "new_credit": new_credit,
+    "run_crashing": run_crashing,
+    "crashes_untold": crashes_untold,
 }
 
 
--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from croftchute.soak.boxes import DRAIN_S, OWN_ENDS_ALLOWED, STOP_LIMIT_S, SoakBox
+from croftchute.soak.crashing import CrashingRequest
 from croftchute.soak.disturbances import STORE, Disturbance, Disturbances
 from croftchute.soak.key_checks import DENIED, KeyChecks
 from croftchute.soak.paces import transfer_allowance_s
@@ -19,6 +20,7 @@
 from croftchute.soak.world import EVENTS, MAX_ATTEMPTS, ListedWorker, SoakWorld, added_path
 from croftchute.standins.platform_caller import Try, fault_of
 from croftchute.standins.platform_worker import Run
+from croftchute.systems.crash_records import LIVES_TO_REFUSE
 
 CONTACT_S = 3.0
 APPLY_S = 2.0
@@ -43,6 +45,9 @@
 OWN_REFUSALS = frozenset({400, 401, 403, 404, 405, 413, 414, 431})
 MIN_WAVE_SERVED = 0.9
 
+MOST_LATE_TRIES = 3
+"""Tries of a request that ends workers that may reach some once it is known: the users' bound."""
+
 
 @dataclass(kw_only=True)
 class Checker:
@@ -55,6 +60,7 @@
     lag_s: float = 0.0
     judge_times: bool = True
     only_planned: bool = False
+    crashing: tuple[CrashingRequest, ...] = ()
     runs_by_id: dict[str, list[tuple[ListedWorker, Run]]] = field(default_factory=dict)
 
     @property
@@ -86,6 +92,7 @@
             found += self._callers_who_left()
             found += self._versions_in_time()
             found += keys.in_time()
+            found += self._crashing_requests()
             if self.only_planned:
                 found += self._planned_stops()
             else:
@@ -258,6 +265,28 @@
                 )
                 yield broken("a stop cuts off nothing", attempt, detail)
 
+    def _crashing_requests(self) -> Iterator[Violation]:
+        """A request under which three workers have ended reaches hardly any more of them."""
+        for request in self.crashing:
+            runs = [
+                (run, self.traffic.tries_by_id[run.request_id])
+                for listed in self.world.all_workers
+                for run in listed.worker.runs
+                if (run.path, run.body) == (request.path, request.body)
+            ]
+            ends = sorted(run.started_at for run, _ in runs)
+            if len(ends) < LIVES_TO_REFUSE:
+                continue
+            known_at = ends[LIVES_TO_REFUSE - 1] + CONTACT_S + self.slack_s
+            late = [
+                attempt
+                for run, attempt in runs
+                if attempt.sent_at > known_at and self._in_touch(attempt.box, attempt.sent_at)
+            ]
+            if len(late) > MOST_LATE_TRIES:
+                detail = f"{len(late)} tries reached workers late, {len(ends)} ended in all"
+                yield broken("requests that end workers are not run on", late[-1], detail)
+
     def _in_touch(self, box: str, at: float, for_s: float = 0.0) -> bool:
         """Whether box and store were undisturbed for ``CONTACT_S`` before, or for longer."""
         return self.disturbances.are_calm((box, STORE), at - max(CONTACT_S, for_s), at)
--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 from croftchute.soak.boxes import Alteration, SoakBox
+from croftchute.soak.crashing import CrashingRequests
 from croftchute.soak.disturbances import STORE, Disturbances
 from croftchute.soak.plan import FaultKind, PlannedFault, SoakSpec
 from croftchute.soak.proxy import FaultyLink, LinkFault
@@ -65,6 +66,18 @@
 )
 
 
+SPOILED_ENTRIES: tuple[dict[str, object], ...] = (
+    {"Slots": "many"},
+    {"Address": 7},
+    {"State": "resting"},
+    {"Service": None},
+    {"Sequence": -1},
+    {"born": "yesterday"},
+)
+FOREIGN_ENTRIES = 20
+"""Entries of nobody that another writer adds at once."""
+
+
 class Injector:
     """Strikes the boxes, links and stand-ins of one run, and keeps a note of each time."""
 
@@ -78,6 +91,7 @@
         caller_links: Sequence[FaultyLink],
         disturbances: Disturbances,
         set_burst: Callable[[bool], None],
+        crashing: CrashingRequests,
     ) -> None:
         self.spec = spec
         self.world = world
@@ -127,6 +141,8 @@
             FaultKind.LONG_CONFIG: series.long_config,
             FaultKind.CONNECTIONS_SILENCED: series.silence_connections,
             FaultKind.STOPS_IN_SERIES: series.stop_boxes,
+            FaultKind.REQUEST_CRASHES: crashing.strike,
+            FaultKind.ENTRY_SPOILED: self._spoil_entry,
         }
 
     @property
@@ -321,6 +337,20 @@
         await asyncio.sleep(fault.for_s)
         listed.worker.faults = WorkerFaults()
 
+    async def _spoil_entry(self, fault: PlannedFault) -> None:
+        """Another writer spoils an entry, and adds some of its own; the worker mends its own."""
+        listed = _pick(self.world.live(), fault)
+        if len(self.world.live(listed.service)) <= MIN_WORKERS:
+            return
+        key = f"servers/{listed.worker.id}"
+        spoiled = SPOILED_ENTRIES[fault.pick % len(SPOILED_ENTRIES)]
+        self.world.store.put(key, listed.entry() | spoiled)
+        for number in range(FOREIGN_ENTRIES):
+            self.world.store.put(f"servers/foreign-{number}", spoiled)
+        await asyncio.sleep(fault.for_s)
+        if listed.leaving_at is None:
+            self.world.write_entry(listed)
+
     # Operators and callers.
 
     async def _change_config(self, fault: PlannedFault) -> None:
--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -37,8 +37,13 @@
     LONG_CONFIG = "long_config"
     CONNECTIONS_SILENCED = "connections_silenced"
     STOPS_IN_SERIES = "stops_in_series"
+    REQUEST_CRASHES = "request_crashes"
+    ENTRY_SPOILED = "entry_spoiled"
 
 
+FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in ("request_crashes", "entry_spoiled"))
+"""Those that seeds were drawn from before the others came: with them they draw the same plans."""
+
 PLANNED = (
     FaultKind.BOX_STOP,
     FaultKind.BOX_RELOAD,
@@ -64,6 +69,7 @@
         FaultKind.STORE_LAPSES,
         FaultKind.WORKER_FAULT,
         FaultKind.BURST,
+        FaultKind.ENTRY_SPOILED,
     }
 )
 QUIET_START_S = 1.0
@@ -97,7 +103,7 @@
     engines: int = 5
     callers: int = 16
     only_planned: bool = False
-    kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    kinds: tuple[FaultKind, ...] = FIRST_KINDS
     broken: str = ""
     judge_times: bool = True
 
--- a/src/croftchute/soak/proxy.py
+++ b/src/croftchute/soak/proxy.py
@@ -101,6 +101,17 @@
             self.silenced_ports.add(connection.far.get_extra_info("sockname")[1])
         return len(chosen)
 
+    def close_door(self) -> None:
+        """Let connections be refused, as by a process that has ended, and reset what is open."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+
+    async def open_door(self, target: Target) -> None:
+        """Listen at the same address again, and lead to another target."""
+        self.target = target
+        self._server = await asyncio.start_server(self._serve, self.host, self.port)
+
     def stop(self) -> None:
         """Listen no more, and reset what is open."""
         if self._server is not None:
--- a/src/croftchute/soak/run.py
+++ b/src/croftchute/soak/run.py
@@ -14,6 +14,7 @@
 
 from croftchute.soak.boxes import Alteration, SoakBox, lay_out, own_network
 from croftchute.soak.checks import Checker, Violation, check_wave
+from croftchute.soak.crashing import CrashingRequests
 from croftchute.soak.disturbances import Disturbances
 from croftchute.soak.injector import Injector
 from croftchute.soak.plan import FaultKind, SoakSpec, draw_plan
@@ -73,6 +74,7 @@
     caller_links: list[FaultyLink]
     disturbances: Disturbances
     traffic: Traffic
+    crashing: CrashingRequests
 
     async def wait_ready(self) -> bool:
         """Wait until all boxes call themselves ready; False if they do not in time."""
@@ -117,6 +119,7 @@
             lag_s=lag.worst_s,
             judge_times=spec.judge_times,
             only_planned=spec.only_planned,
+            crashing=tuple(set_up.crashing.sent),
         )
         violations += checker.violations()
         tries = set_up.traffic.tries_by_id.values()
@@ -178,6 +181,7 @@
         caller_links=set_up.caller_links,
         disturbances=set_up.disturbances,
         set_burst=set_burst,
+        crashing=set_up.crashing,
     )
 
 
@@ -226,6 +230,7 @@
             caller_links=caller_links,
             disturbances=disturbances,
             traffic=traffic,
+            crashing=CrashingRequests(world=world, traffic=traffic, disturbances=disturbances),
         )
     finally:
         await _take_down(boxes, running)
--- a/src/croftchute/soak/traffic.py
+++ b/src/croftchute/soak/traffic.py
@@ -64,7 +64,7 @@
             if caller is None or self.rng.random() < MOVE_SHARE:
                 if caller is not None:
                     caller.close()
-                caller = self._caller(self.rng.randrange(len(self.boxes)))
+                caller = self.caller(self.rng.randrange(len(self.boxes)))
             if number % STREAM_CALLER_EVERY == 0:
                 attempt = await self._ask_slow(caller)
             else:
@@ -80,6 +80,7 @@
         kind: RequestKind,
         path: str = "",
         *,
+        body: bytes = b"",
         may_leave: bool = True,
         deadline_s: float | None = None,
         key: CallerKey | None = None,
@@ -92,7 +93,7 @@
             request_id=f"r{number:06d}",
             kind=kind,
             path=path or f"/{kind.value}/{number}",
-            body=f"body of {number}".encode(),
+            body=body or f"body of {number}".encode(),
             box=caller.box,
             sent_at=asyncio.get_running_loop().time(),
             key=key.key,
@@ -126,7 +127,7 @@
     async def wave(self, count: int) -> list[Try]:
         """Some requests of each kind, one caller each, after all faults have ended."""
         kinds = list(RequestKind)
-        callers = [self._caller(number % len(self.boxes)) for number in range(count)]
+        callers = [self.caller(number % len(self.boxes)) for number in range(count)]
         return await asyncio.gather(
             *(
                 self.ask(caller, kinds[number % len(kinds)], may_leave=False, key=STANDING)
@@ -135,7 +136,7 @@
         )
 
     async def _probe(self, index: int, version: int) -> None:
-        caller = self._caller(index)
+        caller = self.caller(index)
         path = f"{added_path(version)}probe"
         await self.ask(caller, RequestKind.REPEATABLE, path, may_leave=False, key=STANDING)
         caller.close()
@@ -166,7 +167,8 @@
             pause_s = min(MAX_RETURN_S, retry_after_s)
         await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.5))
 
-    def _caller(self, index: int) -> PlatformCaller:
+    def caller(self, index: int) -> PlatformCaller:
+        """A caller at one of the boxes, with a connection of its own."""
         link = self.links[index]
         return PlatformCaller(
             box=self.boxes[index].name,
--- a/src/croftchute/soak/world.py
+++ b/src/croftchute/soak/world.py
@@ -54,6 +54,7 @@
     service: str
     hall: str
     leaving_at: float | None = None
+    revival: asyncio.Task[None] | None = None
 
     def entry(self, state: str = "ready") -> JsonObject:
         """What the worker writes of itself; callers reach it over the link."""
@@ -93,12 +94,19 @@
             await self.add_worker(ENGINES, stage="prefill" if number < 2 else "decode")
 
     async def add_worker(
-        self, service: str, *, stage: str = "", link: FaultyLink | None = None
+        self,
+        service: str,
+        *,
+        stage: str = "",
+        link: FaultyLink | None = None,
+        name: str = "",
+        born_ms: int | None = None,
     ) -> ListedWorker:
-        """Start a worker and list it; with ``link`` it takes over an address."""
+        """Start a worker and list it; ``link`` is an address, ``name`` an id that it takes over."""
         number = next(self._numbers)
         worker = PlatformWorker(
-            id=f"{service}-{number}",
+            id=name or f"{service}-{number}",
+            born_ms=born_ms,
             stage=stage,
             events=EVENTS,
             gap_s=EVENT_GAP_S if stage == "decode" else 0.0,
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -11,6 +11,7 @@
 import itertools
 import socket
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -90,6 +91,7 @@
     crashes_on: bytes | None = None
     crashes_on_reading: bytes | None = None
     has_crashed: bool = False
+    on_crash: Callable[[], None] = lambda: None
 
     def __post_init__(self) -> None:
         self._numbers = itertools.count(1)
@@ -210,6 +212,7 @@
         run = self._begin_run(request, writer) if not is_prefill else None
         if request.body == (self.crashes_on_reading if is_prefill else self.crashes_on):
             self.has_crashed = True
+            self.on_crash()
             self.stop()
             return False
         try:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,15 +9,17 @@
 
 import pytest
 
-from croftchute.soak.plan import FaultKind, SoakSpec, draw_plan
+from croftchute.soak.plan import FIRST_KINDS, FaultKind, SoakSpec, draw_plan
 from croftchute.soak.run import run_soak
 
 FAILED_SEEDS = json.loads(Path(__file__).with_name("failed_seeds.json").read_text())
 SERIES = (FaultKind.LONG_CONFIG, FaultKind.CONNECTIONS_SILENCED, FaultKind.STOPS_IN_SERIES)
+CRASHES = (FaultKind.REQUEST_CRASHES, FaultKind.ENTRY_SPOILED)
 SHORT = [
     SoakSpec(seed=4, seconds=6.0, judge_times=False),
     SoakSpec(seed=21, seconds=6.0, judge_times=False, only_planned=True),
     SoakSpec(seed=15, seconds=6.0, judge_times=False, kinds=SERIES),
+    SoakSpec(seed=31, seconds=3.0, judge_times=False, kinds=CRASHES, boxes=4),
 ]
 REGRESSIONS = [
     SoakSpec(
@@ -26,7 +28,7 @@
         boxes=entry["boxes"],
         callers=entry.get("callers", 16),
         only_planned=entry["planned"],
-        kinds=tuple(FaultKind(name) for name in entry.get("kinds", FaultKind)),
+        kinds=tuple(FaultKind(name) for name in entry.get("kinds", FIRST_KINDS)),
         judge_times=False,
     )
     for entry in FAILED_SEEDS
