--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -103,7 +103,7 @@
     engines: int = 5
     callers: int = 16
     only_planned: bool = False
-    kinds: tuple[FaultKind, ...] = FIRST_KINDS
+    kinds: tuple[FaultKind, ...] = tuple(FaultKind)
     broken: str = ""
     judge_times: bool = True
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,8 +16,8 @@
 SERIES = (FaultKind.LONG_CONFIG, FaultKind.CONNECTIONS_SILENCED, FaultKind.STOPS_IN_SERIES)
 CRASHES = (FaultKind.REQUEST_CRASHES, FaultKind.ENTRY_SPOILED)
 SHORT = [
-    SoakSpec(seed=4, seconds=6.0, judge_times=False),
-    SoakSpec(seed=21, seconds=6.0, judge_times=False, only_planned=True),
+    SoakSpec(seed=4, seconds=6.0, judge_times=False, kinds=FIRST_KINDS),
+    SoakSpec(seed=21, seconds=6.0, judge_times=False, only_planned=True, kinds=FIRST_KINDS),
     SoakSpec(seed=15, seconds=6.0, judge_times=False, kinds=SERIES),
     SoakSpec(seed=31, seconds=3.0, judge_times=False, kinds=CRASHES, boxes=4),
 ]
