--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -324,6 +324,9 @@
         listed.leaving_at = self.now
         await asyncio.sleep(DRAIN_AFTER_S)
         self.world.remove_entry(listed)
+        # Boxes that the store's trouble kept from hearing of it sent streams until late: the
+        # worker's end cuts those off, not the boxes.
+        self.disturbances.note(listed.worker.id, self.now, self.now)
         listed.worker.stop()
 
     async def _add_like(self, listed: ListedWorker, link: FaultyLink | None = None) -> None:
