Sight: logs and metrics tell what a worker's answer says that it wants

Ruled out: nothing yet; no decision uses what is read. Change: one strict reader (leaving; rest of a 429 or 503 in seconds, or as a date counted from the answer's own), one place that takes wishes in for requests, prompts and the router's own calls, one line and a counter each.

--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -41,6 +41,8 @@
     WORKER_SUSPECTED = "worker_suspected"
     WORKER_CHANGING = "worker_changing"
     WORKER_DISPLACED = "worker_displaced"
+    WORKER_LEAVING = "worker_leaving"
+    WORKER_RESTS = "worker_rests"
     WORKER_LOOKED_AT = "worker_looked_at"
     CRASH_HEARD = "crash_heard"
     CRASH_STORED = "crash_stored"
--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -9,6 +9,7 @@
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.exchange import IncomingRequest
 from croftchute.forwarding.http_client import ResponseHead
+from croftchute.systems.worker_wishes import WorkerWish
 from croftchute.tables.routing import HeaderList, RequestFacts, Stage, Worker
 
 
@@ -109,6 +110,10 @@
         """The load told in an answer's head, if any."""
         ...
 
+    def wish(self, head: ResponseHead) -> WorkerWish:
+        """What an answer's head says that its worker wants, whatever was asked of it."""
+        ...
+
     def answer_headers(self, head: ResponseHead) -> HeaderList:
         """The headers of a worker's answer that are the caller's to see."""
         ...
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -18,6 +18,11 @@
         self.requests = Counter("croftchute_requests_total", "Requests by route and outcome", **own)
         self.decisions = Counter("croftchute_decisions_total", "Log lines by kind", **own)
         self.sends = Counter("croftchute_sends_total", "Sends to workers by outcome", **own)
+        self.wishes = Counter(
+            "croftchute_worker_wishes_total",
+            "Answers that said that their worker leaves or rests, by the call answered",
+            **own,
+        )
         self.limits = Counter(
             "croftchute_limit_refusals_total", "Requests refused by limits, by outcome", **own
         )
--- a/src/croftchute/forwarding/worker_call.py
+++ b/src/croftchute/forwarding/worker_call.py
@@ -12,6 +12,7 @@
 from croftchute.forwarding.failures import ExchangeError
 from croftchute.forwarding.http_client import ClientConnection, ResponseHead
 from croftchute.forwarding.request_run import RequestRun
+from croftchute.forwarding.wish_reader import note_wish
 from croftchute.systems import patience
 from croftchute.systems.worker_choice import ChoiceInput
 from croftchute.systems.worker_table import WorkerBelief
@@ -64,6 +65,11 @@
         """What an end of the worker is held against: the request, or the reading of its prompt."""
         return self.run.reading_digest if self.send.is_prefill else self.run.digest
 
+    @property
+    def _call(self) -> str:
+        """What was asked of the worker, for logs and metrics."""
+        return "prompt" if self.send.is_prefill else "request"
+
     def _max_idle_s(self) -> float:
         """How long a kept connection may have been idle that this sending takes.
 
@@ -118,6 +124,7 @@
         """The head of the answer; raises AnswerLateError or ConnectionBrokenError."""
         assert self.connection is not None
         head = await within(self.connection.read_head(), timeout_s, "no head")
+        note_wish(self.run.state, self.worker, head, call=self._call)
         load = self.run.state.workers_speak.load(head)
         if load is not None:
             self.run.state.workers.note_load(
--- a/src/croftchute/forwarding/worker_control.py
+++ b/src/croftchute/forwarding/worker_control.py
@@ -10,6 +10,7 @@
 from croftchute.forwarding.dialect import Hold, PrefillHandle
 from croftchute.forwarding.failures import AnswerLateError, ConnectionBrokenError, ExchangeError
 from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.wish_reader import note_wish
 from croftchute.systems import patience
 from croftchute.tables.routing import Stage, Worker
 
@@ -37,6 +38,7 @@
     try:
         connection.send(data, expected=None)
         head = await within(connection.read_head(), answer_s, "no head")
+        note_wish(state, worker, head, call="control")
         body = await within(connection.read_body(MAX_CONTROL_BYTES), answer_s, "no body")
         return head.status, body
     finally:
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -12,6 +12,7 @@
 
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.prefill_queue import PrefillQueue
+from croftchute.systems.worker_wishes import WorkerWishes
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
 LATENCY_WEIGHT = 0.3
@@ -126,6 +127,7 @@
     heard_at: float = 0.0
     lapsed_grace_s: float = LAPSED_GRACE_S
     beliefs_by_id: dict[str, WorkerBelief] = field(default_factory=dict)
+    wishes: WorkerWishes = field(default_factory=WorkerWishes)
     _beliefs_by_service: dict[str, dict[str, WorkerBelief]] = field(default_factory=dict)
     _current_by_name: dict[str, WorkerBelief] = field(default_factory=dict)
     _ended: list[Worker] = field(default_factory=list)
@@ -220,6 +222,7 @@
             del self._beliefs_by_service[belief.worker.service][worker_id]
             if self._current_by_name.get(belief.worker.list_name) is belief:
                 del self._current_by_name[belief.worker.list_name]
+        self.wishes.sweep(now, listed=self.beliefs_by_id)
         return old
 
     def usable(self, service: str, now: float, *, stage: Stage | None = None) -> list[WorkerBelief]:
--- /dev/null
+++ b/src/croftchute/systems/worker_wishes.py
@@ -0,0 +1,115 @@
+"""What workers ask of this box in their answers: no new work as they leave, or none for a while.
+
+Kept by life, apart from the worker list: an entry may lapse with the store and come back older than
+what the worker itself has said. Pure state; times are seconds of a steady clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Container
+from dataclasses import dataclass, field
+
+LEAVING_KEPT_S = 600.0
+"""Seconds for which it is remembered that a worker leaves that is not listed: its entry may come
+back, from a copy of the store or after an outage, while it serves its last requests."""
+
+MAX_KEPT = 4096
+"""Most lives of which a wish is kept: nearly twice the workers that docs/CAPACITY.md works out."""
+
+LAST_RESORTS = 1
+"""Requests that a worker gets while it rests, if nothing else can serve them. Two are allowed; the
+other is left for one that was under way when the worker asked for rest and is held up on a link."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerWish:
+    """What one answer says that its worker wants.
+
+    ``is_leaving``: it takes no new work until its end. ``rest_s``: it wants nothing from this box
+    for so many seconds; 0 if it does not say so.
+    """
+
+    is_leaving: bool = False
+    rest_s: float = 0.0
+
+
+NO_WISH = WorkerWish()
+
+
+@dataclass(kw_only=True, slots=True)
+class _Rest:
+    """A rest that goes on until ``until``, and what was sent there meanwhile."""
+
+    until: float
+    sent: int = 0
+
+
+@dataclass(kw_only=True)
+class WorkerWishes:
+    """The wishes of all lives of workers that told one."""
+
+    leaving_since_by_id: dict[str, float] = field(default_factory=dict)
+    _rests_by_id: dict[str, _Rest] = field(default_factory=dict)
+
+    def note_leaving(self, worker_id: str, now: float, *, known_for_s: float = 0.0) -> bool:
+        """A worker leaves; True if that is news. A life that leaves never takes that back."""
+        if worker_id in self.leaving_since_by_id:
+            return False
+        if len(self.leaving_since_by_id) >= MAX_KEPT:
+            oldest = min(self.leaving_since_by_id, key=self.leaving_since_by_id.__getitem__)
+            del self.leaving_since_by_id[oldest]
+        self.leaving_since_by_id[worker_id] = now - known_for_s
+        return True
+
+    def note_rest(self, worker_id: str, rest_s: float, now: float) -> None:
+        """A worker wants nothing for a while; the later end counts if it asked before.
+
+        What was sent during the rest that it asked for before still counts against this one.
+        """
+        rest = self._rests_by_id.get(worker_id)
+        if rest is None or rest.until <= now:
+            self._rests_by_id[worker_id] = _Rest(until=now + rest_s)
+            self._forget_rests(now)
+            return
+        rest.until = max(rest.until, now + rest_s)
+
+    def note_sent(self, worker_id: str, now: float) -> None:
+        """Something is sent to a worker; it counts if the worker rests."""
+        rest = self._rests_by_id.get(worker_id)
+        if rest is not None and now < rest.until:
+            rest.sent += 1
+
+    def is_leaving(self, worker_id: str) -> bool:
+        """Whether a worker said that it leaves."""
+        return worker_id in self.leaving_since_by_id
+
+    def leaving_s(self, worker_id: str, now: float) -> float | None:
+        """For how long it has been known that a worker leaves; None if it does not."""
+        since = self.leaving_since_by_id.get(worker_id)
+        return None if since is None else now - since
+
+    def rest_left_s(self, worker_id: str, now: float) -> float:
+        """For how long a worker still wants nothing from this box; 0 if it takes work."""
+        rest = self._rests_by_id.get(worker_id)
+        return 0.0 if rest is None else max(0.0, rest.until - now)
+
+    def may_be_last_resort(self, worker_id: str, now: float) -> bool:
+        """Whether a resting worker may get a request that nothing else can serve."""
+        rest = self._rests_by_id.get(worker_id)
+        return rest is None or now >= rest.until or rest.sent < LAST_RESORTS
+
+    def sweep(self, now: float, *, listed: Container[str]) -> None:
+        """Forget rests that are over, and wishes of workers that have long been gone."""
+        self._forget_rests(now)
+        old = [
+            worker_id
+            for worker_id, since in self.leaving_since_by_id.items()
+            if worker_id not in listed and now - since > LEAVING_KEPT_S
+        ]
+        for worker_id in old:
+            del self.leaving_since_by_id[worker_id]
+
+    def _forget_rests(self, now: float) -> None:
+        over = [worker_id for worker_id, rest in self._rests_by_id.items() if rest.until <= now]
+        for worker_id in over:
+            del self._rests_by_id[worker_id]
