What a worker's answer says of it is believed at once, on every path, and told to other boxes

Cause: of a worker's answer only its load was read; that it leaves counted when the store said so, and when it wants work again was read nowhere. Class: news from the source itself passed over for an older account of it. Ruled out: a higher failure score (a score ranks workers and keeps nobody away from the only one of its stage); keeping it with the list entry (the entry may lapse, and come back older than what the worker said). Change: wishes are kept by life, apart from the list. A worker that leaves gets no new work; for 1.2 s after its own word what no other can take, after a peer's word or the list's nothing. One that rests is passed over until its time is over; where all of a plain service rest each gets one request a rest, engines none, and callers are refused at once with the first end of a rest as the time of return. Room at a worker that came to rest while the prompt was read is left; holds and handles there are freed after the rest; neither kind gets stage orders; a leaving worker's cut answers count for no crash. Notices name workers that leave.

--- a/src/croftchute/forwarding/crash_watch.py
+++ b/src/croftchute/forwarding/crash_watch.py
@@ -10,7 +10,7 @@
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.failures import ConnectFailedError, ConnectRefusedError
 from croftchute.forwarding.state import ForwardingState
-from croftchute.tables.routing import Worker, WorkerState
+from croftchute.tables.routing import Worker
 
 LOOK_S = 1.5
 """Seconds until a connection must be up or refused: time for one lost packet to be sent again.
@@ -29,7 +29,7 @@
     Workers that were leaving end as planned, whatever they run.
     """
     belief = state.workers.beliefs_by_id.get(worker.id)
-    if belief is None or belief.worker.state is not WorkerState.READY:
+    if belief is None or state.workers.wishes.is_leaving(worker.id):
         return
     now = state.clock()
     if belief.has_ended:
--- a/src/croftchute/forwarding/decode_room.py
+++ b/src/croftchute/forwarding/decode_room.py
@@ -52,13 +52,18 @@
                 if has_waited:
                     run.state.room(run.service).note_granted(run.now)
                 return found
-            if not run.full or not self._may_wait(asked_at, is_begun=is_begun):
+            may_come = run.full or (is_begun and self._rests_end_soon())
+            if not may_come or not self._may_wait(asked_at, is_begun=is_begun):
                 return None
             await asyncio.sleep(pause_s)
             has_waited = True
             run.state.room(run.service).note_waited(pause_s, run.now)
             run.full.clear()
 
+    def _rests_end_soon(self) -> bool:
+        """Whether a decode worker takes work again while the caller of a begun stream waits."""
+        return 0.0 < self.run.rest_left_s <= patience.RESUME_WAIT_S
+
     def _may_wait(self, asked_at: float, *, is_begun: bool) -> bool:
         """Whether to go on waiting for room: it will likely come while the caller wants it."""
         run = self.run
--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -12,6 +12,7 @@
 from croftchute.errors import MessageError
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.wish_reader import note_leaving_heard
 from croftchute.peers.codec import Codec, Envelope
 from croftchute.peers.messages import (
     AllowanceAsk,
@@ -33,6 +34,9 @@
 MAX_WORKER_NOTICES = 32
 """Workers told of in one notice: bounds a datagram."""
 
+MAX_LEAVING_TOLD = 32
+"""Workers that leave told of in one notice, the latest: bounds a datagram."""
+
 MIN_FAILURES_TOLD = 0.05
 """Lowest failure score that is told."""
 
@@ -204,8 +208,15 @@
             workers=tuple(entries[:MAX_WORKER_NOTICES]),
             demands=tuple(demands),
             introduced=state.peers.introduced(now, state.rng),
+            leaving_workers=self._leaving_workers(),
         )
 
+    def _leaving_workers(self) -> tuple[str, ...]:
+        """The workers that leave and are known here still, those last that said so last."""
+        beliefs_by_id = self.state.workers.beliefs_by_id
+        leaving = self.state.workers.wishes.leaving_by_id
+        return tuple(worker for worker in leaving if worker in beliefs_by_id)[-MAX_LEAVING_TOLD:]
+
     def _hear(self, sender: str, notice: BoxNotice) -> None:
         now = self.state.clock()
         if self.state.peers.hear(sender, notice, now):
@@ -220,6 +231,8 @@
         for entry in notice.workers:
             if entry.changing_s > 0.0:
                 self._hear_of_change(entry, now)
+        for worker_id in notice.leaving_workers:
+            note_leaving_heard(self.state, worker_id, sender=sender)
         for introduced in notice.introduced:
             host, _, port = introduced.rpartition(":")
             address = (host, int(port))
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -106,6 +106,12 @@
         """How long the caller still waits."""
         return max(0.0, self.deadline_at - self.now)
 
+    @property
+    def rest_left_s(self) -> float:
+        """When the first worker takes work again, if all that could serve the request rest."""
+        stage = Stage.DECODE if self.engine is not None else None
+        return self.state.workers.rest_left_s(self.service, self.now, stage=stage)
+
     def choose(
         self, stage: Stage | None, *, near: str = ""
     ) -> tuple[WorkerBelief, ChoiceInput] | None:
@@ -226,6 +232,10 @@
         if self.ends_workers and ran is Ran.NOT_RUN:
             code, detail = Code.ENDS_WORKERS, self._crash_detail()
         self.has_not_run = ran is Ran.NOT_RUN
+        lacks_worker = code in (Code.NO_UPSTREAM, Code.NO_CAPACITY) and ran is Ran.NOT_RUN
+        if lacks_worker and (rest_left_s := self.rest_left_s) > 0.0:
+            detail = "all workers asked for rest"
+            expected_wait_s = rest_left_s
         retry_after_s = None
         if expected_wait_s is not None:
             retry_after_s = patience.return_after(expected_wait_s, spread=self.state.rng.random())
--- a/src/croftchute/forwarding/stage_orders.py
+++ b/src/croftchute/forwarding/stage_orders.py
@@ -19,6 +19,7 @@
 from croftchute.storage.watched import LeaseStore
 from croftchute.systems.service_capacity import READ_SHARE_OF_TARGET, EnginePower, SplitWay
 from croftchute.systems.stage_balance import StageChange, wanted_changes
+from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import RoutingTable, Stage
 
 CHECK_S = 0.5
@@ -142,8 +143,9 @@
         for service in table.services_by_name.values():
             if service.engine is None:
                 continue
+            beliefs = self._staying(service.name)
             changes = wanted_changes(
-                self.state.workers.of_service(service.name),
+                beliefs,
                 self.state.fleet_demand(service.name),
                 EnginePower(
                     prefill_pace=self.state.prefill_pace(service.name).pace,
@@ -151,12 +153,29 @@
                     slots=service.engine.slots,
                     read_limit_s=self._read_limit_s(table, service.name),
                 ),
-                ordered=self._ordered(),
+                ordered=self._ordered() | self._resting(beliefs),
             )
             if changes and self._has_lasted(changes[0]):
                 return changes[:MAX_AT_ONCE]
         return []
 
+    def _staying(self, service: str) -> list[WorkerBelief]:
+        """The workers of a service that did not say that they leave."""
+        workers = self.state.workers
+        return [
+            b for b in workers.of_service(service) if not workers.wishes.is_leaving(b.worker.id)
+        ]
+
+    def _resting(self, beliefs: list[WorkerBelief]) -> dict[str, Stage]:
+        """The stages of workers that rest: they count as they are, and get no order meanwhile."""
+        now = self.state.clock()
+        wishes = self.state.workers.wishes
+        return {
+            belief.worker.id: belief.worker.stage
+            for belief in beliefs
+            if belief.worker.stage is not None and wishes.rest_left_s(belief.worker.id, now) > 0.0
+        }
+
     def _read_limit_s(self, table: RoutingTable, service: str) -> float:
         """The time in which prompts of a service should be read; 0 where that is not looked at."""
         targets = table.stream_targets(service)
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -27,7 +27,10 @@
 
 @dataclass(kw_only=True)
 class StreamProgress:
-    """How far the stream has come at the caller, and what is known of its attempts."""
+    """How far the stream has come at the caller, and what is known of its attempts.
+
+    ``may_return_at_once``: a refused reading took the last attempt; the next try needs none.
+    """
 
     last_event: int | None
     events: int = 0
@@ -37,6 +40,7 @@
     code: Code = Code.NO_UPSTREAM
     detail: str = "no worker is known to be usable"
     started_worker: str = ""
+    may_return_at_once: bool = False
 
 
 class StreamRun:
@@ -89,9 +93,14 @@
             if found is None:
                 return
             source = await self.reader.read_for(found[0])
+            if run.state.workers.wishes.rest_left_s(found[0].worker.id, run.now) > 0.0:
+                # It asked for rest while the prompt was read: its room is left for another's.
+                self.room.drop_unused()
+                continue
             if len(run.workers_sent_to) >= run.route.max_attempts and (
                 found[0].worker.id not in run.workers_sent_to
             ):
+                self.progress.may_return_at_once = self._prefill_rests()
                 return
             if not run.may_send_again():
                 return
@@ -103,6 +112,11 @@
             return True
         return progress.may_have_run and not self.run.route.may_repeat
 
+    def _prefill_rests(self) -> bool:
+        """Whether prompts are read by decode workers alone, as those that read ahead rest."""
+        run = self.run
+        return run.state.workers.rest_left_s(run.service, run.now, stage=Stage.PREFILL) > 0.0
+
     def _note_room(self) -> None:
         """Keep why no worker had room, for the caller's answer if none is found."""
         if self.room.code is not None:
@@ -266,7 +280,12 @@
         run = self.run
         progress = self.progress
         if not progress.may_have_run:
-            run.refuse(_not_run_code(progress.code), Ran.NOT_RUN, progress.detail)
+            run.refuse(
+                _not_run_code(progress.code),
+                Ran.NOT_RUN,
+                progress.detail,
+                expected_wait_s=0.0 if progress.may_return_at_once else None,
+            )
             return
         is_late = run.time_left_s <= 0.0
         code = Code.UPSTREAM_SLOW if is_late else Code.UPSTREAM_FAILED
--- a/src/croftchute/forwarding/wish_reader.py
+++ b/src/croftchute/forwarding/wish_reader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.http_client import ResponseHead
 from croftchute.forwarding.state import ForwardingState
@@ -22,6 +24,19 @@
         _log(state, Decision.WORKER_RESTS, worker, head, call, rest_s=wish.rest_s)
 
 
+def note_leaving_heard(state: ForwardingState, worker_id: str, *, sender: str) -> None:
+    """Another box tells of a worker that leaves: it gets nothing more, not even as a last resort.
+
+    The store may be away for long, and each box would otherwise lose a request there to hear it.
+    """
+    now = state.clock()
+    if state.workers.wishes.note_leaving(worker_id, now, known_for_s=math.inf):
+        state.metrics.wishes.inc({"wish": "leaving", "call": "notice"})
+        state.log.decide(
+            Decision.WORKER_LEAVING, outcome="told by a peer", worker=worker_id, source=sender
+        )
+
+
 def _log(
     state: ForwardingState,
     kind: Decision,
--- a/src/croftchute/forwarding/worker_call.py
+++ b/src/croftchute/forwarding/worker_call.py
@@ -88,6 +88,7 @@
         run.last_worker = worker.id
         self._is_counted = True
         run.state.workers.note_sent(worker.id, self._tokens)
+        run.state.workers.wishes.note_sent(worker.id, run.now)
         connection = await run.state.pool.acquire(
             worker.host,
             worker.port,
@@ -115,6 +116,7 @@
             candidates=self.chosen.candidates,
             belief_age_s=self.chosen.age_s,
             config_version=run.state.table.version if run.state.table else 0,
+            wish=run.state.workers.wishes.told_by(worker.id, run.now),
             reused=connection.uses > 1,
             source=self.send.source.worker.id if self.send.source else "",
             resume_after=self.send.resume_after,
--- a/src/croftchute/forwarding/worker_control.py
+++ b/src/croftchute/forwarding/worker_control.py
@@ -17,6 +17,10 @@
 MAX_CONTROL_BYTES = 1 << 20
 STATUS_OK = 200
 
+LONGEST_LEASE_S = 10.0
+"""Seconds for which a worker keeps a hold or a handle at most that nobody uses: the sites' sheets
+name 0.5 to 2. What a worker that rests for longer keeps is left to lapse."""
+
 
 async def control_call(
     state: ForwardingState,
@@ -32,6 +36,7 @@
     longer.
     """
     answer_s = timeout_s if answer_s is None else answer_s
+    state.workers.wishes.note_sent(worker.id, state.clock())
     connection = await state.pool.acquire(
         worker.host, worker.port, owner=worker.id, now=state.clock(), timeout_s=timeout_s
     )
@@ -125,9 +130,21 @@
 async def _release(
     state: ForwardingState, worker: Worker, data: bytes, kind: Decision, request_id: str
 ) -> None:
+    if not await _has_rested(state, worker):
+        state.log.decide(kind, request_id=request_id, outcome="left to lapse", worker=worker.id)
+        return
     try:
         status, _ = await control_call(state, worker, data, patience.CONNECT_S)
         outcome = f"status_{status}"
     except ExchangeError as error:
         outcome = error.code.value
     state.log.decide(kind, request_id=request_id, outcome=outcome, worker=worker.id)
+
+
+async def _has_rested(state: ForwardingState, worker: Worker) -> bool:
+    """Wait until a worker takes calls again; False if what it keeps lapses before."""
+    while (rest_s := state.workers.wishes.rest_left_s(worker.id, state.clock())) > 0.0:
+        if rest_s > LONGEST_LEASE_S:
+            return False
+        await asyncio.sleep(rest_s)
+    return True
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -179,7 +179,8 @@
     """How things stand at a forwarding box; ``started_at`` is Unix time, a newer life is higher.
 
     ``introduced`` holds HOST:PORT of other boxes that the sender hears; ``link_mbps`` is the rate
-    of the sender's link in Mbit/s, 0 if it does not know.
+    of the sender's link in Mbit/s, 0 if it does not know. ``leaving_workers`` are lives of workers
+    that said, to the sender or to a box that it heard, that they leave.
     """
 
     started_at: float
@@ -194,6 +195,7 @@
     introduced: tuple[str, ...] = ()
     hall: str = ""
     link_mbps: float = 0.0
+    leaving_workers: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -219,6 +219,7 @@
   hall @10 :Text;
   linkMbps @11 :Float32;
   workersColumns @12 :WorkerNoticeColumns;
+  leavingWorkers @13 :List(Text);
 }
 
 struct UsageWant {
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass, field
@@ -32,7 +33,8 @@
 """Highest failure score: it is under a tenth after four half-lives."""
 
 GONE_GRACE_S = 1.2
-"""Seconds for which a worker that left the list is a last resort: it serves on for 2 s and more."""
+"""Seconds for which a worker that left the list, or said in an answer that it leaves, is a last
+resort: it serves on for 2 s and more."""
 
 LAPSED_GRACE_S = 2.0
 """Seconds for which workers whose entries lapsed together are used: the living are back by then."""
@@ -103,6 +105,12 @@
         age = max(0.0, now - self.failed_at)
         return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_S)
 
+    def fits(self, stage: Stage | None, now: float) -> bool:
+        """Whether it does work of a stage at the moment, as far as it may be given any."""
+        if self.is_barred or now < self.changing_until:
+            return False
+        return stage is None or self.worker.stage is None or self.worker.stage is stage
+
     def grace_s(self, lapsed_grace_s: float) -> float:
         """How long after its entry went the worker may still be given work."""
         return lapsed_grace_s if self.has_lapsed else GONE_GRACE_S
@@ -115,6 +123,15 @@
         return float(max(0, known))
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Standings:
+    """The workers of a service by how they may be used: at will, as a last resort, or not now."""
+
+    listed: list[WorkerBelief] = field(default_factory=list)
+    last_resorts: list[WorkerBelief] = field(default_factory=list)
+    resting: list[WorkerBelief] = field(default_factory=list)
+
+
 @dataclass(kw_only=True)
 class WorkerTable:
     """All lives of workers by id; ``revision`` is the store's revision of the newest change.
@@ -140,6 +157,9 @@
         current = self._current_by_name.get(worker.list_name)
         if current is not None and _is_older(item, current):
             return False
+        if worker.state is WorkerState.DRAINING:
+            # Since when is not told: as a last resort it could get work too late.
+            self.wishes.note_leaving(worker.id, now, known_for_s=math.inf)
         if current is not None and current.worker.id != worker.id:
             self._end_life(current, now)
         belief = self.beliefs_by_id.get(worker.id)
@@ -226,26 +246,47 @@
         return old
 
     def usable(self, service: str, now: float, *, stage: Stage | None = None) -> list[WorkerBelief]:
-        """Workers that new work may go to; those just gone only when no other is left.
+        """Workers that new work may go to; leaving, just gone and resting ones if no other is left.
 
         Workers whose entries lapsed count like listed ones: all boxes would otherwise turn to the
         first that writes itself down again.
         """
-        listed: list[WorkerBelief] = []
-        just_gone: list[WorkerBelief] = []
-        for belief in self._beliefs_by_service.get(service, {}).values():
-            worker = belief.worker
-            if belief.is_barred:
-                continue
-            if stage is not None and worker.stage is not None and worker.stage is not stage:
+        standings = self._standings(service, now, stage)
+        if standings.listed or standings.last_resorts:
+            return standings.listed or standings.last_resorts
+        # A stream takes two sendings, an ask for room and itself: engines that rest get none.
+        return [
+            belief
+            for belief in standings.resting
+            if belief.worker.stage is None and self.wishes.may_be_last_resort(belief.worker.id, now)
+        ]
+
+    def rest_left_s(self, service: str, now: float, *, stage: Stage | None = None) -> float:
+        """When the first worker takes work again, if all that could do it rest; else 0."""
+        standings = self._standings(service, now, stage)
+        if standings.listed or standings.last_resorts:
+            return 0.0
+        rests = [self.wishes.rest_left_s(b.worker.id, now) for b in standings.resting]
+        return min(rests, default=0.0)
+
+    def _standings(self, service: str, now: float, stage: Stage | None) -> _Standings:
+        found = _Standings()
+        for worker_id, belief in self._beliefs_by_service.get(service, {}).items():
+            if not belief.fits(stage, now):
                 continue
-            if worker.state is not WorkerState.READY or now < belief.changing_until:
+            leaving_s = self.wishes.leaving_s(worker_id, now)
+            if leaving_s is not None:
+                if leaving_s <= min(GONE_GRACE_S, self.lapsed_grace_s):
+                    found.last_resorts.append(belief)
+            elif belief.worker.state is not WorkerState.READY:
                 continue
-            if belief.gone_at is None:
-                listed.append(belief)
+            elif self.wishes.rest_left_s(worker_id, now) > 0.0:
+                found.resting.append(belief)
+            elif belief.gone_at is None:
+                found.listed.append(belief)
             elif now - belief.gone_at <= belief.grace_s(self.lapsed_grace_s):
-                (listed if belief.has_lapsed else just_gone).append(belief)
-        return listed or just_gone
+                (found.listed if belief.has_lapsed else found.last_resorts).append(belief)
+        return found
 
     def _add(self, belief: WorkerBelief) -> None:
         worker = belief.worker
--- a/src/croftchute/systems/worker_wishes.py
+++ b/src/croftchute/systems/worker_wishes.py
@@ -44,21 +44,31 @@
     sent: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Leaving:
+    """Since when it has been known that a worker leaves, and when this box heard it."""
+
+    since: float
+    heard_at: float
+
+
 @dataclass(kw_only=True)
 class WorkerWishes:
-    """The wishes of all lives of workers that told one."""
+    """The wishes of all lives of workers that told one; ``leaving_by_id`` in the order of news."""
 
-    leaving_since_by_id: dict[str, float] = field(default_factory=dict)
+    leaving_by_id: dict[str, _Leaving] = field(default_factory=dict)
     _rests_by_id: dict[str, _Rest] = field(default_factory=dict)
 
     def note_leaving(self, worker_id: str, now: float, *, known_for_s: float = 0.0) -> bool:
-        """A worker leaves; True if that is news. A life that leaves never takes that back."""
-        if worker_id in self.leaving_since_by_id:
+        """A worker leaves; True if that is news. A life that leaves never takes that back.
+
+        ``known_for_s`` is how long it may have been known elsewhere.
+        """
+        if worker_id in self.leaving_by_id:
             return False
-        if len(self.leaving_since_by_id) >= MAX_KEPT:
-            oldest = min(self.leaving_since_by_id, key=self.leaving_since_by_id.__getitem__)
-            del self.leaving_since_by_id[oldest]
-        self.leaving_since_by_id[worker_id] = now - known_for_s
+        if len(self.leaving_by_id) >= MAX_KEPT:
+            del self.leaving_by_id[next(iter(self.leaving_by_id))]
+        self.leaving_by_id[worker_id] = _Leaving(since=now - known_for_s, heard_at=now)
         return True
 
     def note_rest(self, worker_id: str, rest_s: float, now: float) -> None:
@@ -81,18 +91,24 @@
 
     def is_leaving(self, worker_id: str) -> bool:
         """Whether a worker said that it leaves."""
-        return worker_id in self.leaving_since_by_id
+        return worker_id in self.leaving_by_id
 
     def leaving_s(self, worker_id: str, now: float) -> float | None:
         """For how long it has been known that a worker leaves; None if it does not."""
-        since = self.leaving_since_by_id.get(worker_id)
-        return None if since is None else now - since
+        leaving = self.leaving_by_id.get(worker_id)
+        return None if leaving is None else now - leaving.since
 
     def rest_left_s(self, worker_id: str, now: float) -> float:
         """For how long a worker still wants nothing from this box; 0 if it takes work."""
         rest = self._rests_by_id.get(worker_id)
         return 0.0 if rest is None else max(0.0, rest.until - now)
 
+    def told_by(self, worker_id: str, now: float) -> str:
+        """What a worker wants at the moment, for logs; empty if it told no wish."""
+        if self.is_leaving(worker_id):
+            return "leaving"
+        return "rest" if self.rest_left_s(worker_id, now) > 0.0 else ""
+
     def may_be_last_resort(self, worker_id: str, now: float) -> bool:
         """Whether a resting worker may get a request that nothing else can serve."""
         rest = self._rests_by_id.get(worker_id)
@@ -103,11 +119,11 @@
         self._forget_rests(now)
         old = [
             worker_id
-            for worker_id, since in self.leaving_since_by_id.items()
-            if worker_id not in listed and now - since > LEAVING_KEPT_S
+            for worker_id, leaving in self.leaving_by_id.items()
+            if worker_id not in listed and now - leaving.heard_at > LEAVING_KEPT_S
         ]
         for worker_id in old:
-            del self.leaving_since_by_id[worker_id]
+            del self.leaving_by_id[worker_id]
 
     def _forget_rests(self, now: float) -> None:
         over = [worker_id for worker_id, rest in self._rests_by_id.items() if rest.until <= now]
--- a/tests/forwarding/test_stage_orders.py
+++ b/tests/forwarding/test_stage_orders.py
@@ -94,3 +94,22 @@
                 assert (belief.changing_until > orders.state.clock()) is is_passed_over
 
     run(body)
+
+
+def test_workers_that_leave_or_rest_get_no_order(monkeypatch):
+    monkeypatch.setattr(stage_orders, "LASTS_S", 0.0)
+
+    async def body():
+        async with fleet() as made:
+            box = await made.add_box()
+            for name in ("p0", "p1", "p2"):
+                await made.add_worker(name, service="llm", stage="prefill")
+            await made.ready(box)
+            wishes = box.state.workers.wishes
+            wishes.note_leaving("p0", box.state.clock())
+            wishes.note_rest("p1", 60.0, box.state.clock())
+            # No decode worker is listed, so one is wanted at once.
+            box.orders.wanted()
+            assert [change.worker.id for change in box.orders.wanted()] == ["p2"]
+
+    run(body)
--- a/tests/platform_adapter/test_leaving_workers.py
+++ b/tests/platform_adapter/test_leaving_workers.py
@@ -13,10 +13,15 @@
 tests bring the same about without any trouble at the store, on each path that workers answer on.
 """
 
+from dataclasses import replace
+
 import pytest
-from platform_fleet import ask, fleet, run
+from platform_fleet import ask, fleet, run, until
 from stream_fleet import PARTS, engines, prefer
 
+from croftchute.forwarding.crash_watch import note_broken
+from croftchute.systems.worker_table import GONE_GRACE_S
+
 LATER_REQUESTS = 12
 """Requests after the answer that tells: three workers at random would be missed by one in 130."""
 
@@ -77,3 +82,54 @@
             assert sum(r.method == "POST" for r in leaving.received) == 1
 
     run(body)
+
+
+def test_the_only_worker_serves_on_for_a_moment_and_callers_are_refused_at_once_after_it():
+    async def body():
+        async with fleet() as made:
+            box, (leaving,) = await plain_workers(made, 1)
+            leaving.faults.is_leaving = True
+            assert (await ask(box, "/once/x", "first")).status == 200
+            assert (await ask(box, "/once/x", "second")).status == 200
+            wishes = box.state.workers.wishes
+            known = wishes.leaving_by_id["w0"]
+            wishes.leaving_by_id["w0"] = replace(known, since=known.since - 2 * GONE_GRACE_S)
+            refused = await ask(box, "/once/x", "third")
+            assert (refused.status, "retry-after" in refused.headers) == (503, True)
+            assert leaving.ran == ["first", "second"]
+
+    run(body)
+
+
+def test_boxes_tell_one_another_of_workers_that_leave():
+    async def body():
+        async with fleet() as made:
+            box, (leaving, *_) = await plain_workers(made)
+            other = await made.add_box("box-2")
+            await made.ready(other)
+            box.state.peers.seeds = (("127.0.0.1", other.exchange.port),)
+            leaving.faults.is_leaving = True
+            prefer(box, "w0")
+            assert (await ask(box, "/once/x", "first")).status == 200
+            box.exchange.send_notices()
+            await until(lambda: other.state.workers.wishes.is_leaving("w0"))
+            for n in range(LATER_REQUESTS):
+                prefer(other, "w0")
+                assert (await ask(other, "/once/x", f"r{n}")).status == 200
+            assert leaving.ran == ["first"]
+
+    run(body)
+
+
+def test_what_a_leaving_worker_cuts_off_is_no_end_held_against_the_request():
+    async def body():
+        async with fleet() as made:
+            box, (leaving, *_) = await plain_workers(made)
+            leaving.faults.is_leaving = True
+            prefer(box, "w0")
+            assert (await ask(box, "/once/x", "first")).status == 200
+            note_broken(box.state, box.state.workers.beliefs_by_id["w0"].worker, "digest")
+            assert not box.state.crashes.by_digest
+            assert not box.state.lives_looked_at
+
+    run(body)
--- a/tests/platform_adapter/test_resting_workers.py
+++ b/tests/platform_adapter/test_resting_workers.py
@@ -16,9 +16,10 @@
 import asyncio
 
 import pytest
-from platform_fleet import ask, fleet, run
+from platform_fleet import ask, fleet, run, until
 from stream_fleet import PARTS, engines, prefer
 
+from croftchute.forwarding.worker_control import LONGEST_LEASE_S, drop_hold, take_hold
 from croftchute.systems.patience import FULL_FOR_S
 
 REST_S = 5.0
@@ -81,3 +82,80 @@
             assert len(resting.received) == asked
 
     run(body)
+
+
+def test_where_all_workers_rest_callers_are_told_at_once_when_to_come_back():
+    async def body():
+        async with fleet() as made:
+            only = await made.add_worker("w0")
+            box = await made.add_box()
+            await made.ready(box)
+            only.faults.is_full = True
+            only.faults.rest_s = REST_S
+            for n in range(LATER_REQUESTS):
+                answer = await ask(box, "/once/x", f"r{n}")
+                assert answer.status == 503
+                assert float(answer.headers["retry-after"]) > REST_S / 2
+            assert [r.id for r in only.received] == ["r0", "r1"]
+
+    run(body)
+
+
+def test_a_caller_whose_attempt_went_on_a_refused_reading_may_come_back_at_once():
+    async def body():
+        async with fleet() as made:
+            box, _, (prefill,) = await engines(made)
+            prefill.faults.is_full = True
+            prefill.faults.rest_s = REST_S
+            refused = await ask(box, "/stream/x", "first", extra=(PARTS,))
+            assert (refused.status, refused.headers["retry-after"]) == (503, "0.100")
+            assert (await ask(box, "/stream/x", "again", extra=(PARTS,))).status == 200
+
+    run(body)
+
+
+def test_room_at_a_worker_that_came_to_rest_meanwhile_is_not_used():
+    async def body():
+        async with fleet() as made:
+            box, (first, second), (prefill,) = await engines(made)
+            prefer(box, "d0")
+            prefill.work_s = 0.2
+            asked = asyncio.create_task(ask(box, "/stream/x", "r1", extra=(PARTS,)))
+            await until(lambda: first.holds)
+            box.state.workers.wishes.note_rest("d0", REST_S, box.state.clock())
+            assert (await asked).status == 200
+            assert (first.ran, second.ran) == ([], ["r1"])
+            assert [r.path for r in first.received] == ["/hold-take"]
+
+    run(body)
+
+
+def test_what_a_resting_worker_keeps_is_given_back_after_its_rest():
+    async def body():
+        async with fleet() as made:
+            box, (decode, *_), _ = await engines(made)
+            state = box.state
+            worker = state.workers.beliefs_by_id["d0"].worker
+            hold = await take_hold(state, worker, 10, 2.0)
+            state.workers.wishes.note_rest("d0", 0.3, state.clock())
+            ends_at = state.clock() + 0.3
+            giving_back = asyncio.create_task(drop_hold(state, hold, "r1"))
+            await until(lambda: len(decode.received) > 1)
+            assert state.clock() >= ends_at
+            await giving_back
+            assert decode.holds == set()
+
+    run(body)
+
+
+def test_a_worker_that_rests_for_longer_than_its_leases_keeps_them_until_they_lapse():
+    async def body():
+        async with fleet() as made:
+            box, (decode, *_), _ = await engines(made)
+            state = box.state
+            hold = await take_hold(state, state.workers.beliefs_by_id["d0"].worker, 10, 2.0)
+            state.workers.wishes.note_rest("d0", 2 * LONGEST_LEASE_S, state.clock())
+            await drop_hold(state, hold, "r1")
+            assert [r.path for r in decode.received] == ["/hold-take"]
+
+    run(body)
