What servers ask for in answers is heeded on the other paths: engines and services of the OpenAI daemon, 421, born

The OpenAI daemon read Retry-After of an engine's refusal only to hand it on (and ended in a ValueError for a date or any other text), plain services' not at all; a 421 to the router's own calls displaced nobody; a report that bears another start of its worker was taken for the life that the order was meant for. Ruled out: handing wishes of plain services to other boxes (a rest is asked of the box that called). Change: one reader of Retry-After; an engine that asked for rest is granted by its owner to nobody until it is over, and where all rest the decline tells the first end; calls to plain services pass resting workers over; a 421 displaces on every path; an order is withheld from another life. Conclusion: left as it is: load told with answers to holds and lists is not used in choices.

--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -79,6 +79,14 @@
     body: bytes
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerReport:
+    """A worker's account of itself: the orders that it has taken, and when its life began."""
+
+    orders_taken: int | None = None
+    born_ms: int | None = None
+
+
 class CallerDialect(Protocol):
     """How callers tell the facts of a request, and how they are refused."""
 
@@ -150,8 +158,8 @@
         """Tokens that a worker keeps by prompt part; raises MessageError."""
         ...
 
-    def orders_taken(self, body: bytes) -> int | None:
-        """How many orders a worker has taken, from its account."""
+    def report(self, body: bytes) -> WorkerReport:
+        """A worker's account of itself; what can't be read of it is left out."""
         ...
 
     def stage_order(
--- a/src/croftchute/forwarding/wish_reader.py
+++ b/src/croftchute/forwarding/wish_reader.py
@@ -24,6 +24,12 @@
         _log(state, Decision.WORKER_RESTS, worker, head, call, rest_s=wish.rest_s)
 
 
+def note_displaced(state: ForwardingState, worker: Worker) -> None:
+    """Another worker answered at the address: no more work goes there, whatever was asked."""
+    state.workers.note_displaced(worker.id)
+    state.log.decide(Decision.WORKER_DISPLACED, worker=worker.id, address=worker.address)
+
+
 def note_leaving_heard(state: ForwardingState, worker_id: str, *, sender: str) -> None:
     """Another box tells of a worker that leaves: it gets nothing more, not even as a last resort.
 
--- a/src/croftchute/forwarding/worker_call.py
+++ b/src/croftchute/forwarding/worker_call.py
@@ -12,7 +12,7 @@
 from croftchute.forwarding.failures import ExchangeError
 from croftchute.forwarding.http_client import ClientConnection, ResponseHead
 from croftchute.forwarding.request_run import RequestRun
-from croftchute.forwarding.wish_reader import note_wish
+from croftchute.forwarding.wish_reader import note_displaced, note_wish
 from croftchute.systems import patience
 from croftchute.systems.worker_choice import ChoiceInput
 from croftchute.systems.worker_table import WorkerBelief
@@ -174,8 +174,7 @@
         if verdict is Verdict.WRONG_WORKER:
             # Peers hear of the weight: each would lose a prompt there before it knows.
             weight = WEIGHT_DISPLACED
-            self.run.state.workers.note_displaced(self.worker.id)
-            self.run.log(Decision.WORKER_DISPLACED, worker=self.worker.id)
+            note_displaced(self.run.state, self.worker)
         self._hold_against(weight, verdict.value, "")
 
     def lacked(self, source: PrefillHandle) -> None:
--- a/src/croftchute/forwarding/worker_control.py
+++ b/src/croftchute/forwarding/worker_control.py
@@ -7,16 +7,19 @@
 from croftchute.errors import MessageError
 from croftchute.forwarding.deadline import within
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.dialect import Hold, PrefillHandle
+from croftchute.forwarding.dialect import Hold, PrefillHandle, Verdict
 from croftchute.forwarding.failures import AnswerLateError, ConnectionBrokenError, ExchangeError
 from croftchute.forwarding.state import ForwardingState
-from croftchute.forwarding.wish_reader import note_wish
+from croftchute.forwarding.wish_reader import note_displaced, note_wish
 from croftchute.systems import patience
 from croftchute.tables.routing import Stage, Worker
 
 MAX_CONTROL_BYTES = 1 << 20
 STATUS_OK = 200
 
+STATUS_OTHER_LIFE = 421
+"""Stands for the answer of a worker that took no order as it is not the one that was meant."""
+
 LONGEST_LEASE_S = 10.0
 """Seconds for which a worker keeps a hold or a handle at most that nobody uses: the sites' sheets
 name 0.5 to 2. What a worker that rests for longer keeps is left to lapse."""
@@ -44,6 +47,8 @@
         connection.send(data, expected=None)
         head = await within(connection.read_head(), answer_s, "no head")
         note_wish(state, worker, head, call="control")
+        if state.workers_speak.verdict(head) is Verdict.WRONG_WORKER:
+            note_displaced(state, worker)
         body = await within(connection.read_body(MAX_CONTROL_BYTES), answer_s, "no body")
         return head.status, body
     finally:
@@ -119,9 +124,12 @@
     )
     if status != STATUS_OK:
         return status
-    sequence = state.workers_speak.orders_taken(body)
+    report = state.workers_speak.report(body)
+    if None not in (report.born_ms, worker.born_ms) and report.born_ms != worker.born_ms:
+        # Another life answers under the name: the order was meant for the one before it.
+        return STATUS_OTHER_LIFE
     data = state.workers_speak.stage_order(
-        worker, stage, holder=holder, token=token, sequence=sequence
+        worker, stage, holder=holder, token=token, sequence=report.orders_taken
     )
     status, _ = await control_call(state, worker, data, patience.ORDER_TIMEOUT_S)
     return status
--- a/src/croftchute/gateway/calls.py
+++ b/src/croftchute/gateway/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -11,7 +12,9 @@
 from croftchute.gateway.exchange import Exchange
 from croftchute.ids import minted_at
 from croftchute.peers.messages import Finish
+from croftchute.steady_clock import steady_s
 from croftchute.systems.dedupe import MAX_STORED_ANSWER
+from croftchute.systems.worker_wishes import WorkerWishes
 from croftchute.tables.dedupe import Decision, Phase
 from croftchute.upstreams.service import Service, ServiceAnswer, ServiceCall
 
@@ -74,12 +77,16 @@
         submit: Callable[[Job], None],
         begin: BeginCall,
         finish: FinishCall,
+        now: Callable[[], float] = steady_s,
     ) -> None:
         self._service = service
         self._submit = submit
         self._begin = begin
         self._finish = finish
+        self._now = now
         self._turn = 0
+        self._wishes = WorkerWishes()
+        self._wishes_lock = threading.Lock()
 
     def call(
         self, request: CallRequest, exchange: Exchange, has_left: Callable[[], bool]
@@ -91,6 +98,10 @@
         if not request.route.urls:
             message = f"{request.route.service.id} has no worker in this hall"
             raise UpstreamError(Code.NO_UPSTREAM, message, ran=Ran.NOT_RUN, retry_after=1.0)
+        rest_s = min(self._rest_left_s(url) for url in request.route.urls)
+        if rest_s > 0.0:
+            message = f"all workers of {request.route.service.id} asked for rest"
+            raise UpstreamError(Code.NO_UPSTREAM, message, ran=Ran.NOT_RUN, retry_after=rest_s)
         if request.route.call.repeatable:
             return self._repeat(request)
         answer = self._once(request, exchange)
@@ -111,12 +122,15 @@
 
     def _repeat(self, request: CallRequest) -> ServiceAnswer:
         failure: UpstreamError | None = None
-        for url in self._order(request.route.urls)[:MAX_TRIES]:
+        for url in self._order(request.route)[:MAX_TRIES]:
             try:
-                return self._service.call(_service_call(request, url))
+                return self._call(request, url)
             except UpstreamError as error:
                 failure = error
-        assert failure is not None
+        if failure is None:
+            # The last workers came to rest since the call was let in.
+            message = f"all workers of {request.route.service.id} asked for rest"
+            raise UpstreamError(Code.NO_UPSTREAM, message, ran=Ran.NOT_RUN, retry_after=1.0)
         raise failure
 
     def _once(self, request: CallRequest, exchange: Exchange) -> ServiceAnswer:
@@ -136,9 +150,9 @@
         return self._run(request)
 
     def _run(self, request: CallRequest) -> ServiceAnswer:
-        for url in self._order(request.route.urls)[:MAX_TRIES]:
+        for url in self._order(request.route)[:MAX_TRIES]:
             try:
-                answer = self._service.call(_service_call(request, url))
+                answer = self._call(request, url)
             except UpstreamError as error:
                 if error.ran is Ran.NOT_RUN:
                     continue
@@ -166,7 +180,23 @@
         )
         self._submit(lambda now: self._finish(finish, now))
 
-    def _order(self, urls: tuple[str, ...]) -> tuple[str, ...]:
+    def _call(self, request: CallRequest, url: str) -> ServiceAnswer:
+        """Make one call, and keep for how long its worker wants no other."""
+        answer = self._service.call(_service_call(request, url))
+        if answer.rest_s > 0.0:
+            with self._wishes_lock:
+                self._wishes.note_rest(url, answer.rest_s, self._now())
+        return answer
+
+    def _rest_left_s(self, url: str) -> float:
+        with self._wishes_lock:
+            return self._wishes.rest_left_s(url, self._now())
+
+    def _order(self, route: Route) -> tuple[str, ...]:
+        """The workers in turn, without those that rest."""
+        urls = tuple(url for url in route.urls if self._rest_left_s(url) <= 0.0)
+        if not urls:
+            return ()
         self._turn += 1
         start = self._turn % len(urls)
         return urls[start:] + urls[:start]
--- a/src/croftchute/gateway/completions.py
+++ b/src/croftchute/gateway/completions.py
@@ -205,6 +205,7 @@
             failed_engine="" if gone else _failed_engine(plan, error),
             retryable=not gone,
             engine_has_ended=not gone and self._has_ended(plan, error),
+            rest_s=_rest_asked(error),
         )
         self._box.submit(lambda now: self._box.ended(end, now))
 
@@ -222,6 +223,12 @@
         self._box.note(event)
 
 
+def _rest_asked(error: UpstreamError | None) -> float:
+    """How long the engine that turned the attempt away wants no work."""
+    is_refusal = error is not None and error.code is Code.UPSTREAM_REFUSED
+    return error.retry_after if error is not None and is_refusal else 0.0
+
+
 def _failed_engine(plan: Plan, error: UpstreamError | None) -> str:
     if error is None:
         return ""
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -75,7 +75,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Released:
-    """An attempt is over. ``confirmed`` is false while its engines may still hold it."""
+    """An attempt is over. ``confirmed`` is false while its engines may still hold it.
+
+    ``rest_s`` is for how long the failed engine wants no work; 0 if it did not say so.
+    """
 
     request_id: str
     attempt: int
@@ -83,6 +86,7 @@
     output_tokens: int
     confirmed: bool
     failed_engine: str = ""
+    rest_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -89,6 +89,7 @@
   outputTokens @3 :UInt32;
   confirmed @4 :Bool;
   failedEngine @5 :Text;
+  restS @6 :Float32;
 }
 
 struct Announced {
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -175,7 +175,8 @@
             self._send(writer, request, 200, {})
             return True
         if request.path == "/report":
-            self._send(writer, request, 200, {}, msgspec.json.encode({"Sequence": 5}))
+            report = {"Sequence": 5} | ({} if self.born_ms is None else {"born": self.born_ms})
+            self._send(writer, request, 200, {}, msgspec.json.encode(report))
             return True
         if request.path == "/kv-list":
             held = [["", part, tokens, "m"] for part, tokens in self.kept.items()]
--- a/src/croftchute/systems/entry.py
+++ b/src/croftchute/systems/entry.py
@@ -324,6 +324,7 @@
             output_tokens=end.output_tokens,
             confirmed=end.ok,
             failed_engine=end.failed_engine,
+            rest_s=end.rest_s,
         )
         return [*commands, SendPeer(box=self.owner_of(row.plan.shard), body=body)]
 
--- a/src/croftchute/systems/ledger.py
+++ b/src/croftchute/systems/ledger.py
@@ -118,6 +118,19 @@
         if load is not None:
             self.loads_by_engine[engine_id] = changed(load, unreachable_until=now + UNREACHABLE_S)
 
+    def rest(self, engine_id: str, rest_s: float, now: float) -> None:
+        """Keep new work off an engine that asked for rest, for as long as it asked."""
+        load = self.loads_by_engine.get(engine_id)
+        if load is not None and rest_s > 0.0:
+            until = max(load.rests_until, now + rest_s)
+            self.loads_by_engine[engine_id] = changed(load, rests_until=until)
+
+    def rest_left_s(self, engine_ids: Iterable[str], now: float) -> float:
+        """When the first of some engines takes work again, if all of them rest; else 0."""
+        loads = (self.loads_by_engine.get(engine_id) for engine_id in engine_ids)
+        rests = [max(0.0, load.rests_until - now) for load in loads if load is not None]
+        return min(rests, default=0.0)
+
     def touch(self, keys: Iterable[str], now: float) -> None:
         """These reservations were confirmed by their entry box."""
         for key in keys:
--- a/src/croftchute/systems/owner.py
+++ b/src/croftchute/systems/owner.py
@@ -149,6 +149,7 @@
         reservation = self.ledger.remove(key)
         if body.failed_engine:
             self.ledger.suspect(body.failed_engine, now)
+            self.ledger.rest(body.failed_engine, body.rest_s, now)
         if reservation is None:
             return []
         self.ledger.give_back_prefill(reservation, now)
@@ -358,6 +359,9 @@
         return SendPeer(box=sender, body=body)
 
     def _retry_after(self, ask: Reserve, now: float) -> float:
+        rest_s = self.ledger.rest_left_s(self.topology.shards_by_id[ask.shard].engine_ids, now)
+        if rest_s > 0.0:
+            return rest_s
         wait = self._digest(ask.shard, now).prefill_wait_s
         return max(MIN_RETRY_AFTER_S, min(wait, 10.0))
 
--- a/src/croftchute/tables/requests.py
+++ b/src/croftchute/tables/requests.py
@@ -80,6 +80,7 @@
     """How an attempt ended; ``sent`` says whether any engine may have begun it.
 
     ``engine_has_ended``: the process of the failed engine is gone, and did not just break off.
+    ``rest_s``: for how long that engine wants no work; 0 if it did not say so.
     """
 
     request_id: str
@@ -91,6 +92,7 @@
     failed_engine: str = ""
     retryable: bool = True
     engine_has_ended: bool = False
+    rest_s: float = 0.0
 
 
 class Reservation(Row, frozen=True, kw_only=True):
--- a/src/croftchute/tables/upstreams.py
+++ b/src/croftchute/tables/upstreams.py
@@ -39,12 +39,15 @@
     leaving: bool = False
     suspect_until: float = 0.0
     unreachable_until: float = 0.0
+    rests_until: float = 0.0
     closed: bool = False
     report: EngineReport | None = None
 
     def usable(self, now: float) -> bool:
         """Whether new work may go to the engine."""
-        return not self.leaving and not self.closed and now >= self.unreachable_until
+        if self.leaving or self.closed:
+            return False
+        return now >= self.unreachable_until and now >= self.rests_until
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/upstreams/http_engine.py
+++ b/src/croftchute/upstreams/http_engine.py
@@ -19,6 +19,7 @@
 import urllib3
 
 from croftchute.errors import Code, Ran, UpstreamError
+from croftchute.retry_after import TURNED_AWAY, rest_seconds
 from croftchute.systems.prefix_index import CacheEvent
 from croftchute.tables.upstreams import EngineReport
 from croftchute.upstreams.engine import EngineCall, JsonObject, Order, TokenStream
@@ -229,6 +230,14 @@
         return reply
 
 
+def rest_asked(response: urllib3.BaseHTTPResponse) -> float:
+    """Seconds for which a server that turned a call away wants none; 0 if it does not say so."""
+    if response.status not in TURNED_AWAY:
+        return 0.0
+    headers = response.headers
+    return rest_seconds(headers.get("Retry-After", ""), headers.get("Date", ""))
+
+
 def _failure(error: urllib3.exceptions.HTTPError) -> UpstreamError:
     unreached = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
     if isinstance(error, unreached):
@@ -248,5 +257,5 @@
         Code.UPSTREAM_REFUSED if refused else Code.UPSTREAM_FAILED,
         f"HTTP {response.status}: {text}",
         ran=Ran.NOT_RUN if refused else Ran.UNKNOWN,
-        retry_after=float(response.headers.get("Retry-After", 0) or 0),
+        retry_after=rest_asked(response),
     )
--- a/src/croftchute/upstreams/service.py
+++ b/src/croftchute/upstreams/service.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from croftchute.errors import Code, Ran, UpstreamError
+from croftchute.upstreams.http_engine import rest_asked
 
 CONNECT_S = 0.5
 MAX_ANSWER = 1 << 20
@@ -28,11 +29,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceAnswer:
-    """A worker's whole answer."""
+    """A worker's whole answer; ``rest_s`` is for how long it wants no other call, if it says so."""
 
     status: int
     body: bytes
     content_type: str
+    rest_s: float = 0.0
 
 
 class Service(Protocol):
@@ -81,4 +83,9 @@
             message = f"answer of {len(response.data)} bytes is too long"
             raise UpstreamError(Code.UPSTREAM_FAILED, message, ran=Ran.RAN)
         content_type = response.headers.get("Content-Type", "application/json")
-        return ServiceAnswer(status=response.status, body=response.data, content_type=content_type)
+        return ServiceAnswer(
+            status=response.status,
+            body=response.data,
+            content_type=content_type,
+            rest_s=rest_asked(response),
+        )
--- a/tests/platform_adapter/test_lives.py
+++ b/tests/platform_adapter/test_lives.py
@@ -5,7 +5,9 @@
 from platform_fleet import ask, fleet, run, until
 from stream_fleet import engines, numbers
 
+from croftchute.forwarding.worker_control import ask_kept_parts, give_stage_order
 from croftchute.standins.platform_worker import PlatformWorker
+from croftchute.tables.routing import Stage
 
 
 async def restart(made, worker, *, born_ms, service="llm", **options):
@@ -171,3 +173,33 @@
             assert len(ended) == 3
 
     run(body)
+
+
+def test_an_order_is_not_given_to_a_newer_life_that_answers_under_the_name():
+    async def body():
+        async with fleet() as made:
+            worker = await made.add_worker("p0", service="llm", stage="prefill", born_ms=1)
+            box = await made.add_box()
+            await made.ready(box)
+            listed = box.state.workers.beliefs_by_id["p0@1"].worker
+            worker.born_ms = 2
+            status = await give_stage_order(
+                box.state, listed, Stage.DECODE, holder="box-1", token=1
+            )
+            assert (status, worker.orders) == (421, [])
+
+    run(body)
+
+
+def test_another_worker_that_answers_an_ask_for_room_displaces_the_one_that_was_there():
+    async def body():
+        async with fleet() as made:
+            worker = await made.add_worker("d0", service="llm", stage="decode")
+            box = await made.add_box()
+            await made.ready(box)
+            worker.id = "another"
+            listed = box.state.workers.beliefs_by_id["d0"].worker
+            await ask_kept_parts(box.state, listed)
+            assert box.state.workers.usable("llm", box.state.clock()) == []
+
+    run(body)
--- a/tests/platform_adapter/test_wishes.py
+++ b/tests/platform_adapter/test_wishes.py
@@ -1,11 +1,12 @@
 """What a worker's answer says that it wants, read from any bytes that a worker may send."""
 
 import pytest
-from croftchute_platform.wishes import MAX_REST_S, read_wish
+from croftchute_platform.wishes import read_wish
 from hypothesis import given
 from hypothesis import strategies as st
 
 from croftchute.forwarding.http_client import ResponseHead
+from croftchute.retry_after import MAX_REST_S
 from croftchute.systems.worker_wishes import NO_WISH, WorkerWish
 
 SENT = (b"date", b"Thu, 03 Dec 2026 10:00:00 GMT")
--- a/tests/systems/test_owner.py
+++ b/tests/systems/test_owner.py
@@ -181,3 +181,25 @@
             own = [r for r in held if r.decode_id == load.id]
             assert load.running == len(own)
             assert isclose(load.kv_committed, sum(r.kv_committed for r in own), abs_tol=1e-6)
+
+
+def test_an_engine_that_asked_for_rest_gets_nothing_until_it_is_over(owner):
+    granted = body_of(owner.reserve("e", ask("r"), 1.0))
+    names = owner.topology.engine_ids_by_hash
+    prefill, decode = names[granted.prefill_hash], names[granted.decode_hash]
+    owner.release("e", release("r", confirmed=False, failed_engine=decode, rest_s=30.0), 2.0)
+    for n in range(3):
+        later = body_of(owner.reserve("e", ask(f"r{n}"), 20.0))
+        assert isinstance(later, Granted)
+        assert decode not in (names[later.prefill_hash], names[later.decode_hash])
+    assert not owner.ledger.loads_by_engine[decode].usable(31.9)
+    assert owner.ledger.loads_by_engine[decode].usable(32.0)
+    assert owner.ledger.loads_by_engine[prefill].usable(2.0)
+
+
+def test_where_all_engines_rest_the_first_end_of_a_rest_is_told(owner):
+    engines = owner.topology.shards_by_id[SHARD].engine_ids
+    for n, engine in enumerate(engines):
+        owner.ledger.rest(engine, 30.0 + n, 1.0)
+    declined = body_of(owner.reserve("e", ask("r"), 11.0))
+    assert declined.retry_after_s == 20.0
