Positions in the store: an era and a revision in one number, so that a restored store is found out

Cause: a store that comes back from an older copy gives its revisions and lease numbers out again; all that compared bare revisions took its newest news for late ones, and a lease of another for the own one. Ruled out: a pair of two numbers through all messages (each comparison, notice and relay changes; the folded number orders alike, 23 bits of era and 40 of revision); a new era by falling revisions (a store that grew past the old one meanwhile is not told apart). Change: the adapter reads the era from each answer's header and folds it into every revision and lease number; answers of older eras, leases, conditions and watches from before are over; odd headers leave the last good era. On a new era: orders end and their token rises with the era, refused requests and the record of the fleet are written again, workers that the copy does not name have the time of a lapse, followers take the whole from their relay. Seen leaving stays. Bytes of a notice: positions were 64 bits before; not measured on the wire.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -109,6 +109,11 @@
             address=lambda: (self.exchange.host, self.exchange.port),
             is_main_pool=self.usage_limits.is_main_pool,
         )
+        state.on_restored += [
+            self.orders.note_restored,
+            self.crash_register.note_restored,
+            self.fleet_record.note_restored,
+        ]
         forwarder = Forwarder(state=state, usage_limits=self.usage_limits)
         self.ingress = HttpIngress(
             handler=forwarder.handle,
--- a/src/croftchute/forwarding/crash_register.py
+++ b/src/croftchute/forwarding/crash_register.py
@@ -50,6 +50,12 @@
                 self._waiting[digest] = None
         self._due.set()
 
+    def note_restored(self) -> None:
+        """The store came back from an older copy: what is refused here is to stand there again."""
+        now = self.state.clock()
+        crashes = self.state.crashes
+        self.note([digest for digest in crashes.by_digest if crashes.refused_s(digest, now) > 0.0])
+
     async def run(self) -> None:
         """Look after the entries; never returns."""
         while True:
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -33,6 +33,7 @@
     TASK_FAILED = "task_failed"
     DEPENDENCY_LOST = "dependency_lost"
     DEPENDENCY_REGAINED = "dependency_regained"
+    STORE_RESTORED = "store_restored"
     CONFIG_IN_FORCE = "config_in_force"
     CONFIG_REJECTED = "config_rejected"
     ENTRY_REFUSED = "entry_refused"
--- a/src/croftchute/forwarding/fleet_record.py
+++ b/src/croftchute/forwarding/fleet_record.py
@@ -59,6 +59,11 @@
         self.has_limits = has_limits
         self.is_main_pool = is_main_pool
         self._is_lost = False
+        self._is_restored = False
+
+    def note_restored(self) -> None:
+        """The store came back from an older copy: its record may be older than what is known."""
+        self._is_restored = True
 
     async def run(self) -> None:
         """Look after the record; never returns."""
@@ -83,6 +88,8 @@
             await self._read()
         wanted = self._wanted_count()
         if self.is_main_pool():
+            if self._is_restored:
+                await self._write_again()
             if wanted is not None or self.size.pool != self.state.box:
                 await self._correct()
         elif wanted is not None and wanted < self.size.boxes(0):
@@ -105,12 +112,26 @@
         host, port = self.address()
         boxes = wanted if wanted is not None else self.size.boxes(0)
         entry = FleetEntry(boxes=boxes, pool=self.state.box, host=host, port=port)
-        revision = item.revision if item is not None else 0
-        value = msgspec.json.encode(entry)
-        if await self.store.put_if(RECORD_KEY, value, revision=revision, lease=NO_LEASE):
+        if await self._put(entry, item):
             self._take(entry)
             self._log("written")
 
+    async def _write_again(self) -> None:
+        """Write what was on record here; boxes that start meanwhile would read the older one."""
+        item = await self.store.item(RECORD_KEY)
+        host, port = self.address()
+        entry = FleetEntry(boxes=self.size.boxes(0), pool=self.state.box, host=host, port=port)
+        if await self._put(entry, item):
+            self._is_restored = False
+            self._log("written again")
+
+    async def _put(self, entry: FleetEntry, present: StoredItem | None) -> bool:
+        """Write an entry over the present one, unless that has changed."""
+        revision = present.revision if present is not None else 0
+        value = msgspec.json.encode(entry)
+        written = await self.store.put_if(RECORD_KEY, value, revision=revision, lease=NO_LEASE)
+        return written is not None
+
     def _take(self, entry: FleetEntry) -> None:
         self.size.recorded = entry.boxes
         self.size.pool = entry.pool
--- a/src/croftchute/forwarding/prefix_follower.py
+++ b/src/croftchute/forwarding/prefix_follower.py
@@ -9,10 +9,11 @@
 from croftchute.errors import MessageError, StoreError
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.failures import ExchangeError
-from croftchute.forwarding.hall_news import ask_news
+from croftchute.forwarding.hall_news import ask_known, ask_news
 from croftchute.forwarding.news_log import NewsLog, NotARelayError
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.transfer import LONG_BODY_BYTES
+from croftchute.storage.position import era_of
 from croftchute.storage.watched import (
     Changes,
     HistoryGoneError,
@@ -226,6 +227,9 @@
         self._note_source(relay.id, outcome="follows a box of the hall")
         after = self._after or 0
         try:
+            if era_of(relay.workers_revision) > era_of(after):
+                await self._begin_anew_at(relay, after)
+                return
             changes = await ask_news(self.state, relay, self.prefix, after=after)
         except (ExchangeError, MessageError, StoreError) as error:
             # A relay that began later than this box does not know so far back: others, or the
@@ -244,6 +248,19 @@
         self._take(changes, after)
         self.handlers.on_heard()
 
+    async def _begin_anew_at(self, relay: Peer, after: int) -> None:
+        """Take the whole of the prefix from a relay that has read a newer era of the store.
+
+        All boxes of a hall would otherwise list from the store at once.
+        """
+        listing = await ask_known(self.state, relay, self.prefix)
+        if era_of(listing.revision) <= era_of(after):
+            raise HistoryGoneError(f"{relay.id} has not read this prefix in the newer era")
+        self._after = listing.revision
+        self._note_length(listing.items)
+        self.handlers.on_listing(listing)
+        self.handlers.on_heard()
+
     async def _with_untold(self, changes: Changes) -> Changes:
         """The same with the values that the relay did not pass on, as the store has them now."""
         found = [await self.store.item(key) for key in changes.untold]
--- a/src/croftchute/forwarding/stage_orders.py
+++ b/src/croftchute/forwarding/stage_orders.py
@@ -281,6 +281,11 @@
         now = self.state.clock()
         self.state.workers.note_changing(change.worker.id, change.stage, now, for_s=for_s)
 
+    def note_restored(self) -> None:
+        """The store came back from an older copy: a lease that it granted before is not held."""
+        if self.turn is not None:
+            self._give_up_turn(self.turn)
+
     def _give_up_turn(self, turn: Turn) -> None:
         self.turn = None
         self.state.log.decide(Decision.STAGE_ORDER, outcome="lease_lost", token=turn.token)
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -16,6 +16,7 @@
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.forwarding.transfer import Transfer
 from croftchute.router_settings import DecisionWays
+from croftchute.storage.position import era_of, revision_of
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.crash_records import CrashRecords
 from croftchute.systems.first_tries import FirstTries
@@ -38,6 +39,9 @@
 """Seconds for which a pace that was worked out is used: as often as peers tell of their calls."""
 
 
+ODD_ERA_LOG_S = 1.0
+"""Seconds between two lines about eras of the store that can't be read."""
+
 LANE_KEPT_S = 1.0
 """Seconds for which a lane's size is used: it follows averages of ten seconds."""
 
@@ -64,7 +68,8 @@
 
     ``begun_at`` is when the process began: an earlier life of the box was over by then. Loading the
     program takes a small box the better part of a second until ``started_at``. ``on_crash_news``
-    is called with the digests of requests under which this box saw a worker end.
+    is called with the digests of requests under which this box saw a worker end, ``on_restored``
+    when the store has come back from an older copy.
     """
 
     box: str
@@ -95,8 +100,11 @@
     crashes: CrashRecords = field(default_factory=CrashRecords)
     lives_looked_at: set[str] = field(default_factory=set)
     on_crash_news: Callable[[list[str]], None] = lambda _: None
+    store_era: int | None = None
+    on_restored: list[Callable[[], None]] = field(default_factory=list)
     stop_began_at: float | None = None
     stop_ends_at: float = math.inf
+    _odd_era_logged_at: float = -math.inf
     _lane_by_service: dict[str, _KnownLane] = field(default_factory=dict)
     _pace_by_service: dict[str, _KnownPace] = field(default_factory=dict)
     background: set[asyncio.Task[None]] = field(default_factory=set)
@@ -170,6 +178,34 @@
         told_s = self.peers.prefill_wait_s(belief.worker.id, self.clock())
         return max(told_s, self.own_prefill_wait_s(belief))
 
+    def note_position(self, at: int) -> None:
+        """Something is known as of a position of the store; a newer era ends what hung on it."""
+        era = era_of(at)
+        if self.store_era is not None and era <= self.store_era:
+            return
+        previous, self.store_era = self.store_era, era
+        self.metrics.store_era.set({}, era)
+        if previous is None:
+            return
+        self.log.decide(
+            Decision.STORE_RESTORED,
+            era=era,
+            previous=previous,
+            revision=revision_of(at),
+            workers_era=era_of(self.workers.revision),
+            workers_age_s=round(self.clock() - self.workers.heard_at, 2),
+        )
+        for end_era in self.on_restored:
+            end_era()
+
+    def note_odd_era(self, value: str) -> None:
+        """The store named an era that can't be one; a line a second at most."""
+        now = self.clock()
+        if now < self._odd_era_logged_at + ODD_ERA_LOG_S:
+            return
+        self._odd_era_logged_at = now
+        self.log.decide(Decision.STORE_RESTORED, outcome="unreadable era", detail=value)
+
     def note_transfer(self, transfer: Transfer) -> None:
         """Count an answer of the store or of a peer; a long or cut one gets a line."""
         self.metrics.observe_transfer(transfer)
--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -12,6 +12,7 @@
 from croftchute.forwarding.life_end import end_life
 from croftchute.forwarding.prefix_follower import PrefixFollower, PrefixHandlers
 from croftchute.forwarding.state import ForwardingState
+from croftchute.storage.position import era_of, position
 from croftchute.storage.watched import Changes, Listing, SharedStore, StoredItem, Vocabulary
 from croftchute.systems.hall_relays import HallRelays
 from croftchute.tables.routing import RoutingTable
@@ -132,6 +133,7 @@
     # The configuration.
 
     def _config_listed(self, listing: Listing) -> None:
+        self.state.note_position(listing.revision)
         for item in listing.items:
             self.take_config(item, source="store")
         self.state.table_at = self.state.clock()
@@ -152,9 +154,17 @@
                 Decision.CONFIG_REJECTED, revision=item.revision, detail=error.message
             )
             return
-        if adopt_table(self.state, table, source=source, revision=item.revision):
+        is_adopted = adopt_table(self.state, table, source=source, revision=item.revision)
+        if is_adopted or self._is_written_again(table, item):
             self.state.table_item = item
 
+    def _is_written_again(self, table: RoutingTable, item: StoredItem) -> bool:
+        """Whether the version in force stands at a later position: it is passed on from there."""
+        in_force, present = self.state.table, self.state.table_item
+        if in_force is None or present is None or in_force.version != table.version:
+            return False
+        return item.revision > present.revision
+
     # The worker list.
 
     def _workers_listed(self, listing: Listing) -> None:
@@ -163,12 +173,17 @@
     def take_listing(self, listing: Listing, *, source: str) -> None:
         """Take in a whole worker list; those that it does not name are gone."""
         now = self.state.clock()
+        workers = self.state.workers
+        is_restored = era_of(listing.revision) > era_of(workers.revision) and workers.revision > 0
+        self.state.note_position(listing.revision)
         names = {self.vocabulary.worker_name(item.key) for item in listing.items}
         for item in listing.items:
             self._take_worker(item)
-        gone = self.state.workers.keep_only(names, now)
+        gone = workers.keep_only(names, now, is_lapse=is_restored)
         self._log_gone(gone, revision=listing.revision, source=source)
-        self._heard(listing.newest if source == "store" else listing.revision)
+        newest = listing.newest if source == "store" else listing.revision
+        # A list that names nobody is of its era all the same.
+        self._heard(max(newest, position(era_of(listing.revision), 0)))
 
     def _workers_changed(self, changes: Changes) -> None:
         for item in changes.written:
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -39,6 +39,7 @@
             **own,
         )
         self.open = Gauge("croftchute_open_requests", "Requests that are open", **own)
+        self.store_era = Gauge("croftchute_store_era", "Era of the store that is known", **own)
         self.config_version = Gauge("croftchute_config_version", "Version in force", **own)
         self.first_byte = Histogram(
             "croftchute_first_byte_seconds",
--- a/src/croftchute/standins/metadata_store.py
+++ b/src/croftchute/standins/metadata_store.py
@@ -1,15 +1,15 @@
 """A stand-in for the users' metadata store, written from its pages: HTTP, revisions, leases.
 
 Faults are set from outside: ``refuses`` answers 503, ``is_silent`` never answers, ``loses`` does
-what is asked and does not answer, ``late_s`` does writes after a while and does not answer.
+what is asked and does not answer, ``late_s`` does writes after a while and does not answer. It may
+also come back from a copy of itself, which begins a new era.
 """
 
 from __future__ import annotations
 
 import asyncio
 import base64
-import itertools
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -17,7 +17,7 @@
 
 from croftchute.forwarding.exchange import Exchange
 from croftchute.forwarding.http_server import HttpIngress
-from croftchute.tables.routing import IngressLimits
+from croftchute.tables.routing import HeaderList, IngressLimits
 
 JsonObject = dict[str, Any]
 PAGE = 50
@@ -45,12 +45,28 @@
     lease: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreCopy:
+    """What the store held at some moment."""
+
+    revision: int
+    items_by_key: dict[str, Item]
+    lease_ends: dict[int, float]
+    ttl_by_lease: dict[int, float]
+    next_lease: int
+
+
 @dataclass(kw_only=True)
 class MetadataStore:
-    """The store's content and its calls; every change raises one revision."""
+    """The store's content and its calls; every change raises one revision.
+
+    ``era_header`` stands in all answers as it is, so that odd ones can be sent.
+    """
 
     faults: StoreFaults = field(default_factory=StoreFaults)
     revision: int = 0
+    era: int = 0
+    era_header: str | None = None
     items_by_key: dict[str, Item] = field(default_factory=dict)
     history: list[tuple[int, JsonObject]] = field(default_factory=list)
     oldest_known: int = 0
@@ -60,7 +76,7 @@
 
     def __post_init__(self) -> None:
         self._changed = asyncio.Event()
-        self._leases = itertools.count(77)
+        self._next_lease = 77
         self.ingress = HttpIngress(handler=self._answer, limits=IngressLimits)
 
     async def start(self) -> int:
@@ -86,6 +102,28 @@
         self.history.clear()
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """What the store holds now, for :meth:`restore`."""
+        return StoreCopy(
+            revision=self.revision,
+            items_by_key={key: replace(item) for key, item in self.items_by_key.items()},
+            lease_ends=dict(self.lease_ends),
+            ttl_by_lease=dict(self.ttl_by_lease),
+            next_lease=self._next_lease,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an older copy: what was written since is gone, numbers go back."""
+        self.era += 1
+        self.revision = copy.revision
+        self.items_by_key = {key: replace(item) for key, item in copy.items_by_key.items()}
+        self.lease_ends = dict(copy.lease_ends)
+        self.ttl_by_lease = dict(copy.ttl_by_lease)
+        self._next_lease = copy.next_lease
+        self.oldest_known = copy.revision
+        self.history.clear()
+        self._wake()
+
     def end_lease(self, lease: int) -> None:
         """End a lease; its keys go with it."""
         self.lease_ends.pop(lease, None)
@@ -108,7 +146,7 @@
         if self.faults.is_silent:
             await asyncio.sleep(NEVER_S)
         if self.faults.refuses or self.faults.is_rate_limited:
-            exchange.send(429 if self.faults.is_rate_limited else 503, [], b"")
+            exchange.send(429 if self.faults.is_rate_limited else 503, self._era(), b"")
             return
         self.expire(asyncio.get_running_loop().time())
         content = msgspec.json.decode(request.body) if request.body else {}
@@ -118,7 +156,11 @@
         status, answer = await self._do(name, url.path, query, content)
         if is_write and (self.faults.loses_answers or self.faults.late_s is not None):
             await asyncio.sleep(NEVER_S)
-        exchange.send(status, [], msgspec.json.encode(answer))
+        exchange.send(status, self._era(), msgspec.json.encode(answer))
+
+    def _era(self) -> HeaderList:
+        value = str(self.era) if self.era_header is None else self.era_header
+        return [(b"store-era", value.encode("latin-1"))]
 
     async def _do(
         self, name: str, path: str, query: dict[str, str], content: JsonObject
@@ -153,7 +195,7 @@
         prefix, after = query["PathPrefix"], int(query["after"])
         end = asyncio.get_running_loop().time() + int(query["WaitMs"]) / 1000.0
         while True:
-            if after < self.oldest_known:
+            if not self.oldest_known <= after <= self.revision:
                 return 410, {}
             events = [
                 event
@@ -186,7 +228,8 @@
         return 200, {"Revision": self.revision}
 
     def _grant(self, ttl_s: float) -> JsonObject:
-        lease = next(self._leases)
+        lease = self._next_lease
+        self._next_lease += 1
         self.ttl_by_lease[lease] = ttl_s
         self.lease_ends[lease] = asyncio.get_running_loop().time() + ttl_s
         return {"lease": lease, "ttl_ms": int(ttl_s * 1000)}
--- a/src/croftchute/storage/watched.py
+++ b/src/croftchute/storage/watched.py
@@ -12,7 +12,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StoredItem:
-    """A key with its value and the revision at which it was last written."""
+    """A key with its value and where it was last written.
+
+    Revisions here and below are positions (``storage/position.py``): they order over eras.
+    """
 
     key: str
     value: bytes
@@ -85,7 +88,7 @@
         ...
 
     async def grant_lease(self, ttl_s: float) -> int:
-        """A new lease; keys under it go when it lapses."""
+        """A new lease; keys under it go when it lapses, or when the store loses it."""
         ...
 
     async def keep_lease(self, lease: int) -> bool:
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -204,11 +204,11 @@
         ended, self._ended = self._ended, []
         return ended
 
-    def remove(self, names: Collection[str], now: float) -> list[str]:
+    def remove(self, names: Collection[str], now: float, *, is_lapse: bool = False) -> list[str]:
         """Mark workers as gone from the list; they are forgotten after a grace period.
 
-        Entries of half of a service that go at once have lapsed, rather than been taken away.
-        Returns the ids of the lives that are gone.
+        Entries of half of a service that go at once have lapsed, rather than been taken away, and
+        so have all with ``is_lapse``. Returns the ids of the lives that are gone.
         """
         known = (self._current_by_name.get(name) for name in names)
         gone = [belief for belief in known if belief is not None and belief.gone_at is None]
@@ -216,12 +216,17 @@
         lapsed = {service for service, n in gone_by_service.items() if self._is_lapse(service, n)}
         for belief in gone:
             belief.gone_at = now
-            belief.has_lapsed = belief.worker.service in lapsed
+            belief.has_lapsed = is_lapse or belief.worker.service in lapsed
         return [belief.worker.id for belief in gone]
 
-    def keep_only(self, names: set[str], now: float) -> list[str]:
-        """Mark all workers as gone that a whole listing did not name; returns those."""
-        return self.remove([name for name in self._current_by_name if name not in names], now)
+    def keep_only(self, names: set[str], now: float, *, is_lapse: bool = False) -> list[str]:
+        """Mark all workers as gone that a whole listing did not name; returns those.
+
+        ``is_lapse``: the store came back from an older copy, so those that live write themselves
+        down again.
+        """
+        unnamed = [name for name in self._current_by_name if name not in names]
+        return self.remove(unnamed, now, is_lapse=is_lapse)
 
     def has_lapsed(self, worker_id: str) -> bool:
         """Whether a worker's entry went together with those of others of its service."""
--- a/tests/platform_adapter/platform_fleet.py
+++ b/tests/platform_adapter/platform_fleet.py
@@ -119,6 +119,7 @@
             port=port,
             clock=state.clock,
             observe=state.note_transfer,
+            note_odd_era=state.note_odd_era,
         )
         box = RouterProcess(
             settings=settings,
