--- a/src/croftchute/forwarding/catch_up.py
+++ b/src/croftchute/forwarding/catch_up.py
@@ -15,6 +15,7 @@
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.store_follower import StoreFollower
 from croftchute.peers.messages import BoxNotice
+from croftchute.storage.position import told
 from croftchute.storage.watched import Listing
 from croftchute.tables.peers import Peer
 
@@ -98,7 +99,7 @@
             peer=peer.id,
             outcome="adopted",
             config_version=state.table.version if state.table else 0,
-            workers_revision=state.workers.revision,
+            workers_revision=told(state.workers.revision),
         )
 
 
--- a/src/croftchute/forwarding/crash_register.py
+++ b/src/croftchute/forwarding/crash_register.py
@@ -15,6 +15,7 @@
 from croftchute.forwarding.crash_gossip import CrashGossip
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.state import ForwardingState
+from croftchute.storage.position import told
 from croftchute.storage.watched import SharedStore, StoredItem
 from croftchute.systems.crash_records import MAX_REFUSED_S, REFUSED_S
 from croftchute.tables.crashes import CrashEntry, CrashNotice
@@ -127,5 +128,5 @@
             outcome=outcome,
             digest=digest,
             detail=detail,
-            revision=revision,
+            revision=told(revision),
         )
--- a/src/croftchute/forwarding/fleet_record.py
+++ b/src/croftchute/forwarding/fleet_record.py
@@ -18,6 +18,7 @@
 from croftchute.errors import StoreError
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.state import ForwardingState
+from croftchute.storage.position import told
 from croftchute.storage.watched import LeaseStore, StoredItem
 from croftchute.systems.fleet_size import FleetSize
 from croftchute.tables.fleet import FleetEntry
@@ -149,7 +150,10 @@
             return msgspec.json.decode(item.value, type=FleetEntry)
         except msgspec.DecodeError as error:
             self.state.log.decide(
-                Decision.FLEET_SIZE, outcome="unreadable", revision=item.revision, detail=str(error)
+                Decision.FLEET_SIZE,
+                outcome="unreadable",
+                revision=told(item.revision),
+                detail=str(error),
             )
             return FleetEntry(boxes=0)
 
--- a/src/croftchute/forwarding/life_end.py
+++ b/src/croftchute/forwarding/life_end.py
@@ -4,6 +4,7 @@
 
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.state import ForwardingState
+from croftchute.storage.position import told
 from croftchute.tables.routing import Worker
 
 
@@ -18,6 +19,6 @@
         Decision.WORKER_GONE,
         outcome="restarted",
         worker=worker.id,
-        revision=revision,
+        revision=told(revision),
         calls_ended=closed,
     )
--- a/src/croftchute/forwarding/prefix_follower.py
+++ b/src/croftchute/forwarding/prefix_follower.py
@@ -13,7 +13,7 @@
 from croftchute.forwarding.news_log import NewsLog, NotARelayError
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.transfer import LONG_BODY_BYTES
-from croftchute.storage.position import era_of
+from croftchute.storage.position import era_of, told
 from croftchute.storage.watched import (
     Changes,
     HistoryGoneError,
@@ -290,5 +290,5 @@
             relay=relay_id,
             previous=previous,
             detail=detail,
-            revision=self._after or 0,
+            revision=told(self._after or 0),
         )
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -16,7 +16,7 @@
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.forwarding.transfer import Transfer
 from croftchute.router_settings import DecisionWays
-from croftchute.storage.position import era_of, revision_of
+from croftchute.storage.position import era_of, told
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.crash_records import CrashRecords
 from croftchute.systems.first_tries import FirstTries
@@ -191,7 +191,7 @@
             Decision.STORE_RESTORED,
             era=era,
             previous=previous,
-            revision=revision_of(at),
+            revision=told(at),
             workers_era=era_of(self.workers.revision),
             workers_age_s=round(self.clock() - self.workers.heard_at, 2),
         )
--- a/src/croftchute/forwarding/store_follower.py
+++ b/src/croftchute/forwarding/store_follower.py
@@ -12,7 +12,7 @@
 from croftchute.forwarding.life_end import end_life
 from croftchute.forwarding.prefix_follower import PrefixFollower, PrefixHandlers
 from croftchute.forwarding.state import ForwardingState
-from croftchute.storage.position import era_of, position
+from croftchute.storage.position import era_of, position, told
 from croftchute.storage.watched import Changes, Listing, SharedStore, StoredItem, Vocabulary
 from croftchute.systems.hall_relays import HallRelays
 from croftchute.tables.routing import RoutingTable
@@ -151,7 +151,7 @@
             table = self.vocabulary.routing_table(item)
         except DocumentError as error:
             self.state.log.decide(
-                Decision.CONFIG_REJECTED, revision=item.revision, detail=error.message
+                Decision.CONFIG_REJECTED, revision=told(item.revision), detail=error.message
             )
             return
         is_adopted = adopt_table(self.state, table, source=source, revision=item.revision)
@@ -199,7 +199,7 @@
                 Decision.WORKER_GONE,
                 outcome="lapsed" if self.state.workers.has_lapsed(worker_id) else "removed",
                 worker=worker_id,
-                revision=revision,
+                revision=told(revision),
                 source=source,
             )
 
@@ -221,7 +221,7 @@
                 zone=worker.zone,
                 outcome=worker.state.value,
                 stage=worker.stage.value if worker.stage else "",
-                revision=item.revision,
+                revision=told(item.revision),
             )
 
     def _take_unreadable(self, item: StoredItem, error: DocumentError) -> None:
@@ -237,7 +237,7 @@
             Decision.ENTRY_REFUSED,
             outcome="withheld" if was_in_use else "passed over",
             key=item.key[:MAX_KEY_LOGGED],
-            revision=item.revision,
+            revision=told(item.revision),
             detail=error.message[:MAX_DETAIL_LOGGED],
             refused_in_all=self._unreadable,
         )
@@ -261,7 +261,7 @@
         outcome="adopted",
         version=table.version,
         previous=present.version if present is not None else 0,
-        revision=revision,
+        revision=told(revision),
         source=source,
         routes=sum(len(routes) for routes in table.routes_by_host.values()),
     )
--- a/src/croftchute/storage/position.py
+++ b/src/croftchute/storage/position.py
@@ -37,6 +37,15 @@
     return at >> REVISION_BITS
 
 
+def told(at: int) -> str:
+    """A position as it stands in logs.
+
+    >>> told(position(4, 2))
+    '4/2'
+    """
+    return f"{era_of(at)}/{revision_of(at)}"
+
+
 def revision_of(at: int) -> int:
     """The revision of a position, as the store of its era counts.
 
