--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -91,11 +91,6 @@
     changing_until: float = 0.0
     queue: PrefillQueue = field(default_factory=PrefillQueue)
 
-    @property
-    def is_barred(self) -> bool:
-        """Whether no new work may go there, not even as a last resort."""
-        return self.displaced or self.has_ended or self.is_unreadable
-
     def has_rejected_lately(self, now: float) -> bool:
         """Whether it seems full."""
         return now - self.rejected_at < REJECTED_LATELY_S
@@ -106,8 +101,8 @@
         return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_S)
 
     def fits(self, stage: Stage | None, now: float) -> bool:
-        """Whether it does work of a stage at the moment, as far as it may be given any."""
-        if self.is_barred or now < self.changing_until:
+        """Whether it does work of a stage at the moment, so far as its list entry goes."""
+        if self.displaced or self.has_ended or self.is_unreadable or now < self.changing_until:
             return False
         return stage is None or self.worker.stage is None or self.worker.stage is stage
 
@@ -276,16 +271,18 @@
 
     def _standings(self, service: str, now: float, stage: Stage | None) -> _Standings:
         found = _Standings()
+        leaving_by_id = self.wishes.leaving_by_id
+        resting = self.wishes.resting(now)
         for worker_id, belief in self._beliefs_by_service.get(service, {}).items():
             if not belief.fits(stage, now):
                 continue
-            leaving_s = self.wishes.leaving_s(worker_id, now)
-            if leaving_s is not None:
+            if worker_id in leaving_by_id:
+                leaving_s = now - leaving_by_id[worker_id].since
                 if leaving_s <= min(GONE_GRACE_S, self.lapsed_grace_s):
                     found.last_resorts.append(belief)
             elif belief.worker.state is not WorkerState.READY:
                 continue
-            elif self.wishes.rest_left_s(worker_id, now) > 0.0:
+            elif worker_id in resting:
                 found.resting.append(belief)
             elif belief.gone_at is None:
                 found.listed.append(belief)
--- a/src/croftchute/systems/worker_wishes.py
+++ b/src/croftchute/systems/worker_wishes.py
@@ -93,10 +93,11 @@
         """Whether a worker said that it leaves."""
         return worker_id in self.leaving_by_id
 
-    def leaving_s(self, worker_id: str, now: float) -> float | None:
-        """For how long it has been known that a worker leaves; None if it does not."""
-        leaving = self.leaving_by_id.get(worker_id)
-        return None if leaving is None else now - leaving.since
+    def resting(self, now: float) -> set[str]:
+        """The workers that rest; mostly none, and looked at for each choice of a worker."""
+        if not self._rests_by_id:
+            return set()
+        return {worker_id for worker_id, rest in self._rests_by_id.items() if now < rest.until}
 
     def rest_left_s(self, worker_id: str, now: float) -> float:
         """For how long a worker still wants nothing from this box; 0 if it takes work."""
