--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -20,6 +20,7 @@
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "platform")]
 
 from croftchute_platform import headers  # noqa: E402
+from croftchute_platform.eras import EraReader  # noqa: E402
 
 from croftchute.daemon.router_process import RouterProcess  # noqa: E402
 from croftchute.errors import Code, Ran  # noqa: E402
@@ -36,6 +37,7 @@
 from croftchute.systems.crash_records import CrashRecords  # noqa: E402
 from croftchute.systems.usage_bucket import UsageBucket  # noqa: E402
 from croftchute.systems.worker_table import WorkerBelief, WorkerTable  # noqa: E402
+from croftchute.systems.worker_wishes import NO_WISH  # noqa: E402
 from croftchute.tables.organisations import (  # noqa: E402
     KeyClaim,
     Organisation,
@@ -235,6 +237,16 @@
     CrashRegister.note = lambda self, digests: None  # type: ignore[method-assign]  # noqa: ARG005
 
 
+def wishes_unheard() -> None:
+    """Read nothing of what answers say that their workers want."""
+    headers.read_wish = lambda head: NO_WISH  # noqa: ARG005
+
+
+def eras_ignored() -> None:
+    """Take all revisions of the store for those of one era."""
+    EraReader.read = lambda self, head: self.newest  # type: ignore[method-assign]  # noqa: ARG005
+
+
 BUCKETS: dict[str, UsageBucket] = {}
 KEPT: list[object] = []
 BROKEN: dict[str, Callable[[], None]] = {
@@ -250,6 +262,8 @@
     "new_credit": new_credit,
     "run_crashing": run_crashing,
     "crashes_untold": crashes_untold,
+    "wishes_unheard": wishes_unheard,
+    "eras_ignored": eras_ignored,
 }
 
 
--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -17,6 +17,7 @@
 from croftchute.soak.paces import transfer_allowance_s
 from croftchute.soak.traffic import Traffic
 from croftchute.soak.violation import Violation, broken
+from croftchute.soak.wishes import TellingWorkers
 from croftchute.soak.world import EVENTS, MAX_ATTEMPTS, ListedWorker, SoakWorld, added_path
 from croftchute.standins.platform_caller import Try, fault_of
 from croftchute.standins.platform_worker import Run
@@ -61,6 +62,7 @@
     judge_times: bool = True
     only_planned: bool = False
     crashing: tuple[CrashingRequest, ...] = ()
+    telling: TellingWorkers | None = None
     runs_by_id: dict[str, list[tuple[ListedWorker, Run]]] = field(default_factory=dict)
 
     @property
@@ -93,6 +95,8 @@
             found += self._versions_in_time()
             found += keys.in_time()
             found += self._crashing_requests()
+            if self.telling is not None:
+                found += self.telling.violations(self.traffic, slack_s=self.slack_s)
             if self.only_planned:
                 found += self._planned_stops()
             else:
--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -16,11 +16,13 @@
 from croftchute.soak.disturbances import STORE, Disturbances
 from croftchute.soak.plan import FaultKind, PlannedFault, SoakSpec
 from croftchute.soak.proxy import FaultyLink, LinkFault
+from croftchute.soak.restored import WRITTEN_AGAIN_S, rewrite
 from croftchute.soak.series import SeriesFaults
 from croftchute.soak.signals import BoxSignals
+from croftchute.soak.wishes import TellingWorkers
 from croftchute.soak.world import DESK, ENGINES, HALLS, ListedWorker, SoakWorld
 from croftchute.standins.metadata_store import StoreFaults
-from croftchute.standins.platform_worker import WorkerFaults
+from croftchute.standins.platform_worker import sound_but
 from croftchute.systems.hall_relays import RELAYS
 from croftchute.systems.rendezvous import rank
 
@@ -37,6 +39,13 @@
 RELAY_GAP_S = 0.3
 """Seconds between the losses of two relays of a hall: followers have just gone to the second."""
 
+SAYS_LEAVING_S = 7.0
+"""Seconds for which a worker serves on that says in its answers that it leaves: the time in which
+new work must end, and the longest stream given to it at the last moment."""
+
+AWAY_S = 0.3
+"""Seconds for which the store is away before it comes back from a copy."""
+
 LISTED_AFTER_CRASH_S = 1.5
 REUSE_AFTER_S = 2.0
 LAPSE_BACK_S = 1.5
@@ -103,6 +112,7 @@
         self.injected: Counter[FaultKind] = Counter()
         self._tasks: set[asyncio.Task[None]] = set()
         self._bursts = 0
+        self.telling = TellingWorkers(world=world, disturbances=disturbances)
         self._signals = BoxSignals(disturbances=disturbances)
         series = SeriesFaults(
             spec=spec,
@@ -143,6 +153,9 @@
             FaultKind.STOPS_IN_SERIES: series.stop_boxes,
             FaultKind.REQUEST_CRASHES: crashing.strike,
             FaultKind.ENTRY_SPOILED: self._spoil_entry,
+            FaultKind.WORKER_SAYS_LEAVING: self._say_leaving,
+            FaultKind.WORKER_RESTS: self._rest_worker,
+            FaultKind.STORE_RESTORED: self._restore_store,
         }
 
     @property
@@ -336,9 +349,36 @@
         service = (DESK, ENGINES)[fault.pick % 2]
         listed = _pick(self.world.live(service), fault)
         self.disturbances.note(listed.worker.id, self.now, self.now + fault.for_s)
-        listed.worker.faults = WorkerFaults(**WORKER_FAULTS[fault.pick % len(WORKER_FAULTS)])
+        worker = listed.worker
+        worker.faults = sound_but(worker.faults, **WORKER_FAULTS[fault.pick % len(WORKER_FAULTS)])
         await asyncio.sleep(fault.for_s)
-        listed.worker.faults = WorkerFaults()
+        worker.faults = sound_but(worker.faults)
+
+    async def _say_leaving(self, fault: PlannedFault) -> None:
+        """A worker says that it leaves in its answers only, and another one stands for it."""
+        listed = self._victim(fault)
+        if listed is None:
+            return
+        listed.leaving_at = self.now + SAYS_LEAVING_S
+        await self._add_like(listed)
+        await self.telling.leave(listed, stays_s=SAYS_LEAVING_S)
+
+    async def _rest_worker(self, fault: PlannedFault) -> None:
+        service = (DESK, ENGINES)[fault.pick % 2]
+        listed = _pick(self.world.live(service), fault)
+        await self.telling.rest(listed, pick=fault.pick, for_s=fault.for_s)
+
+    async def _restore_store(self, fault: PlannedFault) -> None:
+        """The store is away for a moment and comes back as it was some seconds before."""
+        store = self.world.store
+        older = store.copy()
+        await asyncio.sleep(fault.for_s)
+        self.disturbances.note(STORE, self.now, self.now + AWAY_S + WRITTEN_AGAIN_S)
+        store.faults.refuses = True
+        await asyncio.sleep(AWAY_S)
+        store.restore(older)
+        store.faults = StoreFaults()
+        await rewrite(self.world, older)
 
     async def _spoil_entry(self, fault: PlannedFault) -> None:
         """Another writer spoils an entry, and adds some of its own; the worker mends its own."""
--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -39,9 +39,21 @@
     STOPS_IN_SERIES = "stops_in_series"
     REQUEST_CRASHES = "request_crashes"
     ENTRY_SPOILED = "entry_spoiled"
+    WORKER_SAYS_LEAVING = "worker_says_leaving"
+    WORKER_RESTS = "worker_rests"
+    STORE_RESTORED = "store_restored"
 
 
-FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in ("request_crashes", "entry_spoiled"))
+LATER_KINDS = frozenset(
+    {
+        FaultKind.REQUEST_CRASHES,
+        FaultKind.ENTRY_SPOILED,
+        FaultKind.WORKER_SAYS_LEAVING,
+        FaultKind.WORKER_RESTS,
+        FaultKind.STORE_RESTORED,
+    }
+)
+FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
 """Those that seeds were drawn from before the others came: with them they draw the same plans."""
 
 PLANNED = (
@@ -70,6 +82,8 @@
         FaultKind.WORKER_FAULT,
         FaultKind.BURST,
         FaultKind.ENTRY_SPOILED,
+        FaultKind.WORKER_RESTS,
+        FaultKind.STORE_RESTORED,
     }
 )
 QUIET_START_S = 1.0
--- a/src/croftchute/soak/run.py
+++ b/src/croftchute/soak/run.py
@@ -120,6 +120,7 @@
             judge_times=spec.judge_times,
             only_planned=spec.only_planned,
             crashing=tuple(set_up.crashing.sent),
+            telling=injector.telling,
         )
         violations += checker.violations()
         tries = set_up.traffic.tries_by_id.values()
--- a/src/croftchute/standins/metadata_store.py
+++ b/src/croftchute/standins/metadata_store.py
@@ -61,6 +61,7 @@
     """The store's content and its calls; every change raises one revision.
 
     ``era_header`` stands in all answers as it is, so that odd ones can be sent.
+    ``wanted_by_key`` is what operators and workers wrote last, whatever became of it.
     """
 
     faults: StoreFaults = field(default_factory=StoreFaults)
@@ -68,6 +69,7 @@
     era: int = 0
     era_header: str | None = None
     items_by_key: dict[str, Item] = field(default_factory=dict)
+    wanted_by_key: dict[str, str] = field(default_factory=dict)
     history: list[tuple[int, JsonObject]] = field(default_factory=list)
     oldest_known: int = 0
     calls: list[str] = field(default_factory=list)
@@ -88,10 +90,22 @@
 
     def put(self, key: str, value: JsonObject, *, lease: int = 0) -> int:
         """Write a JSON value."""
-        return self._put(key, base64.b64encode(msgspec.json.encode(value)).decode(), lease)
+        encoded = base64.b64encode(msgspec.json.encode(value)).decode()
+        self.wanted_by_key[key] = encoded
+        return self._put(key, encoded, lease)
+
+    def write_again(self, key: str) -> None:
+        """Bring a key to what its writer made of it last, if a restored copy has it otherwise."""
+        wanted = self.wanted_by_key.get(key)
+        present = self.items_by_key.get(key)
+        if wanted is None:
+            self.remove(key)
+        elif present is None or present.value != wanted:
+            self._put(key, wanted, 0)
 
     def remove(self, key: str) -> None:
         """Remove a key."""
+        self.wanted_by_key.pop(key, None)
         if self.items_by_key.pop(key, None) is not None:
             self.revision += 1
             self._note({"PrivateKey": key, "Revision": self.revision, "gone": True})
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -12,7 +12,8 @@
 import socket
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import Any
 
 import msgspec
 
@@ -40,6 +41,15 @@
     peer_port: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Arrival:
+    """A request that came, and when; ``rest_s`` is what the answer asked for as rest."""
+
+    request_id: str
+    at: float
+    rest_s: float = 0.0
+
+
 @dataclass(kw_only=True)
 class WorkerFaults:
     """What goes wrong at the worker at the moment; numbers count events of a stream.
@@ -65,6 +75,11 @@
     rest_s: float = 0.0
 
 
+def sound_but(faults: WorkerFaults, **changes: Any) -> WorkerFaults:
+    """Nothing wrong but for some changes; a worker that leaves goes on saying so."""
+    return replace(WorkerFaults(is_leaving=faults.is_leaving), **changes)
+
+
 @dataclass(kw_only=True)
 class PlatformWorker:
     """One worker; ``stage`` is empty for plain services.
@@ -84,6 +99,8 @@
     received: list[Received] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    refusals: list[Arrival] = field(default_factory=list)
     handle_ttl_s: float = 3600.0
     dropped: list[str] = field(default_factory=list)
     finished: list[str] = field(default_factory=list)
@@ -203,7 +220,12 @@
         self, request: Received, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         faults = self.faults
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(Arrival(request_id=request.id, at=now))
         if faults.is_full:
+            if faults.rest_s:
+                refusal = Arrival(request_id=request.id, at=now, rest_s=faults.rest_s)
+                self.refusals.append(refusal)
             self._send(writer, request, 503, {"X-Croftchute-Not-Executed": "1"} | self._rest())
             return True
         is_prefill = request.headers.get("x-croftchute-stage") == "prefill"
