--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -13,15 +13,14 @@
 
 from croftchute.soak.boxes import Alteration, SoakBox
 from croftchute.soak.crashing import CrashingRequests
-from croftchute.soak.disturbances import STORE, Disturbances
+from croftchute.soak.disturbances import Disturbances
 from croftchute.soak.plan import FaultKind, PlannedFault, SoakSpec
 from croftchute.soak.proxy import FaultyLink, LinkFault
-from croftchute.soak.restored import WRITTEN_AGAIN_S, rewrite
 from croftchute.soak.series import SeriesFaults
 from croftchute.soak.signals import BoxSignals
+from croftchute.soak.store_trouble import StoreTrouble
 from croftchute.soak.wishes import TellingWorkers
 from croftchute.soak.world import DESK, ENGINES, HALLS, ListedWorker, SoakWorld
-from croftchute.standins.metadata_store import StoreFaults
 from croftchute.standins.platform_worker import sound_but
 from croftchute.systems.hall_relays import RELAYS
 from croftchute.systems.rendezvous import rank
@@ -43,13 +42,8 @@
 """Seconds for which a worker serves on that says in its answers that it leaves: the time in which
 new work must end, and the longest stream given to it at the last moment."""
 
-AWAY_S = 0.3
-"""Seconds for which the store is away before it comes back from a copy."""
-
 LISTED_AFTER_CRASH_S = 1.5
 REUSE_AFTER_S = 2.0
-LAPSE_BACK_S = 1.5
-MAX_LATE_S = 2.0
 STORM_CHANGES = 5
 STORM_GAP_S = 0.2
 MIN_WORKERS = 2
@@ -123,6 +117,7 @@
             disturbances=disturbances,
             signals=self._signals,
         )
+        store = StoreTrouble(world=world, disturbances=disturbances)
         self._actions: dict[FaultKind, Callable[[PlannedFault], Coroutine[None, None, None]]] = {
             FaultKind.BOX_KILL: self._kill_box,
             FaultKind.BOX_PAUSE: self._pause_box,
@@ -133,13 +128,13 @@
             FaultKind.LINK_STORE: self._harm_store_link,
             FaultKind.LINK_WORKER: self._harm_worker_link,
             FaultKind.LINK_CALLERS: self._harm_caller_link,
-            FaultKind.STORE_REFUSES: self._trouble_store,
-            FaultKind.STORE_LIMITS: self._trouble_store,
-            FaultKind.STORE_SILENT: self._trouble_store,
-            FaultKind.STORE_LOSES: self._trouble_store,
-            FaultKind.STORE_LATE: self._trouble_store,
-            FaultKind.STORE_FORGETS: self._forget_history,
-            FaultKind.STORE_LAPSES: self._lapse_entries,
+            FaultKind.STORE_REFUSES: store.trouble,
+            FaultKind.STORE_LIMITS: store.trouble,
+            FaultKind.STORE_SILENT: store.trouble,
+            FaultKind.STORE_LOSES: store.trouble,
+            FaultKind.STORE_LATE: store.trouble,
+            FaultKind.STORE_FORGETS: store.forget_history,
+            FaultKind.STORE_LAPSES: store.lapse_entries,
             FaultKind.WORKER_CRASH: self._crash_worker,
             FaultKind.WORKER_DRAIN: self._drain_worker,
             FaultKind.WORKER_FAULT: self._trouble_worker,
@@ -155,7 +150,7 @@
             FaultKind.ENTRY_SPOILED: self._spoil_entry,
             FaultKind.WORKER_SAYS_LEAVING: self._say_leaving,
             FaultKind.WORKER_RESTS: self._rest_worker,
-            FaultKind.STORE_RESTORED: self._restore_store,
+            FaultKind.STORE_RESTORED: store.restore,
         }
 
     @property
@@ -239,44 +234,6 @@
         await asyncio.sleep(fault.for_s)
         link.set_fault(LinkFault.NONE)
 
-    # The store.
-
-    async def _trouble_store(self, fault: PlannedFault) -> None:
-        self.disturbances.note(STORE, self.now, self.now + fault.for_s)
-        faults = self.world.store.faults
-        match fault.kind:
-            case FaultKind.STORE_REFUSES:
-                faults.refuses = True
-            case FaultKind.STORE_LIMITS:
-                faults.is_rate_limited = True
-            case FaultKind.STORE_SILENT:
-                faults.is_silent = True
-            case FaultKind.STORE_LOSES:
-                faults.loses_answers = True
-            case FaultKind.STORE_LATE:
-                faults.late_s = min(MAX_LATE_S, fault.for_s)
-        await asyncio.sleep(fault.for_s)
-        self.world.store.faults = StoreFaults()
-
-    async def _forget_history(self, fault: PlannedFault) -> None:
-        self.disturbances.note(STORE, self.now, self.now)
-        self.world.store.forget_history()
-
-    async def _lapse_entries(self, fault: PlannedFault) -> None:
-        """The store is away, all entries lapse, and those that live come back one by one."""
-        self.disturbances.note(STORE, self.now, self.now + fault.for_s + LAPSE_BACK_S)
-        store = self.world.store
-        store.faults.refuses = True
-        await asyncio.sleep(fault.for_s)
-        lapsed = self.world.live()
-        for listed in lapsed:
-            store.remove(f"servers/{listed.worker.id}")
-        store.faults = StoreFaults()
-        for listed in lapsed:
-            await asyncio.sleep(LAPSE_BACK_S / len(lapsed))
-            if listed.leaving_at is None:
-                self.world.write_entry(listed)
-
     # Workers.
 
     def _victim(self, fault: PlannedFault) -> ListedWorker | None:
@@ -368,18 +325,6 @@
         listed = _pick(self.world.live(service), fault)
         await self.telling.rest(listed, pick=fault.pick, for_s=fault.for_s)
 
-    async def _restore_store(self, fault: PlannedFault) -> None:
-        """The store is away for a moment and comes back as it was some seconds before."""
-        store = self.world.store
-        older = store.copy()
-        await asyncio.sleep(fault.for_s)
-        self.disturbances.note(STORE, self.now, self.now + AWAY_S + WRITTEN_AGAIN_S)
-        store.faults.refuses = True
-        await asyncio.sleep(AWAY_S)
-        store.restore(older)
-        store.faults = StoreFaults()
-        await rewrite(self.world, older)
-
     async def _spoil_entry(self, fault: PlannedFault) -> None:
         """Another writer spoils an entry, and adds some of its own; the worker mends its own."""
         listed = _pick(self.world.live(), fault)
