Soak: workers write their entries again and again while the store may come back from a copy

Cause: entries were written once, so that revisions after a return were seldom below those that boxes knew. The sound code was not run with it beside the tests of this commit's plans.

--- a/src/croftchute/soak/run.py
+++ b/src/croftchute/soak/run.py
@@ -19,6 +19,7 @@
 from croftchute.soak.injector import Injector
 from croftchute.soak.plan import FaultKind, SoakSpec, draw_plan
 from croftchute.soak.proxy import FaultyLink, Target
+from croftchute.soak.restored import keep_beating
 from croftchute.soak.traffic import Traffic
 from croftchute.soak.world import HALLS, LOCALHOST, SoakWorld
 from croftchute.standins.platform_caller import is_ready
@@ -215,6 +216,9 @@
         caller_links.append(caller_link)
     disturbances = Disturbances()
     running = [asyncio.create_task(box.keep_running(lambda _: None)) for box in boxes]
+    beating = None
+    if FaultKind.STORE_RESTORED in spec.kinds:
+        beating = asyncio.create_task(keep_beating(world))
     traffic = Traffic(
         world=world,
         boxes=boxes,
@@ -235,6 +239,8 @@
         )
     finally:
         await _take_down(boxes, running)
+        if beating is not None:
+            beating.cancel()
         world.stop()
         for link in (*store_links, *caller_links):
             link.stop()
--- a/src/croftchute/standins/metadata_store.py
+++ b/src/croftchute/standins/metadata_store.py
@@ -94,6 +94,11 @@
         self.wanted_by_key[key] = encoded
         return self._put(key, encoded, lease)
 
+    def holds(self, key: str, value: JsonObject) -> bool:
+        """Whether a key has this JSON value."""
+        item = self.items_by_key.get(key)
+        return item is not None and msgspec.json.decode(base64.b64decode(item.value)) == value
+
     def write_again(self, key: str) -> None:
         """Bring a key to what its writer made of it last, if a restored copy has it otherwise."""
         wanted = self.wanted_by_key.get(key)
