--- a/src/croftchute/cli/commands.py
+++ b/src/croftchute/cli/commands.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from croftchute.account.log_lines import parse_lines, stories
+from croftchute.account.met_workers import met_workers
 from croftchute.account.tables import account
 from croftchute.cli.fleet import fetch_status, fetch_timelines, find_boxes
 from croftchute.config.checks import parse_document
@@ -54,10 +55,17 @@
                     f" committed {engine['kv_committed']} tokens"
                 )
 
-    def account(self, *files: str) -> None:
-        """Tell from the decision logs of one or all boxes where service was lost."""
+    def account(self, *files: str, request: str = "") -> None:
+        """Tell from the decision logs of one or all boxes where service was lost.
+
+        With --request it tells which lives of workers that request met, and which ended under it.
+        """
         if not files:
             raise CroftchuteError(Code.BAD_REQUEST, "no log file was named")
+        if request:
+            lines = (line for name in files for line in parse_lines(_lines_of(Path(name))))
+            print(met_workers(lines, request).text())
+            return
         by_id = stories(line for name in files for line in parse_lines(_lines_of(Path(name))))
         print("\n\n".join(table.text() for table in account(list(by_id.values()))))
 
