--- a/src/croftchute/standins/metadata_store.py
+++ b/src/croftchute/standins/metadata_store.py
@@ -23,6 +23,9 @@
 PAGE = 50
 NEVER_S = 3600.0
 
+FIRST_LEASE = 103_008_338_286_538
+"""Number of the first lease: as long as those of the users' store, which begin anywhere."""
+
 
 @dataclass(kw_only=True)
 class StoreFaults:
@@ -78,7 +81,7 @@
 
     def __post_init__(self) -> None:
         self._changed = asyncio.Event()
-        self._next_lease = 77
+        self._next_lease = FIRST_LEASE
         self.ingress = HttpIngress(handler=self._answer, limits=IngressLimits)
 
     async def start(self) -> int:
