Sight: logs and metrics tell the limit that a worker's answer names

Change: answers are read for it (strictly; of two the lower, a 421 speaks for another worker); `worker_limited` at the first naming and each change, `worker_unlimited` at the end, croftchute_worker_wishes_total and croftchute_limited_workers. Nothing that is sent depends on it yet.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -281,10 +281,18 @@
             if suspended_s > 0.0:
                 self._note_suspension(suspended_s)
             self.state.workers.sweep(now)
+            self._sweep_limits(now)
             self.state.crashes.sweep(now)
             self.state.pool.sweep(now)
             self.state.metrics.open.set({}, self.ingress.open_requests)
 
+    def _sweep_limits(self, now: float) -> None:
+        """Let go of limits of workers that are over, and count those that hold."""
+        workers = self.state.workers
+        for worker_id in workers.limits.sweep(now, listed=workers.beliefs_by_id):
+            self.state.log.decide(Decision.WORKER_UNLIMITED, worker=worker_id)
+        self.state.metrics.limited_workers.set({}, len(workers.limits.in_force(now)))
+
     def _note_notice(self, notice: BoxNotice, now: float) -> None:
         for catch_up in self.catch_ups:
             catch_up.note_notice(notice, now)
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -44,6 +44,8 @@
     WORKER_DISPLACED = "worker_displaced"
     WORKER_LEAVING = "worker_leaving"
     WORKER_RESTS = "worker_rests"
+    WORKER_LIMITED = "worker_limited"
+    WORKER_UNLIMITED = "worker_unlimited"
     WORKER_LOOKED_AT = "worker_looked_at"
     CRASH_HEARD = "crash_heard"
     CRASH_STORED = "crash_stored"
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -20,7 +20,7 @@
         self.sends = Counter("croftchute_sends_total", "Sends to workers by outcome", **own)
         self.wishes = Counter(
             "croftchute_worker_wishes_total",
-            "Answers that said that their worker leaves or rests, by the call answered",
+            "Answers that said anew what their worker wants (leaving, rest, limit), by call",
             **own,
         )
         self.limits = Counter(
@@ -39,6 +39,9 @@
             **own,
         )
         self.open = Gauge("croftchute_open_requests", "Requests that are open", **own)
+        self.limited_workers = Gauge(
+            "croftchute_limited_workers", "Workers that name a limit for all boxes", **own
+        )
         self.store_era = Gauge("croftchute_store_era", "Era of the store that is known", **own)
         self.config_version = Gauge("croftchute_config_version", "Version in force", **own)
         self.first_byte = Histogram(
--- a/src/croftchute/forwarding/wish_reader.py
+++ b/src/croftchute/forwarding/wish_reader.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import math
+from typing import Any
 
 from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.dialect import Verdict
 from croftchute.forwarding.http_client import ResponseHead
 from croftchute.forwarding.state import ForwardingState
+from croftchute.systems.worker_wishes import WorkerWish
 from croftchute.tables.routing import Worker
 
 
@@ -17,11 +20,27 @@
     wishes = state.workers.wishes
     if wish.is_leaving and wishes.note_leaving(worker.id, now):
         state.metrics.wishes.inc({"wish": "leaving", "call": call})
-        _log(state, Decision.WORKER_LEAVING, worker, head, call, rest_s=0.0)
+        _log(state, Decision.WORKER_LEAVING, worker, head, call)
     if wish.rest_s > 0.0:
         wishes.note_rest(worker.id, wish.rest_s, now)
         state.metrics.wishes.inc({"wish": "rest", "call": call})
-        _log(state, Decision.WORKER_RESTS, worker, head, call, rest_s=wish.rest_s)
+        _log(state, Decision.WORKER_RESTS, worker, head, call, rest_s=round(wish.rest_s, 3))
+    _note_limit(state, worker, head, wish, call=call)
+
+
+def _note_limit(
+    state: ForwardingState, worker: Worker, head: ResponseHead, wish: WorkerWish, *, call: str
+) -> None:
+    """Keep the limit that an answer names, or that it names none."""
+    now = state.clock()
+    limits = state.workers.limits
+    if wish.limit_per_s is None:
+        is_its_own = state.workers_speak.verdict(head) is not Verdict.WRONG_WORKER
+        if limits.by_id and is_its_own and not wish.has_odd_limit:
+            limits.note_left_out(worker.id, now)
+    elif limits.note_named(worker.id, wish.limit_per_s, now):
+        state.metrics.wishes.inc({"wish": "limit", "call": call})
+        _log(state, Decision.WORKER_LIMITED, worker, head, call, limit_per_s=wish.limit_per_s)
 
 
 def note_displaced(state: ForwardingState, worker: Worker) -> None:
@@ -49,8 +68,7 @@
     worker: Worker,
     head: ResponseHead,
     call: str,
-    *,
-    rest_s: float,
+    **wished: Any,
 ) -> None:
     belief = state.workers.beliefs_by_id.get(worker.id)
     state.log.decide(
@@ -62,5 +80,5 @@
         listed=belief.worker.state.value if belief is not None else "not listed",
         workers_age_s=round(state.clock() - state.workers.heard_at, 2),
         call=call,
-        rest_s=round(rest_s, 3),
+        **wished,
     )
--- /dev/null
+++ b/src/croftchute/systems/worker_limits.py
@@ -0,0 +1,109 @@
+"""Which workers name a limit: the requests a second that they take from all boxes together.
+
+Kept by life, as answers name it and as other boxes tell. Pure state; times are seconds of a steady
+clock.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Container
+from dataclasses import dataclass, field
+
+OVER_AFTER_S = 4.0
+"""Seconds since a limit was last named after which an answer that leaves it out ends it. Answers
+overtake one another, and some kinds of them may not name it: one alone says little."""
+
+FORGOTTEN_S = 600.0
+"""Seconds for which the limit of a worker that is not listed is kept: its entry may come back, from
+a copy of the store or after an outage, while it is still in need."""
+
+MAX_KEPT = 4096
+"""Most lives of which a limit is kept: nearly twice the workers that docs/CAPACITY.md works out."""
+
+
+OVER_KEPT_S = 10.0
+"""Seconds for which it is remembered that a limit is over: other boxes may still tell of it."""
+
+
+@dataclass(kw_only=True, slots=True)
+class NamedLimit:
+    """A limit as it was named last, and the first answer since then that leaves it out."""
+
+    per_s: float
+    named_at: float
+    left_out_at: float = math.inf
+    is_noted_over: bool = False
+
+    def is_over(self, now: float) -> bool:
+        """Whether the worker takes any number of requests again."""
+        return self.left_out_at <= now and now - self.named_at >= OVER_AFTER_S
+
+
+@dataclass(kw_only=True)
+class WorkerLimits:
+    """The limits of all lives of workers that named one."""
+
+    by_id: dict[str, NamedLimit] = field(default_factory=dict)
+
+    def note_named(
+        self, worker_id: str, per_s: float, now: float, *, known_for_s: float = 0.0
+    ) -> bool:
+        """A worker names a limit; True if that is news, and not only named again.
+
+        ``known_for_s`` is how long ago it was named, where another box tells of it.
+        """
+        named_at = now - known_for_s
+        known = self.by_id.get(worker_id)
+        if known is None:
+            self._make_room()
+            self.by_id[worker_id] = NamedLimit(per_s=per_s, named_at=named_at)
+            return True
+        if named_at <= known.named_at:
+            return False
+        is_news = per_s != known.per_s or known.is_over(now)
+        known.per_s = per_s
+        known.named_at = named_at
+        if known.left_out_at <= named_at:
+            known.left_out_at = math.inf
+            known.is_noted_over = False
+        return is_news
+
+    def note_left_out(self, worker_id: str, now: float, *, known_for_s: float = 0.0) -> None:
+        """An answer of a worker names no limit; it matters for one that named one before."""
+        known = self.by_id.get(worker_id)
+        left_out_at = now - known_for_s
+        if known is not None and left_out_at > known.named_at:
+            known.left_out_at = min(known.left_out_at, left_out_at)
+
+    def limit_of(self, worker_id: str, now: float) -> float | None:
+        """The requests a second that a worker takes in all; None if it names no limit."""
+        known = self.by_id.get(worker_id)
+        return None if known is None or known.is_over(now) else known.per_s
+
+    def in_force(self, now: float) -> dict[str, float]:
+        """All limits that hold, by worker."""
+        return {
+            worker_id: known.per_s
+            for worker_id, known in self.by_id.items()
+            if not known.is_over(now)
+        }
+
+    def sweep(self, now: float, *, listed: Container[str]) -> list[str]:
+        """Forget what is long over; returns workers whose limits have just come to an end."""
+        for worker_id, known in list(self.by_id.items()):
+            silent_s = now - known.named_at
+            is_gone = worker_id not in listed and silent_s > FORGOTTEN_S
+            is_long_over = known.is_over(now) and silent_s > OVER_AFTER_S + OVER_KEPT_S
+            if is_gone or is_long_over:
+                del self.by_id[worker_id]
+        ended = [w for w, known in self.by_id.items() if known.is_over(now)]
+        news = [worker_id for worker_id in ended if not self.by_id[worker_id].is_noted_over]
+        for worker_id in news:
+            self.by_id[worker_id].is_noted_over = True
+        return news
+
+    def _make_room(self) -> None:
+        """Let go of the limit that has been known longest, if too many are kept."""
+        if len(self.by_id) >= MAX_KEPT:
+            del self.by_id[next(iter(self.by_id))]
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -13,6 +13,7 @@
 
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.prefill_queue import PrefillQueue
+from croftchute.systems.worker_limits import WorkerLimits
 from croftchute.systems.worker_wishes import WorkerWishes
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
@@ -140,6 +141,7 @@
     lapsed_grace_s: float = LAPSED_GRACE_S
     beliefs_by_id: dict[str, WorkerBelief] = field(default_factory=dict)
     wishes: WorkerWishes = field(default_factory=WorkerWishes)
+    limits: WorkerLimits = field(default_factory=WorkerLimits)
     _beliefs_by_service: dict[str, dict[str, WorkerBelief]] = field(default_factory=dict)
     _current_by_name: dict[str, WorkerBelief] = field(default_factory=dict)
     _ended: list[Worker] = field(default_factory=list)
--- a/src/croftchute/systems/worker_wishes.py
+++ b/src/croftchute/systems/worker_wishes.py
@@ -26,11 +26,15 @@
     """What one answer says that its worker wants.
 
     ``is_leaving``: it takes no new work until its end. ``rest_s``: it wants nothing from this box
-    for so many seconds; 0 if it does not say so.
+    for so many seconds; 0 if it does not say so. ``limit_per_s``: the requests a second that it
+    takes from all boxes together; None if it names no limit that can be read, as one does that
+    ``has_odd_limit``.
     """
 
     is_leaving: bool = False
     rest_s: float = 0.0
+    limit_per_s: float | None = None
+    has_odd_limit: bool = False
 
 
 NO_WISH = WorkerWish()
--- a/tests/platform_adapter/test_wishes.py
+++ b/tests/platform_adapter/test_wishes.py
@@ -87,3 +87,36 @@
     wish = read_wish(answer)
     assert isinstance(wish, WorkerWish)
     assert 0.0 <= wish.rest_s <= MAX_REST_S
+
+
+def limits(*values):
+    return [(b"server-limit", value) for value in values]
+
+
+@pytest.mark.parametrize(
+    "values, per_s",
+    [
+        ([b"1.5"], 1.5),
+        ([b" 2 "], 2.0),
+        ([b"0"], 0.0),
+        ([b"0.1"], 0.1),
+        ([b"3", b"2"], 2.0),
+        ([b"3, 2.5"], 2.5),
+        ([b"4", b"many"], 4.0),
+        ([b"1000000"], 1e6),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+def test_every_answer_may_name_a_limit_and_of_two_the_lower_holds(status, values, per_s):
+    wish = read_wish(head(status, *limits(*values)))
+    assert (wish.limit_per_s, wish.has_odd_limit) == (per_s, False)
+
+
+@pytest.mark.parametrize("value", [b"", b"-1", b"nan", b"inf", b"1e9", b"two", b"\xb2", b"9" * 400])
+def test_a_limit_that_can_not_be_read_is_none_and_does_not_count_as_left_out(value):
+    wish = read_wish(head(200, *limits(value)))
+    assert (wish.limit_per_s, wish.has_odd_limit) == (None, True)
+
+
+def test_another_worker_at_the_address_names_no_limit_for_the_one_that_was_asked():
+    assert read_wish(head(421, *limits(b"1"))) is NO_WISH
