Failing tests: a worker that names a limit for all boxes gets as many requests as before

Ruled out by it: that each box keeps to the limit by itself (one box alone breaks it), that a restart loses it (none here).

--- a/src/croftchute/standins/platform_wire.py
+++ b/src/croftchute/standins/platform_wire.py
@@ -11,12 +11,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Received:
-    """A request as the worker got it."""
+    """A request as the worker got it; ``at`` is when, by the clock of the event loop."""
 
     method: str
     path: str
     headers: Headers
     body: bytes
+    at: float = 0.0
 
     @property
     def id(self) -> str:
@@ -50,7 +51,8 @@
                 headers[name.strip().lower()] = value.strip()
         length = int(headers.get("content-length", "0"))
         body = await reader.readexactly(length) if length else b""
-        yield Received(method=method, path=path, headers=headers, body=body)
+        now = asyncio.get_running_loop().time()
+        yield Received(method=method, path=path, headers=headers, body=body, at=now)
 
 
 async def _readhead(reader: asyncio.StreamReader) -> bytes:
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -55,6 +55,7 @@
     """What goes wrong at the worker at the moment; numbers count events of a stream.
 
     ``is_leaving`` has all answers say so; ``rest_s`` is what refusals ask for as rest, if not 0.
+    ``limit`` is what all answers name as the limit, if anything.
     """
 
     is_full: bool = False
@@ -73,11 +74,12 @@
     is_unframed: bool = False
     is_leaving: bool = False
     rest_s: float = 0.0
+    limit: str = ""
 
 
 def sound_but(faults: WorkerFaults, **changes: Any) -> WorkerFaults:
-    """Nothing wrong but for some changes; a worker that leaves goes on saying so."""
-    return replace(WorkerFaults(is_leaving=faults.is_leaving), **changes)
+    """Nothing wrong but for some changes; a worker that leaves or is in need goes on saying so."""
+    return replace(WorkerFaults(is_leaving=faults.is_leaving, limit=faults.limit), **changes)
 
 
 @dataclass(kw_only=True)
@@ -346,7 +348,7 @@
             "Transfer-Encoding": "chunked",
             "X-Croftchute-Server-Stamp": STAMP,
         }
-        writer.write(encode_head(faults.status or 200, request, headers | self._leaving()))
+        writer.write(encode_head(faults.status or 200, request, headers | self._wishes()))
         first = int(request.headers.get("last-event-id", "0")) + 1
         for sent, number in enumerate(range(first, self.events + 1)):
             if faults.resets_after_events == sent:
@@ -383,8 +385,9 @@
     def _rest(self) -> Headers:
         return {"Retry-After": f"{self.faults.rest_s:g}"} if self.faults.rest_s else {}
 
-    def _leaving(self) -> Headers:
-        return {"Server-Leaving": "1"} if self.faults.is_leaving else {}
+    def _wishes(self) -> Headers:
+        told = {"Server-Leaving": "1"} if self.faults.is_leaving else {}
+        return told | ({"Server-Limit": self.faults.limit} if self.faults.limit else {})
 
     def _send(
         self,
@@ -394,5 +397,5 @@
         headers: Headers,
         body: bytes = b"",
     ) -> None:
-        headers = headers | self._leaving() | {"Content-Length": str(len(body))}
+        headers = headers | self._wishes() | {"Content-Length": str(len(body))}
         writer.write(encode_head(status, request, headers) + body)
