A worker's limit is kept by all boxes together: permits from a pool of lent shares

Callers and workers saw: a worker in need that names how many requests a second it takes got what came, from each box and in sum. Cause: the limit was read nowhere. Class: a number that holds for all boxes together and that no box can keep by itself. Change: before each call of a worker that names a limit (requests, repeats, prompts read ahead, asks for room, lists, orders, releases) a box asks the pool that already keeps limits of organisations over all boxes: shares lent under leases, so that the sum stays below the limit through loss, repeats, cuts, pauses and restarts. What both kinds need stands once (`shared_rates`); workers have a group of their own, with leases only while some worker names a limit. Limits are heard by answers and by notices, at once. Workers whose limit is reached are passed over until they take a call again; where all are, callers are refused at once with that time. The count of boxes is kept on record always, as a limit may come while the store is away. Ruled out: keeping to the number at each box (the sum is the number of boxes too high); even shares by live boxes alone (a limit of 1 a second cut into 78 parts; two halls that are cut off count too few boxes each).

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -20,17 +20,20 @@
 from croftchute.forwarding.http_server import HttpIngress
 from croftchute.forwarding.limits import FixedShares, UsageLimits
 from croftchute.forwarding.peer_exchange import PeerExchange
-from croftchute.forwarding.pooled_limits import PooledLimits
+from croftchute.forwarding.pooled_limits import OrganisationSource, PooledLimits
+from croftchute.forwarding.shared_rates import SharedRates
 from croftchute.forwarding.stage_orders import StageOrders
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.store_follower import StoreFollower
 from croftchute.forwarding.supervision import Task, keep_going
+from croftchute.forwarding.worker_permits import WorkerPermits, WorkerSource
 from croftchute.peers.codec import Codec
 from croftchute.peers.messages import BoxNotice
 from croftchute.router_settings import RouterSettings, parse_address, read_router_settings
 from croftchute.steady_clock import SuspensionMeter
 from croftchute.storage.watched import SharedStore, Vocabulary
 from croftchute.systems.fleet_size import FleetSize
+from croftchute.systems.lent_share import WORKERS_GROUP
 from croftchute.tables.organisations import LimitWay
 from croftchute.tables.routing import IngressLimits
 
@@ -100,14 +103,15 @@
         state.on_crash_news = self._note_crashes
         self.catch_ups = catch_ups(state, self.follower)
         self.fleet_size = FleetSize()
+        self.shared_rates = self._make_shared_rates()
         self.usage_limits = self._make_usage_limits()
         self.fleet_record = FleetRecord(
             state=state,
             store=store,
             size=self.fleet_size,
-            has_limits=state.has_limits,
+            has_limits=lambda: state.table is not None,
             address=lambda: (self.exchange.host, self.exchange.port),
-            is_main_pool=self.usage_limits.is_main_pool,
+            is_main_pool=self._keeps_record,
         )
         state.on_restored += [
             self.orders.note_restored,
@@ -135,12 +139,40 @@
         terms = limit_terms(self.settings)
         if self.settings.ways.limits is LimitWay.FIXED:
             return FixedShares(state=self.state, terms=terms, size=self.fleet_size)
-        limits = PooledLimits(
-            state=self.state, terms=terms, size=self.fleet_size, tell=self.exchange.tell
+        return PooledLimits(rates=self.shared_rates, group=self.shared_rates.groups[0])
+
+    def _make_shared_rates(self) -> SharedRates:
+        """What keeps limits that hold over all boxes, for organisations and for workers."""
+        state = self.state
+        workers = WorkerSource(state=state)
+        sources = (OrganisationSource(state=state, terms=limit_terms(self.settings)), workers)
+        rates = SharedRates(
+            state=state, sources=sources, size=self.fleet_size, tell=self.exchange.tell
+        )
+        self.exchange.on_allowance_ask = rates.note_ask
+        self.exchange.on_allowance_reply = rates.note_reply
+        state.permits = WorkerPermits(rates=rates, group=rates.groups[WORKERS_GROUP])
+        state.on_limit_news = self._note_limit_news
+        return rates
+
+    def _note_limit_news(self) -> None:
+        """A worker names another limit: all boxes are to hear of it, and to lend their shares."""
+        self.exchange.tell_soon()
+        self.shared_rates.begin_soon()
+
+    def _keeps_record(self) -> bool:
+        """Whether this box keeps the record of the fleet: the main pool, or the one on record.
+
+        Without any limit there is no pool, and the record is kept for when a worker names one.
+        """
+        if self.shared_rates.is_in_use():
+            return self.shared_rates.is_main_pool()
+        peers = self.state.peers.peers_by_id
+        if self.fleet_size.pool in peers:
+            return False
+        return self.fleet_size.pool == self.state.box or self.state.box <= min(
+            peers, default=self.state.box
         )
-        self.exchange.on_allowance_ask = limits.note_ask
-        self.exchange.on_allowance_reply = limits.note_reply
-        return limits
 
     @property
     def is_ready(self) -> bool:
@@ -183,7 +215,7 @@
             Task(name="workers", work=self.follower.workers.run),
             Task(name="stage_orders", work=self.orders.run),
             Task(name="notices", work=self.exchange.run),
-            Task(name="limits", work=self.usage_limits.run),
+            Task(name="shared_rates", work=self.shared_rates.run),
             Task(name="fleet_record", work=self.fleet_record.run),
             Task(name="crash_register", work=self.crash_register.run),
             *(Task(name="catch_up", work=catch_up.run) for catch_up in self.catch_ups),
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -57,6 +57,7 @@
     ATTEMPT_ENDED = "attempt_ended"
     STREAM_RESUMED = "stream_resumed"
     LIMIT_DENIED = "limit_denied"
+    PERMIT_DENIED = "permit_denied"
     LIMIT_POOL_SILENT = "limit_pool_silent"
     REPEAT_DENIED = "repeat_denied"
     REQUEST_ANSWERED = "request_answered"
--- a/src/croftchute/forwarding/decode_room.py
+++ b/src/croftchute/forwarding/decode_room.py
@@ -15,7 +15,10 @@
 from croftchute.systems.room_forecast import RoomWait
 from croftchute.systems.worker_choice import ChoiceInput
 from croftchute.systems.worker_table import WorkerBelief
-from croftchute.tables.routing import EngineTraits, Stage
+from croftchute.tables.routing import EngineTraits, Stage, Worker
+
+HOLD_AND_REQUEST = 2
+"""Calls of a worker that a stream takes there: an ask for room, and the request itself."""
 
 
 class DecodeRoom:
@@ -32,6 +35,7 @@
         self.code: Code | None = None
         self.detail = ""
         self._resumed_in_place = False
+        self._permit_at: Worker | None = None
 
     async def reserve(self) -> tuple[WorkerBelief, ChoiceInput] | None:
         """A decode worker that keeps room for the request, waiting for a while if all are full."""
@@ -94,21 +98,43 @@
         """Ask the decode workers, the cheapest first; None if none has room."""
         run = self.run
         engine = run.engine
-        if engine is not None and (in_place := self._same_worker()) is not None:
-            belief, chosen = in_place
-            if await self._hold_at(belief, chosen, engine):
-                return in_place
+        if engine is not None and (in_place := await self._room_in_place(engine)) is not None:
+            return in_place
         while True:
             found = run.choose(Stage.DECODE)
-            if found is None or engine is None or engine.hold_ttl_s <= 0.0:
-                return found
+            if found is None:
+                return None
+            if engine is None or engine.hold_ttl_s <= 0.0:
+                if await run.take_permit(found[0]):
+                    self._permit_at = found[0].worker
+                    return found
+                continue
             if found[0].full_until > run.now:
                 run.full.add(found[0].worker.id)
                 self._note_full(found[0])
                 continue
-            if await self._hold_at(*found, engine):
+            if await self._hold_if_permitted(*found, engine):
                 return found
 
+    async def _room_in_place(self, engine: EngineTraits) -> tuple[WorkerBelief, ChoiceInput] | None:
+        """Room at the worker that may still keep the request's cache."""
+        same = self._same_worker()
+        if same is None or not await self._hold_if_permitted(*same, engine):
+            return None
+        return same
+
+    async def _hold_if_permitted(
+        self, belief: WorkerBelief, chosen: ChoiceInput, engine: EngineTraits
+    ) -> bool:
+        """Ask a worker for room if it takes that call, and the request behind it."""
+        if not await self.run.take_permit(belief, calls=HOLD_AND_REQUEST):
+            return False
+        self._permit_at = belief.worker
+        is_held = await self._hold_at(belief, chosen, engine)
+        if not is_held:
+            self._give_permit_back()
+        return is_held
+
     def _same_worker(self) -> tuple[WorkerBelief, ChoiceInput] | None:
         """The worker that the stream ran at: if it lives, it still keeps the prompt's cache."""
         worker_id, self.kept_at = self.kept_at, None
@@ -159,13 +185,24 @@
         )
         return self.hold is not None
 
+    def note_used(self) -> None:
+        """The request was sent: neither the hold nor the permit for it is left."""
+        self.hold = None
+        self._permit_at = None
+
     def drop_unused(self) -> None:
-        """Give the hold back if nothing was sent with it."""
+        """Give the hold and the permit back if nothing was sent with them."""
+        self._give_permit_back()
         if self.hold is not None:
             state = self.run.state
             state.spawn(drop_hold(state, self.hold, self.run.facts.id))
             self.hold = None
 
+    def _give_permit_back(self) -> None:
+        if self._permit_at is not None:
+            self.run.state.permits.give_back(self._permit_at)
+            self._permit_at = None
+
     def _note_full(self, belief: WorkerBelief) -> None:
         self.code = Code.NO_CAPACITY
         self.detail = f"no room at {belief.worker.id} and others"
--- a/src/croftchute/forwarding/limits.py
+++ b/src/croftchute/forwarding/limits.py
@@ -58,14 +58,6 @@
         """Units taken for a request that did not run."""
         ...
 
-    async def run(self) -> None:
-        """What goes on beside the requests; never returns."""
-        ...
-
-    def is_main_pool(self) -> bool:
-        """Whether this box says yes or no for most others, and keeps the record of the fleet."""
-        ...
-
 
 class FixedShares:
     """Each box keeps to its own share. Nothing is said between boxes, little of it fits."""
@@ -102,13 +94,6 @@
         if bucket is not None:
             bucket.level += units
 
-    async def run(self) -> None:
-        """Nothing is to be done beside the requests."""
-
-    def is_main_pool(self) -> bool:
-        """No box answers for others; the first of all that are known keeps the record."""
-        return self.state.box <= min(self.state.peers.peers_by_id, default=self.state.box)
-
     def _wait_s(self, bucket: UsageBucket, limit: UsageLimit, wanted: float, share: float) -> float:
         if share <= 0.0:
             return NO_SHARE_WAIT_S
--- a/src/croftchute/forwarding/peer_exchange.py
+++ b/src/croftchute/forwarding/peer_exchange.py
@@ -12,7 +12,7 @@
 from croftchute.errors import MessageError
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.state import ForwardingState
-from croftchute.forwarding.wish_reader import note_leaving_heard
+from croftchute.forwarding.wish_reader import note_leaving_heard, note_limit_heard
 from croftchute.peers.codec import Codec, Envelope
 from croftchute.peers.messages import (
     AllowanceAsk,
@@ -37,6 +37,12 @@
 MAX_LEAVING_TOLD = 32
 """Workers that leave told of in one notice, the latest: bounds a datagram."""
 
+MAX_LIMITS_TOLD = 64
+"""Workers that name a limit told of in one notice: bounds a datagram."""
+
+TELL_SOON_S = 0.02
+"""Seconds until a notice goes out whose news do not wait for the next one: a few come together."""
+
 MIN_FAILURES_TOLD = 0.05
 """Lowest failure score that is told."""
 
@@ -75,6 +81,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._datagram = b""
         self._greetings_left = MAX_GREETINGS
+        self._is_telling_soon = False
 
     async def listen(self, port: int) -> None:
         """Take notices on a port."""
@@ -137,6 +144,16 @@
             self.send_notices()
             await asyncio.sleep(NOTICE_S * self.state.rng.uniform(0.8, 1.2))
 
+    def tell_soon(self) -> None:
+        """Send a notice shortly, beside those at an interval: each box that hears passes it on."""
+        if not self._is_telling_soon:
+            self._is_telling_soon = True
+            asyncio.get_running_loop().call_later(TELL_SOON_S, self._tell_now)
+
+    def _tell_now(self) -> None:
+        self._is_telling_soon = False
+        self.send_notices()
+
     def send_notices(self) -> None:
         """Tell some peers how things stand here."""
         now = self.state.clock()
@@ -209,6 +226,7 @@
             demands=tuple(demands),
             introduced=state.peers.introduced(now, state.rng),
             leaving_workers=self._leaving_workers(),
+            limited_workers=state.workers.limits.notices(now, state.rng, most=MAX_LIMITS_TOLD),
         )
 
     def _leaving_workers(self) -> tuple[str, ...]:
@@ -233,6 +251,8 @@
                 self._hear_of_change(entry, now)
         for worker_id in notice.leaving_workers:
             note_leaving_heard(self.state, worker_id, sender=sender)
+        for limit in notice.limited_workers:
+            note_limit_heard(self.state, limit, sender=sender)
         for introduced in notice.introduced:
             host, _, port = introduced.rpartition(":")
             address = (host, int(port))
--- /dev/null
+++ b/src/croftchute/forwarding/permits.py
@@ -0,0 +1,38 @@
+"""Leave to call workers: what the paths of a request ask for before each call of a worker."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from croftchute.tables.routing import Worker
+
+
+class CallPermits(Protocol):
+    """Permits for calls of workers that name a limit for all boxes together."""
+
+    async def take(
+        self, worker: Worker, *, calls: int = 1, patience_s: float = 0.0, request_id: str = ""
+    ) -> bool:
+        """Whether so many calls of a worker may be made now; a worker without a limit takes any.
+
+        A worker that takes none for the moment is closed in the table until it takes one again.
+        ``patience_s`` is how long the calls may be held for a permit that comes soon.
+        """
+        ...
+
+    def give_back(self, worker: Worker, calls: int = 1) -> None:
+        """Calls that were not made after all."""
+        ...
+
+
+class AnyNumber:
+    """Permits without a limit, for what runs without other boxes."""
+
+    async def take(
+        self, worker: Worker, *, calls: int = 1, patience_s: float = 0.0, request_id: str = ""
+    ) -> bool:
+        """Every call may be made."""
+        return True
+
+    def give_back(self, worker: Worker, calls: int = 1) -> None:
+        """Nothing was taken."""
--- a/src/croftchute/forwarding/plain_run.py
+++ b/src/croftchute/forwarding/plain_run.py
@@ -41,7 +41,12 @@
     progress = Progress()
     while run.time_left_s > 0.0:
         found = run.choose(None)
-        if found is None or not run.may_send_again():
+        if found is None:
+            break
+        if not await run.take_permit(found[0]):
+            continue
+        if not run.may_send_again():
+            run.state.permits.give_back(found[0].worker)
             break
         answer = await _attempt(run, *found, progress)
         if answer is not None:
@@ -65,6 +70,7 @@
         return await _take(run, call, head, progress)
     except ConnectFailedError as error:
         run.connect_failures += 1
+        run.state.permits.give_back(belief.worker)
         call.failed(error)
         progress.code, progress.detail = error.code, error.message
     except ExchangeError as error:
--- a/src/croftchute/forwarding/prompt_reader.py
+++ b/src/croftchute/forwarding/prompt_reader.py
@@ -55,6 +55,8 @@
                 return None
             if not self._is_better_ahead(found[0], decode):
                 return None
+            if not await run.take_permit(found[0]):
+                continue
             refusals = self._refusals
             handle = await self._read(*found)
             if handle is not None or self._refusals == refusals:
@@ -121,6 +123,7 @@
             return await self._take_handle(call)
         except ConnectFailedError as error:
             self._refusals += 1
+            run.state.permits.give_back(belief.worker)
             call.failed(error)
         except ExchangeError as error:
             run.arrivals += 1
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -174,6 +174,29 @@
         around = self.surroundings(belief.worker.stage)
         return describe(belief, around, self.now, candidates=candidates)
 
+    async def take_permit(self, belief: WorkerBelief, *, calls: int = 1) -> bool:
+        """Leave for calls of a chosen worker; False if it may not be used now after all.
+
+        A request that others could serve does not wait for it.
+        """
+        state = self.state
+        worker = belief.worker
+        if state.workers.limits.limit_of(worker.id, self.now) is None:
+            return True
+        usable = state.workers.usable(self.service, self.now, stage=worker.stage)
+        others = [b for b in usable if b is not belief and b.worker.id not in self.avoid]
+        patience_s = 0.0 if others else self.time_left_s
+        wishes = state.workers.wishes
+        wish = wishes.told_by(worker.id, self.now)
+        may_call = await state.permits.take(
+            worker, calls=calls, patience_s=patience_s, request_id=self.facts.id
+        )
+        if may_call and wishes.told_by(worker.id, self.now) != wish:
+            # It said so while the permit was asked for: it is chosen anew, or another one.
+            state.permits.give_back(worker, calls)
+            return False
+        return may_call
+
     def may_send_again(self) -> bool:
         """Take a repeat out of the budget; the first sending needs none.
 
@@ -234,7 +257,7 @@
         self.has_not_run = ran is Ran.NOT_RUN
         lacks_worker = code in (Code.NO_UPSTREAM, Code.NO_CAPACITY) and ran is Ran.NOT_RUN
         if lacks_worker and (rest_left_s := self.rest_left_s) > 0.0:
-            detail = "all workers asked for rest"
+            detail = "all workers asked for rest, or take no more calls for now"
             expected_wait_s = rest_left_s
         retry_after_s = None
         if expected_wait_s is not None:
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -12,6 +12,7 @@
 from croftchute.forwarding.connection_pool import ConnectionPool
 from croftchute.forwarding.decision_log import Decision, DecisionLog
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
+from croftchute.forwarding.permits import AnyNumber, CallPermits
 from croftchute.forwarding.silence import KNOWLEDGE, SilenceLimits
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.forwarding.transfer import Transfer
@@ -68,8 +69,9 @@
 
     ``begun_at`` is when the process began: an earlier life of the box was over by then. Loading the
     program takes a small box the better part of a second until ``started_at``. ``on_crash_news``
-    is called with the digests of requests under which this box saw a worker end, ``on_restored``
-    when the store has come back from an older copy.
+    is called with the digests of requests under which this box saw a worker end, ``on_limit_news``
+    when a worker names another limit than before, ``on_restored`` when the store has come back from
+    an older copy.
     """
 
     box: str
@@ -100,6 +102,8 @@
     crashes: CrashRecords = field(default_factory=CrashRecords)
     lives_looked_at: set[str] = field(default_factory=set)
     on_crash_news: Callable[[list[str]], None] = lambda _: None
+    permits: CallPermits = field(default_factory=AnyNumber)
+    on_limit_news: Callable[[], None] = lambda: None
     store_era: int | None = None
     on_restored: list[Callable[[], None]] = field(default_factory=list)
     stop_began_at: float | None = None
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/stream_run.py
@@ -146,7 +146,7 @@
         call = WorkerCall(run=run, belief=belief, send=send, chosen=chosen)
         try:
             await call.open()
-            self.room.hold = None
+            self.room.note_used()
             run.arrivals += 1
             run.workers_sent_to.add(belief.worker.id)
             await self._take(call, source)
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -26,6 +26,11 @@
         self.limits = Counter(
             "croftchute_limit_refusals_total", "Requests refused by limits, by outcome", **own
         )
+        self.permits = Counter(
+            "croftchute_permit_refusals_total",
+            "Calls of workers that name a limit that were not permitted, by outcome",
+            **own,
+        )
         self.store_calls = Counter("croftchute_store_calls_total", "Store calls by outcome", **own)
         self.transfer_bytes = Counter(
             "croftchute_transfer_bytes_total",
--- a/src/croftchute/forwarding/wish_reader.py
+++ b/src/croftchute/forwarding/wish_reader.py
@@ -10,6 +10,7 @@
 from croftchute.forwarding.http_client import ResponseHead
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems.worker_wishes import WorkerWish
+from croftchute.tables.peers import LimitNotice
 from croftchute.tables.routing import Worker
 
 
@@ -41,6 +42,7 @@
     elif limits.note_named(worker.id, wish.limit_per_s, now):
         state.metrics.wishes.inc({"wish": "limit", "call": call})
         _log(state, Decision.WORKER_LIMITED, worker, head, call, limit_per_s=wish.limit_per_s)
+        state.on_limit_news()
 
 
 def note_displaced(state: ForwardingState, worker: Worker) -> None:
@@ -62,6 +64,21 @@
         )
 
 
+def note_limit_heard(state: ForwardingState, notice: LimitNotice, *, sender: str) -> None:
+    """Another box tells of a worker that names a limit: it holds for all boxes together."""
+    if state.workers.limits.hear(notice, state.clock()):
+        state.metrics.wishes.inc({"wish": "limit", "call": "notice"})
+        state.log.decide(
+            Decision.WORKER_LIMITED,
+            outcome="told by a peer",
+            worker=notice.worker,
+            limit_per_s=notice.per_s,
+            limit_age_s=round(notice.named_s, 2),
+            source=sender,
+        )
+        state.on_limit_news()
+
+
 def _log(
     state: ForwardingState,
     kind: Decision,
--- a/src/croftchute/forwarding/worker_control.py
+++ b/src/croftchute/forwarding/worker_control.py
@@ -17,6 +17,12 @@
 MAX_CONTROL_BYTES = 1 << 20
 STATUS_OK = 200
 
+STATUS_NOT_PERMITTED = 429
+"""Stands for the answer of a worker that was not called, as a limit that it names is reached."""
+
+REPORT_AND_ORDER = 2
+"""Calls of a worker that an order takes."""
+
 STATUS_OTHER_LIFE = 421
 """Stands for the answer of a worker that took no order as it is not the one that was meant."""
 
@@ -110,6 +116,8 @@
 
 async def ask_kept_parts(state: ForwardingState, worker: Worker) -> dict[str, int]:
     """Tokens that a worker keeps by prompt part; ExchangeError or MessageError if it fails."""
+    if not await state.permits.take(worker):
+        return {}
     data = state.workers_speak.ask_kept(worker)
     status, body = await control_call(state, worker, data, patience.KEPT_TIMEOUT_S)
     return state.workers_speak.kept(body) if status == STATUS_OK else {}
@@ -119,6 +127,8 @@
     state: ForwardingState, worker: Worker, stage: Stage, *, holder: str, token: int
 ) -> int:
     """Order a worker to change its stage, if nothing was ordered since it was asked."""
+    if not await state.permits.take(worker, calls=REPORT_AND_ORDER):
+        return STATUS_NOT_PERMITTED
     status, body = await control_call(
         state, worker, state.workers_speak.ask_report(worker), patience.CONNECT_S
     )
@@ -138,7 +148,8 @@
 async def _release(
     state: ForwardingState, worker: Worker, data: bytes, kind: Decision, request_id: str
 ) -> None:
-    if not await _has_rested(state, worker):
+    may_call = await _has_rested(state, worker) and await state.permits.take(worker)
+    if not may_call:
         state.log.decide(kind, request_id=request_id, outcome="left to lapse", worker=worker.id)
         return
     try:
--- a/src/croftchute/peers/codec.py
+++ b/src/croftchute/peers/codec.py
@@ -20,7 +20,7 @@
 from croftchute.systems.prefill_pace import PrefillSample
 from croftchute.tables.allowances import UsageGrant, UsageReturn, UsageWant
 from croftchute.tables.crashes import CrashNotice
-from croftchute.tables.peers import DemandNotice, WorkerNotice
+from croftchute.tables.peers import DemandNotice, LimitNotice, WorkerNotice
 from croftchute.tables.upstreams import ShardDigest
 
 TAG_BYTES = 16
@@ -37,8 +37,9 @@
     UsageGrant,
     UsageReturn,
     CrashNotice,
+    LimitNotice,
 )
-COLUMN_STRUCTS = (WorkerNotice, PrefillSample, CrashNotice)
+COLUMN_STRUCTS = (WorkerNotice, PrefillSample, CrashNotice, LimitNotice)
 """Those of which a message holds many: their lists are sent column by column, under a name of their
 own. Reading 24 worker notices takes 46 us in place of 260, and boxes read some twenty a second."""
 
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -8,7 +8,7 @@
 from croftchute.errors import Code
 from croftchute.tables.allowances import UsageGrant, UsageReturn, UsageWant
 from croftchute.tables.crashes import CrashNotice
-from croftchute.tables.peers import DemandNotice, WorkerNotice
+from croftchute.tables.peers import DemandNotice, LimitNotice, WorkerNotice
 from croftchute.tables.upstreams import ShardDigest
 
 
@@ -184,7 +184,8 @@
 
     ``introduced`` holds HOST:PORT of other boxes that the sender hears; ``link_mbps`` is the rate
     of the sender's link in Mbit/s, 0 if it does not know. ``leaving_workers`` are lives of workers
-    that said, to the sender or to a box that it heard, that they leave.
+    that said, to the sender or to a box that it heard, that they leave; ``limited_workers`` are
+    those that named a limit in the same way.
     """
 
     started_at: float
@@ -200,6 +201,7 @@
     hall: str = ""
     link_mbps: float = 0.0
     leaving_workers: tuple[str, ...] = ()
+    limited_workers: tuple[LimitNotice, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -221,24 +221,33 @@
   linkMbps @11 :Float32;
   workersColumns @12 :WorkerNoticeColumns;
   leavingWorkers @13 :List(Text);
+  limitedWorkersColumns @14 :LimitNoticeColumns;
+}
+
+struct LimitNoticeColumns {
+  worker @0 :List(Text);
+  perS @1 :List(Float64);
+  namedS @2 :List(Float32);
+  leftOutS @3 :List(Float32);
 }
 
 struct UsageWant {
-  organisation @0 :Text;
+  name @0 :Text;
   units @1 :Float64;
   extra @2 :Float64;
   ratePerS @3 :Float64;
   burst @4 :Float64;
+  knownForS @5 :Float32;
 }
 
 struct UsageGrant {
-  organisation @0 :Text;
+  name @0 :Text;
   units @1 :Float64;
   waitS @2 :Float32;
 }
 
 struct UsageReturn {
-  organisation @0 :Text;
+  name @0 :Text;
   units @1 :Float64;
 }
 
--- a/src/croftchute/systems/allowance_pool.py
+++ b/src/croftchute/systems/allowance_pool.py
@@ -1,4 +1,4 @@
-"""A pool of the shares that boxes lend: one place that says yes or no for an organisation.
+"""A pool of the shares that boxes lend: one place that says yes or no under a limit of all boxes.
 
 Each box owns one part in as many as there are boxes of every limit, and lends it to a pool under a
 lease. A pool gives out what the shares lent to it bring in. It knows a lease to be good only as far
@@ -11,10 +11,11 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from croftchute.systems.usage_bucket import LimitTerms, UsageBucket
 from croftchute.tables.allowances import UsageGrant, UsageReturn, UsageWant
-from croftchute.tables.organisations import Organisation, UsageLimit
+from croftchute.tables.organisations import UsageLimit
 
 LEASE_S = 1.0
 """Seconds for which a share is lent: three times between two askings, so that one may be lost and
@@ -27,6 +28,15 @@
 """Seconds to come back in where a pool has no shares at the moment: half a lease, and a round."""
 
 
+class Limited(Protocol):
+    """An organisation, or a worker that names a limit."""
+
+    @property
+    def limit(self) -> UsageLimit | None:
+        """What it may use, or takes, over all boxes; None for any amount."""
+        ...
+
+
 @dataclass(kw_only=True, slots=True)
 class _Lender:
     """A share that is lent, and up to when what it brings in was counted; the pool's clock."""
@@ -38,7 +48,7 @@
 
 @dataclass(kw_only=True)
 class AllowancePool:
-    """The shares lent to this box for one group of organisations, and their buckets."""
+    """The shares lent to this box for one group of limits, and a bucket for each limit in use."""
 
     terms: LimitTerms
     lenders_by_box: dict[str, _Lender] = field(default_factory=dict)
@@ -81,33 +91,33 @@
             lender.share for lender in self.lenders_by_box.values() if lender.expires_at > now
         )
 
-    def give(self, want: UsageWant, known: Mapping[str, Organisation], now: float) -> UsageGrant:
+    def give(self, want: UsageWant, known: Mapping[str, Limited], now: float) -> UsageGrant:
         """Give what a request needs, or say when to ask again."""
         self._settle(now)
         limit = _limit_of(want, known)
         if limit is None:
-            return UsageGrant(organisation=want.organisation, units=want.units)
+            return UsageGrant(name=want.name, units=want.units)
         capacity = self.terms.capacity(limit) * min(1.0, self._live_share)
-        bucket = self._bucket(want.organisation, limit, capacity)
+        bucket = self._bucket(want.name, limit, capacity)
         units = bucket.take(want.units, extra=want.extra, capacity=capacity)
         wait_s = 0.0 if units else self._wait_s(want.units, bucket, limit, capacity)
-        return UsageGrant(organisation=want.organisation, units=units, wait_s=wait_s)
+        return UsageGrant(name=want.name, units=units, wait_s=wait_s)
 
     def take_back(self, returned: UsageReturn) -> None:
         """Put units back; the next filling bounds them by the capacity."""
-        bucket = self.buckets_by_name.get(returned.organisation)
+        bucket = self.buckets_by_name.get(returned.name)
         if bucket is not None:
             bucket.level += returned.units
 
-    def sweep(self, known: Mapping[str, Organisation], now: float) -> None:
+    def sweep(self, known: Mapping[str, Limited], now: float) -> None:
         """Forget lenders whose lease is long over, and buckets that are as full as unused ones."""
         self._settle(now)
         for box, lender in list(self.lenders_by_box.items()):
             if now - lender.expires_at > LEASE_S:
                 del self.lenders_by_box[box]
         for name, bucket in list(self.buckets_by_name.items()):
-            organisation = known.get(name)
-            limit = organisation.limit if organisation is not None else None
+            limited = known.get(name)
+            limit = limited.limit if limited is not None else None
             if limit is None or self._is_as_unused(bucket, limit):
                 del self.buckets_by_name[name]
 
@@ -117,7 +127,7 @@
         return bucket.level >= self._saved_up(limit, capacity) > 0.0
 
     def _bucket(self, name: str, limit: UsageLimit, capacity: float) -> UsageBucket:
-        """The bucket of an organisation; one that was not used has saved since the pool began."""
+        """The bucket of a limit; one that was not used has saved since the pool began."""
         bucket = self.buckets_by_name.get(name)
         if bucket is None:
             bucket = UsageBucket(
@@ -130,7 +140,7 @@
         return bucket
 
     def _saved_up(self, limit: UsageLimit, capacity: float) -> float:
-        """What an organisation has that used nothing since the pool began."""
+        """What is there of a limit of which nothing was used since the pool began."""
         started = self.terms.start_credit(limit) * self._saved_starts
         return min(capacity, limit.rate_per_s * self._saved_seconds + started)
 
@@ -175,9 +185,7 @@
         self._live_share = live
 
 
-def _limit_of(want: UsageWant, known: Mapping[str, Organisation]) -> UsageLimit | None:
-    """The limit by this box's configuration, or by the asker's where it does not know more."""
-    organisation = known.get(want.organisation)
-    if organisation is None:
-        return want.limit
-    return organisation.limit
+def _limit_of(want: UsageWant, known: Mapping[str, Limited]) -> UsageLimit | None:
+    """The limit as this box knows it, or as the asker does where it is not known here."""
+    limited = known.get(want.name)
+    return want.limit if limited is None else limited.limit
--- a/src/croftchute/systems/lent_share.py
+++ b/src/croftchute/systems/lent_share.py
@@ -52,6 +52,10 @@
 
 GROUP_NAMES = tuple(str(number) for number in range(GROUPS))
 
+WORKERS_GROUP = GROUPS
+"""The group of the limits that workers name, behind those of organisations. It has a pool of its
+own, whose leases are kept up only while some worker names a limit."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Lease:
@@ -79,8 +83,9 @@
     started_at: float
     pool: str = ""
     has_lent: bool = False
-    _lent_until: float = 0.0
+    _lent_until: float = -math.inf
     _echo: float = 0.0
+    _echo_heard_at: float = -math.inf
     _unanswered: int = 0
     _silence_noted_at: float = -math.inf
     _silent_since: float | None = None
@@ -104,7 +109,9 @@
         self._unanswered += 1
         if self._silent_since is None:
             self._silent_since = now
-        echo = now if self.pool == self.own_id else self._echo
+        # An echo that is older than a lease lends nothing, as after a time without any limits.
+        is_echo_good = now - self._echo_heard_at < LEASE_S
+        echo = now if self.pool == self.own_id else self._echo if is_echo_good else 0.0
         if echo <= 0.0 or now - self.started_at < LEASE_S:
             return Lease(pool=self.pool, share=0.0, echo=0.0)
         self._lent_until = now + LEASE_S
@@ -117,11 +124,16 @@
         """When shares will have come together after a start, or after a pool fell silent."""
         return max(self.started_at, self._silence_noted_at) + SETTLING_S
 
-    def answered(self, pool: str, stamp: float) -> None:
+    def is_lent(self, now: float) -> bool:
+        """Whether the share is lent at the moment."""
+        return now < self._lent_until
+
+    def answered(self, pool: str, stamp: float, now: float) -> None:
         """A pool answered; ``stamp`` is its clock."""
         self._suspected_until.pop(pool, None)
         if pool == self.pool:
             self._echo = max(self._echo, stamp)
+            self._echo_heard_at = now
             self._heard()
 
     def unanswered(self, pool: str, now: float) -> bool:
--- a/src/croftchute/systems/worker_limits.py
+++ b/src/croftchute/systems/worker_limits.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Container
 from dataclasses import dataclass, field
 
+from croftchute.tables.peers import NOT_LEFT_OUT, LimitNotice
+
 OVER_AFTER_S = 4.0
 """Seconds since a limit was last named after which an answer that leaves it out ends it. Answers
 overtake one another, and some kinds of them may not name it: one alone says little."""
@@ -28,11 +31,15 @@
 
 @dataclass(kw_only=True, slots=True)
 class NamedLimit:
-    """A limit as it was named last, and the first answer since then that leaves it out."""
+    """A limit as it was named last, and the first answer since then that leaves it out.
+
+    ``closed_until`` is when the worker takes a call of this box again, as far as is known.
+    """
 
     per_s: float
     named_at: float
     left_out_at: float = math.inf
+    closed_until: float = -math.inf
     is_noted_over: bool = False
 
     def is_over(self, now: float) -> bool:
@@ -81,6 +88,13 @@
         known = self.by_id.get(worker_id)
         return None if known is None or known.is_over(now) else known.per_s
 
+    def closed_s(self, worker_id: str, now: float) -> float:
+        """For how long a worker takes no call of this box, as its limit is reached."""
+        known = self.by_id.get(worker_id)
+        if known is None or known.is_over(now):
+            return 0.0
+        return max(0.0, known.closed_until - now)
+
     def in_force(self, now: float) -> dict[str, float]:
         """All limits that hold, by worker."""
         return {
@@ -89,6 +103,36 @@
             if not known.is_over(now)
         }
 
+    def notices(self, now: float, rng: random.Random, *, most: int) -> tuple[LimitNotice, ...]:
+        """What other boxes are told: any ``most`` of them if there are more, also those over."""
+        told = list(self.by_id.items())
+        if len(told) > most:
+            told = rng.sample(told, most)
+        return tuple(
+            LimitNotice(
+                worker=worker_id,
+                per_s=known.per_s,
+                named_s=now - known.named_at,
+                left_out_s=NOT_LEFT_OUT if known.left_out_at > now else now - known.left_out_at,
+            )
+            for worker_id, known in told
+        )
+
+    def hear(self, notice: LimitNotice, now: float) -> bool:
+        """Take in what another box tells of a worker; True if that is news.
+
+        Of a limit that is over nothing is taken over but its end.
+        """
+        was_left_out = notice.left_out_s >= 0.0
+        is_over = was_left_out and notice.named_s >= OVER_AFTER_S
+        is_news = False
+        if not is_over or notice.worker in self.by_id:
+            named_s = max(0.0, notice.named_s)
+            is_news = self.note_named(notice.worker, notice.per_s, now, known_for_s=named_s)
+        if was_left_out:
+            self.note_left_out(notice.worker, now, known_for_s=notice.left_out_s)
+        return is_news and not is_over
+
     def sweep(self, now: float, *, listed: Container[str]) -> list[str]:
         """Forget what is long over; returns workers whose limits have just come to an end."""
         for worker_id, known in list(self.by_id.items()):
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -121,11 +121,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Standings:
-    """The workers of a service by how they may be used: at will, as a last resort, or not now."""
+    """The workers of a service by how they may be used: at will, as a last resort, or not now.
+
+    Of those that are ``closed`` a limit that they name for all boxes is reached.
+    """
 
     listed: list[WorkerBelief] = field(default_factory=list)
     last_resorts: list[WorkerBelief] = field(default_factory=list)
     resting: list[WorkerBelief] = field(default_factory=list)
+    closed: list[WorkerBelief] = field(default_factory=list)
 
 
 @dataclass(kw_only=True)
@@ -264,21 +268,28 @@
         ]
 
     def rest_left_s(self, service: str, now: float, *, stage: Stage | None = None) -> float:
-        """When the first worker takes work again, if all that could do it rest; else 0."""
+        """When the first worker takes work again, if all that could do it rest; else 0.
+
+        A worker whose limit is reached rests until it takes another call.
+        """
         standings = self._standings(service, now, stage)
         if standings.listed or standings.last_resorts:
             return 0.0
         rests = [self.wishes.rest_left_s(b.worker.id, now) for b in standings.resting]
+        rests += [self.limits.closed_s(b.worker.id, now) for b in standings.closed]
         return min(rests, default=0.0)
 
     def _standings(self, service: str, now: float, stage: Stage | None) -> _Standings:
         found = _Standings()
         leaving_by_id = self.wishes.leaving_by_id
         resting = self.wishes.resting(now)
+        has_limits = bool(self.limits.by_id)
         for worker_id, belief in self._beliefs_by_service.get(service, {}).items():
             if not belief.fits(stage, now):
                 continue
-            if worker_id in leaving_by_id:
+            if has_limits and self.limits.closed_s(worker_id, now) > 0.0:
+                found.closed.append(belief)
+            elif worker_id in leaving_by_id:
                 leaving_s = now - leaving_by_id[worker_id].since
                 if leaving_s <= min(GONE_GRACE_S, self.lapsed_grace_s):
                     found.last_resorts.append(belief)
--- a/src/croftchute/tables/allowances.py
+++ b/src/croftchute/tables/allowances.py
@@ -1,6 +1,7 @@
-"""Rows about allowances: what boxes ask for, are given and give back for organisations.
+"""Rows about allowances: what boxes ask for, are given and give back under limits of all boxes.
 
-Units are what the organisation's limit counts: requests, or tokens.
+A limit is an organisation's or a worker's, ``name`` says whose. Units are what it counts: requests,
+calls of the worker, or tokens.
 """
 
 from __future__ import annotations
@@ -14,14 +15,16 @@
 class UsageWant:
     """Units that one request needs, and what more its box would use soon.
 
-    The limit goes along for a pool whose configuration does not know the organisation yet.
+    The limit goes along for a pool that does not know it yet; ``known_for_s`` is how long ago a
+    worker named it.
     """
 
-    organisation: str
+    name: str
     units: float
     extra: float = 0.0
     rate_per_s: float = 0.0
     burst: float = 0.0
+    known_for_s: float = 0.0
 
     @property
     def limit(self) -> UsageLimit:
@@ -33,7 +36,7 @@
 class UsageGrant:
     """What was given; where it is 0, ``wait_s`` tells when there will be enough."""
 
-    organisation: str
+    name: str
     units: float
     wait_s: float = 0.0
 
@@ -42,5 +45,5 @@
 class UsageReturn:
     """Units given back: what they were for did not run."""
 
-    organisation: str
+    name: str
     units: float
--- a/src/croftchute/tables/peers.py
+++ b/src/croftchute/tables/peers.py
@@ -6,6 +6,9 @@
 
 from croftchute.systems.prefill_pace import PrefillSample
 
+NOT_LEFT_OUT = -1.0
+"""Stands for the age of an answer that did not come."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerNotice:
@@ -23,6 +26,20 @@
     changing_s: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LimitNotice:
+    """The calls a second that a worker takes from all boxes, and how long ago it named that last.
+
+    ``left_out_s`` is how long ago the first answer since then came that leaves it out; below 0 if
+    none came.
+    """
+
+    worker: str
+    per_s: float
+    named_s: float
+    left_out_s: float = NOT_LEFT_OUT
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DemandNotice:
     """What was asked of a service at a box in its window, and the streams that ended there.
--- a/tests/platform_adapter/test_limits.py
+++ b/tests/platform_adapter/test_limits.py
@@ -22,13 +22,13 @@
 def grow_old(*boxes):
     """Let boxes have lived for long: what an earlier life may have lent is back."""
     for box in boxes:
-        for group in box.usage_limits.groups:
+        for group in box.shared_rates.groups:
             group.share.started_at -= 60.0
 
 
 def save_up(box, seconds):
     """Let the pools of a box have had its share for so long that what may be saved up is full."""
-    for group in box.usage_limits.groups:
+    for group in box.shared_rates.groups:
         group.pool.lend(box.state.box, 1.0, echo=box.state.clock(), now=box.state.clock())
         group.pool._saved_seconds = seconds
 
@@ -82,7 +82,7 @@
             box = await made.add_box()
             await made.ready(box)
             box.state.begun_at += 60.0
-            for group in box.usage_limits.groups:
+            for group in box.shared_rates.groups:
                 group.share.started_at += 60.0
             began_at = box.state.clock()
             answer = await ask(box, "/safe/x", "r1", extra=(KEY,), tokens="300,100", deadline=300)
@@ -96,7 +96,7 @@
     async def body():
         async with fleet(config=limited()) as made:
             box = await made.add_box()
-            shares = [group.share for group in box.usage_limits.groups]
+            shares = [group.share for group in box.shared_rates.groups]
             assert [share.started_at for share in shares] == [box.state.begun_at] * len(shares)
 
     run(body)
@@ -158,11 +158,11 @@
             await until(lambda: first.state.peers.peers_by_id and second.state.peers.peers_by_id)
             grow_old(first, second)
             group = group_of("crew")
-            shares = [box.usage_limits.groups[group].share for box in (first, second)]
+            shares = [box.shared_rates.groups[group].share for box in (first, second)]
             await until(lambda: shares[0].pool == shares[1].pool != "")
             pool = first if shares[0].pool == "box-1" else second
-            await until(lambda: len(pool.usage_limits.groups[group].pool.lenders_by_box) == 2)
-            pool.usage_limits.groups[group].pool._saved_seconds = 60.0
+            await until(lambda: len(pool.shared_rates.groups[group].pool.lenders_by_box) == 2)
+            pool.shared_rates.groups[group].pool._saved_seconds = 60.0
             statuses = []
             for n in range(8):
                 box = (first, second)[n % 2]
@@ -179,10 +179,8 @@
     async def body():
         async with fleet(config=limited()) as made:
             box = await one_box(made)
-            pool = box.usage_limits.groups[0].pool
-            pool.give = lambda want, known, now: UsageGrant(
-                organisation=want.organisation, units=0.0, wait_s=0.01
-            )
+            pool = box.shared_rates.groups[0].pool
+            pool.give = lambda want, known, now: UsageGrant(name=want.name, units=0.0, wait_s=0.01)
             answer = await ask(box, "/safe/x", "r1", extra=(KEY,), tokens="300,100")
             assert answer.status == 429
 
@@ -203,9 +201,9 @@
             assert not other.state.peers.peers_by_id
             answer = await ask(other, "/safe/x", "r1", extra=(KEY,), tokens="300,100")
             assert answer.status == 200
-            assert other.usage_limits.groups[0].share.pool == pool_id
+            assert other.shared_rates.groups[0].share.pool == pool_id
             grow_old(other)
-            lenders = pool.usage_limits.groups[0].pool.lenders_by_box
+            lenders = pool.shared_rates.groups[0].pool.lenders_by_box
             await until(lambda: {pool_id, other_id} <= set(lenders))
 
     run(body)
@@ -217,11 +215,11 @@
             box = await one_box(made)
             for n in range(3):
                 await ask(box, "/safe/x", f"r{n}", extra=(KEY,), tokens="300,100")
-            before = box.usage_limits._number
+            before = box.shared_rates._number
             answers = await asyncio.gather(
                 *(ask(box, "/safe/x", f"h{n}", extra=(KEY,), tokens="300,100") for n in range(30))
             )
             assert {answer.status for answer in answers} == {429}
-            assert box.usage_limits._number - before < 15
+            assert box.shared_rates._number - before < 15
 
     run(body)
--- a/tests/systems/limit_world.py
+++ b/tests/systems/limit_world.py
@@ -141,7 +141,7 @@
             pool_box.pool.lend(
                 box_id, lease.share, echo=lease.echo, now=at, is_first=lease.is_first
             )
-            want = UsageWant(organisation=CREW, units=units)
+            want = UsageWant(name=CREW, units=units)
             grant = pool_box.pool.give(want, self.known, at) if units else None
             if lease.pool == box_id:
                 at_box(at, grant)
@@ -151,7 +151,7 @@
         def at_box(stamp, grant):
             if self.by_id[box_id] is not box:
                 return
-            box.share.answered(lease.pool, stamp)
+            box.share.answered(lease.pool, stamp, box.clock(self.now))
             is_late = self.now - asked_at > 0.06
             if units and not state["done"] and not is_late:
                 state["done"] = True
--- a/tests/systems/test_allowance_pool.py
+++ b/tests/systems/test_allowance_pool.py
@@ -18,7 +18,7 @@
     while now < 100.0 + seconds:
         for box in range(BOXES):
             pool.lend(f"b{box}", share, echo=now, now=now)
-        want = UsageWant(organisation=CREW, units=4000.0)
+        want = UsageWant(name=CREW, units=4000.0)
         while units := pool.give(want, known, now).units:
             given += units
         now += 0.25
@@ -37,7 +37,7 @@
 def given_at_once(pool, now=100.0):
     """What an organisation gets of a pool in one moment, in requests of 100 units."""
     known = {CREW: Organisation(name=CREW, limit=crew_limit())}
-    want = UsageWant(organisation=CREW, units=100.0)
+    want = UsageWant(name=CREW, units=100.0)
     given = 0.0
     while units := pool.give(want, known, now).units:
         given += units
