--- a/tests/systems/limit_world.py
+++ b/tests/systems/limit_world.py
@@ -56,6 +56,7 @@
     delay_s: tuple[float, float] = (0.001, 0.005)
     size: FleetSize = field(default_factory=lambda: FleetSize(recorded=0))
     counts_by_sight: bool = False
+    terms: LimitTerms = TERMS
 
     def __post_init__(self):
         self.rng = random.Random(self.seed)
@@ -79,7 +80,7 @@
         skew = self.rng.uniform(0, 1000)
         box = Box(id=box_id, started_at=self.now, skew=skew)
         box.share = LentShare(own_id=box_id, group=0, started_at=box.clock(self.now))
-        box.pool = AllowancePool(terms=TERMS)
+        box.pool = AllowancePool(terms=self.terms)
         self.by_id[box_id] = box
         self.is_dead.discard(box_id)
 
@@ -175,9 +176,9 @@
 
     # Load.
 
-    def keep_leases(self, until, every=0.33):
+    def keep_leases(self, until, every=0.33, *, begin=0.0):
         for box_id in list(self.by_id):
-            when = self.rng.uniform(0, every)
+            when = begin + self.rng.uniform(0, every)
             while when < until:
                 self.at(when, lambda box_id=box_id: self.ask(box_id))
                 when += every
@@ -195,7 +196,7 @@
         first = 0
         for when, units in self.taken:
             total += units
-            while self.taken[first][0] <= when - TERMS.window_s:
+            while self.taken[first][0] <= when - self.terms.window_s:
                 total -= self.taken[first][1]
                 first += 1
             most = max(most, total)
