--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -34,6 +34,12 @@
 from croftchute.forwarding.request_run import RequestRun  # noqa: E402
 from croftchute.forwarding.state import ForwardingState  # noqa: E402
 from croftchute.forwarding.worker_call import WorkerCall  # noqa: E402
+from croftchute.forwarding.worker_permits import (  # noqa: E402
+    MIN_CLOSED_S,
+    WORKER_TERMS,
+    WorkerPermits,
+    usage_limit,
+)
 from croftchute.systems.crash_records import CrashRecords  # noqa: E402
 from croftchute.systems.usage_bucket import UsageBucket  # noqa: E402
 from croftchute.systems.worker_table import WorkerBelief, WorkerTable  # noqa: E402
@@ -43,7 +49,7 @@
     Organisation,
     Organisations,
 )
-from croftchute.tables.routing import Route, RoutingTable, Stage  # noqa: E402
+from croftchute.tables.routing import Route, RoutingTable, Stage, Worker  # noqa: E402
 
 OLDER_AFTER_S = 2.5
 FAR_FUTURE_S = 1e9
@@ -242,6 +248,34 @@
     headers.read_wish = lambda head: NO_WISH  # noqa: ARG005
 
 
+def limits_alone() -> None:
+    """Have each box keep the limits that workers name by itself, as if it were the only one."""
+    buckets: dict[str, UsageBucket] = {}
+
+    async def take(
+        self: WorkerPermits,
+        worker: Worker,
+        *,
+        calls: int = 1,
+        patience_s: float = 0.0,  # noqa: ARG001
+        request_id: str = "",  # noqa: ARG001
+    ) -> bool:
+        now = self.state.clock()
+        per_s = self.state.workers.limits.limit_of(worker.id, now)
+        if per_s is None:
+            return True
+        limit = usage_limit(per_s)
+        capacity = WORKER_TERMS.capacity(limit)
+        bucket = buckets.setdefault(worker.id, UsageBucket(level=capacity, filled_to=now))
+        bucket.fill(now, limit=limit, capacity=capacity)
+        if bucket.take(float(calls), extra=0.0, capacity=capacity):
+            return True
+        self.state.workers.limits.by_id[worker.id].closed_until = now + MIN_CLOSED_S
+        return False
+
+    WorkerPermits.take = take  # type: ignore[method-assign]
+
+
 def eras_ignored() -> None:
     """Take all revisions of the store for those of one era."""
     EraReader.read = lambda self, head: self.newest  # type: ignore[method-assign]  # noqa: ARG005
@@ -264,6 +298,7 @@
     "crashes_untold": crashes_untold,
     "wishes_unheard": wishes_unheard,
     "eras_ignored": eras_ignored,
+    "limits_alone": limits_alone,
 }
 
 
--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -18,6 +18,7 @@
 from croftchute.soak.traffic import Traffic
 from croftchute.soak.violation import Violation, broken
 from croftchute.soak.wishes import TellingWorkers
+from croftchute.soak.worker_limits import LimitingWorkers
 from croftchute.soak.world import EVENTS, MAX_ATTEMPTS, ListedWorker, SoakWorld, added_path
 from croftchute.standins.platform_caller import Try, fault_of
 from croftchute.standins.platform_worker import Run
@@ -63,6 +64,7 @@
     only_planned: bool = False
     crashing: tuple[CrashingRequest, ...] = ()
     telling: TellingWorkers | None = None
+    limiting: LimitingWorkers | None = None
     runs_by_id: dict[str, list[tuple[ListedWorker, Run]]] = field(default_factory=dict)
 
     @property
@@ -89,6 +91,8 @@
         found += self._memory()
         keys = self._key_checks()
         found += keys.always(self.world.all_workers)
+        if self.limiting is not None:
+            found += self.limiting.violations(self.traffic)
         if self.judges_times:
             found += self._draining()
             found += self._callers_who_left()
--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -20,6 +20,7 @@
 from croftchute.soak.signals import BoxSignals
 from croftchute.soak.store_trouble import StoreTrouble
 from croftchute.soak.wishes import TellingWorkers
+from croftchute.soak.worker_limits import LimitingWorkers
 from croftchute.soak.world import DESK, ENGINES, HALLS, ListedWorker, SoakWorld
 from croftchute.standins.platform_worker import sound_but
 from croftchute.systems.hall_relays import RELAYS
@@ -77,6 +78,9 @@
     {"Sequence": -1},
     {"born": "yesterday"},
 )
+ALL_LIMITED_EVERY = 3
+"""One time in so many all workers of a service name limits."""
+
 FOREIGN_ENTRIES = 20
 """Entries of nobody that another writer adds at once."""
 
@@ -107,6 +111,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._bursts = 0
         self.telling = TellingWorkers(world=world, disturbances=disturbances)
+        self.limiting = LimitingWorkers(world=world, disturbances=disturbances)
         self._signals = BoxSignals(disturbances=disturbances)
         series = SeriesFaults(
             spec=spec,
@@ -151,6 +156,7 @@
             FaultKind.WORKER_SAYS_LEAVING: self._say_leaving,
             FaultKind.WORKER_RESTS: self._rest_worker,
             FaultKind.STORE_RESTORED: store.restore,
+            FaultKind.WORKER_LIMITS: self._limit_workers,
         }
 
     @property
@@ -325,6 +331,18 @@
         listed = _pick(self.world.live(service), fault)
         await self.telling.rest(listed, pick=fault.pick, for_s=fault.for_s)
 
+    async def _limit_workers(self, fault: PlannedFault) -> None:
+        """A worker names a limit, or all of a service do."""
+        service = (DESK, ENGINES)[fault.pick % 2]
+        live = self.world.live(service)
+        chosen = live if fault.pick % ALL_LIMITED_EVERY == 0 else [_pick(live, fault)]
+        await asyncio.gather(
+            *(
+                self.limiting.need(listed, pick=fault.pick + number, for_s=fault.for_s)
+                for number, listed in enumerate(chosen)
+            )
+        )
+
     async def _spoil_entry(self, fault: PlannedFault) -> None:
         """Another writer spoils an entry, and adds some of its own; the worker mends its own."""
         listed = _pick(self.world.live(), fault)
--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -42,6 +42,7 @@
     WORKER_SAYS_LEAVING = "worker_says_leaving"
     WORKER_RESTS = "worker_rests"
     STORE_RESTORED = "store_restored"
+    WORKER_LIMITS = "worker_limits"
 
 
 LATER_KINDS = frozenset(
@@ -51,6 +52,7 @@
         FaultKind.WORKER_SAYS_LEAVING,
         FaultKind.WORKER_RESTS,
         FaultKind.STORE_RESTORED,
+        FaultKind.WORKER_LIMITS,
     }
 )
 FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
@@ -84,6 +86,7 @@
         FaultKind.ENTRY_SPOILED,
         FaultKind.WORKER_RESTS,
         FaultKind.STORE_RESTORED,
+        FaultKind.WORKER_LIMITS,
     }
 )
 QUIET_START_S = 1.0
--- a/src/croftchute/soak/run.py
+++ b/src/croftchute/soak/run.py
@@ -122,6 +122,7 @@
             only_planned=spec.only_planned,
             crashing=tuple(set_up.crashing.sent),
             telling=injector.telling,
+            limiting=injector.limiting,
         )
         violations += checker.violations()
         tries = set_up.traffic.tries_by_id.values()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,12 +16,19 @@
 SERIES = (FaultKind.LONG_CONFIG, FaultKind.CONNECTIONS_SILENCED, FaultKind.STOPS_IN_SERIES)
 CRASHES = (FaultKind.REQUEST_CRASHES, FaultKind.ENTRY_SPOILED)
 WISHES = (FaultKind.WORKER_SAYS_LEAVING, FaultKind.WORKER_RESTS, FaultKind.STORE_RESTORED)
+LIMITS = (
+    FaultKind.WORKER_LIMITS,
+    FaultKind.BOX_KILL,
+    FaultKind.BOX_PAUSE,
+    FaultKind.STORE_SILENT,
+)
 SHORT = [
     SoakSpec(seed=4, seconds=6.0, judge_times=False, kinds=FIRST_KINDS),
     SoakSpec(seed=21, seconds=6.0, judge_times=False, only_planned=True, kinds=FIRST_KINDS),
     SoakSpec(seed=15, seconds=6.0, judge_times=False, kinds=SERIES),
     SoakSpec(seed=31, seconds=3.0, judge_times=False, kinds=CRASHES, boxes=4),
     SoakSpec(seed=901, seconds=12.0, judge_times=False, kinds=WISHES),
+    SoakSpec(seed=1002, seconds=12.0, judge_times=False, kinds=LIMITS, boxes=4),
 ]
 REGRESSIONS = [
     SoakSpec(
