--- a/src/croftchute/forwarding/shared_rates.py
+++ b/src/croftchute/forwarding/shared_rates.py
@@ -53,6 +53,10 @@
 """Seconds between two askings while the share is not lent yet: the first brings the pool's clock,
 without which no share can be lent, so that a limit that is new has its pool within two of them."""
 
+NEW_LIMIT_S = 0.2
+"""Seconds in which shares come together under the first limit after a while: boxes hear of it in
+some 20 ms, and each needs two rounds of askings."""
+
 MIN_PAUSE_S = 0.02
 """Shortest pause before a pool is asked again: it counts what shares bring in as often."""
 
@@ -106,17 +110,32 @@
 
 
 class RateGroup:
-    """The limits of one kind: their source, the pool kept here, and what this box has and lends."""
+    """The limits of one kind: their source, the pool kept here, and what this box has and lends.
+
+    ``begun_at`` is when the pool was asked for the first time after a while without limits.
+    """
 
     def __init__(self, *, number: int, source: LimitSource, state: ForwardingState) -> None:
         self.source = source
         self.pool = AllowancePool(terms=source.terms)
         self.share = LentShare(own_id=state.box, group=number, started_at=state.begun_at)
         self.asked_at = -math.inf
+        self.begun_at = -math.inf
         self.returns: list[UsageReturn] = []
         self.purses_by_name: dict[str, UsagePurse] = {}
         self.denials_by_name: dict[str, _Denial] = {}
 
+    @property
+    def settles_at(self) -> float:
+        """When shares will have come together."""
+        return max(self.share.settles_at, self.begun_at + NEW_LIMIT_S)
+
+    def note_asked(self, now: float) -> None:
+        """The pool is asked."""
+        if now - self.asked_at > LEASE_S:
+            self.begun_at = now
+        self.asked_at = now
+
     def sweep(self, now: float) -> None:
         """Forget what is not used any more."""
         self.pool.sweep(self.source.known(), now)
@@ -207,7 +226,7 @@
         Each request is held once: asking again and again, all that wait would overload the pool.
         """
         now = self.state.clock()
-        ends_at = group.share.settles_at + SETTLE_SPREAD_S * self.state.rng.random()
+        ends_at = group.settles_at + SETTLE_SPREAD_S * self.state.rng.random()
         longest_s = min(MAX_HELD_S, HELD_SHARE_OF_TIME * patience_s)
         if not now < ends_at <= begun_at + longest_s:
             return False
@@ -261,7 +280,7 @@
     def _ask(self, group: RateGroup, number: int, wants: tuple[UsageWant, ...]) -> str:
         """Ask the pool of a group, or give out of it if it is kept here; returns which it is."""
         now = self.state.clock()
-        group.asked_at = now
+        group.note_asked(now)
         share = self.size.share(self.state.peers.known_boxes)
         lease = group.share.asked(self._candidates(now), share, now)
         returns, group.returns = tuple(group.returns), []
