Scarce calls of a limited worker go by rank; croftchute account tells who was limited and what was refused

Cause: at a worker whose limit is used up, calls went to whoever asked first, also where a more urgent request came a moment later; and nothing told from the logs of all boxes what limited workers got. Change: a request leaves 1.5 calls in the pool for each rank before it among the routes of its service, 2.5 at most. `request_sent` bears the limit; `croftchute account` has a table of workers that named one. Measured: with 8 patient and 1 urgent requests a second at a limit of 2, over 0.8 of the urgent ones are given their call (0.2 by luck), the limit used to 0.9 and more.

--- a/src/croftchute/account/log_lines.py
+++ b/src/croftchute/account/log_lines.py
@@ -107,6 +107,7 @@
         Decision.WAIT_ENDED,
         Decision.REPEAT_DENIED,
         Decision.LIMIT_DENIED,
+        Decision.PERMIT_DENIED,
     }
 )
 
--- a/src/croftchute/cli/commands.py
+++ b/src/croftchute/cli/commands.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from croftchute.account.limited_workers import limited_workers
 from croftchute.account.log_lines import parse_lines, stories
 from croftchute.account.met_workers import met_workers
 from croftchute.account.tables import account
@@ -62,12 +63,12 @@
         """
         if not files:
             raise CroftchuteError(Code.BAD_REQUEST, "no log file was named")
+        lines = [line for name in files for line in parse_lines(_lines_of(Path(name)))]
         if request:
-            lines = (line for name in files for line in parse_lines(_lines_of(Path(name))))
             print(met_workers(lines, request).text())
             return
-        by_id = stories(line for name in files for line in parse_lines(_lines_of(Path(name))))
-        print("\n\n".join(table.text() for table in account(list(by_id.values()))))
+        tables = [*account(list(stories(lines).values())), limited_workers(lines)]
+        print("\n\n".join(table.text() for table in tables))
 
     def drain(self, upstream: str, store: str = DEFAULT_STORE, json: bool = False) -> None:
         """Mark an upstream as leaving: it gets no new work from the next revision on."""
--- a/src/croftchute/forwarding/permits.py
+++ b/src/croftchute/forwarding/permits.py
@@ -2,21 +2,36 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Protocol
 
 from croftchute.tables.routing import Worker
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PermitWish:
+    """Calls that are to be made, and by what the places are given where they are scarce.
+
+    ``patience_s`` is how long the calls may be held for a permit that comes soon; ``rank`` is how
+    many ranks the request stands behind the most urgent ones of its service.
+    """
+
+    calls: int = 1
+    patience_s: float = 0.0
+    rank: int = 0
+    request_id: str = ""
+
+
+ONE_CALL = PermitWish()
+
+
 class CallPermits(Protocol):
     """Permits for calls of workers that name a limit for all boxes together."""
 
-    async def take(
-        self, worker: Worker, *, calls: int = 1, patience_s: float = 0.0, request_id: str = ""
-    ) -> bool:
-        """Whether so many calls of a worker may be made now; a worker without a limit takes any.
+    async def take(self, worker: Worker, wish: PermitWish = ONE_CALL) -> bool:
+        """Whether the calls of a worker may be made now; a worker without a limit takes any.
 
         A worker that takes none for the moment is closed in the table until it takes one again.
-        ``patience_s`` is how long the calls may be held for a permit that comes soon.
         """
         ...
 
@@ -28,9 +43,7 @@
 class AnyNumber:
     """Permits without a limit, for what runs without other boxes."""
 
-    async def take(
-        self, worker: Worker, *, calls: int = 1, patience_s: float = 0.0, request_id: str = ""
-    ) -> bool:
+    async def take(self, worker: Worker, wish: PermitWish = ONE_CALL) -> bool:
         """Every call may be made."""
         return True
 
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/request_run.py
@@ -6,6 +6,7 @@
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Refusal
 from croftchute.forwarding.exchange import Exchange
+from croftchute.forwarding.permits import PermitWish
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems import patience
 from croftchute.systems.size_lanes import RoomWay, by_lane, is_large
@@ -188,9 +189,9 @@
         patience_s = 0.0 if others else self.time_left_s
         wishes = state.workers.wishes
         wish = wishes.told_by(worker.id, self.now)
-        may_call = await state.permits.take(
-            worker, calls=calls, patience_s=patience_s, request_id=self.facts.id
-        )
+        rank = max(0, self.priority - state.most_urgent(self.service))
+        asked = PermitWish(calls=calls, patience_s=patience_s, rank=rank, request_id=self.facts.id)
+        may_call = await state.permits.take(worker, asked)
         if may_call and wishes.told_by(worker.id, self.now) != wish:
             # It said so while the permit was asked for: it is chosen anew, or another one.
             state.permits.give_back(worker, calls)
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -108,6 +108,8 @@
     on_restored: list[Callable[[], None]] = field(default_factory=list)
     stop_began_at: float | None = None
     stop_ends_at: float = math.inf
+    _ranks_of: RoutingTable | None = None
+    _most_urgent_by_service: dict[str, int] = field(default_factory=dict)
     _odd_era_logged_at: float = -math.inf
     _lane_by_service: dict[str, _KnownLane] = field(default_factory=dict)
     _pace_by_service: dict[str, _KnownPace] = field(default_factory=dict)
@@ -235,6 +237,16 @@
         organisations = self.table.organisations if self.table is not None else None
         return organisations is not None and organisations.has_limits
 
+    def most_urgent(self, service: str) -> int:
+        """The first rank among the routes to a service, worked out once for each configuration."""
+        table = self.table
+        if table is None:
+            return 0
+        if self._ranks_of is not table:
+            self._ranks_of = table
+            self._most_urgent_by_service = table.most_urgent_by_service()
+        return self._most_urgent_by_service.get(service, 0)
+
     def limits(self) -> IngressLimits:
         """The limits in force; defaults until a configuration is known."""
         return self.table.limits if self.table is not None else IngressLimits()
--- a/src/croftchute/forwarding/worker_call.py
+++ b/src/croftchute/forwarding/worker_call.py
@@ -117,6 +117,7 @@
             belief_age_s=self.chosen.age_s,
             config_version=run.state.table.version if run.state.table else 0,
             wish=run.state.workers.wishes.told_by(worker.id, run.now),
+            limit_per_s=run.state.workers.limits.limit_of(worker.id, run.now),
             reused=connection.uses > 1,
             source=self.send.source.worker.id if self.send.source else "",
             resume_after=self.send.resume_after,
--- a/src/croftchute/forwarding/worker_control.py
+++ b/src/croftchute/forwarding/worker_control.py
@@ -9,6 +9,7 @@
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Hold, PrefillHandle, Verdict
 from croftchute.forwarding.failures import AnswerLateError, ConnectionBrokenError, ExchangeError
+from croftchute.forwarding.permits import PermitWish
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.wish_reader import note_displaced, note_wish
 from croftchute.systems import patience
@@ -127,7 +128,7 @@
     state: ForwardingState, worker: Worker, stage: Stage, *, holder: str, token: int
 ) -> int:
     """Order a worker to change its stage, if nothing was ordered since it was asked."""
-    if not await state.permits.take(worker, calls=REPORT_AND_ORDER):
+    if not await state.permits.take(worker, PermitWish(calls=REPORT_AND_ORDER)):
         return STATUS_NOT_PERMITTED
     status, body = await control_call(
         state, worker, state.workers_speak.ask_report(worker), patience.CONNECT_S
--- a/src/croftchute/forwarding/worker_permits.py
+++ b/src/croftchute/forwarding/worker_permits.py
@@ -7,6 +7,7 @@
 
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.limits import Allowance
+from croftchute.forwarding.permits import ONE_CALL, PermitWish
 from croftchute.forwarding.shared_rates import RateGroup, SharedRates
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems.usage_bucket import LimitTerms
@@ -21,6 +22,13 @@
 """Calls a second that a worker gets at least: only an answer of its own tells that its limit is
 over, and a limit of 0 would never end."""
 
+KEPT_BACK_A_RANK = 1.5
+"""Calls that a request leaves for each rank before it: where a limit is used up, the more
+urgent requests find one, and a little is to come for the next."""
+
+MOST_KEPT_BACK = 2.5
+"""Most calls that are left so: as many as may be saved up of the lowest limits."""
+
 MIN_CLOSED_S = 0.05
 """Shortest time in seconds for which a worker is passed over whose limit is reached."""
 
@@ -79,10 +87,8 @@
         self.rates = rates
         self.group = group
 
-    async def take(
-        self, worker: Worker, *, calls: int = 1, patience_s: float = 0.0, request_id: str = ""
-    ) -> bool:
-        """Whether so many calls of a worker may be made now; see :class:`CallPermits`."""
+    async def take(self, worker: Worker, wish: PermitWish = ONE_CALL) -> bool:
+        """Whether the calls of a worker may be made now; see :class:`CallPermits`."""
         now = self.state.clock()
         limits = self.state.workers.limits
         named = limits.by_id.get(worker.id)
@@ -92,14 +98,15 @@
             return False
         want = UsageWant(
             name=worker.id,
-            units=float(calls),
+            units=float(wish.calls),
             rate_per_s=named.per_s,
             known_for_s=now - named.named_at,
+            kept_back=min(MOST_KEPT_BACK, KEPT_BACK_A_RANK * wish.rank),
         )
-        allowance = await self.rates.take(self.group, want, patience_s=patience_s)
+        allowance = await self.rates.take(self.group, want, patience_s=wish.patience_s)
         if allowance.is_granted:
             return True
-        self._close(worker, allowance, calls, request_id)
+        self._close(worker, allowance, wish)
         return False
 
     def give_back(self, worker: Worker, calls: int = 1) -> None:
@@ -107,7 +114,7 @@
         if self.state.workers.limits.limit_of(worker.id, self.state.clock()) is not None:
             self.rates.give_back(self.group, worker.id, float(calls))
 
-    def _close(self, worker: Worker, allowance: Allowance, calls: int, request_id: str) -> None:
+    def _close(self, worker: Worker, allowance: Allowance, wish: PermitWish) -> None:
         """Pass the worker over until it takes calls again."""
         now = self.state.clock()
         named = self.state.workers.limits.by_id[worker.id]
@@ -116,10 +123,11 @@
         self.state.metrics.permits.inc({"outcome": allowance.outcome.value})
         self.state.log.decide(
             Decision.PERMIT_DENIED,
-            request_id=request_id,
+            request_id=wish.request_id,
             outcome=allowance.outcome.value,
             worker=worker.id,
-            calls=calls,
+            calls=wish.calls,
+            rank=wish.rank,
             limit_per_s=named.per_s,
             limit_age_s=round(now - named.named_at, 2),
             pool=allowance.pool,
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -238,6 +238,7 @@
   ratePerS @3 :Float64;
   burst @4 :Float64;
   knownForS @5 :Float32;
+  keptBack @6 :Float32;
 }
 
 struct UsageGrant {
--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -30,6 +30,7 @@
 from croftchute.forwarding.failures import AnswerLateError  # noqa: E402
 from croftchute.forwarding.http_client import ClientConnection  # noqa: E402
 from croftchute.forwarding.limits import GRANTED, Allowance, AllowanceOutcome  # noqa: E402
+from croftchute.forwarding.permits import ONE_CALL, PermitWish  # noqa: E402
 from croftchute.forwarding.pooled_limits import PooledLimits  # noqa: E402
 from croftchute.forwarding.request_run import RequestRun  # noqa: E402
 from croftchute.forwarding.state import ForwardingState  # noqa: E402
@@ -255,10 +256,7 @@
     async def take(
         self: WorkerPermits,
         worker: Worker,
-        *,
-        calls: int = 1,
-        patience_s: float = 0.0,  # noqa: ARG001
-        request_id: str = "",  # noqa: ARG001
+        wish: PermitWish = ONE_CALL,
     ) -> bool:
         now = self.state.clock()
         per_s = self.state.workers.limits.limit_of(worker.id, now)
@@ -268,7 +266,7 @@
         capacity = WORKER_TERMS.capacity(limit)
         bucket = buckets.setdefault(worker.id, UsageBucket(level=capacity, filled_to=now))
         bucket.fill(now, limit=limit, capacity=capacity)
-        if bucket.take(float(calls), extra=0.0, capacity=capacity):
+        if bucket.take(float(wish.calls), extra=0.0, capacity=capacity):
             return True
         self.state.workers.limits.by_id[worker.id].closed_until = now + MIN_CLOSED_S
         return False
--- a/src/croftchute/systems/allowance_pool.py
+++ b/src/croftchute/systems/allowance_pool.py
@@ -99,8 +99,10 @@
             return UsageGrant(name=want.name, units=want.units)
         capacity = self.terms.capacity(limit) * min(1.0, self._live_share)
         bucket = self._bucket(want.name, limit, capacity)
-        units = bucket.take(want.units, extra=want.extra, capacity=capacity)
-        wait_s = 0.0 if units else self._wait_s(want.units, bucket, limit, capacity)
+        kept = max(0.0, want.kept_back)
+        units = bucket.take(want.units, extra=want.extra, capacity=capacity, kept=kept)
+        needed = bucket.needed(want.units, capacity=capacity, kept=kept)
+        wait_s = 0.0 if units else self._wait_s(needed - bucket.level, limit)
         return UsageGrant(name=want.name, units=units, wait_s=wait_s)
 
     def take_back(self, returned: UsageReturn) -> None:
@@ -150,13 +152,10 @@
         bucket.starts = self._starts
         bucket.fill(self._share_seconds, limit=limit, capacity=capacity, extra=extra)
 
-    def _wait_s(
-        self, units: float, bucket: UsageBucket, limit: UsageLimit, capacity: float
-    ) -> float:
+    def _wait_s(self, missing: float, limit: UsageLimit) -> float:
+        """When so many units more will have come."""
         pace = limit.rate_per_s * min(1.0, self._live_share)
-        if pace <= 0.0:
-            return NO_SHARE_WAIT_S
-        return max(0.0, min(units, capacity) - bucket.level) / pace
+        return NO_SHARE_WAIT_S if pace <= 0.0 else max(0.0, missing) / pace
 
     def _count(self, lender: _Lender, now: float) -> None:
         """Count what a share brought in while its lease was good."""
--- a/src/croftchute/systems/usage_bucket.py
+++ b/src/croftchute/systems/usage_bucket.py
@@ -92,17 +92,24 @@
         self.filled_to = share_seconds
         self.level = min(capacity, self.level + gained + extra)
 
-    def take(self, units: float, *, extra: float, capacity: float) -> float:
+    def take(self, units: float, *, extra: float, capacity: float, kept: float = 0.0) -> float:
         """What is given for a request of ``units``: at least that, or nothing.
 
-        A request over the capacity is given once the bucket is full, and leaves a debt.
+        A request over the capacity is given once the bucket is full, and leaves a debt. ``kept`` is
+        left in the bucket, for requests that are more urgent.
 
         >>> bucket = UsageBucket(level=10.0, filled_to=0.0)
         >>> bucket.take(4, extra=3, capacity=10.0), bucket.take(4, extra=0, capacity=10.0)
         (7, 0.0)
+        >>> bucket.take(2, extra=0, capacity=10.0, kept=2.0), bucket.take(2, extra=0, capacity=10.0)
+        (0.0, 2.0)
         """
-        if capacity <= 0.0 or self.level < min(units, capacity):
+        if capacity <= 0.0 or self.level < self.needed(units, capacity=capacity, kept=kept):
             return 0.0
-        given = max(float(units), min(self.level, units + extra))
+        given = max(float(units), min(self.level - kept, units + extra))
         self.level -= given
         return given
+
+    def needed(self, units: float, *, capacity: float, kept: float) -> float:
+        """The level from which on a request of ``units`` is given them."""
+        return min(units + kept, capacity)
--- a/src/croftchute/tables/allowances.py
+++ b/src/croftchute/tables/allowances.py
@@ -16,7 +16,7 @@
     """Units that one request needs, and what more its box would use soon.
 
     The limit goes along for a pool that does not know it yet; ``known_for_s`` is how long ago a
-    worker named it.
+    worker named it. ``kept_back`` are the units that are left for requests that are more urgent.
     """
 
     name: str
@@ -25,6 +25,7 @@
     rate_per_s: float = 0.0
     burst: float = 0.0
     known_for_s: float = 0.0
+    kept_back: float = 0.0
 
     @property
     def limit(self) -> UsageLimit:
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -122,6 +122,16 @@
                 return route
         return None
 
+    def most_urgent_by_service(self) -> dict[str, int]:
+        """The first rank among the routes to each service."""
+        found: dict[str, int] = {}
+        for routes in self.routes_by_host.values():
+            for route in routes:
+                for target in route.targets:
+                    known = found.get(target.service, route.priority)
+                    found[target.service] = min(known, route.priority)
+        return found
+
     def stream_targets(self, service: str) -> list[float]:
         """The targets in seconds of the streaming routes to a service."""
         return [
--- a/tests/systems/test_allowance_pool.py
+++ b/tests/systems/test_allowance_pool.py
@@ -1,7 +1,10 @@
 """What a pool gives out, by the shares that were lent to it."""
 
+import random
+
 from limit_world import CREW, TERMS, crew_limit
 
+from croftchute.forwarding.worker_permits import KEPT_BACK_A_RANK, WORKER_TERMS, usage_limit
 from croftchute.systems.allowance_pool import AllowancePool
 from croftchute.tables.allowances import UsageWant
 from croftchute.tables.organisations import Organisation
@@ -74,3 +77,23 @@
         lend_all(pool, is_first=True, now=now)
     saved = crew_limit().rate_per_s * 10.0
     assert given_at_once(pool, now) <= min(saved, TERMS.capacity(crew_limit()))
+
+
+def test_what_is_scarce_goes_to_the_more_urgent_first():
+    limit = usage_limit(2.0)
+    known = {CREW: Organisation(name=CREW, limit=limit)}
+    pool = AllowancePool(terms=WORKER_TERMS)
+    urgent = UsageWant(name=CREW, units=1.0)
+    patient = UsageWant(name=CREW, units=1.0, kept_back=KEPT_BACK_A_RANK)
+    given, asked = {urgent: 0, patient: 0}, {urgent: 0, patient: 0}
+    rng, now = random.Random(1), 100.0
+    while now < 160.0:
+        pool.lend("b1", 1.0, echo=now, now=now)
+        now += 0.1
+        for want, per_s in ((patient, 8.0), (urgent, 1.0)):
+            if rng.random() < per_s * 0.1:
+                asked[want] += 1
+                given[want] += bool(pool.give(want, known, now).units)
+    assert given[urgent] >= 0.8 * asked[urgent]
+    assert given[patient] < 0.4 * asked[patient]
+    assert given[urgent] + given[patient] >= 0.9 * 2.0 * 60.0
