forwarding/ in folders by what each faces: http, workers, boxes, store, callers

Cause: one hall of 44 modules and 6.9k lines, in which nothing said what may import what. Change: moves alone, with their imports; tests move along. Imports run one way: http, then what all share (state, dialect, log, permits), workers, boxes, store, callers.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -9,24 +9,24 @@
 
 from croftchute.daemon.router_state import lapsed_grace_s, limit_terms, retry_limits
 from croftchute.errors import DocumentError
-from croftchute.forwarding.catch_up import catch_ups
-from croftchute.forwarding.crash_gossip import CrashGossip
-from croftchute.forwarding.crash_register import CrashRegister
+from croftchute.forwarding.boxes.crash_gossip import CrashGossip
+from croftchute.forwarding.boxes.limits import FixedShares, UsageLimits
+from croftchute.forwarding.boxes.peer_exchange import PeerExchange
+from croftchute.forwarding.boxes.pooled_limits import OrganisationSource, PooledLimits
+from croftchute.forwarding.boxes.shared_rates import SharedRates
+from croftchute.forwarding.boxes.worker_permits import WorkerPermits, WorkerSource
+from croftchute.forwarding.callers.forwarder import Forwarder
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.exchange import Exchange
-from croftchute.forwarding.fleet_record import FleetRecord
-from croftchute.forwarding.forwarder import Forwarder
-from croftchute.forwarding.hall_news import KNOWN_PATH, NEWS_PATH
-from croftchute.forwarding.http_server import HttpIngress
-from croftchute.forwarding.limits import FixedShares, UsageLimits
-from croftchute.forwarding.peer_exchange import PeerExchange
-from croftchute.forwarding.pooled_limits import OrganisationSource, PooledLimits
-from croftchute.forwarding.shared_rates import SharedRates
-from croftchute.forwarding.stage_orders import StageOrders
+from croftchute.forwarding.http.exchange import Exchange
+from croftchute.forwarding.http.http_server import HttpIngress
 from croftchute.forwarding.state import ForwardingState
-from croftchute.forwarding.store_follower import StoreFollower
+from croftchute.forwarding.store.catch_up import catch_ups
+from croftchute.forwarding.store.crash_register import CrashRegister
+from croftchute.forwarding.store.fleet_record import FleetRecord
+from croftchute.forwarding.store.hall_news import KNOWN_PATH, NEWS_PATH
+from croftchute.forwarding.store.store_follower import StoreFollower
 from croftchute.forwarding.supervision import Task, keep_going
-from croftchute.forwarding.worker_permits import WorkerPermits, WorkerSource
+from croftchute.forwarding.workers.stage_orders import StageOrders
 from croftchute.peers.codec import Codec
 from croftchute.peers.messages import BoxNotice
 from croftchute.router_settings import RouterSettings, parse_address, read_router_settings
--- /dev/null
+++ b/src/croftchute/forwarding/boxes/__init__.py
@@ -0,0 +1,1 @@
+"""What faces other boxes: notices, and the rates that all boxes share."""
--- a/src/croftchute/forwarding/crash_gossip.py
+++ b/src/croftchute/forwarding/boxes/crash_gossip.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
+from croftchute.forwarding.boxes.peer_exchange import PeerExchange
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.peer_exchange import PeerExchange
 from croftchute.forwarding.state import ForwardingState
 from croftchute.peers.messages import CrashNews
 from croftchute.tables.crashes import CrashNotice
--- a/src/croftchute/forwarding/pooled_limits.py
+++ b/src/croftchute/forwarding/boxes/pooled_limits.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Mapping
 
-from croftchute.forwarding.limits import GRANTED, Allowance
-from croftchute.forwarding.shared_rates import RateGroup, SharedRates
+from croftchute.forwarding.boxes.limits import GRANTED, Allowance
+from croftchute.forwarding.boxes.shared_rates import RateGroup, SharedRates
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems.usage_bucket import LimitTerms
 from croftchute.tables.allowances import UsageWant
--- a/src/croftchute/forwarding/shared_rates.py
+++ b/src/croftchute/forwarding/boxes/shared_rates.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
+from croftchute.forwarding.boxes.limits import GRANTED, Allowance, AllowanceOutcome
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.limits import GRANTED, Allowance, AllowanceOutcome
 from croftchute.forwarding.state import ForwardingState
 from croftchute.peers.messages import AllowanceAsk, AllowanceReply, Body
 from croftchute.systems.allowance_pool import LEASE_S, AllowancePool, Limited
--- a/src/croftchute/forwarding/worker_permits.py
+++ b/src/croftchute/forwarding/boxes/worker_permits.py
@@ -5,10 +5,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from croftchute.forwarding.boxes.limits import Allowance
+from croftchute.forwarding.boxes.shared_rates import RateGroup, SharedRates
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.limits import Allowance
 from croftchute.forwarding.permits import ONE_CALL, PermitWish
-from croftchute.forwarding.shared_rates import RateGroup, SharedRates
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems.usage_bucket import LimitTerms
 from croftchute.tables.allowances import UsageWant
--- a/src/croftchute/forwarding/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -5,14 +5,14 @@
 from dataclasses import replace
 
 from croftchute.errors import Code, Ran, RequestError
+from croftchute.forwarding.boxes.limits import Allowance, AllowanceOutcome, UsageLimits
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Refusal
-from croftchute.forwarding.exchange import Arrival, Exchange
-from croftchute.forwarding.limits import Allowance, AllowanceOutcome, UsageLimits
-from croftchute.forwarding.plain_run import run_plain
-from croftchute.forwarding.request_run import RequestRun
+from croftchute.forwarding.http.exchange import Arrival, Exchange
 from croftchute.forwarding.state import ForwardingState
-from croftchute.forwarding.stream_run import run_stream
+from croftchute.forwarding.workers.plain_run import run_plain
+from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.stream_run import run_stream
 from croftchute.systems.worker_choice import pick_service
 from croftchute.tables.organisations import KeyClaim, KeyState, Organisation, Organisations
 from croftchute.tables.routing import Route, RouteKind
--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -7,8 +7,8 @@
 from typing import Protocol
 
 from croftchute.errors import Code, Ran
-from croftchute.forwarding.exchange import IncomingRequest
-from croftchute.forwarding.http_client import ResponseHead
+from croftchute.forwarding.http.exchange import IncomingRequest
+from croftchute.forwarding.http.http_client import ResponseHead
 from croftchute.systems.worker_wishes import WorkerWish
 from croftchute.tables.routing import HeaderList, RequestFacts, Stage, Worker
 
--- a/src/croftchute/forwarding/connection_pool.py
+++ b/src/croftchute/forwarding/http/connection_pool.py
@@ -5,9 +5,9 @@
 import asyncio
 import math
 
-from croftchute.forwarding.failures import ConnectFailedError, ConnectRefusedError
-from croftchute.forwarding.http_client import ClientConnection
-from croftchute.forwarding.silence import WORK, SilenceLimits
+from croftchute.forwarding.http.failures import ConnectFailedError, ConnectRefusedError
+from croftchute.forwarding.http.http_client import ClientConnection
+from croftchute.forwarding.http.silence import WORK, SilenceLimits
 
 
 async def open_connection(
--- a/src/croftchute/forwarding/deadline.py
+++ b/src/croftchute/forwarding/http/deadline.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
-from croftchute.forwarding.failures import AnswerLateError
+from croftchute.forwarding.http.failures import AnswerLateError
 
 T = TypeVar("T")
 
--- a/src/croftchute/forwarding/exchange.py
+++ b/src/croftchute/forwarding/http/exchange.py
@@ -11,7 +11,7 @@
 from croftchute.tables.routing import HeaderList
 
 if TYPE_CHECKING:
-    from croftchute.forwarding.http_server import CallerConnection
+    from croftchute.forwarding.http.http_server import CallerConnection
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/forwarding/http_client.py
+++ b/src/croftchute/forwarding/http/http_client.py
@@ -12,8 +12,8 @@
 
 import httptools
 
-from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError
-from croftchute.forwarding.silence import WORK, SilenceLimits, watch_for_silence
+from croftchute.forwarding.http.failures import ConnectFailedError, ConnectionBrokenError
+from croftchute.forwarding.http.silence import WORK, SilenceLimits, watch_for_silence
 from croftchute.tables.routing import HeaderList
 
 MAX_WAITING_PARTS = 64
--- a/src/croftchute/forwarding/http_server.py
+++ b/src/croftchute/forwarding/http/http_server.py
@@ -19,8 +19,8 @@
 
 import httptools
 
-from croftchute.forwarding.exchange import Arrival, Exchange, IncomingRequest, encode_head
-from croftchute.forwarding.silence import ACCEPTED, watch_for_silence
+from croftchute.forwarding.http.exchange import Arrival, Exchange, IncomingRequest, encode_head
+from croftchute.forwarding.http.silence import ACCEPTED, watch_for_silence
 from croftchute.steady_clock import steady_s
 from croftchute.tables.routing import HeaderList, IngressLimits
 
--- a/src/croftchute/forwarding/transfer.py
+++ b/src/croftchute/forwarding/http/transfer.py
@@ -13,9 +13,9 @@
 from types import TracebackType
 
 from croftchute.errors import CroftchuteError
-from croftchute.forwarding.deadline import within
-from croftchute.forwarding.failures import AnswerLateError, ConnectionBrokenError
-from croftchute.forwarding.http_client import ClientConnection
+from croftchute.forwarding.http.deadline import within
+from croftchute.forwarding.http.failures import AnswerLateError, ConnectionBrokenError
+from croftchute.forwarding.http.http_client import ClientConnection
 
 STORE = "store"
 """The source of what the store itself answers."""
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -9,13 +9,13 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
-from croftchute.forwarding.connection_pool import ConnectionPool
 from croftchute.forwarding.decision_log import Decision, DecisionLog
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
+from croftchute.forwarding.http.connection_pool import ConnectionPool
+from croftchute.forwarding.http.silence import KNOWLEDGE, SilenceLimits
+from croftchute.forwarding.http.transfer import Transfer
 from croftchute.forwarding.permits import AnyNumber, CallPermits
-from croftchute.forwarding.silence import KNOWLEDGE, SilenceLimits
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
-from croftchute.forwarding.transfer import Transfer
 from croftchute.router_settings import DecisionWays
 from croftchute.storage.position import era_of, told
 from croftchute.storage.watched import StoredItem
--- a/src/croftchute/forwarding/catch_up.py
+++ b/src/croftchute/forwarding/store/catch_up.py
@@ -11,9 +11,9 @@
 
 from croftchute.errors import CroftchuteError
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.hall_news import ask_known
 from croftchute.forwarding.state import ForwardingState
-from croftchute.forwarding.store_follower import StoreFollower
+from croftchute.forwarding.store.hall_news import ask_known
+from croftchute.forwarding.store.store_follower import StoreFollower
 from croftchute.peers.messages import BoxNotice
 from croftchute.storage.position import told
 from croftchute.storage.watched import Listing
--- a/src/croftchute/forwarding/crash_register.py
+++ b/src/croftchute/forwarding/store/crash_register.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from croftchute.errors import StoreError
-from croftchute.forwarding.crash_gossip import CrashGossip
+from croftchute.forwarding.boxes.crash_gossip import CrashGossip
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.state import ForwardingState
 from croftchute.storage.position import told
--- a/src/croftchute/forwarding/hall_news.py
+++ b/src/croftchute/forwarding/store/hall_news.py
@@ -10,17 +10,17 @@
 from http import HTTPStatus
 from urllib.parse import parse_qs, quote, urlsplit
 
-from croftchute.forwarding.deadline import within
-from croftchute.forwarding.failures import ConnectionBrokenError
-from croftchute.forwarding.news_log import NewsLog, NotARelayError
-from croftchute.forwarding.news_messages import (
+from croftchute.forwarding.http.deadline import within
+from croftchute.forwarding.http.failures import ConnectionBrokenError
+from croftchute.forwarding.http.transfer import TransferMeter, read_while_it_comes
+from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.store.news_log import NewsLog, NotARelayError
+from croftchute.forwarding.store.news_messages import (
     decode_known,
     decode_news,
     encode_known,
     encode_news,
 )
-from croftchute.forwarding.state import ForwardingState
-from croftchute.forwarding.transfer import TransferMeter, read_while_it_comes
 from croftchute.storage.watched import Changes, HistoryGoneError, Listing
 from croftchute.tables.peers import Peer
 
--- a/src/croftchute/forwarding/prefix_follower.py
+++ b/src/croftchute/forwarding/store/prefix_follower.py
@@ -8,11 +8,11 @@
 
 from croftchute.errors import MessageError, StoreError
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.failures import ExchangeError
-from croftchute.forwarding.hall_news import ask_known, ask_news
-from croftchute.forwarding.news_log import NewsLog, NotARelayError
+from croftchute.forwarding.http.failures import ExchangeError
+from croftchute.forwarding.http.transfer import LONG_BODY_BYTES
 from croftchute.forwarding.state import ForwardingState
-from croftchute.forwarding.transfer import LONG_BODY_BYTES
+from croftchute.forwarding.store.hall_news import ask_known, ask_news
+from croftchute.forwarding.store.news_log import NewsLog, NotARelayError
 from croftchute.storage.position import era_of, told
 from croftchute.storage.watched import (
     Changes,
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -4,7 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from croftchute.forwarding.transfer import Transfer
+from croftchute.forwarding.http.transfer import Transfer
 
 SECONDS_BUCKETS = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.9, 1.5, 3.0, 6.0, 14.0]
 
--- a/src/croftchute/forwarding/crash_watch.py
+++ b/src/croftchute/forwarding/workers/crash_watch.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from croftchute.forwarding.connection_pool import open_connection
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.failures import ConnectFailedError, ConnectRefusedError
+from croftchute.forwarding.http.connection_pool import open_connection
+from croftchute.forwarding.http.failures import ConnectFailedError, ConnectRefusedError
 from croftchute.forwarding.state import ForwardingState
 from croftchute.tables.routing import Worker
 
--- a/src/croftchute/forwarding/decode_room.py
+++ b/src/croftchute/forwarding/workers/decode_room.py
@@ -7,9 +7,9 @@
 from croftchute.errors import Code
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Hold
-from croftchute.forwarding.failures import ExchangeError
-from croftchute.forwarding.request_run import RequestRun
-from croftchute.forwarding.worker_control import drop_hold, take_hold
+from croftchute.forwarding.http.failures import ExchangeError
+from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.worker_control import drop_hold, take_hold
 from croftchute.systems import patience
 from croftchute.systems.patience import ReturnWay
 from croftchute.systems.room_forecast import RoomWait
--- a/src/croftchute/forwarding/kept_prompts.py
+++ b/src/croftchute/forwarding/workers/kept_prompts.py
@@ -10,9 +10,9 @@
 
 from croftchute.errors import MessageError
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.failures import ExchangeError
-from croftchute.forwarding.request_run import RequestRun
-from croftchute.forwarding.worker_control import ask_kept_parts
+from croftchute.forwarding.http.failures import ExchangeError
+from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.worker_control import ask_kept_parts
 from croftchute.systems.worker_choice import by_affinity
 from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import Stage
--- a/src/croftchute/forwarding/part_reader.py
+++ b/src/croftchute/forwarding/workers/part_reader.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Callable
 
-from croftchute.forwarding.failures import AnswerLateError
-from croftchute.forwarding.request_run import RequestRun
-from croftchute.forwarding.worker_call import WorkerCall
+from croftchute.forwarding.http.failures import AnswerLateError
+from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.worker_call import WorkerCall
 from croftchute.systems import patience
 
 
--- a/src/croftchute/forwarding/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -6,10 +6,14 @@
 
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.dialect import Send, Verdict
-from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
-from croftchute.forwarding.http_client import ResponseHead
-from croftchute.forwarding.request_run import RequestRun
-from croftchute.forwarding.worker_call import WorkerCall
+from croftchute.forwarding.http.failures import (
+    ConnectFailedError,
+    ConnectionBrokenError,
+    ExchangeError,
+)
+from croftchute.forwarding.http.http_client import ResponseHead
+from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.worker_call import WorkerCall
 from croftchute.systems import patience
 from croftchute.systems.worker_choice import ChoiceInput
 from croftchute.systems.worker_table import WorkerBelief
--- a/src/croftchute/forwarding/prompt_reader.py
+++ b/src/croftchute/forwarding/workers/prompt_reader.py
@@ -5,10 +5,14 @@
 from croftchute.errors import MessageError
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
-from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
-from croftchute.forwarding.request_run import RequestRun
-from croftchute.forwarding.worker_call import WorkerCall
-from croftchute.forwarding.worker_control import free_handle
+from croftchute.forwarding.http.failures import (
+    ConnectFailedError,
+    ConnectionBrokenError,
+    ExchangeError,
+)
+from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.worker_call import WorkerCall
+from croftchute.forwarding.workers.worker_control import free_handle
 from croftchute.systems import patience
 from croftchute.systems.prefill_queue import ReadingTimes
 from croftchute.systems.worker_choice import ChoiceInput
--- a/src/croftchute/forwarding/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -5,7 +5,7 @@
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Refusal
-from croftchute.forwarding.exchange import Exchange
+from croftchute.forwarding.http.exchange import Exchange
 from croftchute.forwarding.permits import PermitWish
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems import patience
--- a/src/croftchute/forwarding/stage_orders.py
+++ b/src/croftchute/forwarding/workers/stage_orders.py
@@ -13,9 +13,9 @@
 
 from croftchute.errors import StoreError
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.failures import ConnectFailedError, ExchangeError
+from croftchute.forwarding.http.failures import ConnectFailedError, ExchangeError
 from croftchute.forwarding.state import ForwardingState
-from croftchute.forwarding.worker_control import give_stage_order
+from croftchute.forwarding.workers.worker_control import give_stage_order
 from croftchute.storage.watched import LeaseStore
 from croftchute.systems.service_capacity import READ_SHARE_OF_TARGET, EnginePower, SplitWay
 from croftchute.systems.stage_balance import StageChange, wanted_changes
--- a/src/croftchute/forwarding/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -6,18 +6,22 @@
 from dataclasses import dataclass
 
 from croftchute.errors import Code, Ran
-from croftchute.forwarding.deadline import within
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.decode_room import DecodeRoom
 from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
-from croftchute.forwarding.event_stream import EventSplitter, StreamEvent
-from croftchute.forwarding.failures import ConnectFailedError, ConnectionBrokenError, ExchangeError
-from croftchute.forwarding.http_client import ResponseHead
-from croftchute.forwarding.kept_prompts import find_keeper
-from croftchute.forwarding.part_reader import PartReader
-from croftchute.forwarding.prompt_reader import PromptReader
-from croftchute.forwarding.request_run import RequestRun
-from croftchute.forwarding.worker_call import WorkerCall
+from croftchute.forwarding.http.deadline import within
+from croftchute.forwarding.http.event_stream import EventSplitter, StreamEvent
+from croftchute.forwarding.http.failures import (
+    ConnectFailedError,
+    ConnectionBrokenError,
+    ExchangeError,
+)
+from croftchute.forwarding.http.http_client import ResponseHead
+from croftchute.forwarding.workers.decode_room import DecodeRoom
+from croftchute.forwarding.workers.kept_prompts import find_keeper
+from croftchute.forwarding.workers.part_reader import PartReader
+from croftchute.forwarding.workers.prompt_reader import PromptReader
+from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.worker_call import WorkerCall
 from croftchute.systems import patience
 from croftchute.systems.prefill_queue import ReadingTimes
 from croftchute.systems.worker_choice import ChoiceInput
--- a/src/croftchute/forwarding/wish_reader.py
+++ b/src/croftchute/forwarding/workers/wish_reader.py
@@ -7,7 +7,7 @@
 
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Verdict
-from croftchute.forwarding.http_client import ResponseHead
+from croftchute.forwarding.http.http_client import ResponseHead
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems.worker_wishes import WorkerWish
 from croftchute.tables.peers import LimitNotice
--- a/src/croftchute/forwarding/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -5,14 +5,14 @@
 import math
 
 from croftchute.errors import Code
-from croftchute.forwarding.crash_watch import note_broken
-from croftchute.forwarding.deadline import within
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
-from croftchute.forwarding.failures import ExchangeError
-from croftchute.forwarding.http_client import ClientConnection, ResponseHead
-from croftchute.forwarding.request_run import RequestRun
-from croftchute.forwarding.wish_reader import note_displaced, note_wish
+from croftchute.forwarding.http.deadline import within
+from croftchute.forwarding.http.failures import ExchangeError
+from croftchute.forwarding.http.http_client import ClientConnection, ResponseHead
+from croftchute.forwarding.workers.crash_watch import note_broken
+from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.wish_reader import note_displaced, note_wish
 from croftchute.systems import patience
 from croftchute.systems.worker_choice import ChoiceInput
 from croftchute.systems.worker_table import WorkerBelief
--- a/src/croftchute/forwarding/worker_control.py
+++ b/src/croftchute/forwarding/workers/worker_control.py
@@ -5,13 +5,17 @@
 import asyncio
 
 from croftchute.errors import MessageError
-from croftchute.forwarding.deadline import within
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Hold, PrefillHandle, Verdict
-from croftchute.forwarding.failures import AnswerLateError, ConnectionBrokenError, ExchangeError
+from croftchute.forwarding.http.deadline import within
+from croftchute.forwarding.http.failures import (
+    AnswerLateError,
+    ConnectionBrokenError,
+    ExchangeError,
+)
 from croftchute.forwarding.permits import PermitWish
 from croftchute.forwarding.state import ForwardingState
-from croftchute.forwarding.wish_reader import note_displaced, note_wish
+from croftchute.forwarding.workers.wish_reader import note_displaced, note_wish
 from croftchute.systems import patience
 from croftchute.tables.routing import Stage, Worker
 
--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -24,23 +24,23 @@
 
 from croftchute.daemon.router_process import RouterProcess  # noqa: E402
 from croftchute.errors import Code, Ran  # noqa: E402
-from croftchute.forwarding import store_follower  # noqa: E402
-from croftchute.forwarding.crash_gossip import CrashGossip  # noqa: E402
-from croftchute.forwarding.crash_register import CrashRegister  # noqa: E402
-from croftchute.forwarding.failures import AnswerLateError  # noqa: E402
-from croftchute.forwarding.http_client import ClientConnection  # noqa: E402
-from croftchute.forwarding.limits import GRANTED, Allowance, AllowanceOutcome  # noqa: E402
-from croftchute.forwarding.permits import ONE_CALL, PermitWish  # noqa: E402
-from croftchute.forwarding.pooled_limits import PooledLimits  # noqa: E402
-from croftchute.forwarding.request_run import RequestRun  # noqa: E402
-from croftchute.forwarding.state import ForwardingState  # noqa: E402
-from croftchute.forwarding.worker_call import WorkerCall  # noqa: E402
-from croftchute.forwarding.worker_permits import (  # noqa: E402
+from croftchute.forwarding.boxes.crash_gossip import CrashGossip  # noqa: E402
+from croftchute.forwarding.boxes.limits import GRANTED, Allowance, AllowanceOutcome  # noqa: E402
+from croftchute.forwarding.boxes.pooled_limits import PooledLimits  # noqa: E402
+from croftchute.forwarding.boxes.worker_permits import (  # noqa: E402
     MIN_CLOSED_S,
     WORKER_TERMS,
     WorkerPermits,
     usage_limit,
 )
+from croftchute.forwarding.http.failures import AnswerLateError  # noqa: E402
+from croftchute.forwarding.http.http_client import ClientConnection  # noqa: E402
+from croftchute.forwarding.permits import ONE_CALL, PermitWish  # noqa: E402
+from croftchute.forwarding.state import ForwardingState  # noqa: E402
+from croftchute.forwarding.store import store_follower  # noqa: E402
+from croftchute.forwarding.store.crash_register import CrashRegister  # noqa: E402
+from croftchute.forwarding.workers.request_run import RequestRun  # noqa: E402
+from croftchute.forwarding.workers.worker_call import WorkerCall  # noqa: E402
 from croftchute.systems.crash_records import CrashRecords  # noqa: E402
 from croftchute.systems.usage_bucket import UsageBucket  # noqa: E402
 from croftchute.systems.worker_table import WorkerBelief, WorkerTable  # noqa: E402
--- a/src/croftchute/standins/metadata_store.py
+++ b/src/croftchute/standins/metadata_store.py
@@ -15,8 +15,8 @@
 
 import msgspec
 
-from croftchute.forwarding.exchange import Exchange
-from croftchute.forwarding.http_server import HttpIngress
+from croftchute.forwarding.http.exchange import Exchange
+from croftchute.forwarding.http.http_server import HttpIngress
 from croftchute.tables.routing import HeaderList, IngressLimits
 
 JsonObject = dict[str, Any]
--- a/tests/forwarding/test_http_server.py
+++ b/tests/forwarding/http/test_http_server.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from croftchute.forwarding.http_server import MIN_BODY_BYTES_PER_S, HttpIngress
+from croftchute.forwarding.http.http_server import MIN_BODY_BYTES_PER_S, HttpIngress
 from croftchute.tables.routing import IngressLimits
 
 LIMITS = IngressLimits(
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/http/test_silence.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from croftchute.forwarding.connection_pool import ConnectionPool, open_connection
-from croftchute.forwarding.http_server import HttpIngress
-from croftchute.forwarding.silence import ACCEPTED, KNOWLEDGE, WORK, SilenceLimits
+from croftchute.forwarding.http.connection_pool import ConnectionPool, open_connection
+from croftchute.forwarding.http.http_server import HttpIngress
+from croftchute.forwarding.http.silence import ACCEPTED, KNOWLEDGE, WORK, SilenceLimits
 from croftchute.tables.routing import IngressLimits
 
 KNOWN_AGAIN_S = 3.0
--- a/tests/forwarding/test_transfer.py
+++ b/tests/forwarding/http/test_transfer.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from croftchute.forwarding import transfer
-from croftchute.forwarding.failures import AnswerLateError, ConnectionBrokenError
-from croftchute.forwarding.transfer import MIN_PACE_BYTES_PER_S, SILENCE_S, read_while_it_comes
+from croftchute.forwarding.http import transfer
+from croftchute.forwarding.http.failures import AnswerLateError, ConnectionBrokenError
+from croftchute.forwarding.http.transfer import MIN_PACE_BYTES_PER_S, SILENCE_S, read_while_it_comes
 
 
 class Body:
--- a/tests/forwarding/test_catch_up.py
+++ b/tests/forwarding/store/test_catch_up.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from croftchute.forwarding.catch_up import FETCH_AFTER_S, CatchUp
+from croftchute.forwarding.store.catch_up import FETCH_AFTER_S, CatchUp
 
 NEWER = object()
 SAME = object()
--- a/tests/forwarding/test_fleet_record.py
+++ b/tests/forwarding/store/test_fleet_record.py
@@ -7,7 +7,7 @@
 import pytest
 
 from croftchute.errors import Code, StoreError
-from croftchute.forwarding.fleet_record import RECORD_KEY, FleetRecord
+from croftchute.forwarding.store.fleet_record import RECORD_KEY, FleetRecord
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.fleet_size import LOWER_AFTER_S, FleetSize
 from croftchute.tables.fleet import FleetEntry
--- a/tests/forwarding/test_news_log.py
+++ b/tests/forwarding/store/test_news_log.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from croftchute.forwarding.news_log import MAX_BYTES, MAX_ENTRIES, NewsLog
+from croftchute.forwarding.store.news_log import MAX_BYTES, MAX_ENTRIES, NewsLog
 from croftchute.storage.watched import Changes, HistoryGoneError, Listing, StoredItem
 
 
--- a/tests/forwarding/test_news_messages.py
+++ b/tests/forwarding/store/test_news_messages.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from croftchute.errors import MessageError
-from croftchute.forwarding import news_messages
-from croftchute.forwarding.news_messages import (
+from croftchute.forwarding.store import news_messages
+from croftchute.forwarding.store.news_messages import (
     MAX_TOLD_BYTES,
     Known,
     ToldItem,
--- a/tests/forwarding/test_stage_orders.py
+++ b/tests/forwarding/workers/test_stage_orders.py
@@ -5,9 +5,9 @@
 
 from platform_fleet import fleet, run
 
-from croftchute.forwarding import stage_orders
-from croftchute.forwarding.failures import AnswerLateError
-from croftchute.forwarding.stage_orders import LEASE_KEY, Turn
+from croftchute.forwarding.http.failures import AnswerLateError
+from croftchute.forwarding.workers import stage_orders
+from croftchute.forwarding.workers.stage_orders import LEASE_KEY, Turn
 from croftchute.systems.stage_balance import StageChange
 from croftchute.tables.routing import Stage
 
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -25,7 +25,7 @@
 from platform_fleet import ask, bearer, config, fleet, organisation, run, until
 from stream_fleet import engines
 
-from croftchute.forwarding.crash_register import PREFIX
+from croftchute.forwarding.store.crash_register import PREFIX
 from croftchute.standins.platform_worker import WorkerFaults
 from croftchute.tables.routing import WorkerState
 
--- a/tests/platform_adapter/test_hall_news.py
+++ b/tests/platform_adapter/test_hall_news.py
@@ -7,7 +7,7 @@
 from platform_fleet import config, fleet, route, run, until
 
 from croftchute.errors import Code, StoreError
-from croftchute.forwarding import news_messages, prefix_follower
+from croftchute.forwarding.store import news_messages, prefix_follower
 from croftchute.systems.hall_relays import MOST_RELAYS
 from croftchute.systems.rendezvous import rank
 from croftchute.tables.routing import WorkerState
--- a/tests/platform_adapter/test_life.py
+++ b/tests/platform_adapter/test_life.py
@@ -17,7 +17,7 @@
 from croftchute.daemon.router_process import lapsed_grace_s
 from croftchute.errors import DocumentError
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.store_follower import WORKERS_PAUSE_S
+from croftchute.forwarding.store.store_follower import WORKERS_PAUSE_S
 from croftchute.router_settings import LimitSettings, parse_router_settings
 from croftchute.systems.worker_table import GONE_GRACE_S
 
--- a/tests/platform_adapter/test_limits_in_trouble.py
+++ b/tests/platform_adapter/test_limits_in_trouble.py
@@ -14,7 +14,11 @@
 from platform_fleet import ask, fleet, run, until
 from stream_fleet import engines, prefer
 
-from croftchute.forwarding.worker_control import STATUS_NOT_PERMITTED, drop_hold, give_stage_order
+from croftchute.forwarding.workers.worker_control import (
+    STATUS_NOT_PERMITTED,
+    drop_hold,
+    give_stage_order,
+)
 from croftchute.steady_clock import steady_s
 from croftchute.systems.lent_share import WORKERS_GROUP
 from croftchute.systems.worker_limits import OVER_AFTER_S
--- a/tests/platform_adapter/test_lives.py
+++ b/tests/platform_adapter/test_lives.py
@@ -5,7 +5,7 @@
 from platform_fleet import ask, fleet, run, until
 from stream_fleet import engines, numbers
 
-from croftchute.forwarding.worker_control import ask_kept_parts, give_stage_order
+from croftchute.forwarding.workers.worker_control import ask_kept_parts, give_stage_order
 from croftchute.standins.platform_worker import PlatformWorker
 from croftchute.tables.routing import Stage
 
--- a/tests/platform_adapter/test_resting_workers.py
+++ b/tests/platform_adapter/test_resting_workers.py
@@ -19,7 +19,7 @@
 from platform_fleet import ask, fleet, run, until
 from stream_fleet import PARTS, engines, prefer
 
-from croftchute.forwarding.worker_control import LONGEST_LEASE_S, drop_hold, take_hold
+from croftchute.forwarding.workers.worker_control import LONGEST_LEASE_S, drop_hold, take_hold
 from croftchute.systems.patience import FULL_FOR_S
 
 REST_S = 5.0
--- a/tests/platform_adapter/test_restored_store.py
+++ b/tests/platform_adapter/test_restored_store.py
@@ -12,8 +12,8 @@
 from test_hall_news import hall_of, settle
 
 from croftchute.errors import StoreError
-from croftchute.forwarding.fleet_record import RECORD_KEY
-from croftchute.forwarding.http_client import ResponseHead
+from croftchute.forwarding.http.http_client import ResponseHead
+from croftchute.forwarding.store.fleet_record import RECORD_KEY
 from croftchute.storage.position import MAX_ERA, era_of, position
 from croftchute.storage.watched import HistoryGoneError
 from croftchute.systems.worker_table import LAPSED_GRACE_S
--- a/tests/platform_adapter/test_store_and_peers.py
+++ b/tests/platform_adapter/test_store_and_peers.py
@@ -5,8 +5,8 @@
 
 from platform_fleet import ask, config, fleet, run, until
 
-from croftchute.forwarding.peer_exchange import MAX_GREETINGS
-from croftchute.forwarding.prefix_follower import WATCH_MARGIN_S, WATCH_WAIT_S
+from croftchute.forwarding.boxes.peer_exchange import MAX_GREETINGS
+from croftchute.forwarding.store.prefix_follower import WATCH_MARGIN_S, WATCH_WAIT_S
 from croftchute.peers.messages import BoxNotice
 from croftchute.tables.routing import Stage, WorkerState
 
--- a/tests/platform_adapter/test_streams_room.py
+++ b/tests/platform_adapter/test_streams_room.py
@@ -7,9 +7,9 @@
 from stream_fleet import engines, numbers, ran
 
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.failures import AnswerLateError, ConnectFailedError
-from croftchute.forwarding.worker_call import WorkerCall
-from croftchute.forwarding.worker_control import take_hold
+from croftchute.forwarding.http.failures import AnswerLateError, ConnectFailedError
+from croftchute.forwarding.workers.worker_call import WorkerCall
+from croftchute.forwarding.workers.worker_control import take_hold
 from croftchute.systems import patience
 
 
--- a/tests/platform_adapter/test_suspension.py
+++ b/tests/platform_adapter/test_suspension.py
@@ -5,7 +5,7 @@
 import pytest
 from platform_fleet import ask, fleet, run, until
 
-from croftchute.forwarding.hall_news import NEWS_PATH
+from croftchute.forwarding.store.hall_news import NEWS_PATH
 from croftchute.steady_clock import steady_s
 
 SUSPENSIONS_S = (3.0, 8.0, 30.0)
--- a/tests/platform_adapter/test_wishes.py
+++ b/tests/platform_adapter/test_wishes.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from croftchute.forwarding.http_client import ResponseHead
+from croftchute.forwarding.http.http_client import ResponseHead
 from croftchute.retry_after import MAX_REST_S
 from croftchute.systems.worker_wishes import NO_WISH, WorkerWish
 
--- a/tests/systems/crash_world.py
+++ b/tests/systems/crash_world.py
@@ -13,7 +13,7 @@
 import random
 from dataclasses import dataclass, field
 
-from croftchute.forwarding.crash_gossip import NOTICES_EACH_TIME
+from croftchute.forwarding.boxes.crash_gossip import NOTICES_EACH_TIME
 from croftchute.systems.crash_records import CrashRecords
 from croftchute.systems.peer_table import FANOUT
 
--- a/tests/systems/test_worker_rates.py
+++ b/tests/systems/test_worker_rates.py
@@ -12,7 +12,7 @@
 from limit_world import LimitWorld
 from test_lent_shares import happen
 
-from croftchute.forwarding.worker_permits import MIN_RATE_PER_S, WORKER_TERMS, usage_limit
+from croftchute.forwarding.boxes.worker_permits import MIN_RATE_PER_S, WORKER_TERMS, usage_limit
 from croftchute.systems.usage_bucket import UsageBucket
 
 CALL = 1.0
