--- a/src/croftchute/forwarding/http/exchange.py
+++ b/src/croftchute/forwarding/http/exchange.py
@@ -6,13 +6,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from croftchute.tables.routing import HeaderList
 
-if TYPE_CHECKING:
-    from croftchute.forwarding.http.http_server import CallerConnection
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Arrival:
@@ -43,10 +40,41 @@
         return None
 
 
+class AnswerChannel(Protocol):
+    """The connection that a request came on, as far as its answer needs it."""
+
+    is_lost: bool
+
+    @property
+    def is_held_up(self) -> bool:
+        """Whether the caller reads too slowly."""
+        ...
+
+    def write(self, data: bytes) -> None:
+        """Send some bytes."""
+        ...
+
+    async def drained(self) -> None:
+        """Wait until the caller has read enough."""
+        ...
+
+    def persistence_headers(self, request: IncomingRequest) -> HeaderList:
+        """What an answer says of the connection's further use."""
+        ...
+
+    def close_soon(self) -> None:
+        """Close once all is sent."""
+        ...
+
+    def abort(self) -> None:
+        """Break off."""
+        ...
+
+
 class Exchange:
     """One request and the means to answer it."""
 
-    def __init__(self, *, connection: CallerConnection, request: IncomingRequest) -> None:
+    def __init__(self, *, connection: AnswerChannel, request: IncomingRequest) -> None:
         self.request = request
         self.is_started = False
         self.is_finished = False
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -27,7 +27,8 @@
 from croftchute.systems.room_forecast import RoomHistory
 from croftchute.systems.size_lanes import lane_share
 from croftchute.systems.stage_balance import DemandCounts, StageDemand
-from croftchute.systems.worker_table import WorkerBelief, WorkerTable
+from croftchute.systems.worker_belief import WorkerBelief
+from croftchute.systems.worker_table import WorkerTable
 from croftchute.tables.routing import IngressLimits, RoutingTable, Stage
 
 LEARN_PEERS_S = 3.0
--- a/src/croftchute/forwarding/workers/decode_room.py
+++ b/src/croftchute/forwarding/workers/decode_room.py
@@ -13,8 +13,8 @@
 from croftchute.systems import patience
 from croftchute.systems.patience import ReturnWay
 from croftchute.systems.room_forecast import RoomWait
+from croftchute.systems.worker_belief import WorkerBelief
 from croftchute.systems.worker_choice import ChoiceInput
-from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import EngineTraits, Stage, Worker
 
 HOLD_AND_REQUEST = 2
--- a/src/croftchute/forwarding/workers/kept_prompts.py
+++ b/src/croftchute/forwarding/workers/kept_prompts.py
@@ -13,8 +13,8 @@
 from croftchute.forwarding.http.failures import ExchangeError
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.worker_control import ask_kept_parts
+from croftchute.systems.worker_belief import WorkerBelief
 from croftchute.systems.worker_choice import by_affinity
-from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import Stage
 
 MAX_WORKERS_ASKED = 16
--- a/src/croftchute/forwarding/workers/prompt_reader.py
+++ b/src/croftchute/forwarding/workers/prompt_reader.py
@@ -15,8 +15,8 @@
 from croftchute.forwarding.workers.worker_control import free_handle
 from croftchute.systems import patience
 from croftchute.systems.prefill_queue import ReadingTimes
+from croftchute.systems.worker_belief import WorkerBelief
 from croftchute.systems.worker_choice import ChoiceInput
-from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import Stage
 
 MAX_TRIES = 2
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -10,8 +10,8 @@
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems import patience
 from croftchute.systems.size_lanes import RoomWay, by_lane, is_large
+from croftchute.systems.worker_belief import WorkerBelief
 from croftchute.systems.worker_choice import ChoiceInput, Surroundings, choose, describe
-from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.organisations import Organisation
 from croftchute.tables.routing import EngineTraits, RequestFacts, Route, Stage
 
--- a/src/croftchute/forwarding/workers/stage_orders.py
+++ b/src/croftchute/forwarding/workers/stage_orders.py
@@ -19,7 +19,7 @@
 from croftchute.storage.watched import LeaseStore
 from croftchute.systems.service_capacity import READ_SHARE_OF_TARGET, EnginePower, SplitWay
 from croftchute.systems.stage_balance import StageChange, wanted_changes
-from croftchute.systems.worker_table import WorkerBelief
+from croftchute.systems.worker_belief import WorkerBelief
 from croftchute.tables.routing import RoutingTable, Stage
 
 CHECK_S = 0.5
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -24,8 +24,8 @@
 from croftchute.forwarding.workers.worker_call import WorkerCall
 from croftchute.systems import patience
 from croftchute.systems.prefill_queue import ReadingTimes
+from croftchute.systems.worker_belief import WorkerBelief
 from croftchute.systems.worker_choice import ChoiceInput
-from croftchute.systems.worker_table import WorkerBelief
 from croftchute.tables.routing import HeaderList, Stage
 
 
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -14,8 +14,8 @@
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.wish_reader import note_displaced, note_wish
 from croftchute.systems import patience
+from croftchute.systems.worker_belief import WorkerBelief
 from croftchute.systems.worker_choice import ChoiceInput
-from croftchute.systems.worker_table import WorkerBelief
 
 MAX_ANSWER_BYTES = 16 << 20
 """Longest whole answer in bytes: four times the longest body of a caller."""
--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -43,7 +43,8 @@
 from croftchute.forwarding.workers.worker_call import WorkerCall  # noqa: E402
 from croftchute.systems.crash_records import CrashRecords  # noqa: E402
 from croftchute.systems.usage_bucket import UsageBucket  # noqa: E402
-from croftchute.systems.worker_table import WorkerBelief, WorkerTable  # noqa: E402
+from croftchute.systems.worker_belief import WorkerBelief  # noqa: E402
+from croftchute.systems.worker_table import WorkerTable  # noqa: E402
 from croftchute.systems.worker_wishes import NO_WISH  # noqa: E402
 from croftchute.tables.organisations import (  # noqa: E402
     KeyClaim,
--- a/src/croftchute/systems/size_lanes.py
+++ b/src/croftchute/systems/size_lanes.py
@@ -13,7 +13,7 @@
 
 from croftchute.systems.rendezvous import weight
 from croftchute.systems.stage_balance import DemandCounts
-from croftchute.systems.worker_table import WorkerBelief
+from croftchute.systems.worker_belief import WorkerBelief
 
 LARGE_SHARE = 0.5
 """Share of an engine's memory over which a request is large: two of them don't fit one engine."""
--- a/src/croftchute/systems/stage_balance.py
+++ b/src/croftchute/systems/stage_balance.py
@@ -19,7 +19,7 @@
     best_split,
     split_of,
 )
-from croftchute.systems.worker_table import WorkerBelief
+from croftchute.systems.worker_belief import WorkerBelief
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
 WINDOW_S = 10.0
--- a/src/croftchute/systems/worker_choice.py
+++ b/src/croftchute/systems/worker_choice.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from croftchute.systems.rendezvous import weight
-from croftchute.systems.worker_table import WorkerBelief
+from croftchute.systems.worker_belief import WorkerBelief
 from croftchute.tables.routing import Route, Stage
 
 FAILURE_COST = 1.0
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from croftchute.storage.watched import StoredItem
-from croftchute.systems.prefill_queue import PrefillQueue
+from croftchute.systems.worker_belief import GONE_GRACE_S, WorkerBelief
 from croftchute.systems.worker_limits import WorkerLimits
 from croftchute.systems.worker_wishes import WorkerWishes
 from croftchute.tables.routing import Stage, Worker, WorkerState
@@ -23,20 +23,9 @@
 PAUSE_WEIGHT = 0.1
 """Weight of the newest pause between a stream's parts in a worker's usual one: some ten make it."""
 
-REJECTED_LATELY_S = 3.0
-"""Seconds after a rejection for which a worker counts as full: then it resets new connections too.
-On a logged day of overload this told 81 of 83 such resets beforehand (docs/EXPERIMENTS.md)."""
-
-FAILURE_HALF_LIFE_S = 2.0
-"""Seconds in which a failure counts half: crashes and cuts last for a few."""
-
 MAX_FAILURES = 8.0
 """Highest failure score: it is under a tenth after four half-lives."""
 
-GONE_GRACE_S = 1.2
-"""Seconds for which a worker that left the list, or said in an answer that it leaves, is a last
-resort: it serves on for 2 s and more."""
-
 LAPSED_GRACE_S = 2.0
 """Seconds for which workers whose entries lapsed together are used: the living are back by then."""
 
@@ -46,9 +35,6 @@
 MIN_LAPSED = 2
 """Fewest entries that count as lapsed: one that goes alone has left."""
 
-LOAD_TTL_S = 0.3
-"""Seconds for which a load told with an answer counts: requests of others end about as soon."""
-
 CHANGE_KNOWN_S = 15.0
 """Seconds after which a worker's change to the same stage would be another one: an order that is
 carried out is over within ten."""
@@ -58,67 +44,6 @@
 costs a caller the time of one connection, and cuts and crashes last for some seconds."""
 
 
-@dataclass(kw_only=True, slots=True)
-class WorkerBelief:
-    """One life of a worker with everything believed about it, and the age of each belief.
-
-    ``has_ended``: the worker has begun another life. ``is_unreadable``: its newest entry names no
-    worker; what runs there goes on.
-    """
-
-    worker: Worker
-    listed_at: float
-    item: StoredItem | None = None
-    gone_at: float | None = None
-    has_lapsed: bool = False
-    in_flight: int = 0
-    tokens_in_flight: int = 0
-    failures: float = 0.0
-    failed_at: float = 0.0
-    latency_s: float = 0.0
-    pause_s: float = 0.0
-    rejected_at: float = -1e9
-    load_running: int = 0
-    load_waiting: int = 0
-    load_at: float = -1e9
-    in_flight_at_load: int = 0
-    displaced: bool = False
-    has_ended: bool = False
-    is_unreadable: bool = False
-    full_until: float = 0.0
-    unreachable_until: float = 0.0
-    changing_to: Stage | None = None
-    changing_since: float = 0.0
-    changing_until: float = 0.0
-    queue: PrefillQueue = field(default_factory=PrefillQueue)
-
-    def has_rejected_lately(self, now: float) -> bool:
-        """Whether it seems full."""
-        return now - self.rejected_at < REJECTED_LATELY_S
-
-    def failure_score(self, now: float) -> float:
-        """Recent failures, each counting half as much after every half-life."""
-        age = max(0.0, now - self.failed_at)
-        return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_S)
-
-    def fits(self, stage: Stage | None, now: float) -> bool:
-        """Whether it does work of a stage at the moment, so far as its list entry goes."""
-        if self.displaced or self.has_ended or self.is_unreadable or now < self.changing_until:
-            return False
-        return stage is None or self.worker.stage is None or self.worker.stage is stage
-
-    def grace_s(self, lapsed_grace_s: float) -> float:
-        """How long after its entry went the worker may still be given work."""
-        return lapsed_grace_s if self.has_lapsed else GONE_GRACE_S
-
-    def others_running(self, now: float) -> float:
-        """Requests of other boxes that the worker was running or queueing lately."""
-        if now - self.load_at > LOAD_TTL_S:
-            return 0.0
-        known = self.load_running + self.load_waiting - self.in_flight_at_load
-        return float(max(0, known))
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Standings:
     """The workers of a service by how they may be used: at will, as a last resort, or not now.
--- a/tests/platform_adapter/test_leaving_workers.py
+++ b/tests/platform_adapter/test_leaving_workers.py
@@ -20,7 +20,7 @@
 from stream_fleet import PARTS, engines, prefer
 
 from croftchute.forwarding.workers.crash_watch import note_broken
-from croftchute.systems.worker_table import GONE_GRACE_S
+from croftchute.systems.worker_belief import GONE_GRACE_S
 
 LATER_REQUESTS = 12
 """Requests after the answer that tells: three workers at random would be missed by one in 130."""
--- a/tests/platform_adapter/test_silent_connections.py
+++ b/tests/platform_adapter/test_silent_connections.py
@@ -7,7 +7,7 @@
 from platform_fleet import ask, fleet, request_bytes, run, until
 from silent_link import SilentLink
 
-from croftchute.systems.worker_table import REJECTED_LATELY_S
+from croftchute.systems.worker_belief import REJECTED_LATELY_S
 
 USUAL_S = 0.3
 """Usual seconds between events of a slow engine."""
--- a/tests/systems/test_worker_table.py
+++ b/tests/systems/test_worker_table.py
@@ -1,7 +1,8 @@
 import pytest
 
 from croftchute.storage.watched import StoredItem
-from croftchute.systems.worker_table import GONE_GRACE_S, LAPSED_GRACE_S, WorkerTable
+from croftchute.systems.worker_belief import GONE_GRACE_S
+from croftchute.systems.worker_table import LAPSED_GRACE_S, WorkerTable
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
 
--- a/tests/systems/test_worker_wishes.py
+++ b/tests/systems/test_worker_wishes.py
@@ -1,7 +1,8 @@
 """What workers asked for: kept by life, bounded, and never taken back by older news."""
 
 from croftchute.storage.watched import StoredItem
-from croftchute.systems.worker_table import GONE_GRACE_S, WorkerTable
+from croftchute.systems.worker_belief import GONE_GRACE_S
+from croftchute.systems.worker_table import WorkerTable
 from croftchute.systems.worker_wishes import LAST_RESORTS, LEAVING_KEPT_S, MAX_KEPT, WorkerWishes
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
