A worker's limit at the size of the fleet: make limits

Cause: the model check went to 40 boxes; the target has 360, and limits as low as 0.5 a second. Change: the world of lent shares moves from the tests to bench/, typed; `make limits` prints most calls in 4 s, use, boxes served and messages for 8 to 360 boxes and 0.5 to 50 calls a second, beside even shares and each box by itself, and how soon all boxes hear of a limit.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SECONDS ?= 15
 BOXES ?= 3
 
-.PHONY: demo test lint format bench capacity schema soak clean
+.PHONY: demo test lint format bench limits capacity schema soak clean
 
 $(STAMP): requirements-dev.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -32,6 +32,9 @@
 bench: $(STAMP)
 	$(PY) -m croftchute.bench.main
 
+limits: $(STAMP)
+	$(PY) -m croftchute.bench.worker_limits
+
 capacity: $(STAMP)
 	$(PY) -m croftchute.bench.capacity
 
--- a/tests/systems/test_allowance_pool.py
+++ b/tests/systems/test_allowance_pool.py
@@ -2,8 +2,7 @@
 
 import random
 
-from limit_world import CREW, TERMS, crew_limit
-
+from croftchute.bench.limit_world import CREW, TERMS, crew_limit
 from croftchute.forwarding.boxes.worker_permits import KEPT_BACK_A_RANK, WORKER_TERMS, usage_limit
 from croftchute.systems.allowance_pool import AllowancePool
 from croftchute.tables.allowances import UsageWant
--- a/tests/systems/test_lent_shares.py
+++ b/tests/systems/test_lent_shares.py
@@ -10,8 +10,8 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from limit_world import CREW, TERMS, LimitWorld, crew_limit
 
+from croftchute.bench.limit_world import CREW, TERMS, LimitWorld, crew_limit
 from croftchute.systems.allowance_pool import LEASE_S
 from croftchute.systems.fleet_size import FleetSize
 from croftchute.systems.lent_share import SETTLING_S, LentShare
--- a/tests/systems/test_worker_rates.py
+++ b/tests/systems/test_worker_rates.py
@@ -9,9 +9,9 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from limit_world import LimitWorld
 from test_lent_shares import happen
 
+from croftchute.bench.limit_world import LimitWorld
 from croftchute.forwarding.boxes.worker_permits import MIN_RATE_PER_S, WORKER_TERMS, usage_limit
 from croftchute.systems.usage_bucket import UsageBucket
 
