--- a/src/croftchute/peers/codec.py
+++ b/src/croftchute/peers/codec.py
@@ -41,7 +41,7 @@
 )
 COLUMN_STRUCTS = (WorkerNotice, PrefillSample, CrashNotice, LimitNotice)
 """Those of which a message holds many: their lists are sent column by column, under a name of their
-own. Reading 24 worker notices takes 46 us in place of 260, and boxes read some twenty a second."""
+own, as reading so takes a fraction of the time and boxes read some twenty notices a second."""
 
 COLUMNS_SUFFIX = "Columns"
 STRUCTS_BY_LIST: dict[Any, type] = {tuple[kind, ...]: kind for kind in STRUCTS}  # type: ignore[valid-type]
@@ -264,8 +264,7 @@
 
 
 def _read(kind: type, wire: Any) -> Any:
-    # By name as the library does itself: attribute access goes through a failed look-up first and
-    # takes 3.2 us a field in place of 0.7.
+    # By name as the library does itself: attribute access goes through a failed look-up first.
     get = wire._get
     return kind(**{field.name: field.read(get(field.wire_name)) for field in _PLANS[kind]})
 
--- a/src/croftchute/systems/patience.py
+++ b/src/croftchute/systems/patience.py
@@ -26,8 +26,8 @@
 then fit into the target."""
 
 FIRST_EVENT_SHARE_OF_TARGET = 0.6
-"""Share of the target that a decode worker's first event is given where it could be moved; 1.2 did
-worse on worst seconds (docs/EXPERIMENTS.md)."""
+"""Share of the target that a decode worker's first event is given where it could be moved:
+what is left is enough for another one to read the prompt."""
 
 TYPICAL_MULTIPLE = 3.0
 """Usual times of a worker that a repeatable call is given, where that is longer."""
@@ -37,7 +37,7 @@
 
 PREFILL_SHARE_OF_TARGET = 0.7
 """Share of the target that a prefill call is given: its decode worker can just still read the
-prompt in time; 1.5, and 0.4 to 0.7 by prediction, did no better (docs/EXPERIMENTS.md)."""
+prompt in time."""
 
 PREFILL_RETRY_SHARE_OF_TARGET = 0.5
 """Share of the target within which a second prefill worker is asked; reading fits the rest."""
@@ -74,7 +74,7 @@
 ONCE_IDLE_S = 0.25
 """Seconds since its last answer in which a kept connection may take a request that can be sent
 once: an older one may have gone silent meanwhile. The stream after an ask for room still takes its
-connection; a new one costs a round trip and, measured, a few parts in 10,000 of worth."""
+connection; others pay a round trip for a new one."""
 
 RETURN_SHARE = 0.9
 """Share of the route's time below which a caller must have tried before."""
@@ -113,7 +113,7 @@
 """The same of one that is late already: it takes room that nobody in time asked for."""
 
 HOLD_OUTPUT_MARGINS = {HoldWay.LIKELY: 0.9, HoldWay.AMPLE: 1.4}
-"""Share of the likely output that a hold covers (trials in docs/DESIGN.md). Half of all answers are
+"""Share of the likely output that a hold covers. Half of all answers are
 longer than their hint; what outgrows its hold may be preempted, and its prompt is read again."""
 
 NEVER_FITS_RETRY_AFTER_S = 60.0
--- a/src/croftchute/systems/prefill_queue.py
+++ b/src/croftchute/systems/prefill_queue.py
@@ -17,7 +17,7 @@
 
 READ_AHEAD_SHARE_OF_TARGET = 0.4
 """Share of the target up to which reading ahead is taken even where the decode worker would be
-quicker: its own reading holds up its streams (measured, docs/EXPERIMENTS.md)."""
+quicker: its own reading holds up its streams."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/systems/worker_belief.py
+++ b/src/croftchute/systems/worker_belief.py
@@ -14,7 +14,7 @@
 
 REJECTED_LATELY_S = 3.0
 """Seconds after a rejection for which a worker counts as full: then it resets new connections too.
-On a logged day of overload this told 81 of 83 such resets beforehand (docs/EXPERIMENTS.md)."""
+A request that may be sent once is kept away from it for that."""
 
 FAILURE_HALF_LIFE_S = 2.0
 """Seconds in which a failure counts half: crashes and cuts last for a few."""
--- a/src/croftchute/systems/worker_choice.py
+++ b/src/croftchute/systems/worker_choice.py
@@ -24,7 +24,7 @@
 """Decode tokens that a request of another box is taken to hold: its size is not told."""
 
 FAR_COST = 0.12
-"""Cost of a worker in another hall: a few requests; 0.3 did no better (docs/EXPERIMENTS.md)."""
+"""Cost of a worker in another hall: as much as a few requests at one nearby."""
 
 LATENCY_COST = 0.5
 """Cost of taking twice as long as workers usually do."""
--- a/src/croftchute/tables/crashes.py
+++ b/src/croftchute/tables/crashes.py
@@ -13,7 +13,7 @@
     """What all tries of one request have in common, at whatever box: 32 hexadecimal digits.
 
     ``caller`` is the organisation that called. Addresses say nothing: one caller's come from
-    several halls. A body of 5 KB takes 12 us, timed alone.
+    several halls.
     """
     found = hashlib.blake2b(digest_size=DIGEST_BYTES, person=b"croftchute-req")
     for text in (caller, method, host, target):
