Permits: a limit that ends while the pool is asked, namings that go round, and no calls kept at hand

Change: the entry is kept from before the asking; a peer's naming of the same value counts only if newer by 50 ms; workers' limits ask for nothing ahead.

--- a/src/croftchute/forwarding/boxes/pooled_limits.py
+++ b/src/croftchute/forwarding/boxes/pooled_limits.py
@@ -15,6 +15,8 @@
 class OrganisationSource:
     """The limits that the configuration in force sets."""
 
+    asks_ahead = True
+
     def __init__(self, *, state: ForwardingState, terms: LimitTerms) -> None:
         self.state = state
         self.terms = terms
--- a/src/croftchute/forwarding/boxes/shared_rates.py
+++ b/src/croftchute/forwarding/boxes/shared_rates.py
@@ -92,9 +92,13 @@
 
 
 class LimitSource(Protocol):
-    """One kind of limits: which of them this box knows, and how strictly they are judged."""
+    """One kind of limits: which of them this box knows, and how strictly they are judged.
+
+    ``asks_ahead``: boxes that use much ask for more than one request needs, and keep the rest.
+    """
 
     terms: LimitTerms
+    asks_ahead: bool
 
     def is_in_use(self) -> bool:
         """Whether there is such a limit at the moment; leases are kept up only then."""
@@ -235,7 +239,9 @@
 
     async def _ask_for(self, group: RateGroup, want: UsageWant) -> _PoolAnswer:
         """The pool that was asked, and what it answered in time."""
-        ahead = group.purses_by_name[want.name].wanted_ahead(want.units, self.state.clock())
+        ahead = 0.0
+        if group.source.asks_ahead:
+            ahead = group.purses_by_name[want.name].wanted_ahead(want.units, self.state.clock())
         number = self._next_number()
         answer = asyncio.get_running_loop().create_future()
         self._answers_by_number[number] = answer
--- a/src/croftchute/forwarding/boxes/worker_permits.py
+++ b/src/croftchute/forwarding/boxes/worker_permits.py
@@ -11,6 +11,7 @@
 from croftchute.forwarding.permits import ONE_CALL, PermitWish
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems.usage_bucket import LimitTerms
+from croftchute.systems.worker_limits import NamedLimit
 from croftchute.tables.allowances import UsageWant
 from croftchute.tables.organisations import UsageLimit
 from croftchute.tables.routing import Worker
@@ -47,6 +48,8 @@
     """The limits that workers name, as this box and its peers heard them."""
 
     terms = WORKER_TERMS
+    asks_ahead = False
+    """Calls that one box has at hand are calls that no other box may make."""
 
     def __init__(self, *, state: ForwardingState) -> None:
         self.state = state
@@ -106,7 +109,7 @@
         allowance = await self.rates.take(self.group, want, patience_s=wish.patience_s)
         if allowance.is_granted:
             return True
-        self._close(worker, allowance, wish)
+        self._close(named, worker, allowance, wish)
         return False
 
     def give_back(self, worker: Worker, calls: int = 1) -> None:
@@ -114,10 +117,14 @@
         if self.state.workers.limits.limit_of(worker.id, self.state.clock()) is not None:
             self.rates.give_back(self.group, worker.id, float(calls))
 
-    def _close(self, worker: Worker, allowance: Allowance, wish: PermitWish) -> None:
-        """Pass the worker over until it takes calls again."""
+    def _close(
+        self, named: NamedLimit, worker: Worker, allowance: Allowance, wish: PermitWish
+    ) -> None:
+        """Pass the worker over until it takes calls again.
+
+        Its limit may have come to an end, and been forgotten, while the pool was asked.
+        """
         now = self.state.clock()
-        named = self.state.workers.limits.by_id[worker.id]
         wait_s = max(MIN_CLOSED_S, allowance.wait_s or UNKNOWN_CLOSED_S)
         named.closed_until = now + wait_s
         self.state.metrics.permits.inc({"outcome": allowance.outcome.value})
--- a/src/croftchute/systems/worker_limits.py
+++ b/src/croftchute/systems/worker_limits.py
@@ -24,6 +24,10 @@
 MAX_KEPT = 4096
 """Most lives of which a limit is kept: nearly twice the workers that docs/CAPACITY.md works out."""
 
+ECHO_S = 0.05
+"""Seconds by which a naming that another box tells of must be newer than the one that is known, if
+both name the same: what goes round among boxes gets older by less than the time that passes, and
+would seem newer each time."""
 
 OVER_KEPT_S = 10.0
 """Seconds for which it is remembered that a limit is over: other boxes may still tell of it."""
@@ -66,7 +70,8 @@
             self._make_room()
             self.by_id[worker_id] = NamedLimit(per_s=per_s, named_at=named_at)
             return True
-        if named_at <= known.named_at:
+        is_echo = known_for_s > 0.0 and per_s == known.per_s
+        if named_at <= known.named_at + (ECHO_S if is_echo else 0.0):
             return False
         is_news = per_s != known.per_s or known.is_over(now)
         known.per_s = per_s
--- a/tests/platform_adapter/test_limits_in_trouble.py
+++ b/tests/platform_adapter/test_limits_in_trouble.py
@@ -14,6 +14,7 @@
 from platform_fleet import ask, fleet, run, until
 from stream_fleet import engines, prefer
 
+from croftchute.forwarding.boxes.limits import Allowance, AllowanceOutcome
 from croftchute.forwarding.workers.worker_control import (
     STATUS_NOT_PERMITTED,
     drop_hold,
@@ -277,6 +278,23 @@
     run(body)
 
 
+def test_a_limit_that_ends_while_the_pool_is_asked_leaves_nothing_to_trip_over():
+    async def body():
+        async with fleet() as made:
+            box = await plain_box(made)
+            limits = box.state.workers.limits
+            limits.note_named("w0", 1.0, box.state.clock())
+
+            async def denied(group, want, *, patience_s):
+                limits.by_id.clear()
+                return Allowance(outcome=AllowanceOutcome.DENIED, wait_s=0.1)
+
+            box.shared_rates.take = denied
+            assert (await ask(box, "/once/x", "r1")).status == 200
+
+    run(body)
+
+
 def test_a_permit_for_a_call_that_did_not_come_about_is_given_back():
     async def body():
         async with fleet() as made:
--- a/tests/systems/test_worker_limits.py
+++ b/tests/systems/test_worker_limits.py
@@ -57,6 +57,21 @@
     assert limits.limit_of("w1", NOW + 60.0) == 0.5
 
 
+def test_a_naming_that_goes_round_among_boxes_does_not_get_newer():
+    limits = named()
+    limits.note_left_out("w1", NOW + 0.005)
+    for n in range(1, 8):
+        now = NOW + 0.5 * n
+        assert not limits.note_named("w1", 2.0, now, known_for_s=0.5 * n - 0.006 * n)
+    assert limits.limit_of("w1", NOW + OVER_AFTER_S) is None
+
+
+def test_of_two_namings_in_one_moment_that_differ_the_newer_holds():
+    limits = named(10.0)
+    assert limits.note_named("w1", 2.0, NOW + 0.5, known_for_s=0.49)
+    assert limits.limit_of("w1", NOW + 0.5) == 2.0
+
+
 def test_a_limit_that_is_over_does_not_come_back_by_an_older_account():
     limits = named()
     limits.note_left_out("w1", NOW + 1.0)
