Tests of the record and of a restored store: what they start from is waited for

One names the box that keeps the record by is_main_pool; since the record is kept without limits too, is_keeper says that. The other restores the store while, by the boxes' log, all eight still read the worker list from it themselves: since record_settled the restore fell into the pause of a box's first seconds, before any box followed a relay for that list. Assertions unchanged.

--- a/tests/platform_adapter/test_hall_news.py
+++ b/tests/platform_adapter/test_hall_news.py
@@ -43,6 +43,8 @@
         await in_force(boxes, version)
         await asyncio.sleep(0.05)
     await record_settled(boxes)
+    # In the first seconds of a life the worker list is read with pauses, and from the store.
+    await until(lambda: all(box.follower.workers._relay_id for box in boxes[2:]))
     return version
 
 
--- a/tests/platform_adapter/test_restored_store.py
+++ b/tests/platform_adapter/test_restored_store.py
@@ -259,6 +259,7 @@
             record = box.fleet_record
             record.has_limits = lambda: True
             record.is_main_pool = lambda: True
+            record.is_keeper = lambda: True
             box.fleet_size.recorded = 5
             box.fleet_size.pool = box.state.box
             record.note_restored()
