--- a/src/croftchute/bench/worker_limits.py
+++ b/src/croftchute/bench/worker_limits.py
@@ -1,7 +1,7 @@
 """``make limits``: a worker's limit at the size of the fleet, in virtual time, by three ways.
 
 Lent shares as the forwarding core keeps them, beside two that need no pool: an even share for each
-box, and each box by itself. The bounds are those that workers are promised.
+box, and each box by itself. The bounds are the users' ones.
 """
 
 from __future__ import annotations
--- a/src/croftchute/forwarding/http/transfer.py
+++ b/src/croftchute/forwarding/http/transfer.py
@@ -2,7 +2,7 @@
 
 A configuration of thousands of routes takes seconds on a slow link. So a body is given up when
 nothing of it comes any more, not when the whole of it takes long: cutting a reading that goes on,
-and beginning it anew, fills the link for ever (docs/incidents/tmn-bergen-grown-inc2.md). What a
+and beginning it anew, fills the link for ever. What a
 call brought, and where it was cut, is told in the log and in the metrics.
 """
 
--- a/tests/platform_adapter/test_limited_workers.py
+++ b/tests/platform_adapter/test_limited_workers.py
@@ -2,6 +2,16 @@
 
 Seen: three workers of a service had named in their answers how many requests a second they take
 from all boxes together. In some 4 s they got 16 and 19 requests, where 13 and 18 are allowed.
+
+How it came about: nothing changed in the sending after the first answer that named a limit. Boxes
+went on choosing by load and failures; no line of any log spoke of a limit.
+
+Cause: the limit was read nowhere, and it is a number that no box can keep by itself: read at each
+box alone, eight boxes would have sent eight times as much.
+
+Proof: these tests, without any trouble at links, boxes or the store. One box alone sent 42 requests
+in 4 s to a worker that takes 2 a second (17 are allowed), three boxes 123; so neither the sum over
+boxes that each keep the limit, nor the stop of a box, explains what was seen.
 """
 
 import asyncio
--- a/tests/systems/test_worker_rates.py
+++ b/tests/systems/test_worker_rates.py
@@ -1,6 +1,6 @@
 """The limit that a worker names, kept by all boxes together: never above it, and nearly all of it.
 
-Bounds are those that workers are promised: in some 4 s no more than one and a half times what the
+The bounds are the users' ones: in some 4 s no more than one and a half times what the
 limit allows, and five calls. The loads ask for several times the limit.
 """
 
