Notices carry waits by rank, use by organisation and paces of workers

Cause: an order among all who wait, fair shares and paces need what other boxes see; a notice tells one mean wait for a service, and nothing of organisations or paces. Change: three lists in notices, by columns, empty where nobody fills them. Paces stand in a list of their own: a further column of the worker list would make boxes of an earlier release drop the whole notice, as columns of unequal length are no message.

--- a/src/croftchute/peers/codec.py
+++ b/src/croftchute/peers/codec.py
@@ -20,7 +20,14 @@
 from croftchute.systems.prefill_pace import PrefillSample
 from croftchute.tables.allowances import UsageGrant, UsageReturn, UsageWant
 from croftchute.tables.crashes import CrashNotice
-from croftchute.tables.peers import DemandNotice, LimitNotice, WorkerNotice
+from croftchute.tables.peers import (
+    DemandNotice,
+    LimitNotice,
+    OrganisationUseNotice,
+    RankRoomNotice,
+    WorkerNotice,
+    WorkerPaceNotice,
+)
 from croftchute.tables.upstreams import ShardDigest
 
 TAG_BYTES = 16
@@ -38,8 +45,19 @@
     UsageReturn,
     CrashNotice,
     LimitNotice,
+    RankRoomNotice,
+    OrganisationUseNotice,
+    WorkerPaceNotice,
+)
+COLUMN_STRUCTS = (
+    WorkerNotice,
+    PrefillSample,
+    CrashNotice,
+    LimitNotice,
+    RankRoomNotice,
+    OrganisationUseNotice,
+    WorkerPaceNotice,
 )
-COLUMN_STRUCTS = (WorkerNotice, PrefillSample, CrashNotice, LimitNotice)
 """Those of which a message holds many: their lists are sent column by column, under a name of their
 own, as reading so takes a fraction of the time and boxes read some twenty notices a second."""
 
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -8,7 +8,7 @@
 from croftchute.errors import Code
 from croftchute.tables.allowances import UsageGrant, UsageReturn, UsageWant
 from croftchute.tables.crashes import CrashNotice
-from croftchute.tables.peers import DemandNotice, LimitNotice, WorkerNotice
+from croftchute.tables.peers import DemandNotice, LimitNotice, WorkerNotice, WorkerPaceNotice
 from croftchute.tables.upstreams import ShardDigest
 
 
@@ -185,7 +185,7 @@
     ``introduced`` holds HOST:PORT of other boxes that the sender hears; ``link_mbps`` is the rate
     of the sender's link in Mbit/s, 0 if it does not know. ``leaving_workers`` are lives of workers
     that said, to the sender or to a box that it heard, that they leave; ``limited_workers`` are
-    those that named a limit in the same way.
+    those that named a limit in the same way. ``paces`` are told of workers that tell theirs.
     """
 
     started_at: float
@@ -202,6 +202,7 @@
     link_mbps: float = 0.0
     leaving_workers: tuple[str, ...] = ()
     limited_workers: tuple[LimitNotice, ...] = ()
+    paces: tuple[WorkerPaceNotice, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -187,6 +187,21 @@
   granted @12 :UInt32;
   largeGranted @13 :UInt32;
   prefillsColumns @14 :PrefillSampleColumns;
+  ranksColumns @15 :RankRoomNoticeColumns;
+  usesColumns @16 :OrganisationUseNoticeColumns;
+}
+
+struct RankRoomNoticeColumns {
+  rank @0 :List(UInt8);
+  waitedS @1 :List(Float32);
+  grants @2 :List(Float32);
+  waiting @3 :List(UInt32);
+}
+
+struct OrganisationUseNoticeColumns {
+  name @0 :List(Text);
+  askedTokens @1 :List(Float32);
+  grantedTokens @2 :List(Float32);
 }
 
 # Rows sent column by column: reading takes a sixth of the time. The row forms of these fields stand
@@ -222,6 +237,15 @@
   workersColumns @12 :WorkerNoticeColumns;
   leavingWorkers @13 :List(Text);
   limitedWorkersColumns @14 :LimitNoticeColumns;
+  pacesColumns @15 :WorkerPaceNoticeColumns;
+}
+
+struct WorkerPaceNoticeColumns {
+  worker @0 :List(Text);
+  told @1 :List(Float32);
+  toldAgeS @2 :List(Float32);
+  seen @3 :List(Float32);
+  seenWeight @4 :List(Float32);
 }
 
 struct LimitNoticeColumns {
--- a/src/croftchute/tables/peers.py
+++ b/src/croftchute/tables/peers.py
@@ -26,6 +26,21 @@
     changing_s: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerPaceNotice:
+    """How long work takes at a worker over what is usual for its service; 0 if not known.
+
+    ``told`` is the worker's own word of ``told_age_s`` ago, ``seen`` what ``seen_weight`` answers
+    showed the sender.
+    """
+
+    worker: str
+    told: float
+    told_age_s: float
+    seen: float
+    seen_weight: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LimitNotice:
     """The calls a second that a worker takes from all boxes, and how long ago it named that last.
@@ -40,11 +55,34 @@
     left_out_s: float = NOT_LEFT_OUT
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RankRoomNotice:
+    """What the requests of one rank waited for room at a box; ``waiting`` of them wait now.
+
+    ``waited_s`` and ``grants``: see ``systems/room_forecast.py``.
+    """
+
+    rank: int
+    waited_s: float
+    grants: float
+    waiting: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OrganisationUseNotice:
+    """Tokens that an organisation asked room for at a box lately, and those that it got."""
+
+    name: str
+    asked_tokens: float
+    granted_tokens: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DemandNotice:
     """What was asked of a service at a box in its window, and the streams that ended there.
 
-    ``room_waited_s`` and ``room_grants``: see ``systems/room_forecast.py``.
+    ``room_waited_s`` and ``room_grants``: see ``systems/room_forecast.py``. ``ranks`` and ``uses``
+    are empty where requests of the service are not ordered by rank.
     """
 
     service: str
@@ -61,6 +99,8 @@
     large_tokens: int = 0
     granted: int = 0
     large_granted: int = 0
+    ranks: tuple[RankRoomNotice, ...] = ()
+    uses: tuple[OrganisationUseNotice, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
