Room by rank: an order among all who wait for decode memory, over all boxes

Cause: whoever asks next after memory comes free gets it, whatever its priority; the wait is forecast by one mean for the service. Change: ranks from the priorities of organisations and routes; requests ask the more often the more urgent they are, and hold back while a more urgent rank waits too long anywhere; forecasts by rank.

--- a/src/croftchute/forwarding/boxes/peer_exchange.py
+++ b/src/croftchute/forwarding/boxes/peer_exchange.py
@@ -194,6 +194,7 @@
         for service, demand in state.demand_by_service.items():
             counts = demand.counts(now)
             room = state.room(service).counts(now)
+            ranked = state.ranked_room_by_service.get(service)
             demands.append(
                 DemandNotice(
                     service=service,
@@ -210,6 +211,7 @@
                     large_tokens=counts.large_tokens,
                     granted=counts.granted,
                     large_granted=counts.large_granted,
+                    ranks=ranked.notices(now) if ranked is not None else (),
                 )
             )
         return BoxNotice(
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -23,8 +23,10 @@
 from croftchute.systems.first_tries import FirstTries
 from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.prefill_pace import PrefillPace, fit_pace
+from croftchute.systems.request_rank import RequestRanks
 from croftchute.systems.retry_budget import RetryLimits, RetryWindow
 from croftchute.systems.room_forecast import RoomHistory
+from croftchute.systems.room_order import OrderWay, RankedRoom, RoomView
 from croftchute.systems.size_lanes import lane_share
 from croftchute.systems.stage_balance import DemandCounts, StageDemand
 from croftchute.systems.worker_belief import WorkerBelief
@@ -48,6 +50,9 @@
 LANE_KEPT_S = 1.0
 """Seconds for which a lane's size is used: it follows averages of ten seconds."""
 
+ROOM_VIEW_KEPT_S = 0.1
+"""Seconds for which the view of all who wait is used: peers tell of theirs each 0.5 s."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _KnownLane:
@@ -57,6 +62,14 @@
     at: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _KnownRoom:
+    """A view of all who wait for room, and when it was put together."""
+
+    view: RoomView
+    at: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _KnownPace:
     """A pace, and when it was worked out."""
@@ -99,6 +112,7 @@
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
     demand_by_service: dict[str, StageDemand] = field(default_factory=dict)
     room_by_service: dict[str, RoomHistory] = field(default_factory=dict)
+    ranked_room_by_service: dict[str, RankedRoom] = field(default_factory=dict)
     ways: DecisionWays = DecisionWays()
     first_tries: FirstTries = field(default_factory=FirstTries)
     crashes: CrashRecords = field(default_factory=CrashRecords)
@@ -112,6 +126,8 @@
     stop_ends_at: float = math.inf
     _ranks_of: RoutingTable | None = None
     _most_urgent_by_service: dict[str, int] = field(default_factory=dict)
+    _request_ranks_by_service: dict[str, RequestRanks] = field(default_factory=dict)
+    _room_view_by_service: dict[str, _KnownRoom] = field(default_factory=dict)
     _odd_era_logged_at: float = -math.inf
     _lane_by_service: dict[str, _KnownLane] = field(default_factory=dict)
     _pace_by_service: dict[str, _KnownPace] = field(default_factory=dict)
@@ -244,10 +260,49 @@
         table = self.table
         if table is None:
             return 0
+        self._renew_ranks(table)
+        return self._most_urgent_by_service.get(service, 0)
+
+    def request_ranks(self, service: str) -> RequestRanks:
+        """The ranks of the streams to a service, worked out once for each configuration."""
+        table = self.table
+        if table is None:
+            return RequestRanks()
+        self._renew_ranks(table)
+        ranks = self._request_ranks_by_service.get(service)
+        if ranks is None:
+            ranks = RequestRanks.of_service(table, service)
+            self._request_ranks_by_service[service] = ranks
+        return ranks
+
+    def room_order(self, service: str) -> OrderWay:
+        """How requests of a service that wait for room are ordered; never ``auto``."""
+        way = self.ways.order
+        if way is not OrderWay.AUTO:
+            return way
+        is_ordered = self.request_ranks(service).is_ordered
+        return OrderWay.ENTRY if is_ordered else OrderWay.UNORDERED
+
+    def ranked_room(self, service: str) -> RankedRoom:
+        """What requests of each rank waited for room at this box."""
+        return self.ranked_room_by_service.setdefault(service, RankedRoom())
+
+    def room_view(self, service: str) -> RoomView:
+        """What this box and its peers know of all who wait for room."""
+        now = self.clock()
+        known = self._room_view_by_service.get(service)
+        if known is None or now - known.at >= ROOM_VIEW_KEPT_S:
+            own = self.ranked_room(service).notices(now)
+            view = RoomView.of([*own, *self.peers.ranks(service, now)])
+            known = _KnownRoom(view=view, at=now)
+            self._room_view_by_service[service] = known
+        return known.view
+
+    def _renew_ranks(self, table: RoutingTable) -> None:
         if self._ranks_of is not table:
             self._ranks_of = table
             self._most_urgent_by_service = table.most_urgent_by_service()
-        return self._most_urgent_by_service.get(service, 0)
+            self._request_ranks_by_service = {}
 
     def limits(self) -> IngressLimits:
         """The limits in force; defaults until a configuration is known."""
--- a/src/croftchute/forwarding/workers/decode_room.py
+++ b/src/croftchute/forwarding/workers/decode_room.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import closing
 
 from croftchute.errors import Code
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Hold
 from croftchute.forwarding.http.failures import ExchangeError
 from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.room_turn import PollingTurn, RankedTurn, RoomTurn
 from croftchute.forwarding.workers.worker_control import drop_hold, take_hold
 from croftchute.systems import patience
 from croftchute.systems.patience import ReturnWay
@@ -43,26 +45,37 @@
         self.code = None
         self.detail = ""
         is_begun = run.exchange.is_started
+        asked_at = run.now
+        with closing(self._turn(is_begun=is_begun)) as turn:
+            while True:
+                has_asked = turn.may_ask(run.now)
+                found = await self._ask_for_room() if has_asked else None
+                if found is not None:
+                    if not is_begun:
+                        run.state.demand(run.service).note_granted(run.now, is_large=run.is_large)
+                    turn.granted(run.now)
+                    return found
+                run.held_back = not has_asked
+                if run.held_back:
+                    self.code = Code.NO_CAPACITY
+                    self.detail = "more urgent requests wait for room"
+                may_come = run.full or run.held_back or (is_begun and self._rests_end_soon())
+                if not may_come or not self._may_wait(asked_at, is_begun=is_begun):
+                    return None
+                pause_s = turn.pause_s(run.now)
+                await asyncio.sleep(pause_s)
+                turn.waited(pause_s, run.now)
+                run.full.clear()
+
+    def _turn(self, *, is_begun: bool) -> RoomTurn:
+        """How the request waits: a stream that has begun goes before all others."""
+        run = self.run
+        if not is_begun and run.is_ordered:
+            return RankedTurn(run=run)
         pause_s = patience.room_poll(
             run.route, run.state.ways.returns, before_s=run.before_s, is_begun=is_begun
         )
-        asked_at = run.now
-        has_waited = False
-        while True:
-            found = await self._ask_for_room()
-            if found is not None:
-                if not is_begun:
-                    run.state.demand(run.service).note_granted(run.now, is_large=run.is_large)
-                if has_waited:
-                    run.state.room(run.service).note_granted(run.now)
-                return found
-            may_come = run.full or (is_begun and self._rests_end_soon())
-            if not may_come or not self._may_wait(asked_at, is_begun=is_begun):
-                return None
-            await asyncio.sleep(pause_s)
-            has_waited = True
-            run.state.room(run.service).note_waited(pause_s, run.now)
-            run.full.clear()
+        return PollingTurn(history=run.state.room(run.service), poll_s=pause_s)
 
     def _rests_end_soon(self) -> bool:
         """Whether a decode worker takes work again while the caller of a begun stream waits."""
@@ -75,7 +88,7 @@
             return run.now - asked_at < min(patience.RESUME_WAIT_S, run.time_left_s)
         if run.state.is_ending(run.now):
             return False
-        mean_wait_s = run.state.mean_room_wait_s(run.service)
+        mean_wait_s = run.mean_room_wait_s
         pace = run.state.prefill_pace(run.service)
         wait = RoomWait(
             elapsed_s=run.now - run.started_at,
@@ -91,6 +104,7 @@
             mean_wait_s=mean_wait_s,
             reading_s=round(wait.reading_s, 3),
             tokens=run.facts.prompt_tokens,
+            **run.order_facts(),
         )
         return False
 
@@ -182,6 +196,7 @@
             cost=chosen.cost,
             own_tokens=belief.tokens_in_flight,
             failures=chosen.failures,
+            **run.order_facts(),
         )
         return self.hold is not None
 
--- a/src/croftchute/forwarding/workers/prompt_reader.py
+++ b/src/croftchute/forwarding/workers/prompt_reader.py
@@ -117,7 +117,7 @@
         send = Send(
             worker=belief.worker,
             time_left_s=run.time_left_s,
-            priority=run.priority,
+            priority=run.rank,
             is_prefill=True,
         )
         call = WorkerCall(run=run, belief=belief, send=send, chosen=chosen)
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -9,11 +9,12 @@
 from croftchute.forwarding.permits import PermitWish
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems import patience
+from croftchute.systems.room_order import OrderWay
 from croftchute.systems.size_lanes import RoomWay, by_lane, is_large
 from croftchute.systems.worker_belief import WorkerBelief
 from croftchute.systems.worker_choice import ChoiceInput, Surroundings, choose, describe
 from croftchute.tables.organisations import Organisation
-from croftchute.tables.routing import EngineTraits, RequestFacts, Route, Stage
+from croftchute.tables.routing import EngineTraits, RequestFacts, Route, RouteKind, Stage
 
 MAX_CONNECT_TRIES = 4
 """Workers to which no connection came up before a request is given up."""
@@ -49,6 +50,7 @@
         self.workers_sent_to: set[str] = set()
         self.avoid: set[str] = set()
         self.full: set[str] = set()
+        self.held_back = False
         self.connect_failures = 0
         self.first_byte_at: float | None = None
         self.last_worker = ""
@@ -102,6 +104,43 @@
             return self.organisation.priority
         return self.route.priority
 
+    @property
+    def rank(self) -> int:
+        """The place among the streams to the service, 0 first; the priority where it has none."""
+        if not self.is_ordered:
+            return self.priority
+        organisation = self.organisation
+        stated = organisation.priority if organisation is not None else None
+        return self.state.request_ranks(self.service).rank(stated, self.route.priority)
+
+    @property
+    def is_ordered(self) -> bool:
+        """Whether the request waits for room in an order by rank."""
+        is_stream = self.route.kind is RouteKind.STREAM
+        return is_stream and self.state.room_order(self.service) is not OrderWay.UNORDERED
+
+    @property
+    def mean_room_wait_s(self) -> float:
+        """How long requests like this one wait for room on average."""
+        if not self.is_ordered:
+            return self.state.mean_room_wait_s(self.service)
+        return self.state.room_view(self.service).mean_wait_s(self.room_rank)
+
+    def order_facts(self) -> dict[str, object]:
+        """The request's place in the order for room, for the log; empty where there is none."""
+        if not self.is_ordered:
+            return {}
+        return {
+            "rank": self.rank,
+            "room_rank": self.room_rank,
+            "entry_rank": self.state.room_view(self.service).entry_rank(),
+        }
+
+    @property
+    def room_rank(self) -> int:
+        """The rank by which the request waits for room."""
+        return self.rank
+
     @property
     def time_left_s(self) -> float:
         """How long the caller still waits."""
@@ -189,7 +228,9 @@
         patience_s = 0.0 if others else self.time_left_s
         wishes = state.workers.wishes
         wish = wishes.told_by(worker.id, self.now)
-        rank = max(0, self.priority - state.most_urgent(self.service))
+        rank = self.rank
+        if not self.is_ordered:
+            rank = max(0, rank - state.most_urgent(self.service))
         asked = PermitWish(calls=calls, patience_s=patience_s, rank=rank, request_id=self.facts.id)
         may_call = await state.permits.take(worker, asked)
         if may_call and wishes.told_by(worker.id, self.now) != wish:
@@ -270,7 +311,7 @@
         elif ran is Ran.NOT_RUN:
             retry_after_s = patience.retry_after(
                 self.time_left_s,
-                mean_wait_s=self.state.mean_room_wait_s(self.service) if self.full else None,
+                mean_wait_s=self.mean_room_wait_s if self.full or self.held_back else None,
                 spread=self.state.rng.random(),
             )
         refusal = Refusal(code=code, ran=ran, detail=detail, retry_after_s=retry_after_s)
--- /dev/null
+++ b/src/croftchute/forwarding/workers/room_turn.py
@@ -0,0 +1,112 @@
+"""How one request waits for decode memory: when it asks, and what others learn of its wait."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.systems import room_order
+from croftchute.systems.room_forecast import RoomHistory
+
+
+class RoomTurn(Protocol):
+    """One request's wait; always end it with :meth:`close`."""
+
+    def may_ask(self, now: float) -> bool:
+        """Whether the request asks for room now, or leaves what there is to others."""
+        ...
+
+    def pause_s(self, now: float) -> float:
+        """Seconds until the request looks again."""
+        ...
+
+    def waited(self, seconds: float, now: float) -> None:
+        """The request waited, and has no room yet."""
+        ...
+
+    def granted(self, now: float) -> None:
+        """The request got room."""
+        ...
+
+    def close(self) -> None:
+        """The request waits no longer, whatever came of it."""
+        ...
+
+
+class PollingTurn:
+    """Asks again at one interval, whoever else waits."""
+
+    def __init__(self, *, history: RoomHistory, poll_s: float) -> None:
+        self.history = history
+        self.poll_s = poll_s
+        self._has_waited = False
+
+    def may_ask(self, now: float) -> bool:
+        """It always does."""
+        return True
+
+    def pause_s(self, now: float) -> float:
+        """The same each time."""
+        return self.poll_s
+
+    def waited(self, seconds: float, now: float) -> None:
+        """Counts for the forecast of all requests of the service."""
+        self._has_waited = True
+        self.history.note_waited(seconds, now)
+
+    def granted(self, now: float) -> None:
+        """Counts only after a wait: room that is there at once tells nothing of waits."""
+        if self._has_waited:
+            self.history.note_granted(now)
+
+    def close(self) -> None:
+        """Nothing is held."""
+
+
+class RankedTurn:
+    """Asks the more often the more urgent it is, and leaves room to more urgent requests."""
+
+    def __init__(self, *, run: RequestRun) -> None:
+        self.run = run
+        self.room = run.state.ranked_room(run.service)
+        self._rank: int | None = None
+        self._asked_at = run.now
+
+    def may_ask(self, now: float) -> bool:
+        """Whether no more urgent rank waits too long; once in a while all the same."""
+        run = self.run
+        way = run.state.room_order(run.service)
+        holds_back = run.state.room_view(run.service).holds_back(run.room_rank, way)
+        if holds_back and now - self._asked_at < room_order.LONGEST_PAUSE_S:
+            return False
+        self._asked_at = now
+        return True
+
+    def pause_s(self, now: float) -> float:
+        """By the rank."""
+        self._wait_as(self.run.room_rank)
+        return room_order.pause_s(self.run.room_rank)
+
+    def waited(self, seconds: float, now: float) -> None:
+        """Counts for the forecast of its rank, and of all less urgent ones."""
+        if self._rank is not None:
+            self.room.note_waited(self._rank, seconds, now)
+
+    def granted(self, now: float) -> None:
+        """Counts only after a wait."""
+        if self._rank is not None:
+            self.room.note_granted(self._rank, now)
+
+    def close(self) -> None:
+        """It is not among those that wait any more."""
+        self._wait_as(None)
+
+    def _wait_as(self, rank: int | None) -> None:
+        """Count the request among those that wait with a rank, which may change meanwhile."""
+        if rank == self._rank:
+            return
+        if self._rank is not None:
+            self.room.end(self._rank)
+        if rank is not None:
+            self.room.begin(rank)
+        self._rank = rank
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -142,7 +142,7 @@
         send = Send(
             worker=belief.worker,
             time_left_s=run.time_left_s,
-            priority=run.priority,
+            priority=run.rank,
             source=source,
             hold=self.room.hold,
             resume_after=progress.last_event,
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -9,6 +9,7 @@
 
 from croftchute.errors import Code, DocumentError, Fault
 from croftchute.systems.patience import HoldWay, ReturnWay
+from croftchute.systems.room_order import OrderWay
 from croftchute.systems.service_capacity import SplitWay
 from croftchute.systems.size_lanes import RoomWay
 from croftchute.tables.organisations import LimitWay
@@ -65,6 +66,7 @@
     split: SplitWay = SplitWay.FIXED_USE
     returns: ReturnWay = ReturnWay.RETURNED_FIRST
     hold: HoldWay = HoldWay.LIKELY
+    order: OrderWay = OrderWay.AUTO
 
 
 class RouterSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -11,7 +11,7 @@
 from croftchute.systems.prefill_queue import faded
 from croftchute.systems.room_forecast import RoomCounts
 from croftchute.systems.stage_balance import DemandCounts
-from croftchute.tables.peers import Peer, WorkerNotice
+from croftchute.tables.peers import OrganisationUseNotice, Peer, RankRoomNotice, WorkerNotice
 
 FRESH_S = 1.5
 """Seconds for which a notice counts: three notices may be lost."""
@@ -234,6 +234,26 @@
                 total += RoomCounts(waited_s=entry.room_waited_s, grants=entry.room_grants)
         return total
 
+    def ranks(self, service: str, now: float) -> list[RankRoomNotice]:
+        """What requests of each rank waited for room at other boxes."""
+        return [
+            entry
+            for peer in self.peers_by_id.values()
+            if now - peer.heard_at <= FRESH_S
+            and (demand := (peer.demand_by_service or {}).get(service)) is not None
+            for entry in demand.ranks
+        ]
+
+    def uses(self, service: str, now: float) -> list[OrganisationUseNotice]:
+        """What organisations asked of a service, and got, at other boxes."""
+        return [
+            entry
+            for peer in self.peers_by_id.values()
+            if now - peer.heard_at <= FRESH_S
+            and (demand := (peer.demand_by_service or {}).get(service)) is not None
+            for entry in demand.uses
+        ]
+
     def newest(self, now: float, rng: random.Random) -> tuple[Peer | None, Peer | None]:
         """Live peers with the newest configuration and the newest worker list.
 
--- /dev/null
+++ b/src/croftchute/systems/room_order.py
@@ -0,0 +1,164 @@
+"""Who gets decode memory that comes free: an order by rank among all who wait, over all boxes.
+
+Nobody owns the queue. Each box asks engines for its own requests, the urgent ones more often, and
+tells others what requests of each rank wait. From that it knows which ranks wait in vain.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from croftchute.systems.room_forecast import RoomCounts, RoomHistory
+from croftchute.tables.peers import RankRoomNotice
+
+FIRST_PAUSE_S = 0.03
+"""Seconds between two asks for room of the most urgent rank: about as often as streams end."""
+
+PAUSE_RATIO = 3.0
+"""How many times as long the next rank pauses: room that comes free mostly goes to the first."""
+
+LONGEST_PAUSE_S = 0.5
+"""Longest pause of any rank, and time after which one that holds back asks all the same, so that
+every request that waits gets a chance within a fraction of its caller's patience."""
+
+ENTRY_WAIT_S = 0.2
+"""Mean wait of a more urgent rank from which on others hold back: a fourth of the shortest targets
+in use, so that reading the prompt still fits the rest."""
+
+MIN_WAITED_S = 0.5
+"""Seconds that requests of a rank must have waited lately, in all, for that mean to count: a single
+request that found no room shows no shortage."""
+
+
+class OrderWay(StrEnum):
+    """How requests that wait for room are ordered.
+
+    ``auto`` is ``entry`` where the configuration gives streams of a service different priorities.
+    """
+
+    AUTO = "auto"
+    PACED = "paced"
+    ENTRY = "entry"
+    UNORDERED = "unordered"
+
+
+@dataclass(kw_only=True)
+class RankedRoom:
+    """What the requests of one box waited for room at the engines of a service, by rank."""
+
+    _history_by_rank: dict[int, RoomHistory] = field(default_factory=dict)
+    _waiting_by_rank: Counter[int] = field(default_factory=Counter)
+
+    def begin(self, rank: int) -> None:
+        """A request begins to wait."""
+        self._waiting_by_rank[rank] += 1
+
+    def end(self, rank: int) -> None:
+        """A request waits no longer: it got room, was refused, or its caller left."""
+        self._waiting_by_rank[rank] -= 1
+
+    def note_waited(self, rank: int, seconds: float, now: float) -> None:
+        """A request waited, and has no room yet."""
+        self._history(rank).note_waited(seconds, now)
+
+    def note_granted(self, rank: int, now: float) -> None:
+        """A request that had waited got room."""
+        self._history(rank).note_granted(now)
+
+    def waiting(self) -> dict[int, int]:
+        """Requests that wait at the moment, by rank."""
+        return {rank: count for rank, count in self._waiting_by_rank.items() if count > 0}
+
+    def notices(self, now: float) -> tuple[RankRoomNotice, ...]:
+        """What peers are told, the most urgent rank first."""
+        return tuple(
+            RankRoomNotice(
+                rank=rank,
+                waited_s=counts.waited_s,
+                grants=counts.grants,
+                waiting=max(0, self._waiting_by_rank[rank]),
+            )
+            for rank, counts in sorted(self._counts_by_rank(now).items())
+        )
+
+    def _counts_by_rank(self, now: float) -> dict[int, RoomCounts]:
+        return {rank: history.counts(now) for rank, history in self._history_by_rank.items()}
+
+    def _history(self, rank: int) -> RoomHistory:
+        return self._history_by_rank.setdefault(rank, RoomHistory())
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RoomView:
+    """What one box knows of all who wait for room at the engines of a service."""
+
+    counts_by_rank: dict[int, RoomCounts]
+    waiting_by_rank: dict[int, int]
+
+    @classmethod
+    def of(cls, notices: Iterable[RankRoomNotice]) -> RoomView:
+        """The view from what this box saw and what its peers told."""
+        counts_by_rank: dict[int, RoomCounts] = {}
+        waiting_by_rank: dict[int, int] = {}
+        for entry in notices:
+            told = RoomCounts(waited_s=entry.waited_s, grants=entry.grants)
+            counts_by_rank[entry.rank] = counts_by_rank.get(entry.rank, RoomCounts()) + told
+            waiting_by_rank[entry.rank] = waiting_by_rank.get(entry.rank, 0) + entry.waiting
+        return cls(counts_by_rank=counts_by_rank, waiting_by_rank=waiting_by_rank)
+
+    def mean_wait_s(self, rank: int) -> float:
+        """How long a request of a rank waits for room on average, never less than urgent ones do.
+
+        >>> view = RoomView(
+        ...     counts_by_rank={0: RoomCounts(waited_s=1.7, grants=1.0), 1: RoomCounts(grants=9.0)},
+        ...     waiting_by_rank={},
+        ... )
+        >>> view.mean_wait_s(0), view.mean_wait_s(1)
+        (1.0, 1.0)
+        """
+        own = self.counts_by_rank.get(rank, RoomCounts())
+        urgent = (counts for other, counts in self.counts_by_rank.items() if other < rank)
+        return max([own.mean_wait_s, *(c.mean_wait_s for c in urgent if c.waited_s > 0.0)])
+
+    def entry_rank(self) -> int | None:
+        """The most urgent rank that waits too long: requests behind it hold back. None if all wait
+        but shortly.
+
+        >>> RoomView(counts_by_rank={2: RoomCounts(waited_s=4.0, grants=3.0)},
+        ...          waiting_by_rank={}).entry_rank()
+        2
+        """
+        short = [
+            rank
+            for rank, counts in self.counts_by_rank.items()
+            if counts.waited_s >= MIN_WAITED_S and counts.mean_wait_s > ENTRY_WAIT_S
+        ]
+        return min(short, default=None)
+
+    def holds_back(self, rank: int, way: OrderWay) -> bool:
+        """Whether a request of a rank leaves room that comes free to more urgent ones."""
+        if way is not OrderWay.ENTRY:
+            return False
+        entry = self.entry_rank()
+        return entry is not None and rank > entry
+
+
+def pause_s(rank: int) -> float:
+    """Seconds until a request of a rank asks for room again.
+
+    >>> [round(pause_s(rank), 2) for rank in range(4)]
+    [0.03, 0.09, 0.27, 0.5]
+    """
+    return min(LONGEST_PAUSE_S, FIRST_PAUSE_S * PAUSE_RATIO**rank)
+
+
+def room_rank(rank: int, *, ranks: int, is_over_share: bool) -> int:
+    """The rank for room: requests over their organisation's share go behind all others.
+
+    >>> room_rank(0, ranks=3, is_over_share=True) > room_rank(2, ranks=3, is_over_share=False)
+    True
+    """
+    return rank + ranks if is_over_share else rank
