--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -24,10 +24,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerLoad:
-    """The load that a worker tells with an answer."""
+    """The load that a worker tells with an answer; ``pace`` is None if it tells none.
+
+    The pace is the time that work takes there over the usual: 2.5 takes two and a half times as
+    long.
+    """
 
     running: int
     waiting: int
+    pace: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -146,6 +151,10 @@
         """The request that gives a hold back."""
         ...
 
+    def ask_health(self, worker: Worker, path: str) -> bytes:
+        """The request for a worker's health; answers of some services tell the load."""
+        ...
+
     def ask_report(self, worker: Worker) -> bytes:
         """The request for a worker's own account of itself."""
         ...
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -81,11 +81,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Service:
-    """A set of workers that do the same; ``engine`` is None for plain services."""
+    """A set of workers that do the same; ``engine`` is None for plain services.
+
+    ``health_path`` is where its workers answer for their health; empty if they do not.
+    """
 
     name: str
     max_connections: int
     engine: EngineTraits | None = None
+    health_path: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
