Fair shares of organisations: who has more than its part of scarce room goes behind the others

Cause: nothing on the forwarding path knew of shares below an organisation's limit; a flood got as much of the room as it asked for. Change: use by organisation over all boxes in notices, weighted max-min shares by the limits, and a place behind all others for requests over their share while room is short.

--- a/src/croftchute/forwarding/boxes/peer_exchange.py
+++ b/src/croftchute/forwarding/boxes/peer_exchange.py
@@ -195,6 +195,7 @@
             counts = demand.counts(now)
             room = state.room(service).counts(now)
             ranked = state.ranked_room_by_service.get(service)
+            use = state.use_by_service.get(service)
             demands.append(
                 DemandNotice(
                     service=service,
@@ -212,6 +213,7 @@
                     granted=counts.granted,
                     large_granted=counts.large_granted,
                     ranks=ranked.notices(now) if ranked is not None else (),
+                    uses=use.notices(now) if use is not None else (),
                 )
             )
         return BoxNotice(
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -20,6 +20,7 @@
 from croftchute.storage.position import era_of, told
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.crash_records import CrashRecords
+from croftchute.systems.fair_shares import OrganisationUse, ShareVerdict, share_verdict
 from croftchute.systems.first_tries import FirstTries
 from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.prefill_pace import PrefillPace, fit_pace
@@ -50,6 +51,10 @@
 LANE_KEPT_S = 1.0
 """Seconds for which a lane's size is used: it follows averages of ten seconds."""
 
+SHARES_KEPT_S = 0.25
+"""Seconds for which a verdict on an organisation's share is used: half of the time between two
+notices."""
+
 ROOM_VIEW_KEPT_S = 0.1
 """Seconds for which the view of all who wait is used: peers tell of theirs each 0.5 s."""
 
@@ -70,6 +75,14 @@
     at: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _KnownShare:
+    """A verdict on an organisation's share, and when it was made."""
+
+    verdict: ShareVerdict
+    at: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _KnownPace:
     """A pace, and when it was worked out."""
@@ -128,6 +141,10 @@
     _most_urgent_by_service: dict[str, int] = field(default_factory=dict)
     _request_ranks_by_service: dict[str, RequestRanks] = field(default_factory=dict)
     _room_view_by_service: dict[str, _KnownRoom] = field(default_factory=dict)
+    use_by_service: dict[str, OrganisationUse] = field(default_factory=dict)
+    _share_by_organisation: dict[tuple[str, str], _KnownShare] = field(default_factory=dict)
+    _weights_of: RoutingTable | None = None
+    _weight_by_organisation: dict[str, float] = field(default_factory=dict)
     _odd_era_logged_at: float = -math.inf
     _lane_by_service: dict[str, _KnownLane] = field(default_factory=dict)
     _pace_by_service: dict[str, _KnownPace] = field(default_factory=dict)
@@ -298,6 +315,39 @@
             self._room_view_by_service[service] = known
         return known.view
 
+    def organisation_use(self, service: str) -> OrganisationUse:
+        """What requests of each organisation asked for and got at this box."""
+        return self.use_by_service.setdefault(service, OrganisationUse())
+
+    def share_verdict(self, service: str, organisation: str) -> ShareVerdict:
+        """Whether an organisation has more than its share of a service's decode memory."""
+        now = self.clock()
+        known = self._share_by_organisation.get((service, organisation))
+        if known is None or now - known.at >= SHARES_KEPT_S:
+            uses = [
+                *self.organisation_use(service).notices(now),
+                *self.peers.uses(service, now),
+            ]
+            verdict = share_verdict(organisation, uses, self._weights())
+            known = _KnownShare(verdict=verdict, at=now)
+            self._share_by_organisation[service, organisation] = known
+        return known.verdict
+
+    def _weights(self) -> dict[str, float]:
+        """The limits of organisations in units a second, those that have one."""
+        table = self.table
+        if table is not None and self._weights_of is not table:
+            self._weights_of = table
+            # Organisations that are no longer configured are forgotten with their verdicts.
+            self._share_by_organisation = {}
+            by_name = table.organisations.by_name if table.organisations is not None else {}
+            self._weight_by_organisation = {
+                name: organisation.limit.rate_per_s
+                for name, organisation in by_name.items()
+                if organisation.limit is not None
+            }
+        return self._weight_by_organisation
+
     def _renew_ranks(self, table: RoutingTable) -> None:
         if self._ranks_of is not table:
             self._ranks_of = table
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -9,6 +9,7 @@
 from croftchute.forwarding.permits import PermitWish
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems import patience
+from croftchute.systems.fair_shares import ShareVerdict
 from croftchute.systems.room_order import OrderWay, room_rank
 from croftchute.systems.size_lanes import RoomWay, by_lane, is_large
 from croftchute.systems.worker_belief import WorkerBelief
@@ -130,17 +131,32 @@
         """The request's place in the order for room, for the log; empty where there is none."""
         if not self.is_ordered:
             return {}
-        return {
+        facts: dict[str, object] = {
             "rank": self.rank,
             "room_rank": self.room_rank,
             "entry_rank": self.state.room_view(self.service).entry_rank(),
         }
+        if (share := self._share).is_scarce:
+            facts |= {"share": round(share.share, 3), "used": round(share.used, 3)}
+        return facts
 
     @property
     def room_rank(self) -> int:
         """The rank by which the request waits for room."""
         ranks = self.state.request_ranks(self.service)
-        return room_rank(self.rank, ranks=ranks.count, is_late=self.in_time_left_s <= 0.0)
+        return room_rank(
+            self.rank,
+            ranks=ranks.count,
+            is_late=self.in_time_left_s <= 0.0,
+            is_over_share=self._share.is_over,
+        )
+
+    @property
+    def _share(self) -> ShareVerdict:
+        """What the request's organisation has of the service's decode memory."""
+        if not self.facts.organisation:
+            return ShareVerdict()
+        return self.state.share_verdict(self.service, self.facts.organisation)
 
     @property
     def in_time_left_s(self) -> float:
--- a/src/croftchute/forwarding/workers/room_turn.py
+++ b/src/croftchute/forwarding/workers/room_turn.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.systems import room_order
+from croftchute.systems.fair_shares import OrganisationUse
 from croftchute.systems.room_forecast import RoomHistory
 
 
@@ -71,6 +73,9 @@
         self.room = run.state.ranked_room(run.service)
         self._rank: int | None = None
         self._had_last_chance = False
+        self._organisation = run.facts.organisation
+        self._tokens = run.facts.prompt_tokens + run.facts.likely_output
+        self._note_use(OrganisationUse.note_asked)
 
     def may_ask(self, now: float) -> bool:
         """Whether no more urgent rank waits too long; once, before it is late, all the same."""
@@ -97,14 +102,21 @@
             self.room.note_waited(self._rank, seconds, now)
 
     def granted(self, now: float) -> None:
-        """Counts only after a wait."""
+        """Counts for the forecast only after a wait."""
         if self._rank is not None:
             self.room.note_granted(self._rank, now)
+        self._note_use(OrganisationUse.note_granted)
 
     def close(self) -> None:
         """It is not among those that wait any more."""
         self._wait_as(None)
 
+    def _note_use(self, note: Callable[[OrganisationUse, str, int, float], None]) -> None:
+        """Count the request's tokens for its organisation, if it belongs to one."""
+        if self._organisation:
+            use = self.run.state.organisation_use(self.run.service)
+            note(use, self._organisation, self._tokens, self.run.now)
+
     def _wait_as(self, rank: int | None) -> None:
         """Count the request among those that wait with a rank, which may change meanwhile."""
         if rank == self._rank:
--- /dev/null
+++ b/src/croftchute/systems/fair_shares.py
@@ -0,0 +1,156 @@
+"""Whether an organisation has more than its fair share of decode memory while that is short.
+
+Each box counts what requests of each organisation asked for and got, and tells the others. Where
+less was granted than asked, what was granted is divided by weighted max-min fairness: nobody gets
+more than it asked, and what one leaves goes to the others.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+
+from croftchute.tables.peers import OrganisationUseNotice
+
+HALF_LIFE_S = 4.0
+"""Seconds after which use counts half: longer than a stream runs, shorter than a flood lasts."""
+
+FORGET_TOKENS = 1.0
+"""Tokens of use under which an organisation is forgotten: a minute after its last request."""
+
+MOST_TOLD = 16
+"""Organisations told of in one notice, those that asked for the most: bounds a datagram."""
+
+SCARCE_RATIO = 0.9
+"""Granted over asked under which room is short: some requests ask just before they get it."""
+
+TOLERANCE = 0.1
+"""Share of its fair part by which an organisation may be over it: one request more or less."""
+
+
+@dataclass(kw_only=True, slots=True)
+class _Use:
+    """Decayed sums of one organisation, as of a time."""
+
+    asked: float = 0.0
+    granted: float = 0.0
+    at: float = 0.0
+
+    def fade(self, now: float) -> None:
+        left = 0.5 ** (max(0.0, now - self.at) / HALF_LIFE_S)
+        self.asked *= left
+        self.granted *= left
+        self.at = now
+
+
+@dataclass(kw_only=True)
+class OrganisationUse:
+    """Tokens that organisations asked room for at one box and service, and those they got."""
+
+    _use_by_name: dict[str, _Use] = field(default_factory=dict)
+
+    def note_asked(self, name: str, tokens: int, now: float) -> None:
+        """A request asks for room; each request counts once."""
+        self._faded(name, now).asked += tokens
+
+    def note_granted(self, name: str, tokens: int, now: float) -> None:
+        """A request got room."""
+        self._faded(name, now).granted += tokens
+
+    def notices(self, now: float) -> tuple[OrganisationUseNotice, ...]:
+        """What peers are told: the organisations that asked for the most."""
+        for name in list(self._use_by_name):
+            if self._faded(name, now).asked < FORGET_TOKENS:
+                del self._use_by_name[name]
+        largest = heapq.nlargest(MOST_TOLD, self._use_by_name.items(), key=lambda e: e[1].asked)
+        return tuple(
+            OrganisationUseNotice(name=name, asked_tokens=use.asked, granted_tokens=use.granted)
+            for name, use in largest
+        )
+
+    def _faded(self, name: str, now: float) -> _Use:
+        use = self._use_by_name.setdefault(name, _Use(at=now))
+        use.fade(now)
+        return use
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShareVerdict:
+    """Whether an organisation is over its share: ``share`` and ``used`` of all that is granted."""
+
+    is_over: bool = False
+    is_scarce: bool = False
+    share: float = 0.0
+    used: float = 0.0
+
+
+def share_verdict(
+    name: str, uses: Iterable[OrganisationUseNotice], weights_by_name: Mapping[str, float]
+) -> ShareVerdict:
+    """Judge one organisation by the use that this box saw and its peers told.
+
+    ``weights_by_name`` are the limits of organisations; one without a limit weighs as much as the
+    mean of the others.
+
+    >>> uses = [
+    ...     OrganisationUseNotice(name="flood", asked_tokens=90.0, granted_tokens=40.0),
+    ...     OrganisationUseNotice(name="quiet", asked_tokens=20.0, granted_tokens=10.0),
+    ... ]
+    >>> verdict = share_verdict("flood", uses, {"flood": 1.0, "quiet": 1.0})
+    >>> verdict.is_over, round(verdict.share, 2), round(verdict.used, 2)
+    (True, 0.6, 0.8)
+    >>> share_verdict("quiet", uses, {}).is_over
+    False
+    """
+    total_by_name = _totals(uses)
+    own = total_by_name.get(name)
+    granted = sum(use.granted_tokens for use in total_by_name.values())
+    asked = sum(use.asked_tokens for use in total_by_name.values())
+    if own is None or granted <= 0.0 or granted >= SCARCE_RATIO * asked:
+        return ShareVerdict()
+    demands = {other: use.asked_tokens for other, use in total_by_name.items()}
+    shares = fair_shares(demands, weights_by_name, granted)
+    return ShareVerdict(
+        is_over=own.granted_tokens > (1.0 + TOLERANCE) * shares[name],
+        is_scarce=True,
+        share=shares[name] / granted,
+        used=own.granted_tokens / granted,
+    )
+
+
+def fair_shares(
+    demand_by_name: Mapping[str, float], weights_by_name: Mapping[str, float], capacity: float
+) -> dict[str, float]:
+    """What each gets of a capacity by weighted max-min fairness.
+
+    >>> fair_shares({"a": 2.0, "b": 8.0, "c": 10.0}, {"a": 1, "b": 1, "c": 2}, 11.0)
+    {'a': 2.0, 'c': 6.0, 'b': 3.0}
+    """
+    known = [weight for name in demand_by_name if (weight := weights_by_name.get(name, 0.0)) > 0.0]
+    usual = sum(known) / len(known) if known else 1.0
+    weight_by_name = {name: weights_by_name.get(name, 0.0) or usual for name in demand_by_name}
+    shares: dict[str, float] = {}
+    left, weight_left = capacity, sum(weight_by_name.values())
+    # The smallest demand for its weight is met first: the others share what it leaves.
+    for name in sorted(demand_by_name, key=lambda n: demand_by_name[n] / weight_by_name[n]):
+        part = left * weight_by_name[name] / weight_left
+        shares[name] = min(demand_by_name[name], part)
+        left -= shares[name]
+        weight_left -= weight_by_name[name]
+    return shares
+
+
+def _totals(uses: Iterable[OrganisationUseNotice]) -> dict[str, OrganisationUseNotice]:
+    totals: dict[str, OrganisationUseNotice] = {}
+    for use in uses:
+        known = totals.get(use.name)
+        if known is None:
+            totals[use.name] = use
+        else:
+            totals[use.name] = replace(
+                known,
+                asked_tokens=known.asked_tokens + use.asked_tokens,
+                granted_tokens=known.granted_tokens + use.granted_tokens,
+            )
+    return totals
