--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -143,6 +143,7 @@
     _room_view_by_service: dict[str, _KnownRoom] = field(default_factory=dict)
     use_by_service: dict[str, OrganisationUse] = field(default_factory=dict)
     _share_by_organisation: dict[tuple[str, str], _KnownShare] = field(default_factory=dict)
+    _mean_tokens_by_service: dict[str, tuple[float, float]] = field(default_factory=dict)
     _weights_of: RoutingTable | None = None
     _weight_by_organisation: dict[str, float] = field(default_factory=dict)
     _odd_era_logged_at: float = -math.inf
@@ -315,6 +316,17 @@
             self._room_view_by_service[service] = known
         return known.view
 
+    def mean_request_tokens(self, service: str) -> float:
+        """The mean size of the streams asked of a service lately, in tokens; 0 if none was."""
+        now = self.clock()
+        known = self._mean_tokens_by_service.get(service)
+        if known is None or now - known[1] >= LANE_KEPT_S:
+            counts = self.fleet_demand(service)
+            tokens = counts.prompt_tokens + counts.output_tokens
+            known = (tokens / counts.asks if counts.asks else 0.0, now)
+            self._mean_tokens_by_service[service] = known
+        return known[0]
+
     def organisation_use(self, service: str) -> OrganisationUse:
         """What requests of each organisation asked for and got at this box."""
         return self.use_by_service.setdefault(service, OrganisationUse())
