--- a/src/croftchute/forwarding/boxes/peer_exchange.py
+++ b/src/croftchute/forwarding/boxes/peer_exchange.py
@@ -12,6 +12,7 @@
 from croftchute.errors import MessageError
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.workers.load_reader import note_pace_heard
 from croftchute.forwarding.workers.wish_reader import note_leaving_heard, note_limit_heard
 from croftchute.peers.codec import Codec, Envelope
 from croftchute.peers.messages import (
@@ -231,6 +232,7 @@
             introduced=state.peers.introduced(now, state.rng),
             leaving_workers=self._leaving_workers(),
             limited_workers=state.workers.limits.notices(now, state.rng, most=MAX_LIMITS_TOLD),
+            paces=state.paces.notices(now),
         )
 
     def _leaving_workers(self) -> tuple[str, ...]:
@@ -257,6 +259,8 @@
             note_leaving_heard(self.state, worker_id, sender=sender)
         for limit in notice.limited_workers:
             note_limit_heard(self.state, limit, sender=sender)
+        for pace in notice.paces:
+            note_pace_heard(self.state, pace)
         for introduced in notice.introduced:
             host, _, port = introduced.rpartition(":")
             address = (host, int(port))
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -31,6 +31,7 @@
 from croftchute.systems.size_lanes import lane_share
 from croftchute.systems.stage_balance import DemandCounts, StageDemand
 from croftchute.systems.worker_belief import WorkerBelief
+from croftchute.systems.worker_pace import WorkerPaces
 from croftchute.systems.worker_table import WorkerTable
 from croftchute.tables.routing import IngressLimits, RoutingTable, Stage
 
@@ -120,6 +121,7 @@
     table_at: float = 0.0
     table_item: StoredItem | None = None
     workers: WorkerTable = field(default_factory=WorkerTable)
+    paces: WorkerPaces = field(default_factory=WorkerPaces)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     knowledge_limits: SilenceLimits = KNOWLEDGE
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
@@ -144,6 +146,7 @@
     use_by_service: dict[str, OrganisationUse] = field(default_factory=dict)
     _share_by_organisation: dict[tuple[str, str], _KnownShare] = field(default_factory=dict)
     _mean_tokens_by_service: dict[str, tuple[float, float]] = field(default_factory=dict)
+    _tells_pace_by_service: dict[str, tuple[bool, float]] = field(default_factory=dict)
     _weights_of: RoutingTable | None = None
     _weight_by_organisation: dict[str, float] = field(default_factory=dict)
     _odd_era_logged_at: float = -math.inf
@@ -316,6 +319,16 @@
             self._room_view_by_service[service] = known
         return known.view
 
+    def tells_pace(self, service: str) -> bool:
+        """Whether workers of a service tell how long their work takes."""
+        now = self.clock()
+        known = self._tells_pace_by_service.get(service)
+        if known is None or now - known[1] >= LANE_KEPT_S:
+            ids = [belief.worker.id for belief in self.workers.of_service(service)]
+            known = (self.paces.is_told(ids, now), now)
+            self._tells_pace_by_service[service] = known
+        return known[0]
+
     def mean_request_tokens(self, service: str) -> float:
         """The mean size of the streams asked of a service lately, in tokens; 0 if none was."""
         now = self.clock()
--- /dev/null
+++ b/src/croftchute/forwarding/workers/load_reader.py
@@ -0,0 +1,62 @@
+"""What workers' answers tell of their load and pace, by their word and by the time they took."""
+
+from __future__ import annotations
+
+from croftchute.forwarding.http.http_client import ResponseHead
+from croftchute.forwarding.state import ForwardingState
+from croftchute.systems.worker_belief import WorkerBelief
+from croftchute.tables.paces import WorkKind
+from croftchute.tables.peers import WorkerPaceNotice
+from croftchute.tables.routing import Stage, Worker
+
+KIND_BY_STAGE = {
+    Stage.PREFILL: WorkKind.READING,
+    Stage.DECODE: WorkKind.TOKEN,
+    None: WorkKind.ANSWER,
+}
+"""The work whose time counts, by the stage of a worker."""
+
+
+def note_load(state: ForwardingState, worker: Worker, head: ResponseHead) -> None:
+    """Take in the load and the pace that an answer's head tells, if any."""
+    load = state.workers_speak.load(head)
+    if load is None:
+        return
+    state.workers.note_load(worker.id, load.running, load.waiting, state.clock())
+    note_told_pace(state, worker, head)
+
+
+def note_told_pace(state: ForwardingState, worker: Worker, head: ResponseHead) -> None:
+    """Take in the pace alone, from an answer to a call of the router's own."""
+    load = state.workers_speak.load(head)
+    if load is not None and load.pace is not None:
+        state.paces.note_told(worker.id, load.pace, state.clock())
+
+
+def note_answer_pace(state: ForwardingState, worker: Worker, seconds: float) -> None:
+    """A plain worker answered after some seconds: compared with what others usually take."""
+    if worker.stage is not None:
+        return
+    usual_s = usual_answer_s(state.workers.of_service(worker.service))
+    if usual_s > 0.0:
+        state.paces.note_seen(worker.id, WorkKind.ANSWER, seconds / usual_s, state.clock())
+
+
+def note_reading_pace(state: ForwardingState, worker: Worker, tokens: int, seconds: float) -> None:
+    """A prefill worker read a prompt in some seconds, waits included."""
+    usual_s = state.prefill_pace(worker.service).reading_s(tokens)
+    if usual_s > 0.0:
+        state.paces.note_seen(worker.id, WorkKind.READING, seconds / usual_s, state.clock())
+
+
+def note_pace_heard(state: ForwardingState, notice: WorkerPaceNotice) -> None:
+    """A peer told the pace of a worker; of one that is not known here nothing is kept."""
+    belief = state.workers.beliefs_by_id.get(notice.worker)
+    if belief is not None:
+        state.paces.hear(notice, KIND_BY_STAGE[belief.worker.stage], state.clock())
+
+
+def usual_answer_s(beliefs: list[WorkerBelief]) -> float:
+    """The median of the usual times of some workers; 0 if none has answered yet."""
+    known = sorted(belief.latency_s for belief in beliefs if belief.latency_s > 0.0)
+    return known[(len(known) - 1) // 2] if known else 0.0
--- a/src/croftchute/forwarding/workers/prompt_reader.py
+++ b/src/croftchute/forwarding/workers/prompt_reader.py
@@ -10,6 +10,7 @@
     ConnectionBrokenError,
     ExchangeError,
 )
+from croftchute.forwarding.workers.load_reader import note_reading_pace
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.worker_call import WorkerCall
 from croftchute.forwarding.workers.worker_control import free_handle
@@ -155,6 +156,7 @@
         run.state.demand(run.service).note_prefill(run.facts.prompt_tokens, taken_s)
         pace = run.state.prefill_pace(run.service)
         call.belief.queue.answered(run.facts.id, pace=pace, now=run.now)
+        note_reading_pace(run.state, call.worker, run.facts.prompt_tokens, taken_s)
         self.unused = handle
         if run.engine is not None:
             self._lapses_at = run.now + HANDLE_SHARE * run.engine.handle_ttl_s
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -11,6 +11,7 @@
 from croftchute.forwarding.http.failures import ExchangeError
 from croftchute.forwarding.http.http_client import ClientConnection, ResponseHead
 from croftchute.forwarding.workers.crash_watch import note_broken
+from croftchute.forwarding.workers.load_reader import note_answer_pace, note_load
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.wish_reader import note_displaced, note_wish
 from croftchute.systems import patience
@@ -128,11 +129,7 @@
         assert self.connection is not None
         head = await within(self.connection.read_head(), timeout_s, "no head")
         note_wish(self.run.state, self.worker, head, call=self._call)
-        load = self.run.state.workers_speak.load(head)
-        if load is not None:
-            self.run.state.workers.note_load(
-                self.worker.id, load.running, load.waiting, self.run.now
-            )
+        note_load(self.run.state, self.worker, head)
         return head
 
     async def part(self, timeout_s: float) -> bytes:
@@ -151,6 +148,7 @@
         self.run.state.workers.note_answer(
             self.worker.id, self.run.now - self.opened_at, self.run.now
         )
+        note_answer_pace(self.run.state, self.worker, self.run.now - self.opened_at)
         if self.run.state.crashes.by_digest:
             self.run.state.crashes.note_good_end(self._digest, self.run.now)
 
--- a/src/croftchute/forwarding/workers/worker_control.py
+++ b/src/croftchute/forwarding/workers/worker_control.py
@@ -15,6 +15,7 @@
 )
 from croftchute.forwarding.permits import PermitWish
 from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.workers.load_reader import note_told_pace
 from croftchute.forwarding.workers.wish_reader import note_displaced, note_wish
 from croftchute.systems import patience
 from croftchute.tables.routing import Stage, Worker
@@ -58,6 +59,7 @@
         connection.send(data, expected=None)
         head = await within(connection.read_head(), answer_s, "no head")
         note_wish(state, worker, head, call="control")
+        note_told_pace(state, worker, head)
         if state.workers_speak.verdict(head) is Verdict.WRONG_WORKER:
             note_displaced(state, worker)
         body = await within(connection.read_body(MAX_CONTROL_BYTES), answer_s, "no body")
--- a/src/croftchute/systems/room_order.py
+++ b/src/croftchute/systems/room_order.py
@@ -39,10 +39,10 @@
 class OrderWay(StrEnum):
     """How requests that wait for room are ordered.
 
-    ``paced``: the more urgent ask more often. ``entry``: beside that, others hold back while a more
-    urgent rank waits too long anywhere. ``reserve``: beside the pace, others leave a part of each
-    engine's memory to more urgent ranks. ``auto`` is ``entry`` where the configuration gives streams
-    of a service different priorities.
+    ``paced``: the more urgent ask more often. ``entry``: beside that, others hold back while a
+    more urgent rank waits too long anywhere. ``reserve``: beside the pace, others leave a part of
+    each engine's memory to more urgent ranks. ``auto`` is ``entry`` where the configuration gives
+    streams of a service different priorities.
     """
 
     AUTO = "auto"
--- a/src/croftchute/systems/worker_pace.py
+++ b/src/croftchute/systems/worker_pace.py
@@ -43,6 +43,9 @@
 TELLS_FOR_S = 10.0
 """Seconds for which a worker counts as one that tells its pace: streams last for some."""
 
+FORGET_S = 60.0
+"""Seconds after which nothing is left of any figure."""
+
 MOST_NOTICES = 32
 """Workers told of in one notice: bounds a datagram."""
 
@@ -83,6 +86,12 @@
     seen: _Mean | None = None
     heard: _Mean | None = None
 
+    @property
+    def heard_at(self) -> float:
+        """When the newest figure of any source came."""
+        means = [mean.at for mean in (self.seen, self.heard) if mean is not None]
+        return max([self.told_at, *means])
+
 
 @dataclass(kw_only=True)
 class WorkerPaces:
@@ -159,6 +168,7 @@
 
     def notices(self, now: float) -> tuple[WorkerPaceNotice, ...]:
         """What peers are told: workers that tell their pace, those last heard of first."""
+        self._sweep(now)
         telling = {
             worker_id: known
             for worker_id, known in self._by_id.items()
@@ -167,6 +177,12 @@
         newest = heapq.nlargest(MOST_NOTICES, telling.items(), key=lambda entry: entry[1].told_at)
         return tuple(_notice(worker_id, known, now) for worker_id, known in newest)
 
+    def _sweep(self, now: float) -> None:
+        """Forget workers of which nothing was heard for long: their lives are over, or idle."""
+        old = [key for key, known in self._by_id.items() if now - known.heard_at > FORGET_S]
+        for worker_id in old:
+            del self._by_id[worker_id]
+
     def forget(self, worker_id: str) -> None:
         """A life of a worker is over."""
         self._by_id.pop(worker_id, None)
