--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -123,8 +123,7 @@
         if len(peers) > FANOUT:
             peers = self._some_of(peers, rng)
         chosen = [(peer.host, peer.notice_port) for peer in peers]
-        fresh = sum(now - peer.heard_at <= FRESH_S for peer in self.peers_by_id.values())
-        if fresh < len(self.seeds):
+        if self.fresh_boxes(now) < len(self.seeds):
             chosen += [seed for seed in self.seeds if seed not in chosen]
         return chosen
 
@@ -182,6 +181,10 @@
         heard = sum(now - peer.heard_at <= COUNTED_S for peer in self.peers_by_id.values())
         return 1 + heard
 
+    def fresh_boxes(self, now: float) -> int:
+        """How many other boxes' notices still count: those that :meth:`demand` sums over."""
+        return sum(now - peer.heard_at <= FRESH_S for peer in self.peers_by_id.values())
+
     def in_flight(self, worker_id: str, now: float) -> int:
         """What other boxes have open at a worker, as far as they told lately."""
         return sum(entry.in_flight for entry, _ in self._entries(worker_id, now))
--- a/src/croftchute/systems/service_capacity.py
+++ b/src/croftchute/systems/service_capacity.py
@@ -30,10 +30,18 @@
 
 
 class SplitWay(StrEnum):
-    """How busy prefill workers may be: as their prompts and the target allow, or a fixed share."""
+    """How engines are split into stages.
 
+    ``by_target`` and ``fixed_use`` serve the most requests, with prefill workers as busy as their
+    prompts and the target allow, or a fixed share; ``headroom`` goes by the speeds of the engines
+    and the present demand. ``auto`` is ``headroom`` for services whose workers report a pace, and
+    ``fixed_use`` for others.
+    """
+
+    AUTO = "auto"
     BY_TARGET = "by_target"
     FIXED_USE = "fixed_use"
+    HEADROOM = "headroom"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/systems/stage_balance.py
+++ b/src/croftchute/systems/stage_balance.py
@@ -47,11 +47,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StageChange:
-    """A worker that should change its stage, and why."""
+    """A worker that should change its stage, and why.
+
+    ``is_urgent``: nothing is served without it, so that it is not waited whether the need lasts.
+    """
 
     worker: Worker
     stage: Stage
     reason: str
+    is_urgent: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/systems/test_peer_table.py
+++ b/tests/systems/test_peer_table.py
@@ -49,6 +49,15 @@
     assert table.demand("s", 10.0) == DemandCounts()
 
 
+def test_boxes_whose_demand_counts_are_counted_for_as_long():
+    """Demand is scaled by this count: another time limit than that of the sum would skew it."""
+    table = PeerTable(own_id="me")
+    table.hear("b", NOTICE, 0.0)
+    table.hear("c", NOTICE, 1.0)
+    assert [table.fresh_boxes(now) for now in (1.0, FRESH_S + 0.5, FRESH_S + 1.1)] == [2, 1, 0]
+    assert table.demand("s", FRESH_S + 0.5).asks == 10
+
+
 def test_an_earlier_life_of_a_box_is_not_heard():
     table = PeerTable(own_id="me")
     table.hear("b", NOTICE, 0.0)
--- /dev/null
+++ b/tests/systems/test_stage_headroom.py
@@ -0,0 +1,401 @@
+"""Stages by speed and demand: prefill workers keep time, and changes are few."""
+
+import math
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from croftchute.systems.prefill_pace import PrefillPace
+from croftchute.systems.stage_balance import WINDOW_S, DemandCounts
+from croftchute.systems.stage_headroom import (
+    MAX_PREFILL_USE,
+    REVERSAL,
+    StageHeadroom,
+)
+from croftchute.systems.stage_search import Candidate, Side, StageSearch
+from croftchute.systems.worker_table import WorkerTable
+from croftchute.tables.paces import PaceEstimate, PaceSource
+from croftchute.tables.routing import EngineTraits, Stage, Worker, WorkerState
+
+PACE = PrefillPace(fixed_s=0.093, pace=55_600.0)
+TRAITS = EngineTraits(
+    slots=128, kv_tokens=41_200, kv_bytes_per_token=1.0, handle_ttl_s=10.0, switch_s=6.0
+)
+EVEN = (1.0,)
+UNEVEN = (math.exp(-0.5), 1.0, math.exp(0.5))
+"""0.6, 1 and 1.6 of the usual time, at the steps to which the model rounds."""
+
+
+class Paces:
+    """The same pace for all kinds of work of an engine."""
+
+    def __init__(self, factor_by_id):
+        self.factor_by_id = factor_by_id
+
+    def estimate(self, worker_id, kind, now):
+        factor = self.factor_by_id.get(worker_id, 1.0)
+        return PaceEstimate(factor=factor, source=PaceSource.TOLD, age_s=0.0)
+
+
+class Service:
+    """Engines with their paces; changes ordered are carried out when told."""
+
+    def __init__(self, prefills, decodes, *, factors=EVEN, zones=("z",)):
+        self.table = WorkerTable()
+        self.paces = Paces({})
+        self.headroom = StageHeadroom()
+        self.ordered = {}
+        for number in range(prefills + decodes):
+            stage = Stage.PREFILL if number < prefills else Stage.DECODE
+            self.put(f"e{number:02}", stage, zone=zones[number % len(zones)])
+            self.paces.factor_by_id[f"e{number:02}"] = factors[number % len(factors)]
+
+    def put(self, name, stage, *, zone="z", state=WorkerState.READY):
+        worker = Worker(id=name, service="s", host="h", port=1, zone=zone, stage=stage, state=state)
+        self.table.upsert(worker, 0.0)
+
+    def beliefs(self, *, without=()):
+        return [b for b in self.table.beliefs_by_id.values() if b.worker.id not in without]
+
+    def speed(self, stage, *, without=()):
+        """The summed speed of a stage, changes ordered not counted."""
+        return sum(
+            1.0 / self.paces.factor_by_id[belief.worker.id]
+            for belief in self.beliefs(without=without)
+            if belief.worker.stage is stage
+        )
+
+    def wanted(self, counts, *, now=0.0, without=(), scale=1.0, pace=PACE):
+        return self.headroom.wanted(
+            self.beliefs(without=without),
+            counts,
+            scale=scale,
+            pace=pace,
+            traits=TRAITS,
+            paces=self.paces,
+            ordered=self.ordered,
+            now=now,
+        )
+
+
+def demand(rate, *, prompt=5_200, output=600, stream_s=3.5, ended=50):
+    """What a window shows at a rate of prompts a second; 5,500 tokens are held by default."""
+    asks = round(rate * WINDOW_S)
+    return DemandCounts(
+        asks=asks,
+        prompt_tokens=asks * prompt,
+        output_tokens=asks * output,
+        ended=ended,
+        ended_tokens=ended * output,
+        ended_s=ended * stream_s,
+    )
+
+
+def prefill_use(rate, speed, *, prompt=5_200):
+    return rate * (PACE.fixed_s + prompt / PACE.pace) / speed
+
+
+CALM = demand(40.0)
+
+
+@pytest.mark.parametrize("factors", [EVEN, UNEVEN])
+@pytest.mark.parametrize("rate", [1.0, 20.0, 40.0])
+def test_a_calm_load_orders_nothing(rate, factors):
+    """Guards against the change of 14 of 16 prefill workers while no memory was short."""
+    assert Service(16, 29, factors=factors).wanted(demand(rate)) == []
+
+
+def test_the_fixed_time_of_a_prefill_call_counts():
+    """Without it 8 prefill workers seem 0.47 used and stay; they are 0.94 used."""
+    changes = Service(8, 37).wanted(CALM)
+    assert changes and {change.stage for change in changes} == {Stage.PREFILL}
+    unaware = PrefillPace(fixed_s=0.0, pace=PACE.pace)
+    assert Service(8, 37).wanted(CALM, pace=unaware) == []
+
+
+def test_a_surge_to_twice_the_load_gets_prefill_workers():
+    """Guards against a split that the mean over all times settles, whatever is asked now."""
+    service = Service(16, 29)
+    changes = service.wanted(demand(80.0))
+    assert [change.stage for change in changes] == [Stage.PREFILL] * 3
+    assert "16+29 are 0.93+1.29 used, 19+26 would be 0.79+1.44" in changes[0].reason
+
+
+def test_asks_of_the_boxes_heard_are_scaled_to_the_fleet():
+    """A box hears a sample: half of the asks, from half of the boxes, are the same surge."""
+    whole, heard = Service(16, 29), Service(16, 29)
+    ids = [change.worker.id for change in whole.wanted(demand(80.0))]
+    assert [change.worker.id for change in heard.wanted(demand(40.0), scale=2.0)] == ids
+
+
+def test_refused_asks_count_as_demand():
+    """A surge that is refused is still asked for; granted streams alone would hide it."""
+    counts = demand(80.0)
+    assert counts.granted == 0 and Service(16, 29).wanted(counts)
+
+
+def test_long_prompts_and_then_long_answers():
+    """Guards against a split that stays with the load of before."""
+    service = Service(8, 37, factors=UNEVEN)
+    long_prompts = demand(30.0, prompt=16_000, output=60, stream_s=0.4)
+    changes = service.wanted(long_prompts)
+    assert changes and {change.stage for change in changes} == {Stage.PREFILL}
+    for change in changes:
+        service.headroom.note_ordered(change.worker.id, change.stage, 0.0)
+        service.put(change.worker.id, change.stage)
+    long_answers = demand(30.0, prompt=2_000, output=3_000, stream_s=12.0)
+    changes = service.wanted(long_answers, now=10.0)
+    assert changes and {change.stage for change in changes} == {Stage.DECODE}
+
+
+def test_the_engines_that_fit_the_need_change():
+    """Slow engines that change are missed for as long as fast ones, and gain less."""
+    service = Service(8, 37, factors=UNEVEN)
+    changes = service.wanted(demand(40.0, prompt=10_000, output=200, stream_s=1.0))
+    factors = [service.paces.factor_by_id[change.worker.id] for change in changes]
+    assert factors and max(factors) < 1.0
+
+
+def test_unequal_engines_count_by_their_speed():
+    """Guards against twelve slow prefill workers being taken for twelve of the usual speed."""
+    counts = demand(30.0)
+    by_factor = {}
+    for factor in UNEVEN:
+        service = Service(12, 33)
+        service.paces.factor_by_id.update({f"e{n:02}": factor for n in range(12)})
+        by_factor[factor] = {change.stage for change in service.wanted(counts)}
+    assert by_factor == {UNEVEN[0]: set(), 1.0: set(), UNEVEN[2]: {Stage.PREFILL}}
+
+
+@given(
+    st.integers(1, 20),
+    st.integers(1, 40),
+    st.sampled_from([EVEN, UNEVEN]),
+    st.floats(1.0, 200.0),
+    st.floats(0.1, 30.0),
+)
+@example(20, 10, EVEN, 60.0, 10.0)
+def test_prefill_workers_are_not_left_too_busy_and_some_stay(
+    prefills, decodes, factors, rate, stream_s
+):
+    """Decode memory is not gained by prefill workers above their limit, now or meanwhile.
+
+    Also guards against a stage left empty, and against more than a quarter changed at once.
+    """
+    service = Service(prefills, decodes, factors=factors)
+    counts = demand(rate, stream_s=stream_s)
+    changes = service.wanted(counts)
+    ids = {change.worker.id for change in changes}
+    for stage, total in ((Stage.PREFILL, decodes), (Stage.DECODE, prefills)):
+        number = sum(change.stage is stage for change in changes)
+        assert number <= max(1, total // 4) and (number == 0 or number < total)
+    if any(change.stage is Stage.DECODE for change in changes):
+        left = service.speed(Stage.PREFILL, without=ids)
+        assert prefill_use(counts.asks / WINDOW_S, left) <= MAX_PREFILL_USE + 1e-6
+
+
+def test_long_streams_take_prefill_workers_that_have_time():
+    """Guards against headroom that is never given back: 16 prefill workers 0.09 used."""
+    changes = Service(16, 29).wanted(demand(8.0, stream_s=30.0))
+    assert changes and {change.stage for change in changes} == {Stage.DECODE}
+
+
+def test_orders_on_their_way_count_as_carried_out():
+    """Guards against a second batch for the same need while the first one is on its way."""
+    service = Service(16, 29)
+    changes = service.wanted(demand(80.0))
+    service.ordered = {change.worker.id: change.stage for change in changes}
+    assert service.wanted(demand(80.0)) == []
+
+
+def test_a_quarter_counts_those_that_change_already():
+    """Guards against a quarter in each second: a change takes ten."""
+    service = Service(4, 41)
+    counts = demand(60.0)
+    first = service.wanted(counts)
+    assert first
+    service.ordered = {change.worker.id: change.stage for change in first}
+    second = service.wanted(counts)
+    assert len(first) + len(second) <= 41 // 4
+
+
+def test_workers_that_rest_drain_or_are_gone_get_no_order():
+    """A resting worker counts as it is; one that drains or is gone counts for nothing."""
+    service = Service(16, 29)
+    chosen = [change.worker.id for change in service.wanted(demand(80.0))]
+    service.ordered = {chosen[0]: Stage.DECODE}
+    service.put(chosen[1], Stage.DECODE, state=WorkerState.DRAINING)
+    service.table.beliefs_by_id[chosen[2]].gone_at = 0.0
+    changes = service.wanted(demand(80.0))
+    assert changes and not set(chosen) & {change.worker.id for change in changes}
+
+
+def test_a_service_without_decode_worker_gets_one_at_once():
+    """Nothing is served without one, and no stream ends then that a mean could be taken of."""
+    changes = Service(3, 0).wanted(DemandCounts())
+    assert [(change.stage, change.is_urgent) for change in changes] == [(Stage.DECODE, True)]
+
+
+def test_a_service_without_prefill_worker_gets_one_if_decode_workers_stay():
+    """Guards against a division by no speed, and against taking the last decode worker."""
+    assert [change.stage for change in Service(0, 3).wanted(CALM)] == [Stage.PREFILL]
+    assert Service(0, 1).wanted(CALM) == []
+
+
+def test_few_asks_and_invalid_figures_order_nothing():
+    """Guards against orders by accident, or by a peer's or a worker's wrong figures."""
+    assert Service(1, 44).wanted(demand(0.7)) == []
+    assert Service(1, 44).wanted(demand(80.0, ended=2)) == []
+    for scale in (math.nan, math.inf):
+        assert Service(1, 44).wanted(demand(80.0), scale=scale) == []
+    for stream_s in (math.nan, math.inf, -1.0):
+        assert Service(1, 44).wanted(demand(80.0, stream_s=stream_s)) == []
+    for pace in (0.0, -1.0, math.nan):
+        broken = PrefillPace(fixed_s=0.1, pace=pace)
+        assert Service(1, 44).wanted(demand(80.0), pace=broken) == []
+    service = Service(16, 29)
+    service.paces.factor_by_id = {f"e{n:02}": math.nan for n in range(45)}
+    assert service.wanted(CALM) == []
+
+
+def test_halls_that_are_short_of_decode_workers_get_them_among_like_engines():
+    """Guards against orders that move all decode workers into one hall."""
+    service = Service(8, 0, zones=("a", "b"))
+    for number in range(8, 28):
+        service.put(f"e{number:02}", Stage.DECODE, zone="a")
+        service.paces.factor_by_id[f"e{number:02}"] = 1.0
+    changes = service.wanted(demand(6.0, stream_s=30.0))
+    assert {change.worker.zone for change in changes} == {"b"}
+
+
+speeds = st.integers(-9, 9).map(lambda step: math.exp(step / 10.0))
+
+
+def search_of(giving, taking, asked, asked_of_taker):
+    return StageSearch(
+        candidates=[
+            Candidate(id=str(number), hall="z", tokens=0, given=speed, gained=speed)
+            for number, speed in enumerate(giving)
+        ],
+        giver=Side(asked=asked, speed=sum(giving)),
+        taker=Side(asked=asked_of_taker, speed=sum(taking)),
+        spare=sum(giving) - 0.1,
+        decodes_by_hall=Counter(),
+        is_to_decode=True,
+    )
+
+
+@given(
+    st.lists(speeds, min_size=2, max_size=8),
+    st.lists(speeds, min_size=1, max_size=8),
+    st.floats(0.1, 8.0),
+    st.floats(0.1, 8.0),
+    st.integers(1, 7),
+)
+@settings(max_examples=300, deadline=None)
+def test_greedy_is_no_better_than_exact_and_never_far_from_it(
+    giving, taking, asked, asked_of_taker, most
+):
+    """Above 12 engines the choice is greedy: it must not miss what exact finds."""
+    search = search_of(giving, taking, asked, asked_of_taker)
+    most = min(most, len(giving) - 1)
+    exact, greedy = search._exact(most), search._greedy(most)
+    assert len(greedy.chosen) <= most and search._fits(greedy)
+    assert search.value(exact) <= search.value(greedy) <= 1.25 * search.value(exact)
+
+
+def test_greedy_mostly_finds_what_exact_finds():
+    """Guards against a greedy choice that is worse as a rule, within its bound."""
+    rng = random.Random(7)
+    ratios = []
+    for _ in range(500):
+        giving = [math.exp(rng.randint(-9, 9) / 10.0) for _ in range(rng.randint(2, 8))]
+        taking = [math.exp(rng.randint(-9, 9) / 10.0) for _ in range(rng.randint(1, 4))]
+        search = search_of(giving, taking, rng.uniform(0.1, 8.0), rng.uniform(0.1, 8.0))
+        most = rng.randint(1, len(giving) - 1)
+        ratios.append(search.value(search._greedy(most)) / search.value(search._exact(most)))
+    assert sum(ratio <= 1.0 + 1e-6 for ratio in ratios) >= 450
+    assert sum(ratio > 1.1 for ratio in ratios) <= 1
+
+
+steps = st.lists(
+    st.tuples(
+        st.floats(1.0, 120.0),
+        st.sampled_from([500, 2_000, 5_200, 16_000]),
+        st.sampled_from([60, 600, 2_000]),
+        st.floats(0.5, 12.0),
+        st.sets(st.integers(0, 11), max_size=4),
+        st.integers(1, 8),
+    ),
+    min_size=2,
+    max_size=12,
+)
+
+
+@given(steps, st.sampled_from([EVEN, UNEVEN]), st.integers(2, 10))
+@settings(max_examples=200, deadline=None)
+def test_engines_are_not_ordered_back_and_forth(loads, factors, prefills):
+    """Random demand, and crashes of several engines at once that are soon over.
+
+    No engine is ordered twice within the time of two changes, unless the need has turned by a
+    third, or no decode worker is left.
+    """
+    service = Service(prefills, 12 - prefills, factors=factors)
+    last_by_id, done_at_by_id, now = {}, {}, 0.0
+    for rate, prompt, output, stream_s, crashed, seconds in loads:
+        counts = demand(rate, prompt=prompt, output=output, stream_s=stream_s)
+        without = {f"e{n:02}" for n in crashed}
+        for _ in range(seconds):
+            now += 1.0
+            for worker_id in [key for key, at in done_at_by_id.items() if now >= at]:
+                service.put(worker_id, service.ordered.pop(worker_id))
+                del done_at_by_id[worker_id]
+            decodes = [
+                belief.worker.id
+                for belief in service.beliefs(without=without)
+                if belief.worker.stage is Stage.DECODE
+            ]
+            speed = sum(1.0 / service.paces.factor_by_id[worker_id] for worker_id in decodes)
+            mean_speed = speed / len(decodes) if decodes else 1.0
+            held = (prompt + output / 2.0) / TRAITS.kv_tokens
+            prefill = (PACE.fixed_s + prompt / PACE.pace) / (held * stream_s * mean_speed)
+            for change in service.wanted(counts, now=now, without=without):
+                worker_id = change.worker.id
+                until, stage, need = last_by_id.get(worker_id, (0.0, None, 0.0))
+                if now < until and not change.is_urgent:
+                    assert stage is not change.stage
+                    turned = prefill / need if change.stage is Stage.PREFILL else need / prefill
+                    assert turned >= (1.0 + REVERSAL) * (1.0 - 1e-6)
+                service.headroom.note_ordered(worker_id, change.stage, now)
+                service.ordered[worker_id] = change.stage
+                done_at_by_id[worker_id] = now + TRAITS.switch_s + stream_s
+                until = now + 2.0 * (TRAITS.switch_s + stream_s)
+                last_by_id[worker_id] = (until, change.stage, prefill)
+
+
+def test_a_crash_of_several_engines_is_not_followed_by_orders_back():
+    """The need is the same when they are back: the orders stand until their effect is seen."""
+    service = Service(16, 29)
+    counts = demand(45.0)
+    crashed = {f"e{number:02}" for number in range(8)}
+    changes = service.wanted(counts, without=crashed)
+    assert changes and {change.stage for change in changes} == {Stage.PREFILL}
+    for change in changes:
+        service.headroom.note_ordered(change.worker.id, change.stage, 0.0)
+        service.put(change.worker.id, change.stage)
+    for second in range(1, 19):
+        later = service.wanted(counts, now=float(second))
+        assert not any(change.stage is Stage.DECODE for change in later)
+
+
+def test_a_held_change_is_undone_once_the_need_has_turned_by_a_third():
+    """Guards against a hold that keeps a wrong split under a load that did change."""
+    service = Service(4, 8)
+    service.wanted(demand(10.0, stream_s=3.5))
+    service.headroom.note_ordered("e00", Stage.PREFILL, 0.0)
+    assert service.wanted(demand(20.0, stream_s=4.5), now=1.0) == []
+    changes = service.wanted(demand(10.0, stream_s=9.0), now=1.0)
+    assert {change.stage for change in changes} == {Stage.DECODE}
