Stage orders go by headroom where workers report a pace

Cause: the decision was not used. Change: ways.split is auto by default: headroom for services that report a pace, fixed_use for others. With headroom both kinds of change must be wanted for 5 s, and changes known from notices count as carried out.

--- a/src/croftchute/forwarding/workers/stage_orders.py
+++ b/src/croftchute/forwarding/workers/stage_orders.py
@@ -19,8 +19,9 @@
 from croftchute.storage.watched import LeaseStore
 from croftchute.systems.service_capacity import READ_SHARE_OF_TARGET, EnginePower, SplitWay
 from croftchute.systems.stage_balance import StageChange, wanted_changes
+from croftchute.systems.stage_headroom import StageHeadroom
 from croftchute.systems.worker_belief import WorkerBelief
-from croftchute.tables.routing import RoutingTable, Stage
+from croftchute.tables.routing import EngineTraits, RoutingTable, Service, Stage
 
 CHECK_S = 0.5
 """Seconds between two looks at what is wanted."""
@@ -62,7 +63,8 @@
 """Seconds for which a change to decode must have been wanted."""
 
 PREFILL_LASTS_S = 5.0
-"""The same for a change to prefill: a prefill worker that crashed is mostly back within 5 s."""
+"""The same for a change to prefill: a prefill worker that crashed is mostly back within 5 s. With
+``headroom`` for both: a change that a crash caused cannot be undone soon."""
 
 ACCEPTED = 202
 """Status of an order that the worker has begun to carry out: it takes no work until it is done."""
@@ -112,6 +114,7 @@
         self._renew_at = 0.0
         self._orders_by_worker: dict[str, _Order] = {}
         self._wanted_since: dict[tuple[str, Stage], tuple[float, float]] = {}
+        self._headroom_by_service: dict[str, StageHeadroom] = {}
 
     async def run(self) -> None:
         """Look again and again; never returns."""
@@ -143,22 +146,47 @@
         for service in table.services_by_name.values():
             if service.engine is None:
                 continue
-            beliefs = self._staying(service.name)
-            changes = wanted_changes(
-                beliefs,
-                self.state.fleet_demand(service.name),
-                EnginePower(
-                    prefill_pace=self.state.prefill_pace(service.name).pace,
-                    kv_tokens=service.engine.kv_tokens,
-                    slots=service.engine.slots,
-                    read_limit_s=self._read_limit_s(table, service.name),
-                ),
-                ordered=self._ordered() | self._resting(beliefs),
-            )
+            changes = self._changes(table, service, service.engine)
             if changes and self._has_lasted(changes[0]):
                 return changes[:MAX_AT_ONCE]
         return []
 
+    def _changes(
+        self, table: RoutingTable, service: Service, traits: EngineTraits
+    ) -> list[StageChange]:
+        """The changes that one service needs at the moment."""
+        beliefs = self._staying(service.name)
+        counts = self.state.fleet_demand(service.name)
+        pace = self.state.prefill_pace(service.name)
+        ordered = self._ordered() | self._resting(beliefs)
+        if self.split_way(service.name) is SplitWay.HEADROOM:
+            now = self.state.clock()
+            headroom = self._headroom_by_service.setdefault(service.name, StageHeadroom())
+            return headroom.wanted(
+                beliefs,
+                counts,
+                scale=self.state.boxes / (1 + self.state.peers.fresh_boxes(now)),
+                pace=pace,
+                traits=traits,
+                paces=self.state.paces,
+                ordered=_changing(beliefs, now) | ordered,
+                now=now,
+            )
+        power = EnginePower(
+            prefill_pace=pace.pace,
+            kv_tokens=traits.kv_tokens,
+            slots=traits.slots,
+            read_limit_s=self._read_limit_s(table, service.name),
+        )
+        return wanted_changes(beliefs, counts, power, ordered=ordered)
+
+    def split_way(self, service: str) -> SplitWay:
+        """How the engines of a service are split at the moment; never ``auto``."""
+        way = self.state.ways.split
+        if way is not SplitWay.AUTO:
+            return way
+        return SplitWay.HEADROOM if self.state.tells_pace(service) else SplitWay.FIXED_USE
+
     def _staying(self, service: str) -> list[WorkerBelief]:
         """The workers of a service that did not say that they leave."""
         workers = self.state.workers
@@ -179,7 +207,7 @@
     def _read_limit_s(self, table: RoutingTable, service: str) -> float:
         """The time in which prompts of a service should be read; 0 where that is not looked at."""
         targets = table.stream_targets(service)
-        if self.state.ways.split is SplitWay.FIXED_USE or not targets:
+        if self.split_way(service) is not SplitWay.BY_TARGET or not targets:
             return 0.0
         return READ_SHARE_OF_TARGET * min(targets)
 
@@ -202,8 +230,14 @@
         if now - last > MAX_LAPSE_S:
             first = now
         self._wanted_since[key] = (first, now)
-        wait_s = LASTS_S if change.stage is Stage.DECODE else PREFILL_LASTS_S
-        return now - first >= wait_s
+        return now - first >= self._lasts_s(change)
+
+    def _lasts_s(self, change: StageChange) -> float:
+        """For how long a change must have been wanted, in seconds."""
+        is_patient = self.split_way(change.worker.service) is SplitWay.HEADROOM
+        if change.is_urgent or (change.stage is Stage.DECODE and not is_patient):
+            return LASTS_S
+        return PREFILL_LASTS_S
 
     async def _try_for_turn(self, *, is_first: bool, is_needed: bool) -> bool:
         """Take the lease if nobody has it: once after the start, later when it is needed.
@@ -269,6 +303,9 @@
         except ExchangeError as error:
             # It may still be carried out: it counts as if it had been answered.
             outcome = error.code.value
+        headroom = self._headroom_by_service.get(change.worker.service)
+        if headroom is not None and worker_id in self._orders_by_worker:
+            headroom.note_ordered(worker_id, change.stage, order.at)
         self._log(outcome, change, turn)
 
     def _note_changing(self, change: StageChange) -> None:
@@ -301,3 +338,12 @@
             held_s=round(self.state.clock() - turn.since, 1),
             workers_age_s=round(self.state.clock() - self.state.workers.heard_at, 2),
         )
+
+
+def _changing(beliefs: list[WorkerBelief], now: float) -> dict[str, Stage]:
+    """The stages that workers are about to have, by notices: another box gave their orders."""
+    return {
+        belief.worker.id: belief.changing_to
+        for belief in beliefs
+        if belief.changing_to is not None and now < belief.changing_until
+    }
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -63,7 +63,7 @@
 
     limits: LimitWay = LimitWay.POOLED
     room: RoomWay = RoomWay.LANES
-    split: SplitWay = SplitWay.FIXED_USE
+    split: SplitWay = SplitWay.AUTO
     returns: ReturnWay = ReturnWay.RETURNED_FIRST
     hold: HoldWay = HoldWay.LIKELY
     order: OrderWay = OrderWay.AUTO
--- a/tests/forwarding/workers/test_stage_orders.py
+++ b/tests/forwarding/workers/test_stage_orders.py
@@ -8,7 +8,9 @@
 from croftchute.forwarding.http.failures import AnswerLateError
 from croftchute.forwarding.workers import stage_orders
 from croftchute.forwarding.workers.stage_orders import LEASE_KEY, Turn
-from croftchute.systems.stage_balance import StageChange
+from croftchute.router_settings import DecisionWays
+from croftchute.systems.service_capacity import EnginePower, SplitWay
+from croftchute.systems.stage_balance import StageChange, wanted_changes
 from croftchute.tables.routing import Stage
 
 
@@ -113,3 +115,79 @@
             assert [change.worker.id for change in box.orders.wanted()] == ["p2"]
 
     run(body)
+
+
+async def add_demand(made, monkeypatch, split):
+    """A box with 3 prefill workers and 1 decode worker, and long answers asked for."""
+    monkeypatch.setattr(stage_orders, "LASTS_S", 0.0)
+    monkeypatch.setattr(stage_orders, "PREFILL_LASTS_S", 0.0)
+    box = await made.add_box()
+    for name in ("p0", "p1", "p2"):
+        await made.add_worker(name, service="llm", stage="prefill")
+    await made.add_worker("d0", service="llm", stage="decode")
+    await made.ready(box)
+    box.state.ways = DecisionWays(split=split)
+    now = box.state.clock()
+    demand = box.state.demand("llm")
+    for _ in range(20):
+        demand.note_ask(now, prompt_tokens=10, output_tokens=60)
+        demand.note_ended(now, output_tokens=60, seconds=0.3)
+    return box
+
+
+def test_services_that_tell_no_pace_are_split_as_before(monkeypatch):
+    """Off by default: without a reported pace the model of before decides, with its inputs."""
+
+    async def body():
+        async with fleet() as made:
+            box = await add_demand(made, monkeypatch, SplitWay.AUTO)
+            assert DecisionWays().split is SplitWay.AUTO
+            state, orders = box.state, box.orders
+            found = orders.wanted()
+            state.ways = DecisionWays(split=SplitWay.FIXED_USE)
+            assert found and orders.wanted() == found
+            engine = state.table.services_by_name["llm"].engine
+            power = EnginePower(
+                prefill_pace=state.prefill_pace("llm").pace,
+                kv_tokens=engine.kv_tokens,
+                slots=engine.slots,
+            )
+            beliefs = state.workers.of_service("llm")
+            assert found == wanted_changes(beliefs, state.fleet_demand("llm"), power, ordered={})
+
+    run(body)
+
+
+def test_services_that_tell_their_pace_are_split_by_headroom(monkeypatch):
+    """The same demand leaves both stages within their aims: nothing is ordered."""
+
+    async def body():
+        for split in (SplitWay.AUTO, SplitWay.HEADROOM):
+            async with fleet() as made:
+                box = await add_demand(made, monkeypatch, split)
+                box.state.paces.note_told("d0", 1.0, box.state.clock())
+                box.state._tells_pace_by_service.clear()
+                assert box.orders.split_way("llm") is SplitWay.HEADROOM
+                assert box.orders.wanted() == []
+
+    run(body)
+
+
+def test_orders_by_headroom_wait_until_crashed_workers_are_back(monkeypatch):
+    """An order to decode after 0.4 s, for workers that crashed, cannot be undone for 20 s."""
+
+    async def body():
+        async with fleet() as made:
+            box = await made.add_box()
+            await made.add_worker("p0", service="llm", stage="prefill")
+            await made.ready(box)
+            worker = box.state.workers.beliefs_by_id["p0"].worker
+            change = StageChange(worker=worker, stage=Stage.DECODE, reason="test")
+            urgent = replace(change, is_urgent=True)
+            found = []
+            for split in (SplitWay.FIXED_USE, SplitWay.HEADROOM):
+                box.state.ways = DecisionWays(split=split)
+                found.append([box.orders._lasts_s(each) for each in (change, urgent)])
+            assert found == [[0.4, 0.4], [5.0, 0.4]]
+
+    run(body)
