The test of orders back and forth finds a missing hold

Cause: with demand that is different in each step the need turns by a third all the time, and the test passed with the hold of recent orders removed. Change: three kinds of demand, of which two are alike, and up to six engines that crash at once. Result: passes, and fails with the hold removed.

--- a/tests/systems/test_stage_headroom.py
+++ b/tests/systems/test_stage_headroom.py
@@ -323,14 +323,12 @@
 
 steps = st.lists(
     st.tuples(
-        st.floats(1.0, 120.0),
-        st.sampled_from([500, 2_000, 5_200, 16_000]),
-        st.sampled_from([60, 600, 2_000]),
-        st.floats(0.5, 12.0),
-        st.sets(st.integers(0, 11), max_size=4),
-        st.integers(1, 8),
+        st.floats(5.0, 60.0),
+        st.sampled_from([(5_200, 600, 3.5), (5_200, 600, 4.0), (16_000, 60, 0.5)]),
+        st.sets(st.integers(0, 11), max_size=6),
+        st.sampled_from([2, 5, 12]),
     ),
-    min_size=2,
+    min_size=4,
     max_size=12,
 )
 
@@ -345,7 +343,7 @@
     """
     service = Service(prefills, 12 - prefills, factors=factors)
     last_by_id, done_at_by_id, now = {}, {}, 0.0
-    for rate, prompt, output, stream_s, crashed, seconds in loads:
+    for rate, (prompt, output, stream_s), crashed, seconds in loads:
         counts = demand(rate, prompt=prompt, output=output, stream_s=stream_s)
         without = {f"e{n:02}" for n in crashed}
         for _ in range(seconds):
