The stand-in worker can tell its pace and answers its health path

Change: options load and health_path, faults health_status and health_wait_s; the rows of what it keeps are in worker_records.py.

--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -21,7 +21,7 @@
 from croftchute.soak.worker_limits import LimitingWorkers
 from croftchute.soak.world import EVENTS, MAX_ATTEMPTS, ListedWorker, SoakWorld, added_path
 from croftchute.standins.platform_caller import Try, fault_of
-from croftchute.standins.platform_worker import Run
+from croftchute.standins.worker_records import Run
 from croftchute.systems.crash_records import LIVES_TO_REFUSE
 
 CONTACT_S = 3.0
--- a/src/croftchute/soak/key_checks.py
+++ b/src/croftchute/soak/key_checks.py
@@ -9,7 +9,7 @@
 from croftchute.soak.violation import Violation, broken
 from croftchute.soak.world import ListedWorker
 from croftchute.standins.platform_caller import Try
-from croftchute.standins.platform_worker import Run
+from croftchute.standins.worker_records import Run
 
 DENIED = 401
 TENANT = "x-croftchute-tenant"
--- a/src/croftchute/soak/worker_limits.py
+++ b/src/croftchute/soak/worker_limits.py
@@ -10,7 +10,7 @@
 from croftchute.soak.traffic import Traffic
 from croftchute.soak.violation import Violation
 from croftchute.soak.world import ListedWorker, SoakWorld
-from croftchute.standins.platform_worker import Arrival
+from croftchute.standins.worker_records import Arrival
 
 WINDOW_S = 4.0
 """Seconds over which a limit is judged (the users' bound)."""
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -12,12 +12,12 @@
 import socket
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
-from typing import Any
+from dataclasses import dataclass, field
 
 import msgspec
 
 from croftchute.standins.platform_wire import Headers, Received, encode_head, requests, write_chunk
+from croftchute.standins.worker_records import Arrival, Run, WorkerFaults
 
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -26,68 +26,13 @@
 """Part of a path whose streams keep ``slow_gap_s`` between events in place of ``gap_s``."""
 
 
-@dataclass(kw_only=True)
-class Run:
-    """One run of a request; ``ended_at`` is None while the worker is at work on it.
-
-    ``peer_port`` is the port that its connection came from.
-    """
-
-    request_id: str
-    path: str
-    body: bytes
-    started_at: float
-    ended_at: float | None = None
-    peer_port: int = 0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Arrival:
-    """A request that came, and when; ``rest_s`` is what the answer asked for as rest."""
-
-    request_id: str
-    at: float
-    rest_s: float = 0.0
-
-
-@dataclass(kw_only=True)
-class WorkerFaults:
-    """What goes wrong at the worker at the moment; numbers count events of a stream.
-
-    ``is_leaving`` has all answers say so; ``rest_s`` is what refusals ask for as rest, if not 0.
-    ``limit`` is what all answers name as the limit, if anything.
-    """
-
-    is_full: bool = False
-    has_no_room: bool = False
-    status: int = 0
-    is_silent: bool = False
-    resets_before_answer: bool = False
-    resets_after_events: int | None = None
-    ends_inside_event: int | None = None
-    hangs_after_events: int | None = None
-    repeats_event: int | None = None
-    sends_surplus_first: bool = False
-    lacks_stamp: bool = False
-    handles_lapse: bool = False
-    cuts_body: bool = False
-    is_unframed: bool = False
-    is_leaving: bool = False
-    rest_s: float = 0.0
-    limit: str = ""
-
-
-def sound_but(faults: WorkerFaults, **changes: Any) -> WorkerFaults:
-    """Nothing wrong but for some changes; a worker that leaves or is in need goes on saying so."""
-    return replace(WorkerFaults(is_leaving=faults.is_leaving, limit=faults.limit), **changes)
-
-
 @dataclass(kw_only=True)
 class PlatformWorker:
     """One worker; ``stage`` is empty for plain services.
 
     It ends when it begins to run a request whose body is ``crashes_on``, or to read the prompt of
-    one ahead whose body is ``crashes_on_reading``.
+    one ahead whose body is ``crashes_on_reading``. ``load`` is what its answers tell as the load,
+    but for those to prefill calls; empty has plain answers tell a fixed one, and others none.
     """
 
     id: str
@@ -96,6 +41,8 @@
     gap_s: float = 0.0
     slow_gap_s: float = 0.0
     work_s: float = 0.0
+    load: str = ""
+    health_path: str = "/healthz"
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     port: int = 0
     received: list[Received] = field(default_factory=list)
@@ -201,6 +148,10 @@
             held = [["", part, tokens, "m"] for part, tokens in self.kept.items()]
             self._send(writer, request, 200, {}, msgspec.json.encode({"epoch": 1, "held": held}))
             return True
+        if request.method == "GET" and request.path == self.health_path:
+            await asyncio.sleep(self.faults.health_wait_s)
+            self._send(writer, request, self.faults.health_status, self._load())
+            return True
         if request.path == "/order":
             self.orders.append(msgspec.json.decode(request.body))
             self._send(writer, request, 202, {})
@@ -209,7 +160,7 @@
 
     def _take_hold(self, request: Received, writer: asyncio.StreamWriter) -> bool:
         if self.faults.has_no_room:
-            self._send(writer, request, 503, self._rest())
+            self._send(writer, request, 503, self._rest() | self._load())
             return True
         hold = f"hold-{next(self._numbers)}"
         self.holds.add(hold)
@@ -228,7 +179,7 @@
             if faults.rest_s:
                 refusal = Arrival(request_id=request.id, at=now, rest_s=faults.rest_s)
                 self.refusals.append(refusal)
-            self._send(writer, request, 503, {"X-Croftchute-Not-Executed": "1"} | self._rest())
+            self._send(writer, request, 503, self._not_run() | self._rest())
             return True
         is_prefill = request.headers.get("x-croftchute-stage") == "prefill"
         if is_prefill != (self.stage == "prefill"):
@@ -236,7 +187,7 @@
             return True
         source = request.headers.get("x-croftchute-kv-source", "")
         if source and faults.handles_lapse:
-            self._send(writer, request, 503, {"X-Croftchute-Not-Executed": "1"})
+            self._send(writer, request, 503, self._not_run())
             return True
         self.holds.discard(request.headers.get("x-croftchute-kv-hold", ""))
         run = self._begin_run(request, writer) if not is_prefill else None
@@ -321,7 +272,7 @@
         status = faults.status or 200
         body = f"answer of {self.id} to {request.id}".encode()
         headers = {} if faults.lacks_stamp else {"X-Croftchute-Server-Stamp": STAMP}
-        headers["X-Croftchute-Server-Load"] = "1,0,8"
+        headers |= self._load() or {"X-Croftchute-Server-Load": "1,0,8"}
         if faults.is_unframed:
             head = encode_head(status, request, headers)
             writer.write(head + body)
@@ -348,7 +299,8 @@
             "Transfer-Encoding": "chunked",
             "X-Croftchute-Server-Stamp": STAMP,
         }
-        writer.write(encode_head(faults.status or 200, request, headers | self._wishes()))
+        headers |= self._load() | self._wishes()
+        writer.write(encode_head(faults.status or 200, request, headers))
         first = int(request.headers.get("last-event-id", "0")) + 1
         for sent, number in enumerate(range(first, self.events + 1)):
             if faults.resets_after_events == sent:
@@ -385,6 +337,12 @@
     def _rest(self) -> Headers:
         return {"Retry-After": f"{self.faults.rest_s:g}"} if self.faults.rest_s else {}
 
+    def _load(self) -> Headers:
+        return {"X-Croftchute-Server-Load": self.load} if self.load else {}
+
+    def _not_run(self) -> Headers:
+        return {"X-Croftchute-Not-Executed": "1"} | self._load()
+
     def _wishes(self) -> Headers:
         told = {"Server-Leaving": "1"} if self.faults.is_leaving else {}
         return told | ({"Server-Limit": self.faults.limit} if self.faults.limit else {})
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -8,7 +8,7 @@
 from croftchute.soak.disturbances import STORE, Disturbances, Pace
 from croftchute.soak.world import EVENTS
 from croftchute.standins.platform_caller import RequestKind, Try
-from croftchute.standins.platform_worker import Run
+from croftchute.standins.worker_records import Run
 
 STAMPED = {"x-croftchute-server-stamp": "s"}
 
--- a/tests/soak/test_key_checks.py
+++ b/tests/soak/test_key_checks.py
@@ -19,7 +19,8 @@
     rotating_key,
 )
 from croftchute.standins.platform_caller import RequestKind, Try
-from croftchute.standins.platform_worker import Received, Run
+from croftchute.standins.platform_worker import Received
+from croftchute.standins.worker_records import Run
 
 LIMITED = CallerKey(key=CLERKS_KEY, use=KeyUse.LIMITED)
 UNKNOWN = CallerKey(key="x", use=KeyUse.UNKNOWN)
--- a/tests/soak/test_worker_limits.py
+++ b/tests/soak/test_worker_limits.py
@@ -5,7 +5,8 @@
 from croftchute.soak.disturbances import Disturbances
 from croftchute.soak.worker_limits import LimitingWorkers, Need
 from croftchute.standins.platform_caller import RequestKind, Try
-from croftchute.standins.platform_worker import Arrival, PlatformWorker, Run
+from croftchute.standins.platform_worker import PlatformWorker
+from croftchute.standins.worker_records import Arrival, Run
 
 START = 100.0
 BOXES = ("box-1", "box-2", "box-3")
