Workers are chosen by predicted end where they tell their pace

Cause: fast and slow engines got the same part of the calls, and prompts went to prefill workers by news of half a second ago; a plain worker that hangs was called until its first time-out. Change: ways.placement auto, by_cost or by_end. Plain and decode workers are drawn at random by (1 / predicted end) ** 3, held to twice the share by speed; of three prefill workers drawn by speed and probed at once the soonest gets the prompt. A failing worker is drawn only if its end is the soonest all the same. Whether a prompt is read ahead goes by the same figures. Decision lines tell the end by part, the pace, its source and age.

--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -23,6 +23,7 @@
 from croftchute.systems.fair_shares import OrganisationUse, ShareVerdict, share_verdict
 from croftchute.systems.first_tries import FirstTries
 from croftchute.systems.peer_table import PeerTable
+from croftchute.systems.predicted_end import UsualTimes
 from croftchute.systems.prefill_pace import PrefillPace, fit_pace
 from croftchute.systems.request_rank import RequestRanks
 from croftchute.systems.retry_budget import RetryLimits, RetryWindow
@@ -146,6 +147,7 @@
     use_by_service: dict[str, OrganisationUse] = field(default_factory=dict)
     _share_by_organisation: dict[tuple[str, str], _KnownShare] = field(default_factory=dict)
     _mean_tokens_by_service: dict[str, tuple[float, float]] = field(default_factory=dict)
+    usual_times_by_service: dict[str, UsualTimes] = field(default_factory=dict)
     _tells_pace_by_service: dict[str, tuple[bool, float]] = field(default_factory=dict)
     _weights_of: RoutingTable | None = None
     _weight_by_organisation: dict[str, float] = field(default_factory=dict)
--- /dev/null
+++ b/src/croftchute/forwarding/workers/load_probe.py
@@ -0,0 +1,79 @@
+"""Probes of workers' load: short calls of the health path, which answers at once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from croftchute.forwarding.dialect import Verdict, WorkerLoad
+from croftchute.forwarding.http.deadline import within
+from croftchute.forwarding.http.failures import ExchangeError
+from croftchute.forwarding.permits import ONE_CALL, PermitWish
+from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.workers.worker_control import control_exchange
+from croftchute.systems.worker_belief import WorkerBelief
+from croftchute.tables.routing import Service
+
+PROBE_TIMEOUT_S = 0.03
+"""Seconds that a request waits for its probes: some round trips, and little of any target."""
+
+LATE_PROBE_S = 0.2
+"""Seconds after which a probe without an answer is given up. One that comes late still tells the
+load for others, and leaves its connection open; every cut one costs a new connection."""
+
+
+async def probe_loads(
+    state: ForwardingState,
+    service: Service,
+    workers: Sequence[WorkerBelief],
+    timeout_s: float,
+    *,
+    wish: PermitWish = ONE_CALL,
+) -> dict[str, WorkerLoad]:
+    """The loads by id of the workers that told theirs in time; all are asked at once.
+
+    A probe that fails counts nothing against its worker. What is told is taken into the state too.
+    """
+    if not service.health_path or not workers:
+        return {}
+    loads_by_id: dict[str, WorkerLoad] = {}
+    probes: set[asyncio.Task[None]] = {
+        asyncio.ensure_future(_probe(state, service.health_path, belief, wish, loads_by_id))
+        for belief in workers
+    }
+    for probe in probes:
+        state.background.add(probe)
+        probe.add_done_callback(state.background.discard)
+    await asyncio.wait(probes, timeout=timeout_s)
+    return dict(loads_by_id)
+
+
+async def _probe(
+    state: ForwardingState,
+    path: str,
+    belief: WorkerBelief,
+    wish: PermitWish,
+    loads_by_id: dict[str, WorkerLoad],
+) -> None:
+    asked_at = state.clock()
+    worker = belief.worker
+    if not await state.permits.take(worker, wish):
+        return
+    if state.clock() - asked_at > PROBE_TIMEOUT_S:
+        # The request has gone on without it.
+        state.permits.give_back(worker)
+        return
+    data = state.workers_speak.ask_health(worker, path)
+    try:
+        exchange = control_exchange(state, worker, data, LATE_PROBE_S)
+        head, _ = await within(exchange, LATE_PROBE_S, "no answer to a probe")
+    except ExchangeError:
+        return
+    load = state.workers_speak.load(head)
+    if load is None or state.workers_speak.verdict(head) is Verdict.WRONG_WORKER:
+        return
+    sent_since = belief.queue.sent_since(asked_at)
+    state.workers.note_load(
+        worker.id, load.running, load.waiting, state.clock(), sent_since=sent_since
+    )
+    loads_by_id[worker.id] = load
--- a/src/croftchute/forwarding/workers/prompt_reader.py
+++ b/src/croftchute/forwarding/workers/prompt_reader.py
@@ -10,6 +10,7 @@
     ConnectionBrokenError,
     ExchangeError,
 )
+from croftchute.forwarding.workers.end_choice import chooses_by_end, reading_times
 from croftchute.forwarding.workers.load_reader import note_reading_pace
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.worker_call import WorkerCall
@@ -55,10 +56,10 @@
             if run.ends_readers:
                 run.log(Decision.READ_AT_DECODE, outcome="reading it ends workers")
                 return None
-            found = run.choose(Stage.PREFILL, near=decode.worker.zone)
+            found = await self._choose(decode, may_probe=number == 0)
             if found is None or (number > 0 and not self._may_read_again()):
                 return None
-            if not self._is_better_ahead(found[0], decode):
+            if not self._is_better_ahead(*found, decode):
                 return None
             if not await run.take_permit(found[0]):
                 continue
@@ -68,6 +69,18 @@
                 return handle
         return None
 
+    async def _choose(
+        self, decode: WorkerBelief, *, may_probe: bool
+    ) -> tuple[WorkerBelief, ChoiceInput] | None:
+        """A prefill worker near a decode worker; one round of probes at most for a request."""
+        run = self.run
+        near = decode.worker.zone
+        if not chooses_by_end(run.state, run.service):
+            return run.choose(Stage.PREFILL, near=near)
+        wish = run.permit_wish() if may_probe else None
+        choice = run.end_choice(Stage.PREFILL, near=near)
+        return await choice.choose_prefill(run.candidates(Stage.PREFILL), wish=wish)
+
     def taken(self) -> None:
         """A decode worker has taken the handle."""
         self.unused = None
@@ -91,14 +104,25 @@
         leaves_attempt = len(run.workers_sent_to) + 1 < run.route.max_attempts
         return run.arrivals == 0 or (leaves_attempt and run.may_send_again())
 
-    def _is_better_ahead(self, prefill: WorkerBelief, decode: WorkerBelief) -> bool:
-        """Whether the prefill worker's queue is short enough to read the prompt there."""
+    def _reading_times(
+        self, prefill: WorkerBelief, chosen: ChoiceInput, decode: WorkerBelief
+    ) -> ReadingTimes:
         run = self.run
-        times = ReadingTimes.predict(
-            prompt_tokens=run.facts.prompt_tokens,
+        tokens = run.facts.prompt_tokens
+        if chosen.end is not None:
+            return reading_times(chosen.end, decode, state=run.state, prompt_tokens=tokens)
+        return ReadingTimes.predict(
+            prompt_tokens=tokens,
             pace=run.state.prefill_pace(run.service),
             wait_s=run.state.prefill_wait_s(prefill),
         )
+
+    def _is_better_ahead(
+        self, prefill: WorkerBelief, chosen: ChoiceInput, decode: WorkerBelief
+    ) -> bool:
+        """Whether the prefill worker's queue is short enough to read the prompt there."""
+        run = self.run
+        times = self._reading_times(prefill, chosen, decode)
         is_unreachable = run.now < prefill.unreachable_until
         if not is_unreachable and times.is_better_ahead(target_s=run.route.target_s):
             return True
@@ -110,6 +134,7 @@
             wait_ms=round(times.wait_s * 1000),
             ahead_ms=round(times.ahead_s * 1000),
             own_ms=round(times.own_s * 1000),
+            **(chosen.end.log_facts() if chosen.end is not None else {}),
         )
         return False
 
@@ -122,7 +147,8 @@
             is_prefill=True,
         )
         call = WorkerCall(run=run, belief=belief, send=send, chosen=chosen)
-        belief.queue.sent(run.facts.id, run.facts.prompt_tokens, run.now)
+        expected_s = chosen.end.served_s if chosen.end is not None else 0.0
+        belief.queue.sent(run.facts.id, run.facts.prompt_tokens, run.now, expected_s=expected_s)
         try:
             await call.open()
             return await self._take_handle(call)
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -8,6 +8,7 @@
 from croftchute.forwarding.http.exchange import Exchange
 from croftchute.forwarding.permits import PermitWish
 from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.workers.end_choice import EndChoice, chooses_by_end
 from croftchute.systems import patience
 from croftchute.systems.fair_shares import ShareVerdict
 from croftchute.systems.room_order import OrderWay, reserved_tokens, room_rank
@@ -192,13 +193,9 @@
         self, stage: Stage | None, *, near: str = ""
     ) -> tuple[WorkerBelief, ChoiceInput] | None:
         """A worker for the next sending, within the route's attempts; best in the zone ``near``."""
-        candidates = self.state.workers.usable(self.service, self.now, stage=stage)
-        if self.connect_failures >= MAX_CONNECT_TRIES:
-            return None
-        if stage is Stage.DECODE:
-            candidates = self._within_lane(candidates)
-        if len(self.workers_sent_to) >= self.route.max_attempts:
-            candidates = [b for b in candidates if b.worker.id in self.workers_sent_to]
+        candidates = self.candidates(stage)
+        if chooses_by_end(self.state, self.service):
+            return self.end_choice(stage, near=near).choose(candidates)
         return choose(
             candidates,
             around=self.surroundings(stage, near=near),
@@ -208,6 +205,22 @@
             affinity=self.facts.own_part if stage is Stage.DECODE else "",
         )
 
+    def candidates(self, stage: Stage | None) -> list[WorkerBelief]:
+        """Workers that the next sending may go to, those to be avoided among them."""
+        if self.connect_failures >= MAX_CONNECT_TRIES:
+            return []
+        candidates = self.state.workers.usable(self.service, self.now, stage=stage)
+        if stage is Stage.DECODE:
+            candidates = self._within_lane(candidates)
+        if len(self.workers_sent_to) >= self.route.max_attempts:
+            candidates = [b for b in candidates if b.worker.id in self.workers_sent_to]
+        return candidates
+
+    def end_choice(self, stage: Stage | None, *, near: str = "") -> EndChoice:
+        """A choice by predicted end for the next sending."""
+        around = self.surroundings(stage, near=near)
+        return EndChoice(request=self, stage=stage, around=around, avoid=self.avoid | self.full)
+
     @property
     def is_large(self) -> bool:
         """Whether the request needs most of an engine of its service."""
@@ -237,18 +250,17 @@
     def surroundings(self, stage: Stage | None, *, near: str = "") -> Surroundings:
         """What a choice for this request goes by, besides the workers."""
         full_tokens = 0
-        if self.engine is not None:
-            full_tokens = self.engine.kv_tokens
-            if stage is Stage.PREFILL:
-                full_tokens = patience.PREFILL_FULL_TOKENS
-        return Surroundings(
-            zone=near or self.state.zone, peers=self.state.peers, kv_tokens=full_tokens
-        )
+        if (engine := self.engine) is not None:
+            is_prefill = stage is Stage.PREFILL
+            full_tokens = patience.PREFILL_FULL_TOKENS if is_prefill else engine.kv_tokens
+        zone = near or self.state.zone
+        return Surroundings(zone=zone, peers=self.state.peers, kv_tokens=full_tokens)
 
     def describe(self, belief: WorkerBelief, *, candidates: int) -> ChoiceInput:
         """What is known of a worker that was not chosen by cost."""
-        around = self.surroundings(belief.worker.stage)
-        return describe(belief, around, self.now, candidates=candidates)
+        return describe(
+            belief, self.surroundings(belief.worker.stage), self.now, candidates=candidates
+        )
 
     async def take_permit(self, belief: WorkerBelief, *, calls: int = 1) -> bool:
         """Leave for calls of a chosen worker; False if it may not be used now after all.
@@ -261,13 +273,9 @@
             return True
         usable = state.workers.usable(self.service, self.now, stage=worker.stage)
         others = [b for b in usable if b is not belief and b.worker.id not in self.avoid]
-        patience_s = 0.0 if others else self.time_left_s
         wishes = state.workers.wishes
         wish = wishes.told_by(worker.id, self.now)
-        rank = self.rank
-        if not self.is_ordered:
-            rank = max(0, rank - state.most_urgent(self.service))
-        asked = PermitWish(calls=calls, patience_s=patience_s, rank=rank, request_id=self.facts.id)
+        asked = self.permit_wish(calls=calls, patience_s=0.0 if others else self.time_left_s)
         may_call = await state.permits.take(worker, asked)
         if may_call and wishes.told_by(worker.id, self.now) != wish:
             # It said so while the permit was asked for: it is chosen anew, or another one.
@@ -275,6 +283,13 @@
             return False
         return may_call
 
+    def permit_wish(self, *, calls: int = 1, patience_s: float = 0.0) -> PermitWish:
+        """What the request asks of a worker that names a limit."""
+        rank = self.rank
+        if not self.is_ordered:
+            rank = max(0, rank - self.state.most_urgent(self.service))
+        return PermitWish(calls=calls, patience_s=patience_s, rank=rank, request_id=self.facts.id)
+
     def may_send_again(self) -> bool:
         """Take a repeat out of the budget; the first sending needs none.
 
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -88,6 +88,7 @@
         worker = self.worker
         run.last_worker = worker.id
         self._is_counted = True
+        self.belief.sent_at_by_call[self] = run.now
         run.state.workers.note_sent(worker.id, self._tokens)
         run.state.workers.wishes.note_sent(worker.id, run.now)
         connection = await run.state.pool.acquire(
@@ -122,6 +123,7 @@
             reused=connection.uses > 1,
             source=self.send.source.worker.id if self.send.source else "",
             resume_after=self.send.resume_after,
+            **(self.chosen.end.log_facts() if self.chosen.end is not None else {}),
         )
 
     async def head(self, timeout_s: float) -> ResponseHead:
@@ -191,6 +193,7 @@
         """Give the connection back, or close it if the answer is not whole."""
         if self._is_counted:
             self._is_counted = False
+            self.belief.sent_at_by_call.pop(self, None)
             self.run.state.workers.note_ended(self.worker.id, self._tokens)
         if self.connection is not None:
             self.run.state.pool.release(
--- a/src/croftchute/forwarding/workers/worker_control.py
+++ b/src/croftchute/forwarding/workers/worker_control.py
@@ -13,6 +13,7 @@
     ConnectionBrokenError,
     ExchangeError,
 )
+from croftchute.forwarding.http.http_client import ResponseHead
 from croftchute.forwarding.permits import PermitWish
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.workers.load_reader import note_told_pace
@@ -50,6 +51,19 @@
     ``timeout_s`` is for the connection and the answer, ``answer_s`` for the answer if it may take
     longer.
     """
+    head, body = await control_exchange(state, worker, data, timeout_s, answer_s=answer_s)
+    return head.status, body
+
+
+async def control_exchange(
+    state: ForwardingState,
+    worker: Worker,
+    data: bytes,
+    timeout_s: float,
+    *,
+    answer_s: float | None = None,
+) -> tuple[ResponseHead, bytes]:
+    """Head and body of a short call, as :func:`control_call`."""
     answer_s = timeout_s if answer_s is None else answer_s
     state.workers.wishes.note_sent(worker.id, state.clock())
     connection = await state.pool.acquire(
@@ -63,7 +77,7 @@
         if state.workers_speak.verdict(head) is Verdict.WRONG_WORKER:
             note_displaced(state, worker)
         body = await within(connection.read_body(MAX_CONTROL_BYTES), answer_s, "no body")
-        return head.status, body
+        return head, body
     finally:
         state.pool.release(connection, worker.host, worker.port, owner=worker.id, now=state.clock())
 
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -9,6 +9,7 @@
 
 from croftchute.errors import Code, DocumentError, Fault
 from croftchute.systems.patience import HoldWay, ReturnWay
+from croftchute.systems.predicted_end import PlacementWay
 from croftchute.systems.room_order import OrderWay
 from croftchute.systems.service_capacity import SplitWay
 from croftchute.systems.size_lanes import RoomWay
@@ -67,6 +68,7 @@
     returns: ReturnWay = ReturnWay.RETURNED_FIRST
     hold: HoldWay = HoldWay.LIKELY
     order: OrderWay = OrderWay.AUTO
+    placement: PlacementWay = PlacementWay.AUTO
 
 
 class RouterSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/croftchute/systems/prefill_queue.py
+++ b/src/croftchute/systems/prefill_queue.py
@@ -22,10 +22,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _OpenCall:
-    """One call of this box that the worker has not answered."""
+    """One call of this box that the worker has not answered.
+
+    ``expected_s`` is how long it was predicted to take when it was sent; 0 if it was not.
+    """
 
     sent_at: float
     tokens: int
+    expected_s: float = 0.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -36,9 +40,27 @@
     seen_wait_s: float = 0.0
     seen_at: float = 0.0
 
-    def sent(self, request_id: str, tokens: int, now: float) -> None:
+    def sent(self, request_id: str, tokens: int, now: float, *, expected_s: float = 0.0) -> None:
         """A prompt goes to the worker."""
-        self.open_by_request[request_id] = _OpenCall(sent_at=now, tokens=tokens)
+        self.open_by_request[request_id] = _OpenCall(
+            sent_at=now, tokens=tokens, expected_s=expected_s
+        )
+
+    def sent_since(self, at: float) -> int:
+        """Open calls that were sent after some time."""
+        return sum(call.sent_at > at for call in self.open_by_request.values())
+
+    def seen_wait_left_s(self, now: float) -> float:
+        """What the wait of the last answered call says of now."""
+        return faded(self.seen_wait_s, now - self.seen_at)
+
+    def overdue_s(self, *, pace: PrefillPace, now: float) -> float:
+        """How long the latest of the open calls takes beyond what was predicted for it."""
+        late = (
+            now - call.sent_at - max(call.expected_s, pace.reading_s(call.tokens))
+            for call in self.open_by_request.values()
+        )
+        return max(0.0, max(late, default=0.0))
 
     def answered(self, request_id: str, *, pace: PrefillPace, now: float) -> None:
         """The worker has read the prompt."""
--- a/src/croftchute/systems/worker_belief.py
+++ b/src/croftchute/systems/worker_belief.py
@@ -60,6 +60,7 @@
     changing_since: float = 0.0
     changing_until: float = 0.0
     queue: PrefillQueue = field(default_factory=PrefillQueue)
+    sent_at_by_call: dict[object, float] = field(default_factory=dict)
 
     def has_rejected_lately(self, now: float) -> bool:
         """Whether it seems full."""
@@ -70,6 +71,10 @@
         age = max(0.0, now - self.failed_at)
         return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_S)
 
+    def oldest_call_s(self, now: float) -> float:
+        """For how long this box's oldest open call there has been open; 0 if there is none."""
+        return now - min(self.sent_at_by_call.values(), default=now)
+
     def fits(self, stage: Stage | None, now: float) -> bool:
         """Whether it does work of a stage at the moment, so far as its list entry goes."""
         if self.displaced or self.has_ended or self.is_unreadable or now < self.changing_until:
--- a/src/croftchute/systems/worker_choice.py
+++ b/src/croftchute/systems/worker_choice.py
@@ -9,6 +9,7 @@
 
 from croftchute.systems.rendezvous import weight
 from croftchute.systems.worker_belief import WorkerBelief
+from croftchute.tables.paces import PredictedEnd
 from croftchute.tables.routing import Route, Stage
 
 FAILURE_COST = 1.0
@@ -40,7 +41,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ChoiceInput:
-    """Why one worker was chosen; goes to the log."""
+    """Why one worker was chosen; goes to the log. ``end`` is None if it was chosen by cost."""
 
     worker: str
     cost: float
@@ -49,6 +50,7 @@
     failures: float
     age_s: float
     candidates: int
+    end: PredictedEnd | None = None
 
 
 class PeerView(Protocol):
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -298,14 +298,19 @@
         belief.failed_at = now
         return belief.failures
 
-    def note_load(self, worker_id: str, running: int, waiting: int, now: float) -> None:
-        """Take in the load that a worker told with an answer."""
+    def note_load(
+        self, worker_id: str, running: int, waiting: int, now: float, *, sent_since: int = 0
+    ) -> None:
+        """Take in the load that a worker told with an answer.
+
+        ``sent_since`` are open requests of this box that may have come too late to be counted.
+        """
         belief = self.beliefs_by_id.get(worker_id)
         if belief is not None:
             belief.load_running = running
             belief.load_waiting = waiting
             belief.load_at = now
-            belief.in_flight_at_load = belief.in_flight
+            belief.in_flight_at_load = belief.in_flight - sent_since
 
     def note_full(self, worker_id: str, until: float) -> None:
         """A worker had no room: do not ask it again before some time."""
--- /dev/null
+++ b/tests/systems/test_predicted_end.py
@@ -0,0 +1,373 @@
+"""Predicted ends of requests at workers, and that boxes with the same news do not herd."""
+
+import heapq
+import math
+import random
+
+import pytest
+
+from croftchute.systems import predicted_end
+from croftchute.systems.peer_table import PeerTable
+from croftchute.systems.predicted_end import (
+    UsualTimes,
+    decode_end,
+    draw,
+    draw_by_end,
+    earliest,
+    end_weights,
+    is_doubtful,
+    plain_end,
+    prefill_end,
+    without_doubtful,
+)
+from croftchute.systems.prefill_pace import PrefillPace
+from croftchute.systems.worker_belief import WorkerBelief
+from croftchute.systems.worker_choice import Surroundings, choose
+from croftchute.systems.worker_table import WorkerTable
+from croftchute.tables.paces import PaceEstimate, PaceSource, PredictedEnd
+from croftchute.tables.routing import Stage, Worker
+
+AROUND = Surroundings(zone="near", peers=PeerTable(own_id="me"))
+READING = PrefillPace(fixed_s=0.1, pace=50_000.0)
+USUAL = UsualTimes(answer_s=0.1, stream_s=5.0, pause_s=0.02, prompt_s=0.2, full_prompts_s=0.5)
+
+
+class PeersThatFailed:
+    """Peers that hold so many failures against each worker."""
+
+    def __init__(self, failures):
+        self._failures = failures
+
+    def in_flight(self, worker_id, now):
+        return 0
+
+    def failures(self, worker_id, now):
+        return self._failures
+
+
+def belief(name="w", *, zone="near", slots=2, stage=None):
+    worker = Worker(id=name, service="s", host="h", port=1, zone=zone, slots=slots, stage=stage)
+    return WorkerBelief(worker=worker, listed_at=0.0)
+
+
+def pace(factor=1.0, age_s=0.1):
+    return PaceEstimate(factor=factor, source=PaceSource.TOLD, age_s=age_s)
+
+
+def plain(known, *, factor=1.0, now=10.0, around=AROUND):
+    return plain_end(known, usual_s=0.1, around=around, pace=pace(factor), now=now)
+
+
+def decode(known, *, factor=1.0, gap_s=0.3, around=AROUND):
+    return decode_end(
+        known,
+        usual=USUAL,
+        target_s=0.9,
+        target_gap_s=gap_s,
+        around=around,
+        pace=pace(factor),
+        now=10.0,
+    )
+
+
+def prefill(known, *, factor=1.0, now=10.0, told_wait_s=0.0, around=AROUND):
+    return prefill_end(
+        known,
+        prompt_tokens=5_000,
+        usual=USUAL,
+        reading=READING,
+        told_wait_s=told_wait_s,
+        around=around,
+        pace=pace(factor),
+        now=now,
+    )
+
+
+def end(seconds, *, wait_s=0.0):
+    return PredictedEnd(wait_s=wait_s, work_s=seconds)
+
+
+# The parts of an end.
+
+
+def test_a_plain_request_waits_for_what_is_beyond_the_slots_at_the_pace():
+    """Guards against waits that ignore the pace, or that begin before the slots are taken."""
+    known = belief()
+    assert plain(known, factor=2.0).total_s == pytest.approx(0.2)
+    known.in_flight = 3
+    found = plain(known, factor=2.0)
+    assert found.wait_s == pytest.approx(2 * 0.05 * 2.0)
+    assert (found.pace, found.pace_source, found.pace_age_s) == (2.0, PaceSource.TOLD, 0.1)
+
+
+def test_a_plain_worker_that_hangs_costs_more_before_its_first_call_times_out():
+    """Guards against calls of a hanging worker until a time-out of 400 ms to 2 s."""
+    known = belief()
+    known.sent_at_by_call[object()] = 9.5
+    known.sent_at_by_call[object()] = 9.9
+    assert plain(known, now=9.75).overdue_s == 0.0
+    assert plain(known, now=10.0).overdue_s == pytest.approx(0.2)
+    assert plain(known, now=11.0).overdue_s == pytest.approx(1.2)
+
+
+def test_a_decode_worker_whose_pauses_would_be_too_long_costs_the_target():
+    """Guards against streams at a worker so slow that its pauses alone make them late."""
+    known = belief(stage=Stage.DECODE)
+    assert decode(known, factor=4.0, gap_s=0.1).gap_s == 0.0
+    assert decode(known, factor=6.0, gap_s=0.1).gap_s == 0.9
+    assert decode(known, factor=6.0, gap_s=0.0).gap_s == 0.0
+
+
+def test_what_a_decode_worker_holds_counts_in_full_workers():
+    """Guards against asking engines for holds that are known to be full."""
+    known = belief(slots=8, stage=Stage.DECODE)
+    known.in_flight, known.tokens_in_flight = 2, 5_000
+    around = Surroundings(zone="near", peers=PeerTable(own_id="me"), kv_tokens=20_000)
+    assert decode(known, around=around).wait_s == pytest.approx(0.5 * 5.0)
+
+
+def test_a_prompt_waits_for_those_that_a_fresh_probe_told_and_for_those_sent_since():
+    """Guards against prompts of this box that the probed worker had not received yet."""
+    table = WorkerTable()
+    table.upsert(belief("p", stage=Stage.PREFILL).worker, 0.0)
+    known = table.beliefs_by_id["p"]
+    table.note_sent("p", 5_000)
+    known.queue.sent("r1", 5_000, 9.99)
+    table.note_load("p", 2, 1, 10.0, sent_since=known.queue.sent_since(9.98))
+    assert prefill(known, factor=1.5).wait_s == pytest.approx(4 * 0.2 * 1.5)
+
+
+def test_a_fresh_probe_overrules_what_calls_waited_before():
+    """Guards against a worker that is idle again being passed over for a wait of the past."""
+    known = belief(stage=Stage.PREFILL)
+    known.queue.seen_wait_s, known.queue.seen_at = 0.6, 10.0
+    assert prefill(known, told_wait_s=0.8).wait_s == pytest.approx(0.8)
+    assert prefill(known).wait_s == pytest.approx(0.6)
+    known.load_at = 9.9
+    assert prefill(known, told_wait_s=0.8).wait_s == 0.0
+
+
+def test_a_prompt_is_overdue_only_beyond_what_was_predicted_when_it_was_sent():
+    """Guards against counting a queue that was known as a second wait."""
+    known = belief(stage=Stage.PREFILL)
+    known.queue.sent("r1", 5_000, 9.0, expected_s=0.8)
+    assert prefill(known, now=9.7).overdue_s == 0.0
+    assert prefill(known, now=10.0).overdue_s == pytest.approx(0.2)
+
+
+def test_another_hall_costs_some_round_trips():
+    """Guards against work that leaves the hall for no gain."""
+    assert plain(belief(zone="far")).far_s == predicted_end.FAR_S
+    assert plain(belief()).far_s == 0.0
+
+
+@pytest.mark.parametrize("of", [plain, decode, prefill])
+def test_one_failure_costs_at_least_the_usual_time_and_those_of_peers_their_part(of):
+    """Guards against failures that weigh less than in choices by cost."""
+    known = belief()
+    usual_s = of(known).work_s
+    known.failures, known.failed_at = 1.0, 10.0
+    assert of(known).failure_s >= usual_s
+    around = Surroundings(zone="near", peers=PeersThatFailed(50.0))
+    assert of(belief(), around=around).failure_s >= 1.6 * usual_s
+
+
+def test_an_end_tells_its_parts_to_the_log():
+    """Guards against a choice that can't be explained, and an infinite age that is no JSON."""
+    facts = PredictedEnd(wait_s=0.1, work_s=0.2, gap_s=0.9).log_facts()
+    assert facts["end_ms"] == 1200.0
+    assert facts["end_wait_ms"] == 100.0
+    assert facts["pace_source"] == "prior"
+    assert facts["pace_age_s"] is None
+
+
+# Draws.
+
+
+def test_a_draw_names_different_workers_in_proportion_to_their_speeds():
+    """Guards against the same worker probed twice, and against slow workers as often as quick."""
+    names = ["slow", "usual", "quick", "quicker"]
+    speeds = dict(zip(names, (0.25, 1.0, 1.5, 2.25), strict=True))
+    beliefs = [belief(name) for name in names]
+    rng = random.Random(5)
+    first = [draw(beliefs, speeds=speeds, count=3, rng=rng) for _ in range(4000)]
+    assert all(len({one.worker.id for one in drawn}) == 3 for drawn in first)
+    for name, speed in speeds.items():
+        part = sum(drawn[0].worker.id == name for drawn in first) / len(first)
+        assert part == pytest.approx(speed / 5.0, abs=0.03)
+
+
+def test_a_draw_of_more_than_there_are_names_all():
+    """Guards against an error in a service of one or two prefill workers."""
+    drawn = draw([belief("a"), belief("b")], speeds={"a": 1, "b": 1}, count=3, rng=random.Random(1))
+    assert {one.worker.id for one in drawn} == {"a", "b"}
+
+
+def test_the_earliest_end_is_chosen():
+    """Guards against a part that is left out of the comparison."""
+    ends = {"a": end(0.2), "b": PredictedEnd(wait_s=0.0, work_s=0.1, failure_s=0.2)}
+    assert earliest(ends) == "a"
+
+
+def test_weights_add_up_and_none_is_over_its_share_by_speed():
+    """Guards against one quick worker among slow ones that takes most of the work."""
+    rng = random.Random(3)
+    for _ in range(300):
+        ends = [end(rng.uniform(0.02, 1.0)) for _ in range(rng.randint(1, 12))]
+        speeds = [1.0 / one.work_s for one in ends]
+        weights = end_weights(ends)
+        assert math.isclose(sum(weights), 1.0)
+        for weight, speed in zip(weights, speeds, strict=True):
+            limit = predicted_end.MAX_OVER_SHARE * speed / sum(speeds)
+            assert weight <= limit + 1e-9
+
+
+def test_what_hangs_leaves_all_to_others():
+    """Guards against the limit on shares sending work to workers that hang."""
+    hanging = PredictedEnd(wait_s=0.0, work_s=0.1, overdue_s=0.5)
+    weights = end_weights([end(0.1), hanging, hanging])
+    assert weights[0] > 0.98
+
+
+def test_a_failing_worker_gets_nothing_while_others_are_sound_as_by_cost():
+    """Guards against a share for a worker that all choices by cost would leave out."""
+    table = WorkerTable()
+    for name in ("a", "b", "c"):
+        table.upsert(belief(name).worker, 0.0)
+    known = table.beliefs_by_id
+    table.note_failure("a", 1.0, 10.0)
+
+    def picks(now):
+        ends = {name: plain(known[name], now=now) for name in known}
+        doubtful = {name for name in known if is_doubtful(known[name], AROUND, now)}
+        return {draw_by_end(ends, doubtful, random.Random(seed)) for seed in range(200)}
+
+    def by_cost(now):
+        usable = table.usable("s", now)
+        found = (
+            choose(usable, around=AROUND, avoid=(), now=now, rng=random.Random(seed))
+            for seed in range(200)
+        )
+        return {one[0].worker.id for one in found}
+
+    assert picks(10.0) == by_cost(10.0) == {"b", "c"}
+    assert picks(40.0) == by_cost(40.0) == {"a", "b", "c"}
+    known["b"].in_flight = known["c"].in_flight = 6
+    assert "a" in picks(10.0)
+
+
+def test_failing_workers_are_never_shut_out_where_no_other_is_left():
+    """Guards against a request that is refused though a worker that failed lately could serve."""
+    known = belief("a")
+    known.failures, known.failed_at = 4.0, 10.0
+    assert draw_by_end({"a": plain(known)}, {"a"}, random.Random(1)) == "a"
+    sound = belief("b")
+    kept = without_doubtful([known, sound], around=AROUND, now=10.0, least=1)
+    assert kept == [sound]
+    assert len(without_doubtful([known, sound], around=AROUND, now=10.0, least=3)) == 2
+
+
+# Herding: boxes that choose by the same news, half a second old.
+
+NEWS_AGE_S = 0.5
+USUAL_S = 0.1
+RATE = 1500.0
+SLOTS = 30
+BOUND = 3.0
+MIXED = [0.6, 1.0, 1.6] * 4
+CHANGES = {
+    "one of three slows": ([1.0, 1.0, 1.0], [5.0, 1.0, 1.0]),
+    "a quick one slows": (MIXED, [1.5, *MIXED[1:]]),
+    "slow ones recover": ([1.5, 2.5, 4.0, *MIXED[3:]], MIXED),
+    "the only quick one slows": ([1.6] * 11 + [0.6], [1.6] * 11 + [1.5]),
+    "one is told to be five times as quick": ([1.0] * 11 + [0.2], [1.0] * 11 + [0.2]),
+}
+
+
+def by_weights(ends, speeds, rng):
+    """The rule in use."""
+    return draw_by_end(ends, set(), rng)
+
+
+def by_cube_alone(ends, speeds, rng):
+    """(1 / end) ** 3 without a limit on shares."""
+    names = list(ends)
+    return rng.choices(names, weights=[ends[name].total_s ** -3.0 for name in names])[0]
+
+
+def by_two_candidates(ends, speeds, rng):
+    """The sooner of two candidates drawn by speed."""
+    names = sorted(ends, key=lambda name: rng.expovariate(speeds[name]))[:2]
+    return min(names, key=lambda name: ends[name].total_s)
+
+
+def most_over_share(rule, *, boxes, before, after, seed):
+    """The highest part of the requests of one second over the share by speed, of any worker.
+
+    The paces change at 0. All boxes know them as they were half a second before, what they have
+    open themselves, and the load that their own answers told.
+    """
+    rng = random.Random(seed)
+    names = [f"w{number}" for number in range(len(before))]
+    views = [{name: belief(name, slots=SLOTS) for name in names} for _ in range(boxes)]
+    running = dict.fromkeys(names, 0)
+    counts = dict.fromkeys(names, 0)
+    open_calls = []
+    number, now = 0, -1.0
+    while (now := now + rng.expovariate(RATE)) < 1.0:
+        while open_calls and open_calls[0][0] <= now:
+            ended_at, _, box, name = heapq.heappop(open_calls)
+            running[name] -= 1
+            known = views[box][name]
+            known.in_flight -= 1
+            known.load_running, known.load_at = running[name], ended_at
+            known.in_flight_at_load = known.in_flight
+        box = rng.randrange(boxes)
+        told = dict(zip(names, before if now < NEWS_AGE_S else after, strict=True))
+        true = dict(zip(names, before if now < 0.0 else after, strict=True))
+        ends = {
+            name: plain_end(
+                views[box][name],
+                usual_s=USUAL_S,
+                around=AROUND,
+                pace=pace(told[name], NEWS_AGE_S),
+                now=now,
+            )
+            for name in rng.sample(names, len(names))
+        }
+        name = rule(ends, {name: 1.0 / told[name] for name in names}, rng)
+        running[name] += 1
+        views[box][name].in_flight += 1
+        number += 1
+        took_s = USUAL_S * true[name] * max(1.0, running[name] / SLOTS)
+        heapq.heappush(open_calls, (now + took_s, number, box, name))
+        counts[name] += now >= 0.0
+    speed = sum(1.0 / factor for factor in after)
+    total = sum(counts.values())
+    return max(
+        counts[name] / total * factor * speed for name, factor in zip(names, after, strict=True)
+    )
+
+
+@pytest.mark.parametrize("boxes", [8, 87, 360])
+@pytest.mark.parametrize("change", CHANGES)
+def test_no_worker_gets_over_three_times_its_share_by_speed_after_a_change(boxes, change):
+    """Guards against all boxes turning to the worker that the same old news call the quickest."""
+    before, after = CHANGES[change]
+    found = most_over_share(by_weights, boxes=boxes, before=before, after=after, seed=1)
+    assert found <= BOUND
+
+
+def test_the_rule_in_use_holds_the_bound_better_than_those_that_were_not_kept():
+    """Guards against a return to a rule that was tried: the cube alone, or two candidates."""
+    before, after = CHANGES["the only quick one slows"]
+
+    def worst(rule):
+        return max(
+            most_over_share(rule, boxes=360, before=before, after=after, seed=seed)
+            for seed in range(2)
+        )
+
+    kept = worst(by_weights)
+    assert kept < worst(by_two_candidates)
+    assert kept < worst(by_cube_alone)
