Figures of a worker's load that are none change nothing

Cause: a load of 400 digits or a pace of 400 could not be a float, and a number of over 4,300 digits could not be read at all: the answer's reading failed with an error that no caller expects.

--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -39,6 +39,9 @@
 """Seconds after which a worker's change to the same stage would be another one: an order that is
 carried out is over within ten."""
 
+MOST_REQUESTS = 1_000_000
+"""Most requests running or waiting that a worker is believed to have: more is no load."""
+
 UNREACHABLE_S = 1.5
 """Seconds for which a worker to which no connection came up is passed over where it can be: a try
 costs a caller the time of one connection, and cuts and crashes last for some seconds."""
@@ -306,7 +309,7 @@
         ``sent_since`` are open requests of this box that may have come too late to be counted.
         """
         belief = self.beliefs_by_id.get(worker_id)
-        if belief is not None:
+        if belief is not None and max(running, waiting) <= MOST_REQUESTS:
             belief.load_running = running
             belief.load_waiting = waiting
             belief.load_at = now
--- a/tests/platform_adapter/test_load_probe.py
+++ b/tests/platform_adapter/test_load_probe.py
@@ -271,6 +271,51 @@
     run(body)
 
 
+@pytest.mark.parametrize(
+    "load",
+    [
+        "",
+        "x",
+        "1",
+        "-1,0,8,100",
+        "1,,8,100",
+        "nan,0,8,100",
+        "9" * 400 + ",0,8,100",
+        "9" * 5000 + ",0,8,100",
+    ],
+)
+def test_a_load_that_is_none_changes_nothing(load):
+    """Guards against a choice that fails, or a worker shut out, by figures that make no sense."""
+
+    async def body():
+        async with fleet(config=probed_config()) as made:
+            box, prefill = await probed(made, prefills=2)
+            for worker in prefill:
+                worker.load = load
+            assert (await ask(box, "/stream/x")).is_whole
+            assert [len(probes(worker)) for worker in prefill] == [1, 1]
+            for known in beliefs(box, Stage.PREFILL):
+                assert known.load_at < 0.0 and known.failures == 0.0
+
+    run(body)
+
+
+@pytest.mark.parametrize("pace", ["", "0", "-5", "nan", "inf", "9" * 400, "9" * 5000])
+def test_a_pace_that_is_none_leaves_the_load_and_tells_no_pace(pace):
+    """Guards against answers that fail by a pace which makes no sense."""
+
+    async def body():
+        async with fleet(config=probed_config()) as made:
+            box, prefill = await probed(made, prefills=1)
+            prefill[0].load = f"2,1,8,{pace}"
+            known = beliefs(box, Stage.PREFILL)
+            assert set(await probe_loads(box.state, llm(box), known, 5.0)) == {"p0"}
+            assert known[0].load_running == 2
+            assert not box.state.paces.is_told(["p0"], box.state.clock())
+
+    run(body)
+
+
 @pytest.mark.parametrize("way", [PlacementWay.AUTO, PlacementWay.BY_COST])
 def test_nothing_is_probed_where_no_pace_is_told_or_by_cost(way):
     """Guards against calls that services without a pace never got before."""
