--- a/src/croftchute/forwarding/http/event_stream.py
+++ b/src/croftchute/forwarding/http/event_stream.py
@@ -7,6 +7,10 @@
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 
+MAX_DIGITS = 18
+"""Digits of an event's number: it fits 64 bits. Python reads no more than 4,300, and the id of an
+event may be longer."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StreamEvent:
@@ -25,7 +29,7 @@
     for line in data.split(b"\n"):
         if line.startswith(ID_FIELD):
             value = line[len(ID_FIELD) :].strip()
-            return int(value) if value.isdigit() else None
+            return int(value) if value.isdigit() and len(value) <= MAX_DIGITS else None
     return None
 
 
