--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -20,7 +20,7 @@
 from croftchute.storage.position import era_of, told
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.crash_records import CrashRecords
-from croftchute.systems.fair_shares import OrganisationUse, ShareVerdict, share_verdict
+from croftchute.systems.fair_shares import OrganisationUse, ShareVerdict, share_verdicts
 from croftchute.systems.first_tries import FirstTries
 from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.prefill_pace import PrefillPace, fit_pace
@@ -33,6 +33,7 @@
 from croftchute.systems.worker_belief import WorkerBelief
 from croftchute.systems.worker_pace import WorkerPaces
 from croftchute.systems.worker_table import WorkerTable
+from croftchute.tables.organisations import LimitUnit
 from croftchute.tables.routing import IngressLimits, RoutingTable, Stage
 
 LEARN_PEERS_S = 3.0
@@ -53,7 +54,7 @@
 """Seconds for which a lane's size is used: it follows averages of ten seconds."""
 
 SHARES_KEPT_S = 0.25
-"""Seconds for which a verdict on an organisation's share is used: half of the time between two
+"""Seconds for which verdicts on the shares of organisations are used: half of the time between two
 notices."""
 
 ROOM_VIEW_KEPT_S = 0.1
@@ -77,10 +78,10 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _KnownShare:
-    """A verdict on an organisation's share, and when it was made."""
+class _KnownShares:
+    """Verdicts on the shares of organisations, and when they were made."""
 
-    verdict: ShareVerdict
+    verdict_by_name: dict[str, ShareVerdict]
     at: float
 
 
@@ -144,11 +145,9 @@
     _request_ranks_by_service: dict[str, RequestRanks] = field(default_factory=dict)
     _room_view_by_service: dict[str, _KnownRoom] = field(default_factory=dict)
     use_by_service: dict[str, OrganisationUse] = field(default_factory=dict)
-    _share_by_organisation: dict[tuple[str, str], _KnownShare] = field(default_factory=dict)
+    _shares_by_service: dict[str, _KnownShares] = field(default_factory=dict)
     _mean_tokens_by_service: dict[str, tuple[float, float]] = field(default_factory=dict)
     _tells_pace_by_service: dict[str, tuple[bool, float]] = field(default_factory=dict)
-    _weights_of: RoutingTable | None = None
-    _weight_by_organisation: dict[str, float] = field(default_factory=dict)
     _odd_era_logged_at: float = -math.inf
     _lane_by_service: dict[str, _KnownLane] = field(default_factory=dict)
     _pace_by_service: dict[str, _KnownPace] = field(default_factory=dict)
@@ -347,31 +346,32 @@
     def share_verdict(self, service: str, organisation: str) -> ShareVerdict:
         """Whether an organisation has more than its share of a service's decode memory."""
         now = self.clock()
-        known = self._share_by_organisation.get((service, organisation))
+        known = self._shares_by_service.get(service)
         if known is None or now - known.at >= SHARES_KEPT_S:
-            uses = [
-                *self.organisation_use(service).notices(now),
-                *self.peers.uses(service, now),
-            ]
-            verdict = share_verdict(organisation, uses, self._weights())
-            known = _KnownShare(verdict=verdict, at=now)
-            self._share_by_organisation[service, organisation] = known
-        return known.verdict
-
-    def _weights(self) -> dict[str, float]:
-        """The limits of organisations in units a second, those that have one."""
-        table = self.table
-        if table is not None and self._weights_of is not table:
-            self._weights_of = table
-            # Organisations that are no longer configured are forgotten with their verdicts.
-            self._share_by_organisation = {}
-            by_name = table.organisations.by_name if table.organisations is not None else {}
-            self._weight_by_organisation = {
-                name: organisation.limit.rate_per_s
-                for name, organisation in by_name.items()
-                if organisation.limit is not None
-            }
-        return self._weight_by_organisation
+            uses = [*self.organisation_use(service).notices(now), *self.peers.uses(service, now)]
+            weights = self._weights(service, {use.name for use in uses})
+            known = _KnownShares(verdict_by_name=share_verdicts(uses, weights), at=now)
+            self._shares_by_service[service] = known
+        return known.verdict_by_name.get(organisation, ShareVerdict())
+
+    def _weights(self, service: str, names: set[str]) -> dict[str, float]:
+        """The limits of organisations that have one, in tokens a second.
+
+        One that counts requests is taken as so many requests of mean size.
+        """
+        organisations = self.table.organisations if self.table is not None else None
+        if organisations is None:
+            return {}
+        tokens_by_unit = {
+            LimitUnit.TOKENS: 1.0,
+            LimitUnit.REQUESTS: self.mean_request_tokens(service),
+        }
+        return {
+            name: limit.rate_per_s * tokens_by_unit[limit.unit]
+            for name in names
+            if (organisation := organisations.by_name.get(name)) is not None
+            and (limit := organisation.limit) is not None
+        }
 
     def _renew_ranks(self, table: RoutingTable) -> None:
         if self._ranks_of is not table:
--- a/src/croftchute/forwarding/workers/decode_room.py
+++ b/src/croftchute/forwarding/workers/decode_room.py
@@ -10,7 +10,12 @@
 from croftchute.forwarding.dialect import Hold
 from croftchute.forwarding.http.failures import ExchangeError
 from croftchute.forwarding.workers.request_run import RequestRun
-from croftchute.forwarding.workers.room_turn import PollingTurn, RankedTurn, RoomTurn
+from croftchute.forwarding.workers.room_turn import (
+    PollingTurn,
+    RankedTurn,
+    RequestUse,
+    RoomTurn,
+)
 from croftchute.forwarding.workers.worker_control import drop_hold, take_hold
 from croftchute.systems import patience
 from croftchute.systems.patience import ReturnWay
@@ -38,6 +43,7 @@
         self.detail = ""
         self._resumed_in_place = False
         self._permit_at: Worker | None = None
+        self._use = RequestUse(run=run)
 
     async def reserve(self) -> tuple[WorkerBelief, ChoiceInput] | None:
         """A decode worker that keeps room for the request, waiting for a while if all are full."""
@@ -49,13 +55,16 @@
         with closing(self._turn(is_begun=is_begun)) as turn:
             while True:
                 has_asked = turn.may_ask(run.now)
+                if has_asked and run.held_back:
+                    # It says no longer why the request has no room.
+                    self.code, self.detail = None, ""
+                run.held_back = not has_asked
                 found = await self._ask_for_room() if has_asked else None
                 if found is not None:
                     if not is_begun:
                         run.state.demand(run.service).note_granted(run.now, is_large=run.is_large)
                     turn.granted(run.now)
                     return found
-                run.held_back = not has_asked
                 if run.held_back:
                     self.code = Code.NO_CAPACITY
                     self.detail = "more urgent requests wait for room"
@@ -71,7 +80,7 @@
         """How the request waits: a stream that has begun goes before all others."""
         run = self.run
         if not is_begun and run.is_ordered:
-            return RankedTurn(run=run)
+            return RankedTurn(run=run, use=self._use)
         pause_s = patience.room_poll(
             run.route, run.state.ways.returns, before_s=run.before_s, is_begun=is_begun
         )
--- a/src/croftchute/forwarding/workers/room_turn.py
+++ b/src/croftchute/forwarding/workers/room_turn.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Protocol
 
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.systems import room_order
-from croftchute.systems.fair_shares import OrganisationUse
 from croftchute.systems.room_forecast import RoomHistory
 
 
@@ -65,17 +63,44 @@
         """Nothing is held."""
 
 
+class RequestUse:
+    """What one request asks for and gets, counted for its organisation once.
+
+    A request that no worker took in the end asks for room again.
+    """
+
+    def __init__(self, *, run: RequestRun) -> None:
+        self.run = run
+        self._name = run.facts.organisation
+        self._tokens = run.facts.prompt_tokens + run.facts.likely_output
+        self._asked_at: float | None = None
+        self._has_room = False
+
+    def asked(self, now: float) -> None:
+        """The request asks for room."""
+        if self._name and self._asked_at is None:
+            self._asked_at = now
+            use = self.run.state.organisation_use(self.run.service)
+            use.note_asked(self._name, self._tokens, now)
+
+    def granted(self, now: float) -> None:
+        """The request got room."""
+        if self._asked_at is not None and not self._has_room:
+            self._has_room = True
+            use = self.run.state.organisation_use(self.run.service)
+            use.note_granted(self._name, self._tokens, now, waited_s=now - self._asked_at)
+
+
 class RankedTurn:
     """Asks the more often the more urgent it is, and leaves room to more urgent requests."""
 
-    def __init__(self, *, run: RequestRun) -> None:
+    def __init__(self, *, run: RequestRun, use: RequestUse) -> None:
         self.run = run
+        self.use = use
         self.room = run.state.ranked_room(run.service)
         self._rank: int | None = None
         self._had_last_chance = False
-        self._organisation = run.facts.organisation
-        self._tokens = run.facts.prompt_tokens + run.facts.likely_output
-        self._note_use(OrganisationUse.note_asked)
+        use.asked(run.now)
 
     def may_ask(self, now: float) -> bool:
         """Whether no more urgent rank waits too long; once, before it is late, all the same."""
@@ -94,7 +119,9 @@
         self._wait_as(run.room_rank)
         pause_s = room_order.pause_s(run.room_rank)
         left_s = run.in_time_left_s - room_order.LAST_CHANCE_S / 2
-        return min(pause_s, left_s) if left_s > 0.0 else pause_s
+        if left_s <= 0.0:
+            return pause_s
+        return min(pause_s, max(room_order.SHORTEST_PAUSE_S, left_s))
 
     def waited(self, seconds: float, now: float) -> None:
         """Counts for the forecast of its rank, and of all less urgent ones."""
@@ -105,18 +132,12 @@
         """Counts for the forecast only after a wait."""
         if self._rank is not None:
             self.room.note_granted(self._rank, now)
-        self._note_use(OrganisationUse.note_granted)
+        self.use.granted(now)
 
     def close(self) -> None:
         """It is not among those that wait any more."""
         self._wait_as(None)
 
-    def _note_use(self, note: Callable[[OrganisationUse, str, int, float], None]) -> None:
-        """Count the request's tokens for its organisation, if it belongs to one."""
-        if self._organisation:
-            use = self.run.state.organisation_use(self.run.service)
-            note(use, self._organisation, self._tokens, self.run.now)
-
     def _wait_as(self, rank: int | None) -> None:
         """Count the request among those that wait with a rank, which may change meanwhile."""
         if rank == self._rank:
--- a/src/croftchute/systems/fair_shares.py
+++ b/src/croftchute/systems/fair_shares.py
@@ -9,7 +9,8 @@
 
 import heapq
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+from itertools import accumulate
 
 from croftchute.tables.peers import OrganisationUseNotice
 
@@ -25,6 +26,9 @@
 SCARCE_RATIO = 0.9
 """Granted over asked under which room is short: some requests ask just before they get it."""
 
+MOST_TOKENS = 1e9
+"""Tokens of use beyond which what a peer tells is ignored: a thousand engines' memory."""
+
 TOLERANCE = 0.1
 """Share of its fair part by which an organisation may be over it: one request more or less."""
 
@@ -54,9 +58,12 @@
         """A request asks for room; each request counts once."""
         self._faded(name, now).asked += tokens
 
-    def note_granted(self, name: str, tokens: int, now: float) -> None:
-        """A request got room."""
-        self._faded(name, now).granted += tokens
+    def note_granted(self, name: str, tokens: int, now: float, *, waited_s: float = 0.0) -> None:
+        """A request got room; it counts as much as its asking does by now, ``waited_s`` later.
+
+        An organisation whose requests all waited and got room would else have more than it asked.
+        """
+        self._faded(name, now).granted += tokens * 0.5 ** (max(0.0, waited_s) / HALF_LIFE_S)
 
     def notices(self, now: float) -> tuple[OrganisationUseNotice, ...]:
         """What peers are told: the organisations that asked for the most."""
@@ -103,20 +110,31 @@
     >>> share_verdict("quiet", uses, {}).is_over
     False
     """
-    total_by_name = _totals(uses)
-    own = total_by_name.get(name)
-    granted = sum(use.granted_tokens for use in total_by_name.values())
-    asked = sum(use.asked_tokens for use in total_by_name.values())
-    if own is None or granted <= 0.0 or granted >= SCARCE_RATIO * asked:
-        return ShareVerdict()
-    demands = {other: use.asked_tokens for other, use in total_by_name.items()}
-    shares = fair_shares(demands, weights_by_name, granted)
-    return ShareVerdict(
-        is_over=own.granted_tokens > (1.0 + TOLERANCE) * shares[name],
-        is_scarce=True,
-        share=shares[name] / granted,
-        used=own.granted_tokens / granted,
-    )
+    return share_verdicts(uses, weights_by_name).get(name, ShareVerdict())
+
+
+def share_verdicts(
+    uses: Iterable[OrganisationUseNotice], weights_by_name: Mapping[str, float]
+) -> dict[str, ShareVerdict]:
+    """Judge all organisations at once; those that are not named, or all, are within their shares.
+
+    >>> share_verdicts([], {})
+    {}
+    """
+    demand_by_name, granted_by_name = _totals(uses)
+    granted = sum(granted_by_name.values())
+    if granted <= 0.0 or granted >= SCARCE_RATIO * sum(demand_by_name.values()):
+        return {}
+    shares = fair_shares(demand_by_name, weights_by_name, granted)
+    return {
+        name: ShareVerdict(
+            is_over=granted_by_name[name] > (1.0 + TOLERANCE) * share,
+            is_scarce=True,
+            share=share / granted,
+            used=granted_by_name[name] / granted,
+        )
+        for name, share in shares.items()
+    }
 
 
 def fair_shares(
@@ -131,26 +149,29 @@
     usual = sum(known) / len(known) if known else 1.0
     weight_by_name = {name: weights_by_name.get(name, 0.0) or usual for name in demand_by_name}
     shares: dict[str, float] = {}
-    left, weight_left = capacity, sum(weight_by_name.values())
     # The smallest demand for its weight is met first: the others share what it leaves.
-    for name in sorted(demand_by_name, key=lambda n: demand_by_name[n] / weight_by_name[n]):
+    names = sorted(demand_by_name, key=lambda n: demand_by_name[n] / weight_by_name[n])
+    # Summed from the end: subtracting from the whole leaves 0 for a weight that is tiny beside it.
+    weights_left = [*accumulate(weight_by_name[name] for name in reversed(names))]
+    left = capacity
+    for name, weight_left in zip(names, reversed(weights_left), strict=True):
         part = left * weight_by_name[name] / weight_left
         shares[name] = min(demand_by_name[name], part)
-        left -= shares[name]
-        weight_left -= weight_by_name[name]
+        left = max(0.0, left - shares[name])
     return shares
 
 
-def _totals(uses: Iterable[OrganisationUseNotice]) -> dict[str, OrganisationUseNotice]:
-    totals: dict[str, OrganisationUseNotice] = {}
+def _totals(uses: Iterable[OrganisationUseNotice]) -> tuple[dict[str, float], dict[str, float]]:
+    """What each organisation asked and got, by all who tell of it; odd figures are left out.
+
+    What it got counts as asked at least: the two come from notices that are rounded apart.
+    """
+    asked_by_name: dict[str, float] = {}
+    granted_by_name: dict[str, float] = {}
     for use in uses:
-        known = totals.get(use.name)
-        if known is None:
-            totals[use.name] = use
-        else:
-            totals[use.name] = replace(
-                known,
-                asked_tokens=known.asked_tokens + use.asked_tokens,
-                granted_tokens=known.granted_tokens + use.granted_tokens,
-            )
-    return totals
+        asked, granted = use.asked_tokens, use.granted_tokens
+        if 0.0 <= asked <= MOST_TOKENS and 0.0 <= granted <= MOST_TOKENS:
+            name = use.name
+            asked_by_name[name] = asked_by_name.get(name, 0.0) + max(asked, granted)
+            granted_by_name[name] = granted_by_name.get(name, 0.0) + granted
+    return asked_by_name, granted_by_name
--- a/src/croftchute/systems/room_order.py
+++ b/src/croftchute/systems/room_order.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from croftchute.systems.request_rank import MOST_RANKS
 from croftchute.systems.room_forecast import RoomCounts, RoomHistory
 from croftchute.tables.peers import RankRoomNotice
 
@@ -23,6 +24,9 @@
 LONGEST_PAUSE_S = 0.5
 """Longest pause of any rank: a fraction of any caller's patience."""
 
+SHORTEST_PAUSE_S = 0.01
+"""Shortest pause: a request that is about to be late does not ask again and again at once."""
+
 LAST_CHANCE_S = 0.15
 """Seconds before a request would be late at which it asks once although it holds back, so that no
 rank is shut out for as long as a more urgent one is short of room."""
@@ -36,6 +40,18 @@
 ask that found no room shows no shortage. In a large fleet a box hears of few that wait."""
 
 
+MOST_ROOM_RANKS = 2 * MOST_RANKS
+"""Ranks for room: those of requests in time, and again of those that go behind them."""
+
+MOST_TOLD = 100_000.0
+"""Seconds waited, grants and waiting requests beyond which what a peer tells is ignored: a thousand
+requests that wait at one box add up to 3,000 s."""
+
+FORGET_COUNTS = 0.01
+"""Seconds waited and grants under which a rank is told no longer: a configuration may have no such
+rank any more."""
+
+
 class OrderWay(StrEnum):
     """How requests that wait for room are ordered.
 
@@ -80,7 +96,11 @@
         return {rank: count for rank, count in self._waiting_by_rank.items() if count > 0}
 
     def notices(self, now: float) -> tuple[RankRoomNotice, ...]:
-        """What peers are told, the most urgent rank first."""
+        """What peers are told, the most urgent rank first; ranks that went quiet are forgotten."""
+        for rank, counts in self._counts_by_rank(now).items():
+            is_quiet = max(counts.waited_s, counts.grants) < FORGET_COUNTS
+            if is_quiet and self._waiting_by_rank[rank] <= 0:
+                del self._history_by_rank[rank], self._waiting_by_rank[rank]
         return tuple(
             RankRoomNotice(
                 rank=rank,
@@ -108,12 +128,30 @@
     @classmethod
     def of(cls, notices: Iterable[RankRoomNotice]) -> RoomView:
         """The view from what this box saw and what its peers told."""
-        counts_by_rank: dict[int, RoomCounts] = {}
+        sums_by_rank: dict[int, list[float]] = {}
         waiting_by_rank: dict[int, int] = {}
         for entry in notices:
-            told = RoomCounts(waited_s=entry.waited_s, grants=entry.grants)
-            counts_by_rank[entry.rank] = counts_by_rank.get(entry.rank, RoomCounts()) + told
-            waiting_by_rank[entry.rank] = waiting_by_rank.get(entry.rank, 0) + entry.waiting
+            rank, waited_s, grants, waiting = (
+                entry.rank,
+                entry.waited_s,
+                entry.grants,
+                entry.waiting,
+            )
+            if not (
+                0 <= rank < MOST_ROOM_RANKS
+                and 0.0 <= waited_s <= MOST_TOLD
+                and 0.0 <= grants <= MOST_TOLD
+                and 0 <= waiting <= MOST_TOLD
+            ):
+                continue
+            sums = sums_by_rank.setdefault(rank, [0.0, 0.0])
+            sums[0] += waited_s
+            sums[1] += grants
+            waiting_by_rank[rank] = waiting_by_rank.get(rank, 0) + waiting
+        counts_by_rank = {
+            rank: RoomCounts(waited_s=waited_s, grants=grants)
+            for rank, (waited_s, grants) in sums_by_rank.items()
+        }
         return cls(counts_by_rank=counts_by_rank, waiting_by_rank=waiting_by_rank)
 
     def mean_wait_s(self, rank: int) -> float:
@@ -185,9 +223,13 @@
 def room_rank(rank: int, *, ranks: int, is_late: bool, is_over_share: bool = False) -> int:
     """The rank for room, behind all requests that are in time and within their share.
 
+    It is held to ``MOST_ROOM_RANKS``: a request that comes while the configuration ends the order
+    has its priority as rank, which may be any number.
+
     A late answer is worth a fraction of one in time, whatever its rank.
 
     >>> room_rank(0, ranks=3, is_late=True) > room_rank(2, ranks=3, is_late=False)
     True
     """
-    return rank + ranks if is_late or is_over_share else rank
+    behind = rank + ranks if is_late or is_over_share else rank
+    return max(0, min(behind, MOST_ROOM_RANKS - 1))
--- a/tests/systems/test_fair_shares.py
+++ b/tests/systems/test_fair_shares.py
@@ -1,5 +1,8 @@
 """Fair shares of scarce room: a flood by one organisation is its own trouble."""
 
+import math
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from pytest import approx
@@ -10,6 +13,7 @@
     OrganisationUse,
     fair_shares,
     share_verdict,
+    share_verdicts,
 )
 from croftchute.tables.peers import OrganisationUseNotice
 
@@ -96,3 +100,71 @@
     told = use.notices(0.0)
     assert len(told) == MOST_TOLD
     assert {entry.name for entry in told} == {f"o{n}" for n in range(1_000 - MOST_TOLD, 1_000)}
+
+
+@given(demands, st.dictionaries(names, st.floats(1e-12, 1e15)), amounts)
+def test_weights_of_any_size_divide_the_room(demand, weights, capacity):
+    """The fault: the weight that was left was found by subtracting, and came to 0 beside a weight
+    that is 16 digits larger: ZeroDivisionError in the request."""
+    shares = fair_shares(demand, weights, capacity)
+    assert sum(shares.values()) == approx(min(capacity, sum(demand.values())))
+    assert all(share >= 0.0 for share in shares.values())
+
+
+def test_a_weight_that_is_tiny_beside_another_divides_by_no_zero():
+    """The same, for the figures with which it was found."""
+    assert fair_shares({"a": 5.0, "b": 5.0}, {"a": 1e16, "b": 1.0}, 4.0)["a"] == approx(4.0)
+
+
+use_rows = st.lists(
+    st.tuples(names, st.floats(0.0, 1e6), st.floats(0.0, 1e6)), min_size=1, max_size=30
+)
+
+
+def notices(rows):
+    return [
+        OrganisationUseNotice(name=name, asked_tokens=asked, granted_tokens=granted)
+        for name, asked, granted in rows
+    ]
+
+
+@given(use_rows, st.dictionaries(names, st.floats(0.1, 1e5)))
+def test_who_asks_for_less_than_its_weighted_part_is_never_over(rows, weights):
+    """The fault: more granted than asked, as of a request that waited, was over any share."""
+    uses_told = notices(rows)
+    granted = sum(use.granted_tokens for use in uses_told)
+    known = [weights[name] for name in {use.name for use in uses_told} if name in weights]
+    usual = sum(known) / len(known) if known else 1.0
+    weight_by_name = {use.name: weights.get(use.name, usual) for use in uses_told}
+    for name, verdict in share_verdicts(uses_told, weights).items():
+        part = granted * weight_by_name[name] / sum(weight_by_name.values())
+        wanted = sum(max(u.asked_tokens, u.granted_tokens) for u in uses_told if u.name == name)
+        assert not (wanted <= part and verdict.is_over)
+        assert verdict == share_verdict(name, uses_told, weights)
+
+
+@given(use_rows)
+def test_shares_of_what_is_granted_add_up_to_one(rows):
+    """Guards against room that is granted to nobody, or twice."""
+    verdicts = share_verdicts(notices(rows), {})
+    assert not verdicts or sum(v.share for v in verdicts.values()) == approx(1.0)
+    assert not verdicts or sum(v.used for v in verdicts.values()) == approx(1.0)
+
+
+@pytest.mark.parametrize("odd", [math.nan, math.inf, -math.inf, -1.0, -1e300, 1e300])
+def test_odd_figures_of_a_peer_change_nothing(odd):
+    """The fault: one NaN in a notice ended all shares, a negative figure was divided up."""
+    known = uses(flood=(90_000, 40_000), quiet=(10_000, 5_000))
+    for asked, granted in ((odd, 1.0), (1.0, odd), (odd, odd)):
+        for name in ("flood", "quiet", "other"):
+            told = [*known, *uses(**{name: (asked, granted)})]
+            assert share_verdicts(told, {}) == share_verdicts(known, {})
+
+
+def test_a_grant_counts_as_much_as_its_asking_does_by_then():
+    """The fault: a request that waited 2 s was granted 1.4 times what it had asked for."""
+    use = OrganisationUse()
+    use.note_asked("a", 1_000, 0.0)
+    use.note_granted("a", 1_000, 2.0, waited_s=2.0)
+    (entry,) = use.notices(2.0)
+    assert entry.granted_tokens == approx(entry.asked_tokens)
--- a/tests/systems/test_room_order.py
+++ b/tests/systems/test_room_order.py
@@ -1,5 +1,7 @@
 """Who gets room that comes free: by how often they ask, and who goes on waiting."""
 
+import math
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -10,10 +12,12 @@
 from croftchute.systems.room_forecast import RoomWait
 from croftchute.systems.room_order import (
     LONGEST_PAUSE_S,
+    MOST_ROOM_RANKS,
     OrderWay,
     RankedRoom,
     RoomView,
     pause_s,
+    room_rank,
 )
 from croftchute.tables.peers import RankRoomNotice
 from croftchute.tables.routing import Route, RouteKind, WeightedService
@@ -143,3 +147,29 @@
     room.end(1)
     assert room.notices(0.1)[0].waiting == 0
     assert room.waiting() == {}
+
+
+@pytest.mark.parametrize("odd", [math.nan, math.inf, -math.inf, -1.0, -1e300, 1e300])
+def test_odd_figures_of_a_peer_change_nothing(odd):
+    """The fault: -1 grants were divided by as none, NaN refused all requests of the service, and
+    seconds without end held back all but the most urgent."""
+    known = [RankRoomNotice(rank=1, waited_s=3.0, grants=2.0, waiting=1)]
+    for waited_s, grants in ((odd, 1.0), (1.0, odd), (odd, odd)):
+        for rank in (0, 1, 2):
+            row = RankRoomNotice(rank=rank, waited_s=waited_s, grants=grants, waiting=1)
+            assert RoomView.of([*known, row]) == RoomView.of(known)
+
+
+@pytest.mark.parametrize("rank, waiting", [(MOST_ROOM_RANKS, 1), (255, 1), (-1, 1), (1, -5)])
+def test_odd_ranks_and_counts_of_a_peer_change_nothing(rank, waiting):
+    """Guards against state that grows by what peers tell, and against waiting less than nobody."""
+    known = [RankRoomNotice(rank=1, waited_s=3.0, grants=2.0, waiting=1)]
+    row = RankRoomNotice(rank=rank, waited_s=9.0, grants=0.0, waiting=waiting)
+    assert RoomView.of([*known, row]) == RoomView.of(known)
+
+
+@given(st.integers(-1_000, 1_000), st.integers(1, 10), st.booleans(), st.booleans())
+def test_any_rank_for_room_can_be_told(rank, ranks, is_late, is_over):
+    """The fault: a rank over 255 fits no notice."""
+    found = room_rank(rank, ranks=ranks, is_late=is_late, is_over_share=is_over)
+    assert 0 <= found < MOST_ROOM_RANKS
