Metrics and log fields of the order for room, and of the paces of workers

Cause: an operator could not tell how many requests wait by rank, whether a refusal comes from the order or from a lack of memory, or how old the news are that hold a request back. A request that got room after it was held back is no longer taken for held back when it is refused later for another reason.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -26,6 +26,7 @@
 from croftchute.forwarding.store.hall_news import KNOWN_PATH, NEWS_PATH
 from croftchute.forwarding.store.store_follower import StoreFollower
 from croftchute.forwarding.supervision import Task, keep_going
+from croftchute.forwarding.workers.order_gauges import update_order_gauges
 from croftchute.forwarding.workers.stage_orders import StageOrders
 from croftchute.peers.codec import Codec
 from croftchute.peers.messages import BoxNotice
@@ -315,6 +316,7 @@
             self.state.crashes.sweep(now)
             self.state.pool.sweep(now)
             self.state.metrics.open.set({}, self.ingress.open_requests)
+            update_order_gauges(self.state, now)
 
     def _sweep_limits(self, now: float) -> None:
         """Let go of limits of workers that are over, and count those that hold."""
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -314,7 +314,7 @@
         known = self._room_view_by_service.get(service)
         if known is None or now - known.at >= ROOM_VIEW_KEPT_S:
             own = self.ranked_room(service).notices(now)
-            view = RoomView.of([*own, *self.peers.ranks(service, now)])
+            view = RoomView.of(own, self.peers.ranks(service, now), now=now)
             known = _KnownRoom(view=view, at=now)
             self._room_view_by_service[service] = known
         return known.view
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from croftchute.forwarding.http.transfer import Transfer
@@ -9,6 +11,20 @@
 SECONDS_BUCKETS = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.9, 1.5, 3.0, 6.0, 14.0]
 
 
+def replace_values(gauge: Gauge, values: Iterable[tuple[dict[str, str], float]]) -> None:
+    """Set a gauge to some values by labels; series that are not among them end.
+
+    >>> gauge = Gauge("g", "some gauge", registry=Registry())
+    >>> replace_values(gauge, [({"rank": "0"}, 1.0), ({"rank": "1"}, 2.0)])
+    >>> replace_values(gauge, [({"rank": "1"}, 3.0)])
+    >>> gauge.get_all()
+    [({'rank': '1'}, 3.0)]
+    """
+    gauge.values.clear()
+    for labels, value in values:
+        gauge.set(labels, value)
+
+
 class TrafficMetrics:
     """What operators watch: outcomes by route, times, decisions by kind, calls of the store."""
 
@@ -43,6 +59,31 @@
             buckets=SECONDS_BUCKETS,
             **own,
         )
+        self.room_refusals = Counter(
+            "croftchute_room_refusals_total",
+            "Ordered streams refused for lack of room, by service, rank and cause",
+            **own,
+        )
+        self.over_share = Counter(
+            "croftchute_over_share_total",
+            "Ordered streams whose organisation was over its share, by service",
+            **own,
+        )
+        self.room_waiting = Gauge(
+            "croftchute_room_waiting",
+            "Streams of this box that wait for a hold, by service and room rank",
+            **own,
+        )
+        self.room_wait = Gauge(
+            "croftchute_room_mean_wait_seconds",
+            "Mean wait for a hold as this box knows it, by service and room rank",
+            **own,
+        )
+        self.worker_pace = Gauge(
+            "croftchute_worker_pace",
+            "Time that work takes over the usual, by worker, for 64 workers at most",
+            **own,
+        )
         self.open = Gauge("croftchute_open_requests", "Requests that are open", **own)
         self.limited_workers = Gauge(
             "croftchute_limited_workers", "Workers that name a limit for all boxes", **own
--- a/src/croftchute/forwarding/workers/decode_room.py
+++ b/src/croftchute/forwarding/workers/decode_room.py
@@ -10,6 +10,7 @@
 from croftchute.forwarding.dialect import Hold
 from croftchute.forwarding.http.failures import ExchangeError
 from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.room_report import order_facts
 from croftchute.forwarding.workers.room_turn import PollingTurn, RankedTurn, RoomTurn
 from croftchute.forwarding.workers.worker_control import drop_hold, take_hold
 from croftchute.systems import patience
@@ -49,13 +50,13 @@
         with closing(self._turn(is_begun=is_begun)) as turn:
             while True:
                 has_asked = turn.may_ask(run.now)
+                run.held_back = not has_asked
                 found = await self._ask_for_room() if has_asked else None
                 if found is not None:
                     if not is_begun:
                         run.state.demand(run.service).note_granted(run.now, is_large=run.is_large)
                     turn.granted(run.now)
                     return found
-                run.held_back = not has_asked
                 if run.held_back:
                     self.code = Code.NO_CAPACITY
                     self.detail = "more urgent requests wait for room"
@@ -104,7 +105,7 @@
             mean_wait_s=mean_wait_s,
             reading_s=round(wait.reading_s, 3),
             tokens=run.facts.prompt_tokens,
-            **run.order_facts(),
+            **order_facts(run),
         )
         return False
 
@@ -197,7 +198,7 @@
             cost=chosen.cost,
             own_tokens=belief.tokens_in_flight,
             failures=chosen.failures,
-            **run.order_facts(),
+            **order_facts(run),
         )
         return self.hold is not None
 
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -8,6 +8,7 @@
 from croftchute.forwarding.http.exchange import Exchange
 from croftchute.forwarding.permits import PermitWish
 from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.workers.room_report import count_refusal, order_facts
 from croftchute.systems import patience
 from croftchute.systems.fair_shares import ShareVerdict
 from croftchute.systems.room_order import OrderWay, reserved_tokens, room_rank
@@ -52,6 +53,7 @@
         self.avoid: set[str] = set()
         self.full: set[str] = set()
         self.held_back = False
+        self.was_over_share = False
         self.connect_failures = 0
         self.first_byte_at: float | None = None
         self.last_worker = ""
@@ -127,19 +129,6 @@
             return self.state.mean_room_wait_s(self.service)
         return self.state.room_view(self.service).mean_wait_s(self.room_rank)
 
-    def order_facts(self) -> dict[str, object]:
-        """The request's place in the order for room, for the log; empty where there is none."""
-        if not self.is_ordered:
-            return {}
-        facts: dict[str, object] = {
-            "rank": self.rank,
-            "room_rank": self.room_rank,
-            "entry_rank": self.state.room_view(self.service).entry_rank(),
-        }
-        if (share := self._share).is_scarce:
-            facts |= {"share": round(share.share, 3), "used": round(share.used, 3)}
-        return facts
-
     @property
     def room_rank(self) -> int:
         """The rank by which the request waits for room."""
@@ -148,7 +137,7 @@
             self.rank,
             ranks=ranks.count,
             is_late=self.in_time_left_s <= 0.0,
-            is_over_share=self._share.is_over,
+            is_over_share=self.share.is_over,
         )
 
     def reserved_tokens(self) -> int:
@@ -164,7 +153,7 @@
         )
 
     @property
-    def _share(self) -> ShareVerdict:
+    def share(self) -> ShareVerdict:
         """What the request's organisation has of the service's decode memory."""
         if not self.facts.organisation:
             return ShareVerdict()
@@ -355,6 +344,7 @@
         self.exchange.send(answer.status, answer.headers, answer.body)
         labels = {"route": self.route.name, "outcome": code.value}
         self.state.metrics.requests.inc(labels)
+        count_refusal(self, code, ran)
         self.log(
             Decision.REQUEST_REFUSED,
             outcome=code.value,
@@ -370,6 +360,7 @@
             config_version=self.state.table.version if self.state.table else 0,
             config_age_s=round(self.now - self.state.table_at, 1),
             workers_age_s=round(self.now - self.state.workers.heard_at, 1),
+            **order_facts(self),
         )
 
     def _crash_detail(self) -> str:
--- a/src/croftchute/forwarding/workers/room_turn.py
+++ b/src/croftchute/forwarding/workers/room_turn.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.room_report import count_over_share
 from croftchute.systems import room_order
 from croftchute.systems.fair_shares import OrganisationUse
 from croftchute.systems.room_forecast import RoomHistory
@@ -80,6 +81,7 @@
     def may_ask(self, now: float) -> bool:
         """Whether no more urgent rank waits too long; once, before it is late, all the same."""
         run = self.run
+        count_over_share(run)
         way = run.state.room_order(run.service)
         if not run.state.room_view(run.service).holds_back(run.room_rank, way):
             return True
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -86,6 +86,7 @@
 class PlatformWorker:
     """One worker; ``stage`` is empty for plain services.
 
+    ``free_holds`` is how many more holds it grants; None for any number.
     It ends when it begins to run a request whose body is ``crashes_on``, or to read the prompt of
     one ahead whose body is ``crashes_on_reading``.
     """
@@ -107,6 +108,7 @@
     dropped: list[str] = field(default_factory=list)
     finished: list[str] = field(default_factory=list)
     holds: set[str] = field(default_factory=set)
+    free_holds: int | None = None
     handles: set[str] = field(default_factory=set)
     kept: dict[str, int] = field(default_factory=dict)
     orders: list[dict[str, object]] = field(default_factory=list)
@@ -208,9 +210,11 @@
         return await self._run(request, reader, writer)
 
     def _take_hold(self, request: Received, writer: asyncio.StreamWriter) -> bool:
-        if self.faults.has_no_room:
+        if self.faults.has_no_room or self.free_holds == 0:
             self._send(writer, request, 503, self._rest())
             return True
+        if self.free_holds is not None:
+            self.free_holds -= 1
         hold = f"hold-{next(self._numbers)}"
         self.holds.add(hold)
         ttl_s = msgspec.json.decode(request.body)["ttl_ms"] / 1000.0
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -234,10 +234,10 @@
                 total += RoomCounts(waited_s=entry.room_waited_s, grants=entry.room_grants)
         return total
 
-    def ranks(self, service: str, now: float) -> list[RankRoomNotice]:
-        """What requests of each rank waited for room at other boxes."""
+    def ranks(self, service: str, now: float) -> list[tuple[RankRoomNotice, float]]:
+        """What requests of each rank waited for room at other boxes, and when each was heard."""
         return [
-            entry
+            (entry, peer.heard_at)
             for peer in self.peers_by_id.values()
             if now - peer.heard_at <= FRESH_S
             and (demand := (peer.demand_by_service or {}).get(service)) is not None
--- a/src/croftchute/systems/room_order.py
+++ b/src/croftchute/systems/room_order.py
@@ -100,21 +100,39 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoomView:
-    """What one box knows of all who wait for room at the engines of a service."""
+    """What one box knows of all who wait for room at the engines of a service.
+
+    ``told_at_by_rank`` is when the newest news came that requests of a rank wait.
+    """
 
     counts_by_rank: dict[int, RoomCounts]
     waiting_by_rank: dict[int, int]
+    told_at_by_rank: dict[int, float] = field(default_factory=dict)
 
     @classmethod
-    def of(cls, notices: Iterable[RankRoomNotice]) -> RoomView:
-        """The view from what this box saw and what its peers told."""
+    def of(
+        cls,
+        own: Iterable[RankRoomNotice],
+        heard: Iterable[tuple[RankRoomNotice, float]] = (),
+        *,
+        now: float = 0.0,
+    ) -> RoomView:
+        """The view from what this box saw and what its peers told, each with when it was heard."""
         counts_by_rank: dict[int, RoomCounts] = {}
         waiting_by_rank: dict[int, int] = {}
-        for entry in notices:
+        told_at_by_rank: dict[int, float] = {}
+        for entry, told_at in [*((entry, now) for entry in own), *heard]:
+            rank = entry.rank
             told = RoomCounts(waited_s=entry.waited_s, grants=entry.grants)
-            counts_by_rank[entry.rank] = counts_by_rank.get(entry.rank, RoomCounts()) + told
-            waiting_by_rank[entry.rank] = waiting_by_rank.get(entry.rank, 0) + entry.waiting
-        return cls(counts_by_rank=counts_by_rank, waiting_by_rank=waiting_by_rank)
+            counts_by_rank[rank] = counts_by_rank.get(rank, RoomCounts()) + told
+            waiting_by_rank[rank] = waiting_by_rank.get(rank, 0) + entry.waiting
+            if entry.waiting > 0:
+                told_at_by_rank[rank] = max(told_at, told_at_by_rank.get(rank, told_at))
+        return cls(
+            counts_by_rank=counts_by_rank,
+            waiting_by_rank=waiting_by_rank,
+            told_at_by_rank=told_at_by_rank,
+        )
 
     def mean_wait_s(self, rank: int) -> float:
         """How long a request of a rank waits for room on average, never less than urgent ones do.
@@ -147,6 +165,18 @@
         ]
         return min(short, default=None)
 
+    def entry_age_s(self, now: float) -> float | None:
+        """Age in seconds of the newest news that the entry rank waits; None if there is none.
+
+        >>> notice = RankRoomNotice(rank=2, waited_s=4.0, grants=3.0, waiting=1)
+        >>> RoomView.of([], [(notice, 7.5), (notice, 7.0)]).entry_age_s(8.0)
+        0.5
+        """
+        entry = self.entry_rank()
+        if entry is None or entry not in self.told_at_by_rank:
+            return None
+        return max(0.0, now - self.told_at_by_rank[entry])
+
     def holds_back(self, rank: int, way: OrderWay) -> bool:
         """Whether a request of a rank leaves room that comes free to more urgent ones."""
         if way is not OrderWay.ENTRY:
--- a/src/croftchute/systems/worker_pace.py
+++ b/src/croftchute/systems/worker_pace.py
@@ -159,6 +159,10 @@
         _, _, source, age_s = max(parts, key=lambda part: part[0])
         return PaceEstimate(factor=factor, source=source, age_s=age_s)
 
+    def is_known(self, worker_id: str) -> bool:
+        """Whether any figure of a worker came lately."""
+        return worker_id in self._by_id
+
     def is_told(self, worker_ids: Iterable[str], now: float) -> bool:
         """Whether some of the workers told their pace lately."""
         return any(
--- /dev/null
+++ b/tests/forwarding/workers/test_order_gauges.py
@@ -0,0 +1,115 @@
+"""Gauges of waiting requests, mean waits and paces: bounded, and without what no longer holds."""
+
+from platform_fleet import bearer, config, fleet, organisation, run, until
+from rank_fleet import begin, boxes_before_a_full_engine, is_waiting, ordered_config, ran_in_all
+
+from croftchute.forwarding.workers import order_gauges
+from croftchute.forwarding.workers.order_gauges import update_order_gauges
+
+
+def swept(box):
+    """The box's metrics after a sweep."""
+    update_order_gauges(box.state, box.state.clock())
+    return box.state.metrics
+
+
+def by_rank(gauge):
+    return {labels["room_rank"]: value for labels, value in gauge.get_all()}
+
+
+def test_waiting_requests_show_by_rank_until_they_are_served():
+    """Guards against a gauge that keeps its last value, or misses ranks of which none waits."""
+
+    async def body():
+        async with fleet(config=ordered_config()) as made:
+            (box,), engine = await boxes_before_a_full_engine(made)
+            assert swept(box).room_waiting.get_all() == []
+            asking = begin(box, "/calm/x", "calm")
+            await is_waiting(box, r1=1)
+            metrics = swept(box)
+            assert by_rank(metrics.room_waiting) == {"0": 0, "1": 1}
+            assert by_rank(metrics.room_wait).keys() == {"0", "1"}
+            assert b'croftchute_room_waiting{room_rank="1",service="llm"} 1' in metrics.text()
+            await ran_in_all(engine, 1)
+            assert (await asking).status == 200
+            assert by_rank(swept(box).room_waiting) == {"0": 0, "1": 0}
+
+    run(body)
+
+
+def test_the_series_of_a_service_end_with_its_order():
+    """Guards against ranks of a configuration that is no longer in force."""
+
+    async def body():
+        async with fleet(config=ordered_config()) as made:
+            (box,), engine = await boxes_before_a_full_engine(made)
+            asking = begin(box, "/calm/x", "calm")
+            await is_waiting(box, r1=1)
+            assert swept(box).room_wait.get_all()
+            made.store.put("op/config", config(8))
+            await until(lambda: box.state.table.version == 8)
+            assert swept(box).room_wait.get_all() == swept(box).room_waiting.get_all() == []
+            await ran_in_all(engine, 1)
+            assert (await asking).status == 200
+
+    run(body)
+
+
+def test_paces_show_for_a_bounded_number_of_listed_workers(monkeypatch):
+    """Guards against series without bound, and against those of workers that are gone."""
+    monkeypatch.setattr(order_gauges, "MOST_PACES", 2)
+
+    async def body():
+        async with fleet() as made:
+            for name in ("w1", "w2", "w3", "w4"):
+                await made.add_worker(name)
+            box = await made.add_box()
+            await made.ready(box)
+            assert swept(box).worker_pace.get_all() == []
+            for name in ("gone", "w2", "w3", "w4"):
+                box.state.paces.note_told(name, 2.0, box.state.clock())
+            shown = swept(box).worker_pace.get_all()
+            assert [labels["worker"] for labels, _ in shown] == ["w2", "w3"]
+            assert all(1.5 < value <= 2.0 for _, value in shown)
+            box.state.paces.forget("w2")
+            shown = swept(box).worker_pace.get_all()
+            assert [labels["worker"] for labels, _ in shown] == ["w3", "w4"]
+
+    run(body)
+
+
+def test_the_daemon_sets_the_gauges_by_itself():
+    """Guards against gauges that no sweep updates."""
+
+    async def body():
+        async with fleet() as made:
+            await made.add_worker("w1")
+            box = await made.add_box()
+            await made.ready(box)
+            box.state.paces.note_told("w1", 2.0, box.state.clock())
+            await until(lambda: box.state.metrics.worker_pace.get_all())
+
+    run(body)
+
+
+def test_a_request_over_its_organisation_s_share_is_counted_once_and_without_a_name():
+    """Guards against a count for each look at the room, and against a series for each caller."""
+    flood = organisation("flood", "flood-key", RatePerS=1e6, Burst=1e9, PlainTokens=10)
+
+    async def body():
+        async with fleet(config=ordered_config(organisations=(flood,))) as made:
+            (box,), engine = await boxes_before_a_full_engine(made)
+            for group in box.shared_rates.groups:
+                group.share.started_at -= 60.0
+            use, now = box.state.organisation_use("llm"), box.state.clock()
+            for name, asked, granted in (("flood", 9e5, 8e5), ("quiet", 5e5, 1e5)):
+                use.note_asked(name, int(asked), now)
+                use.note_granted(name, int(granted), now)
+            asking = begin(box, "/urgent/x", "r1", extra=(bearer("flood-key"),))
+            await is_waiting(box, r2=1)
+            await until(lambda: len([r for r in engine.received if r.path == "/hold-take"]) > 2)
+            assert box.state.metrics.over_share.get_all() == [({"service": "llm"}, 1)]
+            await ran_in_all(engine, 1)
+            assert (await asking).status == 200
+
+    run(body)
