croftchute account: tables by rank, by hall, and by second and route

Cause: the account told neither how streams of one rank fared against another, nor halls apart. Change: three tables after those there were: ordered streams by rank with the mean time to the first hold or to the refusal, requests by the hall that their box's started line names, and requests by second and route.

--- a/src/croftchute/account/log_lines.py
+++ b/src/croftchute/account/log_lines.py
@@ -29,10 +29,17 @@
 
 @dataclass(kw_only=True)
 class RequestStory:
-    """One try of a caller, as its lines tell it."""
+    """One try of a caller, as its lines tell it.
+
+    ``rank`` is the place among streams that wait in an order for room; None for all others.
+    ``room_s`` is when the first hold was granted, in seconds after the request came.
+    """
 
     id: str
     began_at: float
+    box: str = ""
+    rank: int | None = None
+    room_s: float | None = None
     route: str = ""
     organisation: str = ""
     tokens: int = 0
@@ -65,6 +72,15 @@
     return datetime.fromisoformat(line["at"]).timestamp()
 
 
+def halls(lines: Iterable[Line]) -> dict[str, str]:
+    """The halls of boxes by the boxes' names, as their ``started`` lines tell them."""
+    return {
+        str(line.get("box", "")): str(line["hall"])
+        for line in lines
+        if line["event"] == Decision.STARTED and line.get("hall")
+    }
+
+
 def stories(lines: Iterable[Line]) -> dict[str, RequestStory]:
     """The requests of some logs by id."""
     by_id: dict[str, RequestStory] = {}
@@ -75,7 +91,11 @@
         elapsed_s = float(line.get("elapsed_ms", 0.0)) / 1000.0
         story = by_id.get(request_id)
         if story is None:
-            story = RequestStory(id=request_id, began_at=seconds_of(line) - elapsed_s)
+            story = RequestStory(
+                id=request_id,
+                began_at=seconds_of(line) - elapsed_s,
+                box=str(line.get("box", "")),
+            )
             by_id[request_id] = story
         _tell(story, line, elapsed_s)
     return by_id
@@ -86,8 +106,12 @@
     outcome = str(line.get("outcome", ""))
     story.route = line.get("route") or story.route
     story.organisation = line.get("organisation") or story.organisation
+    if event in _RANKED and line.get("rank") is not None:
+        story.rank = int(line["rank"])
     if event == Decision.HOLD_ASKED:
         story.tokens = int(line.get("tokens", 0))
+        if outcome == "granted" and story.room_s is None:
+            story.room_s = elapsed_s
         story.count(f"room {outcome}")
     elif event in _STEPS:
         story.count(f"{event} {outcome}")
@@ -99,6 +123,9 @@
             story.fate = _fate_of_answer(line, outcome)
 
 
+_RANKED = frozenset({Decision.HOLD_ASKED, Decision.WAIT_ENDED, Decision.REQUEST_REFUSED})
+"""Lines whose ``rank`` is that of the order for room; that of a permit may be another one."""
+
 _STEPS = frozenset(
     {
         Decision.PREFILL_ENDED,
--- a/src/croftchute/account/tables.py
+++ b/src/croftchute/account/tables.py
@@ -62,10 +62,10 @@
     """All tables."""
     begun_at = min((story.began_at for story in stories), default=0.0)
     return [
-        _fates("Requests by route", stories, lambda s: s.route or "route not logged"),
-        _fates("Requests by organisation", stories, lambda s: s.organisation or "none"),
-        _fates("Streams by size", _streams(stories), lambda s: size_group(s.tokens)),
-        _fates("Requests by second", stories, lambda s: f"{int(s.began_at - begun_at):4d}"),
+        fate_table("Requests by route", stories, lambda s: s.route or "route not logged"),
+        fate_table("Requests by organisation", stories, lambda s: s.organisation or "none"),
+        fate_table("Streams by size", _streams(stories), lambda s: size_group(s.tokens)),
+        fate_table("Requests by second", stories, lambda s: f"{int(s.began_at - begun_at):4d}"),
         _ends("Refused or broken off, by cause", stories),
         _steps("What requests went through, by size", stories),
     ]
@@ -75,9 +75,10 @@
     return [story for story in stories if story.tokens > 0]
 
 
-def _fates(
+def fate_table(
     title: str, stories: Iterable[RequestStory], key: Callable[[RequestStory], str]
 ) -> Table:
+    """How requests ended, by a key that each of them has."""
     counts_by_key: dict[str, Counter[Fate]] = {}
     for story in stories:
         counts_by_key.setdefault(key(story), Counter())[story.fate] += 1
--- a/src/croftchute/cli/commands.py
+++ b/src/croftchute/cli/commands.py
@@ -8,8 +8,9 @@
 from typing import Any
 
 from croftchute.account.limited_workers import limited_workers
-from croftchute.account.log_lines import parse_lines, stories
+from croftchute.account.log_lines import halls, parse_lines, stories
 from croftchute.account.met_workers import met_workers
+from croftchute.account.order_tables import order_tables
 from croftchute.account.tables import account
 from croftchute.cli.fleet import fetch_status, fetch_timelines, find_boxes
 from croftchute.config.checks import parse_document
@@ -67,7 +68,8 @@
         if request:
             print(met_workers(lines, request).text())
             return
-        tables = [*account(list(stories(lines).values())), limited_workers(lines)]
+        told = list(stories(lines).values())
+        tables = [*account(told), limited_workers(lines), *order_tables(told, halls(lines))]
         print("\n\n".join(table.text() for table in tables))
 
     def drain(self, upstream: str, store: str = DEFAULT_STORE, json: bool = False) -> None:
