--- a/src/croftchute/forwarding/workers/decode_room.py
+++ b/src/croftchute/forwarding/workers/decode_room.py
@@ -10,6 +10,7 @@
 from croftchute.forwarding.dialect import Hold
 from croftchute.forwarding.http.failures import ExchangeError
 from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.room_report import order_facts
 from croftchute.forwarding.workers.room_turn import (
     PollingTurn,
     RankedTurn,
@@ -113,7 +114,7 @@
             mean_wait_s=mean_wait_s,
             reading_s=round(wait.reading_s, 3),
             tokens=run.facts.prompt_tokens,
-            **run.order_facts(),
+            **order_facts(run),
         )
         return False
 
@@ -206,7 +207,7 @@
             cost=chosen.cost,
             own_tokens=belief.tokens_in_flight,
             failures=chosen.failures,
-            **run.order_facts(),
+            **order_facts(run),
         )
         return self.hold is not None
 
--- a/src/croftchute/forwarding/workers/room_turn.py
+++ b/src/croftchute/forwarding/workers/room_turn.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.room_report import count_over_share
 from croftchute.systems import room_order
 from croftchute.systems.room_forecast import RoomHistory
 
@@ -105,6 +106,7 @@
     def may_ask(self, now: float) -> bool:
         """Whether no more urgent rank waits too long; once, before it is late, all the same."""
         run = self.run
+        count_over_share(run)
         way = run.state.room_order(run.service)
         if not run.state.room_view(run.service).holds_back(run.room_rank, way):
             return True
--- a/src/croftchute/systems/room_order.py
+++ b/src/croftchute/systems/room_order.py
@@ -120,23 +120,33 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoomView:
-    """What one box knows of all who wait for room at the engines of a service."""
+    """What one box knows of all who wait for room at the engines of a service.
+
+    ``told_at_by_rank`` is when the newest news came that requests of a rank wait.
+    """
 
     counts_by_rank: dict[int, RoomCounts]
     waiting_by_rank: dict[int, int]
+    told_at_by_rank: dict[int, float] = field(default_factory=dict)
 
     @classmethod
-    def of(cls, notices: Iterable[RankRoomNotice]) -> RoomView:
-        """The view from what this box saw and what its peers told."""
+    def of(
+        cls,
+        own: Iterable[RankRoomNotice],
+        heard: Iterable[tuple[RankRoomNotice, float]] = (),
+        *,
+        now: float = 0.0,
+    ) -> RoomView:
+        """The view from what this box saw and what its peers told, each with when it was heard.
+
+        Figures that can't be are left out.
+        """
         sums_by_rank: dict[int, list[float]] = {}
         waiting_by_rank: dict[int, int] = {}
-        for entry in notices:
-            rank, waited_s, grants, waiting = (
-                entry.rank,
-                entry.waited_s,
-                entry.grants,
-                entry.waiting,
-            )
+        told_at_by_rank: dict[int, float] = {}
+        for entry, told_at in [*((entry, now) for entry in own), *heard]:
+            rank, waited_s, grants = entry.rank, entry.waited_s, entry.grants
+            waiting = entry.waiting
             if not (
                 0 <= rank < MOST_ROOM_RANKS
                 and 0.0 <= waited_s <= MOST_TOLD
@@ -148,11 +158,17 @@
             sums[0] += waited_s
             sums[1] += grants
             waiting_by_rank[rank] = waiting_by_rank.get(rank, 0) + waiting
+            if waiting > 0:
+                told_at_by_rank[rank] = max(told_at, told_at_by_rank.get(rank, told_at))
         counts_by_rank = {
             rank: RoomCounts(waited_s=waited_s, grants=grants)
             for rank, (waited_s, grants) in sums_by_rank.items()
         }
-        return cls(counts_by_rank=counts_by_rank, waiting_by_rank=waiting_by_rank)
+        return cls(
+            counts_by_rank=counts_by_rank,
+            waiting_by_rank=waiting_by_rank,
+            told_at_by_rank=told_at_by_rank,
+        )
 
     def mean_wait_s(self, rank: int) -> float:
         """How long a request of a rank waits for room on average, never less than urgent ones do.
@@ -185,6 +201,18 @@
         ]
         return min(short, default=None)
 
+    def entry_age_s(self, now: float) -> float | None:
+        """Age in seconds of the newest news that the entry rank waits; None if there is none.
+
+        >>> notice = RankRoomNotice(rank=2, waited_s=4.0, grants=3.0, waiting=1)
+        >>> RoomView.of([], [(notice, 7.5), (notice, 7.0)]).entry_age_s(8.0)
+        0.5
+        """
+        entry = self.entry_rank()
+        if entry is None or entry not in self.told_at_by_rank:
+            return None
+        return max(0.0, now - self.told_at_by_rank[entry])
+
     def holds_back(self, rank: int, way: OrderWay) -> bool:
         """Whether a request of a rank leaves room that comes free to more urgent ones."""
         if way is not OrderWay.ENTRY:
