Held bytes: the count, the bounds and the choice of the answer that is ended

Cause: a worker cuts off an answer that is left unread for some seconds; a box that holds it instead needs a bound for its memory.

--- /dev/null
+++ b/tests/systems/test_held_bytes.py
@@ -0,0 +1,130 @@
+"""Bytes held for slow callers: bounded in all, and only the answer that holds the most pays."""
+
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from croftchute.systems.held_bytes import STREAM_BYTES, HeldBounds, HeldBytes
+
+BOX = 1000
+MOST_PART = 400
+
+parts = st.tuples(st.integers(0, 9), st.integers(1, MOST_PART))
+"""An answer and the size of a part of it; no part is larger than the box's bound."""
+
+steps = st.lists(st.one_of(parts, st.tuples(st.integers(0, 9), st.just(0))), max_size=60)
+"""Parts that come; one of size 0 stands for a caller that leaves."""
+
+
+def made(box=BOX, stream=STREAM_BYTES):
+    return HeldBytes(bounds=HeldBounds(box=box, stream=stream))
+
+
+def sizes(held):
+    return {stream: held.held(stream) for stream in range(10)}
+
+
+@given(steps)
+def test_the_sum_exceeds_the_bound_by_one_part_at_most_and_only_until_one_is_ended(given_steps):
+    """The fault: bytes held for callers grew until the box had no memory left."""
+    held = made()
+    for now, (stream, part) in enumerate(given_steps):
+        if part == 0:
+            held.close(stream)
+        else:
+            held.open(stream, now)
+            held.note(stream, held.held(stream) + part, now)
+            assert held.total <= BOX + part
+            held.end_largest(now)
+        assert held.total == sum(sizes(held).values()) <= BOX
+        assert held.end_largest(now) is None
+
+
+@given(steps)
+def test_the_largest_is_ended_and_the_others_are_untouched(given_steps):
+    """The fault: the caller that came last paid for the one that does not read."""
+    held = made()
+    for now, (stream, part) in enumerate(given_steps):
+        if part == 0:
+            continue
+        held.open(stream, now)
+        held.note(stream, held.held(stream) + part, now)
+        before = sizes(held)
+        total = held.total
+        ended = held.end_largest(now)
+        if ended is None:
+            assert total <= BOX and sizes(held) == before
+            continue
+        assert ended.held == before[ended.stream] == max(before.values())
+        assert (ended.held_in_all, ended.box_bound) == (total, BOX)
+        assert sizes(held) == before | {ended.stream: 0}
+
+
+@given(st.integers(1, 500), st.integers(1, 10**9))
+def test_answers_at_their_bound_never_exceed_the_boxs_bound(streams, box):
+    """The fault: answers within their own bounds were ended, as these did not shrink together."""
+    held = made(box=box)
+    for stream in range(streams):
+        held.open(stream, 0.0)
+    for stream in range(streams):
+        held.note(stream, held.stream_bound, 0.0)
+    assert not held.is_exceeded
+    assert held.stream_bound <= STREAM_BYTES
+
+
+def test_a_caller_that_leaves_frees_what_was_held_for_it_at_once():
+    """The fault: bytes of callers that had left counted on, and another answer was ended."""
+    held = made()
+    for stream in (1, 2):
+        held.open(stream, 0.0)
+        held.note(stream, 500, 0.0)
+    held.close(1)
+    assert held.total == 500 and held.streams == 1
+    held.note(2, 1000, 1.0)
+    assert held.end_largest(1.0) is None
+    held.close(1)
+    assert held.total == 1000
+
+
+def test_the_age_counts_from_when_something_was_held_first():
+    """The fault: a long stream that was read well looked like one unread for as long."""
+    held = made()
+    held.open(1, 0.0)
+    held.note(1, 10, 5.0)
+    held.note(1, 0, 6.0)
+    held.note(1, 900, 20.0)
+    held.note(1, 1001, 23.0)
+    ended = held.end_largest(23.0)
+    assert ended is not None and ended.age_s == 3.0
+
+
+def test_lowered_bounds_end_as_many_as_are_needed():
+    """The fault: after a reload with less memory, the old bytes stayed until the next part."""
+    held = made()
+    for stream in range(4):
+        held.open(stream, 0.0)
+        held.note(stream, 200 + stream, 0.0)
+    held.bounds = HeldBounds(box=450)
+    ended = []
+    while (one := held.end_largest(1.0)) is not None:
+        ended.append(one.stream)
+    assert ended == [3, 2]
+
+
+@pytest.mark.parametrize("memory_mb", [0.0, -1.0, math.nan, math.inf, -math.inf])
+def test_a_figure_that_tells_nothing_gives_no_bounds(memory_mb):
+    """The fault: a missing or faulty figure bounded all answers to nothing."""
+    assert HeldBounds.of_memory(memory_mb) is None
+
+
+def test_without_bounds_nothing_is_ended_and_odd_sizes_change_nothing():
+    """The fault: a box that was told of no memory ended answers."""
+    held = HeldBytes(bounds=None)
+    held.open(1, 0.0)
+    held.note(1, 10**12, 0.0)
+    assert held.end_largest(0.0) is None
+    held.note(1, -5, 0.0)
+    held.note(2, 5, 0.0)
+    assert held.total == 10**12
