Answers that callers read slowly are held within bounds, and their workers read on

Cause: the box stopped reading from a worker while the caller did not read; workers cut off answers that stay unread for some seconds, and the pause counted against the worker. Change: CallerWriter holds what a caller has not read, one block of it in the transport; HeldAnswers counts it and resets the connection of the answer that holds the most beyond the box's bound, with a line (slow_caller_ended) and a counter. Setting memory_mb, reloadable; 0 leaves the transport's buffering as it was. An answer counts as answered once nothing of it is held; the caller's deadline ends it.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from functools import partial
 from http import HTTPStatus
 from pathlib import Path
 
@@ -16,8 +17,10 @@
 from croftchute.forwarding.boxes.shared_rates import SharedRates
 from croftchute.forwarding.boxes.worker_permits import WorkerPermits, WorkerSource
 from croftchute.forwarding.callers.forwarder import Forwarder
+from croftchute.forwarding.callers.slow_callers import note_ended
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.http.exchange import Exchange
+from croftchute.forwarding.http.held_answers import HeldAnswers
 from croftchute.forwarding.http.http_server import HttpIngress
 from croftchute.forwarding.state import LEARN_PEERS_S, ForwardingState
 from croftchute.forwarding.store.catch_up import catch_ups
@@ -119,12 +122,16 @@
             self.crash_register.note_restored,
             self.fleet_record.note_restored,
         ]
+        self.held = HeldAnswers(
+            memory_mb=settings.memory_mb, clock=state.clock, on_ended=partial(note_ended, state)
+        )
         forwarder = Forwarder(state=state, usage_limits=self.usage_limits)
         self.ingress = HttpIngress(
             handler=forwarder.handle,
             limits=state.limits,
             turn_away=forwarder.turn_away,
             clock=state.clock,
+            held=self.held,
         )
         self.health = HttpIngress(handler=self._answer_health, limits=IngressLimits)
         self.control = HttpIngress(handler=self._answer_health, limits=IngressLimits)
@@ -284,6 +291,7 @@
         for window in self.state.budgets_by_service.values():
             window.limits = self.state.retry_limits
         self.state.default_boxes = settings.boxes
+        self.held.set_memory(settings.memory_mb)
         self.state.workers.lapsed_grace_s = lapsed_grace_s(settings)
         self.state.log.decide(
             Decision.RELOADED, outcome="in force", cause=cause, needs_restart=needs_restart
@@ -315,6 +323,7 @@
             self.state.crashes.sweep(now)
             self.state.pool.sweep(now)
             self.state.metrics.open.set({}, self.ingress.open_requests)
+            self.state.metrics.held_bytes.set({}, self.held.count.total)
 
     def _sweep_limits(self, now: float) -> None:
         """Let go of limits of workers that are over, and count those that hold."""
--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -77,6 +77,7 @@
                 exchange, "", Refusal(code=error.code, ran=Ran.NOT_RUN, detail=error.message)
             )
             return
+        exchange.name(facts.id)
         if state.is_stopping:
             state.log.decide(
                 Decision.TAKEN_WHILE_STOPPING, request_id=facts.id, stop=self._stop_facts(exchange)
--- /dev/null
+++ b/src/croftchute/forwarding/callers/slow_callers.py
@@ -0,0 +1,23 @@
+"""What is told of answers that were ended because they held the most bytes for their callers."""
+
+from __future__ import annotations
+
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.state import ForwardingState
+from croftchute.systems.held_bytes import EndedStream
+
+
+def note_ended(state: ForwardingState, request_id: str, ended: EndedStream) -> None:
+    """Log and count one; all sizes are in bytes."""
+    state.metrics.slow_callers.inc({})
+    state.log.decide(
+        Decision.SLOW_CALLER_ENDED,
+        request_id=request_id,
+        outcome="connection reset",
+        held_bytes=ended.held,
+        held_in_all=ended.held_in_all,
+        box_bound=ended.box_bound,
+        stream_bound=ended.stream_bound,
+        open_answers=ended.streams,
+        age_s=round(ended.age_s, 3),
+    )
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -64,6 +64,7 @@
     REQUEST_REFUSED = "request_refused"
     REQUEST_BROKEN = "request_broken"
     CALLER_LEFT = "caller_left"
+    SLOW_CALLER_ENDED = "slow_caller_ended"
     KEEPER_ASKED = "keeper_asked"
     HOLD_ASKED = "hold_asked"
     WAIT_ENDED = "wait_ended"
--- /dev/null
+++ b/src/croftchute/forwarding/http/caller_writer.py
@@ -0,0 +1,220 @@
+"""The writing side of a caller's connection: what the caller has not read yet is held, bounded.
+
+Where the memory of the box is known, the transport gets one block at a time and the rest is held
+here. Both are counted, and so is what was read from a worker and waits while reading is paused.
+Where it is not known, the transport buffers as it does by itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+from croftchute.forwarding.http.held_answers import HeldAnswers
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+HIGH_WATER_BYTES = 65536
+
+BLOCK_BYTES = 65536
+"""Most bytes that are given to the transport at once: some milliseconds of a link of 100 Mbit/s."""
+
+UNSENT_KERNEL_BYTES = 65536
+"""Most bytes that the kernel takes beyond the caller's receive window. It would take megabytes
+for each caller, which count towards the memory of the box but not towards its bounds."""
+
+KERNEL_DEFAULT = 0
+"""The value of the socket option that leaves the kernel's own limit in force."""
+
+
+class CallerWriter:
+    """Writes the answers of one connection, one after the other.
+
+    ``held`` counts them; None if this connection's answers are not for callers.
+    """
+
+    def __init__(self, *, held: HeldAnswers | None) -> None:
+        self.is_bounded = False
+        self.is_cut_off = False
+        self.request_id = ""
+        self._held = held
+        self._transport: asyncio.Transport | None = None
+        self._number: int | None = None
+        self._buffer = bytearray()
+        self._unread = 0
+        self._is_paused = False
+        self._is_serving = False
+        self._is_over = False
+        self._closes_when_sent = False
+        self._room = asyncio.Event()
+        self._room.set()
+        self._sent = asyncio.Event()
+        self._sent.set()
+
+    @property
+    def size(self) -> int:
+        """Bytes held for the caller: here, in the transport, and unread at the paused worker."""
+        return self._unsent_bytes + self._unread
+
+    @property
+    def is_held_up(self) -> bool:
+        """Whether the caller reads too slowly for more to be written now."""
+        return not self._room.is_set()
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a bounded answer is not with the kernel yet; always False without bounds."""
+        return self.is_bounded and not self._is_over and self._unsent_bytes > 0
+
+    def attach(self, transport: asyncio.Transport) -> None:
+        """The connection is up."""
+        self._transport = transport
+        transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
+
+    def begin(self) -> None:
+        """A request is about to be served; the bounds in force now hold for its answer."""
+        self._is_serving = True
+        self.request_id = ""
+        wants_bounds = self._held is not None and self._held.is_bounded
+        if wants_bounds != self.is_bounded and self._unsent_bytes == 0:
+            self._set_bounded(wants_bounds)
+
+    def end(self) -> None:
+        """The request has been served; what is held of its answer is still counted."""
+        self._is_serving = False
+        if self.is_bounded and not self._is_over:
+            self._note()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, or hold them, if the caller is still there."""
+        if self._transport is None or self._is_over:
+            return
+        if not self.is_bounded:
+            self._transport.write(data)
+            return
+        self._buffer += data
+        self._pump()
+        self._note()
+
+    def note_unread(self, size: int) -> None:
+        """So many bytes were read from a worker and wait for the caller elsewhere."""
+        self._unread = size
+        if self.is_bounded and not self._is_over:
+            self._note()
+
+    async def drained(self) -> None:
+        """Wait until the caller has read enough for more to be written."""
+        await self._room.wait()
+
+    async def flushed(self) -> None:
+        """Wait until all of a bounded answer is with the kernel; returns at once without bounds."""
+        await self._sent.wait()
+
+    def pause_writing(self) -> None:
+        """The transport holds as much as it is to hold."""
+        self._is_paused = True
+        if not self.is_bounded:
+            self._room.clear()
+
+    def resume_writing(self) -> None:
+        """The transport takes more."""
+        self._is_paused = False
+        if not self.is_bounded:
+            self._room.set()
+        elif not self._is_over:
+            self._pump()
+            self._note()
+
+    def close_soon(self) -> None:
+        """Close once everything has been sent."""
+        if self._transport is None:
+            return
+        if self.has_unsent:
+            self._closes_when_sent = True
+        else:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection, so that an answer without a length cannot look whole."""
+        if self._transport is None:
+            return
+        raw = self._transport.get_extra_info("socket")
+        if raw is not None:
+            with contextlib.suppress(OSError):
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        if self.is_bounded:
+            self._free()
+        self._transport.abort()
+
+    def cut_off(self) -> None:
+        """Break the connection off, as this answer holds the most of all."""
+        self.is_cut_off = True
+        self.abort()
+
+    def lost(self) -> None:
+        """The connection is gone: nothing is held, and nobody waits for it."""
+        self._free()
+        self._room.set()
+        self._sent.set()
+
+    @property
+    def _unsent_bytes(self) -> int:
+        in_transport = 0
+        if self._transport is not None:
+            in_transport = self._transport.get_write_buffer_size()
+        return len(self._buffer) + in_transport
+
+    def _set_bounded(self, is_bounded: bool) -> None:
+        assert self._transport is not None
+        self.is_bounded = is_bounded
+        self._transport.set_write_buffer_limits(high=0 if is_bounded else HIGH_WATER_BYTES)
+        raw = self._transport.get_extra_info("socket")
+        limit = UNSENT_KERNEL_BYTES if is_bounded else KERNEL_DEFAULT
+        with contextlib.suppress(OSError):
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, limit)
+
+    def _pump(self) -> None:
+        """Give the transport what it takes."""
+        transport = self._transport
+        assert transport is not None
+        while self._buffer and not self._is_paused and not transport.is_closing():
+            block = bytes(self._buffer[:BLOCK_BYTES])
+            del self._buffer[:BLOCK_BYTES]
+            transport.write(block)
+
+    def _note(self) -> None:
+        """Count what is held now, and wake those who wait for less."""
+        assert self._held is not None and self._transport is not None
+        unsent = self._unsent_bytes
+        if self._number is None and (unsent or self._is_serving):
+            self._number = self._held.open(self)
+        bound = self._held.count.stream_bound
+        if unsent > bound:
+            self._room.clear()
+        elif unsent <= bound // 2:
+            self._room.set()
+        if unsent:
+            self._sent.clear()
+        else:
+            self._sent.set()
+            if self._closes_when_sent:
+                self._transport.close()
+        if self._number is None:
+            return
+        if unsent or self._is_serving:
+            self._held.note(self._number, unsent + self._unread)
+        else:
+            self._close_count()
+
+    def _free(self) -> None:
+        """Let go of all that is held, at once."""
+        self._is_over = True
+        self._buffer.clear()
+        self._unread = 0
+        self._close_count()
+
+    def _close_count(self) -> None:
+        if self._number is not None and self._held is not None:
+            self._held.close(self._number)
+            self._number = None
--- a/src/croftchute/forwarding/http/exchange.py
+++ b/src/croftchute/forwarding/http/exchange.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from croftchute.forwarding.http.caller_writer import CallerWriter
 from croftchute.tables.routing import HeaderList
 
 
@@ -44,19 +45,7 @@
     """The connection that a request came on, as far as its answer needs it."""
 
     is_lost: bool
-
-    @property
-    def is_held_up(self) -> bool:
-        """Whether the caller reads too slowly."""
-        ...
-
-    def write(self, data: bytes) -> None:
-        """Send some bytes."""
-        ...
-
-    async def drained(self) -> None:
-        """Wait until the caller has read enough."""
-        ...
+    writer: CallerWriter
 
     def persistence_headers(self, request: IncomingRequest) -> HeaderList:
         """What an answer says of the connection's further use."""
@@ -79,6 +68,7 @@
         self.is_started = False
         self.is_finished = False
         self._connection = connection
+        self._writer = connection.writer
         self._is_chunked = False
 
     @property
@@ -97,7 +87,7 @@
             lines.append((b"content-length", str(len(body)).encode()))
         lines += self._connection.persistence_headers(self.request)
         payload = b"" if self.request.method == "HEAD" else body
-        self._connection.write(encode_head(status, b"", lines) + payload)
+        self._writer.write(encode_head(status, b"", lines) + payload)
 
     def start(self, status: int, reason: bytes, headers: Iterable[tuple[bytes, bytes]]) -> None:
         """Begin an answer whose length is not known."""
@@ -107,7 +97,7 @@
             self._is_chunked = True
             lines.append((b"transfer-encoding", b"chunked"))
         lines += self._connection.persistence_headers(self.request)
-        self._connection.write(encode_head(status, reason, lines))
+        self._writer.write(encode_head(status, reason, lines))
 
     def write(self, data: bytes) -> None:
         """Pass on some bytes; wait for :meth:`drained` behind it while the caller is slow."""
@@ -115,22 +105,49 @@
             return
         if self._is_chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._connection.write(data)
+        self._writer.write(data)
 
     @property
     def is_held_up(self) -> bool:
         """Whether the caller reads too slowly."""
-        return self._connection.is_held_up
+        return self._writer.is_held_up
 
     async def drained(self) -> None:
         """Wait until the caller has read enough."""
-        await self._connection.drained()
+        await self._writer.drained()
+
+    @property
+    def is_bounded(self) -> bool:
+        """Whether the bytes held for the caller are counted and bounded."""
+        return self._writer.is_bounded
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the answer was ended because it held the most of all."""
+        return self._writer.is_cut_off
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether bytes of a bounded answer are held for the caller."""
+        return self._writer.has_unsent
+
+    async def flushed(self) -> None:
+        """Wait until nothing of a bounded answer is held for the caller any more."""
+        await self._writer.flushed()
+
+    def note_unread(self, size: int) -> None:
+        """Count bytes that were read from a worker and cannot be written for now."""
+        self._writer.note_unread(size)
+
+    def name(self, request_id: str) -> None:
+        """Tell which request this is, for the log."""
+        self._writer.request_id = request_id
 
     def finish(self) -> None:
         """Mark a started answer as whole."""
         self.is_finished = True
         if self._is_chunked:
-            self._connection.write(b"0\r\n\r\n")
+            self._writer.write(b"0\r\n\r\n")
         else:
             self._connection.close_soon()
 
--- a/src/croftchute/forwarding/http/failures.py
+++ b/src/croftchute/forwarding/http/failures.py
@@ -31,6 +31,13 @@
         super().__init__(Code.UPSTREAM_FAILED, message, ran=Ran.UNKNOWN)
 
 
+class CallerSlowError(ExchangeError):
+    """The caller did not read its answer in the time it has; the worker is not at fault."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(Code.DEADLINE_PASSED, message, ran=Ran.UNKNOWN)
+
+
 class AnswerLateError(ExchangeError):
     """The worker did not answer in the time it was given."""
 
--- a/src/croftchute/forwarding/http/http_client.py
+++ b/src/croftchute/forwarding/http/http_client.py
@@ -194,6 +194,21 @@
             self.transport.resume_reading()
         return part
 
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes of the body that have come and were not read yet."""
+        return sum(map(len, self._parts))
+
+    def pause_reading(self) -> None:
+        """Take nothing more from the server until :meth:`resume_reading`."""
+        if self.transport is not None and not self.is_lost:
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Take more from the server again."""
+        if self.transport is not None and not self.is_lost:
+            self.transport.resume_reading()
+
     async def read_body(self, max_bytes: int) -> bytes:
         """The whole body; raises :class:`ConnectionBrokenError` if it is larger than allowed."""
         parts: list[bytes] = []
--- a/src/croftchute/forwarding/http/http_server.py
+++ b/src/croftchute/forwarding/http/http_server.py
@@ -8,10 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import math
-import socket
-import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -19,15 +16,15 @@
 
 import httptools
 
+from croftchute.forwarding.http.caller_writer import CallerWriter
 from croftchute.forwarding.http.exchange import Arrival, Exchange, IncomingRequest, encode_head
+from croftchute.forwarding.http.held_answers import HeldAnswers
 from croftchute.forwarding.http.silence import ACCEPTED, watch_for_silence
 from croftchute.steady_clock import steady_s
 from croftchute.tables.routing import HeaderList, IngressLimits
 
 MAX_WAITING_REQUESTS = 4
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-HIGH_WATER_BYTES = 65536
 
 MIN_BODY_BYTES_PER_S = 4096
 """Least pace of a caller's body, beside the time for which a connection may rest: a caller that
@@ -54,8 +51,7 @@
         self.transport: asyncio.Transport | None = None
         self.is_lost = False
         self._loop = asyncio.get_running_loop()
-        self._can_write = asyncio.Event()
-        self._can_write.set()
+        self.writer = CallerWriter(held=server.held)
         self._waiting: deque[IncomingRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -92,7 +88,7 @@
         """Begin to wait for a request."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
+        self.writer.attach(transport)
         watch_for_silence(transport.get_extra_info("socket"), ACCEPTED)
         self.server.connections.add(self)
         self._wait_for(self.server.limits().idle_timeout_s)
@@ -112,12 +108,15 @@
 
     def eof_received(self) -> bool:
         """A caller that ends its side has left."""
+        if self.writer.has_unsent:
+            # The transport would only close once the caller had read all that is held for it.
+            self.abort()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The caller has left: what is done for it ends."""
         self.is_lost = True
-        self._can_write.set()
+        self.writer.lost()
         self._cancel_timer()
         self.server.connections.discard(self)
         if self._task is not None:
@@ -125,11 +124,11 @@
 
     def pause_writing(self) -> None:
         """The caller reads too slowly."""
-        self._can_write.clear()
+        self.writer.pause_writing()
 
     def resume_writing(self) -> None:
         """The caller has caught up."""
-        self._can_write.set()
+        self.writer.resume_writing()
 
     # What httptools calls.
 
@@ -159,7 +158,7 @@
                 self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
                 return
             if name == b"expect" and value.lower() == b"100-continue":
-                self.write(CONTINUE)
+                self.writer.write(CONTINUE)
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
@@ -196,20 +195,6 @@
 
     # What exchanges call.
 
-    def write(self, data: bytes) -> None:
-        """Send bytes, if the caller is still there."""
-        if self.transport is not None and not self.is_lost:
-            self.transport.write(data)
-
-    @property
-    def is_held_up(self) -> bool:
-        """Whether the caller reads too slowly."""
-        return not self._can_write.is_set()
-
-    async def drained(self) -> None:
-        """Wait until the caller has read enough."""
-        await self._can_write.wait()
-
     def persistence_headers(self, request: IncomingRequest) -> HeaderList:
         """What tells the caller whether the connection stays open."""
         if self.server.is_stopping and not self._waiting:
@@ -221,19 +206,12 @@
     def close_soon(self) -> None:
         """Close once everything has been written."""
         self._must_close = True
-        if self.transport is not None:
-            self.transport.close()
+        self.writer.close_soon()
 
     def abort(self) -> None:
         """Reset the connection, so that an answer without a length cannot look whole."""
         self._must_close = True
-        if self.transport is None:
-            return
-        raw = self.transport.get_extra_info("socket")
-        if raw is not None:
-            with contextlib.suppress(OSError):
-                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.transport.abort()
+        self.writer.abort()
 
     def _begin_message(self) -> None:
         self._begun_at = self.server.clock()
@@ -261,6 +239,7 @@
             return
         request = self._waiting.popleft()
         exchange = Exchange(connection=self, request=request)
+        self.writer.begin()
         self._task = self._loop.create_task(self._serve(exchange))
 
     async def _serve(self, exchange: Exchange) -> None:
@@ -270,6 +249,7 @@
             self._task = None
             if not exchange.is_finished:
                 self.abort()
+            self.writer.end()
         self._after_answer()
 
     def _after_answer(self) -> None:
@@ -305,7 +285,7 @@
         self._cancel_timer()
         if self._task is None:
             head = encode_head(status, b"", [(b"content-length", b"0"), (b"connection", b"close")])
-            self.write(head)
+            self.writer.write(head)
             self.close_soon()
         else:
             self._closes_after = True
@@ -331,7 +311,7 @@
 
     ``clock`` tells when requests come. Once the entry is over, they go to ``turn_away`` instead,
     whatever way they came: on a kept connection, behind another request, read in parts, or on a
-    connection that was accepted late.
+    connection that was accepted late. ``held`` counts and bounds what is held for callers.
     """
 
     def __init__(
@@ -341,11 +321,13 @@
         limits: Callable[[], IngressLimits],
         turn_away: Handler | None = None,
         clock: Callable[[], float] = steady_s,
+        held: HeldAnswers | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.turn_away = turn_away or handler
         self.clock = clock
+        self.held = held
         self.entry_ends_at = math.inf
         self.connections: set[CallerConnection] = set()
         self.is_stopping = False
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -31,6 +31,14 @@
             "Calls of workers that name a limit that were not permitted, by outcome",
             **own,
         )
+        self.slow_callers = Counter(
+            "croftchute_slow_callers_ended_total",
+            "Answers ended as all held bytes exceeded the bound and theirs were the most",
+            **own,
+        )
+        self.held_bytes = Gauge(
+            "croftchute_held_bytes", "Bytes held for callers that have not read them", **own
+        )
         self.store_calls = Counter("croftchute_store_calls_total", "Store calls by outcome", **own)
         self.transfer_bytes = Counter(
             "croftchute_transfer_bytes_total",
--- a/src/croftchute/forwarding/workers/part_reader.py
+++ b/src/croftchute/forwarding/workers/part_reader.py
@@ -45,6 +45,11 @@
                 self._note_part()
             return part
 
+    def note_resumed(self) -> None:
+        """The worker was not read for a while: that is no pause of its own."""
+        if self._last_at is not None:
+            self._last_at = self.run.now
+
     def _wait_s(self) -> float:
         run = self.run
         if self._last_at is None:
--- a/src/croftchute/forwarding/workers/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -54,11 +54,11 @@
             break
         answer = await _attempt(run, *found, progress)
         if answer is not None:
-            _hand_over(run, answer)
+            await _hand_over(run, answer)
             return
         if progress.may_have_run and not run.route.may_repeat:
             break
-    _give_up(run, progress)
+    await _give_up(run, progress)
 
 
 async def _attempt(
@@ -127,16 +127,16 @@
     return answer.status in (408, 421, 429, 503)
 
 
-def _hand_over(run: RequestRun, answer: WholeAnswer) -> None:
+async def _hand_over(run: RequestRun, answer: WholeAnswer) -> None:
     run.first_byte_at = run.now
     run.exchange.send(answer.status, answer.headers, answer.body)
-    run.answered(answer.status, answer.worker)
+    await run.answered_once_read(answer.status, answer.worker)
 
 
-def _give_up(run: RequestRun, progress: Progress) -> None:
+async def _give_up(run: RequestRun, progress: Progress) -> None:
     last = progress.last_answer
     if last is not None and not _promises_not_run(last):
-        _hand_over(run, last)
+        await _hand_over(run, last)
         return
     if not progress.may_have_run:
         run.refuse(progress.code, Ran.NOT_RUN, progress.detail)
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -11,6 +11,7 @@
 from croftchute.forwarding.http.deadline import within
 from croftchute.forwarding.http.event_stream import EventSplitter, StreamEvent
 from croftchute.forwarding.http.failures import (
+    CallerSlowError,
     ConnectFailedError,
     ConnectionBrokenError,
     ExchangeError,
@@ -67,7 +68,7 @@
             return
         if progress.is_whole:
             self.run.exchange.finish()
-            self.run.answered(200, progress.started_worker)
+            await self.run.answered_once_read(200, progress.started_worker)
         elif self.run.exchange.is_started:
             self.run.broken(progress.detail)
         else:
@@ -159,6 +160,10 @@
             run.connect_failures += 1
             call.failed(error)
             progress.code, progress.detail = error.code, error.message
+        except CallerSlowError as error:
+            progress.may_have_run = True
+            call.given_up(error)
+            progress.code, progress.detail = error.code, error.message
         except ExchangeError as error:
             progress.may_have_run = True
             self.reader.doubt()
@@ -242,6 +247,9 @@
             events = splitter.feed(part)
             if events:
                 await self._write(call, head, events)
+                if self.run.exchange.is_bounded and self.run.exchange.is_held_up:
+                    await call.wait_for_caller()
+                    parts.note_resumed()
         if splitter.leftover:
             raise ConnectionBrokenError("stream ended inside an event")
         if not run.exchange.is_started:
@@ -270,7 +278,7 @@
             self._start(call, head)
         exchange = self.run.exchange
         exchange.write(b"".join(data))
-        if exchange.is_held_up:
+        if exchange.is_held_up and not exchange.is_bounded:
             await within(exchange.drained(), self.run.time_left_s, "caller did not read")
 
     def _start(self, call: WorkerCall, head: ResponseHead) -> None:
@@ -306,6 +314,7 @@
     try:
         await stream.serve()
     except asyncio.CancelledError:
-        kind = Decision.CALLER_LEFT if run.exchange.caller_has_left else Decision.REQUEST_BROKEN
+        has_left = run.exchange.caller_has_left and not run.exchange.is_cut_off
+        kind = Decision.CALLER_LEFT if has_left else Decision.REQUEST_BROKEN
         run.log(kind, events=stream.progress.events, worker=run.last_worker)
         raise
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -8,7 +8,7 @@
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
 from croftchute.forwarding.http.deadline import within
-from croftchute.forwarding.http.failures import ExchangeError
+from croftchute.forwarding.http.failures import AnswerLateError, CallerSlowError, ExchangeError
 from croftchute.forwarding.http.http_client import ClientConnection, ResponseHead
 from croftchute.forwarding.workers.crash_watch import note_broken
 from croftchute.forwarding.workers.load_reader import note_answer_pace, note_load
@@ -142,6 +142,29 @@
         assert self.connection is not None
         return await within(self.connection.read_body(MAX_ANSWER_BYTES), timeout_s, "no whole body")
 
+    async def wait_for_caller(self) -> None:
+        """Leave the worker unread until the caller has read enough of what is held for it.
+
+        Raises CallerSlowError once the caller's time is over.
+        """
+        connection = self.connection
+        assert connection is not None
+        exchange = self.run.exchange
+        connection.pause_reading()
+        # At most one reading of the socket has come that could not be written.
+        exchange.note_unread(connection.unread_bytes)
+        try:
+            await within(exchange.drained(), self.run.time_left_s, "caller did not read")
+        except AnswerLateError as error:
+            raise CallerSlowError(error.message) from None
+        finally:
+            exchange.note_unread(0)
+        connection.resume_reading()
+
+    def given_up(self, error: CallerSlowError) -> None:
+        """The caller did not read the answer in its time: nothing is held against the worker."""
+        self._ended("caller_slow", detail=error.message)
+
     def succeeded(self) -> None:
         """The worker answered: what was held against it loses weight."""
         self._ended("ok")
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -91,6 +91,7 @@
     drain_s: Positive = 2.0
     contact_s: Positive = 3.0
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     reload_check_s: Positive = 2.0
 
 
