Tests of slow readers with boxes and processes; held bytes in pieces; smaller readings of sockets

Cause: with 200 callers that read a byte a second the process grew by 63 MB for 16 MB of counted bytes: the event loop reads 256 KB at a time into new memory, and growing buffers left fragments. Change: connections to servers read 64 KB at most, into one buffer; held bytes lie in pieces of 16 KB.

--- a/src/croftchute/forwarding/http/caller_writer.py
+++ b/src/croftchute/forwarding/http/caller_writer.py
@@ -11,14 +11,16 @@
 import contextlib
 import socket
 import struct
+from collections import deque
 
 from croftchute.forwarding.http.held_answers import HeldAnswers
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 HIGH_WATER_BYTES = 65536
 
-BLOCK_BYTES = 65536
-"""Most bytes that are given to the transport at once: some milliseconds of a link of 100 Mbit/s."""
+BLOCK_BYTES = 16384
+"""Size of the pieces that are held, and given to the transport one at a time. Buffers that grow and
+shrink leave memory in fragments: the process took over twice what was counted."""
 
 UNSENT_KERNEL_BYTES = 65536
 """Most bytes that the kernel takes beyond the caller's receive window. It would take megabytes
@@ -41,7 +43,8 @@
         self._held = held
         self._transport: asyncio.Transport | None = None
         self._number: int | None = None
-        self._buffer = bytearray()
+        self._blocks: deque[bytearray] = deque()
+        self._blocks_bytes = 0
         self._unread = 0
         self._is_paused = False
         self._is_serving = False
@@ -93,7 +96,7 @@
         if not self.is_bounded:
             self._transport.write(data)
             return
-        self._buffer += data
+        self._hold(data)
         self._pump()
         self._note()
 
@@ -163,7 +166,7 @@
         in_transport = 0
         if self._transport is not None:
             in_transport = self._transport.get_write_buffer_size()
-        return len(self._buffer) + in_transport
+        return self._blocks_bytes + in_transport
 
     def _set_bounded(self, is_bounded: bool) -> None:
         assert self._transport is not None
@@ -174,13 +177,23 @@
         with contextlib.suppress(OSError):
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, limit)
 
+    def _hold(self, data: bytes) -> None:
+        """Add bytes in pieces of one size; small ones share a piece."""
+        self._blocks_bytes += len(data)
+        begin = 0
+        if self._blocks:
+            begin = BLOCK_BYTES - len(self._blocks[-1])
+            self._blocks[-1] += data[:begin]
+        for at in range(begin, len(data), BLOCK_BYTES):
+            self._blocks.append(bytearray(data[at : at + BLOCK_BYTES]))
+
     def _pump(self) -> None:
         """Give the transport what it takes."""
         transport = self._transport
         assert transport is not None
-        while self._buffer and not self._is_paused and not transport.is_closing():
-            block = bytes(self._buffer[:BLOCK_BYTES])
-            del self._buffer[:BLOCK_BYTES]
+        while self._blocks and not self._is_paused and not transport.is_closing():
+            block = self._blocks.popleft()
+            self._blocks_bytes -= len(block)
             transport.write(block)
 
     def _note(self) -> None:
@@ -210,7 +223,8 @@
     def _free(self) -> None:
         """Let go of all that is held, at once."""
         self._is_over = True
-        self._buffer.clear()
+        self._blocks.clear()
+        self._blocks_bytes = 0
         self._unread = 0
         self._close_count()
 
--- a/src/croftchute/forwarding/http/http_client.py
+++ b/src/croftchute/forwarding/http/http_client.py
@@ -17,6 +17,15 @@
 from croftchute.tables.routing import HeaderList
 
 MAX_WAITING_PARTS = 64
+
+RECEIVE_BYTES = 65536
+"""Most bytes that are read from a socket at once: what a reader that stops leaves unread. The event
+loop's own way takes four times as much, in a new piece of memory for each reading."""
+
+RECEIVED = memoryview(bytearray(RECEIVE_BYTES))
+"""What was read last, by any connection: it is parsed before the event loop reads again. A process
+has one event loop."""
+
 DEFAULT_KEEP_ALIVE_S = 2.0
 KEEP_ALIVE_SHARE = 0.8
 FIRST_FINAL_STATUS = 200
@@ -39,7 +48,7 @@
         return None
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One connection to a server, for one exchange at a time.
 
     ``expected`` names a header and the value it must have in an answer: answers with another
@@ -78,14 +87,18 @@
         self.transport = transport
         watch_for_silence(transport.get_extra_info("socket"), self.limits)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the event loop reads the next bytes to."""
+        return RECEIVED
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse; bytes that no request asked for make the connection unusable."""
         if not self._is_active:
             self.is_tainted = True
             self.abort()
             return
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(RECEIVED[:nbytes])
         except httptools.HttpParserError as error:
             if not self.is_complete:
                 self._fail(f"not an answer: {error}")
--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -22,7 +22,7 @@
 from croftchute.soak.wishes import TellingWorkers
 from croftchute.soak.worker_limits import LimitingWorkers
 from croftchute.soak.world import DESK, ENGINES, HALLS, ListedWorker, SoakWorld
-from croftchute.standins.platform_worker import sound_but
+from croftchute.standins.platform_faults import sound_but
 from croftchute.systems.hall_relays import RELAYS
 from croftchute.systems.rendezvous import rank
 
--- a/src/croftchute/soak/wishes.py
+++ b/src/croftchute/soak/wishes.py
@@ -12,7 +12,7 @@
 from croftchute.soak.traffic import Traffic
 from croftchute.soak.violation import Violation, broken
 from croftchute.soak.world import ListedWorker, SoakWorld
-from croftchute.standins.platform_worker import sound_but
+from croftchute.standins.platform_faults import sound_but
 
 REST_S = (1.5, 3.0)
 """Seconds of rest that workers ask for: three and six times the time that is not judged."""
--- /dev/null
+++ b/src/croftchute/standins/platform_faults.py
@@ -0,0 +1,38 @@
+"""What can go wrong at the stand-in of the users' workers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+
+@dataclass(kw_only=True)
+class WorkerFaults:
+    """What goes wrong at the worker at the moment; numbers count events of a stream.
+
+    ``is_leaving`` has all answers say so; ``rest_s`` is what refusals ask for as rest, if not 0.
+    ``limit`` is what all answers name as the limit, if anything.
+    """
+
+    is_full: bool = False
+    has_no_room: bool = False
+    status: int = 0
+    is_silent: bool = False
+    resets_before_answer: bool = False
+    resets_after_events: int | None = None
+    ends_inside_event: int | None = None
+    hangs_after_events: int | None = None
+    repeats_event: int | None = None
+    sends_surplus_first: bool = False
+    lacks_stamp: bool = False
+    handles_lapse: bool = False
+    cuts_body: bool = False
+    is_unframed: bool = False
+    is_leaving: bool = False
+    rest_s: float = 0.0
+    limit: str = ""
+
+
+def sound_but(faults: WorkerFaults, **changes: Any) -> WorkerFaults:
+    """Nothing wrong but for some changes; a worker that leaves or is in need goes on saying so."""
+    return replace(WorkerFaults(is_leaving=faults.is_leaving, limit=faults.limit), **changes)
--- a/src/croftchute/standins/platform_wire.py
+++ b/src/croftchute/standins/platform_wire.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 Headers = dict[str, str]
 
+UNREAD_BYTES = 16_384
+"""Bytes of a stream that the kernel keeps for a reader: few, so that one that stops is noticed."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Received:
@@ -34,6 +38,13 @@
     return "\r\n".join([*lines, "", ""]).encode()
 
 
+def limit_unread(writer: asyncio.StreamWriter) -> None:
+    """Have a connection take little that its reader has not read, here and in the kernel."""
+    raw = writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, UNREAD_BYTES)
+    writer.transport.set_write_buffer_limits(high=0)
+
+
 def write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
     """Write a part of a body whose length is not told."""
     writer.write(b"%x\r\n%b\r\n" % (len(data), data))
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -12,12 +12,19 @@
 import socket
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
-from typing import Any
+from dataclasses import dataclass, field
 
 import msgspec
 
-from croftchute.standins.platform_wire import Headers, Received, encode_head, requests, write_chunk
+from croftchute.standins.platform_faults import WorkerFaults
+from croftchute.standins.platform_wire import (
+    Headers,
+    Received,
+    encode_head,
+    limit_unread,
+    requests,
+    write_chunk,
+)
 
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -50,44 +57,14 @@
     rest_s: float = 0.0
 
 
-@dataclass(kw_only=True)
-class WorkerFaults:
-    """What goes wrong at the worker at the moment; numbers count events of a stream.
-
-    ``is_leaving`` has all answers say so; ``rest_s`` is what refusals ask for as rest, if not 0.
-    ``limit`` is what all answers name as the limit, if anything.
-    """
-
-    is_full: bool = False
-    has_no_room: bool = False
-    status: int = 0
-    is_silent: bool = False
-    resets_before_answer: bool = False
-    resets_after_events: int | None = None
-    ends_inside_event: int | None = None
-    hangs_after_events: int | None = None
-    repeats_event: int | None = None
-    sends_surplus_first: bool = False
-    lacks_stamp: bool = False
-    handles_lapse: bool = False
-    cuts_body: bool = False
-    is_unframed: bool = False
-    is_leaving: bool = False
-    rest_s: float = 0.0
-    limit: str = ""
-
-
-def sound_but(faults: WorkerFaults, **changes: Any) -> WorkerFaults:
-    """Nothing wrong but for some changes; a worker that leaves or is in need goes on saying so."""
-    return replace(WorkerFaults(is_leaving=faults.is_leaving, limit=faults.limit), **changes)
-
-
 @dataclass(kw_only=True)
 class PlatformWorker:
     """One worker; ``stage`` is empty for plain services.
 
     It ends when it begins to run a request whose body is ``crashes_on``, or to read the prompt of
-    one ahead whose body is ``crashes_on_reading``.
+    one ahead whose body is ``crashes_on_reading``. ``event_bytes`` is the size of an event's data
+    and ``answer_bytes`` that of a whole answer, if not 0. A stream that is not read for
+    ``unread_s`` seconds is cut off, if that is not 0.
     """
 
     id: str
@@ -95,6 +72,9 @@
     events: int = 4
     gap_s: float = 0.0
     slow_gap_s: float = 0.0
+    event_bytes: int = 0
+    answer_bytes: int = 0
+    unread_s: float = 0.0
     work_s: float = 0.0
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     port: int = 0
@@ -104,6 +84,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     refusals: list[Arrival] = field(default_factory=list)
     handle_ttl_s: float = 3600.0
+    cut_off: list[str] = field(default_factory=list)
     dropped: list[str] = field(default_factory=list)
     finished: list[str] = field(default_factory=list)
     holds: set[str] = field(default_factory=set)
@@ -319,7 +300,7 @@
             )
             self._send(writer, other, 200, {}, b"of another request")
         status = faults.status or 200
-        body = f"answer of {self.id} to {request.id}".encode()
+        body = f"answer of {self.id} to {request.id}".encode().ljust(self.answer_bytes, b".")
         headers = {} if faults.lacks_stamp else {"X-Croftchute-Server-Stamp": STAMP}
         headers["X-Croftchute-Server-Load"] = "1,0,8"
         if faults.is_unframed:
@@ -348,6 +329,8 @@
             "Transfer-Encoding": "chunked",
             "X-Croftchute-Server-Stamp": STAMP,
         }
+        if self.unread_s:
+            limit_unread(writer)
         writer.write(encode_head(faults.status or 200, request, headers | self._wishes()))
         first = int(request.headers.get("last-event-id", "0")) + 1
         for sent, number in enumerate(range(first, self.events + 1)):
@@ -357,7 +340,8 @@
             if faults.hangs_after_events == sent:
                 await self._wait_for_close(request, reader)
                 return False
-            event = f"id: {number}\ndata: token-{number} of {request.id}\n\n".encode()
+            data = f"token-{number} of {request.id}".ljust(self.event_bytes, ".")
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             if faults.ends_inside_event == sent:
                 write_chunk(writer, event[:6])
                 writer.close()
@@ -365,7 +349,7 @@
             write_chunk(writer, event)
             if faults.repeats_event == sent:
                 write_chunk(writer, event)
-            if not await self._pause(request, reader):
+            if not await self._pause(request, reader) or not await self._is_read(request, writer):
                 return False
         writer.write(b"0\r\n\r\n")
         self.finished.append(request.id)
@@ -382,6 +366,18 @@
             return True
         return False
 
+    async def _is_read(self, request: Received, writer: asyncio.StreamWriter) -> bool:
+        """Whether the stream is read; it is cut off if nothing of it is for too long."""
+        if not self.unread_s:
+            return True
+        try:
+            async with asyncio.timeout(self.unread_s):
+                await writer.drain()
+        except TimeoutError:
+            self.cut_off.append(request.id)
+            return self._reset(writer)
+        return True
+
     def _rest(self) -> Headers:
         return {"Retry-After": f"{self.faults.rest_s:g}"} if self.faults.rest_s else {}
 
--- a/tests/platform_adapter/platform_fleet.py
+++ b/tests/platform_adapter/platform_fleet.py
@@ -98,7 +98,7 @@
         self.store.put(f"servers/{name}", worker.entry(service, zone, state))
         return worker
 
-    async def add_box(self, name="box-1", *, zone="a", store_port=None, seeds=()):
+    async def add_box(self, name="box-1", *, zone="a", store_port=None, seeds=(), memory_mb=0.0):
         port = store_port or self.store.ingress.port
         settings = RouterSettings(
             box=name,
@@ -112,6 +112,7 @@
             peer_keys=("k" * 16,),
             order_gap_s=0.1,
             boxes=1,
+            memory_mb=memory_mb,
         )
         state = make_state(settings, callers=PlatformCallers(), workers=PlatformWorkers())
         store = PlatformStore(
--- a/tests/platform_adapter/stream_fleet.py
+++ b/tests/platform_adapter/stream_fleet.py
@@ -3,7 +3,7 @@
 PARTS = "X-Croftchute-Prompt-Prefix: 5c1e:3,91bd:7"
 
 
-async def engines(made, *, decodes=2, prefills=1, **options):
+async def engines(made, *, decodes=2, prefills=1, memory_mb=0.0, **options):
     decode = [
         await made.add_worker(f"d{n}", service="llm", stage="decode", **options)
         for n in range(decodes)
@@ -11,7 +11,7 @@
     prefill = [
         await made.add_worker(f"p{n}", service="llm", stage="prefill") for n in range(prefills)
     ]
-    box = await made.add_box()
+    box = await made.add_box(memory_mb=memory_mb)
     await made.ready(box)
     return box, decode, prefill
 
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -26,7 +26,7 @@
 from stream_fleet import engines
 
 from croftchute.forwarding.store.crash_register import PREFIX
-from croftchute.standins.platform_worker import WorkerFaults
+from croftchute.standins.platform_faults import WorkerFaults
 from croftchute.tables.routing import WorkerState
 
 CRASHES = b"crashes"
