--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -16,7 +16,14 @@
 
 import msgspec
 
-from croftchute.standins.platform_wire import Headers, Received, encode_head, requests, write_chunk
+from croftchute.standins.platform_wire import (
+    Headers,
+    Received,
+    encode_head,
+    limit_unread,
+    requests,
+    write_chunk,
+)
 from croftchute.standins.worker_records import Arrival, Run, WorkerFaults
 
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
@@ -34,6 +41,8 @@
     It ends when it begins to run a request whose body is ``crashes_on``, or to read the prompt of
     one ahead whose body is ``crashes_on_reading``. ``load`` is what its answers tell as the load,
     but for those to prefill calls; empty has plain answers tell a fixed one, and others none.
+    ``event_bytes`` is the size of an event's data and ``answer_bytes`` that of a whole answer, if
+    not 0. A stream that is not read for ``unread_s`` seconds is cut off, if that is not 0.
     """
 
     id: str
@@ -41,6 +50,9 @@
     events: int = 4
     gap_s: float = 0.0
     slow_gap_s: float = 0.0
+    event_bytes: int = 0
+    answer_bytes: int = 0
+    unread_s: float = 0.0
     work_s: float = 0.0
     load: str = ""
     health_path: str = "/healthz"
@@ -52,6 +64,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     refusals: list[Arrival] = field(default_factory=list)
     handle_ttl_s: float = 3600.0
+    cut_off: list[str] = field(default_factory=list)
     dropped: list[str] = field(default_factory=list)
     finished: list[str] = field(default_factory=list)
     holds: set[str] = field(default_factory=set)
@@ -274,7 +287,7 @@
             )
             self._send(writer, other, 200, {}, b"of another request")
         status = faults.status or 200
-        body = f"answer of {self.id} to {request.id}".encode()
+        body = f"answer of {self.id} to {request.id}".encode().ljust(self.answer_bytes, b".")
         headers = {} if faults.lacks_stamp else {"X-Croftchute-Server-Stamp": STAMP}
         headers |= self._load() or {"X-Croftchute-Server-Load": "1,0,8"}
         if faults.is_unframed:
@@ -303,6 +316,8 @@
             "Transfer-Encoding": "chunked",
             "X-Croftchute-Server-Stamp": STAMP,
         }
+        if self.unread_s:
+            limit_unread(writer)
         headers |= self._load() | self._wishes()
         writer.write(encode_head(faults.status or 200, request, headers))
         first = int(request.headers.get("last-event-id", "0")) + 1
@@ -313,7 +328,8 @@
             if faults.hangs_after_events == sent:
                 await self._wait_for_close(request, reader)
                 return False
-            event = f"id: {number}\ndata: token-{number} of {request.id}\n\n".encode()
+            data = f"token-{number} of {request.id}".ljust(self.event_bytes, ".")
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             if faults.ends_inside_event == sent:
                 write_chunk(writer, event[:6])
                 writer.close()
@@ -321,7 +337,7 @@
             write_chunk(writer, event)
             if faults.repeats_event == sent:
                 write_chunk(writer, event)
-            if not await self._pause(request, reader):
+            if not await self._pause(request, reader) or not await self._is_read(request, writer):
                 return False
         writer.write(b"0\r\n\r\n")
         self.finished.append(request.id)
@@ -338,6 +354,18 @@
             return True
         return False
 
+    async def _is_read(self, request: Received, writer: asyncio.StreamWriter) -> bool:
+        """Whether the stream is read; it is cut off if nothing of it is for too long."""
+        if not self.unread_s:
+            return True
+        try:
+            async with asyncio.timeout(self.unread_s):
+                await writer.drain()
+        except TimeoutError:
+            self.cut_off.append(request.id)
+            return self._reset(writer)
+        return True
+
     def _rest(self) -> Headers:
         return {"Retry-After": f"{self.faults.rest_s:g}"} if self.faults.rest_s else {}
 
