The way of reserved memory is removed; a setting says where callers and workers read slowly

What is held for slow readers is bounded only where a deployment says that it has any. Change: ways.order loses reserve; conditions.pressure switches the bounds on.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -124,7 +124,9 @@
             self.fleet_record.note_restored,
         ]
         self.held = HeldAnswers(
-            memory_mb=settings.memory_mb, clock=state.clock, on_ended=partial(note_ended, state)
+            memory_mb=settings.held_memory_mb,
+            clock=state.clock,
+            on_ended=partial(note_ended, state),
         )
         forwarder = Forwarder(state=state, usage_limits=self.usage_limits)
         self.ingress = HttpIngress(
@@ -292,7 +294,7 @@
         for window in self.state.budgets_by_service.values():
             window.limits = self.state.retry_limits
         self.state.default_boxes = settings.boxes
-        self.held.set_memory(settings.memory_mb)
+        self.held.set_memory(settings.held_memory_mb)
         self.state.workers.lapsed_grace_s = lapsed_grace_s(settings)
         self.state.log.decide(
             Decision.RELOADED, outcome="in force", cause=cause, needs_restart=needs_restart
--- a/src/croftchute/forwarding/workers/decode_room.py
+++ b/src/croftchute/forwarding/workers/decode_room.py
@@ -184,7 +184,6 @@
             engine.kv_tokens,
             run.state.ways.hold,
         )
-        tokens = min(tokens + run.reserved_tokens(), engine.kv_tokens)
         outcome = "granted"
         try:
             self.hold = await take_hold(run.state, belief.worker, tokens, engine.hold_ttl_s)
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -14,7 +14,7 @@
 from croftchute.forwarding.workers.room_report import count_refusal, order_facts
 from croftchute.systems import patience
 from croftchute.systems.fair_shares import ShareVerdict
-from croftchute.systems.room_order import OrderWay, reserved_tokens, room_rank
+from croftchute.systems.room_order import OrderWay, room_rank
 from croftchute.systems.size_lanes import RoomWay, by_lane, is_large
 from croftchute.systems.worker_belief import WorkerBelief
 from croftchute.systems.worker_choice import ChoiceInput, Surroundings, choose, describe
@@ -143,18 +143,6 @@
             is_over_share=self.share.is_over,
         )
 
-    def reserved_tokens(self) -> int:
-        """Memory of an engine that the request leaves to more urgent ones, in tokens."""
-        state = self.state
-        if not self.is_ordered or self.exchange.is_started:
-            return 0
-        return reserved_tokens(
-            self.room_rank,
-            state.room_order(self.service),
-            ranks=state.request_ranks(self.service).count,
-            request_tokens=state.mean_request_tokens(self.service),
-        )
-
     @property
     def share(self) -> ShareVerdict:
         """What the request's organisation has of the service's decode memory."""
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -71,6 +71,16 @@
     placement: PlacementWay = PlacementWay.AUTO
 
 
+class Conditions(msgspec.Struct, frozen=True, kw_only=True):
+    """What a deployment says of its load; other names pass.
+
+    Under ``pressure`` callers and workers may read slowly, and the health path of a worker answers
+    at once with its load, whatever waits there.
+    """
+
+    pressure: bool = False
+
+
 class RouterSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Everything a forwarding box knows before it has met anyone; unknown fields pass."""
 
@@ -87,6 +97,7 @@
     retry: RetrySettings = RetrySettings()
     limits: LimitSettings = LimitSettings()
     ways: DecisionWays = DecisionWays()
+    conditions: Conditions = Conditions()
     order_gap_s: Positive = 3.0
     boxes: Annotated[int, msgspec.Meta(ge=1)] = 12
     stop_limit_s: Positive = 8.0
@@ -96,6 +107,11 @@
     memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     reload_check_s: Positive = 2.0
 
+    @property
+    def held_memory_mb(self) -> float:
+        """The memory that bounds what is held for slow readers; 0 where nobody reads slowly."""
+        return self.memory_mb if self.conditions.pressure else 0.0
+
 
 def parse_router_settings(raw: bytes) -> RouterSettings:
     """Read and check settings; raises :class:`DocumentError` with the path of the fault.
--- a/src/croftchute/systems/room_order.py
+++ b/src/croftchute/systems/room_order.py
@@ -56,15 +56,13 @@
     """How requests that wait for room are ordered.
 
     ``paced``: the more urgent ask more often. ``entry``: beside that, others hold back while a
-    more urgent rank waits too long anywhere. ``reserve``: beside the pace, others leave a part of
-    each engine's memory to more urgent ranks. ``auto`` is ``entry`` where the configuration gives
+    more urgent rank waits too long anywhere. ``auto`` is ``entry`` where the configuration gives
     streams of a service different priorities.
     """
 
     AUTO = "auto"
     PACED = "paced"
     ENTRY = "entry"
-    RESERVE = "reserve"
     UNORDERED = "unordered"
 
 
@@ -230,24 +228,6 @@
     return min(LONGEST_PAUSE_S, FIRST_PAUSE_S * PAUSE_RATIO**rank)
 
 
-def reserved_tokens(rank: int, way: OrderWay, *, ranks: int, request_tokens: float) -> int:
-    """Memory of an engine that a request leaves to more urgent ranks, in tokens.
-
-    Up to a request of mean size at the least urgent rank, and half of one more where the request
-    is late: so much that the next urgent request finds room at most engines.
-
-    >>> [reserved_tokens(rank, OrderWay.RESERVE, ranks=3, request_tokens=6000)
-    ...  for rank in range(4)]
-    [0, 3000, 6000, 9000]
-    >>> reserved_tokens(2, OrderWay.ENTRY, ranks=3, request_tokens=6000)
-    0
-    """
-    if way is not OrderWay.RESERVE or ranks < 2:
-        return 0
-    share = min(1.5, rank / (ranks - 1))
-    return int(share * request_tokens)
-
-
 def room_rank(rank: int, *, ranks: int, is_late: bool, is_over_share: bool = False) -> int:
     """The rank for room, behind all requests that are in time and within their share.
 
