--- a/src/croftchute/forwarding/workers/decode_room.py
+++ b/src/croftchute/forwarding/workers/decode_room.py
@@ -54,7 +54,8 @@
         asked_at = run.now
         with closing(self._turn(is_begun=is_begun)) as turn:
             while True:
-                has_asked = turn.may_ask(run.now)
+                # Where there is no worker the request is refused for that, without a wait.
+                has_asked = turn.may_ask(run.now) or not self._has_worker()
                 if has_asked and run.held_back:
                     # It says no longer why the request has no room.
                     self.code, self.detail = None, ""
@@ -86,6 +87,11 @@
         )
         return PollingTurn(history=run.state.room(run.service), poll_s=pause_s)
 
+    def _has_worker(self) -> bool:
+        """Whether some decode worker may be asked now."""
+        run = self.run
+        return bool(run.state.workers.usable(run.service, run.now, stage=Stage.DECODE))
+
     def _rests_end_soon(self) -> bool:
         """Whether a decode worker takes work again while the caller of a begun stream waits."""
         return 0.0 < self.run.rest_left_s <= patience.RESUME_WAIT_S
--- a/tests/systems/room_run.py
+++ b/tests/systems/room_run.py
@@ -186,6 +186,10 @@
     """Asks no worker: a script says what each ask finds."""
 
     asks = 0
+    has_worker = True
+
+    def _has_worker(self):
+        return self.has_worker
 
     async def _ask_for_room(self):
         self.asks += 1
--- a/tests/systems/test_ranked_turn.py
+++ b/tests/systems/test_ranked_turn.py
@@ -168,6 +168,18 @@
     assert room.code is None and room.detail == ""
 
 
+def test_a_request_that_would_hold_back_is_refused_at_once_where_no_worker_is(monkeypatch):
+    """The fault: it held back and waited for room, and heard only later that there is no worker."""
+    bench = Bench(monkeypatch)
+    urgent_waits(bench, waited_s=0.3)
+    run = bench.request(1, prompt=SHORT)
+    room = ScriptedRoom(run=run)
+    room.has_worker = False
+    _, found = bench.reserve(run, [NO_WORKER], room=room)
+    assert found is None and bench.sleeps == [] and not run.held_back
+    assert room.code is None
+
+
 def urgent_goes_on_waiting(bench, mean_wait_s):
     """A more urgent rank of which a request waits, for as long on average, whatever the time."""
     counts = {0: RoomCounts(waited_s=2 * mean_wait_s - PRIOR_WAIT_S, grants=1.0)}
