A request that got room after it was held back: tested

Cause: the mark that a request was held back stayed when it then got room, and a later refusal would have been counted under held_back. Change: a test with two boxes.

--- a/tests/platform_adapter/test_room_by_rank.py
+++ b/tests/platform_adapter/test_room_by_rank.py
@@ -15,6 +15,7 @@
 )
 from stream_fleet import engines
 
+from croftchute.forwarding.workers.decode_room import DecodeRoom
 from croftchute.systems.room_order import MIN_WAITED_S
 
 ORDER_FIELDS = {"rank", "room_rank", "entry_rank", "entry_age_s"}
@@ -195,6 +196,34 @@
     run(body)
 
 
+def test_a_request_that_got_room_is_no_longer_taken_for_held_back(monkeypatch):
+    """Guards against a later refusal, for another reason, that is told as the work of the order."""
+    reserve, held_back = DecodeRoom.reserve, []
+
+    async def reserve_and_keep(self):
+        found = await reserve(self)
+        if found is not None:
+            held_back.append((self.run.facts.id, self.run.held_back))
+        return found
+
+    monkeypatch.setattr(DecodeRoom, "reserve", reserve_and_keep)
+
+    async def body():
+        async with fleet(config=ordered_config()) as made:
+            (one, other), engine = await boxes_before_a_full_engine(made, 2)
+            writer = await open_request(one, "/urgent/x", "urgent")
+            await holds_back(other, 1)
+            asking = begin(other, "/calm/x", "calm")
+            await is_waiting(other, r1=1)
+            writer.transport.abort()
+            await until(lambda: waiting(one) == {})
+            engine.free_holds = 1
+            assert (await asking).status == 200
+            assert held_back == [("calm", False)]
+
+    run(body)
+
+
 def test_a_rank_that_waits_but_shortly_holds_nobody_back():
     """Guards against less urgent requests kept from room by a single ask that found none."""
 
