The template test knows memory_mb; the wait for a slow caller has a module of its own

Change: the test fills the gap, checks the value read and a negative one; workers/answer_end.py. Result: tests of forwarding, life, streams, plain calls, stop and slow readers pass.

--- a/src/croftchute/forwarding/workers/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -12,6 +12,7 @@
     ExchangeError,
 )
 from croftchute.forwarding.http.http_client import ResponseHead
+from croftchute.forwarding.workers.answer_end import answered_once_read
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.worker_call import WorkerCall
 from croftchute.systems import patience
@@ -130,7 +131,7 @@
 async def _hand_over(run: RequestRun, answer: WholeAnswer) -> None:
     run.first_byte_at = run.now
     run.exchange.send(answer.status, answer.headers, answer.body)
-    await run.answered_once_read(answer.status, answer.worker)
+    await answered_once_read(run, answer.status, answer.worker)
 
 
 async def _give_up(run: RequestRun, progress: Progress) -> None:
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -5,9 +5,7 @@
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Refusal
-from croftchute.forwarding.http.deadline import within
 from croftchute.forwarding.http.exchange import Exchange
-from croftchute.forwarding.http.failures import AnswerLateError
 from croftchute.forwarding.permits import PermitWish
 from croftchute.forwarding.state import ForwardingState
 from croftchute.systems import patience
@@ -305,21 +303,6 @@
             kind, request_id=self.facts.id, outcome=outcome, elapsed_ms=elapsed_ms, **inputs
         )
 
-    async def answered_once_read(self, status: int, worker: str) -> None:
-        """Wait until nothing of a whole answer is held for the caller, then log and count it.
-
-        One that is not read in the caller's time is broken off. Without bounds for held bytes
-        there is no waiting.
-        """
-        exchange = self.exchange
-        if exchange.has_unsent:
-            try:
-                await within(exchange.flushed(), self.time_left_s, "caller did not read the answer")
-            except AnswerLateError as error:
-                self.broken(error.message)
-                return
-        self.answered(status, worker)
-
     def answered(self, status: int, worker: str) -> None:
         """Log and count an answer that the caller has in whole."""
         now = self.now
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -17,6 +17,7 @@
     ExchangeError,
 )
 from croftchute.forwarding.http.http_client import ResponseHead
+from croftchute.forwarding.workers.answer_end import answered_once_read
 from croftchute.forwarding.workers.decode_room import DecodeRoom
 from croftchute.forwarding.workers.kept_prompts import find_keeper
 from croftchute.forwarding.workers.part_reader import PartReader
@@ -68,7 +69,7 @@
             return
         if progress.is_whole:
             self.run.exchange.finish()
-            await self.run.answered_once_read(200, progress.started_worker)
+            await answered_once_read(self.run, 200, progress.started_worker)
         elif self.run.exchange.is_started:
             self.run.broken(progress.detail)
         else:
--- a/tests/platform_adapter/test_life.py
+++ b/tests/platform_adapter/test_life.py
@@ -171,6 +171,7 @@
         ({"notice_port": 70000}, "$.notice_port"),
         ({"retry": {"ratio": -1}}, "$.retry.ratio"),
         ({"peer_keys": ["short"]}, "$.peer_keys"),
+        ({"memory_mb": -1}, "$.memory_mb"),
     ],
 )
 def test_faulty_settings_name_the_path(change, path):
@@ -234,6 +235,7 @@
         "{{Bounds.DrainMs}}": "2000",
         "{{Bounds.ContactMs}}": "2500",
         "{{Limits.LinkMbps}}": "1000.0",
+        "{{Limits.MemoryMb}}": "136.0",
     } | (QUOTA_VALUES if has_quotas else {})
     for gap, value in values.items():
         assert gap in text
@@ -243,6 +245,7 @@
     assert settings.order_gap_s == 3.0
     assert settings.drain_s == 2.0
     assert settings.contact_s == 2.5
+    assert settings.memory_mb == 136.0
     assert settings.retry.slack == 56.0
     assert settings.limits == (
         LimitSettings(window_s=8.0, overage=0.1, slack=190_000.0) if has_quotas else LimitSettings()
