--- a/src/croftchute/forwarding/workers/decode_room.py
+++ b/src/croftchute/forwarding/workers/decode_room.py
@@ -53,10 +53,11 @@
         self.detail = ""
         is_begun = run.exchange.is_started
         asked_at = run.now
+        is_last_ask = False
         with closing(self._turn(is_begun=is_begun)) as turn:
             while True:
                 # Where there is no worker the request is refused for that, without a wait.
-                has_asked = turn.may_ask(run.now) or not self._has_worker()
+                has_asked = is_last_ask or turn.may_ask(run.now) or not self._has_worker()
                 if has_asked and run.held_back:
                     # It says no longer why the request has no room.
                     self.code, self.detail = None, ""
@@ -71,8 +72,13 @@
                     self.code = Code.NO_CAPACITY
                     self.detail = "more urgent requests wait for room"
                 may_come = run.full or run.held_back or (is_begun and self._rests_end_soon())
-                if not may_come or not self._may_wait(asked_at, is_begun=is_begun):
+                if is_last_ask or not may_come:
                     return None
+                if not self._may_wait(asked_at, is_begun=is_begun):
+                    if not turn.takes_last_chance():
+                        return None
+                    is_last_ask = True
+                    continue
                 pause_s = turn.pause_s(run.now)
                 await asyncio.sleep(pause_s)
                 turn.waited(pause_s, run.now)
--- a/src/croftchute/forwarding/workers/room_turn.py
+++ b/src/croftchute/forwarding/workers/room_turn.py
@@ -17,6 +17,10 @@
         """Whether the request asks for room now, or leaves what there is to others."""
         ...
 
+    def takes_last_chance(self) -> bool:
+        """Whether a request that is about to be refused asks once more."""
+        ...
+
     def pause_s(self, now: float) -> float:
         """Seconds until the request looks again."""
         ...
@@ -46,6 +50,10 @@
         """It always does."""
         return True
 
+    def takes_last_chance(self) -> bool:
+        """It has asked each time."""
+        return False
+
     def pause_s(self, now: float) -> float:
         """The same each time."""
         return self.poll_s
@@ -101,6 +109,7 @@
         self.room = run.state.ranked_room(run.service)
         self._rank: int | None = None
         self._had_last_chance = False
+        self._has_asked = False
         use.asked(run.now)
 
     def may_ask(self, now: float) -> bool:
@@ -109,12 +118,19 @@
         count_over_share(run)
         way = run.state.room_order(run.service)
         if not run.state.room_view(run.service).holds_back(run.room_rank, way):
+            self._has_asked = True
             return True
         is_last_chance = 0.0 < run.in_time_left_s <= room_order.LAST_CHANCE_S
         may_ask = is_last_chance and not self._had_last_chance
         self._had_last_chance |= is_last_chance
         return may_ask
 
+    def takes_last_chance(self) -> bool:
+        """Whether it held back all the time: no rank is shut out by the waits of another."""
+        may_ask = not (self._has_asked or self._had_last_chance)
+        self._had_last_chance = True
+        return may_ask
+
     def pause_s(self, now: float) -> float:
         """By the rank, and not beyond the moment at which it would be late."""
         run = self.run
--- a/tests/systems/room_run.py
+++ b/tests/systems/room_run.py
@@ -35,9 +35,14 @@
 
     is_lost = False
     is_held_up = False
+    is_bounded = False
+    is_cut_off = False
+    has_unsent = False
+    request_id = ""
 
     def __init__(self):
         self.sent = b""
+        self.writer = self
 
     def write(self, data):
         self.sent += data
