Plain calls: while their service queues, loads are asked for and decide; readings without waits

Cause: what answers tell of a queue is old within one working time; three plain workers before 61 boxes queued unevenly and then made all calls late. Readings counted the wait in a queue as slowness. Change: forwarding/workers/plain_admission.py asks up to three workers once a queue or a rejection was seen within a second; calls that would be late everywhere are refused while their callers can come again. On under conditions.pressure, or where workers tell their pace. Prefill times are taken without the predicted wait, and at the usual pace.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -294,6 +294,7 @@
         for window in self.state.budgets_by_service.values():
             window.limits = self.state.retry_limits
         self.state.default_boxes = settings.boxes
+        self.state.conditions = settings.conditions
         self.held.set_memory(settings.held_memory_mb)
         self.state.workers.lapsed_grace_s = lapsed_grace_s(settings)
         self.state.log.decide(
--- a/src/croftchute/daemon/router_state.py
+++ b/src/croftchute/daemon/router_state.py
@@ -46,6 +46,7 @@
         default_boxes=settings.boxes,
         peers=peer_table(settings),
         ways=settings.ways,
+        conditions=settings.conditions,
         started_at=clock(),
         begun_at=clock() if begun_at is None else begun_at,
         workers=WorkerTable(lapsed_grace_s=lapsed_grace_s(settings)),
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -16,13 +16,14 @@
 from croftchute.forwarding.http.transfer import Transfer
 from croftchute.forwarding.permits import AnyNumber, CallPermits
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
-from croftchute.router_settings import DecisionWays
+from croftchute.router_settings import Conditions, DecisionWays
 from croftchute.storage.position import era_of, told
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.crash_records import CrashRecords
 from croftchute.systems.fair_shares import OrganisationUse, ShareVerdict, share_verdicts
 from croftchute.systems.first_tries import FirstTries
 from croftchute.systems.peer_table import PeerTable
+from croftchute.systems.plain_queue import WorkTimes
 from croftchute.systems.predicted_end import UsualTimes
 from croftchute.systems.prefill_pace import PrefillPace, fit_pace
 from croftchute.systems.request_rank import RequestRanks
@@ -131,6 +132,8 @@
     room_by_service: dict[str, RoomHistory] = field(default_factory=dict)
     ranked_room_by_service: dict[str, RankedRoom] = field(default_factory=dict)
     ways: DecisionWays = DecisionWays()
+    conditions: Conditions = Conditions()
+    work_times: WorkTimes = field(default_factory=WorkTimes)
     first_tries: FirstTries = field(default_factory=FirstTries)
     crashes: CrashRecords = field(default_factory=CrashRecords)
     lives_looked_at: set[str] = field(default_factory=set)
--- a/src/croftchute/forwarding/workers/load_reader.py
+++ b/src/croftchute/forwarding/workers/load_reader.py
@@ -4,7 +4,7 @@
 
 from croftchute.forwarding.http.http_client import ResponseHead
 from croftchute.forwarding.state import ForwardingState
-from croftchute.systems.worker_belief import WorkerBelief
+from croftchute.systems.worker_belief import LOAD_TTL_S, WorkerBelief
 from croftchute.tables.paces import WorkKind
 from croftchute.tables.peers import WorkerPaceNotice
 from croftchute.tables.routing import Stage, Worker
@@ -37,13 +37,17 @@
     """A plain worker answered after some seconds: compared with what others usually take."""
     if worker.stage is not None:
         return
+    belief = state.workers.beliefs_by_id.get(worker.id)
+    if belief is not None:
+        waiting = belief.load_waiting if state.clock() - belief.load_at <= LOAD_TTL_S else 0
+        state.work_times.note(worker.service, seconds, waiting=waiting)
     usual_s = usual_answer_s(state.workers.of_service(worker.service))
     if usual_s > 0.0:
         state.paces.note_seen(worker.id, WorkKind.ANSWER, seconds / usual_s, state.clock())
 
 
 def note_reading_pace(state: ForwardingState, worker: Worker, tokens: int, seconds: float) -> None:
-    """A prefill worker read a prompt in some seconds, waits included."""
+    """A prefill worker read a prompt in some seconds, waits left out."""
     usual_s = state.prefill_pace(worker.service).reading_s(tokens)
     if usual_s > 0.0:
         state.paces.note_seen(worker.id, WorkKind.READING, seconds / usual_s, state.clock())
--- /dev/null
+++ b/src/croftchute/forwarding/workers/plain_admission.py
@@ -0,0 +1,99 @@
+"""Admission of plain calls while their service queues: the load is asked for, then decided by."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from croftchute.errors import Code, Ran
+from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.workers.load_probe import PROBE_TIMEOUT_S, probe_loads
+from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.systems import plain_queue
+from croftchute.systems.plain_queue import PlainChoice, QueueLoad
+from croftchute.systems.worker_belief import WorkerBelief
+from croftchute.systems.worker_choice import ChoiceInput
+from croftchute.tables.paces import PaceSource, PredictedEnd
+from croftchute.tables.routing import Service
+
+MOST_PROBES = 3
+"""Workers asked for one call: a plain service has a few, and each probe is a call of its own."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Admission:
+    """Where a call goes by the load just told; ``found`` is None if it would be late everywhere."""
+
+    choice: PlainChoice
+    found: tuple[WorkerBelief, ChoiceInput] | None
+
+
+async def admit(run: RequestRun) -> Admission | None:
+    """Decide on a plain call by fresh loads; None where there is no queue, or no news of it."""
+    service = _service(run)
+    if service is None or run.connect_failures:
+        return None
+    workers = [b for b in run.candidates(None) if b.worker.id not in run.avoid]
+    if len(workers) < 2 or not plain_queue.is_busy(workers, run.now):
+        return None
+    asked = run.state.rng.sample(workers, min(MOST_PROBES, len(workers)))
+    await probe_loads(run.state, service, asked, PROBE_TIMEOUT_S, wish=run.permit_wish())
+    loads_by_id = {
+        belief.worker.id: load for belief in asked if (load := _load(run.state, belief)) is not None
+    }
+    work_s = run.state.work_times.usual_s(run.service)
+    choice = plain_queue.place(
+        loads_by_id,
+        work_s=work_s,
+        target_left_s=run.route.target_s - run.before_s - (run.now - run.started_at),
+        time_left_s=run.time_left_s,
+        is_last_try=run.arrivals > 0 or plain_queue.has_come_back(run.route, run.before_s),
+    )
+    if choice is None:
+        return None
+    if choice.is_refused:
+        return Admission(choice=choice, found=None)
+    belief = next(b for b in asked if b.worker.id == choice.worker_id)
+    end = _predicted(choice, loads_by_id[choice.worker_id], work_s)
+    described = replace(run.describe(belief, candidates=len(loads_by_id)), end=end)
+    return Admission(choice=choice, found=(belief, described))
+
+
+def refuse_late(run: RequestRun, admission: Admission) -> None:
+    """Refuse a call that would be late at every worker; nothing of it was sent."""
+    detail = f"would end in {admission.choice.end_s:.2f} s at {admission.choice.worker_id}"
+    run.refuse(Code.NO_CAPACITY, Ran.NOT_RUN, f"{detail} and later at others")
+
+
+def _service(run: RequestRun) -> Service | None:
+    """The service, if it is a plain one whose workers tell their load when they are asked."""
+    state = run.state
+    table = state.table
+    service = table.services_by_name.get(run.service) if table is not None else None
+    if service is None or service.engine is not None or not service.health_path:
+        return None
+    return service if state.conditions.pressure or state.tells_pace(run.service) else None
+
+
+def _load(state: ForwardingState, belief: WorkerBelief) -> QueueLoad | None:
+    """What a worker told within the time of a probe."""
+    now = state.clock()
+    if now - belief.load_at > PROBE_TIMEOUT_S:
+        return None
+    pace = state.paces.told(belief.worker.id, now)
+    return QueueLoad(
+        running=belief.load_running,
+        waiting=belief.load_waiting,
+        slots=belief.worker.slots,
+        pace=1.0 if pace is None else pace,
+    )
+
+
+def _predicted(choice: PlainChoice, load: QueueLoad, work_s: float) -> PredictedEnd:
+    own_s = load.pace * work_s
+    return PredictedEnd(
+        wait_s=max(0.0, choice.end_s - own_s),
+        work_s=own_s,
+        pace=load.pace,
+        pace_source=PaceSource.TOLD,
+        pace_age_s=0.0,
+    )
--- a/src/croftchute/forwarding/workers/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -13,6 +13,7 @@
 )
 from croftchute.forwarding.http.http_client import ResponseHead
 from croftchute.forwarding.workers.answer_end import answered_once_read
+from croftchute.forwarding.workers.plain_admission import admit, refuse_late
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.worker_call import WorkerCall
 from croftchute.systems import patience
@@ -45,7 +46,11 @@
     """Send the request until a worker answers it or its limits are reached."""
     progress = Progress()
     while run.time_left_s > 0.0:
-        found = run.choose(None)
+        admission = await admit(run)
+        if admission is not None and admission.found is None and not progress.may_have_run:
+            refuse_late(run, admission)
+            return
+        found = run.choose(None) if admission is None else admission.found
         if found is None:
             break
         if not await run.take_permit(found[0]):
--- a/src/croftchute/forwarding/workers/prompt_reader.py
+++ b/src/croftchute/forwarding/workers/prompt_reader.py
@@ -179,10 +179,14 @@
         handle = run.state.workers_speak.handle(body, call.worker)
         call.succeeded()
         taken_s = run.now - call.opened_at
-        run.state.demand(run.service).note_prefill(run.facts.prompt_tokens, taken_s)
+        end = call.chosen.end
+        working_s = taken_s - end.wait_s if end is not None and end.wait_s < taken_s else taken_s
+        # The fitted pace is that of an engine of the usual speed.
+        usual_s = working_s / end.pace if end is not None else working_s
+        run.state.demand(run.service).note_prefill(run.facts.prompt_tokens, usual_s)
         pace = run.state.prefill_pace(run.service)
         call.belief.queue.answered(run.facts.id, pace=pace, now=run.now)
-        note_reading_pace(run.state, call.worker, run.facts.prompt_tokens, taken_s)
+        note_reading_pace(run.state, call.worker, run.facts.prompt_tokens, working_s)
         self.unused = handle
         if run.engine is not None:
             self._lapses_at = run.now + HANDLE_SHARE * run.engine.handle_ttl_s
--- a/src/croftchute/systems/plain_queue.py
+++ b/src/croftchute/systems/plain_queue.py
@@ -9,9 +9,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from croftchute.systems.patience import RETURN_SHARE
 from croftchute.systems.worker_belief import WorkerBelief
+from croftchute.tables.routing import Route
 
 BUSY_FOR_S = 1.0
 """Seconds for which a service counts as busy after an answer told of a queue, or a rejection: a
@@ -63,6 +65,22 @@
         self.usual_s += WORK_WEIGHT * (seconds - self.usual_s)
 
 
+@dataclass(kw_only=True)
+class WorkTimes:
+    """The usual working times of plain services, by name."""
+
+    _time_by_service: dict[str, WorkTime] = field(default_factory=dict)
+
+    def note(self, service: str, seconds: float, *, waiting: int) -> None:
+        """An answer of a service took some seconds, while so many calls waited at its worker."""
+        self._time_by_service.setdefault(service, WorkTime()).note(seconds, waiting=waiting)
+
+    def usual_s(self, service: str) -> float:
+        """The usual working time in seconds; 0 while not known."""
+        time = self._time_by_service.get(service)
+        return time.usual_s if time is not None else 0.0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlainChoice:
     """Where a call ends soonest; ``end_s`` from now. It is let in unless ``is_refused``."""
@@ -72,6 +90,11 @@
     is_refused: bool = False
 
 
+def has_come_back(route: Route, before_s: float) -> bool:
+    """Whether a caller that first tried ``before_s`` ago was asked back, and can't come again."""
+    return before_s > (1.0 - RETURN_SHARE) * route.timeout_s
+
+
 def is_busy(beliefs: Sequence[WorkerBelief], now: float) -> bool:
     """Whether a worker of the service told of a queue lately, or rejected a call."""
     return any(
--- a/src/croftchute/systems/worker_pace.py
+++ b/src/croftchute/systems/worker_pace.py
@@ -245,6 +245,13 @@
         """Whether any figure of a worker came lately."""
         return worker_id in self._by_id
 
+    def told(self, worker_id: str, now: float) -> float | None:
+        """The pace that a worker told this box just now; None if it told none in the half-life."""
+        known = self._by_id.get(worker_id)
+        if known is None or now - known.told_here.at > TOLD_HALF_LIFE_S:
+            return None
+        return math.exp(known.told_here.log)
+
     def is_told(self, worker_ids: Iterable[str], now: float) -> bool:
         """Whether some of the workers told their pace lately."""
         return any(
--- a/tests/platform_adapter/platform_fleet.py
+++ b/tests/platform_adapter/platform_fleet.py
@@ -11,7 +11,7 @@
 
 from croftchute.daemon.router_process import RouterProcess
 from croftchute.daemon.router_state import make_state
-from croftchute.router_settings import RouterSettings
+from croftchute.router_settings import Conditions, RouterSettings
 from croftchute.standins.metadata_store import MetadataStore
 from croftchute.standins.platform_worker import PlatformWorker
 
@@ -113,6 +113,7 @@
             order_gap_s=0.1,
             boxes=1,
             memory_mb=memory_mb,
+            conditions=Conditions(pressure=memory_mb > 0.0),
         )
         state = make_state(settings, callers=PlatformCallers(), workers=PlatformWorkers())
         store = PlatformStore(
--- a/tests/platform_adapter/test_life.py
+++ b/tests/platform_adapter/test_life.py
@@ -236,6 +236,7 @@
         "{{Bounds.ContactMs}}": "2500",
         "{{Limits.LinkMbps}}": "1000.0",
         "{{Limits.MemoryMb}}": "136.0",
+        '{{#Contracts}}"{{.}}": true{{,}}{{/Contracts}}': '"base": true, "pressure": true',
     } | (QUOTA_VALUES if has_quotas else {})
     for gap, value in values.items():
         assert gap in text
@@ -246,6 +247,7 @@
     assert settings.drain_s == 2.0
     assert settings.contact_s == 2.5
     assert settings.memory_mb == 136.0
+    assert settings.conditions.pressure
     assert settings.retry.slack == 56.0
     assert settings.limits == (
         LimitSettings(window_s=8.0, overage=0.1, slack=190_000.0) if has_quotas else LimitSettings()
