Room by rank: an excess of an organisation goes behind its own rank only; pauses by the target

Cause: in a logged surge 44 of 65 requests of the most urgent kind went behind all others, as the large organisations are over an equal share whenever room is short; ranks of organisations made urgent requests pause 0.5 s though nobody more urgent waited. A surge that is short of memory ordered decode workers to prefill (7 of 29), and then memory was shorter still. Change: two ranks for room a rank, the second for those over their share; a pause is at most a tenth of the target; prefill workers are aimed at 0.75 use, as prompts go to the soonest of those asked.

--- a/src/croftchute/forwarding/workers/order_gauges.py
+++ b/src/croftchute/forwarding/workers/order_gauges.py
@@ -37,7 +37,7 @@
     """Requests that wait at this box; 0 for ranks of the configuration of which none does."""
     for service in services:
         waiting = state.ranked_room(service).waiting()
-        for rank in sorted({*range(state.request_ranks(service).count), *waiting}):
+        for rank in sorted({*range(0, 2 * state.request_ranks(service).count, 2), *waiting}):
             yield _labels(service, rank), waiting.get(rank, 0)
 
 
@@ -45,7 +45,7 @@
     """The mean wait in seconds by which requests of each rank decide, as known at this box."""
     for service in services:
         view = state.room_view(service)
-        for rank in range(state.request_ranks(service).count):
+        for rank in range(0, 2 * state.request_ranks(service).count, 2):
             yield _labels(service, rank), view.mean_wait_s(rank)
 
 
--- a/src/croftchute/forwarding/workers/room_turn.py
+++ b/src/croftchute/forwarding/workers/room_turn.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 
 from croftchute.forwarding.workers.request_run import RequestRun
@@ -135,7 +136,9 @@
         """By the rank, and not beyond the moment at which it would be late."""
         run = self.run
         self._wait_as(run.room_rank)
-        pause_s = room_order.pause_s(run.room_rank)
+        # One that is late already leaves room to others.
+        target_s = run.route.target_s if run.in_time_left_s > 0.0 else math.inf
+        pause_s = room_order.pause_s(run.room_rank, target_s=target_s)
         left_s = run.in_time_left_s - room_order.LAST_CHANCE_S / 2
         if left_s <= 0.0:
             return pause_s
--- a/src/croftchute/systems/room_order.py
+++ b/src/croftchute/systems/room_order.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -19,7 +20,12 @@
 """Seconds between two asks for room of the most urgent rank: about as often as streams end."""
 
 PAUSE_RATIO = 3.0
-"""How many times as long the next rank pauses: room that comes free mostly goes to the first."""
+"""How many times as long the next rank of requests pauses, two ranks for room: room that comes free
+mostly goes to the first."""
+
+PAUSE_SHARE_OF_TARGET = 0.1
+"""Share of the target for which a request pauses at the most: it asks some times before it is
+late, however many ranks there are that nobody waits with."""
 
 LONGEST_PAUSE_S = 0.5
 """Longest pause of any rank: a fraction of any caller's patience."""
@@ -40,8 +46,8 @@
 ask that found no room shows no shortage. In a large fleet a box hears of few that wait."""
 
 
-MOST_ROOM_RANKS = 2 * MOST_RANKS
-"""Ranks for room: those of requests in time, and again of those that go behind them."""
+MOST_ROOM_RANKS = 4 * MOST_RANKS
+"""Ranks for room: two for each rank, by the share of the organisation, and again for late ones."""
 
 MOST_TOLD = 100_000.0
 """Seconds waited, grants and waiting requests beyond which what a peer tells is ignored: a thousand
@@ -219,25 +225,32 @@
         return entry is not None and rank > entry
 
 
-def pause_s(rank: int) -> float:
-    """Seconds until a request of a rank asks for room again.
+def pause_s(rank: int, *, target_s: float = math.inf) -> float:
+    """Seconds until a request of a rank for room, with some target, asks again.
 
-    >>> [round(pause_s(rank), 2) for rank in range(4)]
+    >>> [round(pause_s(rank), 2) for rank in range(0, 8, 2)]
     [0.03, 0.09, 0.27, 0.5]
+    >>> round(pause_s(6, target_s=0.8), 2)
+    0.08
     """
-    return min(LONGEST_PAUSE_S, FIRST_PAUSE_S * PAUSE_RATIO**rank)
+    longest_s = min(LONGEST_PAUSE_S, PAUSE_SHARE_OF_TARGET * target_s)
+    return max(FIRST_PAUSE_S, min(longest_s, FIRST_PAUSE_S * PAUSE_RATIO ** (rank / 2)))
 
 
 def room_rank(rank: int, *, ranks: int, is_late: bool, is_over_share: bool = False) -> int:
-    """The rank for room, behind all requests that are in time and within their share.
+    """The rank for room: two for each rank of a request, the second for those over their share.
+
+    Late requests go behind all others, as a late answer is worth a fraction. An excess goes behind
+    no more than its own rank: while room is short most large organisations are over an equal share,
+    and the urgent requests of most callers would else go last.
 
     It is held to ``MOST_ROOM_RANKS``: a request that comes while the configuration ends the order
     has its priority as rank, which may be any number.
 
-    A late answer is worth a fraction of one in time, whatever its rank.
-
     >>> room_rank(0, ranks=3, is_late=True) > room_rank(2, ranks=3, is_late=False)
     True
+    >>> room_rank(1, ranks=3, is_late=False, is_over_share=True)
+    3
     """
-    behind = rank + ranks if is_late or is_over_share else rank
-    return max(0, min(behind, MOST_ROOM_RANKS - 1))
+    found = 2 * (rank + (ranks if is_late else 0)) + is_over_share
+    return max(0, min(found, MOST_ROOM_RANKS - 1))
--- a/src/croftchute/systems/stage_headroom.py
+++ b/src/croftchute/systems/stage_headroom.py
@@ -21,8 +21,9 @@
 from croftchute.tables.paces import PaceView, WorkKind
 from croftchute.tables.routing import EngineTraits, Stage, WorkerState
 
-PREFILL_AIM = 0.5
-"""Aimed use of prefill workers: at half, the mean wait of a prompt is under its prefill time."""
+PREFILL_AIM = 0.75
+"""Aimed use of prefill workers: prompts go to the soonest of some that were just asked, so that
+their mean wait is under their prefill time up to about here; more would idle decode memory."""
 
 DECODE_AIM = MEMORY_USE
 """Aimed use of decode memory: a request of average size does not fit the rest."""
