--- a/src/croftchute/forwarding/workers/decode_room.py
+++ b/src/croftchute/forwarding/workers/decode_room.py
@@ -68,6 +68,8 @@
                         run.state.demand(run.service).note_granted(run.now, is_large=run.is_large)
                     turn.granted(run.now)
                     return found
+                # The one ask at the end does not change why the request had no room before.
+                run.held_back |= is_last_ask
                 if run.held_back:
                     self.code = Code.NO_CAPACITY
                     self.detail = "more urgent requests wait for room"
