Say why a connection failed, and open all of them through the pool

An exception that is given without text is true, and its text was printed. Probes for crashed workers open their connections through the pool too, so that one place decides how a box connects. No decision changes.

--- a/src/croftchute/forwarding/http/connection_pool.py
+++ b/src/croftchute/forwarding/http/connection_pool.py
@@ -23,7 +23,7 @@
     except ConnectionRefusedError as error:
         raise ConnectRefusedError(f"{host}:{port}: {error}") from None
     except (OSError, TimeoutError) as error:
-        raise ConnectFailedError(f"{host}:{port}: {error or 'timed out'}") from None
+        raise ConnectFailedError(f"{host}:{port}: {str(error) or 'timed out'}") from None
     return protocol
 
 
@@ -60,11 +60,17 @@
                 self._busy_by_owner.setdefault(owner, set()).add(connection)
                 return connection
             connection.abort()
-        connection = await open_connection(host, port, timeout_s, limits=limits or self.limits)
+        connection = await self.connect(host, port, timeout_s, limits=limits)
         self.opened += 1
         self._busy_by_owner.setdefault(owner, set()).add(connection)
         return connection
 
+    async def connect(
+        self, host: str, port: int, timeout_s: float, *, limits: SilenceLimits | None = None
+    ) -> ClientConnection:
+        """A new connection that is not pooled yet; raises :class:`ConnectFailedError`."""
+        return await open_connection(host, port, timeout_s, limits=limits or self.limits)
+
     def release(
         self, connection: ClientConnection, host: str, port: int, *, owner: str, now: float
     ) -> None:
--- a/src/croftchute/forwarding/workers/crash_detection.py
+++ b/src/croftchute/forwarding/workers/crash_detection.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.http.connection_pool import open_connection
 from croftchute.forwarding.http.failures import ConnectFailedError, ConnectRefusedError
 from croftchute.forwarding.state import ForwardingState
 from croftchute.tables.routing import Worker
@@ -48,9 +47,7 @@
     broke_at = state.clock()
     outcome = ALIVE
     try:
-        connection = await open_connection(
-            worker.host, worker.port, CONNECT_PROBE_TIMEOUT_S, limits=state.pool.limits
-        )
+        connection = await state.pool.connect(worker.host, worker.port, CONNECT_PROBE_TIMEOUT_S)
         tracked = state.workers.tracked_by_id.get(worker.id)
         if tracked is None or tracked.has_ended:
             connection.abort()
