--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -51,7 +51,10 @@
 CLOCK_STEPS_S = (-6.0, -2.0, 2.0, 6.0)
 RETRY_SLACKS = (20.0, 40.0, 60.0)
 DELAYS_S = (0.03, 0.1, 0.4)
-LINK_FAULTS = tuple(fault for fault in LinkFault if fault not in (LinkFault.NONE, LinkFault.PACED))
+WHOLE_CUTS = (LinkFault.HANGING, LinkFault.CLOSED)
+LINK_FAULTS = tuple(
+    fault for fault in LinkFault if fault not in (LinkFault.NONE, LinkFault.PACED, *WHOLE_CUTS)
+)
 WORKER_FAULTS = (
     {"is_full": True},
     {"has_no_room": True},
--- a/src/croftchute/soak/proxy.py
+++ b/src/croftchute/soak/proxy.py
@@ -15,6 +15,9 @@
 HELD_POLL_S = 0.02
 CONNECT_S = 1.0
 
+BACKLOG_FILLERS = 2
+"""Connections that fill a backlog of 0, whose queue the kernel lets hold one more."""
+
 PACED_SLICE_BYTES = 4096
 """Bytes that a paced link brings at a time, so that connections take turns on it."""
 
@@ -30,6 +33,8 @@
     CUT_BACK = "cut_back"
     RESET = "reset"
     REFUSED = "refused"
+    HANGING = "hanging"
+    CLOSED = "closed"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,15 +60,18 @@
 class FaultyLink:
     """Listens on an address of its own and leads to a target; ``fault`` is set from outside."""
 
-    def __init__(self, *, name: str, target: Target, host: str = "127.0.0.1") -> None:
+    def __init__(
+        self, *, name: str, target: Target, host: str = "127.0.0.1", port: int = 0
+    ) -> None:
         self.name = name
         self.target = target
         self.host = host
-        self.port = 0
+        self.port = port
         self.fault = LinkFault.NONE
         self.delay_s = 0.0
         self.bytes_a_second = 0.0
         self._server: asyncio.Server | None = None
+        self._blocked_door: list[socket.socket] = []
         self._connections: set[LinkConnection] = set()
         self._stopped = asyncio.Event()
         self._free_at = 0.0
@@ -72,7 +80,7 @@
 
     async def start(self) -> int:
         """Begin to listen; returns the port."""
-        self._server = await asyncio.start_server(self._serve, self.host, 0)
+        self._server = await asyncio.start_server(self._serve, self.host, self.port)
         self.port = int(self._server.sockets[0].getsockname()[1])
         return self.port
 
@@ -86,6 +94,42 @@
         if fault is LinkFault.RESET:
             self.reset_all()
 
+    async def cut(self, fault: LinkFault) -> None:
+        """Put a cut in force: ``HANGING`` leaves new connections unanswered, ``CLOSED`` resets all."""
+        self.set_fault(fault)
+        if fault is LinkFault.HANGING:
+            self._block_door()
+        elif fault is LinkFault.CLOSED:
+            self.close_door()
+
+    async def heal(self) -> None:
+        """End a cut."""
+        needs_door = self.fault in (LinkFault.HANGING, LinkFault.CLOSED)
+        self.set_fault(LinkFault.NONE)
+        if needs_door:
+            self._unblock_door()
+            await self.open_door(self.target)
+
+    def _block_door(self) -> None:
+        """Listen with a full backlog, so that the kernel drops the opening packets of others."""
+        if self._server is not None:
+            self._server.close()
+        door = socket.socket()
+        door.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        door.bind((self.host, self.port))
+        door.listen(0)
+        self._blocked_door = [door]
+        for _ in range(BACKLOG_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((self.host, self.port))
+            self._blocked_door.append(filler)
+
+    def _unblock_door(self) -> None:
+        for each in self._blocked_door:
+            each.close()
+        self._blocked_door = []
+
     def reset_all(self) -> None:
         """Reset all connections that are open."""
         for connection in list(self._connections):
@@ -116,6 +160,7 @@
         """Listen no more, and reset what is open."""
         if self._server is not None:
             self._server.close()
+        self._unblock_door()
         self._stopped.set()
         self.reset_all()
 
@@ -123,7 +168,7 @@
         if self.fault in (LinkFault.REFUSED, LinkFault.RESET):
             reset(writer)
             return
-        while self.fault in (LinkFault.SILENT, LinkFault.CUT_FORWARD):
+        while self.fault in (LinkFault.SILENT, LinkFault.HANGING, LinkFault.CUT_FORWARD):
             await asyncio.sleep(HELD_POLL_S)
         try:
             async with asyncio.timeout(CONNECT_S):
@@ -187,7 +232,9 @@
 
     async def _hold(self, connection: LinkConnection, cut: LinkFault) -> None:
         """Wait while the link brings nothing this way; a silenced connection waits for the end."""
-        while self.fault in (LinkFault.SILENT, cut) and not connection.is_silenced:
+        while (
+            self.fault in (LinkFault.SILENT, LinkFault.HANGING, cut) and not connection.is_silenced
+        ):
             await asyncio.sleep(HELD_POLL_S)
         if connection.is_silenced:
             await self._stopped.wait()
