Have other boxes serve the requests of a box that reaches no worker

Cause: a request could only be served by a worker that its own box reached. The box went on choosing among workers out of its reach; nothing told a lost link from failing workers, and nothing gave the request to a box that could serve it.

Now failed calls start a round of probes over new connections, to workers of all services. When all refuse, or hang for half a second, or are silent for 1.5 s, the links are lost; peers are told at once, and requests go to boxes that reach workers, over the control port, with what is left of their time and the last event that the caller has. The other box serves them as its own, limits and retries counted there, and never passes them on. A declined request has not run and may go to another box; an answer that breaks off may not, unless the route allows another attempt. If no box reaches workers, callers are refused at once.

The same cause elsewhere: failures of a box's own links no longer count as ends of workers under a request, are not told to peers as failures of workers, and keep no lease for stage orders.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from dataclasses import replace
 from functools import partial
 from http import HTTPStatus
 from pathlib import Path
@@ -16,6 +17,7 @@
 from croftchute.forwarding.boxes.pooled_limits import OrganisationSource, PooledLimits
 from croftchute.forwarding.boxes.shared_rates import SharedRates
 from croftchute.forwarding.boxes.worker_permits import WorkerPermits, WorkerSource
+from croftchute.forwarding.callers.forwarded_requests import ForwardedRequests
 from croftchute.forwarding.callers.forwarder import Forwarder
 from croftchute.forwarding.callers.slow_callers import log_ended_stream
 from croftchute.forwarding.decision_log import Decision
@@ -29,6 +31,7 @@
 from croftchute.forwarding.store.hall_news import KNOWN_PATH, NEWS_PATH
 from croftchute.forwarding.store.store_follower import StoreFollower
 from croftchute.forwarding.supervision import Task, keep_going
+from croftchute.forwarding.workers.link_probe import LinkProbe
 from croftchute.forwarding.workers.queue_gauges import update_queue_gauges
 from croftchute.forwarding.workers.stage_coordinator import StageCoordinator
 from croftchute.peers.codec import Codec
@@ -47,6 +50,9 @@
 SWEEP_S = 1.0
 """Seconds between two sweeps of workers that are gone and of idle connections."""
 
+MAX_TERMS_BYTES = 1024
+"""Bytes of headers that a box adds to a request that it passes to another one."""
+
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
 MESSAGE_PACK = b"application/msgpack"
@@ -89,7 +95,7 @@
             state=state,
             store=store,
             holder_gap_s=settings.order_gap_s,
-            may_acquire_lease=lambda: self.follower.is_relay,
+            may_acquire_lease=lambda: self.follower.is_relay and not state.links.are_lost,
         )
         control = parse_address(settings.control)
         self.exchange = PeerExchange(
@@ -128,7 +134,13 @@
             clock=state.clock,
             on_ended=partial(log_ended_stream, state),
         )
+        self.link_probe = LinkProbe(state=state, on_change=self._note_links)
+        state.on_link_trouble = self.link_probe.request_round
+        state.confirm_links = self.link_probe.confirm
         forwarder = Forwarder(state=state, usage_limits=self.usage_limits)
+        self.forwarded = ForwardedRequests(
+            state=state, forwarder=forwarder, own_open=lambda: self.ingress.open_requests
+        )
         self.ingress = HttpIngress(
             handler=forwarder.handle,
             limits=state.limits,
@@ -137,7 +149,7 @@
             held=self.held,
         )
         self.health = HttpIngress(handler=self._answer_health, limits=IngressLimits)
-        self.control = HttpIngress(handler=self._answer_health, limits=IngressLimits)
+        self.control = HttpIngress(handler=self._answer_peer, limits=self._peer_limits)
         self.metrics = HttpIngress(handler=self._answer_health, limits=IngressLimits)
         self.is_stopping = False
         self._was_ready = False
@@ -189,6 +201,7 @@
             self.state.table is not None
             and bool(self.state.workers.tracked_by_id)
             and not self.is_stopping
+            and not (self.state.ways.cut_off.stands_back and self.state.links.are_lost)
         )
 
     async def run(self) -> int:
@@ -227,6 +240,7 @@
             Task(name="fleet_record", work=self.fleet_record.run),
             Task(name="crash_register", work=self.crash_register.run),
             *(Task(name="catch_up", work=catch_up.run) for catch_up in self.catch_ups),
+            Task(name="worker_links", work=self.link_probe.run),
             Task(name="sweep", work=self._sweep),
             Task(name="log", work=lambda: self.state.log.keep_flushing(FLUSH_S)),
         ]
@@ -262,10 +276,11 @@
             if clock() - begun_at >= ENTRY_GRACE_S:
                 self.ingress.stop_accepting()
                 self.ingress.close_idle()
-                if not self.ingress.connections and not self.state.background:
+                is_serving = self.ingress.connections or self.forwarded.open
+                if not is_serving and not self.state.background:
                     break
             await asyncio.sleep(STOP_CHECK_S)
-        cut_off = self.ingress.open_requests
+        cut_off = self.ingress.open_requests + self.forwarded.open
         self.state.log.decide(Decision.STOPPED, cut_off=cut_off)
         for task in self._tasks:
             task.cancel()
@@ -351,6 +366,24 @@
             open_requests=self.ingress.open_requests,
         )
 
+    def _note_links(self) -> None:
+        """The links to all workers were lost or restored: peers are to know before they ask."""
+        self.exchange.tell_soon()
+        self._note_readiness()
+
+    def _peer_limits(self) -> IngressLimits:
+        """What other boxes may send: whatever callers may, and the terms of passing it on."""
+        own, callers = IngressLimits(), self.state.limits()
+        return replace(
+            own,
+            max_header_bytes=max(own.max_header_bytes, callers.max_header_bytes) + MAX_TERMS_BYTES,
+            max_body_bytes=max(own.max_body_bytes, callers.max_body_bytes),
+        )
+
+    async def _answer_peer(self, exchange: Exchange) -> None:
+        if not await self.forwarded.handle(exchange):
+            await self._answer_health(exchange)
+
     def _note_crashes(self, digests: list[str]) -> None:
         """A worker ended here under some requests."""
         self.crash_gossip.tell(digests)
--- /dev/null
+++ b/src/croftchute/forwarding/boxes/forward_terms.py
@@ -0,0 +1,70 @@
+"""What boxes say to each other when one passes a request to another, in headers of their own."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from croftchute.forwarding.http.exchange import IncomingRequest
+from croftchute.forwarding.http.http_client import ResponseHead
+from croftchute.tables.routing import HeaderList
+
+FORWARD = b"croftchute-forward"
+"""Header of a request that a box passes on, and of each answer to one."""
+
+ANSWERED = b"answered"
+DECLINED = b"declined"
+
+
+class DeclineReason(StrEnum):
+    """Why a box does not take a request; it has not run there and never will."""
+
+    CUT_OFF = "cut_off"
+    BUSY = "busy"
+    STOPPING = "stopping"
+    OLDER_CONFIG = "older_config"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForwardTerms:
+    """Terms of a passed request: its sender, and what the receiver must know beside the request.
+
+    A receiver whose configuration is older than ``config_version`` must decline. ``attempts`` is
+    the number of workers that may have received the request already.
+    """
+
+    box: str
+    config_version: int
+    attempts: int
+
+    def header(self) -> tuple[bytes, bytes]:
+        """Return the header of the request.
+
+        >>> ForwardTerms(box="edge-1", config_version=7, attempts=0).header()
+        (b'croftchute-forward', b'7 0 edge-1')
+        """
+        return FORWARD, f"{self.config_version} {self.attempts} {self.box}".encode()
+
+
+def read_terms(request: IncomingRequest) -> ForwardTerms | None:
+    """Return the terms of a passed request; None if there are none, or they can't be read."""
+    value = request.get(FORWARD)
+    if value is None:
+        return None
+    version, _, rest = value.partition(b" ")
+    attempts, _, box = rest.partition(b" ")
+    if not (version.isdigit() and attempts.isdigit() and box):
+        return None
+    return ForwardTerms(
+        box=box.decode("utf-8", "replace"), config_version=int(version), attempts=int(attempts)
+    )
+
+
+def without_terms(headers: HeaderList) -> HeaderList:
+    """Return headers without those of this module."""
+    return [pair for pair in headers if pair[0] != FORWARD]
+
+
+def was_answered(head: ResponseHead) -> bool:
+    """Return whether the other box took the request; if not, it has not run there."""
+    return head.get(FORWARD) == ANSWERED
--- a/src/croftchute/forwarding/boxes/peer_exchange.py
+++ b/src/croftchute/forwarding/boxes/peer_exchange.py
@@ -179,7 +179,8 @@
         state = self.state
         entries = []
         for tracked in state.workers.tracked_by_id.values():
-            failures = tracked.failure_score(now)
+            # Failures of this box's links say nothing about workers.
+            failures = 0.0 if state.links.are_lost else tracked.failure_score(now)
             wait_s = state.own_prefill_wait_s(tracked)
             changing_s = max(0.0, tracked.changing_until - now)
             is_told = tracked.in_flight or changing_s or wait_s > MIN_WAIT_TOLD_S
@@ -236,8 +237,15 @@
             leaving_workers=self._leaving_workers(),
             limited_workers=state.workers.limits.notices(now, state.rng, most=MAX_LIMITS_TOLD),
             paces=state.paces.notices(now),
+            reaches_workers=self._reaches_workers(),
         )
 
+    def _reaches_workers(self) -> bool:
+        """Whether this box can serve requests for boxes that reach no worker."""
+        state = self.state
+        is_serving = state.table is not None and bool(state.workers.tracked_by_id)
+        return is_serving and not state.links.are_lost and not state.is_stopping
+
     def _leaving_workers(self) -> tuple[str, ...]:
         """The workers that leave and are known here still, those last that said so last."""
         tracked_by_id = self.state.workers.tracked_by_id
--- /dev/null
+++ b/src/croftchute/forwarding/boxes/peer_forwarding.py
@@ -0,0 +1,277 @@
+"""Passes requests to boxes that reach workers, while this one does not.
+
+Another box is asked only if nothing has run, or if the route allows another attempt. Every request
+crosses one other box at most.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from dataclasses import dataclass, replace
+from enum import Enum, auto
+
+from croftchute.errors import Code, Ran
+from croftchute.forwarding.boxes.forward_terms import (
+    DeclineReason,
+    ForwardTerms,
+    was_answered,
+    without_terms,
+)
+from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.http.backpressure import wait_for_caller
+from croftchute.forwarding.http.deadline import within
+from croftchute.forwarding.http.event_stream import EventSplitter
+from croftchute.forwarding.http.failures import (
+    CallerSlowError,
+    ConnectFailedError,
+    ConnectionBrokenError,
+    ExchangeError,
+)
+from croftchute.forwarding.http.http_client import ClientConnection, ResponseHead
+from croftchute.forwarding.state import ForwardingState
+from croftchute.forwarding.workers.answer_completion import finish_answer
+from croftchute.forwarding.workers.request_run import RequestRun, Withheld
+from croftchute.forwarding.workers.worker_call import MAX_ANSWER_BYTES
+from croftchute.systems import timeouts
+from croftchute.tables.peers import Peer
+from croftchute.tables.routing import RouteKind
+
+MAX_PEERS = 3
+"""Most boxes that are asked for one request."""
+
+ANSWER_MARGIN_S = 0.25
+"""Seconds beyond the caller's deadline in which the other box's own refusal may arrive."""
+
+UNCONNECTED_PAUSE_S = 2.0
+"""Seconds for which a box is passed over after no connection to it could be opened."""
+
+BUSY_PAUSE_S = 0.2
+"""Seconds for which a box is passed over after it declined a request for another reason than lost
+links."""
+
+
+class _Ended(Enum):
+    """How one attempt to have a request served by another box ended."""
+
+    ANSWERED = auto()
+    NOT_TAKEN = auto()
+    BROKEN = auto()
+
+
+@dataclass(kw_only=True, slots=True)
+class _Progress:
+    """What the caller received so far, and how many workers may have received the request."""
+
+    last_event: int | None
+    attempts: int
+    may_have_run: bool
+    detail: str = ""
+    is_caller_slow: bool = False
+
+
+class PeerForwarding:
+    """Passes requests to other boxes, spread over all that reach workers."""
+
+    def __init__(self, *, state: ForwardingState) -> None:
+        self.state = state
+        self.open_by_peer: Counter[str] = Counter()
+        self._paused_until_by_peer: dict[str, float] = {}
+
+    async def forward(self, run: RequestRun) -> bool:
+        """Have another box serve a request; False if none took it, and the caller has no answer."""
+        withheld = run.withheld
+        progress = _Progress(
+            last_event=withheld.last_event if withheld else run.facts.resume_after,
+            attempts=len(run.workers_sent_to),
+            may_have_run=withheld is not None and withheld.ran is not Ran.NOT_RUN,
+        )
+        asked: set[str] = set()
+        while len(asked) < MAX_PEERS and run.time_left_s > 0.0:
+            peer = self._choose(asked, run.now)
+            if peer is None:
+                break
+            asked.add(peer.id)
+            ended = await self._forward_to(run, peer, progress)
+            if ended is _Ended.ANSWERED:
+                return True
+            if ended is _Ended.BROKEN and not self._may_repeat(run, progress):
+                self._give_up(run, progress)
+                return True
+        if progress.may_have_run and withheld is None:
+            self._give_up(run, progress)
+            return True
+        return False
+
+    def _choose(self, asked: set[str], now: float) -> Peer | None:
+        """Choose the less busy of two random boxes; of equals, one in this box's hall."""
+        state = self.state
+        candidates = [
+            peer
+            for peer in state.peers.forward_candidates(now)
+            if peer.id not in asked and self._paused_until_by_peer.get(peer.id, -math.inf) <= now
+        ]
+        if not candidates:
+            return None
+        pair = state.rng.sample(candidates, min(2, len(candidates)))
+        return min(pair, key=lambda peer: (self.open_by_peer[peer.id], peer.hall != state.zone))
+
+    async def _forward_to(self, run: RequestRun, peer: Peer, progress: _Progress) -> _Ended:
+        state = self.state
+        sent_at = run.now
+        self.open_by_peer[peer.id] += 1
+        connection: ClientConnection | None = None
+        owner = f"{peer.id}@{peer.started_at}"
+        ended, outcome = _Ended.BROKEN, ""
+        try:
+            connection = await self._connect(run, peer, owner)
+            self._send(run, peer, connection, progress)
+            head = await within(
+                connection.read_head(), run.time_left_s + ANSWER_MARGIN_S, "no head"
+            )
+            if was_answered(head):
+                await self._relay(run, connection, head, progress)
+                ended, outcome = _Ended.ANSWERED, "answered"
+            else:
+                body = await within(
+                    connection.read_body(MAX_ANSWER_BYTES), run.time_left_s, "no body"
+                )
+                outcome = self._note_declined(peer, head, body, run.now)
+                ended = _Ended.NOT_TAKEN
+        except ConnectFailedError as error:
+            ended, outcome, progress.detail = _Ended.NOT_TAKEN, "unconnected", error.message
+            self._paused_until_by_peer[peer.id] = run.now + UNCONNECTED_PAUSE_S
+        except ExchangeError as error:
+            outcome, progress.detail = "broken", error.message
+            progress.is_caller_slow = isinstance(error, CallerSlowError)
+            progress.may_have_run = True
+            progress.attempts = max(progress.attempts + 1, run.route.max_attempts - 1)
+        finally:
+            self._close(peer, owner, connection, run.now)
+        state.metrics.forwards.inc({"outcome": outcome})
+        run.log(
+            Decision.FORWARD_ENDED,
+            outcome=outcome,
+            peer=peer.id,
+            took_ms=round((run.now - sent_at) * 1000, 1),
+            detail=progress.detail,
+        )
+        return ended
+
+    async def _connect(self, run: RequestRun, peer: Peer, owner: str) -> ClientConnection:
+        may_repeat = run.route.may_repeat
+        return await self.state.pool.acquire(
+            peer.host,
+            peer.control_port,
+            owner=owner,
+            now=run.now,
+            timeout_s=min(timeouts.CONNECT_TIMEOUT_S, run.time_left_s),
+            max_idle_s=math.inf if may_repeat else timeouts.MAX_UNREPEATABLE_IDLE_S,
+        )
+
+    def _send(
+        self, run: RequestRun, peer: Peer, connection: ClientConnection, progress: _Progress
+    ) -> None:
+        state = self.state
+        terms = ForwardTerms(
+            box=state.box,
+            config_version=state.table.version if state.table else 0,
+            attempts=progress.attempts,
+        )
+        request = run.exchange.request
+        data = state.callers.encode_forwarded(
+            replace(request, headers=without_terms(request.headers)),
+            added=[terms.header()],
+            time_left_s=run.time_left_s,
+            resume_after=progress.last_event,
+        )
+        connection.send(data, expected=None, is_bodiless=request.method == "HEAD")
+        run.log(
+            Decision.REQUEST_FORWARDED,
+            peer=peer.id,
+            hall=peer.hall,
+            peer_age_s=round(run.now - peer.heard_at, 3),
+            open=self.open_by_peer[peer.id],
+            attempts=progress.attempts,
+            resume_after=progress.last_event,
+            config_version=terms.config_version,
+        )
+
+    def _note_declined(self, peer: Peer, head: ResponseHead, body: bytes, now: float) -> str:
+        """Record why a box did not take a request; return the reason."""
+        reason = body.decode("utf-8", "replace")[:40] or f"status_{head.status}"
+        if reason == DeclineReason.CUT_OFF:
+            self.state.peers.note_unreaching(peer.id)
+        else:
+            self._paused_until_by_peer[peer.id] = now + BUSY_PAUSE_S
+        return reason
+
+    def _close(
+        self, peer: Peer, owner: str, connection: ClientConnection | None, now: float
+    ) -> None:
+        self.open_by_peer[peer.id] -= 1
+        if not self.open_by_peer[peer.id]:
+            del self.open_by_peer[peer.id]
+        if connection is not None:
+            self.state.pool.release(connection, peer.host, peer.control_port, owner=owner, now=now)
+
+    async def _relay(
+        self,
+        run: RequestRun,
+        connection: ClientConnection,
+        head: ResponseHead,
+        progress: _Progress,
+    ) -> None:
+        headers = without_terms(self.state.workers_speak.answer_headers(head))
+        is_stream = run.route.kind is RouteKind.STREAM and head.get(b"transfer-encoding")
+        if is_stream:
+            if not run.exchange.is_started:
+                run.first_byte_at = run.now
+                run.exchange.start(head.status, head.reason, headers)
+            await self._relay_events(run, connection, progress)
+            run.exchange.finish()
+        else:
+            time_left_s = run.time_left_s + ANSWER_MARGIN_S
+            body = await within(connection.read_body(MAX_ANSWER_BYTES), time_left_s, "no body")
+            if run.exchange.is_started:
+                raise ConnectionBrokenError(f"status {head.status} in the middle of a stream")
+            run.first_byte_at = run.now
+            run.exchange.send(head.status, headers, body)
+        await finish_answer(run, head.status, "")
+
+    async def _relay_events(
+        self, run: RequestRun, connection: ClientConnection, progress: _Progress
+    ) -> None:
+        """Write whole events only, so that another box can continue after any of them."""
+        splitter = EventSplitter()
+        exchange = run.exchange
+        while True:
+            part = await within(
+                connection.read_part(), run.time_left_s + ANSWER_MARGIN_S, "no part of the stream"
+            )
+            if not part:
+                break
+            for event in splitter.feed(part):
+                if event.number is not None:
+                    progress.last_event = event.number
+                exchange.write(event.data)
+            if exchange.is_held_up:
+                await wait_for_caller(connection, exchange, run.time_left_s)
+        if splitter.leftover:
+            raise ConnectionBrokenError("stream ended in the middle of an event")
+
+    def _may_repeat(self, run: RequestRun, progress: _Progress) -> bool:
+        """Whether another box may be asked after one may have run the request."""
+        return (
+            not progress.is_caller_slow
+            and run.route.may_repeat
+            and progress.attempts < run.route.max_attempts
+        )
+
+    def _give_up(self, run: RequestRun, progress: _Progress) -> None:
+        if run.exchange.is_started:
+            run.abort_answer(progress.detail)
+            return
+        is_late = run.time_left_s <= 0.0
+        code = Code.UPSTREAM_SLOW if is_late else Code.UPSTREAM_FAILED
+        run.refuse_finally(Withheld(code=code, ran=Ran.UNKNOWN, detail=progress.detail))
--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -9,13 +9,15 @@
 from dataclasses import replace
 
 from croftchute.errors import Code, Ran, RequestError
+from croftchute.forwarding.boxes.forward_terms import ForwardTerms
 from croftchute.forwarding.boxes.limits import Allowance, AllowanceOutcome, UsageLimits
+from croftchute.forwarding.boxes.peer_forwarding import PeerForwarding
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Refusal
 from croftchute.forwarding.http.exchange import Arrival, Exchange
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.workers.plain_run import run_plain
-from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.request_run import CUT_OFF_DETAIL, RequestRun, Withheld
 from croftchute.forwarding.workers.stream_run import run_stream
 from croftchute.systems.worker_choice import pick_service
 from croftchute.tables.organisations import KeyClaim, KeyState, Organisation, Organisations
@@ -71,9 +73,44 @@
     def __init__(self, *, state: ForwardingState, usage_limits: UsageLimits) -> None:
         self.state = state
         self.usage_limits = usage_limits
+        self.peers = PeerForwarding(state=state)
 
     async def handle(self, exchange: Exchange) -> None:
-        """Serve one request, or refuse it."""
+        """Serve one request, here or at another box, or refuse it."""
+        run = self._begin(exchange)
+        if run is None:
+            return
+        if self.state.links.are_lost and await self._serve_while_cut_off(run):
+            return
+        await self._run_within_limit(run)
+        if run.withheld is not None:
+            self.state.budget(run.service).retract_request(run.started_at)
+            if not await self.peers.forward(run):
+                run.refuse_finally(run.withheld)
+
+    async def handle_forwarded(self, exchange: Exchange, terms: ForwardTerms) -> bool:
+        """Serve a request that another box passed on; False if it has not run and may not here."""
+        run = self._begin(exchange, terms)
+        if run is None:
+            return True
+        run.log(Decision.FORWARD_ACCEPTED, source=terms.box, attempts=terms.attempts)
+        await self._run_within_limit(run)
+        return run.withheld is None
+
+    async def _serve_while_cut_off(self, run: RequestRun) -> bool:
+        """Have another box serve a request, or refuse it at once; False if it may run here.
+
+        Connections that have lived on may still bring answers.
+        """
+        if self.state.can_forward and await self.peers.forward(run):
+            return True
+        if self.state.links.is_heard(run.now) or not self.state.links.are_lost:
+            return False
+        run.refuse_finally(Withheld(code=Code.NO_UPSTREAM, ran=Ran.NOT_RUN, detail=CUT_OFF_DETAIL))
+        return True
+
+    def _begin(self, exchange: Exchange, terms: ForwardTerms | None = None) -> RequestRun | None:
+        """Read a request and find its route; refuse it and return None if it has none."""
         state = self.state
         started_at = state.clock()
         try:
@@ -82,7 +119,7 @@
             self._refuse(
                 exchange, "", Refusal(code=error.code, ran=Ran.NOT_RUN, detail=error.message)
             )
-            return
+            return None
         exchange.name(facts.id)
         if state.is_stopping:
             state.log.decide(
@@ -99,19 +136,19 @@
                 retry_after_s=NO_CONFIG_RETRY_AFTER_S,
             )
             self._refuse(exchange, facts.id, refusal)
-            return
+            return None
         route = table.match(facts.host, facts.path)
         if route is None:
             detail = f"no route for {facts.host}{facts.path} in version {table.version}"
             refusal = Refusal(code=Code.PATH_UNKNOWN, ran=Ran.NOT_RUN, detail=detail)
             self._refuse(exchange, facts.id, refusal)
-            return
+            return None
         try:
             organisation = identify_organisation(table.organisations, facts.key, route)
         except RequestError as error:
             refusal = Refusal(code=error.code, ran=Ran.NOT_RUN, detail=error.message)
             self._refuse(exchange, facts.id, refusal)
-            return
+            return None
         if organisation is not None:
             facts = replace(facts, organisation=organisation.name)
         run = RequestRun(
@@ -122,13 +159,14 @@
             route=route,
             service=pick_service(route, state.rng),
             started_at=started_at,
+            prior_attempts=None if terms is None else terms.attempts,
         )
         if run.crashes_workers:
             # Refused at every box, before a worker receives it and before it counts against a
             # limit. Each further try would crash a worker and break up to a dozen other streams.
             run.refuse(Code.ENDS_WORKERS, Ran.NOT_RUN, "refused at arrival")
-            return
-        await self._run_within_limit(run)
+            return None
+        return run
 
     async def _run_within_limit(self, run: RequestRun) -> None:
         """Run a request within its organisation's limit; one that did not run costs nothing."""
--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -103,6 +103,17 @@
         """The answer that tells a refusal."""
         ...
 
+    def encode_forwarded(
+        self,
+        request: IncomingRequest,
+        *,
+        added: HeaderList,
+        time_left_s: float,
+        resume_after: int | None,
+    ) -> bytes:
+        """A caller's request as it goes to another box, with some headers added."""
+        ...
+
 
 class WorkerDialect(Protocol):
     """How requests are put to workers, and what their answers mean."""
--- a/src/croftchute/forwarding/http/connection_pool.py
+++ b/src/croftchute/forwarding/http/connection_pool.py
@@ -5,7 +5,11 @@
 import asyncio
 import math
 
-from croftchute.forwarding.http.failures import ConnectFailedError, ConnectRefusedError
+from croftchute.forwarding.http.failures import (
+    ConnectFailedError,
+    ConnectRefusedError,
+    ConnectTimedOutError,
+)
 from croftchute.forwarding.http.http_client import ClientConnection
 from croftchute.forwarding.http.silence import WORK, SilenceLimits
 
@@ -22,8 +26,10 @@
             )
     except ConnectionRefusedError as error:
         raise ConnectRefusedError(f"{host}:{port}: {error}") from None
-    except (OSError, TimeoutError) as error:
-        raise ConnectFailedError(f"{host}:{port}: {str(error) or 'timed out'}") from None
+    except TimeoutError:
+        raise ConnectTimedOutError(f"{host}:{port}: timed out") from None
+    except OSError as error:
+        raise ConnectFailedError(f"{host}:{port}: {error}") from None
     return protocol
 
 
--- a/src/croftchute/forwarding/http/exchange.py
+++ b/src/croftchute/forwarding/http/exchange.py
@@ -61,10 +61,11 @@
 
 
 class Exchange:
-    """One request and the means to answer it."""
+    """One request and the means to answer it; its answer bears ``added_headers`` in any case."""
 
     def __init__(self, *, connection: AnswerChannel, request: IncomingRequest) -> None:
         self.request = request
+        self.added_headers: HeaderList = []
         self.is_started = False
         self.is_finished = False
         self._connection = connection
@@ -82,7 +83,7 @@
             return
         self.is_started = True
         self.is_finished = True
-        lines = [*headers]
+        lines = self._with_added_headers(headers)
         if status != HTTPStatus.NO_CONTENT and status != HTTPStatus.NOT_MODIFIED:
             lines.append((b"content-length", str(len(body)).encode()))
         lines += self._connection.persistence_headers(self.request)
@@ -92,13 +93,18 @@
     def start(self, status: int, reason: bytes, headers: Iterable[tuple[bytes, bytes]]) -> None:
         """Begin an answer whose length is not known."""
         self.is_started = True
-        lines = [*headers]
+        lines = self._with_added_headers(headers)
         if not self.request.is_http_1_0:
             self._is_chunked = True
             lines.append((b"transfer-encoding", b"chunked"))
         lines += self._connection.persistence_headers(self.request)
         self._writer.write(encode_head(status, reason, lines))
 
+    def _with_added_headers(self, headers: Iterable[tuple[bytes, bytes]]) -> HeaderList:
+        """The headers, with those that are added in place of others of their names."""
+        names = {name for name, _ in self.added_headers}
+        return [pair for pair in headers if pair[0] not in names] + self.added_headers
+
     def write(self, data: bytes) -> None:
         """Pass on some bytes; wait for :meth:`drained` behind it while the caller is slow."""
         if not data:
--- a/src/croftchute/forwarding/http/failures.py
+++ b/src/croftchute/forwarding/http/failures.py
@@ -24,6 +24,10 @@
     """Nobody listens at the address: the process there has ended."""
 
 
+class ConnectTimedOutError(ConnectFailedError):
+    """Nothing answered the attempt to connect in time."""
+
+
 class ConnectionBrokenError(ExchangeError):
     """The connection ended, or carried bytes that are no answer, after the request was sent."""
 
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -6,12 +6,17 @@
 import math
 import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 
 from croftchute.forwarding.decision_log import Decision, DecisionLog
 from croftchute.forwarding.dialect import CallerDialect, WorkerDialect
 from croftchute.forwarding.http.connection_pool import ConnectionPool
+from croftchute.forwarding.http.failures import (
+    ConnectFailedError,
+    ConnectionBrokenError,
+    ExchangeError,
+)
 from croftchute.forwarding.http.silence import KNOWLEDGE, SilenceLimits
 from croftchute.forwarding.http.transfer import Transfer
 from croftchute.forwarding.permits import CallPermits, UnlimitedPermits
@@ -33,6 +38,7 @@
 from croftchute.systems.size_lanes import lane_share
 from croftchute.systems.stage_balance import DemandCounts, RecentDemand
 from croftchute.systems.tracked_worker import TrackedWorker
+from croftchute.systems.worker_links import WorkerLinks
 from croftchute.systems.worker_pace import WorkerPaces
 from croftchute.systems.worker_table import WorkerTable
 from croftchute.tables.organisations import LimitUnit
@@ -63,6 +69,11 @@
 """Seconds for which the view of all who wait is used: peers tell of theirs each 0.5 s."""
 
 
+async def _links_hold() -> bool:
+    """The links to the workers hold, where nobody probes them."""
+    return True
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _KnownLane:
     """The share of the decode workers in the lane, and when it was worked out."""
@@ -103,7 +114,9 @@
     program takes a small box the better part of a second until ``started_at``. ``on_crash_news``
     is called with the digests of requests under which this box saw a worker end, ``on_limit_news``
     when a worker names another limit than before, ``on_restored`` when the store has come back from
-    an older copy.
+    an older copy. ``on_link_trouble`` is called when a call of a worker fails in a way that a lost
+    link would cause; ``confirm_links`` probes workers and returns whether a failure to reach one is
+    the worker's own.
     """
 
     box: str
@@ -124,6 +137,9 @@
     table_at: float = 0.0
     table_item: StoredItem | None = None
     workers: WorkerTable = field(default_factory=WorkerTable)
+    links: WorkerLinks = field(default_factory=WorkerLinks)
+    on_link_trouble: Callable[[], None] = lambda: None
+    confirm_links: Callable[[], Awaitable[bool]] = _links_hold
     paces: WorkerPaces = field(default_factory=WorkerPaces)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     knowledge_limits: SilenceLimits = KNOWLEDGE
@@ -167,6 +183,20 @@
         """Whether what waits for a worker is to be answered now: the process ends shortly."""
         return now >= self.stop_ends_at - LAST_ANSWERS_S
 
+    def note_link_trouble(self, error: ExchangeError, *, since: float) -> None:
+        """A call of a worker that began at ``since`` failed: other workers may be out of reach too.
+
+        A late answer is no sign of that if other answers came meanwhile.
+        """
+        is_link_failure = isinstance(error, ConnectFailedError | ConnectionBrokenError)
+        if is_link_failure or self.links.heard_at < since:
+            self.on_link_trouble()
+
+    @property
+    def can_forward(self) -> bool:
+        """Whether requests may be passed to another box that reaches workers."""
+        return self.ways.cut_off.forwards and bool(self.peers.forward_candidates(self.clock()))
+
     @property
     def boxes(self) -> int:
         """How many boxes share the budgets; the settings' figure until peers had time to tell."""
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -93,6 +93,19 @@
             **own,
         )
         self.open = Gauge("croftchute_open_requests", "Requests that are open", **own)
+        self.links_lost = Gauge(
+            "croftchute_worker_links_lost", "1 while this box reaches no worker, else 0", **own
+        )
+        self.forwards = Counter(
+            "croftchute_forwards_total",
+            "Requests passed to other boxes as this one reaches no worker, by outcome",
+            **own,
+        )
+        self.forwards_received = Counter(
+            "croftchute_forwards_received_total",
+            "Requests that other boxes passed to this one, by outcome",
+            **own,
+        )
         self.limited_workers = Gauge(
             "croftchute_limited_workers", "Workers that name a limit for all boxes", **own
         )
--- a/src/croftchute/forwarding/workers/crash_detection.py
+++ b/src/croftchute/forwarding/workers/crash_detection.py
@@ -57,7 +57,8 @@
                 connection, worker.host, worker.port, owner=worker.id, now=state.clock()
             )
     except ConnectRefusedError:
-        outcome = ENDED
+        # A box whose links are all refused sees every worker as ended.
+        outcome = ENDED if await state.confirm_links() else UNKNOWN
     except ConnectFailedError:
         outcome = UNKNOWN
     finally:
--- a/src/croftchute/forwarding/workers/decode_reservation.py
+++ b/src/croftchute/forwarding/workers/decode_reservation.py
@@ -10,7 +10,7 @@
 from croftchute.forwarding.dialect import Hold
 from croftchute.forwarding.http.failures import ExchangeError
 from croftchute.forwarding.workers.queue_reporting import queue_log_fields
-from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.request_run import CUT_OFF_DETAIL, RequestRun
 from croftchute.forwarding.workers.room_wait_policy import (
     PollingWait,
     RankedWait,
@@ -56,6 +56,9 @@
         is_last_ask = False
         with closing(self._wait_policy(is_begun=is_begun)) as policy:
             while True:
+                if run.is_cut_off:
+                    self.code, self.detail = Code.NO_UPSTREAM, CUT_OFF_DETAIL
+                    return None
                 # Without any worker the request asks in any case, and is refused without a wait.
                 has_asked = is_last_ask or policy.may_ask(run.now) or not self._has_worker()
                 if has_asked and run.is_held_back:
@@ -151,7 +154,7 @@
         ):
             return reserved
         while True:
-            found = run.choose(Stage.DECODE)
+            found = None if run.is_cut_off else run.choose(Stage.DECODE)
             if found is None:
                 return None
             if engine is None or engine.hold_ttl_s <= 0.0:
@@ -213,6 +216,7 @@
             run.state.ways.hold,
         )
         outcome = "granted"
+        asked_at = run.now
         try:
             self.hold = await acquire_hold(run.state, tracked.worker, tokens, engine.hold_ttl_s)
             if self.hold is None:
@@ -229,6 +233,7 @@
                 tracked.worker.id
             )
             run.state.workers.note_failure(tracked.worker.id, 1.0, run.now)
+            run.state.note_link_trouble(error, since=asked_at)
             self.detail = error.message
         run.log(
             Decision.HOLD_ASKED,
--- a/src/croftchute/forwarding/workers/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -45,7 +45,7 @@
 async def run_plain(run: RequestRun) -> None:
     """Send the request until a worker answers it or no further attempt is allowed."""
     progress = PlainProgress()
-    while run.time_left_s > 0.0:
+    while run.time_left_s > 0.0 and not run.is_cut_off:
         admission = await admit(run)
         if admission is not None and admission.found is None and not progress.may_have_run:
             refuse_late(run, admission)
@@ -93,7 +93,7 @@
 
 
 def _answer_timeout_s(run: RequestRun, tracked: TrackedWorker) -> float:
-    if not run.route.may_repeat or len(run.workers_sent_to) >= run.route.max_attempts:
+    if not run.route.may_repeat or not run.has_attempts_left:
         return run.time_left_s
     return timeouts.answer_timeout_s(
         run.route, typical_s=tracked.latency_s, time_left_s=run.time_left_s
--- a/src/croftchute/forwarding/workers/prompt_prefill.py
+++ b/src/croftchute/forwarding/workers/prompt_prefill.py
@@ -106,7 +106,8 @@
         run = self.run
         if run.now - run.started_at > timeouts.prefill_retry_limit_s(run.route):
             return False
-        leaves_attempt = len(run.workers_sent_to) + 1 < run.route.max_attempts
+        attempts = run.prior_attempts + len(run.workers_sent_to)
+        leaves_attempt = attempts + 1 < run.route.max_attempts
         return run.deliveries == 0 or (leaves_attempt and run.spend_retry_budget())
 
     def _estimate_prefill(
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Refusal
@@ -26,8 +28,34 @@
 """Most failed connection attempts before no further worker is tried for a request."""
 
 
+FINAL_CODES = frozenset(
+    {Code.ENDS_WORKERS, Code.OVER_LIMIT, Code.LIMIT_UNKNOWN, Code.PROMPT_TOO_LONG}
+)
+"""Refusals that hold at every box."""
+
+CUT_OFF_DETAIL = "this box has lost its links to all workers"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Withheld:
+    """A refusal that was not sent, as another box may serve the request.
+
+    ``last_event`` is the last event that the caller received of a stream that has begun.
+    """
+
+    code: Code
+    ran: Ran
+    detail: str
+    expected_wait_s: float | None = None
+    last_event: int | None = None
+
+
 class RequestRun:
-    """The state of one request; a ``WorkerCall`` is one attempt at one worker."""
+    """The state of one request; a ``WorkerCall`` is one attempt at one worker.
+
+    ``prior_attempts`` is the number of workers that may have received the request through the box
+    that passed it to this one; it is None if a caller sent the request.
+    """
 
     def __init__(
         self,
@@ -39,8 +67,12 @@
         service: str,
         started_at: float,
         organisation: Organisation | None = None,
+        prior_attempts: int | None = None,
     ) -> None:
         self.state = state
+        self.is_forwarded = prior_attempts is not None
+        self.prior_attempts = prior_attempts or 0
+        self.withheld: Withheld | None = None
         self.organisation = organisation
         self.exchange = exchange
         self.facts = facts
@@ -54,7 +86,7 @@
         self.since_first_try_s = state.first_tries.since_first_try_s(
             route.name, facts.time_left_s, started_at
         )
-        self.deliveries = 0
+        self.deliveries = self.prior_attempts
         self.workers_sent_to: set[str] = set()
         self.avoid: set[str] = set()
         self.full_workers: set[str] = set()
@@ -71,6 +103,16 @@
         """The current time of the process's monotonic clock."""
         return self.state.clock()
 
+    @property
+    def has_attempts_left(self) -> bool:
+        """Whether the route allows an attempt at a worker that has not received the request."""
+        return self.prior_attempts + len(self.workers_sent_to) < self.route.max_attempts
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether another box should serve the request, as this one reaches no worker."""
+        return self.state.links.are_lost and (self.is_forwarded or self.state.can_forward)
+
     @property
     def digest(self) -> str:
         """A digest that all attempts of this request share, computed once."""
@@ -194,7 +236,7 @@
         candidates = self.state.workers.usable(self.service, self.now, stage=stage)
         if stage is Stage.DECODE:
             candidates = self._within_size_lane(candidates)
-        if len(self.workers_sent_to) >= self.route.max_attempts:
+        if not self.has_attempts_left:
             candidates = [
                 tracked for tracked in candidates if tracked.worker.id in self.workers_sent_to
             ]
@@ -338,10 +380,41 @@
     def refuse(
         self, code: Code, ran: Ran, detail: str, *, expected_wait_s: float | None = None
     ) -> None:
-        """Send the caller a refusal, and log and count it.
+        """Send the caller a refusal, and log and count it; withhold it if another box may serve.
 
         ``expected_wait_s`` is the time after which the request is likely to be served, if known.
         """
+        refusal = Withheld(code=code, ran=ran, detail=detail, expected_wait_s=expected_wait_s)
+        if not self._withhold(refusal):
+            self.refuse_finally(refusal)
+
+    def withhold_rest(self, detail: str, *, last_event: int | None) -> bool:
+        """Leave the rest of a stream that has begun to another box; False if none may send it."""
+        return self._withhold(
+            Withheld(
+                code=Code.UPSTREAM_FAILED, ran=Ran.UNKNOWN, detail=detail, last_event=last_event
+            )
+        )
+
+    def _withhold(self, refusal: Withheld) -> bool:
+        """Keep a refusal back if this box is cut off and the request may be sent once more."""
+        has_run = refusal.ran is not Ran.NOT_RUN
+        if refusal.code in FINAL_CODES or not self.is_cut_off:
+            return False
+        may_repeat = self.route.may_repeat and self.has_attempts_left and not self.is_forwarded
+        if has_run and not may_repeat:
+            return False
+        self.has_not_run = not has_run
+        self.withheld = refusal
+        return True
+
+    def refuse_finally(self, refusal: Withheld) -> None:
+        """Send the caller a refusal, whatever other boxes could do, and log and count it."""
+        code, ran, detail = refusal.code, refusal.ran, refusal.detail
+        expected_wait_s = refusal.expected_wait_s
+        if self.exchange.is_started:
+            self.abort_answer(detail)
+            return
         if self.crashes_workers and ran is Ran.NOT_RUN:
             code, detail = Code.ENDS_WORKERS, self._crash_detail()
         self.has_not_run = ran is Ran.NOT_RUN
@@ -366,8 +439,9 @@
                 ),
                 jitter=self.state.rng.random(),
             )
-        refusal = Refusal(code=code, ran=ran, detail=detail, retry_after_s=retry_after_s)
-        answer = self.state.callers.refuse(refusal, self.facts.id)
+        answer = self.state.callers.refuse(
+            Refusal(code=code, ran=ran, detail=detail, retry_after_s=retry_after_s), self.facts.id
+        )
         self.exchange.send(answer.status, answer.headers, answer.body)
         labels = {"route": self.route.name, "outcome": code.value}
         self.state.metrics.requests.inc(labels)
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -72,7 +72,9 @@
             self.run.exchange.finish()
             await finish_answer(self.run, 200, progress.serving_worker)
         elif self.run.exchange.is_started:
-            self.run.abort_answer(progress.detail)
+            is_left = self.run.withhold_rest(progress.detail, last_event=progress.last_event)
+            if not is_left:
+                self.run.abort_answer(progress.detail)
         else:
             self._refuse()
 
@@ -106,9 +108,7 @@
                 # The worker asked for backoff during the prefill: reserve at another one.
                 self.reservation.release_unused()
                 continue
-            if len(run.workers_sent_to) >= run.route.max_attempts and (
-                found[0].worker.id not in run.workers_sent_to
-            ):
+            if not run.has_attempts_left and (found[0].worker.id not in run.workers_sent_to):
                 self.progress.may_retry_at_once = self._are_prefill_workers_in_backoff()
                 return
             if not run.spend_retry_budget():
@@ -216,8 +216,7 @@
 
     def _can_fail_over(self) -> bool:
         run = self.run
-        has_attempts = len(run.workers_sent_to) < run.route.max_attempts
-        return run.route.may_repeat and has_attempts and run.has_other_worker(Stage.DECODE)
+        return run.route.may_repeat and run.has_attempts_left and run.has_other_worker(Stage.DECODE)
 
     def _handle_failure(self, call: WorkerCall, head: ResponseHead, body: bytes) -> None:
         call.record_error_status(head.status)
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -7,8 +7,9 @@
 from croftchute.errors import Code
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
+from croftchute.forwarding.http.backpressure import wait_for_caller
 from croftchute.forwarding.http.deadline import within
-from croftchute.forwarding.http.failures import AnswerLateError, CallerSlowError, ExchangeError
+from croftchute.forwarding.http.failures import CallerSlowError, ExchangeError
 from croftchute.forwarding.http.http_client import ClientConnection, ResponseHead
 from croftchute.forwarding.workers.advice_recording import record_advice, record_displaced
 from croftchute.forwarding.workers.crash_detection import check_after_broken_answer
@@ -130,6 +131,7 @@
         """Read the answer's head; raise AnswerLateError or ConnectionBrokenError."""
         assert self.connection is not None
         head = await within(self.connection.read_head(), timeout_s, "no head")
+        self.run.state.links.note_heard(self.run.now)
         record_advice(self.run.state, self.worker, head, call=self._call_kind)
         record_load(self.run.state, self.worker, head)
         return head
@@ -137,7 +139,9 @@
     async def read_chunk(self, timeout_s: float) -> bytes:
         """Read the next chunk of the body; empty at its end."""
         assert self.connection is not None
-        return await within(self.connection.read_part(), timeout_s, "no chunk of the body")
+        chunk = await within(self.connection.read_part(), timeout_s, "no chunk of the body")
+        self.run.state.links.note_heard(self.run.now)
+        return chunk
 
     async def read_body(self, timeout_s: float) -> bytes:
         """Read the rest of the answer."""
@@ -147,23 +151,9 @@
         )
 
     async def wait_for_caller(self) -> None:
-        """Stop reading from the worker until the caller has read enough of its buffered bytes.
-
-        Raise CallerSlowError at the caller's deadline.
-        """
-        connection = self.connection
-        assert connection is not None
-        exchange = self.run.exchange
-        connection.pause_reading()
-        # At most one read of the socket has arrived that was not yet written to the caller.
-        exchange.note_unread(connection.unread_bytes)
-        try:
-            await within(exchange.drained(), self.run.time_left_s, "caller did not read")
-        except AnswerLateError as error:
-            raise CallerSlowError(error.message) from None
-        finally:
-            exchange.note_unread(0)
-        connection.resume_reading()
+        """Stop reading from the worker until the caller has read enough; raise CallerSlowError."""
+        assert self.connection is not None
+        await wait_for_caller(self.connection, self.run.exchange, self.run.time_left_s)
 
     def record_slow_caller(self, error: CallerSlowError) -> None:
         """Record that the caller did not read in time; the worker's score does not change."""
@@ -186,6 +176,7 @@
             Code.UPSTREAM_SLOW: FAILURE_SCORE_LATE,
         }.get(error.code, FAILURE_SCORE_BROKEN)
         self.run.avoid.add(self.worker.id)
+        self.run.state.note_link_trouble(error, since=self.opened_at)
         if error.code is Code.TARGET_UNREACHABLE:
             self.run.state.workers.note_unreachable(self.worker.id, self.run.now)
         if error.code is Code.UPSTREAM_FAILED:
--- a/src/croftchute/forwarding/workers/worker_control.py
+++ b/src/croftchute/forwarding/workers/worker_control.py
@@ -72,6 +72,7 @@
     try:
         connection.send(data, expected=None)
         head = await within(connection.read_head(), answer_s, "no head")
+        state.links.note_heard(state.clock())
         record_advice(state, worker, head, call="control")
         record_reported_pace(state, worker, head)
         if state.workers_speak.verdict(head) is Verdict.WRONG_WORKER:
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -186,6 +186,8 @@
     of the sender's link in Mbit/s, 0 if it does not know. ``leaving_workers`` are lives of workers
     that said, to the sender or to a box that it heard, that they leave; ``limited_workers`` are
     those that named a limit in the same way. ``paces`` are told of workers that tell theirs.
+    ``reaches_workers`` also says that the sender serves requests for boxes that do not; boxes of
+    earlier versions leave it out.
     """
 
     started_at: float
@@ -203,6 +205,7 @@
     leaving_workers: tuple[str, ...] = ()
     limited_workers: tuple[LimitNotice, ...] = ()
     paces: tuple[WorkerPaceNotice, ...] = ()
+    reaches_workers: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -238,6 +238,7 @@
   leavingWorkers @13 :List(Text);
   limitedWorkersColumns @14 :LimitNoticeColumns;
   pacesColumns @15 :WorkerPaceNoticeColumns;
+  reachesWorkers @16 :Bool;
 }
 
 struct WorkerPaceNoticeColumns {
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -13,6 +13,7 @@
 from croftchute.systems.service_capacity import SplitMode
 from croftchute.systems.size_lanes import RoomMode
 from croftchute.systems.timeouts import HoldMode, ReturnMode
+from croftchute.systems.worker_links import CutOffMode
 from croftchute.tables.organisations import LimitMode
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
@@ -69,6 +70,7 @@
     hold: HoldMode = HoldMode.LIKELY
     order: OrderMode = OrderMode.AUTO
     placement: PlacementMode = PlacementMode.AUTO
+    cut_off: CutOffMode = CutOffMode.FORWARD
 
 
 class Conditions(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/croftchute/soak/proxy.py
+++ b/src/croftchute/soak/proxy.py
@@ -95,12 +95,17 @@
             self.reset_all()
 
     async def cut(self, fault: LinkFault) -> None:
-        """Put a cut in force: ``HANGING`` leaves new connections unanswered, ``CLOSED`` resets all."""
+        """Put a cut in force.
+
+        ``HANGING`` leaves new connections without an answer, ``CLOSED`` refuses them and resets
+        those that are open.
+        """
         self.set_fault(fault)
         if fault is LinkFault.HANGING:
-            self._block_door()
+            self._block_door(hangs=True)
         elif fault is LinkFault.CLOSED:
-            self.close_door()
+            self._block_door(hangs=False)
+            self.reset_all()
 
     async def heal(self) -> None:
         """End a cut."""
@@ -110,15 +115,20 @@
             self._unblock_door()
             await self.open_door(self.target)
 
-    def _block_door(self) -> None:
-        """Listen with a full backlog, so that the kernel drops the opening packets of others."""
+    def _block_door(self, *, hangs: bool) -> None:
+        """Keep the port without serving it.
+
+        With a full backlog the kernel drops opening packets; without listening it refuses them.
+        """
         if self._server is not None:
             self._server.close()
         door = socket.socket()
         door.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         door.bind((self.host, self.port))
-        door.listen(0)
         self._blocked_door = [door]
+        if not hangs:
+            return
+        door.listen(0)
         for _ in range(BACKLOG_FILLERS):
             filler = socket.socket()
             filler.setblocking(False)
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from croftchute.peers.messages import BoxNotice
 from croftchute.systems.hall_relays import PEER_LIVE_S
@@ -77,6 +77,7 @@
             is_leaving=notice.is_leaving,
             hall=notice.hall,
             link_mbps=notice.link_mbps,
+            reaches_workers=notice.reaches_workers,
             workers_by_id={entry.worker: entry for entry in notice.workers},
             demand_by_service={entry.service: entry for entry in notice.demands},
         )
@@ -142,6 +143,20 @@
             if peer.hall == hall and not peer.is_leaving and now - peer.heard_at <= PEER_LIVE_S
         ]
 
+    def forward_candidates(self, now: float) -> list[Peer]:
+        """Return the boxes that reach workers and serve requests for boxes that do not."""
+        return [
+            peer
+            for peer_id in self.reachable(now)
+            if (peer := self.peers_by_id[peer_id]).reaches_workers
+        ]
+
+    def note_unreaching(self, peer_id: str) -> None:
+        """Record that a box reaches no worker either, until its next notice."""
+        peer = self.peers_by_id.get(peer_id)
+        if peer is not None:
+            self.peers_by_id[peer_id] = replace(peer, reaches_workers=False)
+
     def reachable(self, now: float) -> list[str]:
         """Return the boxes that are not leaving and whose halls are not cut off.
 
--- a/src/croftchute/systems/retry_budget.py
+++ b/src/croftchute/systems/retry_budget.py
@@ -38,6 +38,11 @@
         self._expire(now)
         self.request_times.append(now)
 
+    def retract_request(self, noted_at: float) -> None:
+        """Remove a request that another box counts in its place."""
+        if noted_at in self.request_times:
+            self.request_times.remove(noted_at)
+
     def spend(self, now: float, *, boxes: int) -> bool:
         """Take one retry from the budget; return False if none is left."""
         allowed = self.allowed(now, boxes=boxes)
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -350,6 +350,12 @@
         if tracked is not None:
             tracked.full_until = until
 
+    def forgive_failures(self) -> None:
+        """Forget all failures: the box's own links caused them."""
+        for tracked in self.tracked_by_id.values():
+            tracked.failures = 0.0
+            tracked.unreachable_until = 0.0
+
     def note_unreachable(self, worker_id: str, now: float) -> None:
         """Avoid a worker for a while after a connection to it failed."""
         tracked = self.tracked_by_id.get(worker_id)
--- a/src/croftchute/tables/peers.py
+++ b/src/croftchute/tables/peers.py
@@ -107,7 +107,8 @@
 class Peer:
     """Another box: where it receives notices and where its state can be fetched.
 
-    ``link_mbps`` is the rate of its link in Mbit/s; 0 if unknown.
+    ``link_mbps`` is the rate of its link in Mbit/s; 0 if unknown. ``reaches_workers`` also says
+    that it accepts requests from boxes that do not.
     """
 
     id: str
@@ -121,5 +122,6 @@
     is_leaving: bool = False
     hall: str = ""
     link_mbps: float = 0.0
+    reaches_workers: bool = False
     workers_by_id: dict[str, WorkerNotice] | None = None
     demand_by_service: dict[str, DemandNotice] | None = None
