--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -137,14 +137,14 @@
         self.link_probe = LinkProbe(state=state, on_change=self._note_links)
         state.on_link_trouble = self.link_probe.request_round
         state.confirm_links = self.link_probe.confirm
-        forwarder = Forwarder(state=state, usage_limits=self.usage_limits)
+        self.forwarder = Forwarder(state=state, usage_limits=self.usage_limits)
         self.forwarded = ForwardedRequests(
-            state=state, forwarder=forwarder, own_open=lambda: self.ingress.open_requests
+            state=state, forwarder=self.forwarder, own_open=lambda: self.ingress.open_requests
         )
         self.ingress = HttpIngress(
-            handler=forwarder.handle,
+            handler=self.forwarder.handle,
             limits=state.limits,
-            turn_away=forwarder.refuse_while_stopping,
+            turn_away=self.forwarder.refuse_while_stopping,
             clock=state.clock,
             held=self.held,
         )
--- a/src/croftchute/forwarding/boxes/peer_forwarding.py
+++ b/src/croftchute/forwarding/boxes/peer_forwarding.py
@@ -98,7 +98,8 @@
             if ended is _Ended.BROKEN and not self._may_repeat(run, progress):
                 self._give_up(run, progress)
                 return True
-        if progress.may_have_run and withheld is None:
+        is_withheld_true = withheld is not None and withheld.ran is not Ran.NOT_RUN
+        if progress.may_have_run and not is_withheld_true:
             self._give_up(run, progress)
             return True
         return False
@@ -130,6 +131,7 @@
                 connection.read_head(), run.time_left_s + ANSWER_MARGIN_S, "no head"
             )
             if was_answered(head):
+                run.forwarded_to = peer.id
                 await self._relay(run, connection, head, progress)
                 ended, outcome = _Ended.ANSWERED, "answered"
             else:
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -73,6 +73,7 @@
         self.is_forwarded = prior_attempts is not None
         self.prior_attempts = prior_attempts or 0
         self.withheld: Withheld | None = None
+        self.forwarded_to = ""
         self.organisation = organisation
         self.exchange = exchange
         self.facts = facts
@@ -372,6 +373,7 @@
             route=self.route.name,
             organisation=self.facts.organisation,
             worker=worker,
+            peer=self.forwarded_to,
             first_byte_ms=round((first - self.started_at) * 1000, 1),
             target_ms=round(self.route.target_s * 1000),
             workers_tried=len(self.workers_sent_to),
--- a/src/croftchute/forwarding/workers/stage_coordinator.py
+++ b/src/croftchute/forwarding/workers/stage_coordinator.py
@@ -272,6 +272,9 @@
         return False
 
     async def _use_lease(self, held_lease: HeldLease, changes: list[StageChange]) -> None:
+        if self.state.links.are_lost:
+            # Orders would not arrive, so the lease is left to expire for a box that can give them.
+            return
         now = self.state.clock()
         if now >= self._renew_at:
             self._renew_at = now + LEASE_RENEW_INTERVAL_S
