Soak: boxes lose their links to all workers

links_cut strikes one box, most or all of a hall, or all boxes but one; their links to workers hang, are reset, or live on while new ones are refused. Each box has links of its own, on its own host. Where nothing else is in the way, callers at boxes in the cut must be served two thirds as often as others, or at most 10 and one in 50 may fail.

--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -16,6 +16,7 @@
 
 ROOT = Path(__file__).resolve().parents[3]
 ALTERATION_VARIABLE = "CROFTCHUTE_SOAK_ALTERATION"
+LOCALHOST = "127.0.0.1"
 
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "platform")]
 
@@ -33,8 +34,10 @@
     WorkerPermits,
     usage_limit,
 )
+from croftchute.forwarding.http.connection_pool import ConnectionPool  # noqa: E402
 from croftchute.forwarding.http.failures import AnswerLateError  # noqa: E402
 from croftchute.forwarding.http.http_client import ClientConnection  # noqa: E402
+from croftchute.forwarding.http.silence import SilenceLimits  # noqa: E402
 from croftchute.forwarding.permits import ONE_CALL, PermitRequest  # noqa: E402
 from croftchute.forwarding.state import ForwardingState  # noqa: E402
 from croftchute.forwarding.store import store_follower  # noqa: E402
@@ -280,6 +283,31 @@
     EraReader.read = lambda self, head: self.newest  # type: ignore[method-assign]  # noqa: ARG005
 
 
+def connect_over_own_links(worker_host: str, store_port: int) -> None:
+    """Lead connections to workers over links that belong to this box alone."""
+    connect_directly = ConnectionPool.connect
+
+    async def connect(
+        self: ConnectionPool,
+        host: str,
+        port: int,
+        timeout_s: float,
+        *,
+        limits: SilenceLimits | None = None,
+    ) -> ClientConnection:
+        is_worker = host == LOCALHOST and port != store_port
+        return await connect_directly(
+            self, worker_host if is_worker else host, port, timeout_s, limits=limits
+        )
+
+    ConnectionPool.connect = connect  # type: ignore[method-assign]
+
+
+def keep_to_own_workers() -> None:
+    """Pass no request to another box, and refuse it when no worker is in reach."""
+    ForwardingState.can_forward = property(lambda _: False)  # type: ignore[assignment,method-assign]
+
+
 BUCKETS: dict[str, UsageBucket] = {}
 KEPT: list[object] = []
 BROKEN: dict[str, Callable[[], None]] = {
@@ -298,6 +326,7 @@
     "wishes_unheard": wishes_unheard,
     "eras_ignored": eras_ignored,
     "limits_alone": limits_alone,
+    "keep_to_own_workers": keep_to_own_workers,
 }
 
 
@@ -306,6 +335,8 @@
     alteration = json.loads(os.environ[ALTERATION_VARIABLE])
     if alteration["clock_offset_s"]:
         shift_clock(alteration["clock_offset_s"])
+    if alteration["worker_host"]:
+        connect_over_own_links(alteration["worker_host"], alteration["store_port"])
     if alteration["broken"]:
         BROKEN[alteration["broken"]]()
     runpy.run_path(str(ROOT / "platform" / "start.py"), run_name="__main__")
--- a/src/croftchute/soak/boxes.py
+++ b/src/croftchute/soak/boxes.py
@@ -10,7 +10,7 @@
 import sys
 from asyncio.subprocess import Process
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
 from croftchute.soak.keys import TERMS
@@ -40,14 +40,20 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Alteration:
-    """What is different in a box's process: a shifted clock, or a fault put in on purpose."""
+    """What is different in a box's process: a shifted clock, or a fault put in on purpose.
+
+    With ``worker_host`` the box connects to that address in place of the workers' own, at the same
+    port, where links lead that are its own; ``store_port`` is the port that is not a worker's.
+    """
 
     clock_offset_s: float = 0.0
     broken: str = ""
+    worker_host: str = ""
+    store_port: int = 0
 
     def encode(self) -> str:
         """As the altered program reads it."""
-        return json.dumps({"clock_offset_s": self.clock_offset_s, "broken": self.broken})
+        return json.dumps(asdict(self))
 
 
 @dataclass(kw_only=True)
--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -14,6 +14,7 @@
 from croftchute.soak.crashing import CrashingRequest
 from croftchute.soak.disturbances import STORE, Disturbance, Disturbances
 from croftchute.soak.key_checks import DENIED, KeyChecks
+from croftchute.soak.link_cuts import LinkCuts, links_of
 from croftchute.soak.paces import transfer_allowance_s
 from croftchute.soak.traffic import Traffic
 from croftchute.soak.violation import Violation, broken
@@ -65,6 +66,7 @@
     crashing: tuple[CrashingRequest, ...] = ()
     telling: TellingWorkers | None = None
     limiting: LimitingWorkers | None = None
+    link_cuts: LinkCuts | None = None
     runs_by_id: dict[str, list[tuple[ListedWorker, Run]]] = field(default_factory=dict)
 
     @property
@@ -99,6 +101,8 @@
             found += self._versions_in_time()
             found += keys.in_time()
             found += self._crashing_requests()
+            if self.link_cuts is not None:
+                found += self.link_cuts.violations(self.traffic)
             if self.telling is not None:
                 found += self.telling.violations(self.traffic, slack_s=self.slack_s)
             if self.only_planned:
@@ -196,7 +200,12 @@
                 if attempt is None or listed.leaving_at is None:
                     continue
                 late_s = run.started_at - listed.leaving_at - DRAIN_S
-                if late_s > self.slack_s and self._in_touch(attempt.box, run.started_at):
+                since = run.started_at - CONTACT_S
+                is_held_up = not self.disturbances.are_calm(
+                    (links_of(attempt.box),), since, run.started_at
+                )
+                is_in_touch = self._in_touch(attempt.box, run.started_at) and not is_held_up
+                if late_s > self.slack_s and is_in_touch:
                     detail = f"{listed.worker.id}, {late_s:.2f} s too late"
                     yield broken("no new work on leaving workers", attempt, detail)
 
@@ -207,7 +216,7 @@
             until = attempt.left_at + LEFT_S + self.slack_s
             for listed, run in self.runs_by_id.get(attempt.request_id, ()):
                 ended_at = run.ended_at if run.ended_at is not None else 1e18
-                names = (attempt.box, listed.worker.id, STORE)
+                names = (attempt.box, links_of(attempt.box), listed.worker.id, STORE)
                 is_calm = self.disturbances.are_calm(names, attempt.left_at - CONTACT_S, until)
                 if ended_at > until and is_calm:
                     detail = f"{listed.worker.id} at work {ended_at - attempt.left_at:.2f} s later"
@@ -260,7 +269,7 @@
             was_cut = attempt.is_sent and not attempt.is_whole and attempt.left_at is None
             if not was_cut or not runs or attempt.ended_at is None:
                 continue
-            names = (attempt.box, *(listed.worker.id for listed, _ in runs))
+            names = (attempt.box, links_of(attempt.box), *(listed.worker.id for listed, _ in runs))
             since = attempt.sent_at - CONTACT_S
             stops = self.disturbances.stops_about(attempt.box, attempt.sent_at, attempt.ended_at)
             is_calm = self.disturbances.are_calm(names, since, attempt.ended_at, but_planned=True)
--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -9,11 +9,13 @@
 import signal
 from collections import Counter
 from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import replace
 from typing import TypeVar
 
-from croftchute.soak.boxes import Alteration, SoakBox
+from croftchute.soak.boxes import SoakBox
 from croftchute.soak.crashing import CrashingRequests
 from croftchute.soak.disturbances import Disturbances
+from croftchute.soak.link_cuts import LinkCuts
 from croftchute.soak.plan import FaultKind, PlannedFault, SoakSpec
 from croftchute.soak.proxy import FaultyLink, LinkFault
 from croftchute.soak.series import SeriesFaults
@@ -115,6 +117,7 @@
         self._bursts = 0
         self.telling = TellingWorkers(world=world, disturbances=disturbances)
         self.limiting = LimitingWorkers(world=world, disturbances=disturbances)
+        self.link_cuts = LinkCuts(world=world, boxes=boxes, disturbances=disturbances)
         self._signals = BoxSignals(disturbances=disturbances)
         series = SeriesFaults(
             spec=spec,
@@ -160,6 +163,7 @@
             FaultKind.WORKER_RESTS: self._rest_worker,
             FaultKind.STORE_RESTORED: store.restore,
             FaultKind.WORKER_LIMITS: self._limit_workers,
+            FaultKind.LINKS_CUT: self.link_cuts.strike,
         }
 
     @property
@@ -192,7 +196,7 @@
         """The time of day of a box is another one after its next start."""
         box = _pick(self.boxes, fault)
         offset_s = CLOCK_STEPS_S[fault.pick % len(CLOCK_STEPS_S)]
-        box.alteration = Alteration(clock_offset_s=offset_s, broken=self.spec.broken)
+        box.alteration = replace(box.alteration, clock_offset_s=offset_s)
         self._signals.end(box, signal.SIGKILL)
 
     async def _pause_box(self, fault: PlannedFault) -> None:
--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -43,6 +43,7 @@
     WORKER_RESTS = "worker_rests"
     STORE_RESTORED = "store_restored"
     WORKER_LIMITS = "worker_limits"
+    LINKS_CUT = "links_cut"
 
 
 LATER_KINDS = frozenset(
@@ -53,6 +54,7 @@
         FaultKind.WORKER_RESTS,
         FaultKind.STORE_RESTORED,
         FaultKind.WORKER_LIMITS,
+        FaultKind.LINKS_CUT,
     }
 )
 FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
@@ -87,6 +89,7 @@
         FaultKind.WORKER_RESTS,
         FaultKind.STORE_RESTORED,
         FaultKind.WORKER_LIMITS,
+        FaultKind.LINKS_CUT,
     }
 )
 QUIET_START_S = 1.0
--- a/src/croftchute/soak/run.py
+++ b/src/croftchute/soak/run.py
@@ -123,6 +123,7 @@
             crashing=tuple(set_up.crashing.sent),
             telling=injector.telling,
             limiting=injector.limiting,
+            link_cuts=injector.link_cuts,
         )
         violations += checker.violations()
         tries = set_up.traffic.tries_by_id.values()
@@ -191,14 +192,17 @@
 @contextlib.asynccontextmanager
 async def stage(spec: SoakSpec, folder: Path) -> AsyncIterator[Stage]:
     """Set everything up, and take it down whatever happens."""
-    world = SoakWorld()
+    addresses = lay_out(own_network(os.getpid()), spec.boxes)
+    cuts_links = FaultKind.LINKS_CUT in spec.kinds
+    box_hosts = tuple(address.host for address in addresses) if cuts_links else ()
+    world = SoakWorld(box_hosts=box_hosts)
     await world.start(desks=spec.desks, engines=spec.engines)
     store_target = Target(host=LOCALHOST, port=world.store.ingress.port)
-    addresses = lay_out(own_network(os.getpid()), spec.boxes)
     seeds = tuple(f"{address.host}:{address.control}" for address in addresses[:3])
     boxes, store_links, caller_links = [], [], []
     for number, address in enumerate(addresses):
         store_link = FaultyLink(name=f"store-{number}", target=store_target)
+        store_port = await store_link.start()
         caller_target = Target(host=address.host, port=address.callers)
         caller_link = FaultyLink(name=f"callers-{number}", target=caller_target)
         box = SoakBox(
@@ -206,9 +210,13 @@
             hall=HALLS[number % len(HALLS)],
             address=address,
             folder=folder,
-            store_port=await store_link.start(),
+            store_port=store_port,
             seeds=seeds,
-            alteration=Alteration(broken=spec.broken),
+            alteration=Alteration(
+                broken=spec.broken,
+                worker_host=address.host if cuts_links else "",
+                store_port=store_port if cuts_links else 0,
+            ),
         )
         await caller_link.start()
         box.write_settings()
--- a/src/croftchute/soak/world.py
+++ b/src/croftchute/soak/world.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import itertools
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 from croftchute.soak.keys import organisations
-from croftchute.soak.proxy import FaultyLink, Target
+from croftchute.soak.proxy import FaultyLink, LinkFault, Target
 from croftchute.standins.metadata_store import MetadataStore
 from croftchute.standins.platform_worker import PlatformWorker
 
@@ -74,6 +75,9 @@
     size_by_version: dict[int, int] = field(default_factory=dict)
     routes: list[JsonObject] = field(default_factory=list)
     fillers: list[JsonObject] = field(default_factory=list)
+    box_hosts: tuple[str, ...] = ()
+    _box_links_by_host: dict[str, list[FaultyLink]] = field(default_factory=dict)
+    _cut_by_host: dict[str, LinkFault] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._numbers = itertools.count(1)
@@ -118,6 +122,7 @@
         if link is None:
             link = FaultyLink(name=worker.id, target=target)
             await link.start()
+            await self._add_box_links(link)
         else:
             link.target = target
         listed = ListedWorker(
@@ -128,6 +133,34 @@
         self.write_entry(listed)
         return listed
 
+    async def _add_box_links(self, link: FaultyLink) -> None:
+        """Lead each box to a worker's link over one of its own, on the box's host and this port."""
+        for host in self.box_hosts:
+            target = Target(host=link.host, port=link.port)
+            own = FaultyLink(
+                name=f"{host} to {link.name}", target=target, host=host, port=link.port
+            )
+            await own.start()
+            self._box_links_by_host.setdefault(host, []).append(own)
+            if (cut := self._cut_by_host.get(host)) is not None:
+                await own.cut(cut)
+
+    async def cut_links(self, hosts: Sequence[str], fault: LinkFault) -> None:
+        """Cut some boxes off from all workers, also from those that are added meanwhile."""
+        for host in hosts:
+            self._cut_by_host[host] = fault
+        for host in hosts:
+            for link in list(self._box_links_by_host.get(host, ())):
+                await link.cut(fault)
+
+    async def heal_links(self, hosts: Sequence[str]) -> None:
+        """End the cuts of some boxes."""
+        for host in hosts:
+            self._cut_by_host.pop(host, None)
+        for host in hosts:
+            for link in list(self._box_links_by_host.get(host, ())):
+                await link.heal()
+
     def write_entry(self, listed: ListedWorker, state: str = "ready") -> None:
         """Write a worker's entry."""
         self.store.put(f"servers/{listed.worker.id}", listed.entry(state))
@@ -189,6 +222,9 @@
         for listed in self.all_workers:
             listed.worker.stop()
             listed.link.stop()
+        for links in self._box_links_by_host.values():
+            for link in links:
+                link.stop()
 
 
 def added_path(version: int) -> str:
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -183,3 +183,22 @@
         assert await reader.readexactly(1) == b"y"
 
     linked(body)
+
+
+@pytest.mark.parametrize(
+    ("fault", "failure"),
+    [(LinkFault.HANGING, TimeoutError), (LinkFault.CLOSED, ConnectionRefusedError)],
+)
+def test_a_cut_keeps_new_connections_out_until_it_heals(fault, failure):
+    async def body(link, reader, writer):
+        await link.cut(fault)
+        with pytest.raises(failure):
+            async with asyncio.timeout(0.3):
+                await asyncio.open_connection("127.0.0.1", link.port)
+        await link.heal()
+        again, writer_again = await asyncio.open_connection("127.0.0.1", link.port)
+        writer_again.write(b"two")
+        assert await again.readexactly(3) == b"two"
+        writer_again.close()
+
+    linked(body)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,6 +22,7 @@
     FaultKind.BOX_PAUSE,
     FaultKind.STORE_SILENT,
 )
+CUTS = (FaultKind.LINKS_CUT, FaultKind.BOX_STOP, FaultKind.BOX_KILL, FaultKind.WORKER_DRAIN)
 SHORT = [
     SoakSpec(seed=4, seconds=6.0, judge_times=False, kinds=FIRST_KINDS),
     SoakSpec(seed=21, seconds=6.0, judge_times=False, only_planned=True, kinds=FIRST_KINDS),
@@ -29,6 +30,7 @@
     SoakSpec(seed=31, seconds=3.0, judge_times=False, kinds=CRASHES, boxes=4),
     SoakSpec(seed=901, seconds=12.0, judge_times=False, kinds=WISHES),
     SoakSpec(seed=1002, seconds=12.0, judge_times=False, kinds=LIMITS, boxes=4),
+    SoakSpec(seed=55, seconds=12.0, judge_times=False, kinds=CUTS, boxes=6),
 ]
 REGRESSIONS = [
     SoakSpec(
