--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -1,17 +1,29 @@
 import dataclasses
 import random
+from pathlib import Path
 from typing import get_args, get_type_hints
 
+import capnp
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from croftchute.errors import Code, MessageError
-from croftchute.peers.codec import MAX_ITEMS, SCHEMA, STRUCTS_BY_LIST, Codec, Envelope
+from croftchute.peers import codec
+from croftchute.peers.codec import (
+    MAX_ITEMS,
+    SCHEMA,
+    STRUCTS_BY_LIST,
+    TAG_BYTES,
+    Codec,
+    Envelope,
+)
 from croftchute.peers.messages import Body, BoxNotice, Released
 from croftchute.tables.peers import WorkerNotice
 
 CODEC = Codec(keys=["k" * 16])
+SCHEMA_PATH = Path(codec.__file__).with_name("schema.capnp")
+NEWEST_FIELD = "  reachesWorkers @16 :Bool;\n"
 VALUES = {str: "text", int: 7, float: 0.5, bytes: b"raw", bool: True, Code: Code.NO_CAPACITY}
 VALUES |= {tuple[str, ...]: ("a", "b"), tuple[int, ...]: (1, 2**31)}
 
@@ -116,3 +128,29 @@
 def test_columns_of_more_rows_than_a_datagram_can_mean_are_no_message():
     with pytest.raises(MessageError):
         CODEC.decode(notice_with(whole_columns(MAX_ITEMS + 1)))
+
+
+def earlier_schema(folder):
+    """The schema without the newest field of notices, as boxes of the version before have it."""
+    text = SCHEMA_PATH.read_text()
+    assert NEWEST_FIELD in text
+    path = folder / "earlier.capnp"
+    # The library takes each id of a file once.
+    path.write_text(text.replace(NEWEST_FIELD, "").replace("@0xd", "@0xe", 1))
+    return capnp.load(str(path))
+
+
+def test_boxes_of_the_version_before_read_new_notices_and_are_read(tmp_path):
+    """Guards against a rolling update in which boxes drop each other's notices."""
+    earlier = earlier_schema(tmp_path)
+    notice = example(BoxNotice)
+    assert notice.reaches_workers
+    datagram = CODEC.encode(Envelope(sender="b", stamp=3, bodies=(notice,)))
+    read = earlier.Envelope.from_bytes_packed(datagram[TAG_BYTES:])
+    assert read.messages[0].boxNotice.controlPort == notice.control_port
+    message = earlier.Envelope.new_message(sender="b")
+    message.init("messages", 1)[0].init("boxNotice").hall = "a"
+    payload = message.to_bytes_packed()
+    tag = bytes.fromhex(CODEC.sign(payload))
+    (heard,) = CODEC.decode(tag + payload).bodies
+    assert heard.hall == "a" and not heard.reaches_workers
