Probe sound links once a second at most, and bound the wait for a verdict

A call that failed made links suspect, and suspect links were probed ten times a second: a slow worker would have had every box probe that often. Only a round that found no worker does so now. A worker list that becomes empty ends the wait for a verdict. A caller that leaves a forwarded request gets its line.

--- a/src/croftchute/forwarding/boxes/peer_forwarding.py
+++ b/src/croftchute/forwarding/boxes/peer_forwarding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections import Counter
 from dataclasses import dataclass, replace
@@ -80,6 +81,15 @@
 
     async def forward(self, run: RequestRun) -> bool:
         """Have another box serve a request; False if none took it, and the caller has no answer."""
+        try:
+            return await self._forward(run)
+        except asyncio.CancelledError:
+            has_left = run.exchange.caller_has_left and not run.exchange.is_cut_off
+            kind = Decision.CALLER_LEFT if has_left else Decision.REQUEST_BROKEN
+            run.log(kind, peer=run.forwarded_to)
+            raise
+
+    async def _forward(self, run: RequestRun) -> bool:
         withheld = run.withheld
         progress = _Progress(
             last_event=withheld.last_event if withheld else run.facts.resume_after,
--- a/src/croftchute/forwarding/callers/forwarded_requests.py
+++ b/src/croftchute/forwarding/callers/forwarded_requests.py
@@ -27,9 +27,9 @@
 MIN_OPEN = 64
 """Requests of other boxes that a box may serve at a time, however few it has of its own."""
 
-MAX_SHARE_OF_OWN = 4
-"""Most requests of other boxes for each of its own: nine boxes in ten may be cut off together, but
-a few that are left must not be flooded."""
+MAX_PER_OWN = 4
+"""Most requests of other boxes for each of its own, so that a few boxes that are left when most are
+cut off are not flooded."""
 
 
 class ForwardedRequests:
@@ -74,7 +74,7 @@
             return DeclineReason.CUT_OFF
         if state.table is None or state.table.version < terms.config_version:
             return DeclineReason.OLDER_CONFIG
-        if self.open >= max(MIN_OPEN, MAX_SHARE_OF_OWN * self.own_open()):
+        if self.open >= max(MIN_OPEN, MAX_PER_OWN * self.own_open()):
             return DeclineReason.BUSY
         return None
 
--- a/src/croftchute/forwarding/workers/link_probe.py
+++ b/src/croftchute/forwarding/workers/link_probe.py
@@ -21,6 +21,7 @@
 from croftchute.systems.tracked_worker import TrackedWorker
 from croftchute.systems.worker_links import (
     MIN_WITNESSES,
+    UNCONNECTED_S,
     LinkChange,
     ProbeOutcome,
     ProbeRound,
@@ -42,6 +43,9 @@
 CONFIRMING_CONNECTIONS = 3
 """Workers that are connected to before a refused connection counts as the end of another one."""
 
+MAX_SETTLE_S = 2.0 * UNCONNECTED_S
+"""Most seconds that a refusal waits for a verdict on the links."""
+
 RESET_S = 0.03
 """Seconds within which a connection that a middlebox accepted is reset."""
 
@@ -71,9 +75,11 @@
 
     async def settle(self) -> None:
         """Wait for a verdict on the links that is near."""
-        while self.state.links.is_verdict_near:
-            self._round_ended.clear()
-            await self._round_ended.wait()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MAX_SETTLE_S):
+                while self.state.links.is_verdict_near:
+                    self._round_ended.clear()
+                    await self._round_ended.wait()
 
     async def confirm(self) -> bool:
         """Probe workers at once; return whether a refused connection is the worker's own fault.
--- a/src/croftchute/systems/worker_links.py
+++ b/src/croftchute/systems/worker_links.py
@@ -125,6 +125,7 @@
     heard_at: float = -math.inf
     is_verdict_near: bool = False
     _failing_since: float | None = None
+    _is_round_failed: bool = False
     _restored_at: float = -math.inf
     _rounds_needed: int = 1
     _good_rounds: int = 0
@@ -136,7 +137,7 @@
 
     @property
     def are_suspect(self) -> bool:
-        """Whether the latest round found no worker, and did not suffice to decide."""
+        """Whether calls or probes have failed since the latest sign of a worker in reach."""
         return self._failing_since is not None
 
     def note_trouble(self, since: float) -> None:
@@ -157,16 +158,15 @@
         """Return the time in seconds to wait before the next round."""
         if self.are_lost:
             return LOST_INTERVAL_S
-        return SUSPECT_INTERVAL_S if self.are_suspect else SOUND_INTERVAL_S
+        return SUSPECT_INTERVAL_S if self._is_round_failed else SOUND_INTERVAL_S
 
     def note_round(self, probes: ProbeRound, now: float) -> LinkChange | None:
         """Take in a round of probes; return what it changed, if anything."""
-        if not probes.outcomes:
-            return None
         if self.are_lost:
-            return self._note_while_lost(probes, now)
+            return self._note_while_lost(probes, now) if probes.outcomes else None
         self.is_verdict_near = False
-        if probes.answered:
+        self._is_round_failed = bool(probes.outcomes) and not probes.answered
+        if not self._is_round_failed:
             self._failing_since = None
             return None
         if self._failing_since is None:
@@ -199,6 +199,7 @@
         self._rounds_needed = doubled if is_flapping else 1
         self._good_rounds = 0
         self._failing_since = None
+        self._is_round_failed = False
         self.lost_at = now
 
     def _note_while_lost(self, probes: ProbeRound, now: float) -> LinkChange | None:
--- a/tests/systems/test_worker_links.py
+++ b/tests/systems/test_worker_links.py
@@ -8,6 +8,7 @@
 from croftchute.systems.worker_links import (
     MAX_GOOD_ROUNDS,
     SILENT_S,
+    SOUND_INTERVAL_S,
     UNCONNECTED_S,
     LinkChange,
     ProbeOutcome,
@@ -148,3 +149,22 @@
     assert links.is_verdict_near
     assert probe(links, UNCONNECTED, ANSWERED, at=0.6, took_s=0.3) is None
     assert not links.is_verdict_near
+
+
+def test_failing_calls_alone_do_not_have_sound_links_probed_more_often():
+    """Guards against a slow worker that has every box probe its workers ten times a second."""
+    links = WorkerLinks()
+    probe(links, ANSWERED, UNCONNECTED, at=0.0)
+    links.note_trouble(0.1)
+    assert links.are_suspect
+    assert links.next_round_s() == SOUND_INTERVAL_S
+    probe(links, UNCONNECTED, UNCONNECTED, at=1.0)
+    assert links.next_round_s() < SOUND_INTERVAL_S
+
+
+def test_a_list_that_has_become_empty_ends_the_wait_for_a_verdict():
+    links = WorkerLinks()
+    probe(links, UNCONNECTED, UNCONNECTED, at=0.0, took_s=0.2)
+    assert links.is_verdict_near
+    assert probe(links, at=0.3) is None
+    assert not links.is_verdict_near and not links.are_suspect
