--- a/tests/platform_adapter/test_forwarding_between_boxes.py
+++ b/tests/platform_adapter/test_forwarding_between_boxes.py
@@ -10,6 +10,14 @@
 
 import msgspec
 import pytest
+from limit_fleet import (
+    Callers,
+    allowed,
+    arrivals,
+    boxes_that_know_one_another,
+    most_in_a_window,
+    told_boxes,
+)
 from platform_fleet import ask, bearer, config, fleet, organisation, run, until
 from test_cut_off_from_workers import linked_boxes, outcomes_by_box
 from worker_links import LinkedPool, link_box
@@ -481,3 +489,40 @@
                 each.stop()
 
     run(test)
+
+
+def test_the_limit_of_a_worker_holds_and_each_call_takes_one_permit():
+    async def test():
+        async with fleet() as made:
+            limited = await made.add_worker("w0")
+            other = await made.add_worker("w1")
+            limited.faults.limit = "2"
+            boxes = await boxes_that_know_one_another(made, 3)
+            links = await link_box(boxes[0], [limited, other])
+            await until(lambda: boxes[0].state.can_forward)
+            await links.cut(LinkFault.CLOSED)
+            boxes[0].link_probe.request_round()
+            await until(lambda: boxes[0].state.links.are_lost)
+            taken = []
+            for box in boxes:
+                acquire = box.state.permits.acquire
+
+                async def counted(worker, *args, acquire=acquire):
+                    is_granted = await acquire(worker, *args)
+                    if is_granted and worker.id == limited.id:
+                        taken.append(worker.id)
+                    return is_granted
+
+                box.state.permits.acquire = counted
+            callers = Callers(boxes, "/once/x")
+            await callers.call_for(5.0)
+            assert set(callers.statuses()) == {200}
+            times = arrivals(limited, since=told_boxes(limited))
+            assert most_in_a_window(times) <= allowed(2.0)
+            limited_sends = len(limited.ran)
+            assert len(taken) <= limited_sends
+            assert boxes[0].state.metrics.forwards.get({"outcome": "answered"}) > 0
+            assert all(count == 1 for count in runs_by_id(made).values())
+            links.stop()
+
+    run(test)
