--- a/tests/platform_adapter/test_cut_off_from_workers.py
+++ b/tests/platform_adapter/test_cut_off_from_workers.py
@@ -10,6 +10,8 @@
 from platform_fleet import ask, fleet, run, until
 from worker_links import CUTS, link_box
 
+from croftchute.soak.proxy import LinkFault
+
 CONTACT_S = 3.0
 ROUNDS = 15
 ROUND_S = 0.1
@@ -22,7 +24,7 @@
 """First tries that may fail at boxes in the cut, beside one in fifty."""
 
 
-async def linked_boxes(made, count):
+async def linked_boxes(made, count, halls="abc"):
     """Boxes in halls of their own, each with its own links to three plain workers and engines."""
     for number in range(3):
         await made.add_worker(f"desk-{number}", work_s=0.01)
@@ -31,7 +33,7 @@
         await made.add_worker(f"engine-{number}", service="llm", stage=stage, gap_s=0.02)
     links = []
     for number in range(count):
-        box = await made.add_box(f"box-{number}", zone="abc"[number % 3])
+        box = await made.add_box(f"box-{number}", zone=halls[number % len(halls)])
         links.append(await link_box(box, made.workers_by_id.values()))
     addresses = [("127.0.0.1", box.exchange.port) for box in made.boxes]
     for box in made.boxes:
@@ -114,3 +116,23 @@
                     each.stop()
 
     run(body)
+
+
+@pytest.mark.parametrize("cut_off", [(0, 1, 2), (0, 1, 2, 3)], ids=["whole_hall", "most_boxes"])
+@pytest.mark.parametrize("fault", [LinkFault.HANGING, LinkFault.CLOSED], ids=lambda f: f.value)
+def test_a_whole_hall_or_most_boxes_in_a_cut_serve_like_the_others(fault, cut_off):
+    async def body():
+        async with fleet() as made:
+            links = await linked_boxes(made, 6, halls="aaabbc")
+            try:
+                for number in cut_off:
+                    await links[number].cut(fault)
+                await outcomes_by_box(made, rounds=int(CONTACT_S / ROUND_S), prefix="early")
+                found = await outcomes_by_box(made, rounds=ROUNDS, prefix="late")
+                assert_served(found, cut_off)
+                assert_ran_as_promised(made)
+            finally:
+                for each in links:
+                    each.stop()
+
+    run(body)
