--- a/src/croftchute/forwarding/boxes/peer_forwarding.py
+++ b/src/croftchute/forwarding/boxes/peer_forwarding.py
@@ -32,7 +32,8 @@
 from croftchute.forwarding.http.http_client import ClientConnection, ResponseHead
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.workers.answer_completion import finish_answer
-from croftchute.forwarding.workers.request_run import RequestRun, Withheld
+from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.withheld import Withheld
 from croftchute.forwarding.workers.worker_call import MAX_ANSWER_BYTES
 from croftchute.systems import timeouts
 from croftchute.tables.peers import Peer
--- a/src/croftchute/forwarding/callers/forwarded_requests.py
+++ b/src/croftchute/forwarding/callers/forwarded_requests.py
@@ -1,7 +1,7 @@
 """Requests that boxes without links to workers pass to this one, on its control port.
 
 They are served like those of callers, but never passed on again. Each answer is marked, so that the
-sender can tell it from a request that was declined: only that one may go to another box.
+sender can distinguish it from a declined request, which alone may be sent to another box.
 """
 
 from __future__ import annotations
--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -18,8 +18,9 @@
 from croftchute.forwarding.http.exchange import Arrival, Exchange
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.workers.plain_run import run_plain
-from croftchute.forwarding.workers.request_run import CUT_OFF_DETAIL, RequestRun, Withheld
+from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.stream_run import run_stream
+from croftchute.forwarding.workers.withheld import CUT_OFF_DETAIL, Withheld
 from croftchute.systems.worker_choice import pick_service
 from croftchute.tables.organisations import KeyClaim, KeyState, Organisation, Organisations
 from croftchute.tables.routing import Route, RouteKind
--- a/src/croftchute/forwarding/workers/decode_reservation.py
+++ b/src/croftchute/forwarding/workers/decode_reservation.py
@@ -10,13 +10,14 @@
 from croftchute.forwarding.dialect import Hold
 from croftchute.forwarding.http.failures import ExchangeError
 from croftchute.forwarding.workers.queue_reporting import queue_log_fields
-from croftchute.forwarding.workers.request_run import CUT_OFF_DETAIL, RequestRun
+from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.room_wait_policy import (
     PollingWait,
     RankedWait,
     RequestUsage,
     RoomWaitPolicy,
 )
+from croftchute.forwarding.workers.withheld import CUT_OFF_DETAIL
 from croftchute.forwarding.workers.worker_control import acquire_hold, release_hold
 from croftchute.systems import timeouts
 from croftchute.systems.room_forecast import RoomWait
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Refusal
@@ -15,6 +13,7 @@
     selects_by_completion_time,
 )
 from croftchute.forwarding.workers.queue_reporting import count_room_refusal, queue_log_fields
+from croftchute.forwarding.workers.withheld import FINAL_CODES, Withheld
 from croftchute.systems import timeouts
 from croftchute.systems.fair_shares import ShareUsage
 from croftchute.systems.room_order import OrderMode, room_rank
@@ -28,28 +27,6 @@
 """Most failed connection attempts before no further worker is tried for a request."""
 
 
-FINAL_CODES = frozenset(
-    {Code.ENDS_WORKERS, Code.OVER_LIMIT, Code.LIMIT_UNKNOWN, Code.PROMPT_TOO_LONG}
-)
-"""Refusals that hold at every box."""
-
-CUT_OFF_DETAIL = "this box has lost its links to all workers"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Withheld:
-    """A refusal that was not sent, as another box may serve the request.
-
-    ``last_event`` is the last event that the caller received of a stream that has begun.
-    """
-
-    code: Code
-    ran: Ran
-    detail: str
-    expected_wait_s: float | None = None
-    last_event: int | None = None
-
-
 class RequestRun:
     """The state of one request; a ``WorkerCall`` is one attempt at one worker.
 
--- a/src/croftchute/systems/worker_links.py
+++ b/src/croftchute/systems/worker_links.py
@@ -89,15 +89,15 @@
 
     @property
     def _connected(self) -> int:
-        """The number of workers of which a connection alone says that they are in reach.
+        """The number of workers that count as in reach because they accepted a connection.
 
-        It says so unless others accept connections and are silent.
+        None do if others accepted connections and sent no answer.
         """
         return 0 if ProbeOutcome.SILENT in self.outcomes else self.count(ProbeOutcome.CONNECTED)
 
     @property
     def witnesses(self) -> int:
-        """The number of workers whose outcome tells whether links hold."""
+        """The number of workers whose outcome shows whether links hold."""
         return len(self.outcomes) - self.count(ProbeOutcome.CONNECTED) + self._connected
 
     @property
