--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -19,6 +19,9 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 MAX_LINES_PER_SECOND = 400
 
+MAX_LOGGED_CHARS = 64
+"""Longest part that is logged of a text that a worker or a caller made up."""
+
 
 class Decision(StrEnum):
     """What was decided, or what the process came to believe."""
--- a/src/croftchute/forwarding/store/store_follower.py
+++ b/src/croftchute/forwarding/store/store_follower.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 
 from croftchute.errors import DocumentError
-from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.decision_log import MAX_LOGGED_CHARS, Decision
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.store.hall_news import Answer, answer_known, answer_news, prefix_of
 from croftchute.forwarding.store.prefix_follower import PrefixFollower, PrefixHandlers
@@ -221,6 +221,7 @@
                 zone=worker.zone,
                 outcome=worker.state.value,
                 stage=worker.stage.value if worker.stage else "",
+                software=worker.software[:MAX_LOGGED_CHARS],
                 revision=told(item.revision),
             )
 
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -5,7 +5,7 @@
 import math
 
 from croftchute.errors import Code
-from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.decision_log import MAX_LOGGED_CHARS, Decision
 from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
 from croftchute.forwarding.http.backpressure import wait_for_caller
 from croftchute.forwarding.http.deadline import within
@@ -111,6 +111,7 @@
         run.log(
             kind,
             worker=worker.id,
+            software=worker.software[:MAX_LOGGED_CHARS],
             zone=worker.zone,
             cost=self.chosen.cost,
             in_flight=self.chosen.in_flight,
@@ -124,6 +125,7 @@
             reused=connection.uses > 1,
             source=self.send.source.worker.id if self.send.source else "",
             resume_after=self.send.resume_after,
+            resumes=run.facts.resumes[:MAX_LOGGED_CHARS],
             **(self.chosen.end.log_fields() if self.chosen.end is not None else {}),
         )
 
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -47,6 +47,7 @@
 
     id: str
     stage: str = ""
+    software: str = "v1"
     events: int = 4
     gap_s: float = 0.0
     slow_gap_s: float = 0.0
@@ -110,7 +111,7 @@
             "Service": service,
             "Address": f"127.0.0.1:{self.port}",
             "Zone": zone,
-            "Version": "v1",
+            "Version": self.software,
             "Slots": 8,
             "State": state,
             "ColdLeftMs": 0,
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -166,7 +166,7 @@
     ``id`` names this instance, the same at all boxes. A worker that restarts under its name is
     another instance, and nothing known of the earlier one applies to it. ``name`` is the worker's
     name on the wire and in the list; if empty, ``id`` is. ``born_ms`` is the Unix time of its start
-    in ms, None if it reports none.
+    in ms, None if it reports none. ``software`` is the version of its software, empty if unknown.
     """
 
     id: str
@@ -180,6 +180,7 @@
     model_versions: dict[str, int] = field(default_factory=dict)
     name: str = ""
     born_ms: int | None = None
+    software: str = ""
 
     @property
     def list_name(self) -> str:
@@ -201,7 +202,8 @@
 
     ``headers`` are those to forward: without hop-by-hop headers and those that the router sets
     itself. ``time_left_s`` is None if the caller sets no deadline; ``resume_after`` is the last
-    event that the caller already has. ``organisation`` is the router's lookup by key, empty if the
+    event that the caller already has, and ``resumes`` the id of its try that brought the first one,
+    empty if it names none. ``organisation`` is the router's lookup by key, empty if the
     request needs none; ``declared_tokens`` is None if the caller declares no tokens.
     """
 
@@ -214,6 +216,7 @@
     body: bytes
     time_left_s: float | None = None
     resume_after: int | None = None
+    resumes: str = ""
     model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
