--- a/src/croftchute/standins/platform_caller.py
+++ b/src/croftchute/standins/platform_caller.py
@@ -16,7 +16,7 @@
 STAMP = "x-croftchute-server-stamp"
 RETRY_AFTER = "retry-after"
 MAX_LINE_BYTES = 1 << 20
-EVENT = re.compile(rb"id: (\d+)\ndata: token-(\d+) of (\S+)\n\n")
+EVENT = re.compile(rb"id: (\d+)\ndata: token-(\d+) of (\S+)(?: by (\S+?)\.*)?\n\n")
 ANSWER = re.compile(rb"answer of \S+ to (\S+)")
 
 
@@ -187,7 +187,7 @@
 
 def _stream_fault(attempt: Try, events: int) -> str:
     numbers = []
-    for number, token, request_id in EVENT.findall(attempt.answer):
+    for number, token, request_id, _ in EVENT.findall(attempt.answer):
         if request_id.decode() != attempt.request_id or number != token:
             return f"an event of another request: {request_id!r}"
         numbers.append(int(number))
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -13,6 +13,7 @@
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from urllib.parse import quote
 
 import msgspec
 
@@ -29,6 +30,8 @@
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+MAX_SHOWN_CHARS = 24
+
 SLOW_PATH = "/slow/"
 """Part of a path whose streams keep ``slow_gap_s`` between events in place of ``gap_s``."""
 
@@ -41,6 +44,7 @@
     It ends when it begins to run a request whose body is ``crashes_on``, or to read the prompt of
     one ahead whose body is ``crashes_on_reading``. ``load`` is what its answers tell as the load,
     but for those to prefill calls; empty has plain answers tell a fixed one, and others none.
+    ``software`` is the version that its entry and its events show.
     ``event_bytes`` is the size of an event's data and ``answer_bytes`` that of a whole answer, if
     not 0. A stream that is not read for ``unread_s`` seconds is cut off, if that is not 0.
     """
@@ -102,6 +106,10 @@
         """End at once: the port is dead, connections are reset."""
         if self._server is not None:
             self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all connections, as a process that ends does; the port goes on being served."""
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -123,6 +131,11 @@
             entry |= {"Stage": self.stage, "Models": [{"Name": "m", "Version": 1, "Adapters": []}]}
         return entry
 
+    @property
+    def _shown_software(self) -> str:
+        """The version as events show it, for callers to see what they hold."""
+        return quote(self.software[:MAX_SHOWN_CHARS], safe="") or "none"
+
     def runs_of(self, request_id: str) -> int:
         """How often a request has run here."""
         return self.ran.count(request_id)
@@ -329,7 +342,8 @@
             if faults.hangs_after_events == sent:
                 await self._wait_for_close(request, reader)
                 return False
-            data = f"token-{number} of {request.id}".ljust(self.event_bytes, ".")
+            data = f"token-{number} of {request.id} by {self._shown_software}"
+            data = data.ljust(self.event_bytes, ".")
             event = f"id: {number}\ndata: {data}\n\n".encode()
             if faults.ends_inside_event == sent:
                 write_chunk(writer, event[:6])
