Continue a broken stream at workers of its software version alone

Cause: the version was read from the worker's entry and dropped, so the choice of the next worker did not know it. Change: a worker keeps its build: its version, or its own id if it names none. From its first event on, a stream is bound to the build that sent it, wherever workers are listed for it: choice, hold, cached prompt, permits, backoff, and the time-outs that depend on whether another worker could continue. If none of the build is left, it ends at once: version_gone.

--- a/src/croftchute/errors.py
+++ b/src/croftchute/errors.py
@@ -32,6 +32,8 @@
     NO_UPSTREAM = "no_upstream"
     PROMPT_TOO_LONG = "prompt_too_long"
     ENDS_WORKERS = "ends_workers"
+    VERSION_GONE = "version_gone"
+    VERSION_UNKNOWN = "version_unknown"
     TARGET_UNREACHABLE = "target_unreachable"
     DEADLINE_PASSED = "deadline_passed"
     OVER_SHARE = "over_share"
--- a/src/croftchute/forwarding/workers/decode_reservation.py
+++ b/src/croftchute/forwarding/workers/decode_reservation.py
@@ -110,7 +110,7 @@
     def _has_worker(self) -> bool:
         """Whether any decode worker may be asked now."""
         run = self.run
-        return bool(run.state.workers.usable(run.service, run.now, stage=Stage.DECODE))
+        return bool(run.usable(Stage.DECODE))
 
     def _does_backoff_end_soon(self) -> bool:
         """Whether a decode worker's backoff ends within the wait of a begun stream."""
@@ -198,7 +198,7 @@
             return None
         self._has_tried_cached_worker = True
         run = self.run
-        usable = run.state.workers.usable(run.service, run.now, stage=Stage.DECODE)
+        usable = run.usable(Stage.DECODE)
         for tracked in usable:
             if tracked.worker.id == worker_id:
                 return tracked, run.describe_choice(tracked, candidates=1)
--- a/src/croftchute/forwarding/workers/prompt_cache_lookup.py
+++ b/src/croftchute/forwarding/workers/prompt_cache_lookup.py
@@ -25,7 +25,7 @@
 async def find_cached_worker(run: RequestRun) -> str | None:
     """Return the id of the decode worker that caches most of the prompt's own part, or None."""
     part = run.facts.last_prompt_part
-    usable = run.state.workers.usable(run.service, run.now, stage=Stage.DECODE)
+    usable = run.usable(Stage.DECODE)
     if not part or run.engine is None:
         return None
     usable = rank_by_affinity(usable, part)[:MAX_WORKERS_QUERIED]
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -30,6 +30,7 @@
 class RequestRun:
     """The state of one request; a ``WorkerCall`` is one attempt at one worker.
 
+    ``build`` is the build of the workers that may continue the request's stream, None if any may.
     ``prior_attempts`` is the number of workers that may have received the request through the box
     that passed it to this one; it is None if a caller sent the request.
     """
@@ -74,6 +75,7 @@
         self.first_byte_at: float | None = None
         self.last_worker = ""
         self.has_not_run = False
+        self.build: str | None = None
         self._digest = ""
 
     @property
@@ -195,7 +197,9 @@
     def backoff_left_s(self) -> float:
         """Seconds until a worker accepts work, if all are in backoff or at a limit; else 0."""
         stage = Stage.DECODE if self.engine is not None else None
-        return self.state.workers.backoff_left_s(self.service, self.now, stage=stage)
+        return self.state.workers.backoff_left_s(
+            self.service, self.now, stage=stage, build=self.build
+        )
 
     def choose(
         self, stage: Stage | None, *, near: str = ""
@@ -217,8 +221,8 @@
         """Return the workers that the next attempt may use, including those to avoid."""
         if self.connect_failures >= MAX_CONNECT_FAILURES:
             return []
-        candidates = self.state.workers.usable(self.service, self.now, stage=stage)
-        if stage is Stage.DECODE:
+        candidates = self.usable(stage)
+        if stage is Stage.DECODE and self.build is None:
             candidates = self._within_size_lane(candidates)
         if not self.has_attempts_left:
             candidates = [
@@ -226,6 +230,23 @@
             ]
         return candidates
 
+    def usable(self, stage: Stage | None) -> list[TrackedWorker]:
+        """Return the workers of a stage that may serve the request.
+
+        A stream that has begun continues at workers of its build. Prompts are read by all: their
+        KV cache depends on the weights.
+        """
+        build = None if stage is Stage.PREFILL else self.build
+        return self.state.workers.usable(self.service, self.now, stage=stage, build=build)
+
+    @property
+    def lacks_build(self) -> bool:
+        """Whether the stream has begun, and no worker of its build is left."""
+        if self.build is None:
+            return False
+        workers = self.state.workers
+        return not workers.has_build(self.service, self.now, stage=Stage.DECODE, build=self.build)
+
     def completion_time_selector(
         self, stage: Stage | None, *, near: str = ""
     ) -> CompletionTimeSelector:
@@ -259,7 +280,7 @@
 
     def has_other_worker(self, stage: Stage | None) -> bool:
         """Whether there is another worker than the last one that has not failed this request."""
-        usable = self.state.workers.usable(self.service, self.now, stage=stage)
+        usable = self.usable(stage)
         excluded_ids = self.avoid | {self.last_worker}
         return any(tracked.worker.id not in excluded_ids for tracked in usable)
 
@@ -287,7 +308,7 @@
         worker = tracked.worker
         if state.workers.limits.limit_of(worker.id, self.now) is None:
             return True
-        usable = state.workers.usable(self.service, self.now, stage=worker.stage)
+        usable = self.usable(worker.stage)
         others = [
             other for other in usable if other is not tracked and other.worker.id not in self.avoid
         ]
@@ -417,6 +438,8 @@
             retry_after_s = round(self._crash_refusal_s, 3)
         elif code is Code.PROMPT_TOO_LONG:
             retry_after_s = timeouts.NEVER_FITS_RETRY_AFTER_S
+        elif code in (Code.VERSION_GONE, Code.VERSION_UNKNOWN):
+            retry_after_s = timeouts.CANNOT_CONTINUE_RETRY_AFTER_S
         elif ran is Ran.NOT_RUN:
             retry_after_s = timeouts.retry_after(
                 self.time_left_s,
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -99,6 +99,10 @@
                 await find_cached_worker(run)
             )
         while run.time_left_s > 0.0 and not self._is_finished():
+            if run.lacks_build:
+                self.progress.code = Code.VERSION_GONE
+                self.progress.detail = f"no worker of software version {run.build} is left"
+                return
             found = await self.reservation.reserve()
             self._record_refusal_cause()
             if found is None:
@@ -279,6 +283,7 @@
                 progress.last_event = event.number
             progress.event_count += 1
             data.append(event.data)
+        self.run.build = call.worker.build
         if not self.run.exchange.is_started:
             self._start_answer(call, head)
         exchange = self.run.exchange
--- a/src/croftchute/forwarding/workers/withheld.py
+++ b/src/croftchute/forwarding/workers/withheld.py
@@ -7,7 +7,14 @@
 from croftchute.errors import Code, Ran
 
 FINAL_CODES = frozenset(
-    {Code.ENDS_WORKERS, Code.OVER_LIMIT, Code.LIMIT_UNKNOWN, Code.PROMPT_TOO_LONG}
+    {
+        Code.ENDS_WORKERS,
+        Code.OVER_LIMIT,
+        Code.LIMIT_UNKNOWN,
+        Code.PROMPT_TOO_LONG,
+        Code.VERSION_GONE,
+        Code.VERSION_UNKNOWN,
+    }
 )
 """Refusals that hold at every box."""
 
--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -88,7 +88,12 @@
     """Go on giving work to workers that are leaving."""
 
     def usable(
-        self: WorkerTable, service: str, now: float, *, stage: Stage | None = None
+        self: WorkerTable,
+        service: str,
+        now: float,
+        *,
+        stage: Stage | None = None,
+        build: str | None = None,
     ) -> list[TrackedWorker]:
         known = [b for b in self.tracked_by_id.values() if now - b.listed_at < FAR_FUTURE_S]
         return [
@@ -96,6 +101,7 @@
             for tracked in known
             if tracked.worker.service == service
             and (stage is None or tracked.worker.stage in (None, stage))
+            and build in (None, tracked.worker.build)
         ]
 
     WorkerTable.usable = usable  # type: ignore[method-assign]
--- a/src/croftchute/systems/timeouts.py
+++ b/src/croftchute/systems/timeouts.py
@@ -133,6 +133,10 @@
 """Retry-After in seconds for a prompt that fits no engine: only the operator's next configuration
 can change that, and none comes within the time that callers wait."""
 
+CANNOT_CONTINUE_RETRY_AFTER_S = 60.0
+"""Retry-After in seconds for the rest of a stream that no worker may continue: a caller does better
+to start over than to wait for a worker of the version that began it."""
+
 FULL_WORKER_BACKOFF_S = 0.03
 """Seconds for which a worker that had no room is not asked again."""
 
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -196,15 +196,15 @@
         return old
 
     def usable(
-        self, service: str, now: float, *, stage: Stage | None = None
+        self, service: str, now: float, *, stage: Stage | None = None, build: str | None = None
     ) -> list[TrackedWorker]:
-        """Return the workers that new work may go to.
+        """Return the workers that new work may go to, of any build or of ``build`` alone.
 
         Workers that are leaving, were just removed or are in backoff are returned only if no other
         is left. Workers whose entries expired together count as listed; otherwise all boxes would
         send their work to the first one that registers again.
         """
-        by_availability = self._by_availability(service, now, stage)
+        by_availability = self._by_availability(service, now, stage, build)
         if by_availability.listed or by_availability.last_resorts:
             return by_availability.listed or by_availability.last_resorts
         # A stream needs two requests but a backoff allows one, so engines in backoff get none.
@@ -215,12 +215,19 @@
             and self.advice.may_send_in_backoff(tracked.worker.id, now)
         ]
 
-    def backoff_left_s(self, service: str, now: float, *, stage: Stage | None = None) -> float:
+    def has_build(self, service: str, now: float, *, stage: Stage | None, build: str) -> bool:
+        """Return whether any worker of a build may get work now or after a backoff."""
+        found = self._by_availability(service, now, stage, build)
+        return bool(found.listed or found.last_resorts or found.in_backoff or found.at_limit)
+
+    def backoff_left_s(
+        self, service: str, now: float, *, stage: Stage | None = None, build: str | None = None
+    ) -> float:
         """Return the seconds until the first worker accepts work again; 0 if one does now.
 
         A worker that has reached its own limit counts as unavailable until it accepts another call.
         """
-        by_availability = self._by_availability(service, now, stage)
+        by_availability = self._by_availability(service, now, stage, build)
         if by_availability.listed or by_availability.last_resorts:
             return 0.0
         waits = [
@@ -233,7 +240,7 @@
         return min(waits, default=0.0)
 
     def _by_availability(
-        self, service: str, now: float, stage: Stage | None
+        self, service: str, now: float, stage: Stage | None, build: str | None
     ) -> _WorkersByAvailability:
         found = _WorkersByAvailability()
         leaving_by_id = self.advice.leaving_by_id
@@ -242,6 +249,8 @@
         for worker_id, tracked in self._tracked_by_service.get(service, {}).items():
             if not tracked.can_serve(stage, now):
                 continue
+            if build is not None and tracked.worker.build != build:
+                continue
             if has_limits and self.limits.blocked_s(worker_id, now) > 0.0:
                 found.at_limit.append(tracked)
             elif worker_id in leaving_by_id:
--- a/src/croftchute/tables/routing.py
+++ b/src/croftchute/tables/routing.py
@@ -187,6 +187,11 @@
         """The worker's name in the worker list and in its own messages."""
         return self.name or self.id
 
+    @property
+    def build(self) -> str:
+        """What identifies the worker's software; a worker of unknown version equals no other."""
+        return self.software or f"?{self.id}"
+
     @property
     def address(self) -> str:
         """Where the worker listens, as HOST:PORT."""
