Continue a stream that a caller takes up at the version that began it

Cause: Resumes was not read, and no other box knew where a stream began. The engine was chosen by what it had cached, which any version may have. A worker back under its id kept what was known of the one before. Change: before a caller gets a stream's first event, its box tells two others the service and the build, one of its own hall and one of another. All boxes rank each other alike for a stream, so a box that does not know it asks the first three of each hall. What stays unknown is refused at once (version_unknown), unless only one build was listed in the last minute, by a box that followed the list all that time. A build that is left nowhere is refused too (version_gone). A box that passes a request on names the build, and passes streams that have begun to boxes that heed it alone. A worker whose entry names other software is another worker.

--- a/src/croftchute/bench/worker_limits.py
+++ b/src/croftchute/bench/worker_limits.py
@@ -13,11 +13,11 @@
 from dataclasses import dataclass
 
 from croftchute.bench.limit_world import CREW, RENEWAL_S, LimitWorld
-from croftchute.forwarding.boxes.peer_exchange import NOTICE_S, TELL_SOON_S
+from croftchute.forwarding.boxes.peer_exchange import TELL_SOON_S
 from croftchute.forwarding.boxes.worker_permits import WORKER_TERMS, usage_limit
 from croftchute.peers.codec import Codec, Envelope
 from croftchute.peers.messages import AllowanceAsk, AllowanceReply, Body
-from croftchute.systems.peer_table import FANOUT
+from croftchute.systems.peer_table import FANOUT, NOTICE_INTERVAL_S
 from croftchute.systems.usage_bucket import UsageBucket
 from croftchute.tables.allowances import UsageGrant, UsageWant
 
@@ -133,7 +133,7 @@
                     frontier.append(other)
                 heard_at[other] = at
     # Who was not reached hears with the next notices, of which some ten come in half a second.
-    return max(heard_at.values()) + (NOTICE_S if len(heard_at) < boxes else 0.0)
+    return max(heard_at.values()) + (NOTICE_INTERVAL_S if len(heard_at) < boxes else 0.0)
 
 
 def bytes_of(body: Body) -> int:
--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -16,6 +16,7 @@
 from croftchute.forwarding.boxes.peer_exchange import PeerExchange
 from croftchute.forwarding.boxes.pooled_limits import OrganisationSource, PooledLimits
 from croftchute.forwarding.boxes.shared_rates import SharedRates
+from croftchute.forwarding.boxes.stream_origins import SharedOrigins
 from croftchute.forwarding.boxes.worker_permits import WorkerPermits, WorkerSource
 from croftchute.forwarding.callers.forwarded_requests import ForwardedRequests
 from croftchute.forwarding.callers.forwarder import Forwarder
@@ -106,6 +107,11 @@
             on_notice=self._note_notice,
             link_mbps=settings.link_mbps,
         )
+        self.origins = SharedOrigins(state=state, exchange=self.exchange)
+        self.exchange.on_origin_news = self.origins.hear
+        self.exchange.on_origin_ask = self.origins.answer
+        self.exchange.on_origin_reply = self.origins.note_reply
+        state.origins = self.origins
         self.crash_gossip = CrashGossip(state=state, exchange=self.exchange)
         self.crash_register = CrashRegister(state=state, store=store, gossip=self.crash_gossip)
         self.exchange.on_crash_news = self.crash_gossip.hear
--- a/src/croftchute/forwarding/boxes/forward_terms.py
+++ b/src/croftchute/forwarding/boxes/forward_terms.py
@@ -7,6 +7,8 @@
 
 from croftchute.forwarding.http.exchange import IncomingRequest
 from croftchute.forwarding.http.http_client import ResponseHead
+from croftchute.forwarding.origins import BUILD, origin_header, read_origin
+from croftchute.tables.origins import StreamOrigin
 from croftchute.tables.routing import HeaderList
 
 FORWARD = b"croftchute-forward"
@@ -30,20 +32,23 @@
     """Terms of a passed request: its sender, and what the receiver must know beside the request.
 
     A receiver whose configuration is older than ``config_version`` must decline. ``attempts`` is
-    the number of workers that may have received the request already.
+    the number of workers that may have received the request already. ``origin`` is where
+    the stream began, None if its caller has no event yet or took it up itself.
     """
 
     box: str
     config_version: int
     attempts: int
+    origin: StreamOrigin | None = None
 
-    def header(self) -> tuple[bytes, bytes]:
-        """Return the header of the request.
+    def headers(self) -> HeaderList:
+        """Return the headers of the request.
 
-        >>> ForwardTerms(box="edge-1", config_version=7, attempts=0).header()
-        (b'croftchute-forward', b'7 0 edge-1')
+        >>> ForwardTerms(box="edge-1", config_version=7, attempts=0).headers()
+        [(b'croftchute-forward', b'7 0 edge-1')]
         """
-        return FORWARD, f"{self.config_version} {self.attempts} {self.box}".encode()
+        terms = f"{self.config_version} {self.attempts} {self.box}".encode()
+        return [(FORWARD, terms)] + ([] if self.origin is None else [origin_header(self.origin)])
 
 
 def read_terms(request: IncomingRequest) -> ForwardTerms | None:
@@ -56,13 +61,16 @@
     if not (version.isdigit() and attempts.isdigit() and box):
         return None
     return ForwardTerms(
-        box=box.decode("utf-8", "replace"), config_version=int(version), attempts=int(attempts)
+        box=box.decode("utf-8", "replace"),
+        config_version=int(version),
+        attempts=int(attempts),
+        origin=read_origin(request.get(BUILD)),
     )
 
 
 def without_terms(headers: HeaderList) -> HeaderList:
     """Return headers without those of this module."""
-    return [pair for pair in headers if pair[0] != FORWARD]
+    return [pair for pair in headers if pair[0] not in (FORWARD, BUILD)]
 
 
 def was_answered(head: ResponseHead) -> bool:
--- a/src/croftchute/forwarding/boxes/peer_exchange.py
+++ b/src/croftchute/forwarding/boxes/peer_exchange.py
@@ -24,13 +24,14 @@
     Body,
     BoxNotice,
     CrashNews,
+    OriginAsk,
+    OriginNews,
+    OriginReply,
 )
+from croftchute.systems.peer_table import NOTICE_INTERVAL_S
 from croftchute.tables.peers import DemandNotice, WorkerNotice
 from croftchute.tables.routing import Stage
 
-NOTICE_S = 0.5
-"""Seconds between two notices: docs/CAPACITY.md works out the bytes."""
-
 MAX_GREETINGS = 10
 """Strangers greeted between two notices at most, as many as a notice goes to: when all boxes of a
 large fleet start at once, each hears of eighty strangers a second."""
@@ -81,6 +82,9 @@
         self.on_allowance_ask: Callable[[str, AllowanceAsk], AllowanceReply | None] = _ignore
         self.on_allowance_reply: Callable[[str, AllowanceReply], None] = _ignore
         self.on_crash_news: Callable[[str, CrashNews], None] = _ignore
+        self.on_origin_news: Callable[[OriginNews], None] = _ignore_news
+        self.on_origin_ask: Callable[[OriginAsk], OriginReply | None] = _ignore_news
+        self.on_origin_reply: Callable[[str, OriginReply], None] = _ignore
         self.next_crash_news: Callable[[], CrashNews | None] = lambda: None
         self._transport: asyncio.DatagramTransport | None = None
         self._datagram = b""
@@ -117,6 +121,14 @@
                 self.on_allowance_reply(envelope.sender, body)
             elif isinstance(body, CrashNews):
                 self.on_crash_news(envelope.sender, body)
+            elif isinstance(body, OriginNews):
+                self.on_origin_news(body)
+            elif isinstance(body, OriginAsk):
+                origin = self.on_origin_ask(body)
+                if origin is not None:
+                    self._send(addr, origin)
+            elif isinstance(body, OriginReply):
+                self.on_origin_reply(envelope.sender, body)
 
     def error_received(self, exc: Exception) -> None:
         """A datagram was not delivered; the next one may be."""
@@ -127,6 +139,14 @@
         if address is not None:
             self._send(address, body)
 
+    def tell_all(self, peer_ids: list[str], body: Body) -> int:
+        """Send one message to several boxes; return to how many, as some addresses may be lost."""
+        found = [self.state.peers.address_of(peer_id) for peer_id in peer_ids]
+        addresses = [address for address in found if address is not None]
+        if addresses:
+            self._send_all(addresses, body)
+        return len(addresses)
+
     def spread(self, body: Body) -> None:
         """Send one message to as many boxes as a notice goes to."""
         self._send_all(self.state.peers.targets(self.state.clock(), self.state.rng), body)
@@ -146,7 +166,7 @@
         """Send notices at an interval; never returns."""
         while True:
             self.send_notices()
-            await asyncio.sleep(NOTICE_S * self.state.rng.uniform(0.8, 1.2))
+            await asyncio.sleep(NOTICE_INTERVAL_S * self.state.rng.uniform(0.8, 1.2))
 
     def tell_soon(self) -> None:
         """Send a notice shortly, beside those at an interval: each box that hears passes it on."""
@@ -238,6 +258,7 @@
             limited_workers=state.workers.limits.notices(now, state.rng, most=MAX_LIMITS_TOLD),
             paces=state.paces.notices(now),
             reaches_workers=self._reaches_workers(),
+            continues_by_version=True,
         )
 
     def _reaches_workers(self) -> bool:
@@ -304,3 +325,7 @@
 
 def _ignore(sender: str, body: Body) -> None:
     """Messages of a kind that nobody takes here are dropped."""
+
+
+def _ignore_news(body: Body) -> None:
+    """The same for messages whose sender does not matter."""
--- a/src/croftchute/forwarding/boxes/peer_forwarding.py
+++ b/src/croftchute/forwarding/boxes/peer_forwarding.py
@@ -30,6 +30,7 @@
     ExchangeError,
 )
 from croftchute.forwarding.http.http_client import ClientConnection, ResponseHead
+from croftchute.forwarding.origins import BUILD, read_origin
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.workers.answer_completion import finish_answer
 from croftchute.forwarding.workers.request_run import RequestRun
@@ -99,7 +100,7 @@
         )
         asked: set[str] = set()
         while len(asked) < MAX_PEERS and run.time_left_s > 0.0:
-            peer = self._choose(asked, run.now)
+            peer = self._choose(asked, run.now, is_begun=progress.last_event is not None)
             if peer is None:
                 break
             asked.add(peer.id)
@@ -115,13 +116,18 @@
             return True
         return False
 
-    def _choose(self, asked: set[str], now: float) -> Peer | None:
-        """Choose the less busy of two random boxes; of equals, one in this box's hall."""
+    def _choose(self, asked: set[str], now: float, *, is_begun: bool) -> Peer | None:
+        """Choose the less busy of two random boxes; of equals, one in this box's hall.
+
+        A stream that has begun goes to boxes that heed the software version that began it.
+        """
         state = self.state
         candidates = [
             peer
             for peer in state.peers.forward_candidates(now)
-            if peer.id not in asked and self._paused_until_by_peer.get(peer.id, -math.inf) <= now
+            if (peer.continues_by_version or not is_begun)
+            and peer.id not in asked
+            and self._paused_until_by_peer.get(peer.id, -math.inf) <= now
         ]
         if not candidates:
             return None
@@ -190,11 +196,12 @@
             box=state.box,
             config_version=state.table.version if state.table else 0,
             attempts=progress.attempts,
+            origin=run.origin,
         )
         request = run.exchange.request
         data = state.callers.encode_forwarded(
             replace(request, headers=without_terms(request.headers)),
-            added=[terms.header()],
+            added=terms.headers(),
             time_left_s=run.time_left_s,
             resume_after=progress.last_event,
         )
@@ -208,6 +215,7 @@
             attempts=progress.attempts,
             resume_after=progress.last_event,
             config_version=terms.config_version,
+            software=run.build or "",
         )
 
     def _note_declined(self, peer: Peer, head: ResponseHead, body: bytes, now: float) -> str:
@@ -241,6 +249,7 @@
             if not run.exchange.is_started:
                 run.first_byte_at = run.now
                 run.exchange.start(head.status, head.reason, headers)
+            run.bind_origin(read_origin(head.get(BUILD)))
             await self._relay_events(run, connection, progress)
             run.exchange.finish()
         else:
@@ -277,6 +286,7 @@
         """Whether another box may be asked after one may have run the request."""
         return (
             not progress.is_caller_slow
+            and (run.origin is not None or not run.exchange.is_started)
             and run.route.may_repeat
             and progress.attempts < run.route.max_attempts
         )
--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -106,7 +106,13 @@
         run = self._begin(exchange, terms)
         if run is None:
             return True
-        run.log(Decision.FORWARD_ACCEPTED, source=terms.box, attempts=terms.attempts)
+        run.bind_origin(terms.origin)
+        run.log(
+            Decision.FORWARD_ACCEPTED,
+            source=terms.box,
+            attempts=terms.attempts,
+            software=run.build or "",
+        )
         await self._run_within_limit(run)
         return run.withheld is None
 
@@ -200,6 +206,9 @@
             self.usage_limits.give_back(organisation.name, units)
 
     async def _run(self, run: RequestRun) -> None:
+        is_taken_up = run.route.kind is RouteKind.STREAM and run.facts.resume_after is not None
+        if is_taken_up and run.build is None and not await run.find_origin():
+            return
         self.state.budget(run.service).note_request(run.started_at)
         if run.route.kind is RouteKind.STREAM:
             await run_stream(run)
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -61,6 +61,7 @@
     REQUEST_SENT = "request_sent"
     ATTEMPT_ENDED = "attempt_ended"
     STREAM_RESUMED = "stream_resumed"
+    ORIGIN_LOOKED_UP = "origin_looked_up"
     LIMIT_DENIED = "limit_denied"
     PERMIT_DENIED = "permit_denied"
     LIMIT_POOL_SILENT = "limit_pool_silent"
--- /dev/null
+++ b/src/croftchute/forwarding/origins.py
@@ -0,0 +1,69 @@
+"""How it is known which software version began a stream that a caller takes up."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+from urllib.parse import quote, unquote
+
+from croftchute.tables.origins import StreamOrigin
+
+BUILD = b"croftchute-build"
+"""Header between boxes that says where a stream began: of a request for the rest of one, and of
+each answer that is a stream. The service and the build, percent-encoded."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FoundOrigin:
+    """Where a stream began, and how this is known, for the log.
+
+    ``origin`` is None if it is not known. ``asked`` and ``answered`` count other boxes.
+    """
+
+    origin: StreamOrigin | None
+    source: str
+    asked: int = 0
+    answered: int = 0
+
+
+class OriginDirectory(Protocol):
+    """Where streams began, over all boxes."""
+
+    def note_begun(self, stream: bytes, origin: StreamOrigin) -> None:
+        """Record that a caller is about to get a stream's first event."""
+        ...
+
+    async def find(self, stream: bytes | None, services: tuple[str, ...]) -> FoundOrigin:
+        """Return where a stream began; ``stream`` is None if the caller does not name it.
+
+        ``services`` are those that a route names now.
+        """
+        ...
+
+
+class UnknownOrigins:
+    """A directory that knows no stream, for code that runs without boxes."""
+
+    def note_begun(self, stream: bytes, origin: StreamOrigin) -> None:
+        """Do nothing."""
+
+    async def find(self, stream: bytes | None, services: tuple[str, ...]) -> FoundOrigin:
+        """Know nothing."""
+        return FoundOrigin(origin=None, source="none")
+
+
+def origin_header(origin: StreamOrigin) -> tuple[bytes, bytes]:
+    """Return the header that says where a stream began.
+
+    >>> origin_header(StreamOrigin(service="llm", build="v 1"))
+    (b'croftchute-build', b'llm v%201')
+    """
+    return BUILD, f"{quote(origin.service, safe='')} {quote(origin.build, safe='')}".encode()
+
+
+def read_origin(value: bytes | None) -> StreamOrigin | None:
+    """Return what :func:`origin_header` wrote; None if there is nothing or it can't be read."""
+    service, _, build = (value or b"").decode("latin-1").partition(" ")
+    if not service or not build:
+        return None
+    return StreamOrigin(service=unquote(service), build=unquote(build))
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -19,6 +19,7 @@
 )
 from croftchute.forwarding.http.silence import KNOWLEDGE, SilenceLimits
 from croftchute.forwarding.http.transfer import Transfer
+from croftchute.forwarding.origins import OriginDirectory, UnknownOrigins
 from croftchute.forwarding.permits import CallPermits, UnlimitedPermits
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.router_settings import Conditions, DecisionWays
@@ -155,6 +156,7 @@
     lives_looked_at: set[str] = field(default_factory=set)
     on_crash_news: Callable[[list[str]], None] = lambda _: None
     permits: CallPermits = field(default_factory=UnlimitedPermits)
+    origins: OriginDirectory = field(default_factory=UnknownOrigins)
     on_limit_news: Callable[[], None] = lambda: None
     store_era: int | None = None
     on_restored: list[Callable[[], None]] = field(default_factory=list)
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -106,6 +106,11 @@
             "Requests that other boxes passed to this one, by outcome",
             **own,
         )
+        self.resumed = Counter(
+            "croftchute_resumed_streams_total",
+            "Streams taken up by callers, by how it is known which software version began them",
+            **own,
+        )
         self.limited_workers = Gauge(
             "croftchute_limited_workers", "Workers that name a limit for all boxes", **own
         )
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from croftchute.errors import Code, Ran
-from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.decision_log import MAX_LOGGED_CHARS, Decision
 from croftchute.forwarding.dialect import Refusal
 from croftchute.forwarding.http.exchange import Exchange
 from croftchute.forwarding.permits import PermitRequest
@@ -21,7 +21,15 @@
 from croftchute.systems.tracked_worker import TrackedWorker
 from croftchute.systems.worker_choice import ChoiceContext, ChoiceRecord, choose, describe_choice
 from croftchute.tables.organisations import Organisation
-from croftchute.tables.routing import EngineTraits, RequestFacts, Route, RouteKind, Stage
+from croftchute.tables.origins import StreamOrigin, stream_key
+from croftchute.tables.routing import (
+    EngineTraits,
+    RequestFacts,
+    Route,
+    RouteKind,
+    Stage,
+    Worker,
+)
 
 MAX_CONNECT_FAILURES = 4
 """Most failed connection attempts before no further worker is tried for a request."""
@@ -239,6 +247,19 @@
         build = None if stage is Stage.PREFILL else self.build
         return self.state.workers.usable(self.service, self.now, stage=stage, build=build)
 
+    @property
+    def origin(self) -> StreamOrigin | None:
+        """Where the stream began; None if its caller has no event yet, or that is not known."""
+        if self.build is None:
+            return None
+        return StreamOrigin(service=self.service, build=self.build)
+
+    def bind_origin(self, origin: StreamOrigin | None) -> None:
+        """Bind a stream to where it began, as another box says."""
+        if origin is not None:
+            self.service = origin.service
+            self.build = origin.build
+
     @property
     def lacks_build(self) -> bool:
         """Whether the stream has begun, and no worker of its build is left."""
@@ -247,6 +268,56 @@
         workers = self.state.workers
         return not workers.has_build(self.service, self.now, stage=Stage.DECODE, build=self.build)
 
+    def begin_stream(self, worker: Worker) -> None:
+        """Bind the stream to a worker's build before the caller gets its first event there.
+
+        Other boxes are told, so that the caller may take the stream up at any of them.
+        """
+        if self.build is not None:
+            return
+        self.build = worker.build
+        if self.facts.resume_after is None and self.facts.id:
+            origin = StreamOrigin(service=self.service, build=worker.build)
+            self.state.origins.note_begun(
+                stream_key(self.facts.organisation, self.facts.id), origin
+            )
+
+    async def find_origin(self) -> bool:
+        """Bind a stream that the caller takes up to the build that began it; False if refused."""
+        services = tuple(target.service for target in self.route.targets)
+        resumes = self.facts.resumes
+        stream = stream_key(self.facts.organisation, resumes) if resumes else None
+        found = await self.state.origins.find(stream, services)
+        origin = found.origin
+        self.state.metrics.resumed.inc({"outcome": found.source})
+        self.log(
+            Decision.ORIGIN_LOOKED_UP,
+            outcome=found.source,
+            resumes=resumes[:MAX_LOGGED_CHARS],
+            resume_after=self.facts.resume_after,
+            service=origin.service if origin is not None else "",
+            software=origin.build if origin is not None else "",
+            boxes_asked=found.asked,
+            boxes_answered=found.answered,
+        )
+        if origin is None:
+            detail = f"it is not known which software version began the stream: {found.source}"
+            may_be_known_soon = found.asked == 0 or found.answered < found.asked
+            self.refuse(
+                Code.VERSION_UNKNOWN,
+                Ran.NOT_RUN,
+                detail,
+                expected_wait_s=0.0 if resumes and may_be_known_soon else None,
+            )
+            return False
+        if origin.service not in services:
+            detail = f"the route no longer leads to {origin.service}, which began the stream"
+            self.refuse(Code.VERSION_GONE, Ran.NOT_RUN, detail)
+            return False
+        self.service = origin.service
+        self.build = origin.build
+        return True
+
     def completion_time_selector(
         self, stage: Stage | None, *, near: str = ""
     ) -> CompletionTimeSelector:
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -17,6 +17,7 @@
     ExchangeError,
 )
 from croftchute.forwarding.http.http_client import ResponseHead
+from croftchute.forwarding.origins import origin_header
 from croftchute.forwarding.workers.answer_completion import finish_answer
 from croftchute.forwarding.workers.chunk_reader import ChunkReader
 from croftchute.forwarding.workers.decode_reservation import DecodeReservation
@@ -283,7 +284,7 @@
                 progress.last_event = event.number
             progress.event_count += 1
             data.append(event.data)
-        self.run.build = call.worker.build
+        self.run.begin_stream(call.worker)
         if not self.run.exchange.is_started:
             self._start_answer(call, head)
         exchange = self.run.exchange
@@ -296,6 +297,8 @@
         run.first_byte_at = run.now
         self.progress.serving_worker = call.worker.id
         headers: HeaderList = run.state.workers_speak.answer_headers(head)
+        if run.is_forwarded and run.origin is not None:
+            run.exchange.added_headers.append(origin_header(run.origin))
         run.exchange.start(head.status, head.reason, headers)
 
     def _refuse(self) -> None:
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -187,7 +187,8 @@
     that said, to the sender or to a box that it heard, that they leave; ``limited_workers`` are
     those that named a limit in the same way. ``paces`` are told of workers that tell theirs.
     ``reaches_workers`` also says that the sender serves requests for boxes that do not; boxes of
-    earlier versions leave it out.
+    earlier versions leave it out, and ``continues_by_version``: see
+    :class:`croftchute.tables.peers.Peer`.
     """
 
     started_at: float
@@ -206,6 +207,7 @@
     limited_workers: tuple[LimitNotice, ...] = ()
     paces: tuple[WorkerPaceNotice, ...] = ()
     reaches_workers: bool = False
+    continues_by_version: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -247,6 +249,38 @@
     notices: tuple[CrashNotice, ...] = ()
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OriginNews:
+    """Tells where a stream began; see :mod:`croftchute.tables.origins`."""
+
+    stream: bytes
+    service: str
+    build: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OriginAsk:
+    """Asks where a stream began. ``services`` are those that may have begun it."""
+
+    number: int
+    stream: bytes
+    services: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OriginReply:
+    """The answer to :class:`OriginAsk`; ``build`` is empty if it is not known.
+
+    ``is_told`` says that the box was told of the stream. If not, only the build named can have
+    begun it, by the workers that the box saw listed.
+    """
+
+    number: int
+    service: str = ""
+    build: str = ""
+    is_told: bool = False
+
+
 Body: TypeAlias = (
     Heartbeat
     | Reserve
@@ -265,4 +299,7 @@
     | AllowanceAsk
     | AllowanceReply
     | CrashNews
+    | OriginNews
+    | OriginAsk
+    | OriginReply
 )
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -26,6 +26,9 @@
     allowanceAsk @14 :AllowanceAsk;
     allowanceReply @15 :AllowanceReply;
     crashNews @16 :CrashNews;
+    originNews @17 :OriginNews;
+    originAsk @18 :OriginAsk;
+    originReply @19 :OriginReply;
   }
 }
 
@@ -239,6 +242,7 @@
   limitedWorkersColumns @14 :LimitNoticeColumns;
   pacesColumns @15 :WorkerPaceNoticeColumns;
   reachesWorkers @16 :Bool;
+  continuesByVersion @17 :Bool;
 }
 
 struct WorkerPaceNoticeColumns {
@@ -305,3 +309,22 @@
 struct CrashNews {
   noticesColumns @0 :CrashNoticeColumns;
 }
+
+struct OriginNews {
+  stream @0 :Data;
+  service @1 :Text;
+  build @2 :Text;
+}
+
+struct OriginAsk {
+  number @0 :UInt32;
+  stream @1 :Data;
+  services @2 :List(Text);
+}
+
+struct OriginReply {
+  number @0 :UInt32;
+  service @1 :Text;
+  build @2 :Text;
+  isTold @3 :Bool;
+}
--- a/src/croftchute/systems/box.py
+++ b/src/croftchute/systems/box.py
@@ -34,6 +34,9 @@
     Heartbeat,
     Mirror,
     Mirrored,
+    OriginAsk,
+    OriginNews,
+    OriginReply,
     Released,
     Reserve,
     Verdict,
@@ -226,6 +229,8 @@
                 return self._send_crash_news(now)
             case BoxNotice() | AllowanceAsk() | AllowanceReply():
                 return []  # handled by the peer exchange of the forwarding package
+            case OriginNews() | OriginAsk() | OriginReply():
+                return []  # handled by the peer exchange of the forwarding package
             case Begin() | Mirror() | Mirrored() | Verdict() | Finish():
                 return self.dedupe.receive(sender, body, now)
 
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -26,6 +26,12 @@
 """Seconds without a notice from any box of a hall after which the hall counts as cut off. A box
 receives about three notices per second from a hall of 26 boxes, and four from a hall of two."""
 
+NOTICE_INTERVAL_S = 0.5
+"""Seconds between two notices: docs/CAPACITY.md works out the bytes."""
+
+WITNESS_MISSED_NOTICES = 6.0
+"""Notices in a row that a box may miss before it is no longer told of streams."""
+
 FANOUT = 10
 """Boxes that a notice is sent to; bounds a box's traffic however large the fleet is."""
 
@@ -78,6 +84,7 @@
             hall=notice.hall,
             link_mbps=notice.link_mbps,
             reaches_workers=notice.reaches_workers,
+            continues_by_version=notice.continues_by_version,
             workers_by_id={entry.worker: entry for entry in notice.workers},
             demand_by_service={entry.service: entry for entry in notice.demands},
         )
@@ -157,6 +164,19 @@
         if peer is not None:
             self.peers_by_id[peer_id] = replace(peer, reaches_workers=False)
 
+    def witness_halls(self, now: float) -> dict[str, str]:
+        """Return the hall of each box that may keep the origins of streams.
+
+        The larger the fleet, the longer a live box may be silent here.
+        """
+        notice_gap_s = NOTICE_INTERVAL_S * max(1.0, len(self.peers_by_id) / FANOUT)
+        silent_s = min(FORGET_S, max(HALL_TIMEOUT_S, WITNESS_MISSED_NOTICES * notice_gap_s))
+        return {
+            peer.id: peer.hall
+            for peer in self.peers_by_id.values()
+            if not peer.is_leaving and now - peer.heard_at <= silent_s
+        }
+
     def reachable(self, now: float) -> list[str]:
         """Return the boxes that are not leaving and whose halls are not cut off.
 
--- /dev/null
+++ b/src/croftchute/systems/stream_origins.py
@@ -0,0 +1,57 @@
+"""A bounded table of where streams began."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from croftchute.tables.origins import StreamOrigin
+
+KEPT_S = 60.0
+"""Seconds for which an origin is kept: callers take a stream up before their deadline, some seconds
+after it began."""
+
+MAX_ORIGINS = 16384
+"""Most origins kept, some 4 MB: a minute of 39 streams a second and of those that two others tell,
+twice over."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Entry:
+    """An origin, or None if the box was told of two different ones."""
+
+    origin: StreamOrigin | None
+    noted_at: float
+
+
+@dataclass(kw_only=True)
+class StreamOrigins:
+    """Origins by stream key, the oldest first."""
+
+    _entries_by_key: dict[bytes, _Entry] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        return len(self._entries_by_key)
+
+    def note(self, key: bytes, origin: StreamOrigin, now: float) -> None:
+        """Keep an origin. Of two that differ neither is believed."""
+        self._forget(now)
+        known = self._entries_by_key.pop(key, None)
+        is_disputed = known is not None and known.origin != origin
+        kept = None if is_disputed else origin
+        self._entries_by_key[key] = _Entry(origin=kept, noted_at=now)
+
+    def find(self, key: bytes, now: float) -> StreamOrigin | None:
+        """Return where a stream began, or None if that is not known."""
+        entry = self._entries_by_key.get(key)
+        if entry is None or now - entry.noted_at > KEPT_S:
+            return None
+        return entry.origin
+
+    def _forget(self, now: float) -> None:
+        """Drop what is too old, and the oldest if there are too many."""
+        while self._entries_by_key:
+            key = next(iter(self._entries_by_key))
+            is_old = now - self._entries_by_key[key].noted_at > KEPT_S
+            if not is_old and len(self._entries_by_key) < MAX_ORIGINS:
+                return
+            del self._entries_by_key[key]
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from croftchute.storage.watched import StoredItem
+from croftchute.systems.software_history import SoftwareHistory
 from croftchute.systems.tracked_worker import GONE_GRACE_S, TrackedWorker
 from croftchute.systems.worker_advice import WorkerAdviceTable
 from croftchute.systems.worker_limits import WorkerLimits
@@ -40,6 +41,10 @@
 """Fewest entries that count as a mass expiry; a single entry that disappears means that its worker
 left."""
 
+MAX_LIST_AGE_S = 5.0
+"""Seconds since the store was last heard after which workers may have been listed unseen. A watch
+is answered within two seconds."""
+
 STAGE_CHANGE_DEDUP_S = 15.0
 """Seconds for which repeated reports of the same stage change count as one. A change is complete
 within ten seconds, so a later report is a new change."""
@@ -83,6 +88,7 @@
     tracked_by_id: dict[str, TrackedWorker] = field(default_factory=dict)
     advice: WorkerAdviceTable = field(default_factory=WorkerAdviceTable)
     limits: WorkerLimits = field(default_factory=WorkerLimits)
+    history: SoftwareHistory = field(default_factory=SoftwareHistory)
     _tracked_by_service: dict[str, dict[str, TrackedWorker]] = field(default_factory=dict)
     _current_by_name: dict[str, TrackedWorker] = field(default_factory=dict)
     _ended: list[Worker] = field(default_factory=list)
@@ -95,12 +101,16 @@
         current = self._current_by_name.get(worker.list_name)
         if current is not None and _is_older(item, current):
             return False
+        self.history.note_listed(worker, now)
         if worker.state is WorkerState.DRAINING:
             # The entry doesn't say since when, so the worker may no longer accept last-resort work.
             self.advice.note_leaving(worker.id, now, known_for_s=math.inf)
         if current is not None and current.worker.id != worker.id:
             self._mark_restarted(current, now)
         tracked = self.tracked_by_id.get(worker.id)
+        if tracked is not None and tracked.worker.build != worker.build:
+            self._replace(tracked, worker, now, item)
+            return True
         if tracked is None:
             self._add(TrackedWorker(worker=worker, listed_at=now, item=item))
             return True
@@ -170,6 +180,7 @@
         ``is_mass_expiry``: the store was restored from an older copy, so live workers register
         again.
         """
+        self.history.note_followed(now)
         unnamed = [name for name in self._current_by_name if name not in names]
         return self.remove(unnamed, now, is_mass_expiry=is_mass_expiry)
 
@@ -189,9 +200,11 @@
         ]
         for worker_id in old:
             tracked = self.tracked_by_id.pop(worker_id)
+            self.history.note_listed(tracked.worker, now)
             del self._tracked_by_service[tracked.worker.service][worker_id]
             if self._current_by_name.get(tracked.worker.list_name) is tracked:
                 del self._current_by_name[tracked.worker.list_name]
+        self.history.sweep(now)
         self.advice.sweep(now, listed=self.tracked_by_id)
         return old
 
@@ -220,6 +233,21 @@
         found = self._by_availability(service, now, stage, build)
         return bool(found.listed or found.last_resorts or found.in_backoff or found.at_limit)
 
+    def only_build(self, service: str, now: float) -> str | None:
+        """Return the one build that may have begun a stream of a service; None if not certain."""
+        self._note_listed(service, now)
+        is_current = now - self.heard_at <= MAX_LIST_AGE_S
+        return self.history.only_build(service, now) if is_current else None
+
+    def builds_seen(self, service: str, now: float) -> set[str]:
+        """Return the builds of a service that were listed lately, as far as is known."""
+        self._note_listed(service, now)
+        return self.history.builds(service, now)
+
+    def _note_listed(self, service: str, now: float) -> None:
+        for tracked in self.of_service(service):
+            self.history.note_listed(tracked.worker, now)
+
     def backoff_left_s(
         self, service: str, now: float, *, stage: Stage | None = None, build: str | None = None
     ) -> float:
@@ -273,6 +301,26 @@
         self._tracked_by_service.setdefault(worker.service, {})[worker.id] = tracked
         self._current_by_name[worker.list_name] = tracked
 
+    def _replace(
+        self, tracked: TrackedWorker, worker: Worker, now: float, item: StoredItem | None
+    ) -> None:
+        """Track a worker that is back under its id with other software as another worker.
+
+        The calls that are still open count until they end, as they are counted by id.
+        """
+        self._mark_restarted(tracked, now)
+        self.history.note_listed(tracked.worker, now)
+        del self._tracked_by_service[tracked.worker.service][worker.id]
+        self._add(
+            TrackedWorker(
+                worker=worker,
+                listed_at=now,
+                item=item,
+                in_flight=tracked.in_flight,
+                tokens_in_flight=tracked.tokens_in_flight,
+            )
+        )
+
     def _mark_restarted(self, tracked: TrackedWorker, now: float) -> None:
         """Mark an instance as ended because its worker has restarted."""
         if tracked.gone_at is None:
--- a/src/croftchute/tables/peers.py
+++ b/src/croftchute/tables/peers.py
@@ -108,7 +108,8 @@
     """Another box: where it receives notices and where its state can be fetched.
 
     ``link_mbps`` is the rate of its link in Mbit/s; 0 if unknown. ``reaches_workers`` also says
-    that it accepts requests from boxes that do not.
+    that it accepts requests from boxes that do not. ``continues_by_version`` says that it continues
+    a stream at workers of the software version alone that its sender names.
     """
 
     id: str
@@ -123,5 +124,6 @@
     hall: str = ""
     link_mbps: float = 0.0
     reaches_workers: bool = False
+    continues_by_version: bool = False
     workers_by_id: dict[str, WorkerNotice] | None = None
     demand_by_service: dict[str, DemandNotice] | None = None
--- a/tests/platform_adapter/test_software_versions.py
+++ b/tests/platform_adapter/test_software_versions.py
@@ -5,7 +5,7 @@
 
 import asyncio
 
-from platform_fleet import fleet, run, until
+from platform_fleet import fleet, run
 from version_fleet import Stream, add_boxes, add_engines, begin, decoding, kill
 
 TWO_EACH = {"old-0": "v1", "old-1": "v1", "new-0": "v2", "new-1": "v2"}
@@ -19,8 +19,7 @@
             await add_engines(made, TWO_EACH)
             await add_boxes(made, "a")
             streams, tries = await begin(made.boxes, 24)
-            await until(lambda: decoding(made, "v1") >= 8)
-            await asyncio.sleep(0.1)
+            assert decoding(made, "v1") >= 8
             box = made.boxes[0]
             box.state.workers.note_failure("old-1", 2.0, box.state.clock())
             made.workers_by_id["old-0"].stop()
@@ -40,8 +39,7 @@
             await add_engines(made, TWO_EACH)
             await add_boxes(made, "a")
             streams, tries = await begin(made.boxes, 24)
-            await until(lambda: decoding(made, "v1") >= 8)
-            await asyncio.sleep(0.1)
+            assert decoding(made, "v1") >= 8
             for name in ("old-0", "old-1"):
                 made.workers_by_id[name].stop()
                 made.store.remove(f"servers/{name}")
@@ -67,8 +65,7 @@
             await add_boxes(made)
             first, *others = made.boxes
             streams, tries = await begin([first], 24)
-            await until(lambda: decoding(made, "v1") >= 8 and decoding(made, "v2") >= 8)
-            await asyncio.sleep(0.1)
+            assert decoding(made, "v1") >= 8 and decoding(made, "v2") >= 8
             kill(first)
             await asyncio.gather(*tries)
             asked = [
@@ -90,8 +87,7 @@
             await add_boxes(made, "a")
             engine = made.workers_by_id["one"]
             streams, tries = await begin(made.boxes, 12)
-            await until(lambda: len(engine.runs) >= 4)
-            await asyncio.sleep(0.1)
+            assert len(engine.runs) >= 4
             engine.software = "v2"
             engine.kept["91bd"] = 7
             made.store.put("servers/one", engine.entry("llm", "a"))
--- a/tests/platform_adapter/version_fleet.py
+++ b/tests/platform_adapter/version_fleet.py
@@ -14,7 +14,7 @@
 
 async def add_engines(made, software_by_name, **options):
     """Decode engines by name, and one prefill engine of the first version."""
-    options = {"service": "llm", "gap_s": 0.02, "events": 40} | options
+    options = {"service": "llm", "gap_s": 0.02, "events": 80} | options
     for name, software in software_by_name.items():
         await made.add_worker(name, stage="decode", software=software, **options)
     first = next(iter(software_by_name.values()))
@@ -91,12 +91,16 @@
 
 
 async def begin(boxes, count, *, prefix="s"):
-    """Start some streams at each box; return them and their first tries, each past an event."""
+    """Start some streams at each box, one after the other so that they spread over the engines.
+
+    Return them and their first tries, once each stream has had an event.
+    """
     streams = [Stream(f"{prefix}{number}") for number in range(count * len(boxes))]
-    tries = [
-        asyncio.create_task(stream.ask(boxes[number % len(boxes)]))
-        for number, stream in enumerate(streams)
-    ]
+    tries = []
+    for number, stream in enumerate(streams):
+        tries.append(asyncio.create_task(stream.ask(boxes[number % len(boxes)])))
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.2)
     return streams, tries
 
 
--- a/tests/systems/test_worker_table.py
+++ b/tests/systems/test_worker_table.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from croftchute.storage.watched import StoredItem
@@ -217,3 +219,31 @@
     for _ in range(40):
         table.note_chunk_gap("a", 0.8)
     assert table.tracked_by_id["a"].chunk_gap_s == pytest.approx(0.8, rel=0.05)
+
+
+def test_a_worker_back_under_its_id_with_other_software_is_another_worker():
+    """Streams went on at the new software, and the failures of the old counted against it."""
+    table = WorkerTable()
+    old = replace(worker("w1"), software="v1")
+    table.upsert(old, 0.0)
+    before = table.tracked_by_id["w1"]
+    table.note_sent("w1", 10)
+    table.note_failure("w1", 4.0, 0.0)
+    assert table.upsert(replace(old, software="v2"), 1.0)
+    now_tracked = table.tracked_by_id["w1"]
+    assert now_tracked is not before and before.has_ended
+    assert now_tracked.failure_score(1.0) == 0.0
+    assert table.take_ended() == [old]
+    assert [t.worker.software for t in table.usable(old.service, 1.0)] == ["v2"]
+    assert table.usable(old.service, 1.0, build="v1") == []
+    table.note_request_ended("w1", 10)
+    assert (now_tracked.in_flight, now_tracked.tokens_in_flight) == (0, 0)
+
+
+def test_workers_of_unknown_software_are_of_one_build_each():
+    table = WorkerTable()
+    for name in ("w1", "w2"):
+        table.upsert(worker(name), 0.0)
+    build = table.tracked_by_id["w1"].worker.build
+    assert [t.worker.id for t in table.usable("s", 0.0, build=build)] == ["w1"]
+    assert not table.has_build("s", 0.0, stage=None, build="")
