--- a/src/croftchute/forwarding/boxes/peer_exchange.py
+++ b/src/croftchute/forwarding/boxes/peer_exchange.py
@@ -157,7 +157,9 @@
     def _send_all(self, addresses: list[tuple[str, int]], body: Body) -> None:
         if self._transport is None:
             return
-        envelope = Envelope(sender=self.state.box, stamp=0, bodies=(body,))
+        # News of streams go out with each new stream, and nobody needs to know from whom.
+        sender = "" if isinstance(body, OriginNews) else self.state.box
+        envelope = Envelope(sender=sender, stamp=0, bodies=(body,))
         datagram = self.codec.encode(envelope)
         for address in addresses:
             self._transport.sendto(datagram, address)
--- a/src/croftchute/forwarding/boxes/stream_origins.py
+++ b/src/croftchute/forwarding/boxes/stream_origins.py
@@ -7,13 +7,14 @@
 
 import asyncio
 import contextlib
+import math
 from dataclasses import dataclass, field, replace
 
 from croftchute.forwarding.boxes.peer_exchange import PeerExchange
 from croftchute.forwarding.origins import FoundOrigin
 from croftchute.forwarding.state import LEARN_PEERS_S, ForwardingState
 from croftchute.peers.messages import OriginAsk, OriginNews, OriginReply
-from croftchute.systems.origin_witnesses import choose_witnesses, likely_witnesses
+from croftchute.systems.origin_witnesses import WitnessRanking
 from croftchute.systems.stream_origins import StreamOrigins
 from croftchute.tables.origins import StreamOrigin
 
@@ -24,6 +25,9 @@
 ASK_AGAIN_S = 0.08
 """Seconds after which boxes that have not answered are asked again, as datagrams get lost."""
 
+RANKING_KEPT_S = 0.5
+"""Seconds for which the other boxes are not looked through again."""
+
 PEER_POLL_S = 0.02
 """Seconds between two looks for other boxes, at a box that has just started."""
 
@@ -77,6 +81,8 @@
         self.known = StreamOrigins()
         self._open_by_number: dict[int, _OpenAsk] = {}
         self._number = 0
+        self._ranked = WitnessRanking(hall_by_box={})
+        self._ranked_until = -math.inf
 
     # Telling.
 
@@ -84,8 +90,7 @@
         """Keep a stream's origin, and tell the boxes that keep it for others."""
         now = self.state.clock()
         self.known.note(stream, origin, now)
-        halls = self.state.peers.witness_halls(now)
-        witnesses = choose_witnesses(stream, halls, self.state.zone)
+        witnesses = self._ranking(now).choose(stream, self.state.zone)
         news = OriginNews(stream=stream, service=origin.service, build=origin.build)
         self.exchange.tell_all(witnesses, news)
 
@@ -119,7 +124,7 @@
         return found
 
     async def _ask(self, stream: bytes, services: tuple[str, ...]) -> FoundOrigin:
-        boxes = likely_witnesses(stream, await self._hall_by_box())
+        boxes = await self._likely_witnesses(stream)
         if not boxes:
             return FoundOrigin(origin=None, source="no other box")
         self._number = self._number + 1 if self._number < MAX_NUMBER else 1
@@ -142,16 +147,23 @@
             answered=opened.asked - len(opened.waiting),
         )
 
-    async def _hall_by_box(self) -> dict[str, str]:
+    async def _likely_witnesses(self, stream: bytes) -> list[str]:
         """Return the boxes that may know; one that has just started first waits to hear of any."""
         state = self.state
         gives_up_at = min(state.clock() + ASK_TIMEOUT_S, state.started_at + LEARN_PEERS_S)
         while True:
-            halls = state.peers.witness_halls(state.clock())
-            if halls or state.clock() >= gives_up_at:
-                return halls
+            boxes = self._ranking(state.clock()).likely(stream)
+            if boxes or state.clock() >= gives_up_at:
+                return boxes
             await asyncio.sleep(PEER_POLL_S)
 
+    def _ranking(self, now: float) -> WitnessRanking:
+        """Return the other boxes as they were a moment ago at most."""
+        if now >= self._ranked_until:
+            self._ranked = WitnessRanking(hall_by_box=self.state.peers.witness_halls(now))
+            self._ranked_until = now + RANKING_KEPT_S if self.state.peers.peers_by_id else now
+        return self._ranked
+
     def answer(self, ask: OriginAsk) -> OriginReply:
         """Answer another box by what this one knows itself."""
         known = self.known.find(ask.stream, self.state.clock())
--- a/src/croftchute/systems/origin_witnesses.py
+++ b/src/croftchute/systems/origin_witnesses.py
@@ -1,14 +1,15 @@
 """Which boxes keep a stream's origin for others, so that any box can ask them.
 
 All boxes rank the others alike for a stream, hall by hall. The box that began the stream tells the
-first one of its own hall, which is in touch if the hall is cut off, and the first one of all other
-halls. A box that does not know where the stream began asks the first few of each hall.
+first one of its own hall, which is in touch if the hall is cut off, and the first one of another
+hall; halls are ranked too. A box that does not know where the stream began asks the first few of
+each hall.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
-from functools import lru_cache
+import heapq
+from collections.abc import Mapping, Sequence
 
 import xxhash
 
@@ -21,43 +22,57 @@
 all: the box that began the stream does not rank itself."""
 
 MULTIPLIER = 0x9E3779B97F4A7C15
-MASK = (1 << 64) - 1
-
+"""Odd, so that no two nodes get one weight, and without a pattern in its bits."""
 
-def choose_witnesses(key: bytes, hall_by_box: Mapping[str, str], own_hall: str) -> list[str]:
-    """Return the boxes to tell of a stream, among the other boxes.
-
-    >>> halls = {"a1": "a", "a2": "a", "b1": "b", "c1": "c"}
-    >>> sorted(halls[box] for box in choose_witnesses(b"12345678", halls, "c"))[1]
-    'c'
-    """
-    ranked = _rank(key, hall_by_box)
-    near = [box for box in ranked if hall_by_box[box] == own_hall]
-    far = [box for box in ranked if hall_by_box[box] != own_hall]
-    first = near[:1] + far[:1]
-    others = [box for box in ranked if box not in first]
-    return (first + others)[:WITNESSES]
+MASK = (1 << 64) - 1
 
 
-def likely_witnesses(key: bytes, hall_by_box: Mapping[str, str]) -> list[str]:
-    """Return the boxes to ask about a stream, whichever box began it.
+class WitnessRanking:
+    """The other boxes by hall, ready to be ranked for one stream after the other.
 
-    >>> likely_witnesses(b"12345678", {"a1": "a", "b1": "b"})
-    ['a1', 'b1']
+    >>> ranking = WitnessRanking(hall_by_box={"a1": "a", "a2": "a", "b1": "b"})
+    >>> sorted(ranking.choose(b"12345678", "b"))[1]
+    'b1'
+    >>> ranking.likely(b"12345678")
+    ['a1', 'a2', 'b1']
     """
-    boxes_by_hall: dict[str, list[str]] = {}
-    for box in _rank(key, hall_by_box):
-        boxes_by_hall.setdefault(hall_by_box[box], []).append(box)
-    return sorted(box for boxes in boxes_by_hall.values() for box in boxes[:ASKED_PER_HALL])
-
 
-def _rank(key: bytes, boxes: Iterable[str]) -> list[str]:
+    def __init__(self, *, hall_by_box: Mapping[str, str]) -> None:
+        self._boxes_by_hall: dict[str, list[tuple[int, str]]] = {}
+        for box, hall in hall_by_box.items():
+            self._boxes_by_hall.setdefault(hall, []).append((_node(box), box))
+        self._node_by_hall = {hall: _node(hall) for hall in self._boxes_by_hall}
+
+    def choose(self, key: bytes, own_hall: str) -> list[str]:
+        """Return the boxes to tell of a stream that began in a hall."""
+        chosen = _best(key, self._boxes_by_hall.get(own_hall, []), 1)
+        halls = [(node, hall) for hall, node in self._node_by_hall.items() if hall != own_hall]
+        for hall in _best(key, halls, WITNESSES - len(chosen)):
+            chosen += _best(key, self._boxes_by_hall[hall], 1)
+        if len(chosen) < WITNESSES:
+            others = [
+                entry
+                for entries in self._boxes_by_hall.values()
+                for entry in entries
+                if entry[1] not in chosen
+            ]
+            chosen += _best(key, others, WITNESSES - len(chosen))
+        return chosen
+
+    def likely(self, key: bytes) -> list[str]:
+        """Return the boxes to ask about a stream, whichever box began it."""
+        return sorted(
+            box
+            for entries in self._boxes_by_hall.values()
+            for box in _best(key, entries, ASKED_PER_HALL)
+        )
+
+
+def _node(name: str) -> int:
+    return int(xxhash.xxh3_64_intdigest(name.encode()))
+
+
+def _best(key: bytes, entries: Sequence[tuple[int, str]], count: int) -> list[str]:
     number = int.from_bytes(key, "big")
-    return sorted(
-        boxes, key=lambda box: (((_node_hash(box) ^ number) * MULTIPLIER) & MASK, box), reverse=True
-    )
-
-
-@lru_cache(maxsize=4096)
-def _node_hash(box: str) -> int:
-    return int(xxhash.xxh3_64_intdigest(box.encode()))
+    weighted = [((node ^ number) * MULTIPLIER & MASK, box) for node, box in entries]
+    return [box for _, box in heapq.nlargest(count, weighted)]
