Soak: engines of two software versions, and callers who take streams up

Workers have the versions in turn, and one that is back may have the other. Callers take up resumable streams that were cut off, at any box, with Resumes. The checks read the events: no stream holds two versions, and streams taken up go on at least half as often as new ones begin.

--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -309,6 +309,20 @@
     ConnectionPool.connect = connect  # type: ignore[method-assign]
 
 
+def any_version() -> None:
+    """Continue streams at workers of any software version."""
+
+    async def find_origin(self: RequestRun) -> bool:
+        return self.build is None
+
+    def usable(self: RequestRun, stage: Stage | None) -> list[TrackedWorker]:
+        return self.state.workers.usable(self.service, self.now, stage=stage)
+
+    RequestRun.usable = usable  # type: ignore[method-assign]
+    RequestRun.lacks_build = property(lambda _: False)  # type: ignore[assignment,method-assign]
+    RequestRun.find_origin = find_origin  # type: ignore[method-assign]
+
+
 def keep_to_own_workers() -> None:
     """Pass no request to another box, and refuse it when no worker is in reach."""
     ForwardingState.can_forward = property(lambda _: False)  # type: ignore[assignment,method-assign]
@@ -333,6 +347,7 @@
     "eras_ignored": eras_ignored,
     "limits_alone": limits_alone,
     "keep_to_own_workers": keep_to_own_workers,
+    "any_version": any_version,
 }
 
 
--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -16,6 +16,7 @@
 from croftchute.soak.key_checks import DENIED, KeyChecks
 from croftchute.soak.link_cuts import LinkCuts, links_of
 from croftchute.soak.paces import transfer_allowance_s
+from croftchute.soak.software import streams_lost, versions_mixed
 from croftchute.soak.traffic import Traffic
 from croftchute.soak.violation import Violation, broken
 from croftchute.soak.wishes import TellingWorkers
@@ -89,6 +90,7 @@
         found = list(self._answers())
         found += self._runs()
         found += self._versions_of_lives()
+        found += versions_mixed(self.traffic)
         found += self._ends()
         found += self._memory()
         keys = self._key_checks()
@@ -97,6 +99,7 @@
             found += self.limiting.violations(self.traffic)
         if self.judges_times:
             found += self._draining()
+            found += streams_lost(self.traffic, self.world)
             found += self._callers_who_left()
             found += self._versions_in_time()
             found += keys.in_time()
--- a/src/croftchute/soak/run.py
+++ b/src/croftchute/soak/run.py
@@ -234,6 +234,7 @@
         links=caller_links,
         rng=random.Random(spec.seed),
         key_rng=random.Random(-spec.seed),
+        resume_rng=random.Random(f"resumed {spec.seed}"),
     )
     try:
         yield Stage(
--- a/src/croftchute/soak/traffic.py
+++ b/src/croftchute/soak/traffic.py
@@ -39,6 +39,9 @@
 STREAM_CALLER_EVERY = 4
 """One in so many callers asks for slow streams alone."""
 
+MAX_TAKEN_UP = 2
+"""Times that a caller takes up a stream that was cut off."""
+
 SERVED = 200
 
 
@@ -56,6 +59,7 @@
     lives_by_id: dict[str, tuple[int, int]] = field(default_factory=dict)
     keys_by_id: dict[str, CallerKey] = field(default_factory=dict)
     key_rng: random.Random = field(default_factory=lambda: random.Random(0))
+    resume_rng: random.Random = field(default_factory=lambda: random.Random(0))
 
     async def keep_calling(self, number: int) -> None:
         """One caller; ends once the run is over."""
@@ -69,6 +73,7 @@
                 attempt = await self._ask_slow(caller)
             else:
                 attempt = await self.ask(caller, *self._draw_request())
+                await self._take_up(attempt)
             if not self._goes_on_at_once(attempt, caller):
                 await self._pause(attempt, caller)
         if caller is not None:
@@ -84,8 +89,13 @@
         may_leave: bool = True,
         deadline_s: float | None = None,
         key: CallerKey | None = None,
+        begun: Try | None = None,
+        last_event: int = 0,
     ) -> Try:
-        """Make one try on a caller's connection, by some key, and keep what came of it."""
+        """Make one try on a caller's connection, by some key, and keep what came of it.
+
+        With ``begun`` it takes up the stream whose first event that try brought.
+        """
         number = len(self.tries_by_id)
         if key is None:
             key = draw_key(self.key_rng, self.world.version)
@@ -97,6 +107,8 @@
             box=caller.box,
             sent_at=asyncio.get_running_loop().time(),
             key=key.key,
+            resumes=begun.request_id if begun is not None else "",
+            last_event=last_event,
         )
         self.keys_by_id[attempt.request_id] = key
         self.tries_by_id[attempt.request_id] = attempt
@@ -110,6 +122,28 @@
         self.lives_by_id[attempt.request_id] = (life, box.life)
         return attempt
 
+    async def _take_up(self, attempt: Try) -> None:
+        """Ask some boxes for the rest of a stream that was cut off, until it is whole."""
+        begun = attempt
+        for _ in range(MAX_TAKEN_UP):
+            received = attempt.events_received
+            is_cut = not attempt.is_whole and attempt.left_at is None
+            if attempt.kind is not RequestKind.RESUMABLE or not received or not is_cut:
+                return
+            caller = self.caller(self.resume_rng.randrange(len(self.boxes)))
+            attempt = await self.ask(
+                caller,
+                attempt.kind,
+                attempt.path,
+                body=attempt.body,
+                may_leave=False,
+                deadline_s=TIMEOUT_S,
+                key=self.keys_by_id[begun.request_id],
+                begun=begun,
+                last_event=received[-1][0],
+            )
+            caller.close()
+
     async def probe_versions(self) -> None:
         """Ask every box for the route that the newest configuration added, again and again."""
         probed, next_at = 0, 0.0
--- a/src/croftchute/soak/world.py
+++ b/src/croftchute/soak/world.py
@@ -30,6 +30,9 @@
 FILLER_ROUTES = 4200
 """Routes that make a configuration long: about 0.8 MB of JSON, as in incident inc2."""
 
+SOFTWARE_VERSIONS = 2
+"""Software versions that workers have in turn: one that comes back may have another."""
+
 MAX_ATTEMPTS = 2
 DESK = "desk"
 ENGINES = "engines"
@@ -48,12 +51,13 @@
 
 @dataclass(kw_only=True)
 class ListedWorker:
-    """A worker, the link that leads to it, and since when it is told to be leaving or gone."""
+    """A worker, the link that leads to it, and the times at which it was listed and then left."""
 
     worker: PlatformWorker
     link: FaultyLink
     service: str
     hall: str
+    listed_at: float = 0.0
     leaving_at: float | None = None
     revival: asyncio.Task[None] | None = None
 
@@ -110,6 +114,7 @@
         number = next(self._numbers)
         worker = PlatformWorker(
             id=name or f"{service}-{number}",
+            software=f"v{1 + number % SOFTWARE_VERSIONS}",
             born_ms=born_ms,
             stage=stage,
             events=EVENTS,
@@ -126,7 +131,11 @@
         else:
             link.target = target
         listed = ListedWorker(
-            worker=worker, link=link, service=service, hall=HALLS[number % len(HALLS)]
+            worker=worker,
+            link=link,
+            service=service,
+            hall=HALLS[number % len(HALLS)],
+            listed_at=asyncio.get_running_loop().time(),
         )
         self.workers_by_id[worker.id] = listed
         self.all_workers.append(listed)
--- a/src/croftchute/standins/platform_caller.py
+++ b/src/croftchute/standins/platform_caller.py
@@ -41,7 +41,11 @@
 
 @dataclass(kw_only=True)
 class Try:
-    """One try of a caller and what came of it; times are those of the loop's clock."""
+    """One try of a caller and what came of it; times are those of the loop's clock.
+
+    ``resumes`` is the try that brought the first event of a stream that this one takes up behind
+    ``last_event``; empty and 0 for others.
+    """
 
     request_id: str
     kind: RequestKind
@@ -50,6 +54,8 @@
     box: str
     sent_at: float
     key: str = ""
+    resumes: str = ""
+    last_event: int = 0
     is_sent: bool = False
     left_at: float | None = None
     ended_at: float | None = None
@@ -66,6 +72,16 @@
         text = self.headers.get(RETRY_AFTER)
         return float(text) if text else None
 
+    @property
+    def events_received(self) -> list[tuple[int, str]]:
+        """The numbers of the events that came, each with the software version that sent it."""
+        if not self.kind.is_stream:
+            return []
+        return [
+            (int(number), software.decode())
+            for number, _, _, software in EVENT.findall(self.answer)
+        ]
+
 
 class PlatformCaller:
     """One client: a connection at a time to one box."""
@@ -159,6 +175,8 @@
         ]
         if attempt.key:
             lines.append(f"Authorization: Bearer {attempt.key}")
+        if attempt.resumes:
+            lines += [f"Last-Event-Id: {attempt.last_event}", f"Resumes: {attempt.resumes}"]
         if attempt.kind.is_stream:
             lines += ["X-Croftchute-Model: m", "X-Croftchute-Token-Usage: 100,20"]
         return "\r\n".join([*lines, "", ""]).encode() + attempt.body
@@ -191,11 +209,12 @@
         if request_id.decode() != attempt.request_id or number != token:
             return f"an event of another request: {request_id!r}"
         numbers.append(int(number))
-    if numbers != list(range(1, len(numbers) + 1)):
+    had = attempt.last_event
+    if numbers != list(range(had + 1, had + len(numbers) + 1)):
         return f"events out of order: {numbers}"
     rest = EVENT.sub(b"", attempt.answer)
-    if attempt.is_whole and (len(numbers) != events or rest):
-        return f"ended as whole after {len(numbers)} of {events} events"
+    if attempt.is_whole and (had + len(numbers) != events or rest):
+        return f"ended as whole after {had + len(numbers)} of {events} events"
     return ""
 
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,6 +6,7 @@
 
 from croftchute.soak.checks import Checker, check_wave
 from croftchute.soak.disturbances import STORE, Disturbances, Pace
+from croftchute.soak.software import streams_lost, versions_mixed
 from croftchute.soak.world import EVENTS
 from croftchute.standins.platform_caller import RequestKind, Try
 from croftchute.standins.worker_records import Run
@@ -286,3 +287,44 @@
 
 def test_a_cut_of_a_request_that_reached_no_worker_is_not_judged():
     assert promises([cut(14.0, 17.5)], disturbances=stopped(10.0)) == set()
+
+
+def held(software_by_event, **changes):
+    """A resumable try that brought some events, each with the version that sent it."""
+    answer = b"".join(
+        f"id: {n}\ndata: token-{n} of {changes['request_id']} by {software}\n\n".encode()
+        for n, software in software_by_event.items()
+    )
+    return attempt(RequestKind.RESUMABLE, answer=answer, is_whole=False, **changes)
+
+
+def test_events_of_two_software_versions_are_told_within_a_try_and_over_tries():
+    first = held({1: "v1", 2: "v1"}, request_id="r1")
+    same = held({3: "v1"}, request_id="r2", resumes="r1", last_event=2)
+    other = held({3: "v2"}, request_id="r3", resumes="r1", last_event=2)
+    mixed = held({1: "v1", 2: "v2"}, request_id="r4")
+    for tries, expected in (
+        ([first, same], set()),
+        ([first, other], {"streams keep their software version"}),
+        ([mixed], {"streams keep their software version"}),
+    ):
+        traffic = SimpleNamespace(tries_by_id={one.request_id: one for one in tries})
+        assert {violation.promise for violation in versions_mixed(traffic)} == expected
+
+
+@pytest.mark.parametrize(("served", "is_lost"), [(5, True), (6, False)])
+def test_streams_taken_up_that_go_on_less_than_half_as_often_are_told(served, is_lost):
+    new = [held({1: "v1"}, request_id=f"n{n}") for n in range(13)]
+    taken_up = [
+        held({2: "v1"} if n < served else {}, request_id=f"t{n}", resumes="n0", last_event=1)
+        for n in range(12)
+    ]
+    traffic = SimpleNamespace(tries_by_id={one.request_id: one for one in new + taken_up})
+    workers = [
+        SimpleNamespace(
+            worker=SimpleNamespace(stage="decode", software="v1"), listed_at=0.0, leaving_at=None
+        )
+        for _ in range(2)
+    ]
+    assert bool(list(streams_lost(traffic, SimpleNamespace(all_workers=workers)))) is is_lost
+    assert not list(streams_lost(traffic, SimpleNamespace(all_workers=workers[:1])))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,6 +23,7 @@
     FaultKind.STORE_SILENT,
 )
 CUTS = (FaultKind.LINKS_CUT, FaultKind.BOX_STOP, FaultKind.BOX_KILL, FaultKind.WORKER_DRAIN)
+VERSIONS = (FaultKind.WORKER_CRASH, FaultKind.BOX_KILL, FaultKind.LINK_CALLERS, FaultKind.BOX_STOP)
 SHORT = [
     SoakSpec(seed=4, seconds=6.0, judge_times=False, kinds=FIRST_KINDS),
     SoakSpec(seed=21, seconds=6.0, judge_times=False, only_planned=True, kinds=FIRST_KINDS),
@@ -31,6 +32,7 @@
     SoakSpec(seed=901, seconds=12.0, judge_times=False, kinds=WISHES),
     SoakSpec(seed=1002, seconds=12.0, judge_times=False, kinds=LIMITS, boxes=4),
     SoakSpec(seed=55, seconds=12.0, judge_times=False, kinds=CUTS, boxes=6),
+    SoakSpec(seed=58, seconds=12.0, judge_times=False, kinds=VERSIONS, engines=7),
 ]
 REGRESSIONS = [
     SoakSpec(
