Confirm that a worker is the process of its entry before a stream goes on there

A worker that restarts under its name is listed anew a moment later: until then a stream could go on there at other software. Before a bound stream is sent to a worker that tells its start, its report is asked for it. What a worker of other software under the same id wanted no longer holds for the one that has the id now. The only build that a stream can have is inferred from the workers listed over at least four times the route's longest time, not over a fixed minute, and origins are kept for ten minutes if there is room. Tests of the tables; the schema test reads the new fields and messages as boxes of the version before do.

--- a/src/croftchute/forwarding/boxes/stream_origins.py
+++ b/src/croftchute/forwarding/boxes/stream_origins.py
@@ -101,19 +101,21 @@
 
     # Asking.
 
-    async def find(self, stream: bytes | None, services: tuple[str, ...]) -> FoundOrigin:
+    async def find(
+        self, stream: bytes | None, services: tuple[str, ...], *, within_s: float
+    ) -> FoundOrigin:
         """Return where a stream began, by this box or by those that were told."""
         now = self.state.clock()
         known = self.known.find(stream, now) if stream is not None else None
         if known is not None:
             return FoundOrigin(origin=known, source="own")
-        inferred = self._infer(services)
+        inferred = self._infer(services, within_s)
         if stream is None:
             return FoundOrigin(origin=inferred, source="only version" if inferred else "not named")
         if len(self._open_by_number) >= MAX_OPEN_ASKS:
             return FoundOrigin(origin=inferred, source="only version" if inferred else "busy")
-        found = await self._ask(stream, services)
-        if found.source != "told" and not self._is_possible(found.origin):
+        found = await self._ask(stream, services, within_s)
+        if found.source != "told" and not self._is_possible(found.origin, within_s):
             found = replace(found, origin=None, source="unknown")
         if found.origin is None and inferred is not None:
             return FoundOrigin(
@@ -123,13 +125,13 @@
             self.known.note(stream, found.origin, self.state.clock())
         return found
 
-    async def _ask(self, stream: bytes, services: tuple[str, ...]) -> FoundOrigin:
+    async def _ask(self, stream: bytes, services: tuple[str, ...], within_s: float) -> FoundOrigin:
         boxes = await self._likely_witnesses(stream)
         if not boxes:
             return FoundOrigin(origin=None, source="no other box")
         self._number = self._number + 1 if self._number < MAX_NUMBER else 1
         number = self._number
-        ask = OriginAsk(number=number, stream=stream, services=services)
+        ask = OriginAsk(number=number, stream=stream, services=services, within_s=within_s)
         opened = _OpenAsk(waiting=set(boxes), asked=len(boxes))
         self._open_by_number[number] = opened
         try:
@@ -171,7 +173,7 @@
             return OriginReply(
                 number=ask.number, service=known.service, build=known.build, is_told=True
             )
-        inferred = self._infer(ask.services)
+        inferred = self._infer(ask.services, ask.within_s)
         if inferred is None:
             return OriginReply(number=ask.number)
         return OriginReply(number=ask.number, service=inferred.service, build=inferred.build)
@@ -182,18 +184,20 @@
         if opened is not None:
             opened.note(sender, reply)
 
-    def _is_possible(self, origin: StreamOrigin | None) -> bool:
+    def _is_possible(self, origin: StreamOrigin | None, within_s: float) -> bool:
         """Whether no other build than that of an origin is known to have been listed here."""
         if origin is None:
             return True
-        seen = self.state.workers.builds_seen(origin.service, self.state.clock())
+        now = self.state.clock()
+        seen = self.state.workers.builds_seen(origin.service, now, within_s=within_s)
         return seen <= {origin.build}
 
-    def _infer(self, services: tuple[str, ...]) -> StreamOrigin | None:
+    def _infer(self, services: tuple[str, ...], within_s: float) -> StreamOrigin | None:
         """Return the only origin that a stream can have, by the workers seen here."""
         if len(services) != 1:
             return None
-        build = self.state.workers.only_build(services[0], self.state.clock())
+        now = self.state.clock()
+        build = self.state.workers.only_build(services[0], now, within_s=within_s)
         return None if build is None else StreamOrigin(service=services[0], build=build)
 
 
--- a/src/croftchute/forwarding/origins.py
+++ b/src/croftchute/forwarding/origins.py
@@ -33,10 +33,13 @@
         """Record that a caller is about to get a stream's first event."""
         ...
 
-    async def find(self, stream: bytes | None, services: tuple[str, ...]) -> FoundOrigin:
+    async def find(
+        self, stream: bytes | None, services: tuple[str, ...], *, within_s: float
+    ) -> FoundOrigin:
         """Return where a stream began; ``stream`` is None if the caller does not name it.
 
-        ``services`` are those that a route names now.
+        ``services`` are those that a route names now. The stream began ``within_s`` seconds ago at
+        most.
         """
         ...
 
@@ -47,7 +50,9 @@
     def note_begun(self, stream: bytes, origin: StreamOrigin) -> None:
         """Do nothing."""
 
-    async def find(self, stream: bytes | None, services: tuple[str, ...]) -> FoundOrigin:
+    async def find(
+        self, stream: bytes | None, services: tuple[str, ...], *, within_s: float
+    ) -> FoundOrigin:
         """Know nothing."""
         return FoundOrigin(origin=None, source="none")
 
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -287,7 +287,8 @@
         services = tuple(target.service for target in self.route.targets)
         resumes = self.facts.resumes
         stream = stream_key(self.facts.organisation, resumes) if resumes else None
-        found = await self.state.origins.find(stream, services)
+        within_s = timeouts.stream_age_limit_s(self.route)
+        found = await self.state.origins.find(stream, services, within_s=within_s)
         origin = found.origin
         self.state.metrics.resumed.inc({"outcome": found.source})
         self.log(
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -25,6 +25,7 @@
 from croftchute.forwarding.workers.prompt_prefill import PromptPrefill
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.worker_call import WorkerCall
+from croftchute.forwarding.workers.worker_control import is_same_process
 from croftchute.systems import timeouts
 from croftchute.systems.prefill_queue import PrefillEstimate
 from croftchute.systems.tracked_worker import TrackedWorker
@@ -113,6 +114,10 @@
                 # The worker asked for backoff during the prefill: reserve at another one.
                 self.reservation.release_unused()
                 continue
+            if run.build is not None and not await is_same_process(run.state, found[0].worker):
+                run.avoid.add(found[0].worker.id)
+                self.reservation.release_unused()
+                continue
             if not run.has_attempts_left and (found[0].worker.id not in run.workers_sent_to):
                 self.progress.may_retry_at_once = self._are_prefill_workers_in_backoff()
                 return
--- a/src/croftchute/forwarding/workers/worker_control.py
+++ b/src/croftchute/forwarding/workers/worker_control.py
@@ -146,6 +146,24 @@
     return state.workers_speak.kept(body) if status == STATUS_OK else {}
 
 
+async def is_same_process(state: ForwardingState, worker: Worker) -> bool:
+    """Return whether a worker is the process that its entry describes, as far as it tells.
+
+    A worker that restarts under its name is listed anew a moment later, and may have other
+    software. A worker that tells no start has a new name after each.
+    """
+    if worker.born_ms is None:
+        return True
+    if not await state.permits.acquire(worker):
+        return False
+    data = state.workers_speak.ask_report(worker)
+    try:
+        status, body = await control_call(state, worker, data, timeouts.REPORT_TIMEOUT_S)
+    except ExchangeError:
+        return False
+    return status == STATUS_OK and state.workers_speak.report(body).born_ms == worker.born_ms
+
+
 async def send_stage_order(
     state: ForwardingState, worker: Worker, stage: Stage, *, holder: str, token: int
 ) -> int:
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -260,11 +260,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OriginAsk:
-    """Asks where a stream began. ``services`` are those that may have begun it."""
+    """Asks where a stream began, ``within_s`` seconds ago at most.
+
+    ``services`` are those that may have begun it.
+    """
 
     number: int
     stream: bytes
     services: tuple[str, ...] = ()
+    within_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -320,6 +320,7 @@
   number @0 :UInt32;
   stream @1 :Data;
   services @2 :List(Text);
+  withinS @3 :Float32;
 }
 
 struct OriginReply {
--- a/src/croftchute/systems/software_history.py
+++ b/src/croftchute/systems/software_history.py
@@ -5,9 +5,11 @@
 import math
 from dataclasses import dataclass, field
 
-from croftchute.systems.stream_origins import KEPT_S
 from croftchute.tables.routing import Worker
 
+KEPT_S = 600.0
+"""Seconds for which a build is remembered after its last worker was listed."""
+
 
 @dataclass(kw_only=True)
 class SoftwareHistory:
@@ -30,18 +32,18 @@
         """
         self._seen_at_by_build[worker.service, worker.build] = now
 
-    def only_build(self, service: str, now: float) -> str | None:
-        """Return the one build that can have begun a stream of a service; None if not certain."""
-        builds = self.builds(service, now)
-        is_complete = now - self.followed_since >= KEPT_S
+    def only_build(self, service: str, now: float, *, within_s: float) -> str | None:
+        """Return the one build listed within some seconds; None if there may be others."""
+        builds = self.builds(service, now, within_s=within_s)
+        is_complete = within_s <= min(KEPT_S, now - self.followed_since)
         return next(iter(builds)) if is_complete and len(builds) == 1 else None
 
-    def builds(self, service: str, now: float) -> set[str]:
-        """Return the builds of a service that are known to have been listed lately."""
+    def builds(self, service: str, now: float, *, within_s: float) -> set[str]:
+        """Return the builds of a service that are known to have been listed within some seconds."""
         return {
             build
             for (name, build), seen_at in self._seen_at_by_build.items()
-            if name == service and now - seen_at <= KEPT_S
+            if name == service and now - seen_at <= within_s
         }
 
     def sweep(self, now: float) -> None:
--- a/src/croftchute/systems/stream_origins.py
+++ b/src/croftchute/systems/stream_origins.py
@@ -6,13 +6,12 @@
 
 from croftchute.tables.origins import StreamOrigin
 
-KEPT_S = 60.0
-"""Seconds for which an origin is kept: callers take a stream up before their deadline, some seconds
-after it began."""
+KEPT_S = 600.0
+"""Seconds for which an origin is kept, if there is room: longer than streams last."""
 
 MAX_ORIGINS = 16384
-"""Most origins kept, some 4 MB: a minute of 39 streams a second and of those that two others tell,
-twice over."""
+"""Most origins kept, some 4 MB: two minutes of 39 streams a second and of those that others tell of
+as many."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/systems/timeouts.py
+++ b/src/croftchute/systems/timeouts.py
@@ -137,12 +137,21 @@
 """Retry-After in seconds for the rest of a stream that no worker may continue: a caller does better
 to start over than to wait for a worker of the version that began it."""
 
+MIN_STREAM_AGE_LIMIT_S = 60.0
+"""Least age in seconds that a stream is believed to have when a caller takes it up."""
+
+STREAM_AGE_LIMIT_TIMEOUTS = 4.0
+"""The same in tries of the route's longest time: callers take a stream up a few times."""
+
 FULL_WORKER_BACKOFF_S = 0.03
 """Seconds for which a worker that had no room is not asked again."""
 
 STAGE_ORDER_TIMEOUT_S = 1.0
 """Timeout of an order to a worker to change its stage."""
 
+REPORT_TIMEOUT_S = 0.15
+"""Timeout of a query for a worker's report, which needs no free slot either."""
+
 HOLD_TIMEOUT_S = 0.08
 """Timeout of a hold request: some round trips, as the worker needs no free slot to answer it."""
 
@@ -211,6 +220,11 @@
 otherwise return together."""
 
 
+def stream_age_limit_s(route: Route) -> float:
+    """Return how long ago a stream that a caller takes up may have begun, in seconds."""
+    return max(MIN_STREAM_AGE_LIMIT_S, STREAM_AGE_LIMIT_TIMEOUTS * route.timeout_s)
+
+
 def retry_after(time_left_s: float, *, mean_wait_s: float | None, jitter: float) -> float:
     """Return the Retry-After in seconds, after which a refused caller is likely to find room.
 
--- a/src/croftchute/systems/worker_advice.py
+++ b/src/croftchute/systems/worker_advice.py
@@ -130,6 +130,11 @@
         backoff = self._backoffs_by_id.get(worker_id)
         return backoff is None or now >= backoff.until or backoff.sent < MAX_REQUESTS_IN_BACKOFF
 
+    def forget(self, worker_id: str) -> None:
+        """Forget what a worker wanted: another one has its id now."""
+        self.leaving_by_id.pop(worker_id, None)
+        self._backoffs_by_id.pop(worker_id, None)
+
     def sweep(self, now: float, *, listed: Container[str]) -> None:
         """Forget backoffs that are over, and leaving workers that have long been unlisted."""
         self._drop_expired_backoffs(now)
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -102,6 +102,10 @@
         if current is not None and _is_older(item, current):
             return False
         self.history.note_listed(worker, now)
+        if current is not None and current.worker.build != worker.build:
+            # What a worker of other software under this id wanted does not hold for this one.
+            self.advice.forget(worker.id)
+            self.limits.by_id.pop(worker.id, None)
         if worker.state is WorkerState.DRAINING:
             # The entry doesn't say since when, so the worker may no longer accept last-resort work.
             self.advice.note_leaving(worker.id, now, known_for_s=math.inf)
@@ -233,16 +237,16 @@
         found = self._by_availability(service, now, stage, build)
         return bool(found.listed or found.last_resorts or found.in_backoff or found.at_limit)
 
-    def only_build(self, service: str, now: float) -> str | None:
-        """Return the one build that may have begun a stream of a service; None if not certain."""
+    def only_build(self, service: str, now: float, *, within_s: float) -> str | None:
+        """Return the one build of a service listed within some seconds; None if not certain."""
         self._note_listed(service, now)
         is_current = now - self.heard_at <= MAX_LIST_AGE_S
-        return self.history.only_build(service, now) if is_current else None
+        return self.history.only_build(service, now, within_s=within_s) if is_current else None
 
-    def builds_seen(self, service: str, now: float) -> set[str]:
-        """Return the builds of a service that were listed lately, as far as is known."""
+    def builds_seen(self, service: str, now: float, *, within_s: float) -> set[str]:
+        """Return the builds of a service listed within some seconds, as far as is known."""
         self._note_listed(service, now)
-        return self.history.builds(service, now)
+        return self.history.builds(service, now, within_s=within_s)
 
     def _note_listed(self, service: str, now: float) -> None:
         for tracked in self.of_service(service):
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -23,7 +23,12 @@
 
 CODEC = Codec(keys=["k" * 16])
 SCHEMA_PATH = Path(codec.__file__).with_name("schema.capnp")
-NEWEST_FIELD = "  reachesWorkers @16 :Bool;\n"
+NEWEST_FIELDS = (
+    "  continuesByVersion @17 :Bool;\n",
+    "    originNews @17 :OriginNews;\n",
+    "    originAsk @18 :OriginAsk;\n",
+    "    originReply @19 :OriginReply;\n",
+)
 VALUES = {str: "text", int: 7, float: 0.5, bytes: b"raw", bool: True, Code: Code.NO_CAPACITY}
 VALUES |= {tuple[str, ...]: ("a", "b"), tuple[int, ...]: (1, 2**31)}
 
@@ -131,12 +136,14 @@
 
 
 def earlier_schema(folder):
-    """The schema without the newest field of notices, as boxes of the version before have it."""
+    """The schema without the newest fields and messages, as boxes of the version before have it."""
     text = SCHEMA_PATH.read_text()
-    assert NEWEST_FIELD in text
+    for line in NEWEST_FIELDS:
+        assert line in text
+        text = text.replace(line, "")
     path = folder / "earlier.capnp"
     # The library takes each id of a file once.
-    path.write_text(text.replace(NEWEST_FIELD, "").replace("@0xd", "@0xe", 1))
+    path.write_text(text.replace("@0xd", "@0xe", 1))
     return capnp.load(str(path))
 
 
@@ -144,7 +151,7 @@
     """Guards against a rolling update in which boxes drop each other's notices."""
     earlier = earlier_schema(tmp_path)
     notice = example(BoxNotice)
-    assert notice.reaches_workers
+    assert notice.reaches_workers and notice.continues_by_version
     datagram = CODEC.encode(Envelope(sender="b", stamp=3, bodies=(notice,)))
     read = earlier.Envelope.from_bytes_packed(datagram[TAG_BYTES:])
     assert read.messages[0].boxNotice.controlPort == notice.control_port
--- a/tests/systems/test_worker_table.py
+++ b/tests/systems/test_worker_table.py
@@ -247,3 +247,34 @@
     build = table.tracked_by_id["w1"].worker.build
     assert [t.worker.id for t in table.usable("s", 0.0, build=build)] == ["w1"]
     assert not table.has_build("s", 0.0, stage=None, build="")
+
+
+def test_wishes_and_limits_end_with_the_software_that_named_them():
+    """A worker back under its id would have counted as leaving for good."""
+    table = WorkerTable()
+    old = replace(worker("w1"), software="v1")
+    table.upsert(old, 0.0)
+    table.advice.note_leaving("w1", 1.0)
+    table.upsert(replace(old, software="v2"), 2.0)
+    assert ids(table.usable("s", 2.0)) == ["w1"]
+    table.upsert(replace(old, software="v3", state=WorkerState.DRAINING), 3.0)
+    assert table.advice.is_leaving("w1")
+
+
+def test_one_build_is_certain_only_if_the_list_was_followed_for_long_enough():
+    """A box that had just started took the builds that it saw for all there had been."""
+    table = WorkerTable(heard_at=0.0)
+    table.upsert(replace(worker("w1"), software="v1"), 0.0)
+    table.keep_only({"w1"}, 0.0)
+    assert table.only_build("s", 4.0, within_s=60.0) is None
+    table.heard_at = 61.0
+    assert table.only_build("s", 61.0, within_s=60.0) == "v1"
+    assert table.only_build("s", 67.0, within_s=60.0) is None
+    table.upsert(replace(worker("w2"), software="v2"), 62.0)
+    table.remove(["w2"], 63.0)
+    table.sweep(80.0)
+    table.heard_at = 139.0
+    assert table.only_build("s", 139.0, within_s=60.0) is None
+    table.heard_at = 141.0
+    assert table.only_build("s", 141.0, within_s=60.0) == "v1"
+    assert table.builds_seen("s", 141.0, within_s=90.0) == {"v1", "v2"}
