--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -335,6 +335,7 @@
         headers |= self._load() | self._wishes()
         writer.write(encode_head(faults.status or 200, request, headers))
         first = int(request.headers.get("last-event-id", "0")) + 1
+        software = self._shown_software
         for sent, number in enumerate(range(first, self.events + 1)):
             if faults.resets_after_events == sent:
                 await writer.drain()
@@ -342,7 +343,7 @@
             if faults.hangs_after_events == sent:
                 await self._wait_for_close(request, reader)
                 return False
-            data = f"token-{number} of {request.id} by {self._shown_software}"
+            data = f"token-{number} of {request.id} by {software}"
             data = data.ljust(self.event_bytes, ".")
             event = f"id: {number}\ndata: {data}\n\n".encode()
             if faults.ends_inside_event == sent:
