Tell streams' origins by digests, and know unnamed streams by their request

News of streams had the service and the version as text: 103 bytes with IP and UDP, 8.0 KB/s at 38.9 streams a second. They are digests now, 93 bytes and 7.2 KB/s; a digest is read by the versions that the services had in the last ten minutes.

--- a/src/croftchute/forwarding/boxes/stream_origins.py
+++ b/src/croftchute/forwarding/boxes/stream_origins.py
@@ -15,6 +15,7 @@
 from croftchute.forwarding.state import LEARN_PEERS_S, ForwardingState
 from croftchute.peers.messages import OriginAsk, OriginNews, OriginReply
 from croftchute.systems.origin_witnesses import WitnessRanking
+from croftchute.systems.software_history import KEPT_S
 from croftchute.systems.stream_origins import StreamOrigins
 from croftchute.tables.origins import StreamOrigin
 
@@ -40,36 +41,26 @@
 
 @dataclass(kw_only=True)
 class _OpenAsk:
-    """The answers to one question, as they come."""
+    """The answers to one question, as they come; origins by their digests."""
 
     waiting: set[str]
     asked: int = 0
-    told: StreamOrigin | None = None
-    inferred: set[StreamOrigin] = field(default_factory=set)
-    is_disputed: bool = False
+    told: set[int] = field(default_factory=set)
+    inferred: set[int] = field(default_factory=set)
     settled: asyncio.Event = field(default_factory=asyncio.Event)
 
     def note(self, sender: str, reply: OriginReply) -> None:
         """Take an answer in: what a box was told goes before what it infers."""
         self.waiting.discard(sender)
-        if reply.build:
-            origin = StreamOrigin(service=reply.service, build=reply.build)
-            if reply.is_told:
-                self.is_disputed |= self.told not in (None, origin)
-                self.told = origin
-            else:
-                self.inferred.add(origin)
-        if self.told is not None or not self.waiting:
+        if reply.origin:
+            (self.told if reply.is_told else self.inferred).add(reply.origin)
+        if self.told or not self.waiting:
             self.settled.set()
 
     @property
-    def origin(self) -> StreamOrigin | None:
-        """What the answers agree on."""
-        if self.is_disputed:
-            return None
-        if self.told is not None:
-            return self.told
-        return next(iter(self.inferred)) if len(self.inferred) == 1 else None
+    def answered(self) -> int:
+        """How many boxes have answered."""
+        return self.asked - len(self.waiting)
 
 
 class SharedOrigins:
@@ -86,52 +77,82 @@
 
     # Telling.
 
-    def note_begun(self, stream: bytes, origin: StreamOrigin) -> None:
+    def note_begun(self, stream: int, alias: int, origin: StreamOrigin) -> None:
         """Keep a stream's origin, and tell the boxes that keep it for others."""
-        now = self.state.clock()
-        self.known.note(stream, origin, now)
-        witnesses = self._ranking(now).choose(stream, self.state.zone)
-        news = OriginNews(stream=stream, service=origin.service, build=origin.build)
+        news = OriginNews(stream=stream, alias=alias, origin=origin.digest)
+        self.hear(news)
+        witnesses = self._ranking(self.state.clock()).choose(stream, self.state.zone)
         self.exchange.tell_all(witnesses, news)
 
     def hear(self, news: OriginNews) -> None:
-        """Keep what another box tells."""
-        origin = StreamOrigin(service=news.service, build=news.build)
-        self.known.note(news.stream, origin, self.state.clock())
+        """Keep what a box tells."""
+        now = self.state.clock()
+        self.known.note(news.stream, news.origin, now)
+        self.known.note(news.alias, news.origin, now)
 
     # Asking.
 
     async def find(
-        self, stream: bytes | None, services: tuple[str, ...], *, within_s: float
+        self, key: int, services: tuple[str, ...], *, within_s: float, is_named: bool
     ) -> FoundOrigin:
-        """Return where a stream began, by this box or by those that were told."""
-        now = self.state.clock()
-        known = self.known.find(stream, now) if stream is not None else None
+        """Return where a stream began, by this box or by those that were told.
+
+        Boxes are told by the key of the try. Only in a fleet of a few boxes a hall does a caller
+        that does not name it reach them all the same.
+        """
+        known = self.known.find(key, self.state.clock())
         if known is not None:
-            return FoundOrigin(origin=known, source="own")
-        inferred = self._infer(services, within_s)
-        if stream is None:
-            return FoundOrigin(origin=inferred, source="only version" if inferred else "not named")
-        if len(self._open_by_number) >= MAX_OPEN_ASKS:
-            return FoundOrigin(origin=inferred, source="only version" if inferred else "busy")
-        found = await self._ask(stream, services, within_s)
-        if found.source != "told" and not self._is_possible(found.origin, within_s):
-            found = replace(found, origin=None, source="unknown")
-        if found.origin is None and inferred is not None:
-            return FoundOrigin(
-                origin=inferred, source="only version", asked=found.asked, answered=found.answered
-            )
-        if found.origin is not None and found.source == "told":
-            self.known.note(stream, found.origin, self.state.clock())
+            return self._found(known, services, "own")
+        service = services[0] if len(services) == 1 else ""
+        inferred = self._infer(service, within_s)
+        if inferred:
+            return self._found(inferred, services, "only version")
+        found = FoundOrigin(origin=None, source="busy")
+        if len(self._open_by_number) < MAX_OPEN_ASKS:
+            found = await self._ask(key, services, service, within_s)
+        if found.origin is None and not found.is_gone and not is_named:
+            return self._guess(service, within_s, found)
         return found
 
-    async def _ask(self, stream: bytes, services: tuple[str, ...], within_s: float) -> FoundOrigin:
+    def _guess(self, service: str, within_s: float, found: FoundOrigin) -> FoundOrigin:
+        """Return the only origin known, for a caller that names none and so can't be told apart."""
+        builds = self.state.workers.builds_seen(service, self.state.clock(), within_s=within_s)
+        if len(builds) != 1:
+            return found
+        origin = StreamOrigin(service=service, build=next(iter(builds)))
+        return replace(found, origin=origin, source="only version seen")
+
+    def _found(
+        self, digest: int, services: tuple[str, ...], source: str, opened: _OpenAsk | None = None
+    ) -> FoundOrigin:
+        """Return the origin that a digest stands for, among those that the services had lately."""
+        now = self.state.clock()
+        origin = next(
+            (
+                candidate
+                for service in services
+                for build in self.state.workers.builds_seen(service, now, within_s=KEPT_S)
+                if (candidate := StreamOrigin(service=service, build=build)).digest == digest
+            ),
+            None,
+        )
+        return FoundOrigin(
+            origin=origin,
+            source=source,
+            is_gone=origin is None,
+            asked=opened.asked if opened is not None else 0,
+            answered=opened.answered if opened is not None else 0,
+        )
+
+    async def _ask(
+        self, stream: int, services: tuple[str, ...], service: str, within_s: float
+    ) -> FoundOrigin:
         boxes = await self._likely_witnesses(stream)
         if not boxes:
             return FoundOrigin(origin=None, source="no other box")
         self._number = self._number + 1 if self._number < MAX_NUMBER else 1
         number = self._number
-        ask = OriginAsk(number=number, stream=stream, services=services, within_s=within_s)
+        ask = OriginAsk(number=number, stream=stream, service=service, within_s=within_s)
         opened = _OpenAsk(waiting=set(boxes), asked=len(boxes))
         self._open_by_number[number] = opened
         try:
@@ -141,15 +162,19 @@
                 await _is_set(opened.settled, ASK_TIMEOUT_S - ASK_AGAIN_S)
         finally:
             del self._open_by_number[number]
-        source = "told" if opened.told is not None else "only version"
+        if len(opened.told) == 1:
+            (digest,) = opened.told
+            self.known.note(stream, digest, self.state.clock())
+            return self._found(digest, services, "told", opened)
+        if not opened.told and len(opened.inferred) == 1:
+            (digest,) = opened.inferred
+            if self._is_possible(digest, service, within_s):
+                return self._found(digest, services, "only version", opened)
         return FoundOrigin(
-            origin=opened.origin,
-            source=source if opened.origin is not None else "unknown",
-            asked=opened.asked,
-            answered=opened.asked - len(opened.waiting),
+            origin=None, source="unknown", asked=opened.asked, answered=opened.answered
         )
 
-    async def _likely_witnesses(self, stream: bytes) -> list[str]:
+    async def _likely_witnesses(self, stream: int) -> list[str]:
         """Return the boxes that may know; one that has just started first waits to hear of any."""
         state = self.state
         gives_up_at = min(state.clock() + ASK_TIMEOUT_S, state.started_at + LEARN_PEERS_S)
@@ -170,13 +195,8 @@
         """Answer another box by what this one knows itself."""
         known = self.known.find(ask.stream, self.state.clock())
         if known is not None:
-            return OriginReply(
-                number=ask.number, service=known.service, build=known.build, is_told=True
-            )
-        inferred = self._infer(ask.services, ask.within_s)
-        if inferred is None:
-            return OriginReply(number=ask.number)
-        return OriginReply(number=ask.number, service=inferred.service, build=inferred.build)
+            return OriginReply(number=ask.number, origin=known, is_told=True)
+        return OriginReply(number=ask.number, origin=self._infer(ask.service, ask.within_s))
 
     def note_reply(self, sender: str, reply: OriginReply) -> None:
         """Take in an answer; one that comes too late is not used."""
@@ -184,21 +204,15 @@
         if opened is not None:
             opened.note(sender, reply)
 
-    def _is_possible(self, origin: StreamOrigin | None, within_s: float) -> bool:
-        """Whether no other build than that of an origin is known to have been listed here."""
-        if origin is None:
-            return True
-        now = self.state.clock()
-        seen = self.state.workers.builds_seen(origin.service, now, within_s=within_s)
-        return seen <= {origin.build}
+    def _is_possible(self, digest: int, service: str, within_s: float) -> bool:
+        """Whether no build with another origin is known to have been listed here."""
+        seen = self.state.workers.builds_seen(service, self.state.clock(), within_s=within_s)
+        return all(StreamOrigin(service=service, build=build).digest == digest for build in seen)
 
-    def _infer(self, services: tuple[str, ...], within_s: float) -> StreamOrigin | None:
-        """Return the only origin that a stream can have, by the workers seen here."""
-        if len(services) != 1:
-            return None
-        now = self.state.clock()
-        build = self.state.workers.only_build(services[0], now, within_s=within_s)
-        return None if build is None else StreamOrigin(service=services[0], build=build)
+    def _infer(self, service: str, within_s: float) -> int:
+        """Return the only origin that a stream of a service can have, by the workers seen here."""
+        build = self.state.workers.only_build(service, self.state.clock(), within_s=within_s)
+        return 0 if build is None else StreamOrigin(service=service, build=build).digest
 
 
 async def _is_set(event: asyncio.Event, timeout_s: float) -> bool:
--- a/src/croftchute/forwarding/origins.py
+++ b/src/croftchute/forwarding/origins.py
@@ -17,11 +17,13 @@
 class FoundOrigin:
     """Where a stream began, and how this is known, for the log.
 
-    ``origin`` is None if it is not known. ``asked`` and ``answered`` count other boxes.
+    ``origin`` is None if it is not known, or if no worker of it was listed lately: ``is_gone``.
+    ``asked`` and ``answered`` count other boxes.
     """
 
     origin: StreamOrigin | None
     source: str
+    is_gone: bool = False
     asked: int = 0
     answered: int = 0
 
@@ -29,14 +31,17 @@
 class OriginDirectory(Protocol):
     """Where streams began, over all boxes."""
 
-    def note_begun(self, stream: bytes, origin: StreamOrigin) -> None:
-        """Record that a caller is about to get a stream's first event."""
+    def note_begun(self, stream: int, alias: int, origin: StreamOrigin) -> None:
+        """Record that a caller is about to get a stream's first event.
+
+        ``stream`` is the key of its try and ``alias`` that of its request.
+        """
         ...
 
     async def find(
-        self, stream: bytes | None, services: tuple[str, ...], *, within_s: float
+        self, key: int, services: tuple[str, ...], *, within_s: float, is_named: bool
     ) -> FoundOrigin:
-        """Return where a stream began; ``stream`` is None if the caller does not name it.
+        """Return where a stream began, by the try that its caller names or by its request alone.
 
         ``services`` are those that a route names now. The stream began ``within_s`` seconds ago at
         most.
@@ -47,11 +52,11 @@
 class UnknownOrigins:
     """A directory that knows no stream, for code that runs without boxes."""
 
-    def note_begun(self, stream: bytes, origin: StreamOrigin) -> None:
+    def note_begun(self, stream: int, alias: int, origin: StreamOrigin) -> None:
         """Do nothing."""
 
     async def find(
-        self, stream: bytes | None, services: tuple[str, ...], *, within_s: float
+        self, key: int, services: tuple[str, ...], *, within_s: float, is_named: bool
     ) -> FoundOrigin:
         """Know nothing."""
         return FoundOrigin(origin=None, source="none")
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -21,7 +21,7 @@
 from croftchute.systems.tracked_worker import TrackedWorker
 from croftchute.systems.worker_choice import ChoiceContext, ChoiceRecord, choose, describe_choice
 from croftchute.tables.organisations import Organisation
-from croftchute.tables.origins import StreamOrigin, stream_key
+from croftchute.tables.origins import StreamOrigin, request_key, stream_key
 from croftchute.tables.routing import (
     EngineTraits,
     RequestFacts,
@@ -278,17 +278,20 @@
         self.build = worker.build
         if self.facts.resume_after is None and self.facts.id:
             origin = StreamOrigin(service=self.service, build=worker.build)
-            self.state.origins.note_begun(
-                stream_key(self.facts.organisation, self.facts.id), origin
-            )
+            stream = stream_key(self.facts.organisation, self.facts.id)
+            self.state.origins.note_begun(stream, request_key(self.digest), origin)
 
     async def find_origin(self) -> bool:
         """Bind a stream that the caller takes up to the build that began it; False if refused."""
         services = tuple(target.service for target in self.route.targets)
         resumes = self.facts.resumes
-        stream = stream_key(self.facts.organisation, resumes) if resumes else None
+        key = request_key(self.digest)
+        if resumes:
+            key = stream_key(self.facts.organisation, resumes)
         within_s = timeouts.stream_age_limit_s(self.route)
-        found = await self.state.origins.find(stream, services, within_s=within_s)
+        found = await self.state.origins.find(
+            key, services, within_s=within_s, is_named=bool(resumes)
+        )
         origin = found.origin
         self.state.metrics.resumed.inc({"outcome": found.source})
         self.log(
@@ -301,6 +304,10 @@
             boxes_asked=found.asked,
             boxes_answered=found.answered,
         )
+        if found.is_gone:
+            detail = "no worker of the software version that began the stream is left"
+            self.refuse(Code.VERSION_GONE, Ran.NOT_RUN, detail)
+            return False
         if origin is None:
             detail = f"it is not known which software version began the stream: {found.source}"
             may_be_known_soon = found.asked == 0 or found.answered < found.asked
@@ -311,10 +318,6 @@
                 expected_wait_s=0.0 if resumes and may_be_known_soon else None,
             )
             return False
-        if origin.service not in services:
-            detail = f"the route no longer leads to {origin.service}, which began the stream"
-            self.refuse(Code.VERSION_GONE, Ran.NOT_RUN, detail)
-            return False
         self.service = origin.service
         self.build = origin.build
         return True
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -251,37 +251,39 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OriginNews:
-    """Tells where a stream began; see :mod:`croftchute.tables.origins`."""
+    """Tells where a stream began, by the digests of :mod:`croftchute.tables.origins`.
 
-    stream: bytes
-    service: str
-    build: str
+    ``alias`` is the key by which callers that don't name the stream are recognised.
+    """
+
+    stream: int
+    alias: int
+    origin: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OriginAsk:
     """Asks where a stream began, ``within_s`` seconds ago at most.
 
-    ``services`` are those that may have begun it.
+    ``service`` is the one that may have begun it, empty if there are several.
     """
 
     number: int
-    stream: bytes
-    services: tuple[str, ...] = ()
+    stream: int
+    service: str = ""
     within_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OriginReply:
-    """The answer to :class:`OriginAsk`; ``build`` is empty if it is not known.
+    """The answer to :class:`OriginAsk`; ``origin`` is 0 if it is not known.
 
-    ``is_told`` says that the box was told of the stream. If not, only the build named can have
-    begun it, by the workers that the box saw listed.
+    ``is_told`` says that the box was told of the stream. If not, only this origin is possible, by
+    the workers that the box saw listed.
     """
 
     number: int
-    service: str = ""
-    build: str = ""
+    origin: int = 0
     is_told: bool = False
 
 
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -311,21 +311,20 @@
 }
 
 struct OriginNews {
-  stream @0 :Data;
-  service @1 :Text;
-  build @2 :Text;
+  stream @0 :UInt64;
+  alias @1 :UInt64;
+  origin @2 :UInt64;
 }
 
 struct OriginAsk {
   number @0 :UInt32;
-  stream @1 :Data;
-  services @2 :List(Text);
+  stream @1 :UInt64;
+  service @2 :Text;
   withinS @3 :Float32;
 }
 
 struct OriginReply {
   number @0 :UInt32;
-  service @1 :Text;
-  build @2 :Text;
-  isTold @3 :Bool;
+  origin @1 :UInt64;
+  isTold @2 :Bool;
 }
--- a/src/croftchute/systems/origin_witnesses.py
+++ b/src/croftchute/systems/origin_witnesses.py
@@ -31,9 +31,9 @@
     """The other boxes by hall, ready to be ranked for one stream after the other.
 
     >>> ranking = WitnessRanking(hall_by_box={"a1": "a", "a2": "a", "b1": "b"})
-    >>> sorted(ranking.choose(b"12345678", "b"))[1]
+    >>> sorted(ranking.choose(12345678, "b"))[1]
     'b1'
-    >>> ranking.likely(b"12345678")
+    >>> ranking.likely(12345678)
     ['a1', 'a2', 'b1']
     """
 
@@ -43,7 +43,7 @@
             self._boxes_by_hall.setdefault(hall, []).append((_node(box), box))
         self._node_by_hall = {hall: _node(hall) for hall in self._boxes_by_hall}
 
-    def choose(self, key: bytes, own_hall: str) -> list[str]:
+    def choose(self, key: int, own_hall: str) -> list[str]:
         """Return the boxes to tell of a stream that began in a hall."""
         chosen = _best(key, self._boxes_by_hall.get(own_hall, []), 1)
         halls = [(node, hall) for hall, node in self._node_by_hall.items() if hall != own_hall]
@@ -59,7 +59,7 @@
             chosen += _best(key, others, WITNESSES - len(chosen))
         return chosen
 
-    def likely(self, key: bytes) -> list[str]:
+    def likely(self, key: int) -> list[str]:
         """Return the boxes to ask about a stream, whichever box began it."""
         return sorted(
             box
@@ -72,7 +72,6 @@
     return int(xxhash.xxh3_64_intdigest(name.encode()))
 
 
-def _best(key: bytes, entries: Sequence[tuple[int, str]], count: int) -> list[str]:
-    number = int.from_bytes(key, "big")
-    weighted = [((node ^ number) * MULTIPLIER & MASK, box) for node, box in entries]
+def _best(key: int, entries: Sequence[tuple[int, str]], count: int) -> list[str]:
+    weighted = [((node ^ key) * MULTIPLIER & MASK, box) for node, box in entries]
     return [box for _, box in heapq.nlargest(count, weighted)]
--- a/src/croftchute/systems/stream_origins.py
+++ b/src/croftchute/systems/stream_origins.py
@@ -1,16 +1,14 @@
-"""A bounded table of where streams began."""
+"""A bounded table of where streams began, by the digests of `croftchute.tables.origins`."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-from croftchute.tables.origins import StreamOrigin
-
 KEPT_S = 600.0
 """Seconds for which an origin is kept, if there is room: longer than streams last."""
 
 MAX_ORIGINS = 16384
-"""Most origins kept, some 4 MB: two minutes of 39 streams a second and of those that others tell of
+"""Most origins kept, some 3 MB: two minutes of 39 streams a second and of those that others tell of
 as many."""
 
 
@@ -18,7 +16,7 @@
 class _Entry:
     """An origin, or None if the box was told of two different ones."""
 
-    origin: StreamOrigin | None
+    origin: int | None
     noted_at: float
 
 
@@ -26,12 +24,12 @@
 class StreamOrigins:
     """Origins by stream key, the oldest first."""
 
-    _entries_by_key: dict[bytes, _Entry] = field(default_factory=dict)
+    _entries_by_key: dict[int, _Entry] = field(default_factory=dict)
 
     def __len__(self) -> int:
         return len(self._entries_by_key)
 
-    def note(self, key: bytes, origin: StreamOrigin, now: float) -> None:
+    def note(self, key: int, origin: int, now: float) -> None:
         """Keep an origin. Of two that differ neither is believed."""
         self._forget(now)
         known = self._entries_by_key.pop(key, None)
@@ -39,7 +37,7 @@
         kept = None if is_disputed else origin
         self._entries_by_key[key] = _Entry(origin=kept, noted_at=now)
 
-    def find(self, key: bytes, now: float) -> StreamOrigin | None:
+    def find(self, key: int, now: float) -> int | None:
         """Return where a stream began, or None if that is not known."""
         entry = self._entries_by_key.get(key)
         if entry is None or now - entry.noted_at > KEPT_S:
--- a/src/croftchute/tables/origins.py
+++ b/src/croftchute/tables/origins.py
@@ -5,8 +5,9 @@
 import hashlib
 from dataclasses import dataclass
 
-KEY_BYTES = 8
-"""Length of a stream's key; two of the streams that are kept at a time don't share one."""
+DIGEST_BYTES = 8
+"""Length of digests in messages, which go out with each stream: two of the streams that are kept at
+a time, or of the builds that serve, don't share one."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -19,12 +20,31 @@
     service: str
     build: str
 
+    @property
+    def digest(self) -> int:
+        """A number that stands for the origin in messages; never 0."""
+        return _digest(self.service, self.build, b"croftchute-ori") or 1
 
-def stream_key(organisation: str, request_id: str) -> bytes:
+
+def stream_key(organisation: str, request_id: str) -> int:
     """Return the key of the stream that a try of an organisation's caller began.
 
     >>> stream_key("", "r1") == stream_key("another", "r1")
     False
     """
-    text = f"{organisation}\n{request_id}".encode("utf-8", "surrogatepass")
-    return hashlib.blake2b(text, digest_size=KEY_BYTES, person=b"croftchute-str").digest()
+    return _digest(organisation, request_id, b"croftchute-str")
+
+
+def request_key(request_digest: str) -> int:
+    """Return the key of the streams of a request that its callers repeat without naming the first.
+
+    Requests of one digest (see :mod:`croftchute.tables.crashes`) share it: if they began at
+    different workers, none of them is known by it.
+    """
+    return _digest("", request_digest, b"croftchute-req")
+
+
+def _digest(first: str, second: str, kind: bytes) -> int:
+    text = f"{first}\n{second}".encode("utf-8", "surrogatepass")
+    digest = hashlib.blake2b(text, digest_size=DIGEST_BYTES, person=kind).digest()
+    return int.from_bytes(digest, "big")
--- a/tests/systems/test_stream_origins.py
+++ b/tests/systems/test_stream_origins.py
@@ -1,27 +1,27 @@
 from croftchute.systems.stream_origins import KEPT_S, MAX_ORIGINS, StreamOrigins
 from croftchute.tables.origins import StreamOrigin, stream_key
 
-V1 = StreamOrigin(service="llm", build="v1")
-V2 = StreamOrigin(service="llm", build="v2")
+V1 = StreamOrigin(service="llm", build="v1").digest
+V2 = StreamOrigin(service="llm", build="v2").digest
 
 
 def test_an_origin_is_kept_until_it_is_old():
     origins = StreamOrigins()
-    origins.note(b"a", V1, 0.0)
-    assert origins.find(b"a", KEPT_S) == V1
-    assert origins.find(b"a", KEPT_S + 1.0) is None
-    assert origins.find(b"b", 0.0) is None
+    origins.note(1, V1, 0.0)
+    assert origins.find(1, KEPT_S) == V1
+    assert origins.find(1, KEPT_S + 1.0) is None
+    assert origins.find(2, 0.0) is None
 
 
 def test_of_two_origins_neither_is_believed():
     """Two tries under one id, begun at two versions, would have been taken for one stream."""
     origins = StreamOrigins()
-    origins.note(b"a", V1, 0.0)
-    origins.note(b"a", V1, 0.1)
-    assert origins.find(b"a", 0.2) == V1
-    origins.note(b"a", V2, 0.2)
-    origins.note(b"a", V1, 0.3)
-    assert origins.find(b"a", 0.4) is None
+    origins.note(1, V1, 0.0)
+    origins.note(1, V1, 0.1)
+    assert origins.find(1, 0.2) == V1
+    origins.note(1, V2, 0.2)
+    origins.note(1, V1, 0.3)
+    assert origins.find(1, 0.4) is None
 
 
 def test_memory_is_bounded_and_the_oldest_go_first():
