--- a/src/croftchute/systems/stream_origins.py
+++ b/src/croftchute/systems/stream_origins.py
@@ -8,8 +8,8 @@
 """Seconds for which an origin is kept, if there is room: longer than streams last."""
 
 MAX_ORIGINS = 16384
-"""Most origins kept, some 3 MB: two minutes of 39 streams a second and of those that others tell of
-as many."""
+"""Most origins kept, some 3 MB: a minute of 39 streams a second and of those that others tell, each
+under two keys."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
