--- a/tests/platform_adapter/test_software_versions.py
+++ b/tests/platform_adapter/test_software_versions.py
@@ -284,3 +284,45 @@
                 assert made.workers_by_id["llm-decode"].runs_of(f"t{number}") == began[number]
 
     run(body)
+
+
+def test_streams_go_on_at_their_version_when_boxes_are_killed_in_turn():
+    """The box that had taken a stream up must not be the only one to know it."""
+
+    async def body():
+        async with fleet() as made:
+            await add_engines(made, TWO_EACH)
+            await add_boxes(made)
+            first, second, third = made.boxes
+            streams, tries = await begin([first], 16)
+            kill(first)
+            await asyncio.gather(*tries)
+            tries = [asyncio.create_task(stream.ask(second)) for stream in streams]
+            await asyncio.sleep(0.4)
+            kill(second)
+            await asyncio.gather(*tries)
+            cut = [stream for stream in streams if not stream.is_complete]
+            assert len(cut) >= 8
+            await asyncio.gather(*(stream.ask(third) for stream in cut))
+            assert [stream.software for stream in streams if len(stream.software) > 1] == []
+            assert all(stream.is_complete for stream in streams)
+
+    run(body)
+
+
+def test_callers_without_resumes_are_known_by_their_requests():
+    """They were refused wherever the version was not certain, or taken to any."""
+
+    async def body():
+        async with fleet() as made:
+            await add_engines(made, TWO_EACH)
+            await add_boxes(made)
+            first, *others = made.boxes
+            streams, tries = await begin([first], 16, is_named=False)
+            kill(first)
+            await asyncio.gather(*tries)
+            await asyncio.gather(*(stream.ask(others[n % 2]) for n, stream in enumerate(streams)))
+            assert [stream.software for stream in streams if len(stream.software) > 1] == []
+            assert all(stream.is_complete for stream in streams)
+
+    run(body)
--- a/tests/platform_adapter/version_fleet.py
+++ b/tests/platform_adapter/version_fleet.py
@@ -47,9 +47,13 @@
 
 @dataclass
 class Stream:
-    """One stream over all tries of its caller; ``first_id`` is the try of the first event."""
+    """One stream over all tries of its caller; ``first_id`` is the try of the first event.
+
+    A caller that is not ``is_named`` takes it up without Resumes, by a body of its own.
+    """
 
     name: str
+    is_named: bool = True
     answers: list = field(default_factory=list)
     first_id: str = ""
     seconds: float = 0.0
@@ -77,11 +81,12 @@
         headers = list(extra)
         if self.last_event:
             headers.append(f"Last-Event-Id: {self.last_event}")
-            if not any(line.startswith("Resumes") for line in extra):
+            if self.is_named and not any(line.startswith("Resumes") for line in extra):
                 headers.append(f"Resumes: {self.first_id}")
         had = self.last_event
         began_at = time.monotonic()
-        options = {"deadline": 8000} | options
+        body = b"hello" if self.is_named else f"body of {self.name}".encode()
+        options = {"deadline": 8000, "body": body} | options
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             self.answers.append(await ask(box, path, request_id, extra=headers, **options))
         self.seconds = time.monotonic() - began_at
@@ -90,12 +95,14 @@
         return self.answers[-1] if self.answers else None
 
 
-async def begin(boxes, count, *, prefix="s"):
+async def begin(boxes, count, *, prefix="s", is_named=True):
     """Start some streams at each box, one after the other so that they spread over the engines.
 
     Return them and their first tries, once each stream has had an event.
     """
-    streams = [Stream(f"{prefix}{number}") for number in range(count * len(boxes))]
+    streams = [
+        Stream(f"{prefix}{number}", is_named=is_named) for number in range(count * len(boxes))
+    ]
     tries = []
     for number, stream in enumerate(streams):
         tries.append(asyncio.create_task(stream.ask(boxes[number % len(boxes)])))
