Pass on the last event of a stream that a caller takes up at a cut-off box

Cause: a box that had tried itself and kept its refusal back passed the request on with the last event of that refusal, which had none, in place of the caller's. Change: the caller's last event counts unless the box itself sent later ones.

--- a/src/croftchute/forwarding/boxes/peer_forwarding.py
+++ b/src/croftchute/forwarding/boxes/peer_forwarding.py
@@ -93,8 +93,9 @@
 
     async def _forward(self, run: RequestRun) -> bool:
         withheld = run.withheld
+        last_event = withheld.last_event if withheld is not None else None
         progress = _Progress(
-            last_event=withheld.last_event if withheld else run.facts.resume_after,
+            last_event=run.facts.resume_after if last_event is None else last_event,
             attempts=len(run.workers_sent_to),
             may_have_run=withheld is not None and withheld.ran is not Ran.NOT_RUN,
         )
