Give a stream up whose worker was replaced while it sent it

A worker restarted under its name with other software, and its new entry came 0.7 s late: a stream that began there meanwhile was bound to the old version, and went on at it when the entry came. Change: if a worker is replaced by one of other software while a bound stream is open there, either process may have sent its events: the stream is cut off, and its origin is withdrawn at the boxes that were told, so that no box continues it.

--- a/src/croftchute/forwarding/boxes/stream_origins.py
+++ b/src/croftchute/forwarding/boxes/stream_origins.py
@@ -79,9 +79,15 @@
 
     def note_begun(self, stream: int, alias: int, origin: StreamOrigin) -> None:
         """Keep a stream's origin, and tell the boxes that keep it for others."""
-        news = OriginNews(stream=stream, alias=alias, origin=origin.digest)
+        self._tell(OriginNews(stream=stream, alias=alias, origin=origin.digest))
+
+    def note_doubtful(self, stream: int, alias: int) -> None:
+        """Have a stream's origin believed no longer, here and where it was told."""
+        self._tell(OriginNews(stream=stream, alias=alias, origin=0))
+
+    def _tell(self, news: OriginNews) -> None:
         self.hear(news)
-        witnesses = self._ranking(self.state.clock()).choose(stream, self.state.zone)
+        witnesses = self._ranking(self.state.clock()).choose(news.stream, self.state.zone)
         self.exchange.tell_all(witnesses, news)
 
     def hear(self, news: OriginNews) -> None:
--- a/src/croftchute/forwarding/origins.py
+++ b/src/croftchute/forwarding/origins.py
@@ -38,6 +38,10 @@
         """
         ...
 
+    def note_doubtful(self, stream: int, alias: int) -> None:
+        """Record that it is not certain where a stream began, though it was recorded."""
+        ...
+
     async def find(
         self, key: int, services: tuple[str, ...], *, within_s: float, is_named: bool
     ) -> FoundOrigin:
@@ -55,6 +59,9 @@
     def note_begun(self, stream: int, alias: int, origin: StreamOrigin) -> None:
         """Do nothing."""
 
+    def note_doubtful(self, stream: int, alias: int) -> None:
+        """Do nothing."""
+
     async def find(
         self, key: int, services: tuple[str, ...], *, within_s: float, is_named: bool
     ) -> FoundOrigin:
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -281,6 +281,11 @@
             stream = stream_key(self.facts.organisation, self.facts.id)
             self.state.origins.note_begun(stream, request_key(self.digest), origin)
 
+    def doubt_origin(self) -> None:
+        """Have no box continue the stream: its events may be of another build than believed."""
+        stream = stream_key(self.facts.organisation, self.facts.resumes or self.facts.id)
+        self.state.origins.note_doubtful(stream, request_key(self.digest))
+
     async def find_origin(self) -> bool:
         """Bind a stream that the caller takes up to the build that began it; False if refused."""
         services = tuple(target.service for target in self.route.targets)
@@ -318,8 +323,7 @@
                 expected_wait_s=0.0 if resumes and may_be_known_soon else None,
             )
             return False
-        self.service = origin.service
-        self.build = origin.build
+        self.bind_origin(origin)
         return True
 
     def completion_time_selector(
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -37,6 +37,8 @@
 class StreamProgress:
     """How much of the stream the caller has received, and the state of the attempts.
 
+    ``is_doubtful``: the worker's process was replaced by one with other software while it sent the
+    stream, and either may have sent the events.
     ``may_retry_at_once``: a rejected prefill used up the last attempt. The caller's next try needs
     no prefill worker, so it may come at once.
     """
@@ -50,6 +52,7 @@
     detail: str = "no usable worker is known"
     serving_worker: str = ""
     may_retry_at_once: bool = False
+    is_doubtful: bool = False
 
 
 class StreamRun:
@@ -74,7 +77,9 @@
             self.run.exchange.finish()
             await finish_answer(self.run, 200, progress.serving_worker)
         elif self.run.exchange.is_started:
-            is_left = self.run.withhold_rest(progress.detail, last_event=progress.last_event)
+            is_left = not progress.is_doubtful and self.run.withhold_rest(
+                progress.detail, last_event=progress.last_event
+            )
             if not is_left:
                 self.run.abort_answer(progress.detail)
         else:
@@ -129,6 +134,8 @@
         progress = self.progress
         if progress.is_complete or progress.is_answered or self.run.crashes_workers:
             return True
+        if progress.is_doubtful:
+            return True
         return progress.may_have_run and not self.run.route.may_repeat
 
     def _are_prefill_workers_in_backoff(self) -> bool:
@@ -181,11 +188,25 @@
             self.prefill.invalidate_handle()
             call.record_failure(error)
             progress.code, progress.detail = error.code, error.message
+            self._check_origin(call)
             if error.code is Code.UPSTREAM_FAILED:
                 self.reservation.cached_worker_id = tracked.worker.id
         finally:
             call.close()
 
+    def _check_origin(self, call: WorkerCall) -> None:
+        """Give the stream up if its worker turns out to be another process than believed.
+
+        The process that was listed has ended, and its connections with it: what was still open then
+        may lead to the one that has its place.
+        """
+        run = self.run
+        if run.build is None or not run.state.workers.has_changed_build(call.tracked):
+            return
+        run.doubt_origin()
+        self.progress.is_doubtful = True
+        self.progress.detail = f"{call.worker.id} was replaced by a worker of other software"
+
     async def _receive_answer(self, call: WorkerCall, source: PrefillHandle | None) -> None:
         run = self.run
         wait_s = run.time_left_s
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -253,7 +253,8 @@
 class OriginNews:
     """Tells where a stream began, by the digests of :mod:`croftchute.tables.origins`.
 
-    ``alias`` is the key by which callers that don't name the stream are recognised.
+    ``alias`` is the key by which callers that don't name the stream are recognised; ``origin`` is 0
+    if an earlier one is in doubt.
     """
 
     stream: int
--- a/src/croftchute/systems/stream_origins.py
+++ b/src/croftchute/systems/stream_origins.py
@@ -30,7 +30,7 @@
         return len(self._entries_by_key)
 
     def note(self, key: int, origin: int, now: float) -> None:
-        """Keep an origin. Of two that differ neither is believed."""
+        """Keep an origin, 0 for one in doubt. Of two that differ neither is believed."""
         self._forget(now)
         known = self._entries_by_key.pop(key, None)
         is_disputed = known is not None and known.origin != origin
@@ -42,7 +42,7 @@
         entry = self._entries_by_key.get(key)
         if entry is None or now - entry.noted_at > KEPT_S:
             return None
-        return entry.origin
+        return entry.origin or None
 
     def _forget(self, now: float) -> None:
         """Drop what is too old, and the oldest if there are too many."""
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -248,6 +248,12 @@
         self._note_listed(service, now)
         return self.history.builds(service, now, within_s=within_s)
 
+    def has_changed_build(self, tracked: TrackedWorker) -> bool:
+        """Return whether a worker has restarted as another instance with other software."""
+        current = self._current_by_name.get(tracked.worker.list_name)
+        is_same = current is not None and current.worker.build == tracked.worker.build
+        return tracked.has_ended and not is_same
+
     def _note_listed(self, service: str, now: float) -> None:
         for tracked in self.of_service(service):
             self.history.note_listed(tracked.worker, now)
