--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -84,6 +84,7 @@
         self.connect_failures = 0
         self.first_byte_at: float | None = None
         self.last_worker = ""
+        self.worker_heard_at: float | None = None
         self.has_not_run = False
         self.build: str | None = None
         self.is_part_trial = False
@@ -612,9 +613,24 @@
         crashes = self.state.crashes.crash_count(self.digest)
         return f"{crashes} workers crashed while running this request of the same caller"
 
-    def abort_answer(self, reason: str) -> None:
-        """Abort an answer that has started, so that it can't be taken for a complete one."""
+    def abort_answer(self, reason: str, **inputs: object) -> None:
+        """Abort an answer that has started, so that it can't be taken for a complete one.
+
+        ``inputs`` are logged beside what is known of the worker, the configuration and the links.
+        """
         self.exchange.abort()
         labels = {"route": self.route.name, "outcome": "broken"}
         self.state.metrics.requests.inc(labels)
-        self.log(Decision.REQUEST_BROKEN, outcome=reason, worker=self.last_worker)
+        heard_at = self.worker_heard_at
+        self.log(
+            Decision.REQUEST_BROKEN,
+            outcome=reason,
+            worker=self.last_worker,
+            silent_ms=None if heard_at is None else round((self.now - heard_at) * 1000),
+            time_left_ms=round(self.time_left_s * 1000),
+            workers_tried=len(self.workers_sent_to),
+            links_lost=self.state.links.are_lost,
+            config_version=self.state.table.version if self.state.table else 0,
+            config_age_s=round(self.now - self.state.table_at, 3),
+            **inputs,
+        )
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -81,7 +81,9 @@
                 progress.detail, last_event=progress.last_event
             )
             if not is_left:
-                self.run.abort_answer(progress.detail)
+                self.run.abort_answer(
+                    progress.detail, events=progress.event_count, last_event=progress.last_event
+                )
         else:
             self._refuse()
 
@@ -127,6 +129,7 @@
                 self.progress.may_retry_at_once = self._are_prefill_workers_in_backoff()
                 return
             if not run.spend_retry_budget():
+                self.progress.detail = f"no repeat is allowed: {self.progress.detail}"
                 return
             await self._decode(*found, source)
 
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -95,6 +95,7 @@
         run = self.run
         worker = self.worker
         run.last_worker = worker.id
+        run.worker_heard_at = run.now
         self._is_counted = True
         self.tracked.sent_at_by_call[self] = run.now
         run.state.workers.note_sent(worker.id, self._tokens)
@@ -140,7 +141,7 @@
         """Read the answer's head; raise AnswerLateError or ConnectionBrokenError."""
         assert self.connection is not None
         head = await within(self.connection.read_head(), timeout_s, "no head")
-        self.run.state.links.note_heard(self.run.now)
+        self._note_heard()
         record_advice(self.run.state, self.worker, head, call=self._call_kind)
         record_load(self.run.state, self.worker, head)
         return head
@@ -149,7 +150,7 @@
         """Read the next chunk of the body; empty at its end."""
         assert self.connection is not None
         chunk = await within(self.connection.read_part(), timeout_s, "no chunk of the body")
-        self.run.state.links.note_heard(self.run.now)
+        self._note_heard()
         now = self.run.now
         if self.began_at is None:
             self.began_at = now
@@ -157,6 +158,12 @@
             self._note_written(self.began_at)
         return chunk
 
+    def _note_heard(self) -> None:
+        """Record that the worker has sent something."""
+        now = self.run.now
+        self.run.worker_heard_at = now
+        self.run.state.links.note_heard(now)
+
     async def read_body(self, timeout_s: float) -> bytes:
         """Read the rest of the answer."""
         assert self.connection is not None
