--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -103,6 +103,8 @@
         self._server: asyncio.Server | None = None
         self._dead_port: socket.socket | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._is_running = asyncio.Event()
+        self._is_running.set()
 
     async def start(self) -> int:
         """Listen on some port; returns it."""
@@ -132,6 +134,19 @@
         self._dead_port.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._dead_port.bind(("127.0.0.1", self.port))
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the worker stands still."""
+        return not self._is_running.is_set()
+
+    def pause(self) -> None:
+        """Stand still like a stopped process: the kernel takes what comes, and nothing is done."""
+        self._is_running.clear()
+
+    def resume(self) -> None:
+        """Go on after a pause: what came meanwhile is read, closed connections are noticed."""
+        self._is_running.set()
+
     def reset_connections(self) -> None:
         """Reset all connections, as a process that ends does; the port goes on being served."""
         for writer in list(self._writers):
@@ -169,6 +184,7 @@
         self._writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             async for request in requests(reader):
+                await self._is_running.wait()
                 self.received.append(request)
                 if not await self._answer(request, reader, writer):
                     break
@@ -308,18 +324,27 @@
 
     async def _work(self, request: Received, reader: asyncio.StreamReader) -> bool:
         """Work for a while; False if the caller's connection was closed meanwhile."""
-        if self.work_s <= 0.0:
+        return await self._spend(self.work_s, request, reader)
+
+    async def _spend(self, seconds: float, request: Received, reader: asyncio.StreamReader) -> bool:
+        """Be busy for some time, and for a pause of the worker; False if the connection closed."""
+        if seconds <= 0.0 and not self.is_paused:
             return True
+        closing = asyncio.ensure_future(self._wait_for_close(request, reader))
         try:
-            async with asyncio.timeout(self.work_s):
-                await self._wait_for_close(request, reader)
-        except TimeoutError:
-            return True
-        return False
+            await asyncio.wait({closing}, timeout=seconds)
+            await self._is_running.wait()
+            # A connection that was closed during a pause is noticed at its end.
+            await asyncio.sleep(0)
+            return not closing.done()
+        finally:
+            closing.cancel()
+            await asyncio.wait({closing})
 
     async def _wait_for_close(self, request: Received, reader: asyncio.StreamReader) -> None:
         with contextlib.suppress(ConnectionError):
             await reader.read(1)
+        await self._is_running.wait()
         self.dropped.append(request.id)
 
     def _whole(self, request: Received, writer: asyncio.StreamWriter) -> bool:
@@ -399,14 +424,7 @@
 
     async def _pause(self, request: Received, reader: asyncio.StreamReader) -> bool:
         gap_s = self.slow_gap_s if SLOW_PATH in request.path else self.gap_s
-        if gap_s <= 0.0:
-            return True
-        try:
-            async with asyncio.timeout(gap_s):
-                await self._wait_for_close(request, reader)
-        except TimeoutError:
-            return True
-        return False
+        return await self._spend(gap_s, request, reader)
 
     async def _is_read(self, request: Received, writer: asyncio.StreamWriter) -> bool:
         """Whether the stream is read; it is cut off if nothing of it is for too long."""
