Give up what a silent engine runs only once another one goes on with the stream

Callers saw their streams reset while their engine, which was sound, was silent for about a second: the box ended the attempt after 0.9 s without an event and only then looked for another engine.

Cause: an attempt was ended before its successor was secured. Class: work is given up on a suspicion, and what replaces it may fail.

A silent attempt now stays open while a successor is looked for; the one that has something to say first is heeded, and the others are ended. A successor counts only with its first event. The retry budget is asked before room is, a worker that owes this box an answer to a call for room is not asked again, and the searches of a box are bounded and halved by each worker that does not answer, so that many boxes before a service that pauses do not ask for room at once. Another box that is asked because all links are lost ends the silent attempts only when it has the stream.

--- a/src/croftchute/forwarding/boxes/peer_forwarding.py
+++ b/src/croftchute/forwarding/boxes/peer_forwarding.py
@@ -87,8 +87,9 @@
             return await self._forward(run)
         except asyncio.CancelledError:
             has_left = run.exchange.caller_has_left and not run.exchange.is_cut_off
-            kind = Decision.CALLER_LEFT if has_left else Decision.REQUEST_BROKEN
-            run.log(kind, peer=run.forwarded_to)
+            if has_left or run.outstanding is None:
+                kind = Decision.CALLER_LEFT if has_left else Decision.REQUEST_BROKEN
+                run.log(kind, peer=run.forwarded_to)
             raise
 
     async def _forward(self, run: RequestRun) -> bool:
@@ -109,12 +110,10 @@
             if ended is _Ended.ANSWERED:
                 return True
             if ended is _Ended.BROKEN and not self._may_repeat(run, progress):
-                self._give_up(run, progress)
-                return True
+                return self._give_up(run, progress)
         is_withheld_true = withheld is not None and withheld.ran is not Ran.NOT_RUN
         if progress.may_have_run and not is_withheld_true:
-            self._give_up(run, progress)
-            return True
+            return self._give_up(run, progress)
         return False
 
     def _choose(self, asked: set[str], now: float, *, is_begun: bool) -> Peer | None:
@@ -150,6 +149,7 @@
             )
             if was_answered(head):
                 run.forwarded_to = peer.id
+                run.close_outstanding()
                 await self._relay(run, connection, head, progress)
                 ended, outcome = _Ended.ANSWERED, "answered"
             else:
@@ -292,10 +292,14 @@
             and progress.attempts < run.route.max_attempts
         )
 
-    def _give_up(self, run: RequestRun, progress: _Progress) -> None:
+    def _give_up(self, run: RequestRun, progress: _Progress) -> bool:
+        """Refuse or abort; return False instead while workers of this box may still answer."""
+        if run.outstanding is not None:
+            return False
         if run.exchange.is_started:
             run.abort_answer(progress.detail)
-            return
+            return True
         is_late = run.time_left_s <= 0.0
         code = Code.UPSTREAM_SLOW if is_late else Code.UPSTREAM_FAILED
         run.refuse_finally(Withheld(code=code, ran=Ran.UNKNOWN, detail=progress.detail))
+        return True
--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
@@ -27,6 +28,9 @@
 
 NO_CONFIG_RETRY_AFTER_S = 0.5
 
+ASK_BOXES_AGAIN_S = 0.5
+"""Seconds until other boxes are asked again to go on with what silent workers run here."""
+
 STOPPING_RETRY_AFTER_S = 0.05
 """Seconds after which a caller of a stopping process may retry. By then the load balancer sends new
 connections to other processes. The delay is short, but prevents a busy loop."""
@@ -94,12 +98,44 @@
             return
         if self.state.links.are_lost and await self._serve_while_cut_off(run):
             return
-        await self._run_within_limit(run)
-        if run.withheld is not None:
-            self.state.budget(run.service).retract_request(run.started_at)
-            await self.settle_links()
-            if not (self.state.links.are_lost and await self.peers.forward(run)):
-                run.refuse_finally(run.withheld)
+        try:
+            await self._run_within_limit(run)
+            while run.withheld is not None:
+                await self._serve_withheld(run, run.withheld)
+        finally:
+            run.close_outstanding()
+
+    async def _serve_withheld(self, run: RequestRun, withheld: Withheld) -> None:
+        """Have another box serve a request, go on with it here if none does, or refuse it."""
+        state = self.state
+        await self.settle_links()
+        if state.links.are_lost and await self._forward_unless_heard(run):
+            run.withheld = None
+            state.budget(run.service).retract_request(run.started_at)
+            return
+        run.withheld = None
+        if run.outstanding is None:
+            run.refuse_finally(withheld)
+            return
+        run.ask_boxes_at = run.now + ASK_BOXES_AGAIN_S
+        await run.outstanding.serve_on()
+
+    async def _forward_unless_heard(self, run: RequestRun) -> bool:
+        """Have another box serve a request; return False if none does, or a worker speaks first."""
+        outstanding = run.outstanding
+        if outstanding is None:
+            return await self.peers.forward(run)
+        forwarding = asyncio.ensure_future(self.peers.forward(run))
+        hearing = asyncio.ensure_future(outstanding.until_heard())
+        try:
+            await asyncio.wait({forwarding, hearing}, return_when=asyncio.FIRST_COMPLETED)
+            if run.outstanding is not None and not forwarding.done():
+                return False
+            return await forwarding
+        finally:
+            for task in (forwarding, hearing):
+                task.cancel()
+            await asyncio.wait({forwarding, hearing})
 
     async def handle_forwarded(self, exchange: Exchange, terms: ForwardTerms) -> bool:
         """Serve a request that another box passed on; False if it has not run and may not here."""
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -67,6 +67,8 @@
     READ_AT_DECODE = "read_at_decode"
     REQUEST_SENT = "request_sent"
     ATTEMPT_ENDED = "attempt_ended"
+    WORKER_SILENT = "worker_silent"
+    SILENCE_ENDED = "silence_ended"
     STREAM_RESUMED = "stream_resumed"
     ORIGIN_LOOKED_UP = "origin_looked_up"
     LIMIT_DENIED = "limit_denied"
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -27,6 +27,7 @@
 from croftchute.storage.position import era_of, told
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.crash_records import CrashRecords
+from croftchute.systems.failover_pace import FailoverPace
 from croftchute.systems.fair_shares import OrganisationUse, ShareUsage, share_usage_by_name
 from croftchute.systems.first_tries import FirstTryTimes
 from croftchute.systems.part_crashes import PartCrashes
@@ -149,6 +150,7 @@
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     knowledge_limits: SilenceLimits = KNOWLEDGE
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
+    failover_paces_by_service: dict[str, FailoverPace] = field(default_factory=dict)
     demand_by_service: dict[str, RecentDemand] = field(default_factory=dict)
     room_by_service: dict[str, RoomHistory] = field(default_factory=dict)
     ranked_room_by_service: dict[str, RoomWaitsByRank] = field(default_factory=dict)
@@ -234,6 +236,10 @@
         """What was asked of a service at this box."""
         return self.demand_by_service.setdefault(service, RecentDemand())
 
+    def failover_pace(self, service: str) -> FailoverPace:
+        """How many requests of a service may look for another worker at a time, at this box."""
+        return self.failover_paces_by_service.setdefault(service, FailoverPace())
+
     def room(self, service: str) -> RoomHistory:
         """What requests waited for room at the engines of a service, at this box."""
         return self.room_by_service.setdefault(service, RoomHistory())
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -34,6 +34,11 @@
         self.requests = Counter("croftchute_requests_total", "Requests by route and outcome", **own)
         self.decisions = Counter("croftchute_decisions_total", "Log lines by kind", **own)
         self.sends = Counter("croftchute_sends_total", "Sends to workers by outcome", **own)
+        self.silences = Counter(
+            "croftchute_worker_silences_total",
+            "Requests whose workers fell silent, by how they went on",
+            **own,
+        )
         self.wishes = Counter(
             "croftchute_worker_wishes_total",
             "Answers that said anew what their worker wants (leaving, rest, limit), by call",
--- a/src/croftchute/forwarding/workers/decode_reservation.py
+++ b/src/croftchute/forwarding/workers/decode_reservation.py
@@ -46,6 +46,7 @@
         self._has_tried_cached_worker = False
         self._permit_worker: Worker | None = None
         self._usage = RequestUsage(run=run)
+        self._was_silent = False
 
     async def reserve(self) -> tuple[TrackedWorker, ChoiceRecord] | None:
         """Reserve room at a decode worker, waiting while all are full; None if there is none."""
@@ -94,6 +95,23 @@
                 policy.waited(interval_s, run.now)
                 run.full_workers.clear()
 
+    async def reserve_now(self) -> tuple[TrackedWorker, ChoiceRecord] | None:
+        """Reserve room at a decode worker for a request whose worker is silent, without a wait.
+
+        It asks until one worker does not answer in time: then the others may be silent too.
+        """
+        run = self.run
+        self.code = None
+        self.detail = ""
+        run.full_workers.clear()
+        with closing(self._wait_policy(is_begun=run.exchange.is_started)) as policy:
+            if run.is_cut_off or not policy.may_ask(run.now):
+                return None
+            found = await self._ask_for_room(ends_on_silence=True)
+            if found is not None:
+                policy.granted(run.now)
+            return found
+
     def _wait_policy(self, *, is_begun: bool) -> RoomWaitPolicy:
         """Return how the request waits; a stream that has begun does not queue by rank."""
         run = self.run
@@ -145,9 +163,15 @@
         )
         return False
 
-    async def _ask_for_room(self) -> tuple[TrackedWorker, ChoiceRecord] | None:
-        """Ask the decode workers in order of choice; None if none has room."""
+    async def _ask_for_room(
+        self, *, ends_on_silence: bool = False
+    ) -> tuple[TrackedWorker, ChoiceRecord] | None:
+        """Ask the decode workers in order of choice; None if none has room.
+
+        A worker that still owes this box an answer to such a call is not asked again.
+        """
         run = self.run
+        self._was_silent = False
         engine = run.engine
         if (
             engine is not None
@@ -163,12 +187,14 @@
                     self._permit_worker = found[0].worker
                     return found
                 continue
-            if found[0].full_until > run.now:
+            if found[0].full_until > run.now or found[0].late_holds:
                 run.full_workers.add(found[0].worker.id)
                 self._set_no_room(found[0])
                 continue
             if await self._reserve_if_permitted(*found, engine):
                 return found
+            if ends_on_silence and self._was_silent:
+                return None
 
     async def _reserve_at_cached_worker(
         self, engine: EngineTraits
@@ -218,8 +244,10 @@
         )
         outcome = "granted"
         asked_at = run.now
+        pace = run.state.failover_pace(run.service)
         try:
             self.hold = await acquire_hold(run.state, tracked.worker, tokens, engine.hold_ttl_s)
+            pace.note_answered()
             if self.hold is None:
                 outcome = "no_room"
                 run.full_workers.add(tracked.worker.id)
@@ -229,10 +257,11 @@
                 self._set_no_room(tracked)
         except ExchangeError as error:
             outcome = error.code.value
+            self._was_silent = error.code is Code.UPSTREAM_SLOW
             # A late worker may have room once its link is less busy, so it counts as full.
-            (run.full_workers if error.code is Code.UPSTREAM_SLOW else run.avoid).add(
-                tracked.worker.id
-            )
+            (run.full_workers if self._was_silent else run.avoid).add(tracked.worker.id)
+            if self._was_silent:
+                pace.note_silent(run.now)
             run.state.workers.note_failure(tracked.worker.id, 1.0, run.now)
             run.state.note_link_trouble(error, since=asked_at)
             self.detail = error.message
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.decision_log import MAX_LOGGED_CHARS, MAX_LOGGED_PARTS, Decision
 from croftchute.forwarding.dialect import Refusal
@@ -33,6 +35,23 @@
     Worker,
 )
 
+
+class Outstanding(Protocol):
+    """Silent workers that keep a request until another box goes on with it."""
+
+    async def until_heard(self) -> None:
+        """Wait until one of the workers speaks."""
+        ...
+
+    async def serve_on(self) -> None:
+        """Go on waiting for the workers, and serve the request."""
+        ...
+
+    def close(self) -> None:
+        """End what the workers run."""
+        ...
+
+
 MAX_CONNECT_FAILURES = 4
 """Most failed connection attempts before no further worker is tried for a request."""
 
@@ -61,6 +80,8 @@
         self.is_forwarded = prior_attempts is not None
         self.prior_attempts = prior_attempts or 0
         self.withheld: Withheld | None = None
+        self.outstanding: Outstanding | None = None
+        self.ask_boxes_at = started_at
         self.forwarded_to = ""
         self.organisation = organisation
         self.exchange = exchange
@@ -106,6 +127,22 @@
         """Whether another box should serve the request, as this one reaches no worker."""
         return self.state.links.are_lost and (self.is_forwarded or self.state.can_forward)
 
+    @property
+    def may_leave_silent(self) -> bool:
+        """Whether another box may be asked to go on with what silent workers run here."""
+        return self.is_cut_off and self._may_repeat_elsewhere and self.now >= self.ask_boxes_at
+
+    def close_outstanding(self) -> None:
+        """End what silent workers run, as another box goes on with the request."""
+        if self.outstanding is not None:
+            outstanding, self.outstanding = self.outstanding, None
+            outstanding.close()
+
+    @property
+    def _may_repeat_elsewhere(self) -> bool:
+        """Whether another box may send the request to a further worker after it has run here."""
+        return self.route.may_repeat and self.has_attempts_left and not self.is_forwarded
+
     @property
     def _may_be_cut_off(self) -> bool:
         """Whether it is known shortly that another box should serve the request."""
@@ -459,6 +496,12 @@
             calls=calls, max_wait_s=max_wait_s, rank=rank, request_id=self.facts.id
         )
 
+    @property
+    def may_spend_retry(self) -> bool:
+        """Whether the request may be sent to a further worker now."""
+        window = self.state.budget(self.service)
+        return not self.crashes_workers and window.has_left(self.now, boxes=self.state.boxes)
+
     def spend_retry_budget(self) -> bool:
         """Take one retry from the service's budget; return whether the request may be sent.
 
@@ -534,8 +577,7 @@
         is_cut_off = self.is_cut_off or (self._may_be_cut_off and not has_run)
         if refusal.code in FINAL_CODES or not is_cut_off:
             return False
-        may_repeat = self.route.may_repeat and self.has_attempts_left and not self.is_forwarded
-        if has_run and not may_repeat:
+        if has_run and not self._may_repeat_elsewhere:
             return False
         self.has_not_run = not has_run
         self.withheld = refusal
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -3,30 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import Enum, auto
 
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
 from croftchute.forwarding.http.deadline import within
-from croftchute.forwarding.http.event_stream import EventSplitter, StreamEvent
+from croftchute.forwarding.http.event_stream import StreamEvent
 from croftchute.forwarding.http.failures import (
+    AnswerLateError,
     CallerSlowError,
     ConnectFailedError,
     ConnectionBrokenError,
     ExchangeError,
 )
-from croftchute.forwarding.http.http_client import ResponseHead
 from croftchute.forwarding.origins import origin_header
 from croftchute.forwarding.workers.answer_completion import finish_answer
-from croftchute.forwarding.workers.chunk_reader import ChunkReader
+from croftchute.forwarding.workers.attempt_race import AttemptRace
 from croftchute.forwarding.workers.decode_reservation import DecodeReservation
 from croftchute.forwarding.workers.prompt_cache_lookup import find_cached_worker
 from croftchute.forwarding.workers.prompt_prefill import PromptPrefill
 from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.stream_attempt import StepKind, StreamAttempt, StreamStep
+from croftchute.forwarding.workers.withheld import CUT_OFF_DETAIL
 from croftchute.forwarding.workers.worker_call import WorkerCall
 from croftchute.forwarding.workers.worker_control import is_same_process
 from croftchute.systems import timeouts
+from croftchute.systems.failover_pace import FAILED_PAUSE_S, RECHECK_S
 from croftchute.systems.prefill_queue import PrefillEstimate
 from croftchute.systems.tracked_worker import TrackedWorker
 from croftchute.systems.worker_choice import ChoiceRecord
@@ -55,39 +60,99 @@
     is_doubtful: bool = False
 
 
+class _Unsent(Enum):
+    """Why a request was not sent to a worker that had room for it.
+
+    ``TRY_AGAIN``: another worker may take it. ``NO_REPEAT``: it may be sent to no further one.
+    """
+
+    TRY_AGAIN = auto()
+    NO_REPEAT = auto()
+
+
 class StreamRun:
-    """One streaming request: at most one separate prefill, then attempts at decode workers."""
+    """One streaming request: at most one separate prefill, then attempts at decode workers.
+
+    A worker that falls silent keeps the stream until another one goes on with it.
+    """
 
     def __init__(self, *, run: RequestRun) -> None:
         self.run = run
         self.progress = StreamProgress(last_event=run.facts.resume_after)
         self.prefill = PromptPrefill(run=run)
         self.reservation = DecodeReservation(run=run)
+        self.race: AttemptRace[StreamAttempt] = AttemptRace(
+            run=run, owner=self, may_leave=lambda: run.may_leave_silent
+        )
+        self._search_not_before = run.started_at
 
     async def serve(self) -> None:
         """Run the stream to its end, or refuse or abort it."""
+        await self._serve(self._begin)
+
+    async def until_heard(self) -> None:
+        """Wait until a silent worker speaks, while another box is asked to go on."""
+        await self.race.until_heard()
+
+    async def serve_on(self) -> None:
+        """Go on waiting for the silent workers, as no other box has gone on with the stream."""
+        self.run.outstanding = None
+        await self._serve(self._outwait)
+
+    def close(self) -> None:
+        """End the attempts that are open, and release what no worker uses."""
+        self.race.drop_all_but()
+        self.prefill.release_unused_handle()
+        self.reservation.release_unused()
+
+    async def _serve(self, begin: Callable[[], Awaitable[StreamAttempt | None]]) -> None:
+        """Follow attempts to the end; silent ones are kept if another box is to be asked."""
+        run = self.run
         try:
-            await self._run_attempts()
+            await self._run_attempts(await begin())
+            await self._end()
+        except asyncio.CancelledError:
+            has_left = run.exchange.caller_has_left and not run.exchange.is_cut_off
+            kind = Decision.CALLER_LEFT if has_left else Decision.REQUEST_BROKEN
+            run.log(kind, events=self.progress.event_count, worker=run.last_worker)
+            raise
         finally:
-            self._release_unused()
+            if run.outstanding is None:
+                self.close()
+
+    async def _begin(self) -> StreamAttempt | None:
+        return await self._begin_attempt() if await self._may_begin() else None
+
+    async def _end(self) -> None:
+        """Finish the answer, or abort or refuse it, unless another box may go on with it."""
+        run = self.run
         progress = self.progress
         if progress.is_answered:
             return
         if progress.is_complete:
-            self.run.exchange.finish()
-            await finish_answer(self.run, 200, progress.serving_worker)
-        elif self.run.exchange.is_started:
-            is_left = not progress.is_doubtful and self.run.withhold_rest(
+            self.close()
+            run.exchange.finish()
+            await finish_answer(run, 200, progress.serving_worker)
+            return
+        if self.race.attempts and run.time_left_s > 0.0:
+            run.outstanding = self
+            progress.may_have_run = True
+            progress.code, progress.detail = Code.UPSTREAM_SLOW, CUT_OFF_DETAIL
+        if run.exchange.is_started:
+            is_left = not progress.is_doubtful and run.withhold_rest(
                 progress.detail, last_event=progress.last_event
             )
             if not is_left:
-                self.run.abort_answer(
+                run.abort_answer(
                     progress.detail, events=progress.event_count, last_event=progress.last_event
                 )
         else:
             self._refuse()
+        if run.withheld is None:
+            run.outstanding = None
 
-    async def _run_attempts(self) -> None:
+    async def _may_begin(self) -> bool:
+        """Prepare the first attempt; return False if no engine can ever run the request."""
         run = self.run
         facts = run.facts
         engine = run.engine
@@ -96,7 +161,7 @@
             self.progress.detail = (
                 f"prompt has {facts.prompt_tokens} tokens; an engine holds {engine.kv_tokens}"
             )
-            return
+            return False
         run.state.demand(run.service).note_ask(
             run.now,
             prompt_tokens=facts.prompt_tokens,
@@ -107,31 +172,100 @@
             self.prefill.cached_worker_id = self.reservation.cached_worker_id = (
                 await find_cached_worker(run)
             )
+        return True
+
+    async def _run_attempts(self, attempt: StreamAttempt | None) -> None:
+        """Follow an attempt and those after it, until the stream has ended or can't go on."""
+        while attempt is not None:
+            self.race.attempts = [attempt]
+            is_silent = await self._relay(attempt)
+            attempt = await (self._outwait() if is_silent else self._begin_attempt())
+
+    async def _begin_attempt(self) -> StreamAttempt | None:
+        """Send the request to a worker, waiting for room; return None if that can't be done."""
+        run = self.run
         while run.time_left_s > 0.0 and not self._is_finished():
             if run.lacks_build:
-                self.progress.code = Code.VERSION_GONE
-                self.progress.detail = f"no worker of software version {run.build} is left"
-                return
+                self._note_version_gone()
+                return None
             found = await self.reservation.reserve()
             self._record_refusal_cause()
             if found is None:
-                return
-            source = await self.prefill.prefill_for(found[0])
-            if run.state.workers.advice.backoff_left_s(found[0].worker.id, run.now) > 0.0:
-                # The worker asked for backoff during the prefill: reserve at another one.
-                self.reservation.release_unused()
-                continue
-            if run.build is not None and not await is_same_process(run.state, found[0].worker):
-                run.avoid.add(found[0].worker.id)
-                self.reservation.release_unused()
-                continue
-            if not run.has_attempts_left and (found[0].worker.id not in run.workers_sent_to):
-                self.progress.may_retry_at_once = self._are_prefill_workers_in_backoff()
-                return
-            if not run.spend_retry_budget():
-                self.progress.detail = f"no repeat is allowed: {self.progress.detail}"
-                return
-            await self._decode(*found, source)
+                return None
+            sent = await self._send_to(*found, is_successor=False)
+            if isinstance(sent, StreamAttempt):
+                return sent
+            if sent is _Unsent.NO_REPEAT:
+                return None
+        return None
+
+    async def _outwait(self) -> StreamAttempt | None:
+        """Return the first attempt to speak; None if the request's time is over, or can't go on."""
+        attempt = await self.race.first_to_speak()
+        if attempt is not None:
+            self._note_heard(attempt)
+            return attempt
+        if not self.race.attempts:
+            return await self._begin_attempt()
+        if self.run.time_left_s <= 0.0:
+            self._note_outlasted()
+        return None
+
+    # What the race of the attempts calls.
+
+    def search_wait_s(self) -> float:
+        """Return the seconds until a successor may be looked for, or until to check again."""
+        run = self.run
+        for attempt in self.race.attempts:
+            if not attempt.is_silent:
+                self._note_silent(attempt)
+        if not self._can_fail_over() or not run.may_spend_retry:
+            return RECHECK_S
+        paced_s = run.state.failover_pace(run.service).wait_s(run.now)
+        return max(paced_s, self._search_not_before - run.now)
+
+    async def begin_successor(self) -> StreamAttempt | None:
+        """Send the stream to another worker that has room now; None if there is none."""
+        run = self.run
+        pace = run.state.failover_pace(run.service)
+        pace.begin()
+        try:
+            if run.lacks_build:
+                self._note_version_gone()
+                return None
+            found = await self.reservation.reserve_now()
+            self._record_refusal_cause()
+            if found is None:
+                return None
+            sent = await self._send_to(*found, is_successor=True)
+            return sent if isinstance(sent, StreamAttempt) else None
+        finally:
+            pace.end()
+            self.reservation.release_unused()
+            self._search_not_before = run.now + FAILED_PAUSE_S
+
+    def goes_on_at(self, attempt: StreamAttempt) -> bool:
+        """Take what an attempt has listened for; return whether the stream goes on there."""
+        try:
+            step = attempt.take_heard()
+        except ExchangeError as error:
+            self._end_attempt(attempt, error)
+            return False
+        is_last = self.race.attempts == [attempt]
+        if is_last or step.kind not in (StepKind.REJECTED, StepKind.FAILED):
+            return True
+        self._note_turned_down(attempt, step)
+        attempt.close()
+        return False
+
+    def drop(self, attempt: StreamAttempt) -> None:
+        """End an attempt, as the stream goes on at another worker or has ended."""
+        self.progress.may_have_run = True
+        if not self.progress.is_complete:
+            attempt.call.record_dropped()
+            self._check_origin(attempt.call)
+        self.run.avoid.discard(attempt.call.worker.id)
+        attempt.close()
 
     def _is_finished(self) -> bool:
         progress = self.progress
@@ -153,49 +287,180 @@
         if self.reservation.detail:
             self.progress.detail = self.reservation.detail
 
-    def _release_unused(self) -> None:
-        self.prefill.release_unused_handle()
-        self.reservation.release_unused()
+    def _note_version_gone(self) -> None:
+        self.progress.code = Code.VERSION_GONE
+        self.progress.detail = f"no worker of software version {self.run.build} is left"
 
-    async def _decode(
-        self, tracked: TrackedWorker, chosen: ChoiceRecord, source: PrefillHandle | None
-    ) -> None:
+    async def _send_to(
+        self, tracked: TrackedWorker, chosen: ChoiceRecord, *, is_successor: bool
+    ) -> StreamAttempt | _Unsent:
+        """Have the prompt read if need be, and send the request to a worker that has room."""
+        run = self.run
+        worker = tracked.worker
+        source = await self.prefill.prefill_for(tracked)
+        if run.state.workers.advice.backoff_left_s(worker.id, run.now) > 0.0:
+            # The worker asked for backoff during the prefill: reserve at another one.
+            self.reservation.release_unused()
+            return _Unsent.TRY_AGAIN
+        if run.build is not None and not await is_same_process(run.state, worker):
+            run.avoid.add(worker.id)
+            self.reservation.release_unused()
+            return _Unsent.TRY_AGAIN
+        if not run.has_attempts_left and worker.id not in run.workers_sent_to:
+            self.progress.may_retry_at_once = self._are_prefill_workers_in_backoff()
+            return _Unsent.NO_REPEAT
+        if not run.spend_retry_budget():
+            self.progress.detail = f"no repeat is allowed: {self.progress.detail}"
+            return _Unsent.NO_REPEAT
+        return await self._open(tracked, chosen, source, is_successor=is_successor)
+
+    async def _open(
+        self,
+        tracked: TrackedWorker,
+        chosen: ChoiceRecord,
+        source: PrefillHandle | None,
+        *,
+        is_successor: bool,
+    ) -> StreamAttempt | _Unsent:
         run = self.run
-        progress = self.progress
         send = Send(
             worker=tracked.worker,
             time_left_s=run.time_left_s,
             priority=run.rank,
             source=source,
             hold=self.reservation.hold,
-            resume_after=progress.last_event,
+            resume_after=self.progress.last_event,
         )
         call = WorkerCall(run=run, tracked=tracked, send=send, chosen=chosen)
         try:
             await call.open()
-            self.reservation.mark_used()
-            run.deliveries += 1
-            run.workers_sent_to.add(tracked.worker.id)
-            await self._receive_answer(call, source)
         except ConnectFailedError as error:
             self.reservation.release_unused()
             run.connect_failures += 1
             call.record_failure(error)
-            progress.code, progress.detail = error.code, error.message
+            self.progress.code, self.progress.detail = error.code, error.message
+            call.close()
+            return _Unsent.TRY_AGAIN
+        except asyncio.CancelledError:
+            call.close()
+            raise
+        self.reservation.mark_used()
+        run.deliveries += 1
+        run.workers_sent_to.add(tracked.worker.id)
+        return StreamAttempt(
+            run=run,
+            call=call,
+            source=source,
+            first_step_timeout_s=self._first_event_timeout_s(source),
+            is_successor=is_successor,
+        )
+
+    async def _relay(self, attempt: StreamAttempt) -> bool:
+        """Pass on what an attempt sends; return whether it has fallen silent, else it is over."""
+        run = self.run
+        try:
+            while True:
+                try:
+                    step = await attempt.next_step()
+                except AnswerLateError:
+                    if run.time_left_s <= 0.0:
+                        raise
+                    if run.route.may_repeat:
+                        return True
+                    continue
+                if await self._take(attempt, step):
+                    break
         except CallerSlowError as error:
-            progress.may_have_run = True
-            call.record_slow_caller(error)
-            progress.code, progress.detail = error.code, error.message
+            self.progress.may_have_run = True
+            attempt.call.record_slow_caller(error)
+            self.progress.code, self.progress.detail = error.code, error.message
         except ExchangeError as error:
-            progress.may_have_run = True
+            self._end_attempt(attempt, error)
+        self.race.attempts = []
+        attempt.close()
+        return False
+
+    async def _take(self, attempt: StreamAttempt, step: StreamStep) -> bool:
+        """Take in a step of the answer; return whether the attempt is over."""
+        run = self.run
+        if step.kind is StepKind.HEAD:
+            self.prefill.mark_handle_used()
+        elif step.kind is StepKind.EVENTS:
+            if step.events:
+                await self._write_events(attempt, step.events)
+                if run.exchange.is_bounded and run.exchange.is_held_up:
+                    await attempt.call.wait_for_caller()
+                    attempt.mark_resumed()
+        elif step.kind is StepKind.COMPLETE:
+            self._complete(attempt)
+        else:
+            self._note_turned_down(attempt, step)
+        return step.kind not in (StepKind.HEAD, StepKind.EVENTS)
+
+    def _complete(self, attempt: StreamAttempt) -> None:
+        run = self.run
+        if not run.exchange.is_started:
+            self._start_answer(attempt)
+        attempt.call.record_success()
+        self.progress.is_complete = True
+        if attempt.resumed_after is None and run.first_byte_at is not None:
+            run.state.demand(run.service).note_ended(
+                run.now,
+                output_tokens=run.facts.planned_output_tokens,
+                seconds=run.now - run.first_byte_at,
+            )
+
+    def _end_attempt(self, attempt: StreamAttempt, error: ExchangeError) -> None:
+        """Record that an attempt has failed, and close it."""
+        progress = self.progress
+        progress.may_have_run = True
+        self.prefill.invalidate_handle()
+        attempt.call.record_failure(error)
+        progress.code, progress.detail = error.code, error.message
+        self._check_origin(attempt.call)
+        if error.code is Code.UPSTREAM_FAILED:
+            self.reservation.cached_worker_id = attempt.call.worker.id
+        attempt.close()
+
+    def _note_turned_down(self, attempt: StreamAttempt, step: StreamStep) -> None:
+        """Record an answer that is no stream: a rejection or an error status."""
+        call = attempt.call
+        if step.kind is StepKind.FAILED:
+            self._handle_failure(attempt, step.body)
+            return
+        assert step.verdict is not None
+        self.progress.code = Code.NO_CAPACITY
+        self.progress.detail = f"worker rejection: {step.verdict.value}"
+        if attempt.source is not None and step.verdict is Verdict.NOT_RUN:
+            call.record_cache_fetch_failure(attempt.source)
+            self.prefill.release_unused_handle()
+        else:
+            call.record_rejection(step.verdict)
+
+    def _note_silent(self, attempt: StreamAttempt) -> None:
+        """Record that the worker is silent: others are preferred, and may go on with the stream."""
+        attempt.is_silent = True
+        if attempt.head is None:
+            # The worker may have fetched the prompt's cache, or may do so yet.
             self.prefill.invalidate_handle()
-            call.record_failure(error)
-            progress.code, progress.detail = error.code, error.message
-            self._check_origin(call)
-            if error.code is Code.UPSTREAM_FAILED:
-                self.reservation.cached_worker_id = tracked.worker.id
-        finally:
-            call.close()
+        attempt.call.record_silence(is_begun=attempt.head is not None)
+
+    def _note_heard(self, attempt: StreamAttempt) -> None:
+        """Record which attempt the stream goes on at after a silence."""
+        outcome = "went_on" if attempt.is_silent else "succeeded"
+        self.run.state.metrics.silences.inc({"outcome": outcome})
+        attempt.call.record_heard(outcome)
+        attempt.is_silent = False
+        attempt.is_successor = False
+        self.run.avoid.discard(attempt.call.worker.id)
+
+    def _note_outlasted(self) -> None:
+        """Record that workers were silent until the request's time was over."""
+        self.run.state.metrics.silences.inc({"outcome": "deadline"})
+        self.progress.may_have_run = True
+        self.progress.code = Code.UPSTREAM_SLOW
+        names = ", ".join(attempt.call.worker.id for attempt in self.race.attempts)
+        self.progress.detail = f"{names} silent until the deadline"
 
     def _check_origin(self, call: WorkerCall) -> None:
         """Give the stream up if its worker turns out to be another process than believed.
@@ -210,33 +475,10 @@
         self.progress.is_doubtful = True
         self.progress.detail = f"{call.worker.id} was replaced by a worker of other software"
 
-    async def _receive_answer(self, call: WorkerCall, source: PrefillHandle | None) -> None:
-        run = self.run
-        wait_s = run.time_left_s
-        if self._can_fail_over():
-            wait_s = self._first_event_timeout_s(source)
-        head = await call.read_head(wait_s)
-        verdict = run.state.workers_speak.verdict(head)
-        if verdict is Verdict.ANSWERED:
-            if not run.state.workers_speak.is_genuine(head):
-                raise ConnectionBrokenError("success response lacks proof that the worker sent it")
-            self.prefill.mark_handle_used()
-            await self._relay_stream(call, head, wait_s)
-            return
-        body = await call.read_body(run.time_left_s)
-        if verdict is Verdict.FAILED:
-            self._handle_failure(call, head, body)
-            return
-        self.progress.code = Code.NO_CAPACITY
-        self.progress.detail = f"worker rejection: {verdict.value}"
-        if source is not None and verdict is Verdict.NOT_RUN:
-            call.record_cache_fetch_failure(source)
-            self._release_unused()
-        else:
-            call.record_rejection(verdict)
-
     def _first_event_timeout_s(self, source: PrefillHandle | None) -> float:
         run = self.run
+        if not run.route.may_repeat:
+            return run.time_left_s
         if source is not None:
             return timeouts.first_event_timeout_s(run.route, time_left_s=run.time_left_s)
         estimate = PrefillEstimate.predict(
@@ -249,16 +491,26 @@
         )
 
     def _can_fail_over(self) -> bool:
+        """Whether another worker may go on with the stream than those that it is at."""
         run = self.run
-        return run.route.may_repeat and run.has_attempts_left and run.has_other_worker(Stage.DECODE)
+        if not run.route.may_repeat or self._is_finished():
+            return False
+        excluded_ids = run.avoid | {attempt.call.worker.id for attempt in self.race.attempts}
+        return any(
+            tracked.worker.id not in excluded_ids for tracked in run.candidates(Stage.DECODE)
+        )
 
-    def _handle_failure(self, call: WorkerCall, head: ResponseHead, body: bytes) -> None:
+    def _handle_failure(self, attempt: StreamAttempt, body: bytes) -> None:
+        head = attempt.head
+        assert head is not None
+        call = attempt.call
         call.record_error_status(head.status)
         progress = self.progress
         progress.may_have_run = True
         progress.code = Code.UPSTREAM_FAILED
         progress.detail = f"worker answered with status {head.status}"
-        if self._can_fail_over() or self.run.exchange.is_started:
+        has_others = self.race.attempts != [attempt]
+        if has_others or self._can_fail_over() or self.run.exchange.is_started:
             return
         if head.status in (408, 421, 429, 503):
             return
@@ -267,42 +519,7 @@
         self.run.record_answered(head.status, call.worker.id)
         progress.is_answered = True
 
-    async def _relay_stream(
-        self, call: WorkerCall, head: ResponseHead, first_chunk_timeout_s: float
-    ) -> None:
-        run = self.run
-        progress = self.progress
-        splitter = EventSplitter()
-        is_resumed = progress.last_event is not None
-        chunks = ChunkReader(
-            run=run,
-            call=call,
-            first_chunk_timeout_s=first_chunk_timeout_s,
-            can_fail_over=self._can_fail_over,
-        )
-        while chunk := await chunks.read():
-            events = splitter.feed(chunk)
-            if events:
-                await self._write_events(call, head, events)
-                if self.run.exchange.is_bounded and self.run.exchange.is_held_up:
-                    await call.wait_for_caller()
-                    chunks.mark_resumed()
-        if splitter.leftover:
-            raise ConnectionBrokenError("stream ended in the middle of an event")
-        if not run.exchange.is_started:
-            self._start_answer(call, head)
-        call.record_success()
-        progress.is_complete = True
-        if not is_resumed and run.first_byte_at is not None:
-            run.state.demand(run.service).note_ended(
-                run.now,
-                output_tokens=run.facts.planned_output_tokens,
-                seconds=run.now - run.first_byte_at,
-            )
-
-    async def _write_events(
-        self, call: WorkerCall, head: ResponseHead, events: list[StreamEvent]
-    ) -> None:
+    async def _write_events(self, attempt: StreamAttempt, events: tuple[StreamEvent, ...]) -> None:
         progress = self.progress
         data: list[bytes] = []
         for event in events:
@@ -313,18 +530,20 @@
                 progress.last_event = event.number
             progress.event_count += 1
             data.append(event.data)
-        self.run.begin_stream(call.worker)
+        self.run.begin_stream(attempt.call.worker)
         if not self.run.exchange.is_started:
-            self._start_answer(call, head)
+            self._start_answer(attempt)
         exchange = self.run.exchange
         exchange.write(b"".join(data))
         if exchange.is_held_up and not exchange.is_bounded:
             await within(exchange.drained(), self.run.time_left_s, "caller did not read")
 
-    def _start_answer(self, call: WorkerCall, head: ResponseHead) -> None:
+    def _start_answer(self, attempt: StreamAttempt) -> None:
         run = self.run
+        head = attempt.head
+        assert head is not None
         run.first_byte_at = run.now
-        self.progress.serving_worker = call.worker.id
+        self.progress.serving_worker = attempt.call.worker.id
         headers: HeaderList = run.state.workers_speak.answer_headers(head)
         if run.is_forwarded and run.origin is not None:
             run.exchange.added_headers.append(origin_header(run.origin))
@@ -352,11 +571,4 @@
 
 async def run_stream(run: RequestRun) -> None:
     """Serve one streaming request, and log it if the caller leaves."""
-    stream = StreamRun(run=run)
-    try:
-        await stream.serve()
-    except asyncio.CancelledError:
-        has_left = run.exchange.caller_has_left and not run.exchange.is_cut_off
-        kind = Decision.CALLER_LEFT if has_left else Decision.REQUEST_BROKEN
-        run.log(kind, events=stream.progress.event_count, worker=run.last_worker)
-        raise
+    await StreamRun(run=run).serve()
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -49,7 +49,8 @@
 class WorkerCall:
     """One attempt of a request at one worker; always end it with :meth:`close`.
 
-    ``began_at`` is when the first bytes of the answer's body came, None before that.
+    ``began_at`` is when the first bytes of the answer's body came, ``heard_at`` when the latest of
+    any of it did; None before that.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         if not send.is_prefill:
             self._tokens += run.facts.output_tokens
         self.began_at: float | None = None
+        self.heard_at: float | None = None
         self._is_past_beginning = False
         self._is_counted = False
 
@@ -161,7 +163,7 @@
     def _note_heard(self) -> None:
         """Record that the worker has sent something."""
         now = self.run.now
-        self.run.worker_heard_at = now
+        self.heard_at = self.run.worker_heard_at = now
         self.run.state.links.note_heard(now)
 
     async def read_body(self, timeout_s: float) -> bytes:
@@ -227,6 +229,38 @@
             )
         self._add_failure_score(weight, error.code.value, error.message)
 
+    def record_silence(self, *, is_begun: bool) -> None:
+        """Record that the worker is silent for too long, while its answer is still waited for."""
+        run = self.run
+        run.avoid.add(self.worker.id)
+        heard_at = self.opened_at if self.heard_at is None else self.heard_at
+        if run.state.links.heard_at < self.opened_at:
+            run.state.on_link_trouble(self.opened_at)
+        score = run.state.workers.note_failure(self.worker.id, FAILURE_SCORE_LATE, run.now)
+        run.log(
+            Decision.WORKER_SILENT,
+            outcome="begun" if is_begun else "not_begun",
+            worker=self.worker.id,
+            silent_ms=round((run.now - heard_at) * 1000),
+            failures_now=round(score, 2),
+            may_repeat=run.may_spend_retry,
+            config_age_s=round(run.now - run.state.table_at, 3),
+        )
+
+    def record_heard(self, outcome: str) -> None:
+        """Record which worker the request goes on at after a silence."""
+        self.run.log(
+            Decision.SILENCE_ENDED,
+            outcome=outcome,
+            worker=self.worker.id,
+            took_ms=round((self.run.now - self.opened_at) * 1000, 1),
+            resume_after=self.send.resume_after,
+        )
+
+    def record_dropped(self) -> None:
+        """Record that the attempt is ended although its worker may still be at work."""
+        self._log_end("dropped")
+
     def record_rejection(self, verdict: Verdict) -> None:
         """Record that the worker did not run the request, or that another worker answered."""
         self.run.avoid.add(self.worker.id)
--- a/src/croftchute/forwarding/workers/worker_control.py
+++ b/src/croftchute/forwarding/workers/worker_control.py
@@ -94,7 +94,10 @@
     asking = asyncio.ensure_future(_request_hold(state, worker, tokens, ttl_s))
     try:
         return await within_idle(asking, timeouts.HOLD_TIMEOUT_S, "no hold")
-    except (AnswerLateError, asyncio.CancelledError):
+    except AnswerLateError:
+        state.spawn(_await_late_hold(state, worker, asking))
+        raise
+    except asyncio.CancelledError:
         state.spawn(_release_late_hold(state, asking))
         raise
 
@@ -114,6 +117,17 @@
         raise ConnectionBrokenError(error.message) from None
 
 
+async def _await_late_hold(
+    state: ForwardingState, worker: Worker, asking: asyncio.Future[Hold | None]
+) -> None:
+    """Release a late hold; until then the worker counts as owing an answer."""
+    state.workers.note_late_hold(worker.id, 1)
+    try:
+        await _release_late_hold(state, asking)
+    finally:
+        state.workers.note_late_hold(worker.id, -1)
+
+
 async def _release_late_hold(state: ForwardingState, asking: asyncio.Future[Hold | None]) -> None:
     """Release a hold that nobody waits for any more, once it is granted."""
     try:
--- a/src/croftchute/systems/retry_budget.py
+++ b/src/croftchute/systems/retry_budget.py
@@ -43,10 +43,14 @@
         if noted_at in self.request_times:
             self.request_times.remove(noted_at)
 
+    def has_left(self, now: float, *, boxes: int) -> bool:
+        """Return whether one more retry may be sent now."""
+        allowed = self.allowed(now, boxes=boxes)
+        return len(self.retry_times) + 1 <= allowed
+
     def spend(self, now: float, *, boxes: int) -> bool:
         """Take one retry from the budget; return False if none is left."""
-        allowed = self.allowed(now, boxes=boxes)
-        if len(self.retry_times) + 1 > allowed:
+        if not self.has_left(now, boxes=boxes):
             return False
         self.retry_times.append(now)
         return True
--- a/src/croftchute/systems/tracked_worker.py
+++ b/src/croftchute/systems/tracked_worker.py
@@ -31,7 +31,8 @@
     """One instance of a worker: its list entry, this box's requests there and its failures.
 
     ``has_ended``: the worker has restarted as another instance. ``is_unreadable``: the newest entry
-    of the worker can't be parsed; requests that run there continue.
+    of the worker can't be parsed; requests that run there continue. ``late_holds`` is the number of
+    calls for room that the worker has not answered in time and may answer yet.
     """
 
     worker: Worker
@@ -54,6 +55,7 @@
     has_ended: bool = False
     is_unreadable: bool = False
     full_until: float = 0.0
+    late_holds: int = 0
     unreachable_until: float = 0.0
     changing_to: Stage | None = None
     changing_since: float = 0.0
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -411,6 +411,12 @@
             tracked.load_at = now
             tracked.in_flight_at_load = tracked.in_flight - sent_since
 
+    def note_late_hold(self, worker_id: str, change: int) -> None:
+        """Count a call for room that the worker has not answered in time, or one that has ended."""
+        tracked = self.tracked_by_id.get(worker_id)
+        if tracked is not None:
+            tracked.late_holds = max(0, tracked.late_holds + change)
+
     def note_full(self, worker_id: str, until: float) -> None:
         """Record that a worker has no room until the given time."""
         tracked = self.tracked_by_id.get(worker_id)
