Keep a repeatable plain call at its silent worker until another one has answered

Callers of repeatable plain calls got 502 although their worker, which was sound, was silent for a second: the box ended the attempt at its time-out, and refused when the next worker was full or the retry budget was spent.

A plain call now races like a stream: the silent attempt stays open, the first answer is the caller's, and the others are ended. A failure status ends the race only if no further worker may be asked.

--- a/src/croftchute/forwarding/workers/attempt_race.py
+++ b/src/croftchute/forwarding/workers/attempt_race.py
@@ -67,6 +67,11 @@
         self.attempts: list[A] = []
         self._searching: asyncio.Task[A | None] | None = None
 
+    @property
+    def has_others(self) -> bool:
+        """Whether more than one attempt is open."""
+        return len(self.attempts) > 1
+
     async def first_to_speak(self) -> A | None:
         """Return the attempt that the request goes on at, after all others have been ended.
 
--- a/src/croftchute/forwarding/workers/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -2,21 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.dialect import Send, Verdict
 from croftchute.forwarding.http.failures import (
+    AnswerLateError,
     ConnectFailedError,
     ConnectionBrokenError,
     ExchangeError,
 )
 from croftchute.forwarding.http.http_client import ResponseHead
 from croftchute.forwarding.workers.answer_completion import finish_answer
+from croftchute.forwarding.workers.attempt_race import AttemptRace
 from croftchute.forwarding.workers.plain_admission import admit, refuse_late
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.worker_call import WorkerCall
 from croftchute.systems import timeouts
+from croftchute.systems.failover_pace import RECHECK_S
 from croftchute.systems.tracked_worker import TrackedWorker
 from croftchute.systems.worker_choice import ChoiceRecord
 from croftchute.tables.routing import HeaderList
@@ -34,100 +39,320 @@
 
 @dataclass(kw_only=True)
 class PlainProgress:
-    """The outcome of the attempts so far, and whether one of them may have run the request."""
+    """The outcome of the attempts so far, and whether one of them may have run the request.
 
+    ``answer`` is what the caller gets; ``last_answer`` is that of a failure, if none is better.
+    """
+
+    answer: CompleteAnswer | None = None
     last_answer: CompleteAnswer | None = None
+    is_refused: bool = False
     may_have_run: bool = False
     code: Code = Code.NO_UPSTREAM
     detail: str = "no usable worker is known"
 
 
-async def run_plain(run: RequestRun) -> None:
-    """Send the request until a worker answers it or no further attempt is allowed."""
-    progress = PlainProgress()
-    while run.time_left_s > 0.0 and not run.is_cut_off:
-        admission = await admit(run)
-        if admission is not None and admission.found is None and not progress.may_have_run:
-            refuse_late(run, admission)
-            return
-        found = run.choose(None) if admission is None else admission.found
-        if found is None:
-            break
-        if not await run.acquire_permit(found[0]):
-            continue
-        if not run.spend_retry_budget():
-            run.state.permits.release(found[0].worker)
-            break
-        answer = await _attempt(run, *found, progress)
-        if answer is not None:
-            await _send_answer(run, answer)
-            return
-        if progress.may_have_run and not run.route.may_repeat:
-            break
-    await _give_up(run, progress)
-
-
-async def _attempt(
-    run: RequestRun, tracked: TrackedWorker, chosen: ChoiceRecord, progress: PlainProgress
-) -> CompleteAnswer | None:
-    send = Send(worker=tracked.worker, time_left_s=run.time_left_s, priority=run.priority)
-    call = WorkerCall(run=run, tracked=tracked, send=send, chosen=chosen)
-    try:
-        await call.open()
+class PlainAttempt:
+    """One attempt of a plain call at one worker; end it with :meth:`close`."""
+
+    def __init__(self, *, run: RequestRun, call: WorkerCall, timeout_s: float) -> None:
+        self.run = run
+        self.call = call
+        self.is_silent = False
+        self._silent_at = call.opened_at + timeout_s
+        self._head: ResponseHead | None = None
+        self._listening: asyncio.Task[tuple[ResponseHead, bytes]] | None = None
+
+    async def is_answered_in_time(self) -> bool:
+        """Wait until the answer begins; return False if the worker is silent for too long."""
+        try:
+            self._head = await self.call.read_head(self.patience_left_s())
+        except AnswerLateError:
+            if self.run.time_left_s <= 0.0:
+                raise
+            return False
+        return True
+
+    async def read(self) -> tuple[ResponseHead, bytes]:
+        """Return the whole answer, or raise ExchangeError."""
+        if self._head is None:
+            self._head = await self.call.read_head(self.run.time_left_s)
+        return self._head, await self.call.read_body(self.run.time_left_s)
+
+    def patience_left_s(self) -> float:
+        """Return the seconds until the worker counts as silent."""
+        return min(self._silent_at - self.run.now, self.run.time_left_s)
+
+    def listen(self) -> asyncio.Task[tuple[ResponseHead, bytes]]:
+        """Return the task that reads the whole answer."""
+        if self._listening is None:
+            self._listening = asyncio.ensure_future(self.read())
+        return self._listening
+
+    def close(self) -> None:
+        """Return the connection, or close it if the worker is still at work."""
+        if self._listening is not None:
+            self._listening.cancel()
+        self.call.close()
+
+
+class PlainRun:
+    """One request with a plain answer, and its attempts at workers.
+
+    A worker that is silent keeps the request until another one has answered it.
+    """
+
+    def __init__(self, *, run: RequestRun) -> None:
+        self.run = run
+        self.progress = PlainProgress()
+        self.race: AttemptRace[PlainAttempt] = AttemptRace(
+            run=run, owner=self, may_leave=lambda: run.may_leave_silent
+        )
+        self._search_not_before = run.started_at
+
+    async def serve(self) -> None:
+        """Send the request until a worker answers it or no further attempt is allowed."""
+        await self._serve(self._begin_attempt)
+
+    async def until_heard(self) -> None:
+        """Wait until a silent worker answers, while another box is asked to serve."""
+        await self.race.until_heard()
+
+    async def serve_on(self) -> None:
+        """Go on waiting for the silent workers, as no other box has answered."""
+        self.run.outstanding = None
+        await self._serve(self._outwait)
+
+    def close(self) -> None:
+        """End the attempts that are open."""
+        for attempt in self.race.attempts:
+            attempt.close()
+        self.race.attempts = []
+
+    async def _serve(self, begin: Callable[[], Awaitable[PlainAttempt | None]]) -> None:
+        progress = self.progress
+        try:
+            attempt = await begin()
+            while attempt is not None:
+                attempt = await self._follow(attempt)
+            if progress.answer is not None:
+                self.close()
+                await _send_answer(self.run, progress.answer)
+            elif not progress.is_refused:
+                await self._give_up()
+        finally:
+            if self.run.outstanding is None:
+                self.close()
+
+    async def _follow(self, attempt: PlainAttempt) -> PlainAttempt | None:
+        """Wait for the answer of an attempt; return the one to follow next, if any."""
+        self.race.attempts = [attempt]
+        try:
+            if not await attempt.is_answered_in_time():
+                return await self._outwait()
+        except ExchangeError as error:
+            self._end_attempt(attempt, error)
+        else:
+            await asyncio.wait({attempt.listen()})
+            self.goes_on_at(attempt)
+        self.race.attempts = []
+        attempt.close()
+        return None if self._is_over else await self._begin_attempt()
+
+    async def _outwait(self) -> PlainAttempt | None:
+        """Wait for the first attempt to answer, and for a successor; return one to follow."""
+        if await self.race.first_to_speak() is not None:
+            return None
+        if self.race.attempts:
+            return None
+        return None if self._is_over else await self._begin_attempt()
+
+    @property
+    def _is_over(self) -> bool:
+        progress = self.progress
+        if progress.answer is not None:
+            return True
+        return progress.may_have_run and not self.run.route.may_repeat
+
+    async def _begin_attempt(self) -> PlainAttempt | None:
+        """Send the request to a worker; return None if no further attempt is allowed."""
+        run = self.run
+        while run.time_left_s > 0.0 and not run.is_cut_off:
+            admission = await admit(run)
+            if admission is not None and admission.found is None and not self.progress.may_have_run:
+                self.progress.is_refused = True
+                refuse_late(run, admission)
+                return None
+            found = run.choose(None) if admission is None else admission.found
+            if found is None:
+                return None
+            if not await run.acquire_permit(found[0]):
+                continue
+            if not run.spend_retry_budget():
+                run.state.permits.release(found[0].worker)
+                return None
+            attempt = await self._open(*found)
+            if attempt is not None:
+                return attempt
+        return None
+
+    async def _open(self, tracked: TrackedWorker, chosen: ChoiceRecord) -> PlainAttempt | None:
+        run = self.run
+        send = Send(worker=tracked.worker, time_left_s=run.time_left_s, priority=run.priority)
+        call = WorkerCall(run=run, tracked=tracked, send=send, chosen=chosen)
+        try:
+            await call.open()
+        except ConnectFailedError as error:
+            run.connect_failures += 1
+            run.state.permits.release(tracked.worker)
+            call.record_failure(error)
+            self.progress.code, self.progress.detail = error.code, error.message
+            call.close()
+            return None
+        except asyncio.CancelledError:
+            call.close()
+            raise
         run.deliveries += 1
         run.workers_sent_to.add(tracked.worker.id)
-        head = await call.read_head(_answer_timeout_s(run, tracked))
-        return await _receive_answer(run, call, head, progress)
-    except ConnectFailedError as error:
-        run.connect_failures += 1
-        run.state.permits.release(tracked.worker)
-        call.record_failure(error)
-        progress.code, progress.detail = error.code, error.message
-    except ExchangeError as error:
-        call.record_failure(error)
+        return PlainAttempt(run=run, call=call, timeout_s=_answer_timeout_s(run, tracked))
+
+    # What the race of the attempts calls.
+
+    def search_wait_s(self) -> float:
+        """Return the seconds until another worker may be asked, or until to check again."""
+        run = self.run
+        for attempt in self.race.attempts:
+            if not attempt.is_silent:
+                self._note_silent(attempt)
+        if not self._can_fail_over() or not run.may_spend_retry:
+            return RECHECK_S
+        return self._search_not_before - run.now
+
+    async def begin_successor(self) -> PlainAttempt | None:
+        """Send the request to another worker; return None if none takes it now."""
+        self.progress.may_have_run = True
+        try:
+            return await self._begin_attempt()
+        finally:
+            self._search_not_before = self.run.now + RECHECK_S
+
+    def goes_on_at(self, attempt: PlainAttempt) -> bool:
+        """Take in what an attempt has brought; return whether that is the caller's answer."""
+        try:
+            head, body = attempt.listen().result()
+            self._take(attempt.call, head, body)
+        except ExchangeError as error:
+            self._end_attempt(attempt, error)
+        if attempt.is_silent and self.progress.answer is not None:
+            self._note_heard(attempt)
+        if self.progress.answer is None:
+            attempt.close()
+        return self.progress.answer is not None
+
+    def drop(self, attempt: PlainAttempt) -> None:
+        """End an attempt, as another worker has answered."""
+        self.progress.may_have_run = True
+        attempt.call.record_dropped()
+        attempt.close()
+
+    def _take(self, call: WorkerCall, head: ResponseHead, body: bytes) -> None:
+        """Take in an answer; keep it if it is the caller's."""
+        run = self.run
+        progress = self.progress
+        speak = run.state.workers_speak
+        verdict = speak.verdict(head)
+        if verdict in (Verdict.NOT_RUN, Verdict.WRONG_WORKER):
+            call.record_rejection(verdict)
+            progress.code, progress.detail = Code.NO_CAPACITY, f"worker rejection: {verdict.value}"
+            return
+        if verdict is Verdict.ANSWERED and not speak.is_genuine(head):
+            raise ConnectionBrokenError("success response lacks proof that the worker sent it")
+        answer = CompleteAnswer(
+            worker=call.worker.id,
+            status=head.status,
+            headers=speak.answer_headers(head),
+            body=body,
+        )
+        if verdict is not Verdict.FAILED:
+            call.record_success()
+            progress.answer = answer
+            return
+        call.record_error_status(head.status)
         progress.may_have_run = True
-        progress.code, progress.detail = error.code, error.message
-    finally:
-        call.close()
-    return None
+        progress.last_answer = answer
+        if self._is_final and not _implies_not_run(answer):
+            progress.answer = answer
+
+    @property
+    def _is_final(self) -> bool:
+        """Whether an error status is the caller's answer at once."""
+        run = self.run
+        if not run.route.may_repeat:
+            return True
+        return self.race.has_others and not (self._can_fail_over() and run.may_spend_retry)
+
+    def _end_attempt(self, attempt: PlainAttempt, error: ExchangeError) -> None:
+        attempt.call.record_failure(error)
+        self.progress.may_have_run = True
+        self.progress.code, self.progress.detail = error.code, error.message
+
+    def _note_silent(self, attempt: PlainAttempt) -> None:
+        attempt.is_silent = True
+        attempt.call.record_silence(is_begun=False)
+
+    def _note_heard(self, attempt: PlainAttempt) -> None:
+        self.run.state.metrics.silences.inc({"outcome": "went_on"})
+        attempt.call.record_heard("went_on")
+
+    def _can_fail_over(self) -> bool:
+        """Whether a worker may be asked that the request is not at."""
+        run = self.run
+        if not run.route.may_repeat:
+            return False
+        excluded_ids = run.avoid | {attempt.call.worker.id for attempt in self.race.attempts}
+        return any(tracked.worker.id not in excluded_ids for tracked in run.candidates(None))
+
+    async def _give_up(self) -> None:
+        run = self.run
+        progress = self.progress
+        if self.race.attempts:
+            progress.may_have_run = True
+            progress.code = Code.UPSTREAM_SLOW
+            progress.detail = self._note_outlasted()
+            run.outstanding = self if run.time_left_s > 0.0 else None
+        last = progress.last_answer
+        if run.outstanding is None and last is not None and not _implies_not_run(last):
+            await _send_answer(run, last)
+            return
+        if not progress.may_have_run:
+            run.refuse(progress.code, Ran.NOT_RUN, progress.detail)
+            return
+        is_late = run.time_left_s <= 0.0
+        code = Code.UPSTREAM_SLOW if is_late else Code.UPSTREAM_FAILED
+        run.refuse(code, Ran.UNKNOWN, progress.detail)
+        if run.withheld is None:
+            run.outstanding = None
+
+    def _note_outlasted(self) -> str:
+        """Record that workers are silent as the wait for them ends; return what to tell callers."""
+        for attempt in self.race.attempts:
+            attempt.call.record_outlasted()
+        return f"{', '.join(attempt.call.worker.id for attempt in self.race.attempts)} silent"
+
+
+async def run_plain(run: RequestRun) -> None:
+    """Serve one request with a plain answer."""
+    await PlainRun(run=run).serve()
 
 
 def _answer_timeout_s(run: RequestRun, tracked: TrackedWorker) -> float:
-    if not run.route.may_repeat or not run.has_attempts_left:
+    if not run.route.may_repeat:
         return run.time_left_s
     return timeouts.answer_timeout_s(
         run.route, typical_s=tracked.latency_s, time_left_s=run.time_left_s
     )
 
 
-async def _receive_answer(
-    run: RequestRun, call: WorkerCall, head: ResponseHead, progress: PlainProgress
-) -> CompleteAnswer | None:
-    speak = run.state.workers_speak
-    verdict = speak.verdict(head)
-    body = await call.read_body(run.time_left_s)
-    if verdict in (Verdict.NOT_RUN, Verdict.WRONG_WORKER):
-        call.record_rejection(verdict)
-        progress.code, progress.detail = Code.NO_CAPACITY, f"worker rejection: {verdict.value}"
-        return None
-    if verdict is Verdict.ANSWERED and not speak.is_genuine(head):
-        raise ConnectionBrokenError("success response lacks proof that the worker sent it")
-    answer = CompleteAnswer(
-        worker=call.worker.id,
-        status=head.status,
-        headers=speak.answer_headers(head),
-        body=body,
-    )
-    if verdict is Verdict.FAILED:
-        call.record_error_status(head.status)
-        progress.may_have_run = True
-        progress.last_answer = answer
-        is_final = not run.route.may_repeat
-        return answer if is_final and not _implies_not_run(answer) else None
-    call.record_success()
-    return answer
-
-
 def _implies_not_run(answer: CompleteAnswer) -> bool:
     """Whether callers take the status to mean that nothing ran, which the worker did not state."""
     return answer.status in (408, 421, 429, 503)
@@ -137,16 +362,3 @@
     run.first_byte_at = run.now
     run.exchange.send(answer.status, answer.headers, answer.body)
     await finish_answer(run, answer.status, answer.worker)
-
-
-async def _give_up(run: RequestRun, progress: PlainProgress) -> None:
-    last = progress.last_answer
-    if last is not None and not _implies_not_run(last):
-        await _send_answer(run, last)
-        return
-    if not progress.may_have_run:
-        run.refuse(progress.code, Ran.NOT_RUN, progress.detail)
-        return
-    is_late = run.time_left_s <= 0.0
-    code = Code.UPSTREAM_SLOW if is_late else Code.UPSTREAM_FAILED
-    run.refuse(code, Ran.UNKNOWN, progress.detail)
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -35,7 +35,7 @@
 from croftchute.systems.prefill_queue import PrefillEstimate
 from croftchute.systems.tracked_worker import TrackedWorker
 from croftchute.systems.worker_choice import ChoiceRecord
-from croftchute.tables.routing import HeaderList, Stage
+from croftchute.tables.routing import HeaderList, Stage, Worker
 
 
 @dataclass(kw_only=True)
@@ -101,7 +101,9 @@
 
     def close(self) -> None:
         """End the attempts that are open, and release what no worker uses."""
-        self.race.drop_all_but()
+        for attempt in self.race.attempts:
+            attempt.close()
+        self.race.attempts = []
         self.prefill.release_unused_handle()
         self.reservation.release_unused()
 
@@ -202,6 +204,9 @@
     async def _outwait(self) -> StreamAttempt | None:
         """Return the first attempt to speak; None if the request's time is over, or can't go on."""
         attempt = await self.race.first_to_speak()
+        if attempt is not None and self.progress.is_doubtful:
+            self.close()
+            return None
         if attempt is not None:
             self._note_heard(attempt)
             return attempt
@@ -251,19 +256,19 @@
         except ExchangeError as error:
             self._end_attempt(attempt, error)
             return False
-        is_last = self.race.attempts == [attempt]
-        if is_last or step.kind not in (StepKind.REJECTED, StepKind.FAILED):
+        if not self.race.has_others or step.kind not in (StepKind.REJECTED, StepKind.FAILED):
+            return True
+        if step.kind is StepKind.FAILED and self._is_final(attempt):
             return True
         self._note_turned_down(attempt, step)
         attempt.close()
         return False
 
     def drop(self, attempt: StreamAttempt) -> None:
-        """End an attempt, as the stream goes on at another worker or has ended."""
+        """End an attempt, as the stream goes on at another worker."""
         self.progress.may_have_run = True
-        if not self.progress.is_complete:
-            attempt.call.record_dropped()
-            self._check_origin(attempt.call)
+        attempt.call.record_dropped()
+        self._check_origin(attempt.call)
         self.run.avoid.discard(attempt.call.worker.id)
         attempt.close()
 
@@ -302,8 +307,7 @@
             # The worker asked for backoff during the prefill: reserve at another one.
             self.reservation.release_unused()
             return _Unsent.TRY_AGAIN
-        if run.build is not None and not await is_same_process(run.state, worker):
-            run.avoid.add(worker.id)
+        if not await self._is_of_build(worker):
             self.reservation.release_unused()
             return _Unsent.TRY_AGAIN
         if not run.has_attempts_left and worker.id not in run.workers_sent_to:
@@ -314,6 +318,22 @@
             return _Unsent.NO_REPEAT
         return await self._open(tracked, chosen, source, is_successor=is_successor)
 
+    async def _is_of_build(self, worker: Worker) -> bool:
+        """Whether the worker is still the process whose build the stream is bound to."""
+        run = self.run
+        if run.build is None:
+            return True
+        try:
+            is_same = await is_same_process(run.state, worker)
+        except ExchangeError as error:
+            # A silent worker is asked again after a moment; one that can't be reached is not.
+            is_silent = error.code is Code.UPSTREAM_SLOW
+            (run.full_workers if is_silent else run.avoid).add(worker.id)
+            return False
+        if not is_same:
+            run.avoid.add(worker.id)
+        return is_same
+
     async def _open(
         self,
         tracked: TrackedWorker,
@@ -456,7 +476,8 @@
 
     def _note_outlasted(self) -> None:
         """Record that workers were silent until the request's time was over."""
-        self.run.state.metrics.silences.inc({"outcome": "deadline"})
+        for attempt in self.race.attempts:
+            attempt.call.record_outlasted()
         self.progress.may_have_run = True
         self.progress.code = Code.UPSTREAM_SLOW
         names = ", ".join(attempt.call.worker.id for attempt in self.race.attempts)
@@ -500,6 +521,12 @@
             tracked.worker.id not in excluded_ids for tracked in run.candidates(Stage.DECODE)
         )
 
+    def _is_final(self, attempt: StreamAttempt) -> bool:
+        """Whether an error status is the caller's answer, as no other worker may be asked."""
+        assert attempt.head is not None
+        implies_not_run = attempt.head.status in (408, 421, 429, 503)
+        return not (implies_not_run or self.run.exchange.is_started or self._can_fail_over())
+
     def _handle_failure(self, attempt: StreamAttempt, body: bytes) -> None:
         head = attempt.head
         assert head is not None
@@ -509,10 +536,7 @@
         progress.may_have_run = True
         progress.code = Code.UPSTREAM_FAILED
         progress.detail = f"worker answered with status {head.status}"
-        has_others = self.race.attempts != [attempt]
-        if has_others or self._can_fail_over() or self.run.exchange.is_started:
-            return
-        if head.status in (408, 421, 429, 503):
+        if self.race.has_others or not self._is_final(attempt):
             return
         headers = self.run.state.workers_speak.answer_headers(head)
         self.run.exchange.send(head.status, headers, body)
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -258,9 +258,14 @@
         )
 
     def record_dropped(self) -> None:
-        """Record that the attempt is ended although its worker may still be at work."""
+        """Record that the attempt is ended, as the request goes on at another worker."""
         self._log_end("dropped")
 
+    def record_outlasted(self) -> None:
+        """Record that the worker is silent as the time of the request ends, or as it is left."""
+        self.run.state.metrics.silences.inc({"outcome": "outlasted"})
+        self._log_end("outlasted")
+
     def record_rejection(self, verdict: Verdict) -> None:
         """Record that the worker did not run the request, or that another worker answered."""
         self.run.avoid.add(self.worker.id)
--- a/src/croftchute/forwarding/workers/worker_control.py
+++ b/src/croftchute/forwarding/workers/worker_control.py
@@ -163,6 +163,7 @@
 async def is_same_process(state: ForwardingState, worker: Worker) -> bool:
     """Return whether a worker is the process that its entry describes, as far as it tells.
 
+    Raise :class:`ExchangeError` if it does not answer.
     A worker that restarts under its name is listed anew a moment later, and may have other
     software. A worker that tells no start has a new name after each.
     """
@@ -171,10 +172,7 @@
     if not await state.permits.acquire(worker):
         return False
     data = state.workers_speak.ask_report(worker)
-    try:
-        status, body = await control_call(state, worker, data, timeouts.REPORT_TIMEOUT_S)
-    except ExchangeError:
-        return False
+    status, body = await control_call(state, worker, data, timeouts.REPORT_TIMEOUT_S)
     return status == STATUS_OK and state.workers_speak.report(body).born_ms == worker.born_ms
 
 
--- a/tests/platform_adapter/test_silent_workers.py
+++ b/tests/platform_adapter/test_silent_workers.py
@@ -3,9 +3,12 @@
 import asyncio
 import contextlib
 
+import pytest
 from platform_fleet import ask, fleet, run, until
 from stream_fleet import engines, numbers, prefer, ran
 
+from croftchute.systems.failover_pace import MAX_SEARCHES
+
 PAUSE_S = 1.3
 """Longer than a stream's time-outs, shorter than the gap that its callers bear."""
 
@@ -95,6 +98,216 @@
     run(body)
 
 
+def test_a_stream_goes_on_elsewhere_when_its_worker_stays_silent():
+    """Guards against waiting for a worker that is stuck while another one has room."""
+
+    async def body():
+        async with fleet() as made:
+            box, own, other = await pair_of_engines(made)
+            asking = await asking_until_begun(box, own)
+            own.pause()
+            answer = await asking
+            own.resume()
+            assert answer.is_whole and numbers(answer) == WHOLE
+            assert other.finished == ["r1"]
+            await until(lambda: own.dropped == ["r1"])
+            assert own.finished == []
+
+    run(body)
+
+
+def test_an_attempt_at_another_worker_is_ended_when_the_silent_one_speaks_first():
+    """Guards against two workers at work on one stream, and against events that come twice."""
+
+    async def body():
+        async with fleet() as made:
+            box, own, other = await pair_of_engines(made)
+            asking = await asking_until_begun(box, own)
+            other.work_s = 5.0
+            async with paused(own):
+                pass
+            answer = await asking
+            assert answer.is_whole and numbers(answer) == WHOLE
+            assert own.finished == ["r1"] and other.finished == []
+            assert other.runs_of("r1") == 1
+            await until(lambda: other.dropped == ["r1"])
+            assert not other.holds
+
+    run(body)
+
+
+def test_a_worker_that_pauses_again_and_again_keeps_its_stream():
+    """Guards against attempts and repeats that are used up by pauses that ended well."""
+
+    async def body():
+        async with fleet() as made:
+            box, own, other = await pair_of_engines(made)
+            asking = await asking_until_begun(box, own, deadline=9000)
+            other.faults.has_no_room = True
+            for _ in range(3):
+                async with paused(own, seconds=1.1):
+                    pass
+                await asyncio.sleep(0.12)
+            answer = await asking
+            assert answer.is_whole and numbers(answer) == WHOLE
+            assert own.finished == ["r1"]
+
+    run(body)
+
+
+def test_a_stream_without_an_event_yet_is_not_refused_while_no_other_worker_has_room():
+    """Guards against giving up a silent worker before its first event."""
+
+    async def body():
+        async with fleet() as made:
+            box, own, other = await pair_of_engines(made, work_s=0.2)
+            asking = asyncio.create_task(ask(box, "/resume/x"))
+            await until(lambda: own.runs_of("r1"))
+            other.faults.has_no_room = True
+            async with paused(own):
+                pass
+            answer = await asking
+            assert answer.status == 200 and answer.is_whole and numbers(answer) == WHOLE
+            assert own.finished == ["r1"] and ran([own, other]) == 1
+
+    run(body)
+
+
+def test_a_stream_whose_workers_are_all_silent_is_left_at_its_deadline_and_ended_there():
+    """Guards against work and memory that are left behind at the caller's deadline."""
+
+    async def body():
+        async with fleet() as made:
+            box, own, other = await pair_of_engines(made)
+            asking = await asking_until_begun(box, own, deadline=1800)
+            own.pause()
+            other.pause()
+            answer = await asking
+            assert not answer.is_whole and numbers(answer) == WHOLE[: len(numbers(answer))]
+            own.resume()
+            other.resume()
+            await until(lambda: own.dropped == ["r1"])
+            await until(lambda: not other.holds and not own.holds)
+            assert own.finished == other.finished == []
+
+    run(body)
+
+
+def test_a_caller_that_leaves_during_a_silence_ends_all_attempts():
+    """Guards against work for a caller who has left while two workers have its stream."""
+
+    async def body():
+        async with fleet() as made:
+            box, own, other = await pair_of_engines(made)
+            asking = await asking_until_begun(box, own)
+            other.work_s = 5.0
+            own.pause()
+            await until(lambda: other.runs_of("r1"))
+            asking.cancel()
+            await until(lambda: other.dropped == ["r1"])
+            own.resume()
+            await until(lambda: own.dropped == ["r1"])
+            assert box.ingress.open_requests == 0 and not other.holds
+
+    run(body)
+
+
+def test_a_stream_that_may_run_once_waits_for_its_silent_worker():
+    """Guards against a second run of what may run once."""
+
+    async def body():
+        async with fleet() as made:
+            box, own, other = await pair_of_engines(made)
+            asking = await asking_until_begun(box, own, "/stream/x")
+            async with paused(own):
+                pass
+            answer = await asking
+            assert answer.is_whole and numbers(answer) == WHOLE
+            assert ran([own, other]) == 1
+
+    run(body)
+
+
+def test_few_calls_for_room_are_made_while_a_whole_service_is_silent():
+    """Guards against a storm of calls for room from all streams of a box at once."""
+
+    async def body():
+        async with fleet() as made:
+            box, own, other = await pair_of_engines(made)
+            streams = [
+                await asking_until_begun(box, own, request_id=f"r{n}", deadline=9000)
+                for n in range(2)
+            ]
+            streams += [
+                asyncio.create_task(ask(box, "/resume/x", f"s{n}", deadline=9000))
+                for n in range(40)
+            ]
+            workers = [own, other]
+            await until(lambda: sum(len(worker.runs) for worker in workers) == 42)
+            before = [holds_asked(worker) for worker in workers]
+            async with paused(*made.workers_by_id.values()):
+                pass
+            for answer in await asyncio.gather(*streams):
+                assert answer.is_whole and numbers(answer) == WHOLE
+            for worker, known in zip(workers, before, strict=True):
+                # The calls that were under way when the worker fell silent, and one that is late.
+                assert holds_asked(worker) - known <= MAX_SEARCHES + 1
+
+    run(body)
+
+
+@pytest.mark.parametrize("other_is", ["full", "without_budget", "silent"])
+def test_a_plain_call_is_answered_by_its_silent_worker_if_no_other_can(other_is):
+    """Guards against giving up a repeatable call at a silent worker."""
+
+    async def body():
+        async with fleet() as made:
+            own = await made.add_worker("w1", work_s=0.1)
+            box = await made.add_box()
+            await made.ready(box)
+            other = await made.add_worker("w2", zone="far")
+            await made.ready(box)
+            prefer(box, "w1")
+            asking = asyncio.create_task(ask(box, "/safe/x"))
+            await until(lambda: own.runs_of("r1"))
+            other.faults.is_full = other_is == "full"
+            if other_is == "without_budget":
+                spend_budget(box, "desk")
+            async with paused(own, *([other] if other_is == "silent" else [])):
+                pass
+            answer = await asking
+            assert answer.status == 200 and answer.body.startswith(b"answer of w")
+            assert own.runs_of("r1") == 1
+
+    run(body)
+
+
+def test_a_plain_call_goes_on_at_another_worker_and_ends_at_the_silent_one():
+    """Guards against a call that is left at a worker that is stuck, and against work left there."""
+
+    async def body():
+        async with fleet() as made:
+            own = await made.add_worker("w1", work_s=0.1)
+            box = await made.add_box()
+            await made.ready(box)
+            await made.add_worker("w2", zone="far")
+            await made.ready(box)
+            prefer(box, "w1")
+            asking = asyncio.create_task(ask(box, "/safe/x"))
+            await until(lambda: own.runs_of("r1"))
+            own.pause()
+            answer = await asking
+            own.resume()
+            assert answer.status == 200 and answer.body == b"answer of w2 to r1"
+            await until(lambda: own.dropped == ["r1"])
+
+    run(body)
+
+
+def holds_asked(worker):
+    return sum(request.path == "/hold-take" for request in worker.received)
+
+
 def spend_budget(box, service):
     """Leave no repeat to a service."""
     window = box.state.budget(service)
