Keep silent workers while another box is asked, until it goes on with the request

Another box now takes a request from silent workers only with a success response; its refusal leaves them the request, and whichever speaks first is heeded. A request that another box passes keeps the time that it has left there, also when that box has a new time-out for the route: one answered 504 after the new time-out of 0.5 s.

--- a/src/croftchute/forwarding/boxes/peer_forwarding.py
+++ b/src/croftchute/forwarding/boxes/peer_forwarding.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 from enum import Enum, auto
+from http import HTTPStatus
 
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.boxes.forward_terms import (
@@ -54,6 +55,10 @@
 links."""
 
 
+NOT_RUN_STATUSES = frozenset({404, 408, 421, 429, 503})
+"""Statuses of another box's refusal that say that no worker has run the request."""
+
+
 class _Ended(Enum):
     """How one attempt to have a request served by another box ended."""
 
@@ -147,7 +152,7 @@
             head = await within(
                 connection.read_head(), run.time_left_s + ANSWER_MARGIN_S, "no head"
             )
-            if was_answered(head):
+            if was_answered(head) and _goes_on_elsewhere(run, head):
                 run.forwarded_to = peer.id
                 run.close_outstanding()
                 await self._relay(run, connection, head, progress)
@@ -156,8 +161,12 @@
                 body = await within(
                     connection.read_body(MAX_ANSWER_BYTES), run.time_left_s, "no body"
                 )
-                outcome = self._note_declined(peer, head, body, run.now)
                 ended = _Ended.NOT_TAKEN
+                if was_answered(head):
+                    outcome = f"status_{head.status}"
+                    run.prior_attempts += head.status not in NOT_RUN_STATUSES
+                else:
+                    outcome = self._note_declined(peer, head, body, run.now)
         except ConnectFailedError as error:
             ended, outcome, progress.detail = _Ended.NOT_TAKEN, "unconnected", error.message
             self._paused_until_by_peer[peer.id] = run.now + UNCONNECTED_PAUSE_S
@@ -166,6 +175,7 @@
             progress.is_caller_slow = isinstance(error, CallerSlowError)
             progress.may_have_run = True
             progress.attempts = max(progress.attempts + 1, run.route.max_attempts - 1)
+            run.prior_attempts += run.outstanding is not None
         finally:
             self._close(peer, owner, connection, run.now)
         state.metrics.forwards.inc({"outcome": outcome})
@@ -303,3 +313,8 @@
         code = Code.UPSTREAM_SLOW if is_late else Code.UPSTREAM_FAILED
         run.refuse_finally(Withheld(code=code, ran=Ran.UNKNOWN, detail=progress.detail))
         return True
+
+
+def _goes_on_elsewhere(run: RequestRun, head: ResponseHead) -> bool:
+    """Whether an answer of another box is the caller's: not a refusal while workers may answer."""
+    return run.outstanding is None or head.status < HTTPStatus.MULTIPLE_CHOICES
--- a/src/croftchute/forwarding/workers/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -318,8 +318,11 @@
         if self.race.attempts:
             progress.may_have_run = True
             progress.code = Code.UPSTREAM_SLOW
-            progress.detail = self._note_outlasted()
-            run.outstanding = self if run.time_left_s > 0.0 else None
+            progress.detail = f"{self._open_workers} silent"
+            if run.time_left_s > 0.0:
+                run.outstanding = self
+            else:
+                self._note_outlasted()
         last = progress.last_answer
         if run.outstanding is None and last is not None and not _implies_not_run(last):
             await _send_answer(run, last)
@@ -333,11 +336,14 @@
         if run.withheld is None:
             run.outstanding = None
 
-    def _note_outlasted(self) -> str:
-        """Record that workers are silent as the wait for them ends; return what to tell callers."""
+    @property
+    def _open_workers(self) -> str:
+        return ", ".join(attempt.call.worker.id for attempt in self.race.attempts)
+
+    def _note_outlasted(self) -> None:
+        """Record that workers were silent until the request's time was over."""
         for attempt in self.race.attempts:
             attempt.call.record_outlasted()
-        return f"{', '.join(attempt.call.worker.id for attempt in self.race.attempts)} silent"
 
 
 async def run_plain(run: RequestRun) -> None:
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -91,7 +91,9 @@
         self.started_at = started_at
         timeout_s = route.timeout_s
         if facts.time_left_s is not None:
-            timeout_s = min(timeout_s, facts.time_left_s)
+            # The box that a caller sent the request to has bounded its time by the route as it was.
+            is_bounded = self.is_forwarded or facts.time_left_s < timeout_s
+            timeout_s = facts.time_left_s if is_bounded else timeout_s
         self.deadline_at = started_at + timeout_s
         self.since_first_try_s = state.first_tries.since_first_try_s(
             route.name, facts.time_left_s, started_at
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -262,7 +262,7 @@
         self._log_end("dropped")
 
     def record_outlasted(self) -> None:
-        """Record that the worker is silent as the time of the request ends, or as it is left."""
+        """Record that the worker is silent as the time of the request ends."""
         self.run.state.metrics.silences.inc({"outcome": "outlasted"})
         self._log_end("outlasted")
 
