Soak: pause sound workers beside changes of the configuration

The new kind workers_paused pauses some or all workers of one service or of both for 0.5 to 1.6 s, in series that overlap, each beside a changed idle time, time-out or route, with requests of a route of its own under way. Its check is what callers got: an answer that some worker ran may not end before its deadline if nothing but pauses struck it.

Two older checks allow for pauses: work that waited in front of a worker that stood still begins there late, and a request whose worker was paused until its deadline is not cut off by a stop. Routes that come and go with the fault may answer 404.

--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -13,6 +13,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 ROOT = Path(__file__).resolve().parents[3]
 ALTERATION_VARIABLE = "CROFTCHUTE_SOAK_ALTERATION"
@@ -42,6 +43,7 @@
 from croftchute.forwarding.state import ForwardingState  # noqa: E402
 from croftchute.forwarding.store import store_follower  # noqa: E402
 from croftchute.forwarding.store.crash_register import CrashRegister  # noqa: E402
+from croftchute.forwarding.workers.attempt_race import AttemptRace  # noqa: E402
 from croftchute.forwarding.workers.request_run import RequestRun  # noqa: E402
 from croftchute.forwarding.workers.worker_call import WorkerCall  # noqa: E402
 from croftchute.systems.crash_records import CrashRecords  # noqa: E402
@@ -334,6 +336,15 @@
     ForwardingState.can_forward = property(lambda _: False)  # type: ignore[assignment,method-assign]
 
 
+def leave_silent_workers() -> None:
+    """End an attempt as soon as its worker is silent, before another worker has the request."""
+
+    async def first_to_speak(self: AttemptRace[Any]) -> None:
+        self.drop_all_but()
+
+    AttemptRace.first_to_speak = first_to_speak  # type: ignore[method-assign]
+
+
 BUCKETS: dict[str, UsageBucket] = {}
 KEPT: list[object] = []
 BROKEN: dict[str, Callable[[], None]] = {
@@ -355,6 +366,7 @@
     "limits_alone": limits_alone,
     "keep_to_own_workers": keep_to_own_workers,
     "any_version": any_version,
+    "leave_silent_workers": leave_silent_workers,
 }
 
 
--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -16,6 +16,7 @@
 from croftchute.soak.key_checks import DENIED, KeyChecks
 from croftchute.soak.link_cuts import LinkCuts, links_of
 from croftchute.soak.paces import transfer_allowance_s
+from croftchute.soak.pauses import PausedWorkers
 from croftchute.soak.software import streams_lost, versions_mixed
 from croftchute.soak.traffic import Traffic
 from croftchute.soak.violation import Violation, broken
@@ -73,6 +74,7 @@
     telling: TellingWorkers | None = None
     limiting: LimitingWorkers | None = None
     link_cuts: LinkCuts | None = None
+    paused: PausedWorkers | None = None
     runs_by_id: dict[str, list[tuple[ListedWorker, Run]]] = field(default_factory=dict)
 
     @property
@@ -110,6 +112,8 @@
             found += keys.in_time()
             found += self._crashing_requests()
             found += self._crashing_part_requests()
+            if self.paused is not None:
+                found += self.paused.violations(self.runs_by_id, slack_s=self.slack_s)
             if self.link_cuts is not None:
                 found += self.link_cuts.violations(self.traffic)
             if self.telling is not None:
@@ -138,7 +142,8 @@
             is_told_to_return = attempt.status in (UNAVAILABLE, TOO_MANY)
             if is_told_to_return and attempt.retry_after_s is None:
                 yield broken("refusals say when to come back", attempt, "no Retry-After")
-            is_judged_by_key = attempt.status == DENIED or attempt.path.startswith("/added/")
+            comes_and_goes = attempt.path.startswith(("/added/", "/passing/"))
+            is_judged_by_key = attempt.status == DENIED or comes_and_goes
             is_denied = attempt.status in OWN_REFUSALS and not is_judged_by_key
             if is_denied:
                 yield broken("proper requests are not denied", attempt, str(attempt.status))
@@ -213,6 +218,8 @@
                 is_held_up = not self.disturbances.are_calm(
                     (links_of(attempt.box),), since, run.started_at
                 )
+                # What waited in front of a worker that stood still begins there late.
+                is_held_up |= self._was_paused(listed, since, run.started_at)
                 is_in_touch = self._in_touch(attempt.box, run.started_at) and not is_held_up
                 if late_s > self.slack_s and is_in_touch:
                     detail = f"{listed.worker.id}, {late_s:.2f} s too late"
@@ -282,6 +289,8 @@
             since = attempt.sent_at - CONTACT_S
             stops = self.disturbances.stops_about(attempt.box, attempt.sent_at, attempt.ended_at)
             is_calm = self.disturbances.are_calm(names, since, attempt.ended_at, but_planned=True)
+            if self._was_outlasted(attempt, runs):
+                continue
             if stops and is_calm and not any(_may_cut(stop, attempt) for stop in stops):
                 recent = [one.start for one in stops if attempt.ended_at < one.start + END_S]
                 begun_at = min(recent, default=stops[-1].start)
@@ -291,6 +300,14 @@
                 )
                 yield broken("a stop cuts off nothing", attempt, detail)
 
+    def _was_outlasted(self, attempt: Try, runs: list[tuple[ListedWorker, Run]]) -> bool:
+        """Whether a pause of its workers took a try to its deadline."""
+        assert attempt.ended_at is not None
+        is_late = attempt.ended_at - attempt.sent_at > attempt.deadline_s - self.slack_s
+        return is_late and any(
+            self._was_paused(listed, attempt.sent_at, attempt.ended_at) for listed, _ in runs
+        )
+
     def _crashing_requests(self) -> Iterator[Violation]:
         """A request under which three workers have ended reaches hardly any more of them."""
         for request in self.crashing:
@@ -344,6 +361,9 @@
                 last = list(late.values())[-1]
                 yield broken("requests with a part that crashes workers stop", last, detail)
 
+    def _was_paused(self, listed: ListedWorker, start: float, end: float) -> bool:
+        return self.paused is not None and self.paused.was_paused(listed.worker.id, start, end)
+
     def _in_touch(self, box: str, at: float, for_s: float = 0.0) -> bool:
         """Whether box and store were undisturbed for ``CONTACT_S`` before, or for longer."""
         return self.disturbances.are_calm((box, STORE), at - max(CONTACT_S, for_s), at)
--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -16,6 +16,7 @@
 from croftchute.soak.crashing import CrashingParts, CrashingRequests
 from croftchute.soak.disturbances import Disturbances
 from croftchute.soak.link_cuts import LinkCuts
+from croftchute.soak.pauses import PausedWorkers
 from croftchute.soak.plan import FaultKind, PlannedFault, SoakSpec
 from croftchute.soak.proxy import FaultyLink, LinkFault
 from croftchute.soak.series import SeriesFaults
@@ -105,6 +106,7 @@
         set_burst: Callable[[bool], None],
         crashing: CrashingRequests,
         crashing_parts: CrashingParts,
+        paused: PausedWorkers,
     ) -> None:
         self.spec = spec
         self.world = world
@@ -166,6 +168,7 @@
             FaultKind.STORE_RESTORED: store.restore,
             FaultKind.WORKER_LIMITS: self._limit_workers,
             FaultKind.LINKS_CUT: self.link_cuts.strike,
+            FaultKind.WORKERS_PAUSED: paused.strike,
         }
 
     @property
--- /dev/null
+++ b/src/croftchute/soak/pauses.py
@@ -0,0 +1,210 @@
+"""Pauses of sound workers beside changes of the configuration, and what callers got meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from croftchute.soak.boxes import SoakBox
+from croftchute.soak.disturbances import Disturbances
+from croftchute.soak.keys import STANDING
+from croftchute.soak.link_cuts import links_of
+from croftchute.soak.plan import PlannedFault
+from croftchute.soak.traffic import Traffic
+from croftchute.soak.violation import Violation, broken
+from croftchute.soak.world import (
+    DESK,
+    ENGINES,
+    TIMEOUT_S,
+    ListedWorker,
+    SoakWorld,
+    passing_path,
+)
+from croftchute.standins.platform_caller import RequestKind, Try
+from croftchute.standins.worker_records import Run
+
+PAUSES_S = (0.5, 1.6)
+"""Shortest and longest pause in seconds: callers of streams bear gaps of 2 s."""
+
+MAX_BLOWS = 3
+"""Most pauses of one series."""
+
+GAPS_S = (0.2, 1.2)
+"""Seconds between two pauses of a series: some overlap."""
+
+OFFSETS_S = (0.0, 0.5)
+"""Seconds between a change of the configuration and the pause beside it, either first."""
+
+SHARES = (0.3, 0.6, 1.0)
+"""Shares of a service's workers that pause together."""
+
+IN_FORCE_S = 2.6
+"""Seconds until a new route is in force at all boxes: the users' bound, and some slack."""
+
+UNDER_WAY_S = 0.25
+"""Seconds after which requests are under way when the configuration changes."""
+
+SHORT_TIMEOUT_S = 0.5
+"""A route's time-out that no request under way would bear if it applied to it."""
+
+IDLE_TIMEOUTS_S = (2.5, 4.0, 6.0)
+"""Idle times of callers' connections, in turn."""
+
+CONTACT_S = 3.0
+"""Seconds before a request in which nothing else may have struck for it to be judged."""
+
+DEADLINE_SLACK_S = 0.1
+"""Seconds before its deadline in which the end of a request is not judged."""
+
+FAILURES = frozenset({502, 504})
+
+
+class ConfigChange(StrEnum):
+    """What a configuration changes beside a pause."""
+
+    IDLE = "idle"
+    TIMEOUT = "timeout"
+    ROUTE = "route"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Pause:
+    """A worker that stood still from ``start`` to ``end``, by the loop's clock."""
+
+    worker: str
+    start: float
+    end: float
+
+
+@dataclass(kw_only=True)
+class PausedWorkers:
+    """Pauses workers in series and at once, and checks what their callers got."""
+
+    world: SoakWorld
+    boxes: Sequence[SoakBox]
+    traffic: Traffic
+    disturbances: Disturbances
+    pauses: list[Pause] = field(default_factory=list)
+    _open_by_worker: Counter[str] = field(default_factory=Counter)
+    _numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+
+    async def strike(self, fault: PlannedFault) -> None:
+        """Pause workers one to three times, each time beside a change of the configuration."""
+        rng = random.Random(fault.pick)
+        number = next(self._numbers)
+        self.world.passing_timeouts_s[number] = TIMEOUT_S
+        self.world.accept_config()
+        await asyncio.sleep(IN_FORCE_S)
+        async with asyncio.TaskGroup() as blows:
+            for _ in range(rng.randint(1, MAX_BLOWS)):
+                if number in self.world.passing_timeouts_s:
+                    self._ask_all(number, blows)
+                    await asyncio.sleep(UNDER_WAY_S)
+                change_s, pause_s = rng.uniform(*OFFSETS_S), rng.uniform(*OFFSETS_S)
+                change = rng.choice(list(ConfigChange))
+                blows.create_task(self._change(change, number, change_s, rng))
+                blows.create_task(
+                    self._pause_some(self._choose(rng), pause_s, rng.uniform(*PAUSES_S))
+                )
+                await asyncio.sleep(rng.uniform(*GAPS_S))
+
+    def _ask_all(self, number: int, blows: asyncio.TaskGroup) -> None:
+        """Have requests of a route of this series under way at all boxes."""
+        if self.world.passing_timeouts_s[number] < TIMEOUT_S:
+            return
+        for index in range(len(self.boxes)):
+            for kind in (RequestKind.RESUMABLE, RequestKind.REPEATABLE):
+                blows.create_task(self._ask(index, kind, number))
+
+    async def _ask(self, index: int, kind: RequestKind, number: int) -> None:
+        caller = self.traffic.caller(index)
+        path = f"{passing_path(number, kind)}{len(self.traffic.tries_by_id)}"
+        await self.traffic.ask(
+            caller, kind, path, may_leave=False, deadline_s=TIMEOUT_S, key=STANDING
+        )
+        caller.close()
+
+    async def _change(
+        self, change: ConfigChange, number: int, after_s: float, rng: random.Random
+    ) -> None:
+        await asyncio.sleep(after_s)
+        if change is ConfigChange.IDLE:
+            self.world.idle_timeout_s = rng.choice(IDLE_TIMEOUTS_S)
+        elif change is ConfigChange.TIMEOUT and number in self.world.passing_timeouts_s:
+            self.world.passing_timeouts_s[number] = SHORT_TIMEOUT_S
+        else:
+            self.world.passing_timeouts_s.pop(number, None)
+        self.world.accept_config()
+
+    def _choose(self, rng: random.Random) -> list[ListedWorker]:
+        """Some or all workers of one service, or of both."""
+        services = rng.choice(((ENGINES,), (DESK,), (ENGINES, DESK)))
+        live = [listed for service in services for listed in self.world.live(service)]
+        count = max(1, round(rng.choice(SHARES) * len(live)))
+        return rng.sample(live, min(count, len(live)))
+
+    async def _pause_some(self, chosen: list[ListedWorker], after_s: float, for_s: float) -> None:
+        await asyncio.sleep(after_s)
+        start = asyncio.get_running_loop().time()
+        for listed in chosen:
+            name = listed.worker.id
+            self._open_by_worker[name] += 1
+            listed.worker.pause()
+            self.pauses.append(Pause(worker=name, start=start, end=start + for_s))
+            self.disturbances.note(name, start, start + for_s, is_planned=True)
+        await asyncio.sleep(for_s)
+        for listed in chosen:
+            self._open_by_worker[listed.worker.id] -= 1
+            if not self._open_by_worker[listed.worker.id]:
+                listed.worker.resume()
+
+    def was_paused(self, worker: str, start: float, end: float) -> bool:
+        """Whether a worker stood still at some time from ``start`` to ``end``."""
+        return any(
+            pause.worker == worker and pause.start <= end and pause.end >= start
+            for pause in self.pauses
+        )
+
+    def violations(
+        self, runs_by_id: dict[str, list[tuple[ListedWorker, Run]]], *, slack_s: float
+    ) -> Iterator[Violation]:
+        """Answers that ended before their time although nothing but pauses struck their workers.
+
+        A request that no worker ran may be refused, and one whose time is over ends.
+        """
+        for attempt in self.traffic.tries_by_id.values():
+            runs = runs_by_id.get(attempt.request_id)
+            if not runs or not _has_ended_badly(attempt) or _is_at_deadline(attempt, slack_s):
+                continue
+            assert attempt.ended_at is not None
+            names = (attempt.box, links_of(attempt.box), *(listed.worker.id for listed, _ in runs))
+            since = attempt.sent_at - CONTACT_S
+            until = attempt.ended_at
+            is_calm = self.disturbances.are_calm(names, since, until, but_planned=True)
+            if is_calm and not self.disturbances.stops_about(attempt.box, since, until):
+                yield broken("a silent worker ends no answer", attempt, _describe(attempt))
+
+
+def _has_ended_badly(attempt: Try) -> bool:
+    """Whether a try that its caller waited for got a part of an answer, none, or a failure."""
+    if not attempt.is_sent or attempt.left_at is not None or attempt.ended_at is None:
+        return False
+    return not attempt.is_whole or attempt.status in FAILURES
+
+
+def _is_at_deadline(attempt: Try, slack_s: float) -> bool:
+    assert attempt.ended_at is not None
+    took_s = attempt.ended_at - attempt.sent_at
+    return took_s > attempt.deadline_s - DEADLINE_SLACK_S - slack_s
+
+
+def _describe(attempt: Try) -> str:
+    assert attempt.ended_at is not None
+    took_s = attempt.ended_at - attempt.sent_at
+    what = f"status {attempt.status}" if attempt.is_whole else attempt.failure
+    return f"{what} after {took_s:.2f} of {attempt.deadline_s:.2f} s"
--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -45,6 +45,7 @@
     WORKER_LIMITS = "worker_limits"
     LINKS_CUT = "links_cut"
     PART_CRASHES = "part_crashes"
+    WORKERS_PAUSED = "workers_paused"
 
 
 LATER_KINDS = frozenset(
@@ -57,6 +58,7 @@
         FaultKind.WORKER_LIMITS,
         FaultKind.LINKS_CUT,
         FaultKind.PART_CRASHES,
+        FaultKind.WORKERS_PAUSED,
     }
 )
 FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
--- a/src/croftchute/soak/run.py
+++ b/src/croftchute/soak/run.py
@@ -17,6 +17,7 @@
 from croftchute.soak.crashing import CrashingParts, CrashingRequests
 from croftchute.soak.disturbances import Disturbances
 from croftchute.soak.injector import Injector
+from croftchute.soak.pauses import PausedWorkers
 from croftchute.soak.plan import FaultKind, SoakSpec, draw_plan
 from croftchute.soak.proxy import FaultyLink, Target
 from croftchute.soak.restored import keep_beating
@@ -77,6 +78,7 @@
     traffic: Traffic
     crashing: CrashingRequests
     crashing_parts: CrashingParts
+    paused: PausedWorkers
 
     async def wait_ready(self) -> bool:
         """Wait until all boxes call themselves ready; False if they do not in time."""
@@ -126,6 +128,7 @@
             telling=injector.telling,
             limiting=injector.limiting,
             link_cuts=injector.link_cuts,
+            paused=set_up.paused,
         )
         violations += checker.violations()
         tries = set_up.traffic.tries_by_id.values()
@@ -189,6 +192,7 @@
         set_burst=set_burst,
         crashing=set_up.crashing,
         crashing_parts=set_up.crashing_parts,
+        paused=set_up.paused,
     )
 
 
@@ -250,6 +254,9 @@
             traffic=traffic,
             crashing=CrashingRequests(world=world, traffic=traffic, disturbances=disturbances),
             crashing_parts=CrashingParts(world=world, traffic=traffic, disturbances=disturbances),
+            paused=PausedWorkers(
+                world=world, boxes=boxes, traffic=traffic, disturbances=disturbances
+            ),
         )
     finally:
         await _take_down(boxes, running)
--- a/src/croftchute/soak/world.py
+++ b/src/croftchute/soak/world.py
@@ -11,6 +11,7 @@
 from croftchute.soak.keys import organisations
 from croftchute.soak.proxy import FaultyLink, LinkFault, Target
 from croftchute.standins.metadata_store import MetadataStore
+from croftchute.standins.platform_caller import RequestKind
 from croftchute.standins.platform_worker import PlatformWorker
 
 JsonObject = dict[str, Any]
@@ -33,6 +34,12 @@
 SOFTWARE_VERSIONS = 2
 """Software versions that workers have in turn: one that comes back may have another."""
 
+IDLE_TIMEOUT_S = 4.0
+"""Seconds for which callers' connections may rest, unless a fault changes it."""
+
+PASSING_KINDS = (RequestKind.RESUMABLE, RequestKind.REPEATABLE)
+"""Kinds of requests on routes that come and go with a fault."""
+
 MAX_ATTEMPTS = 2
 DESK = "desk"
 ENGINES = "engines"
@@ -79,6 +86,8 @@
     size_by_version: dict[int, int] = field(default_factory=dict)
     routes: list[JsonObject] = field(default_factory=list)
     fillers: list[JsonObject] = field(default_factory=list)
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+    passing_timeouts_s: dict[int, float] = field(default_factory=dict)
     link_hosts: tuple[str, ...] = ()
     _box_links_by_host: dict[str, list[FaultyLink]] = field(default_factory=dict)
     _cut_by_host: dict[str, LinkFault] = field(default_factory=dict)
@@ -186,9 +195,21 @@
         self.version += 1
         added = _route(f"added-{self.version}", added_path(self.version), "idempotent", DESK)
         self.routes.append(added)
+        passing = [
+            _route(
+                f"passing-{number}-{kind.value}",
+                passing_path(number, kind),
+                "streaming" if kind.is_stream else "idempotent",
+                ENGINES if kind.is_stream else DESK,
+                TimeoutMs=int(timeout_s * 1000),
+                Resumable=kind.is_stream,
+            )
+            for number, timeout_s in self.passing_timeouts_s.items()
+            for kind in PASSING_KINDS
+        ]
         document = {
             "Version": self.version,
-            "Routes": self.routes + self.fillers,
+            "Routes": self.routes + passing + self.fillers,
             "Services": [
                 {"Name": ENGINES, "MaxConnections": 600, "Engine": ENGINE_TRAITS},
                 {"Name": DESK, "MaxConnections": 100},
@@ -197,7 +218,7 @@
                 "MaxHeaderBytes": 16384,
                 "MaxBodyBytes": 65536,
                 "HeaderTimeoutMs": 3000,
-                "IdleTimeoutMs": 4000,
+                "IdleTimeoutMs": int(self.idle_timeout_s * 1000),
             },
             "Tenants": organisations(self.version),
         }
@@ -242,6 +263,11 @@
     return f"/added/{version}/"
 
 
+def passing_path(number: int, kind: RequestKind) -> str:
+    """The path of a route that comes and goes with a fault."""
+    return f"/passing/{number}/{kind.value}/"
+
+
 def _route(name: str, prefix: str, kind: str, service: str, **changes: object) -> JsonObject:
     return {
         "Name": name,
--- a/src/croftchute/standins/platform_caller.py
+++ b/src/croftchute/standins/platform_caller.py
@@ -45,6 +45,7 @@
 
     ``resumes`` is the try that brought the first event of a stream that this one takes up behind
     ``last_event``; empty and 0 for others. ``parts`` are the ids of the parts of its prompt.
+    ``deadline_s`` is how long the caller waits.
     """
 
     request_id: str
@@ -57,6 +58,7 @@
     resumes: str = ""
     last_event: int = 0
     parts: tuple[str, ...] = ()
+    deadline_s: float = 0.0
     is_sent: bool = False
     left_at: float | None = None
     ended_at: float | None = None
@@ -100,6 +102,7 @@
     ) -> None:
         """Make one try; what came of it is written into ``attempt``."""
         loop = asyncio.get_running_loop()
+        attempt.deadline_s = deadline_s
         try:
             limit_s = deadline_s if leave_after_s is None else min(deadline_s, leave_after_s)
             async with asyncio.timeout(limit_s):
