Let connections rest as long as the limits in force say

A caller whose connection rests was closed after the idle time that was in force when it began to rest, although a configuration had come into force meanwhile that allows more: its next request could cross the close. The time-out is checked against the limits in force when it ends; a shorter idle time holds from the next rest on. The new test fails on the code before.

--- a/src/croftchute/forwarding/http/http_server.py
+++ b/src/croftchute/forwarding/http/http_server.py
@@ -60,6 +60,7 @@
         self._is_reading = False
         self._connected_at = self.server.clock()
         self._requests_read = 0
+        self._resting_since = self._loop.time()
         self._begin_message()
 
     @property
@@ -91,7 +92,7 @@
         self.writer.attach(transport)
         watch_for_silence(transport.get_extra_info("socket"), ACCEPTED)
         self.server.connections.add(self)
-        self._wait_for(self.server.limits().idle_timeout_s)
+        self._rest()
 
     def data_received(self, data: bytes) -> None:
         """Parse; a request that is whole is queued."""
@@ -263,7 +264,7 @@
         if self._waiting:
             self._serve_next()
         elif not self._is_reading:
-            self._wait_for(self.server.limits().idle_timeout_s)
+            self._rest()
 
     def _ends_here(self) -> bool:
         """Whether the connection closes with the answer that has just ended.
@@ -290,6 +291,16 @@
         else:
             self._closes_after = True
 
+    def _rest(self) -> None:
+        """Wait for a request for as long as a connection may rest."""
+        self._resting_since = self._loop.time()
+        self._wait_for(self.server.limits().idle_timeout_s)
+
+    def _rest_left_s(self) -> float:
+        """Seconds for which the connection may still rest, by the limits in force now."""
+        rested_s = self._loop.time() - self._resting_since
+        return self.server.limits().idle_timeout_s - rested_s
+
     def _wait_for(self, seconds: float) -> None:
         self._cancel_timer()
         self._timer = self._loop.call_later(seconds, self._timed_out)
@@ -303,7 +314,11 @@
         if self._is_reading:
             self._refuse(HTTPStatus.REQUEST_TIMEOUT)
         elif not self.is_busy:
-            self.close_soon()
+            left_s = self._rest_left_s()
+            if left_s > 0.0:
+                self._wait_for(left_s)
+            else:
+                self.close_soon()
 
 
 class HttpIngress:
--- a/tests/forwarding/http/test_http_server.py
+++ b/tests/forwarding/http/test_http_server.py
@@ -138,6 +138,23 @@
     serve(test, handler=slow)
 
 
+def test_a_connection_rests_as_long_as_the_limits_in_force_say():
+    """Guards against closing on a caller who rests within a longer idle time that came later."""
+
+    async def test(reader, writer, ingress):
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await answer_to(reader))[0] == 200
+        longer = IngressLimits(idle_timeout_s=3 * LIMITS.idle_timeout_s)
+        ingress.limits = lambda: longer
+        await asyncio.sleep(2 * LIMITS.idle_timeout_s)
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await answer_to(reader))[0] == 200
+        ingress.limits = lambda: LIMITS
+        assert await reader.read() == b""
+
+    serve(test)
+
+
 def test_a_body_is_asked_for_when_the_caller_waits():
     async def test(reader, writer, ingress):
         writer.write(
