--- a/tests/platform_adapter/test_silent_workers.py
+++ b/tests/platform_adapter/test_silent_workers.py
@@ -4,7 +4,7 @@
 import contextlib
 
 import pytest
-from platform_fleet import ask, fleet, run, until
+from platform_fleet import ask, config, fleet, run, until
 from stream_fleet import engines, numbers, prefer, ran
 
 from croftchute.systems.failover_pace import MAX_SEARCHES
@@ -304,6 +304,52 @@
     run(body)
 
 
+def changed(change):
+    """The configuration of the fleet with one change, as the next version."""
+    new = config(8)
+    routes = {each["Name"]: each for each in new["Routes"]}
+    if change == "idle":
+        new["Limits"]["IdleTimeoutMs"] = 500
+    elif change == "timeout":
+        for each in routes.values():
+            each["TimeoutMs"] = 400
+    elif change == "route":
+        new["Routes"] = [routes["once"]]
+    elif change == "service":
+        new["Services"] = [each for each in new["Services"] if each["Name"] == "desk"]
+        new["Routes"] = [routes["safe"], routes["once"]]
+    return new
+
+
+@pytest.mark.parametrize("change", ["idle", "timeout", "route", "service"])
+@pytest.mark.parametrize("paused_share", ["some", "all"])
+def test_a_change_of_configuration_ends_no_answer_of_a_silent_worker(change, paused_share):
+    """Guards against new times or routes that are applied to requests under way."""
+
+    async def body():
+        async with fleet() as made:
+            box, own, other = await pair_of_engines(made)
+            desk = await made.add_worker("w1", work_s=0.3)
+            await made.ready(box)
+            asking = [
+                await asking_until_begun(box, own),
+                await asking_until_begun(box, own, "/stream/x", "r2"),
+                asyncio.create_task(ask(box, "/safe/x", "r3")),
+            ]
+            await until(lambda: desk.runs_of("r3"))
+            silent = made.workers_by_id.values() if paused_share == "all" else (own, desk)
+            async with paused(*silent):
+                made.store.put("op/config", changed(change))
+                await until(lambda: box.state.table.version == 8)
+            stream, once, plain = await asyncio.gather(*asking)
+            assert stream.is_whole and numbers(stream) == WHOLE
+            assert once.is_whole and numbers(once) == WHOLE
+            assert plain.status == 200 and ran([own, other], "r2") == 1
+            assert made.workers_by_id["w1"].runs_of("r3") == 1
+
+    run(body)
+
+
 def holds_asked(worker):
     return sum(request.path == "/hold-take" for request in worker.received)
 
