Look for another engine as often as waiting requests do

A stream without an event yet whose engine is silent asked others for room every 40 ms, ahead of requests that had not been sent, whose first tries ask every 100 ms. It now asks at the interval of its kind: 40 ms once it has begun, as before.

--- a/src/croftchute/forwarding/workers/decode_reservation.py
+++ b/src/croftchute/forwarding/workers/decode_reservation.py
@@ -34,7 +34,8 @@
     """Finds a decode worker with room for one request, and keeps the hold until it is used.
 
     ``cached_worker_id`` is the worker that may still have the prompt in its cache; it is asked
-    first, once. ``code`` and ``detail`` say why the workers asked last had no room.
+    first, once. ``code`` and ``detail`` say why the workers asked last had no room, ``ask_again_s``
+    after how many seconds a request whose worker is silent asks again.
     """
 
     def __init__(self, *, run: RequestRun) -> None:
@@ -45,6 +46,7 @@
         self.detail = ""
         self._has_tried_cached_worker = False
         self._permit_worker: Worker | None = None
+        self.ask_again_s = 0.0
         self._usage = RequestUsage(run=run)
         self._was_silent = False
 
@@ -105,6 +107,7 @@
         self.detail = ""
         run.full_workers.clear()
         with closing(self._wait_policy(is_begun=run.exchange.is_started)) as policy:
+            self.ask_again_s = policy.poll_interval_s(run.now)
             if run.is_cut_off or not policy.may_ask(run.now):
                 return None
             found = await self._ask_for_room(ends_on_silence=True)
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -31,7 +31,7 @@
 from croftchute.forwarding.workers.worker_call import WorkerCall
 from croftchute.forwarding.workers.worker_control import is_same_process
 from croftchute.systems import timeouts
-from croftchute.systems.failover_pace import FAILED_PAUSE_S, RECHECK_S
+from croftchute.systems.failover_pace import RECHECK_S
 from croftchute.systems.prefill_queue import PrefillEstimate
 from croftchute.systems.tracked_worker import TrackedWorker
 from croftchute.systems.worker_choice import ChoiceRecord
@@ -247,7 +247,7 @@
         finally:
             pace.end()
             self.reservation.release_unused()
-            self._search_not_before = run.now + FAILED_PAUSE_S
+            self._search_not_before = run.now + self.reservation.ask_again_s
 
     def goes_on_at(self, attempt: StreamAttempt) -> bool:
         """Take what an attempt has listened for; return whether the stream goes on there."""
--- a/src/croftchute/systems/failover_pace.py
+++ b/src/croftchute/systems/failover_pace.py
@@ -17,8 +17,8 @@
 SILENT_PAUSE_S = 0.1
 """Seconds until the next search after a worker that was asked did not answer in time."""
 
-FAILED_PAUSE_S = 0.04
-"""Seconds until a request looks again after a search that found no room."""
+CROWDED_PAUSE_S = 0.02
+"""Seconds until a request looks whether enough other searches have ended."""
 
 RECHECK_S = 0.1
 """Seconds after which a request that may not be sent to another worker checks that again."""
@@ -45,7 +45,7 @@
         """Return the seconds until another search may begin, as far as is known; 0 if now."""
         if now < self.paused_until:
             return self.paused_until - now
-        return 0.0 if self.open < int(self.window) else FAILED_PAUSE_S
+        return 0.0 if self.open < int(self.window) else CROWDED_PAUSE_S
 
     def begin(self) -> None:
         """Count a search that begins."""
