--- a/tests/platform_adapter/test_silent_workers.py
+++ b/tests/platform_adapter/test_silent_workers.py
@@ -350,6 +350,60 @@
     run(body)
 
 
+async def two_boxes(made):
+    """Start two boxes that know each other before two decode workers, of which they prefer d0."""
+    first, (own, other), _ = await engines(made, decodes=2, **SLOW)
+    second = await made.add_box("box-2", zone="b")
+    for box in (first, second):
+        box.state.peers.seeds = tuple(("127.0.0.1", each.exchange.port) for each in made.boxes)
+        await made.ready(box)
+        prefer(box, "d0")
+    for box in (first, second):
+        await until(lambda box=box: box.state.peers.forward_candidates(box.state.clock()))
+    return first, second, own, other
+
+
+@pytest.mark.parametrize("is_begun", [True, False], ids=["begun", "not_begun"])
+def test_a_long_silence_of_all_workers_is_outlasted_by_boxes_that_ask_each_other(is_begun):
+    """Guards against refusals of other boxes that end what silent workers still run."""
+
+    async def body():
+        async with fleet() as made:
+            first, second, own, other = await two_boxes(made)
+            own.work_s = 0.0 if is_begun else 0.3
+            asking = []
+            for number, box in enumerate((first, second)):
+                asking.append(asyncio.create_task(ask(box, "/resume/x", f"r{number}")))
+                await until(lambda number=number: own.runs_of(f"r{number}"))
+            await asyncio.sleep(0.12)
+            async with paused(*made.workers_by_id.values(), seconds=2.4):
+                await until(lambda: first.state.links.are_lost or second.state.links.are_lost)
+            for answer in await asyncio.gather(*asking):
+                assert answer.status == 200 and answer.is_whole and numbers(answer) == WHOLE
+            assert sorted(own.finished + other.finished) == ["r0", "r1"]
+
+    run(body)
+
+
+def test_a_stream_that_another_box_passed_on_is_kept_by_its_silent_worker():
+    """Guards against giving up a silent worker's stream at the box that serves it for another."""
+
+    async def body():
+        async with fleet() as made:
+            first, second, own, other = await two_boxes(made)
+            first.state.links.lost_at = first.state.clock()
+            first.state.links.note_round = lambda probes, now: None
+            asking = await asking_until_begun(first, own)
+            other.faults.has_no_room = True
+            async with paused(own):
+                pass
+            answer = await asking
+            assert answer.is_whole and numbers(answer) == WHOLE
+            assert own.finished == ["r1"] and ran([own, other]) == 1
+
+    run(body)
+
+
 def holds_asked(worker):
     return sum(request.path == "/hold-take" for request in worker.received)
 
