Go on with a search for another worker when the silent one's connection breaks

A search that was under way was given up and begun anew when the silent attempt failed, so a hold that had just been granted was dropped. The race now goes on until the search has ended. The cheap conditions of a search (pace, pause, budget) are looked at before the workers are, as thousands of workers would be looked through ten times a second for each silent stream; while few searches may be open, requests look less often whether theirs may begin.

--- a/src/croftchute/forwarding/workers/attempt_race.py
+++ b/src/croftchute/forwarding/workers/attempt_race.py
@@ -67,6 +67,10 @@
         self.attempts: list[A] = []
         self._searching: asyncio.Task[A | None] | None = None
 
+    @property
+    def _is_open(self) -> bool:
+        return bool(self.attempts) or self._searching is not None
+
     @property
     def has_others(self) -> bool:
         """Whether more than one attempt is open."""
@@ -75,11 +79,13 @@
     async def first_to_speak(self) -> A | None:
         """Return the attempt that the request goes on at, after all others have been ended.
 
-        Return None if all of them have failed. If the time of the request is over, or another box
-        is to be asked, return None and leave ``attempts`` open.
+        Return None if all of them have failed, and no successor takes the request at once. If the
+        time of the request is over, or another box is to be asked, return None and leave
+        ``attempts`` open.
         """
+        run = self.run
         try:
-            while self.attempts and self.run.time_left_s > 0.0 and not self.may_leave():
+            while self._is_open and run.time_left_s > 0.0 and not self.may_leave():
                 await self._wait()
                 self._take_successor()
                 speaker = self._hear_all()
--- a/src/croftchute/forwarding/workers/decode_reservation.py
+++ b/src/croftchute/forwarding/workers/decode_reservation.py
@@ -20,6 +20,7 @@
 from croftchute.forwarding.workers.withheld import CUT_OFF_DETAIL
 from croftchute.forwarding.workers.worker_control import acquire_hold, release_hold
 from croftchute.systems import timeouts
+from croftchute.systems.failover_pace import RECHECK_S
 from croftchute.systems.room_forecast import RoomWait
 from croftchute.systems.timeouts import ReturnMode
 from croftchute.systems.tracked_worker import TrackedWorker
@@ -46,7 +47,7 @@
         self.detail = ""
         self._has_tried_cached_worker = False
         self._permit_worker: Worker | None = None
-        self.ask_again_s = 0.0
+        self.ask_again_s = RECHECK_S
         self._usage = RequestUsage(run=run)
         self._was_silent = False
 
--- a/src/croftchute/forwarding/workers/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -224,9 +224,10 @@
         for attempt in self.race.attempts:
             if not attempt.is_silent:
                 self._note_silent(attempt)
-        if not self._can_fail_over() or not run.may_spend_retry:
-            return RECHECK_S
-        return self._search_not_before - run.now
+        if run.now < self._search_not_before:
+            return self._search_not_before - run.now
+        may_search = run.may_spend_retry and self._can_fail_over()
+        return 0.0 if may_search else RECHECK_S
 
     async def begin_successor(self) -> PlainAttempt | None:
         """Send the request to another worker; return None if none takes it now."""
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -224,10 +224,12 @@
         for attempt in self.race.attempts:
             if not attempt.is_silent:
                 self._note_silent(attempt)
-        if not self._can_fail_over() or not run.may_spend_retry:
-            return RECHECK_S
         paced_s = run.state.failover_pace(run.service).wait_s(run.now)
-        return max(paced_s, self._search_not_before - run.now)
+        wait_s = max(paced_s, self._search_not_before - run.now)
+        if wait_s > 0.0:
+            return wait_s
+        may_search = run.may_spend_retry and self._can_fail_over()
+        return 0.0 if may_search else RECHECK_S
 
     async def begin_successor(self) -> StreamAttempt | None:
         """Send the stream to another worker that has room now; None if there is none."""
--- a/src/croftchute/systems/failover_pace.py
+++ b/src/croftchute/systems/failover_pace.py
@@ -18,7 +18,8 @@
 """Seconds until the next search after a worker that was asked did not answer in time."""
 
 CROWDED_PAUSE_S = 0.02
-"""Seconds until a request looks whether enough other searches have ended."""
+"""Seconds until a request looks whether enough other searches have ended, while all may be open:
+some answers. It looks less often the fewer may be."""
 
 RECHECK_S = 0.1
 """Seconds after which a request that may not be sent to another worker checks that again."""
@@ -45,7 +46,9 @@
         """Return the seconds until another search may begin, as far as is known; 0 if now."""
         if now < self.paused_until:
             return self.paused_until - now
-        return 0.0 if self.open < int(self.window) else CROWDED_PAUSE_S
+        if self.open < int(self.window):
+            return 0.0
+        return CROWDED_PAUSE_S * MAX_SEARCHES / self.window
 
     def begin(self) -> None:
         """Count a search that begins."""
