Soak: judge answers that end for silent workers where times are not judged

That check has no bound but the caller's deadline, and the slack before it grows with the machine's lag, so it needs no machine that keeps pace. It is now judged in each run.

--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -104,6 +104,9 @@
         found += keys.always(self.world.all_workers)
         if self.limiting is not None:
             found += self.limiting.violations(self.traffic)
+        if self.paused is not None:
+            # Judged on busy machines too: the slack before a deadline grows with the lag.
+            found += self.paused.violations(self.runs_by_id, slack_s=self.slack_s)
         if self.judges_times:
             found += self._draining()
             found += streams_lost(self.traffic, self.world)
@@ -112,8 +115,6 @@
             found += keys.in_time()
             found += self._crashing_requests()
             found += self._crashing_part_requests()
-            if self.paused is not None:
-                found += self.paused.violations(self.runs_by_id, slack_s=self.slack_s)
             if self.link_cuts is not None:
                 found += self.link_cuts.violations(self.traffic)
             if self.telling is not None:
