Send no stream to a worker that restarted while its prompt was read

Room is now looked for again if the chosen worker has been replaced during the prefill, as after a request for backoff.

--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -305,8 +305,8 @@
         run = self.run
         worker = tracked.worker
         source = await self.prefill.prefill_for(tracked)
-        if run.state.workers.advice.backoff_left_s(worker.id, run.now) > 0.0:
-            # The worker asked for backoff during the prefill: reserve at another one.
+        if tracked.has_ended or run.state.workers.advice.backoff_left_s(worker.id, run.now) > 0.0:
+            # The worker restarted or asked for backoff during the prefill: reserve elsewhere.
             self.reservation.release_unused()
             return _Unsent.TRY_AGAIN
         if not await self._is_of_build(worker):
--- a/tests/platform_adapter/test_lives.py
+++ b/tests/platform_adapter/test_lives.py
@@ -64,6 +64,24 @@
     run(body)
 
 
+def test_a_worker_that_restarts_while_the_prompt_is_read_gets_the_stream_in_its_new_life():
+    """It was sent to the earlier life, whose software may be another."""
+
+    async def body():
+        async with fleet() as made:
+            box, (decode,), (prefill,) = await engines(made, decodes=1, born_ms=1000)
+            prefill.work_s = 0.4
+            asking = asyncio.create_task(ask(box, "/resume/x", "r1", deadline=60000))
+            await until(lambda: prefill.received)
+            again = await restart(made, decode, born_ms=2000)
+            await until(lambda: "d0@2000" in box.state.workers.tracked_by_id)
+            answer = await asking
+            assert answer.is_whole and numbers(answer) == [1, 2, 3, 4]
+            assert (decode.ran, again.ran) == ([], ["r1"])
+
+    run(body)
+
+
 def test_late_news_of_the_earlier_life_change_nothing():
     async def body():
         async with fleet() as made:
