Take a decode worker's hold anew when it lapsed during the prefill

A caller of a stream that may run once was refused with 503 ("worker rejection") although another decode worker had room, and a resumable stream spent an attempt and a repeat: its prefill worker was silent for 0.7 of the target, the hold was over before that, and the decode worker was full by the time that the request came with it. A prefill that is just slower than the hold lasts did the same.

Cause: a hold was taken before the prefill, and used after it, however long that took.

Before the request is sent, a hold that may have lapsed is now taken anew at the same worker. If that has no room any more, owes an answer, or does not give one, the request looks for room elsewhere as if it had not been sent, which costs no attempt and no repeat. The stand-in of workers without room now rejects requests whose holds have lapsed.

--- a/src/croftchute/forwarding/workers/decode_reservation.py
+++ b/src/croftchute/forwarding/workers/decode_reservation.py
@@ -48,6 +48,7 @@
         self._has_tried_cached_worker = False
         self._permit_worker: Worker | None = None
         self.ask_again_s = RECHECK_S
+        self._hold_lapses_at = 0.0
         self._usage = RequestUsage(run=run)
         self._was_silent = False
 
@@ -116,6 +117,21 @@
                 policy.granted(run.now)
             return found
 
+    async def renew_if_lapsed(self, tracked: TrackedWorker, chosen: ChoiceRecord) -> bool:
+        """Reserve room at the worker again if the hold there may have lapsed; False if it has none.
+
+        Other requests may have taken the memory since. A worker that is full by then would reject
+        the request, which costs an attempt and a repeat.
+        """
+        engine = self.run.engine
+        if self.hold is None or engine is None or self.run.now < self._hold_lapses_at:
+            return True
+        self.hold = None
+        self._release_permit()
+        if self._is_known_full(tracked):
+            return False
+        return await self._reserve_if_permitted(tracked, chosen, engine)
+
     def _wait_policy(self, *, is_begun: bool) -> RoomWaitPolicy:
         """Return how the request waits; a stream that has begun does not queue by rank."""
         run = self.run
@@ -191,15 +207,22 @@
                     self._permit_worker = found[0].worker
                     return found
                 continue
-            if found[0].full_until > run.now or found[0].late_holds:
-                run.full_workers.add(found[0].worker.id)
-                self._set_no_room(found[0])
+            if self._is_known_full(found[0]):
                 continue
             if await self._reserve_if_permitted(*found, engine):
                 return found
             if ends_on_silence and self._was_silent:
                 return None
 
+    def _is_known_full(self, tracked: TrackedWorker) -> bool:
+        """Whether a worker is not asked, as it had no room just now or owes an answer."""
+        run = self.run
+        is_full = tracked.full_until > run.now or tracked.late_holds > 0
+        if is_full:
+            run.full_workers.add(tracked.worker.id)
+            self._set_no_room(tracked)
+        return is_full
+
     async def _reserve_at_cached_worker(
         self, engine: EngineTraits
     ) -> tuple[TrackedWorker, ChoiceRecord] | None:
@@ -251,6 +274,7 @@
         pace = run.state.failover_pace(run.service)
         try:
             self.hold = await acquire_hold(run.state, tracked.worker, tokens, engine.hold_ttl_s)
+            self._hold_lapses_at = asked_at + engine.hold_ttl_s - timeouts.HOLD_TIMEOUT_S
             pace.note_answered()
             if self.hold is None:
                 outcome = "no_room"
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -315,6 +315,8 @@
         if not run.has_attempts_left and worker.id not in run.workers_sent_to:
             self.progress.may_retry_at_once = self._are_prefill_workers_in_backoff()
             return _Unsent.NO_REPEAT
+        if not await self.reservation.renew_if_lapsed(tracked, chosen):
+            return _Unsent.TRY_AGAIN
         if not run.spend_retry_budget():
             self.progress.detail = f"no repeat is allowed: {self.progress.detail}"
             return _Unsent.NO_REPEAT
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -47,7 +47,8 @@
 class PlatformWorker:
     """One worker; ``stage`` is empty for plain services.
 
-    ``free_holds`` is how many more holds it grants; None for any number.
+    ``free_holds`` is how many more holds it grants; None for any number. Without room it rejects
+    a request whose hold has lapsed.
     It ends when it begins to run a request whose body is ``crashes_on``, or to read the prompt of
     one ahead whose body is ``crashes_on_reading``. It also ends when it begins to write an answer,
     or once it has written ``crash_after_events`` events, to a prompt that has one of
@@ -260,7 +261,11 @@
         if source and faults.handles_lapse:
             self._send(writer, request, 503, self._not_run())
             return True
-        self.holds.discard(request.headers.get("x-croftchute-kv-hold", ""))
+        hold = request.headers.get("x-croftchute-kv-hold", "")
+        if faults.has_no_room and hold and hold not in self.holds:
+            self._send(writer, request, 503, self._not_run())
+            return True
+        self.holds.discard(hold)
         run = self._begin_run(request, writer) if not is_prefill else None
         if request.body == (self.crashes_on_reading if is_prefill else self.crashes_on):
             return self._crash(request)
