Let no failure end a race, count searches at once, and bound how long a late call bars a worker

- Callers got an error status although another attempt was at work: a failure of the silent worker or of its successor ended the race.
It is kept now, and is the caller's answer only once no attempt is left.
- 40 streams that fell silent in one turn of the loop looked for room at once, 8 allowed: a search was counted with its first step, which comes a turn later.
It counts as it is begun, and ends with its task.
- A call for room that was lost with its connection barred its worker for up to 2 s, also from new requests: 503 with room free.
New requests ask again after 0.25 s; searches for successors wait for the answer.
- A handle that a successor had fetched was released once more.
A search that was ended while it connected kept its permit and its repeat.
Of events that came twice in one read the first was lost.

--- a/src/croftchute/forwarding/workers/attempt_race.py
+++ b/src/croftchute/forwarding/workers/attempt_race.py
@@ -39,8 +39,8 @@
         """
         ...
 
-    async def begin_successor(self) -> A | None:
-        """Send the request to another worker; return None if none takes it now."""
+    def begin_successor(self) -> asyncio.Task[A | None]:
+        """Begin to send the request to another worker; the task returns None if none takes it."""
         ...
 
     def goes_on_at(self, attempt: A) -> bool:
@@ -96,10 +96,21 @@
         finally:
             await self._end_search()
 
-    async def until_heard(self) -> None:
-        """Wait until any of the open attempts has listened for long enough."""
-        waited = {attempt.listen() for attempt in self.attempts}
-        await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+    async def first_of_open(self) -> A:
+        """Return the open attempt that the request goes on at, without looking for a successor.
+
+        Wait for ever once all of them have failed.
+        """
+        while True:
+            speaker = self._hear_all()
+            if speaker is not None:
+                self.drop_all_but(speaker)
+                return speaker
+            if not self.attempts:
+                self.run.outstanding = None
+                await asyncio.Event().wait()
+            waited = {attempt.listen() for attempt in self.attempts}
+            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
 
     def drop_all_but(self, kept: A | None = None) -> None:
         """End all attempts but one."""
@@ -115,7 +126,7 @@
         if self._searching is None:
             search_wait_s = self._search_wait_s()
             if search_wait_s <= 0.0:
-                self._searching = asyncio.ensure_future(self.owner.begin_successor())
+                self._searching = self.owner.begin_successor()
             else:
                 wait_s = min(wait_s, search_wait_s)
         if self._searching is not None:
--- a/src/croftchute/forwarding/workers/decode_reservation.py
+++ b/src/croftchute/forwarding/workers/decode_reservation.py
@@ -188,7 +188,7 @@
     ) -> tuple[TrackedWorker, ChoiceRecord] | None:
         """Ask the decode workers in order of choice; None if none has room.
 
-        A worker that still owes this box an answer to such a call is not asked again.
+        A worker that owes this box an answer to such a call is not asked for a while.
         """
         run = self.run
         self._was_silent = False
@@ -207,17 +207,21 @@
                     self._permit_worker = found[0].worker
                     return found
                 continue
-            if self._is_known_full(found[0]):
+            if self._is_known_full(found[0], is_search=ends_on_silence):
                 continue
             if await self._reserve_if_permitted(*found, engine):
                 return found
             if ends_on_silence and self._was_silent:
                 return None
 
-    def _is_known_full(self, tracked: TrackedWorker) -> bool:
-        """Whether a worker is not asked, as it had no room just now or owes an answer."""
+    def _is_known_full(self, tracked: TrackedWorker, *, is_search: bool = False) -> bool:
+        """Whether a worker is not asked, as it had no room just now or owes an answer.
+
+        A search for a successor passes a worker over until it has answered.
+        """
         run = self.run
-        is_full = tracked.full_until > run.now or tracked.late_holds > 0
+        owes_answer = tracked.late_holds > 0 if is_search else tracked.owes_room_answer(run.now)
+        is_full = tracked.full_until > run.now or owes_answer
         if is_full:
             run.full_workers.add(tracked.worker.id)
             self._set_no_room(tracked)
--- a/src/croftchute/forwarding/workers/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -115,13 +115,13 @@
         await self._serve(self._begin_attempt)
 
     async def until_heard(self) -> None:
-        """Wait until a silent worker answers, while another box is asked to serve."""
-        await self.race.until_heard()
+        """Wait until a silent worker answers, while another box is asked to; for ever if none."""
+        await self.race.first_of_open()
 
     async def serve_on(self) -> None:
         """Go on waiting for the silent workers, as no other box has answered."""
         self.run.outstanding = None
-        await self._serve(self._outwait)
+        await self._serve(self._go_on)
 
     def close(self) -> None:
         """End the attempts that are open."""
@@ -159,6 +159,9 @@
         attempt.close()
         return None if self._is_over else await self._begin_attempt()
 
+    async def _go_on(self) -> PlainAttempt | None:
+        return None if self._is_over else await self._outwait()
+
     async def _outwait(self) -> PlainAttempt | None:
         """Wait for the first attempt to answer, and for a successor; return one to follow."""
         if await self.race.first_to_speak() is not None:
@@ -211,6 +214,8 @@
             return None
         except asyncio.CancelledError:
             call.close()
+            run.state.permits.release(tracked.worker)
+            run.return_retry()
             raise
         run.deliveries += 1
         run.workers_sent_to.add(tracked.worker.id)
@@ -229,9 +234,12 @@
         may_search = run.may_spend_retry and self._can_fail_over()
         return 0.0 if may_search else RECHECK_S
 
-    async def begin_successor(self) -> PlainAttempt | None:
-        """Send the request to another worker; return None if none takes it now."""
+    def begin_successor(self) -> asyncio.Task[PlainAttempt | None]:
+        """Begin to send the request to another worker; the task returns None if none takes it."""
         self.progress.may_have_run = True
+        return asyncio.ensure_future(self._send_to_successor())
+
+    async def _send_to_successor(self) -> PlainAttempt | None:
         try:
             return await self._begin_attempt()
         finally:
@@ -281,17 +289,9 @@
         call.record_error_status(head.status)
         progress.may_have_run = True
         progress.last_answer = answer
-        if self._is_final and not _implies_not_run(answer):
+        if not run.route.may_repeat and not _implies_not_run(answer):
             progress.answer = answer
 
-    @property
-    def _is_final(self) -> bool:
-        """Whether an error status is the caller's answer at once."""
-        run = self.run
-        if not run.route.may_repeat:
-            return True
-        return self.race.has_others and not (self._can_fail_over() and run.may_spend_retry)
-
     def _end_attempt(self, attempt: PlainAttempt, error: ExchangeError) -> None:
         attempt.call.record_failure(error)
         self.progress.may_have_run = True
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -61,7 +61,8 @@
 
     ``build`` is the build of the workers that may continue the request's stream, None if any may.
     ``prior_attempts`` is the number of workers that may have received the request through the box
-    that passed it to this one; it is None if a caller sent the request.
+    that passed it to this one; it is None if a caller sent the request. ``units`` are what its
+    organisation was charged for it here.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         self.withheld: Withheld | None = None
         self.outstanding: Outstanding | None = None
         self.ask_boxes_at = started_at
+        self.units = 0.0
         self.forwarded_to = ""
         self.organisation = organisation
         self.exchange = exchange
@@ -132,7 +134,9 @@
     @property
     def may_leave_silent(self) -> bool:
         """Whether another box may be asked to go on with what silent workers run here."""
-        return self.is_cut_off and self._may_repeat_elsewhere and self.now >= self.ask_boxes_at
+        if not self.is_cut_off or not self._may_repeat_elsewhere or self.now < self.ask_boxes_at:
+            return False
+        return self.state.failover_pace(self.service).wait_s(self.now) <= 0.0
 
     def close_outstanding(self) -> None:
         """End what silent workers run, as another box goes on with the request."""
@@ -526,6 +530,11 @@
         )
         return False
 
+    def return_retry(self) -> None:
+        """Return the retry that was taken last for a request that was not sent after all."""
+        if self.deliveries > 0:
+            self.state.budget(self.service).refund()
+
     def log(self, kind: Decision, *, outcome: str = "", **inputs: object) -> None:
         """Log one decision about this request."""
         elapsed_ms = round((self.now - self.started_at) * 1000, 1)
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -37,6 +37,19 @@
 from croftchute.systems.worker_choice import ChoiceRecord
 from croftchute.tables.routing import HeaderList, Stage, Worker
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that callers take to mean that nothing ran."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FailureAnswer:
+    """A worker's error status with its answer."""
+
+    worker: str
+    status: int
+    headers: HeaderList
+    body: bytes
+
 
 @dataclass(kw_only=True)
 class StreamProgress:
@@ -44,6 +57,7 @@
 
     ``is_doubtful``: the worker's process was replaced by one with other software while it sent the
     stream, and either may have sent the events.
+    ``failure`` is the error status that the caller gets if no other worker answers.
     ``may_retry_at_once``: a rejected prefill used up the last attempt. The caller's next try needs
     no prefill worker, so it may come at once.
     """
@@ -52,7 +66,7 @@
     event_count: int = 0
     may_have_run: bool = False
     is_complete: bool = False
-    is_answered: bool = False
+    failure: FailureAnswer | None = None
     code: Code = Code.NO_UPSTREAM
     detail: str = "no usable worker is known"
     serving_worker: str = ""
@@ -85,19 +99,20 @@
             run=run, owner=self, may_leave=lambda: run.may_leave_silent
         )
         self._search_not_before = run.started_at
+        self._heard: StreamAttempt | None = None
 
     async def serve(self) -> None:
         """Run the stream to its end, or refuse or abort it."""
         await self._serve(self._begin)
 
     async def until_heard(self) -> None:
-        """Wait until a silent worker speaks, while another box is asked to go on."""
-        await self.race.until_heard()
+        """Wait until a silent worker goes on, while another box is asked to; for ever if none."""
+        self._heard = await self.race.first_of_open()
 
     async def serve_on(self) -> None:
         """Go on waiting for the silent workers, as no other box has gone on with the stream."""
         self.run.outstanding = None
-        await self._serve(self._outwait)
+        await self._serve(self._go_on)
 
     def close(self) -> None:
         """End the attempts that are open, and release what no worker uses."""
@@ -122,6 +137,13 @@
             if run.outstanding is None:
                 self.close()
 
+    async def _go_on(self) -> StreamAttempt | None:
+        heard, self._heard = self._heard, None
+        if heard is None:
+            return await self._outwait()
+        self._note_heard(heard)
+        return heard
+
     async def _begin(self) -> StreamAttempt | None:
         return await self._begin_attempt() if await self._may_begin() else None
 
@@ -129,8 +151,6 @@
         """Finish the answer, or abort or refuse it, unless another box may go on with it."""
         run = self.run
         progress = self.progress
-        if progress.is_answered:
-            return
         if progress.is_complete:
             self.close()
             run.exchange.finish()
@@ -148,6 +168,8 @@
                 run.abort_answer(
                     progress.detail, events=progress.event_count, last_event=progress.last_event
                 )
+        elif progress.failure is not None and run.outstanding is None:
+            self._send_failure(progress.failure)
         else:
             self._refuse()
         if run.withheld is None:
@@ -231,11 +253,19 @@
         may_search = run.may_spend_retry and self._can_fail_over()
         return 0.0 if may_search else RECHECK_S
 
-    async def begin_successor(self) -> StreamAttempt | None:
-        """Send the stream to another worker that has room now; None if there is none."""
-        run = self.run
-        pace = run.state.failover_pace(run.service)
+    def begin_successor(self) -> asyncio.Task[StreamAttempt | None]:
+        """Begin to look for another worker that has room now; the task returns None without one.
+
+        The search counts from this moment on, as many streams may fall silent in one turn.
+        """
+        pace = self.run.state.failover_pace(self.run.service)
         pace.begin()
+        searching = asyncio.ensure_future(self._send_to_successor())
+        searching.add_done_callback(lambda _: pace.end())
+        return searching
+
+    async def _send_to_successor(self) -> StreamAttempt | None:
+        run = self.run
         try:
             if run.lacks_build:
                 self._note_version_gone()
@@ -247,7 +277,6 @@
             sent = await self._send_to(*found, is_successor=True)
             return sent if isinstance(sent, StreamAttempt) else None
         finally:
-            pace.end()
             self.reservation.release_unused()
             self._search_not_before = run.now + self.reservation.ask_again_s
 
@@ -258,9 +287,7 @@
         except ExchangeError as error:
             self._end_attempt(attempt, error)
             return False
-        if not self.race.has_others or step.kind not in (StepKind.REJECTED, StepKind.FAILED):
-            return True
-        if step.kind is StepKind.FAILED and self._is_final(attempt):
+        if step.kind not in (StepKind.REJECTED, StepKind.FAILED):
             return True
         self._note_turned_down(attempt, step)
         attempt.close()
@@ -276,9 +303,9 @@
 
     def _is_finished(self) -> bool:
         progress = self.progress
-        if progress.is_complete or progress.is_answered or self.run.crashes_workers:
+        if progress.is_complete or progress.is_doubtful or self.run.crashes_workers:
             return True
-        if progress.is_doubtful:
+        if progress.failure is not None and not self._can_fail_over():
             return True
         return progress.may_have_run and not self.run.route.may_repeat
 
@@ -367,6 +394,7 @@
             return _Unsent.TRY_AGAIN
         except asyncio.CancelledError:
             call.close()
+            run.return_retry()
             raise
         self.reservation.mark_used()
         run.deliveries += 1
@@ -450,7 +478,7 @@
         """Record an answer that is no stream: a rejection or an error status."""
         call = attempt.call
         if step.kind is StepKind.FAILED:
-            self._handle_failure(attempt, step.body)
+            self._record_error_status(attempt, step.body)
             return
         assert step.verdict is not None
         self.progress.code = Code.NO_CAPACITY
@@ -471,6 +499,8 @@
 
     def _note_heard(self, attempt: StreamAttempt) -> None:
         """Record which attempt the stream goes on at after a silence."""
+        if attempt.head is not None:
+            self.prefill.mark_handle_used()
         outcome = "went_on" if attempt.is_silent else "succeeded"
         self.run.state.metrics.silences.inc({"outcome": outcome})
         attempt.call.record_heard(outcome)
@@ -518,20 +548,15 @@
     def _can_fail_over(self) -> bool:
         """Whether another worker may go on with the stream than those that it is at."""
         run = self.run
-        if not run.route.may_repeat or self._is_finished():
+        if not run.route.may_repeat or run.crashes_workers:
             return False
         excluded_ids = run.avoid | {attempt.call.worker.id for attempt in self.race.attempts}
         return any(
             tracked.worker.id not in excluded_ids for tracked in run.candidates(Stage.DECODE)
         )
 
-    def _is_final(self, attempt: StreamAttempt) -> bool:
-        """Whether an error status is the caller's answer, as no other worker may be asked."""
-        assert attempt.head is not None
-        implies_not_run = attempt.head.status in (408, 421, 429, 503)
-        return not (implies_not_run or self.run.exchange.is_started or self._can_fail_over())
-
-    def _handle_failure(self, attempt: StreamAttempt, body: bytes) -> None:
+    def _record_error_status(self, attempt: StreamAttempt, body: bytes) -> None:
+        """Keep an error status as the caller's answer, unless another worker answers yet."""
         head = attempt.head
         assert head is not None
         call = attempt.call
@@ -540,29 +565,41 @@
         progress.may_have_run = True
         progress.code = Code.UPSTREAM_FAILED
         progress.detail = f"worker answered with status {head.status}"
-        if self.race.has_others or not self._is_final(attempt):
-            return
-        headers = self.run.state.workers_speak.answer_headers(head)
-        self.run.exchange.send(head.status, headers, body)
-        self.run.record_answered(head.status, call.worker.id)
-        progress.is_answered = True
+        if head.status not in NOT_RUN_STATUSES:
+            progress.failure = FailureAnswer(
+                worker=call.worker.id,
+                status=head.status,
+                headers=self.run.state.workers_speak.answer_headers(head),
+                body=body,
+            )
+
+    def _send_failure(self, failure: FailureAnswer) -> None:
+        """Pass a worker's error status on, as no other worker has answered."""
+        self.run.exchange.send(failure.status, failure.headers, failure.body)
+        self.run.record_answered(failure.status, failure.worker)
 
     async def _write_events(self, attempt: StreamAttempt, events: tuple[StreamEvent, ...]) -> None:
         progress = self.progress
         data: list[bytes] = []
+        error: ConnectionBrokenError | None = None
         for event in events:
             if event.number is not None:
                 last = progress.last_event
                 if last is not None and event.number <= last:
-                    raise ConnectionBrokenError(f"event {event.number} came after event {last}")
+                    error = ConnectionBrokenError(f"event {event.number} came after event {last}")
+                    break
                 progress.last_event = event.number
             progress.event_count += 1
             data.append(event.data)
+        if error is not None and not data:
+            raise error
         self.run.begin_stream(attempt.call.worker)
         if not self.run.exchange.is_started:
             self._start_answer(attempt)
         exchange = self.run.exchange
         exchange.write(b"".join(data))
+        if error is not None:
+            raise error
         if exchange.is_held_up and not exchange.is_bounded:
             await within(exchange.drained(), self.run.time_left_s, "caller did not read")
 
--- a/src/croftchute/forwarding/workers/worker_control.py
+++ b/src/croftchute/forwarding/workers/worker_control.py
@@ -121,11 +121,11 @@
     state: ForwardingState, worker: Worker, asking: asyncio.Future[Hold | None]
 ) -> None:
     """Release a late hold; until then the worker counts as owing an answer."""
-    state.workers.note_late_hold(worker.id, 1)
+    state.workers.note_late_hold(worker.id, state.clock())
     try:
         await _release_late_hold(state, asking)
     finally:
-        state.workers.note_late_hold(worker.id, -1)
+        state.workers.note_late_hold_ended(worker.id)
 
 
 async def _release_late_hold(state: ForwardingState, asking: asyncio.Future[Hold | None]) -> None:
--- a/src/croftchute/systems/retry_budget.py
+++ b/src/croftchute/systems/retry_budget.py
@@ -55,6 +55,11 @@
         self.retry_times.append(now)
         return True
 
+    def refund(self) -> None:
+        """Return the retry that was taken last, as it was not sent."""
+        if self.retry_times:
+            self.retry_times.pop()
+
     def _expire(self, now: float) -> None:
         start = now - self.limits.window_s
         for times in (self.request_times, self.retry_times):
--- a/src/croftchute/systems/tracked_worker.py
+++ b/src/croftchute/systems/tracked_worker.py
@@ -22,6 +22,10 @@
 """Seconds for which a worker that was removed from the list, or announced that it is leaving,
 serves as a last resort. Such a worker accepts requests for at least 2 s."""
 
+LATE_HOLD_PAUSE_S = 0.25
+"""Seconds for which new requests do not ask a worker for room that has not answered such a call.
+Its connection alone may be dead, so it is asked again over another one then."""
+
 LOAD_TTL_S = 0.3
 """Seconds for which a reported load is used; most of the reported requests have ended by then."""
 
@@ -32,7 +36,8 @@
 
     ``has_ended``: the worker has restarted as another instance. ``is_unreadable``: the newest entry
     of the worker can't be parsed; requests that run there continue. ``late_holds`` is the number of
-    calls for room that the worker has not answered in time and may answer yet.
+    calls for room that the worker has not answered in time and may answer yet, ``late_hold_at``
+    when the latest of them became late.
     """
 
     worker: Worker
@@ -56,6 +61,7 @@
     is_unreadable: bool = False
     full_until: float = 0.0
     late_holds: int = 0
+    late_hold_at: float = -1e9
     unreachable_until: float = 0.0
     changing_to: Stage | None = None
     changing_since: float = 0.0
@@ -72,6 +78,10 @@
         age = max(0.0, now - self.failed_at)
         return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_S)
 
+    def owes_room_answer(self, now: float) -> bool:
+        """Return whether a call for room became late a moment ago and is not answered yet."""
+        return self.late_holds > 0 and now - self.late_hold_at < LATE_HOLD_PAUSE_S
+
     def oldest_call_age_s(self, now: float) -> float:
         """Return the age of this box's oldest open call at the worker; 0 if there is none."""
         return now - min(self.sent_at_by_call.values(), default=now)
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -411,11 +411,18 @@
             tracked.load_at = now
             tracked.in_flight_at_load = tracked.in_flight - sent_since
 
-    def note_late_hold(self, worker_id: str, change: int) -> None:
-        """Count a call for room that the worker has not answered in time, or one that has ended."""
+    def note_late_hold(self, worker_id: str, now: float) -> None:
+        """Count a call for room that the worker has not answered in time."""
         tracked = self.tracked_by_id.get(worker_id)
         if tracked is not None:
-            tracked.late_holds = max(0, tracked.late_holds + change)
+            tracked.late_holds += 1
+            tracked.late_hold_at = now
+
+    def note_late_hold_ended(self, worker_id: str) -> None:
+        """Stop counting a late call for room, which was answered or has failed."""
+        tracked = self.tracked_by_id.get(worker_id)
+        if tracked is not None:
+            tracked.late_holds = max(0, tracked.late_holds - 1)
 
     def note_full(self, worker_id: str, until: float) -> None:
         """Record that a worker has no room until the given time."""
