Leave requests with silent workers unless another box's worker answers them

Callers saw error statuses, 503 for what had run, and answers that were thrown away.

- Another box was left, and its run ended, when a silent attempt here merely broke: only an attempt that goes on does that now, and answers of workers with any status below 500 are the caller's.
A box's own refusal never is while workers here may answer, nor a promise that nothing ran after something has.
- More workers than MaxAttempts could run a request: each box that is asked beside silent workers may use one, counted also if it is left.
- Units were given back although the request was served here in the end, and each box that was asked again counted it for its retry budget.
- Boxes were asked without a pace: 40 streams sent 40 requests at once.
They share the pace of searches.

--- a/src/croftchute/forwarding/boxes/peer_forwarding.py
+++ b/src/croftchute/forwarding/boxes/peer_forwarding.py
@@ -11,7 +11,6 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 from enum import Enum, auto
-from http import HTTPStatus
 
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.boxes.forward_terms import (
@@ -21,6 +20,7 @@
     without_terms,
 )
 from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.dialect import Verdict
 from croftchute.forwarding.http.backpressure import wait_for_caller
 from croftchute.forwarding.http.deadline import within
 from croftchute.forwarding.http.event_stream import EventSplitter
@@ -55,8 +55,11 @@
 links."""
 
 
-NOT_RUN_STATUSES = frozenset({404, 408, 421, 429, 503})
-"""Statuses of another box's refusal that say that no worker has run the request."""
+NOT_RUN_PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that promise callers that nothing ran."""
+
+NOT_RUN_STATUSES = NOT_RUN_PROMISES | {404}
+"""Statuses of another box's refusal that say that no worker has run the request there."""
 
 
 class _Ended(Enum):
@@ -100,13 +103,19 @@
     async def _forward(self, run: RequestRun) -> bool:
         withheld = run.withheld
         last_event = withheld.last_event if withheld is not None else None
+        attempts = run.prior_attempts + len(run.workers_sent_to)
+        if run.outstanding is not None:
+            # Each box may send it to one worker, so that what they used is known here.
+            attempts = max(attempts, run.route.max_attempts - 1)
         progress = _Progress(
             last_event=run.facts.resume_after if last_event is None else last_event,
-            attempts=len(run.workers_sent_to),
+            attempts=attempts,
             may_have_run=withheld is not None and withheld.ran is not Ran.NOT_RUN,
         )
         asked: set[str] = set()
         while len(asked) < MAX_PEERS and run.time_left_s > 0.0:
+            if run.outstanding is not None and not run.has_attempts_left:
+                break
             peer = self._choose(asked, run.now, is_begun=progress.last_event is not None)
             if peer is None:
                 break
@@ -152,9 +161,8 @@
             head = await within(
                 connection.read_head(), run.time_left_s + ANSWER_MARGIN_S, "no head"
             )
-            if was_answered(head) and _goes_on_elsewhere(run, head):
+            if was_answered(head) and self._is_for_caller(run, head, progress):
                 run.forwarded_to = peer.id
-                run.close_outstanding()
                 await self._relay(run, connection, head, progress)
                 ended, outcome = _Ended.ANSWERED, "answered"
             else:
@@ -164,7 +172,8 @@
                 ended = _Ended.NOT_TAKEN
                 if was_answered(head):
                     outcome = f"status_{head.status}"
-                    run.prior_attempts += head.status not in NOT_RUN_STATUSES
+                    if head.status not in NOT_RUN_STATUSES:
+                        self._note_attempt(run, progress)
                 else:
                     outcome = self._note_declined(peer, head, body, run.now)
         except ConnectFailedError as error:
@@ -173,9 +182,10 @@
         except ExchangeError as error:
             outcome, progress.detail = "broken", error.message
             progress.is_caller_slow = isinstance(error, CallerSlowError)
-            progress.may_have_run = True
-            progress.attempts = max(progress.attempts + 1, run.route.max_attempts - 1)
-            run.prior_attempts += run.outstanding is not None
+            self._note_attempt(run, progress)
+        except asyncio.CancelledError:
+            self._note_attempt(run, progress)
+            raise
         finally:
             self._close(peer, owner, connection, run.now)
         state.metrics.forwards.inc({"outcome": outcome})
@@ -188,6 +198,27 @@
         )
         return ended
 
+    def _is_for_caller(self, run: RequestRun, head: ResponseHead, progress: _Progress) -> bool:
+        """Whether the caller gets another box's answer, and no other worker is waited for.
+
+        A refusal of that box says nothing of what has run here, and leaves silent workers the
+        request. So does an error status while they have it.
+        """
+        speak = self.state.workers_speak
+        if speak.is_signed(head):
+            return run.outstanding is None or speak.verdict(head) is Verdict.ANSWERED
+        promises_not_run = head.status in NOT_RUN_PROMISES
+        return run.outstanding is None and not (progress.may_have_run and promises_not_run)
+
+    def _note_attempt(self, run: RequestRun, progress: _Progress) -> None:
+        """Count a worker that may have received the request through another box."""
+        progress.may_have_run = True
+        if run.outstanding is None:
+            progress.attempts = max(progress.attempts + 1, run.route.max_attempts - 1)
+            return
+        run.prior_attempts += 1
+        progress.attempts += 1
+
     async def _connect(self, run: RequestRun, peer: Peer, owner: str) -> ClientConnection:
         may_repeat = run.route.may_repeat
         return await self.state.pool.acquire(
@@ -257,6 +288,7 @@
         headers = without_terms(self.state.workers_speak.answer_headers(head))
         is_stream = run.route.kind is RouteKind.STREAM and head.get(b"transfer-encoding")
         if is_stream:
+            run.close_outstanding()
             if not run.exchange.is_started:
                 run.first_byte_at = run.now
                 run.exchange.start(head.status, head.reason, headers)
@@ -266,6 +298,7 @@
         else:
             time_left_s = run.time_left_s + ANSWER_MARGIN_S
             body = await within(connection.read_body(MAX_ANSWER_BYTES), time_left_s, "no body")
+            run.close_outstanding()
             if run.exchange.is_started:
                 raise ConnectionBrokenError(f"status {head.status} in the middle of a stream")
             run.first_byte_at = run.now
@@ -313,8 +346,3 @@
         code = Code.UPSTREAM_SLOW if is_late else Code.UPSTREAM_FAILED
         run.refuse_finally(Withheld(code=code, ran=Ran.UNKNOWN, detail=progress.detail))
         return True
-
-
-def _goes_on_elsewhere(run: RequestRun, head: ResponseHead) -> bool:
-    """Whether an answer of another box is the caller's: not a refusal while workers may answer."""
-    return run.outstanding is None or head.status < HTTPStatus.MULTIPLE_CHOICES
--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -22,6 +22,7 @@
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.stream_run import run_stream
 from croftchute.forwarding.workers.withheld import CUT_OFF_DETAIL, Withheld
+from croftchute.systems.failover_pace import FailoverPace
 from croftchute.systems.worker_choice import pick_service
 from croftchute.tables.organisations import KeyClaim, KeyState, Organisation, Organisations
 from croftchute.tables.routing import Route, RouteKind
@@ -112,31 +113,44 @@
         if state.links.are_lost and await self._forward_unless_heard(run):
             run.withheld = None
             state.budget(run.service).retract_request(run.started_at)
+            self._give_back(run)
             return
         run.withheld = None
-        if run.outstanding is None:
-            run.refuse_finally(withheld)
+        if run.outstanding is not None:
+            run.ask_boxes_at = run.now + ASK_BOXES_AGAIN_S
+            await run.outstanding.serve_on()
             return
-        run.ask_boxes_at = run.now + ASK_BOXES_AGAIN_S
-        await run.outstanding.serve_on()
+        run.refuse_finally(withheld)
+        if run.has_not_run:
+            self._give_back(run)
 
     async def _forward_unless_heard(self, run: RequestRun) -> bool:
         """Have another box serve a request; return False if none does, or a worker speaks first."""
         outstanding = run.outstanding
         if outstanding is None:
             return await self.peers.forward(run)
-        forwarding = asyncio.ensure_future(self.peers.forward(run))
+        pace = self.state.failover_pace(run.service)
+        pace.begin()
         hearing = asyncio.ensure_future(outstanding.until_heard())
+        forwarding = asyncio.ensure_future(self._forward_paced(run, pace))
         try:
             await asyncio.wait({forwarding, hearing}, return_when=asyncio.FIRST_COMPLETED)
-            if run.outstanding is not None and not forwarding.done():
-                return False
-            return await forwarding
+            return not hearing.done() and await forwarding
         finally:
+            pace.end()
             for task in (forwarding, hearing):
                 task.cancel()
             await asyncio.wait({forwarding, hearing})
 
+    async def _forward_paced(self, run: RequestRun, pace: FailoverPace) -> bool:
+        """Have another box serve a request; the fewer take any, the fewer are passed on."""
+        is_served = await self.peers.forward(run)
+        if is_served:
+            pace.note_answered()
+        else:
+            pace.note_silent(run.now)
+        return is_served
+
     async def handle_forwarded(self, exchange: Exchange, terms: ForwardTerms) -> bool:
         """Serve a request that another box passed on; False if it has not run and may not here."""
         run = self._begin(exchange, terms)
@@ -150,6 +164,9 @@
             software=run.build or "",
         )
         await self._run_within_limit(run)
+        if run.has_not_run:
+            # The box that the caller asked has counted it, and may ask again.
+            self.state.budget(run.service).retract_request(run.started_at)
         return run.withheld is None
 
     async def _serve_while_cut_off(self, run: RequestRun) -> bool:
@@ -226,7 +243,7 @@
     async def _run_within_limit(self, run: RequestRun) -> None:
         """Run a request within its organisation's limit.
 
-        One that did not run costs nothing, and one that is left to another box costs nothing here.
+        One that did not run costs nothing, and one that another box serves costs nothing here.
         """
         organisation = run.organisation
         if organisation is None or organisation.limit is None:
@@ -237,9 +254,16 @@
         if not allowance.is_granted:
             self._refuse_over_limit(run, allowance, units)
             return
+        run.units = units
         await self._run(run)
-        if run.has_not_run or run.withheld is not None:
-            self.usage_limits.give_back(organisation.name, units)
+        if run.has_not_run:
+            self._give_back(run)
+
+    def _give_back(self, run: RequestRun) -> None:
+        """Return what a request was charged here, as it has not run or another box charges it."""
+        units, run.units = run.units, 0.0
+        if run.organisation is not None and units > 0.0:
+            self.usage_limits.give_back(run.organisation.name, units)
 
     async def _run(self, run: RequestRun) -> None:
         if not await run.claim_part_trial():
--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -146,6 +146,10 @@
         """Whether an answer bears what proves that a worker gave it; failures need not."""
         ...
 
+    def is_signed(self, head: ResponseHead) -> bool:
+        """Whether an answer bears a worker's proof, so that it is no box's own."""
+        ...
+
     def handle(self, body: bytes, worker: Worker) -> PrefillHandle:
         """What a prefill call answered; raises :class:`croftchute.errors.MessageError`."""
         ...
