--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -31,6 +31,12 @@
     FaultKind.WORKER_CRASH,
     FaultKind.STORE_SILENT,
 )
+PAUSES = (
+    FaultKind.WORKERS_PAUSED,
+    FaultKind.CONFIG_CHANGE,
+    FaultKind.BOX_RELOAD,
+    FaultKind.WORKER_DRAIN,
+)
 SHORT = [
     SoakSpec(seed=4, seconds=6.0, judge_times=False, kinds=FIRST_KINDS),
     SoakSpec(seed=21, seconds=6.0, judge_times=False, only_planned=True, kinds=FIRST_KINDS),
@@ -41,6 +47,7 @@
     SoakSpec(seed=55, seconds=12.0, judge_times=False, kinds=CUTS, boxes=6),
     SoakSpec(seed=58, seconds=12.0, judge_times=False, kinds=VERSIONS, engines=7),
     SoakSpec(seed=600, seconds=12.0, judge_times=False, kinds=PARTS, boxes=4),
+    SoakSpec(seed=6708, seconds=8.0, judge_times=False, kinds=PAUSES, boxes=4),
 ]
 REGRESSIONS = [
     SoakSpec(
