Soak: excuse only tries that pauses took to their deadline; judge routes that come and go

Any pause of a worker, however short, excused a try that a stop cut at its deadline; now the pauses of its workers and the time that it usually takes have to reach that far. Requests for a route of a series were exempt from the check of denials; a 404 is now a violation where the route was in force by the users' bound at a box in touch.

--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -16,13 +16,20 @@
 from croftchute.soak.key_checks import DENIED, KeyChecks
 from croftchute.soak.link_cuts import LinkCuts, links_of
 from croftchute.soak.paces import transfer_allowance_s
-from croftchute.soak.pauses import PausedWorkers
+from croftchute.soak.pauses import PausedWorkers, usual_time_s
 from croftchute.soak.software import streams_lost, versions_mixed
 from croftchute.soak.traffic import Traffic
 from croftchute.soak.violation import Violation, broken
 from croftchute.soak.wishes import TellingWorkers
 from croftchute.soak.worker_limits import LimitingWorkers
-from croftchute.soak.world import EVENTS, MAX_ATTEMPTS, ListedWorker, SoakWorld, added_path
+from croftchute.soak.world import (
+    EVENTS,
+    MAX_ATTEMPTS,
+    PASSING,
+    ListedWorker,
+    SoakWorld,
+    added_path,
+)
 from croftchute.standins.platform_caller import Try, fault_of
 from croftchute.standins.platform_worker import shared_parts
 from croftchute.standins.worker_records import Run
@@ -115,6 +122,8 @@
             found += keys.in_time()
             found += self._crashing_requests()
             found += self._crashing_part_requests()
+            if self.paused is not None:
+                found += self.paused.denials(in_touch=self._in_touch, slack_s=self.slack_s)
             if self.link_cuts is not None:
                 found += self.link_cuts.violations(self.traffic)
             if self.telling is not None:
@@ -143,7 +152,7 @@
             is_told_to_return = attempt.status in (UNAVAILABLE, TOO_MANY)
             if is_told_to_return and attempt.retry_after_s is None:
                 yield broken("refusals say when to come back", attempt, "no Retry-After")
-            comes_and_goes = attempt.path.startswith(("/added/", "/passing/"))
+            comes_and_goes = attempt.path.startswith(("/added/", PASSING))
             is_judged_by_key = attempt.status == DENIED or comes_and_goes
             is_denied = attempt.status in OWN_REFUSALS and not is_judged_by_key
             if is_denied:
@@ -302,12 +311,15 @@
                 yield broken("a stop cuts off nothing", attempt, detail)
 
     def _was_outlasted(self, attempt: Try, runs: list[tuple[ListedWorker, Run]]) -> bool:
-        """Whether a pause of its workers took a try to its deadline."""
-        assert attempt.ended_at is not None
-        is_late = attempt.ended_at - attempt.sent_at > attempt.deadline_s - self.slack_s
-        return is_late and any(
-            self._was_paused(listed, attempt.sent_at, attempt.ended_at) for listed, _ in runs
-        )
+        """Whether pauses of its workers took a try to its deadline."""
+        if self.paused is None or attempt.ended_at is None:
+            return False
+        took_s = attempt.ended_at - attempt.sent_at
+        if took_s <= attempt.deadline_s - self.slack_s:
+            return False
+        workers = {listed.worker.id for listed, _ in runs}
+        paused_s = self.paused.paused_s(workers, attempt.sent_at, attempt.ended_at)
+        return paused_s + usual_time_s(attempt) > attempt.deadline_s - self.slack_s
 
     def _crashing_requests(self) -> Iterator[Violation]:
         """A request under which three workers have ended reaches hardly any more of them."""
--- a/src/croftchute/soak/pauses.py
+++ b/src/croftchute/soak/pauses.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections import Counter
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -20,12 +21,18 @@
 from croftchute.soak.world import (
     DESK,
     ENGINES,
+    EVENT_GAP_S,
+    EVENTS,
+    PASSING,
+    SLOW_EVENT_GAP_S,
     TIMEOUT_S,
+    WORK_S,
     ListedWorker,
     SoakWorld,
     passing_path,
 )
 from croftchute.standins.platform_caller import RequestKind, Try
+from croftchute.standins.platform_worker import SLOW_PATH
 from croftchute.standins.worker_records import Run
 
 PAUSES_S = (0.5, 1.6)
@@ -62,6 +69,10 @@
 """Seconds before its deadline in which the end of a request is not judged."""
 
 FAILURES = frozenset({502, 504})
+NOT_FOUND = 404
+
+APPLY_S = 2.0
+"""Seconds until an accepted configuration is in force at boxes in touch: the users' bound."""
 
 
 class ConfigChange(StrEnum):
@@ -81,6 +92,14 @@
     end: float
 
 
+@dataclass(kw_only=True)
+class PassingRoute:
+    """When a route of a series was added, and when it was taken away."""
+
+    added_at: float
+    removed_at: float = math.inf
+
+
 @dataclass(kw_only=True)
 class PausedWorkers:
     """Pauses workers in series and at once, and checks what their callers got."""
@@ -90,6 +109,7 @@
     traffic: Traffic
     disturbances: Disturbances
     pauses: list[Pause] = field(default_factory=list)
+    routes_by_number: dict[int, PassingRoute] = field(default_factory=dict)
     _open_by_worker: Counter[str] = field(default_factory=Counter)
     _numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
 
@@ -99,6 +119,7 @@
         number = next(self._numbers)
         self.world.passing_timeouts_s[number] = TIMEOUT_S
         self.world.accept_config()
+        self.routes_by_number[number] = PassingRoute(added_at=asyncio.get_running_loop().time())
         await asyncio.sleep(IN_FORCE_S)
         async with asyncio.TaskGroup() as blows:
             for _ in range(rng.randint(1, MAX_BLOWS)):
@@ -137,8 +158,8 @@
             self.world.idle_timeout_s = rng.choice(IDLE_TIMEOUTS_S)
         elif change is ConfigChange.TIMEOUT and number in self.world.passing_timeouts_s:
             self.world.passing_timeouts_s[number] = SHORT_TIMEOUT_S
-        else:
-            self.world.passing_timeouts_s.pop(number, None)
+        elif self.world.passing_timeouts_s.pop(number, None) is not None:
+            self.routes_by_number[number].removed_at = asyncio.get_running_loop().time()
         self.world.accept_config()
 
     def _choose(self, rng: random.Random) -> list[ListedWorker]:
@@ -163,6 +184,14 @@
             if not self._open_by_worker[listed.worker.id]:
                 listed.worker.resume()
 
+    def paused_s(self, workers: set[str], start: float, end: float) -> float:
+        """How long some of the workers stood still from ``start`` to ``end``, summed up."""
+        return sum(
+            max(0.0, min(end, pause.end) - max(start, pause.start))
+            for pause in self.pauses
+            if pause.worker in workers
+        )
+
     def was_paused(self, worker: str, start: float, end: float) -> bool:
         """Whether a worker stood still at some time from ``start`` to ``end``."""
         return any(
@@ -170,6 +199,19 @@
             for pause in self.pauses
         )
 
+    def denials(
+        self, *, in_touch: Callable[[str, float], bool], slack_s: float
+    ) -> Iterator[Violation]:
+        """Requests for a route that was in force at boxes in touch, and that they do not know."""
+        for attempt in self.traffic.tries_by_id.values():
+            if attempt.status != NOT_FOUND or not attempt.path.startswith(PASSING):
+                continue
+            route = self.routes_by_number[int(attempt.path.split("/")[2])]
+            is_due = attempt.sent_at > route.added_at + APPLY_S + slack_s
+            was_there = attempt.ended_at is not None and attempt.ended_at < route.removed_at
+            if is_due and was_there and in_touch(attempt.box, attempt.sent_at):
+                yield broken("routes in force are known", attempt, "404")
+
     def violations(
         self, runs_by_id: dict[str, list[tuple[ListedWorker, Run]]], *, slack_s: float
     ) -> Iterator[Violation]:
@@ -190,6 +232,14 @@
                 yield broken("a silent worker ends no answer", attempt, _describe(attempt))
 
 
+def usual_time_s(attempt: Try) -> float:
+    """How long a try takes at workers that do not stand still, but for waits for room."""
+    if not attempt.kind.is_stream:
+        return WORK_S
+    gap_s = SLOW_EVENT_GAP_S if SLOW_PATH in attempt.path else EVENT_GAP_S
+    return 2.0 * WORK_S + EVENTS * gap_s
+
+
 def _has_ended_badly(attempt: Try) -> bool:
     """Whether a try that its caller waited for got a part of an answer, none, or a failure."""
     if not attempt.is_sent or attempt.left_at is not None or attempt.ended_at is None:
--- a/src/croftchute/soak/world.py
+++ b/src/croftchute/soak/world.py
@@ -40,6 +40,9 @@
 PASSING_KINDS = (RequestKind.RESUMABLE, RequestKind.REPEATABLE)
 """Kinds of requests on routes that come and go with a fault."""
 
+PASSING = "/passing/"
+"""Prefix of the paths of those routes."""
+
 MAX_ATTEMPTS = 2
 DESK = "desk"
 ENGINES = "engines"
@@ -265,7 +268,7 @@
 
 def passing_path(number: int, kind: RequestKind) -> str:
     """The path of a route that comes and goes with a fault."""
-    return f"/passing/{number}/{kind.value}/"
+    return f"{PASSING}{number}/{kind.value}/"
 
 
 def _route(name: str, prefix: str, kind: str, service: str, **changes: object) -> JsonObject:
--- a/tests/soak/test_pauses.py
+++ b/tests/soak/test_pauses.py
@@ -7,7 +7,7 @@
 from croftchute.soak.checks import Checker
 from croftchute.soak.disturbances import Disturbances
 from croftchute.soak.link_cuts import links_of
-from croftchute.soak.pauses import PausedWorkers
+from croftchute.soak.pauses import PassingRoute, Pause, PausedWorkers
 from croftchute.standins.platform_caller import RequestKind, Try
 from croftchute.standins.worker_records import Run
 
@@ -125,3 +125,44 @@
     stopped = paused()
     stopped.note(BOX, SENT_AT + 1.0, SENT_AT + 11.0, is_planned=True)
     assert found(attempt(1.5, **CUT), disturbances=stopped, judge_times=False) == []
+
+
+def outlasted(*pauses, took_s=DEADLINE_S, path="/stream/1"):
+    """Whether a stop excuses a try that ended after a time, given pauses of its worker."""
+    one = attempt(took_s, path=path, **CUT)
+    known = Disturbances()
+    known.note(BOX, SENT_AT + 1.0, SENT_AT + 11.0, is_planned=True)
+    workers = PausedWorkers(world=None, boxes=[], traffic=None, disturbances=known)
+    for start, end in pauses:
+        workers.pauses.append(Pause(worker=WORKER, start=SENT_AT + start, end=SENT_AT + end))
+    listed = SimpleNamespace(worker=SimpleNamespace(id=WORKER))
+    checker = Checker(world=None, traffic=None, boxes=[], disturbances=known, paused=workers)
+    return checker._was_outlasted(one, [(listed, None)])
+
+
+def test_a_try_at_its_deadline_is_excused_from_a_stop_by_pauses_that_took_it_there():
+    assert outlasted((0.5, 2.0), (2.2, 3.8), (4.0, 5.5))
+    assert outlasted((0.5, 2.1), path="/stream/slow/1")
+
+
+def test_a_short_pause_excuses_no_try_from_a_stop():
+    assert not outlasted((0.0, 0.01))
+    assert not outlasted((0.5, 2.0))
+    assert not outlasted((0.5, 2.0), (2.2, 3.8), (4.0, 5.5), took_s=4.0)
+
+
+@pytest.mark.parametrize(("sent_after_s", "promises"), [(1.0, []), (3.0, ["routes in force"])])
+def test_a_route_that_is_in_force_is_known(sent_after_s, promises):
+    one = attempt(0.1, path="/passing/1/resumable/9", status=404, is_whole=True)
+    known = Disturbances()
+    workers = PausedWorkers(
+        world=None,
+        boxes=[],
+        traffic=SimpleNamespace(tries_by_id={"r1": one}),
+        disturbances=known,
+    )
+    workers.routes_by_number[1] = PassingRoute(added_at=SENT_AT - sent_after_s)
+    found_now = workers.denials(in_touch=lambda box, at: True, slack_s=0.4)
+    assert [violation.promise[:15] for violation in found_now] == promises
+    workers.routes_by_number[1].removed_at = SENT_AT
+    assert not list(workers.denials(in_touch=lambda box, at: True, slack_s=0.4))
