Count a silent prefill worker as no attempt for the retry budget

While the retry budget was spent, callers of streams were refused with 503 ("no repeat is allowed: no usable worker is known") after 0.7 of their target, although a decode worker had given them a hold and could read the prompt: their prefill worker was silent.

Cause: a prefill call that got no answer in time counted as a delivery, so the request itself needed a repeat from the budget. A first call that only reads the prompt is no attempt, whether it is answered or not; when it was, it never counted.

A prefill call that is silent no longer counts. One that is rejected or breaks still does.

The new test fails on the code before.

--- a/src/croftchute/forwarding/workers/prompt_prefill.py
+++ b/src/croftchute/forwarding/workers/prompt_prefill.py
@@ -6,6 +6,7 @@
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
 from croftchute.forwarding.http.failures import (
+    AnswerLateError,
     ConnectFailedError,
     ConnectionBrokenError,
     ExchangeError,
@@ -168,6 +169,9 @@
             self._rejections += 1
             run.state.permits.release(tracked.worker)
             call.record_failure(error)
+        except AnswerLateError as error:
+            # The first call that only reads the prompt is no attempt, so what follows is no repeat.
+            call.record_failure(error)
         except ExchangeError as error:
             run.deliveries += 1
             call.record_failure(error)
--- a/tests/platform_adapter/test_silent_prefill.py
+++ b/tests/platform_adapter/test_silent_prefill.py
@@ -5,7 +5,7 @@
 import pytest
 from platform_fleet import ENGINE, ask, config, fleet, run, until
 from stream_fleet import engines, numbers, prefer, ran
-from test_silent_workers import EVENTS, SLOW, WHOLE, paused
+from test_silent_workers import EVENTS, SLOW, WHOLE, holds_asked, paused, spend_budget
 
 HOLD_S = 0.3
 """How long holds last: shorter than a box waits for a prefill worker."""
@@ -27,10 +27,6 @@
     return box, decodes, prefill
 
 
-def holds_taken(worker):
-    return sum(request.path == "/hold-take" for request in worker.received)
-
-
 @pytest.mark.parametrize("path", ["/resume/x", "/stream/x"])
 def test_a_hold_that_lapsed_beside_a_silent_prefill_worker_is_taken_anew(path):
     """Guards against requests that are sent with a lapsed hold to a worker that is full by then."""
@@ -60,7 +56,7 @@
             prefill.work_s = 0.45
             answer = await ask(box, "/stream/x")
             assert answer.is_whole and numbers(answer) == WHOLE
-            assert own.finished == ["r1"] and holds_taken(own) == 2 and holds_taken(other) == 0
+            assert own.finished == ["r1"] and holds_asked(own) == 2 and holds_asked(other) == 0
             (sent,) = [r for r in own.received if r.path == "/stream/x"]
             assert sent.headers["x-croftchute-kv-source"].startswith(f"127.0.0.1:{prefill.port}/")
 
@@ -107,3 +103,19 @@
             await until(lambda: not prefill.handles)
 
     run(body)
+
+
+@pytest.mark.parametrize("path", ["/resume/x", "/stream/x"])
+def test_a_prompt_is_read_by_the_decode_worker_while_the_retry_budget_is_spent(path):
+    """Guards against refusals because a silent prefill worker counted as a first attempt."""
+
+    async def body():
+        async with fleet() as made:
+            box, (own, other), prefill = await engines_and_prefill(made)
+            spend_budget(box, "llm")
+            async with paused(prefill):
+                answer = await ask(box, path)
+            assert answer.status == 200 and answer.is_whole and numbers(answer) == WHOLE
+            assert own.finished == ["r1"] and other.arrivals == []
+
+    run(body)
