Ask few silent workers for room before a request waits or is refused

A caller of a stream whose deadline was 1,000 ms got its refusal after 2,500 ms: all of 30 decode workers were silent, and the box asked one after the other for room, for 80 ms each, without a look at the time. The wait grew with the number of workers, however little time the caller had.

Cause: whether a request may go on waiting was checked only once all workers had been asked.

A request now asks no further worker once three have not answered in time, or once its time is over. It then waits for room or is refused like one that found all workers full. A request whose worker is silent still stops at the first one.

--- a/src/croftchute/forwarding/workers/decode_reservation.py
+++ b/src/croftchute/forwarding/workers/decode_reservation.py
@@ -30,6 +30,10 @@
 CALLS_PER_HELD_REQUEST = 2
 """Calls of a worker for one stream: the reservation and the request itself."""
 
+MAX_SILENT_ASKED = 3
+"""Most workers that may leave a request without an answer before it waits like one that found no
+room. A service may be silent as a whole, and to ask all of it takes longer the larger it is."""
+
 
 class DecodeReservation:
     """Finds a decode worker with room for one request, and keeps the hold until it is used.
@@ -112,7 +116,7 @@
             self.ask_again_s = policy.poll_interval_s(run.now)
             if run.is_cut_off or not policy.may_ask(run.now):
                 return None
-            found = await self._ask_for_room(ends_on_silence=True)
+            found = await self._ask_for_room(max_silent=1)
             if found is not None:
                 policy.granted(run.now)
             return found
@@ -184,14 +188,15 @@
         return False
 
     async def _ask_for_room(
-        self, *, ends_on_silence: bool = False
+        self, *, max_silent: int = MAX_SILENT_ASKED
     ) -> tuple[TrackedWorker, ChoiceRecord] | None:
         """Ask the decode workers in order of choice; None if none has room.
 
-        A worker that owes this box an answer to such a call is not asked for a while.
+        A worker that owes this box an answer to such a call is not asked for a while. The others
+        are left out once ``max_silent`` workers have not answered in time.
         """
         run = self.run
-        self._was_silent = False
+        silent = 0
         engine = run.engine
         if (
             engine is not None
@@ -199,7 +204,8 @@
         ):
             return reserved
         while True:
-            found = None if run.is_cut_off else run.choose(Stage.DECODE)
+            may_ask = not run.is_cut_off and run.time_left_s > 0.0 and silent < max_silent
+            found = run.choose(Stage.DECODE) if may_ask else None
             if found is None:
                 return None
             if engine is None or engine.hold_ttl_s <= 0.0:
@@ -207,12 +213,11 @@
                     self._permit_worker = found[0].worker
                     return found
                 continue
-            if self._is_known_full(found[0], is_search=ends_on_silence):
+            if self._is_known_full(found[0], is_search=max_silent < MAX_SILENT_ASKED):
                 continue
             if await self._reserve_if_permitted(*found, engine):
                 return found
-            if ends_on_silence and self._was_silent:
-                return None
+            silent += self._was_silent
 
     def _is_known_full(self, tracked: TrackedWorker, *, is_search: bool = False) -> bool:
         """Whether a worker is not asked, as it had no room just now or owes an answer.
@@ -240,6 +245,7 @@
         self, tracked: TrackedWorker, chosen: ChoiceRecord, engine: EngineTraits
     ) -> bool:
         """Reserve room at a worker if its limit permits that call and the request after it."""
+        self._was_silent = False
         if not await self.run.acquire_permit(tracked, calls=CALLS_PER_HELD_REQUEST):
             return False
         self._permit_worker = tracked.worker
