--- a/tests/platform_adapter/test_silent_workers.py
+++ b/tests/platform_adapter/test_silent_workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 from platform_fleet import ask, config, fleet, run, until
@@ -256,6 +257,28 @@
     run(body)
 
 
+def test_few_calls_for_room_are_made_when_a_busy_box_notices_all_silences_at_once():
+    """Guards against searches that are counted too late to bound those of the same moment."""
+
+    async def body():
+        async with fleet() as made:
+            box, own, other = await pair_of_engines(made, events=40)
+            streams = [
+                asyncio.create_task(ask(box, "/resume/x", f"r{n}", deadline=9000))
+                for n in range(40)
+            ]
+            await until(lambda: len(own.runs) == 40)
+            await asyncio.sleep(0.12)
+            async with paused(own, other):
+                await asyncio.sleep(0.7)
+                time.sleep(0.3)
+            for answer in await asyncio.gather(*streams):
+                assert answer.is_whole and len(answer.events) == 40
+            assert 0 < holds_asked(other) <= MAX_SEARCHES + 1
+
+    run(body)
+
+
 @pytest.mark.parametrize("other_is", ["full", "without_budget", "silent"])
 def test_a_plain_call_is_answered_by_its_silent_worker_if_no_other_can(other_is):
     """Guards against giving up a repeatable call at a silent worker."""
