--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -4,18 +4,15 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from enum import Enum, auto
 
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.decision_log import Decision
-from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
+from croftchute.forwarding.dialect import Verdict
 from croftchute.forwarding.http.deadline import within
 from croftchute.forwarding.http.event_stream import StreamEvent
 from croftchute.forwarding.http.failures import (
     AnswerLateError,
     CallerSlowError,
-    ConnectFailedError,
     ConnectionBrokenError,
     ExchangeError,
 )
@@ -27,61 +24,17 @@
 from croftchute.forwarding.workers.prompt_prefill import PromptPrefill
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.stream_attempt import StepKind, StreamAttempt, StreamStep
+from croftchute.forwarding.workers.stream_progress import (
+    NOT_RUN_STATUSES,
+    FailureAnswer,
+    StreamProgress,
+)
+from croftchute.forwarding.workers.stream_sender import StreamSender, Unsent
 from croftchute.forwarding.workers.withheld import CUT_OFF_DETAIL
 from croftchute.forwarding.workers.worker_call import WorkerCall
-from croftchute.forwarding.workers.worker_control import is_same_process
 from croftchute.systems import timeouts
 from croftchute.systems.failover_pace import RECHECK_S
-from croftchute.systems.prefill_queue import PrefillEstimate
-from croftchute.systems.tracked_worker import TrackedWorker
-from croftchute.systems.worker_choice import ChoiceRecord
-from croftchute.tables.routing import HeaderList, Stage, Worker
-
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses that callers take to mean that nothing ran."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class FailureAnswer:
-    """A worker's error status with its answer."""
-
-    worker: str
-    status: int
-    headers: HeaderList
-    body: bytes
-
-
-@dataclass(kw_only=True)
-class StreamProgress:
-    """How much of the stream the caller has received, and the state of the attempts.
-
-    ``is_doubtful``: the worker's process was replaced by one with other software while it sent the
-    stream, and either may have sent the events.
-    ``failure`` is the error status that the caller gets if no other worker answers.
-    ``may_retry_at_once``: a rejected prefill used up the last attempt. The caller's next try needs
-    no prefill worker, so it may come at once.
-    """
-
-    last_event: int | None
-    event_count: int = 0
-    may_have_run: bool = False
-    is_complete: bool = False
-    failure: FailureAnswer | None = None
-    code: Code = Code.NO_UPSTREAM
-    detail: str = "no usable worker is known"
-    serving_worker: str = ""
-    may_retry_at_once: bool = False
-    is_doubtful: bool = False
-
-
-class _Unsent(Enum):
-    """Why a request was not sent to a worker that had room for it.
-
-    ``TRY_AGAIN``: another worker may take it. ``NO_REPEAT``: it may be sent to no further one.
-    """
-
-    TRY_AGAIN = auto()
-    NO_REPEAT = auto()
+from croftchute.tables.routing import HeaderList, Stage
 
 
 class StreamRun:
@@ -95,6 +48,9 @@
         self.progress = StreamProgress(last_event=run.facts.resume_after)
         self.prefill = PromptPrefill(run=run)
         self.reservation = DecodeReservation(run=run)
+        self.sender = StreamSender(
+            run=run, progress=self.progress, prefill=self.prefill, reservation=self.reservation
+        )
         self.race: AttemptRace[StreamAttempt] = AttemptRace(
             run=run, owner=self, may_leave=lambda: run.may_leave_silent
         )
@@ -216,10 +172,10 @@
             self._record_refusal_cause()
             if found is None:
                 return None
-            sent = await self._send_to(*found, is_successor=False)
+            sent = await self.sender.send_to(*found, is_successor=False)
             if isinstance(sent, StreamAttempt):
                 return sent
-            if sent is _Unsent.NO_REPEAT:
+            if sent is Unsent.NO_REPEAT:
                 return None
         return None
 
@@ -274,7 +230,7 @@
             self._record_refusal_cause()
             if found is None:
                 return None
-            sent = await self._send_to(*found, is_successor=True)
+            sent = await self.sender.send_to(*found, is_successor=True)
             return sent if isinstance(sent, StreamAttempt) else None
         finally:
             self.reservation.release_unused()
@@ -309,11 +265,6 @@
             return True
         return progress.may_have_run and not self.run.route.may_repeat
 
-    def _are_prefill_workers_in_backoff(self) -> bool:
-        """Whether only decode workers prefill, as the prefill workers are in backoff."""
-        run = self.run
-        return run.state.workers.backoff_left_s(run.service, run.now, stage=Stage.PREFILL) > 0.0
-
     def _record_refusal_cause(self) -> None:
         """Keep the reason why no worker had room, for a refusal."""
         if self.reservation.code is not None:
@@ -325,88 +276,6 @@
         self.progress.code = Code.VERSION_GONE
         self.progress.detail = f"no worker of software version {self.run.build} is left"
 
-    async def _send_to(
-        self, tracked: TrackedWorker, chosen: ChoiceRecord, *, is_successor: bool
-    ) -> StreamAttempt | _Unsent:
-        """Have the prompt read if need be, and send the request to a worker that has room."""
-        run = self.run
-        worker = tracked.worker
-        source = await self.prefill.prefill_for(tracked)
-        if tracked.has_ended or run.state.workers.advice.backoff_left_s(worker.id, run.now) > 0.0:
-            # The worker restarted or asked for backoff during the prefill: reserve elsewhere.
-            self.reservation.release_unused()
-            return _Unsent.TRY_AGAIN
-        if not await self._is_of_build(worker):
-            self.reservation.release_unused()
-            return _Unsent.TRY_AGAIN
-        if not run.has_attempts_left and worker.id not in run.workers_sent_to:
-            self.progress.may_retry_at_once = self._are_prefill_workers_in_backoff()
-            return _Unsent.NO_REPEAT
-        if not await self.reservation.renew_if_lapsed(tracked, chosen):
-            return _Unsent.TRY_AGAIN
-        if not run.spend_retry_budget():
-            self.progress.detail = f"no repeat is allowed: {self.progress.detail}"
-            return _Unsent.NO_REPEAT
-        return await self._open(tracked, chosen, source, is_successor=is_successor)
-
-    async def _is_of_build(self, worker: Worker) -> bool:
-        """Whether the worker is still the process whose build the stream is bound to."""
-        run = self.run
-        if run.build is None:
-            return True
-        try:
-            is_same = await is_same_process(run.state, worker)
-        except ExchangeError as error:
-            # A silent worker is asked again after a moment; one that can't be reached is not.
-            is_silent = error.code is Code.UPSTREAM_SLOW
-            (run.full_workers if is_silent else run.avoid).add(worker.id)
-            return False
-        if not is_same:
-            run.avoid.add(worker.id)
-        return is_same
-
-    async def _open(
-        self,
-        tracked: TrackedWorker,
-        chosen: ChoiceRecord,
-        source: PrefillHandle | None,
-        *,
-        is_successor: bool,
-    ) -> StreamAttempt | _Unsent:
-        run = self.run
-        send = Send(
-            worker=tracked.worker,
-            time_left_s=run.time_left_s,
-            priority=run.rank,
-            source=source,
-            hold=self.reservation.hold,
-            resume_after=self.progress.last_event,
-        )
-        call = WorkerCall(run=run, tracked=tracked, send=send, chosen=chosen)
-        try:
-            await call.open()
-        except ConnectFailedError as error:
-            self.reservation.release_unused()
-            run.connect_failures += 1
-            call.record_failure(error)
-            self.progress.code, self.progress.detail = error.code, error.message
-            call.close()
-            return _Unsent.TRY_AGAIN
-        except asyncio.CancelledError:
-            call.close()
-            run.return_retry()
-            raise
-        self.reservation.mark_used()
-        run.deliveries += 1
-        run.workers_sent_to.add(tracked.worker.id)
-        return StreamAttempt(
-            run=run,
-            call=call,
-            source=source,
-            first_step_timeout_s=self._first_event_timeout_s(source),
-            is_successor=is_successor,
-        )
-
     async def _relay(self, attempt: StreamAttempt) -> bool:
         """Pass on what an attempt sends; return whether it has fallen silent, else it is over."""
         run = self.run
@@ -530,21 +399,6 @@
         self.progress.is_doubtful = True
         self.progress.detail = f"{call.worker.id} was replaced by a worker of other software"
 
-    def _first_event_timeout_s(self, source: PrefillHandle | None) -> float:
-        run = self.run
-        if not run.route.may_repeat:
-            return run.time_left_s
-        if source is not None:
-            return timeouts.first_event_timeout_s(run.route, time_left_s=run.time_left_s)
-        estimate = PrefillEstimate.predict(
-            prompt_tokens=run.facts.prompt_tokens,
-            timing=run.state.prefill_pace(run.service),
-            wait_s=0.0,
-        )
-        return timeouts.decode_reading_timeout_s(
-            run.route, predicted_s=estimate.local_s, time_left_s=run.time_left_s
-        )
-
     def _can_fail_over(self) -> bool:
         """Whether another worker may go on with the stream than those that it is at."""
         run = self.run
