Test that a request of a silent worker is charged once, whoever serves it

Before its units were kept until another box serves it, a plain call of 30 units that its own silent worker answered, after another box had declined it, left a balance of 0 (30 taken, 30 given back); it leaves 30 now. The same call leaves 30 as well if the other box takes it from the silent worker, which no test showed.

--- a/tests/platform_adapter/test_forwarding_between_boxes.py
+++ b/tests/platform_adapter/test_forwarding_between_boxes.py
@@ -19,6 +19,7 @@
     told_boxes,
 )
 from platform_fleet import ask, bearer, config, fleet, organisation, run, until
+from stream_fleet import prefer
 from test_cut_off_from_workers import linked_boxes, outcomes_by_box
 from worker_links import LinkedPool, link_box
 
@@ -42,6 +43,24 @@
     return sum(count for labels, count in outcomes if labels["outcome"] == "cut_off")
 
 
+def count_charges(boxes):
+    """Return a list that gets the units that boxes take for requests, negative when given back."""
+    balances = []
+    for box in boxes:
+        admit, give_back = box.usage_limits.admit, box.usage_limits.give_back
+
+        async def counted(organisation, cost, *, patience_s, admit=admit):
+            balances.append(cost)
+            return await admit(organisation, cost, patience_s=patience_s)
+
+        def returned(name, cost, give_back=give_back):
+            balances.append(-cost)
+            give_back(name, cost)
+
+        box.usage_limits.admit, box.usage_limits.give_back = counted, returned
+    return balances
+
+
 async def cut_first(made, links, fault=LinkFault.CLOSED):
     """Cut the first box off, and wait until it knows."""
     await links[0].cut(fault)
@@ -463,19 +482,7 @@
     async def test():
         async with fleet(config=config(organisations=(crew,))) as made:
             links = await linked_boxes(made, 2)
-            balances = []
-            for box in made.boxes:
-                admit, give_back = box.usage_limits.admit, box.usage_limits.give_back
-
-                async def counted(organisation, cost, *, patience_s, admit=admit):
-                    balances.append(cost)
-                    return await admit(organisation, cost, patience_s=patience_s)
-
-                def returned(name, cost, give_back=give_back):
-                    balances.append(-cost)
-                    give_back(name, cost)
-
-                box.usage_limits.admit, box.usage_limits.give_back = counted, returned
+            balances = count_charges(made.boxes)
             await links[0].cut(LinkFault.HANGING)
             sent = [
                 ask(made.boxes[0], "/safe/x", f"r{number}", extra=(bearer("crew-key"),))
@@ -491,6 +498,50 @@
     run(test)
 
 
+def lose_links(box):
+    """Let a box believe for good that it has lost its links to all workers."""
+    box.state.links.lost_at = box.state.clock()
+    box.state.links.note_round = lambda probes, now: None
+
+
+@pytest.mark.parametrize("served_by", ["own_worker", "other_box"])
+def test_a_limit_counts_a_request_once_that_a_silent_worker_kept_as_boxes_were_asked(
+    served_by, monkeypatch
+):
+    """Guards against answers that no organisation is charged for, and against two charges."""
+    crew = organisation("crew", "crew-key", RatePerS=1000, Burst=10000, PlainTokens=200)
+    key = (bearer("crew-key"),)
+
+    async def test():
+        async with fleet(config=config(organisations=(crew,))) as made:
+            own = await made.add_worker("w1", work_s=0.1)
+            await made.add_worker("w2", zone="far")
+            first, other = await boxes_that_know_one_another(made, 2)
+            await until(lambda: first.state.peers.forward_candidates(first.state.clock()))
+            while (await ask(first, "/safe/x", "before", extra=key)).status != 200:
+                await asyncio.sleep(0.1)
+            prefer(first, "w1")
+            prefer(other, "w2")
+            balances = count_charges(made.boxes)
+            asking = asyncio.create_task(ask(first, "/safe/x", extra=key))
+            await until(lambda: own.runs_of("r1"))
+            own.pause()
+            lose_links(first)
+            if served_by == "own_worker":
+                monkeypatch.setattr(forwarded_requests, "MIN_OPEN", 0)
+                monkeypatch.setattr(forwarded_requests, "MAX_PER_OWN", 0)
+                await until(lambda: first.state.metrics.forwards.get_all())
+                own.resume()
+            answer = await asking
+            own.resume()
+            worker = "w1" if served_by == "own_worker" else "w2"
+            assert answer.status == 200 and answer.body == f"answer of {worker} to r1".encode()
+            await until(lambda: not first.ingress.open_requests and not other.forwarded.open)
+            assert sum(balances) == 30
+
+    run(test)
+
+
 def test_the_limit_of_a_worker_holds_and_each_call_takes_one_permit():
     async def test():
         async with fleet() as made:
