Keep what a silent engine runs until another one goes on with it

Callers of the OpenAI interface lost answers whose engines were sound but sent nothing for 5 s: the stream ended with an error event, or the request was refused, although the engine went on a moment later.

Cause: the relay ended a stream, and the engine adapter a prefill or decode call, at the gap, before it was known whether another engine had room and whether the retry budget and the attempts allowed one. Whatever was missing then ended the answer.

Change: a silent attempt stays open, and the entry looks for a successor beside it, at most one search at a time, within the same budget and attempts. It begins behind the events that the caller has. The attempt that has events first is heeded, under the lock of the stream that it takes over; the others are ended and cancelled. The deadline ends silent attempts. Each attempt makes its calls on a thread of its own, and a caller who leaves ends a call that waits, which ran on until its time-out before.

--- a/src/croftchute/daemon/box_process.py
+++ b/src/croftchute/daemon/box_process.py
@@ -45,7 +45,7 @@
 from croftchute.storage.store import Store
 from croftchute.systems.box import BoxSystems
 from croftchute.tables.boxes import Box, BoxState
-from croftchute.tables.requests import AttemptEnd, Request
+from croftchute.tables.requests import AttemptEnd, Request, Silence
 from croftchute.tables.upstreams import Topology
 from croftchute.timeline.events import Event, Kind
 from croftchute.timeline.ring import EventRing
@@ -271,6 +271,14 @@
         """End an attempt."""
         return self.systems.attempt_ended(end, now)
 
+    def silent(self, silence: Silence, now: float) -> list[Command]:
+        """The engines of a request are silent."""
+        return self.systems.attempts_silent(silence, now)
+
+    def resumed(self, request_id: str, now: float) -> list[Command]:
+        """An engine that was silent has sent something."""
+        return self.systems.attempt_resumed(request_id, now)
+
     def left(self, request_id: str, now: float) -> list[Command]:
         """A caller left."""
         return self.systems.caller_left(request_id, now)
--- a/src/croftchute/gateway/exchange.py
+++ b/src/croftchute/gateway/exchange.py
@@ -6,49 +6,36 @@
 import threading
 
 from croftchute.commands import DecideCall, RefuseRequest, StartAttempt
-from croftchute.upstreams.engine import TokenStream
 
 Decision = StartAttempt | RefuseRequest | DecideCall
 
 
 class Exchange:
-    """Decisions for one request, and the stream to break when its caller leaves."""
+    """Decisions for one request, and what wakes its thread."""
 
     def __init__(self, *, request_id: str) -> None:
         self.request_id = request_id
         self.gone = threading.Event()
         self._decisions: queue.SimpleQueue[Decision | None] = queue.SimpleQueue()
-        self._stream: TokenStream | None = None
-        self._lock = threading.Lock()
 
     def decide(self, decision: Decision) -> None:
         """Hand a decision to the caller's thread."""
         self._decisions.put(decision)
 
     def wait(self, timeout_s: float) -> Decision | None:
-        """The next decision; None if the caller left or nothing came in time."""
+        """The next decision; None if the caller left, nothing came in time, or on a wake-up."""
         try:
             return self._decisions.get(timeout=timeout_s)
         except queue.Empty:
             return None
 
-    def attach(self, stream: TokenStream) -> bool:
-        """Name the stream to break on a hang-up; False if the caller has left already."""
-        with self._lock:
-            self._stream = stream
-            return not self.gone.is_set()
-
-    def detach(self) -> None:
-        """The stream is over."""
-        with self._lock:
-            self._stream = None
+    def wake(self) -> None:
+        """Wake the caller's thread: one of its attempts has changed."""
+        self._decisions.put(None)
 
     def leave(self) -> None:
-        """The caller has left: wake its thread and break its stream."""
-        with self._lock:
-            self.gone.set()
-            if self._stream is not None:
-                self._stream.close()
+        """The caller has left: wake its thread, which ends its attempts."""
+        self.gone.set()
         self._decisions.put(None)
 
 
--- a/src/croftchute/gateway/relay.py
+++ b/src/croftchute/gateway/relay.py
@@ -53,15 +53,27 @@
 
 
 class RelayedStream:
-    """One stream on its way: events are held until the caller's thread says where to."""
-
-    def __init__(self, *, stream: TokenStream, mark: bytes, now: float) -> None:
+    """One stream on its way: events are held until the caller's thread says where to.
+
+    ``changed`` is called when the first events come, at the end, and where it was asked for.
+    """
+
+    def __init__(
+        self,
+        *,
+        stream: TokenStream,
+        mark: bytes,
+        now: float,
+        changed: Callable[[], None] | None = None,
+    ) -> None:
         self.stream = stream
         self.fd = stream.fileno()
         self.delivered = 0
         self.first_at = 0.0
         self.last_at = now
         self.is_over = False
+        self.has_spoken = False
+        self.changed = changed
         self.lock = threading.Lock()
         self.sink: CallerSink | None = None
         self._mark = mark
@@ -70,23 +82,19 @@
         self._whole = False
         self._ended = False
         self._error: UpstreamError | None = None
-        self._has_first = threading.Event()
+        self._tells_next = True
         self._over = threading.Event()
 
-    def first(self) -> bytes:
-        """The first events, once there are some; raises UpstreamError if none come."""
-        self._has_first.wait()
-        held = self.take_held()
-        if not held and self._error is not None:
-            raise self._error
-        return held
-
     def take_held(self) -> bytes:
         """The events that came and were not sent anywhere."""
         with self.lock:
             held, self._held = self._held, []
         return b"".join(held)
 
+    def tell_next(self) -> None:
+        """Have ``changed`` called when the next events come."""
+        self._tells_next = True
+
     def outcome(self) -> UpstreamError | None:
         """Wait for the end of the stream; why it broke off, or None if it is whole."""
         self._over.wait()
@@ -120,7 +128,11 @@
         self._error = self._error or error
         self.is_over = True
         self._over.set()
-        self._has_first.set()
+        self._tell()
+
+    def _tell(self) -> None:
+        if self.changed is not None:
+            self.changed()
 
     def _finish_if_sent(self) -> None:
         """The end counts only when the caller has everything, or its thread will take it."""
@@ -152,8 +164,10 @@
             self._held.append(events)
         else:
             self._send(events)
-        if not self._has_first.is_set():
-            self._has_first.set()
+        self.has_spoken = True
+        if self._tells_next:
+            self._tells_next = False
+            self._tell()
 
     def _send(self, data: bytes) -> None:
         assert self.sink is not None
@@ -186,9 +200,15 @@
         self._stopped.set()
         self._thread.join(2 * SWEEP_S)
 
-    def open(self, stream: TokenStream, mark: bytes) -> RelayedStream:
-        """Begin to read a stream; every event has to carry ``mark``."""
-        relayed = RelayedStream(stream=stream, mark=mark, now=self.clock())
+    def open(
+        self, stream: TokenStream, mark: bytes, changed: Callable[[], None] | None = None
+    ) -> RelayedStream:
+        """Begin to read a stream; every event has to carry ``mark``.
+
+        A stream with ``changed`` is watched by its caller's thread, which ends it if need be. Any
+        other is given up after ``gap_s`` without an event.
+        """
+        relayed = RelayedStream(stream=stream, mark=mark, now=self.clock(), changed=changed)
         with relayed.lock:
             relayed.take(stream.leftover(), self.clock())
             if not relayed.is_over:
@@ -203,6 +223,18 @@
             if not relayed.is_over:
                 self._watch_room(relayed)
 
+    def supersede(self, relayed: RelayedStream, delivered: int) -> bool:
+        """End a stream if it has delivered just so many events; whether it did so.
+
+        Nothing of it is sent to the caller afterwards, so that another one may go on behind them.
+        """
+        with relayed.lock:
+            if relayed.is_over or relayed.delivered != delivered:
+                return False
+            self._forget(relayed)
+            relayed.finish(UpstreamError(Code.UPSTREAM_SLOW, "another one goes on", ran=Ran.RAN))
+            return True
+
     def close(self, relayed: RelayedStream) -> None:
         """Forget a stream, before its socket is closed."""
         with relayed.lock:
@@ -293,7 +325,8 @@
     def _sweep(self, now: float) -> None:
         for relayed in list(self._stream_by_fd.values()):
             blocked = relayed.sink is not None and relayed.sink.is_blocked
-            if now - relayed.last_at > self.gap_s and not blocked:
+            is_watched = relayed.changed is not None
+            if now - relayed.last_at > self.gap_s and not blocked and not is_watched:
                 message = f"no event for {self.gap_s} s"
                 with relayed.lock:
                     relayed.finish(UpstreamError(Code.UPSTREAM_SLOW, message, ran=Ran.RAN))
--- a/src/croftchute/systems/box.py
+++ b/src/croftchute/systems/box.py
@@ -53,7 +53,7 @@
 from croftchute.systems.sharding import assign_evenly, build_topology
 from croftchute.tables.boxes import Box, BoxState
 from croftchute.tables.dedupe import BoxIncarnation, RangeMap
-from croftchute.tables.requests import AttemptEnd, Request
+from croftchute.tables.requests import AttemptEnd, Request, Silence
 from croftchute.tables.upstreams import EngineReport, Topology
 from croftchute.timeline.events import Event, Kind
 
@@ -157,6 +157,14 @@
         commands = self.entry.attempt_ended(end, now) + self._send_crash_news(now)
         return self._deliver_to_self(commands, now)
 
+    def attempts_silent(self, silence: Silence, now: float) -> list[Command]:
+        """Handle the silence of all engines that run a request."""
+        return self._deliver_to_self(self.entry.attempts_silent(silence, now), now)
+
+    def attempt_resumed(self, request_id: str, now: float) -> list[Command]:
+        """Handle a sign of an engine that had been silent."""
+        return self._deliver_to_self(self.entry.attempt_resumed(request_id), now)
+
     def caller_left(self, request_id: str, now: float) -> list[Command]:
         """Handle the disconnect of a request's caller."""
         return self._deliver_to_self(self.entry.caller_left(request_id, now), now)
--- a/src/croftchute/systems/entry.py
+++ b/src/croftchute/systems/entry.py
@@ -26,6 +26,7 @@
     Plan,
     Request,
     RequestState,
+    Silence,
     attempt_key,
 )
 from croftchute.tables.rows import changed
@@ -47,7 +48,11 @@
 
 
 class RequestEntry:
-    """The open requests that this box received from callers."""
+    """The open requests that this box received from callers.
+
+    ``open_by_id`` holds each request with its only or oldest attempt, ``successors_by_id`` what is
+    begun beside an attempt whose engine is silent: at most one search, and attempts under way.
+    """
 
     def __init__(
         self,
@@ -66,6 +71,7 @@
         self.owner_of = owner_of
         self.rng = rng
         self.open_by_id: dict[str, OpenRequest] = {}
+        self.successors_by_id: dict[str, tuple[OpenRequest, ...]] = {}
         self.choosing_ids: set[str] = set()
         self.retry_budget_by_pool: dict[str, PoolRetryBudget] = {}
         self.crashes = CrashGuard()
@@ -96,20 +102,12 @@
 
     def reservation_granted(self, sender: str, body: Granted, now: float) -> list[Command]:
         """Start the attempt, or release the reservation if the grant came too late."""
-        row = self.open_by_id.get(body.request_id)
+        row = self._find(body.request_id, body.attempt)
         is_expected = (
-            row is not None
-            and row.state is RequestState.CHOOSING
-            and (row.attempt, row.asked_shard) == (body.attempt, body.shard)
+            row is not None and row.state is RequestState.CHOOSING and row.asked_shard == body.shard
         )
         if row is None or not is_expected:
-            running = row is not None and row.plan is not None and row.attempt == body.attempt
-            if (
-                running
-                and row is not None
-                and row.plan is not None
-                and row.plan.shard == body.shard
-            ):
+            if row is not None and row.plan is not None and row.plan.shard == body.shard:
                 return []
             self.stale_grants += 1
             return [self._release(sender, body.request_id, body.attempt, body.shard)]
@@ -117,6 +115,9 @@
         decode_id = self.topology.engine_ids_by_hash.get(body.decode_hash)
         if prefill_id is None or decode_id is None:
             return self._release_unknown_engines(row, body, now)
+        if row.is_successor and not self._begin_successor(row, (prefill_id, decode_id)):
+            self._drop_successor(row)
+            return [self._return_unused(sender, body)]
         plan = Plan(
             request_id=body.request_id,
             attempt=body.attempt,
@@ -128,8 +129,7 @@
             prompt_tokens=row.request.prompt_tokens,
             expected_output=body.expected_output,
         )
-        self.choosing_ids.discard(body.request_id)
-        self.open_by_id[body.request_id] = changed(row, state=RequestState.RUNNING, plan=plan)
+        self._store(changed(row, state=RequestState.RUNNING, plan=plan))
         event = Event(
             kind=Kind.ATTEMPT_STARTED,
             request_id=body.request_id,
@@ -141,10 +141,8 @@
 
     def reservation_declined(self, body: Declined, now: float) -> list[Command]:
         """Ask the next shard after a decline, or give the request up."""
-        row = self.open_by_id.get(body.request_id)
-        if row is None or row.state is not RequestState.CHOOSING:
-            return []
-        if (row.attempt, row.asked_shard) != (body.attempt, body.shard):
+        row = self._find(body.request_id, body.attempt)
+        if row is None or row.state is not RequestState.CHOOSING or row.asked_shard != body.shard:
             return []
         event = Event(
             kind=Kind.RESERVE_DECLINED,
@@ -170,8 +168,8 @@
 
     def attempt_ended(self, end: AttemptEnd, now: float) -> list[Command]:
         """Finish, retry or give up a request whose attempt has ended."""
-        row = self.open_by_id.get(end.request_id)
-        if row is None or row.plan is None or row.attempt != end.attempt:
+        row = self._find(end.request_id, end.attempt)
+        if row is None or row.plan is None:
             return []
         event = Event(
             kind=Kind.ATTEMPT_ENDED,
@@ -184,19 +182,70 @@
         commands += self._release_plan(row, end, now)
         self.crashes.note(row.request, end, now)
         if end.ok:
+            commands += self._end_successors(row, now)
             return commands + self._close(row, Kind.REQUEST_ANSWERED)
-        row = changed(row, delivered=row.delivered + end.output_tokens, plan=None)
+        delivered = row.delivered + end.output_tokens
+        row = changed(row, delivered=delivered, plan=None, is_silent=False)
+        if row.is_successor:
+            self._drop_successor(row)
+            return commands
+        commands += self.attempt_resumed(end.request_id)
+        if self._promote_successor(row):
+            return commands
         if not self._may_retry(row, end, now):
             ran = Ran.NOT_RUN if not end.sent and row.attempt == 1 else Ran.RAN
             return commands + self._give_up(row, end.code, now, ran=ran)
         return commands + self._retry(row, end, now)
 
+    def attempts_silent(self, silence: Silence, now: float) -> list[Command]:
+        """Look for an engine that goes on beside the silent ones; called again while they are.
+
+        The silent ones keep the request whatever comes of it, until its deadline.
+        """
+        row = self.open_by_id.get(silence.request_id)
+        if row is None or row.plan is None:
+            return []
+        if now >= row.request.deadline_at:
+            commands = self._end_successors(row, now) + self._cancel_plan(row, now)
+            return commands + self._give_up(row, Code.UPSTREAM_SLOW, now, ran=Ran.RAN)
+        commands = self._note_silence(row, silence)
+        is_searching = any(other.plan is None for other in self._successors(silence.request_id))
+        if is_searching or not self._may_begin_another(row, now):
+            return commands
+        candidates = self.chooser.candidates(row.request, self.topology, now)
+        if not candidates:
+            return commands
+        number = row.last_attempt + 1
+        self._store(changed(row, last_attempt=number, is_silent=True))
+        successor = OpenRequest(
+            request=row.request,
+            state=RequestState.CHOOSING,
+            attempt=number,
+            candidates=candidates,
+            delivered=silence.delivered,
+            avoid=silence.engine_ids,
+            is_successor=True,
+        )
+        return commands + self._ask_next_shard(successor, now)
+
+    def attempt_resumed(self, request_id: str) -> list[Command]:
+        """End the search for a successor, if there is one."""
+        first = self.open_by_id.get(request_id)
+        if first is not None and first.is_silent:
+            self._store(changed(first, is_silent=False))
+        for row in self.successors_by_id.get(request_id, ()):
+            if row.plan is None:
+                self._drop_successor(row)
+                return [self._release_asked(row)]
+        return []
+
     def caller_left(self, request_id: str, now: float) -> list[Command]:
-        """Cancel the attempt of a request whose caller has disconnected."""
+        """Cancel the attempts of a request whose caller has disconnected."""
         row = self.open_by_id.get(request_id)
         if row is None:
             return []
-        commands: list[Command] = self._close(row, Kind.CALLER_GONE)
+        commands: list[Command] = self._end_successors(row, now)
+        commands += self._close(row, Kind.CALLER_GONE)
         if row.plan is not None:
             commands += self._cancel_plan(row, now)
         elif row.asked_shard:
@@ -213,7 +262,7 @@
     def announce_attempts(self, shard: str, owner: str, now: float) -> list[Command]:
         """Announce to a shard's new owner all attempts that this box runs on the shard."""
         commands: list[Command] = []
-        for row in self.open_by_id.values():
+        for row in self._all_rows():
             if row.plan is None or row.plan.shard != shard:
                 continue
             body = Announced(
@@ -234,8 +283,7 @@
     def tick(self, now: float) -> list[Command]:
         """Ask silent owners again, then the next shard; give up requests past their deadline."""
         commands: list[Command] = []
-        for request_id in list(self.choosing_ids):
-            row = self.open_by_id[request_id]
+        for row in self._searching_rows():
             if now > row.request.deadline_at:
                 commands += self._give_up(row, Code.DEADLINE_PASSED, now)
             elif now - row.asked_at < _ask_interval_s(row):
@@ -278,14 +326,13 @@
         Engines that failed earlier attempts are allowed again, as they may have recovered.
         """
         asks = max(row.asks, MAX_ASKS_PER_SHARD)
-        self.open_by_id[row.request.id] = changed(row, asked_at=now, asks=asks, avoid=())
+        self._store(changed(row, asked_at=now, asks=asks, avoid=()))
         return []
 
     def _send_reserve(self, row: OpenRequest, now: float) -> list[Command]:
         row = changed(row, asked_at=now)
         request = row.request
-        self.open_by_id[request.id] = row
-        self.choosing_ids.add(request.id)
+        self._store(row)
         body = Reserve(
             request_id=request.id,
             attempt=row.attempt,
@@ -304,16 +351,79 @@
         return [SendPeer(box=self.owner_of(row.asked_shard), body=body)]
 
     def _may_retry(self, row: OpenRequest, end: AttemptEnd, now: float) -> bool:
-        if not end.retryable or row.attempt >= MAX_ATTEMPTS or now >= row.request.deadline_at:
+        if not end.retryable or not self._may_begin_another(row, now):
+            return False
+        return self._withdraw_retry(row)
+
+    def _may_begin_another(self, row: OpenRequest, now: float) -> bool:
+        """Return whether a further attempt may be begun, as far as this box knows."""
+        if row.begun >= MAX_ATTEMPTS or now >= row.request.deadline_at:
             return False
         if self.crashes.refusal_left_s(row.request, now) > 0.0:
             return False
         model = self.topology.models_by_id.get(row.request.model)
+        return model is not None and self._retry_budget(model.pool).has_retry
+
+    def _note_silence(self, row: OpenRequest, silence: Silence) -> list[Command]:
+        """Log the beginning of a silence."""
+        if row.is_silent:
+            return []
+        self._store(changed(row, is_silent=True))
+        event = Event(
+            kind=Kind.ATTEMPT_SILENT,
+            request_id=silence.request_id,
+            attempt=row.attempt,
+            upstream=silence.engine_ids[0],
+            detail=f"{silence.delivered} delivered",
+        )
+        return [EmitEvent(event=event)]
+
+    def _withdraw_retry(self, row: OpenRequest) -> bool:
+        model = self.topology.models_by_id.get(row.request.model)
         return model is not None and self._retry_budget(model.pool).try_withdraw()
 
+    def _begin_successor(self, row: OpenRequest, engine_ids: tuple[str, str]) -> bool:
+        """Count an attempt beside silent ones; false if it may not begin on these engines.
+
+        An owner grants an engine that is to be avoided if it has no other.
+        """
+        first = self.open_by_id.get(row.request.id)
+        if first is None or any(engine_id in row.avoid for engine_id in engine_ids):
+            return False
+        if not self._withdraw_retry(row):
+            return False
+        self._store(changed(first, begun=first.begun + 1))
+        return True
+
+    def _promote_successor(self, row: OpenRequest) -> bool:
+        """Leave a request to the oldest of the attempts that were begun beside an ended one."""
+        successors = self._successors(row.request.id)
+        if not successors:
+            return False
+        oldest = successors[0]
+        self._drop_successor(oldest)
+        self._store(
+            changed(
+                oldest,
+                begun=row.begun,
+                last_attempt=row.last_attempt,
+                delivered=max(oldest.delivered, row.delivered),
+                is_successor=False,
+            )
+        )
+        return True
+
     def _retry(self, row: OpenRequest, end: AttemptEnd, now: float) -> list[Command]:
         avoid = row.avoid + ((end.failed_engine,) if end.failed_engine else ())
-        row = changed(row, state=RequestState.CHOOSING, attempt=row.attempt + 1, avoid=avoid)
+        number = row.last_attempt + 1
+        row = changed(
+            row,
+            state=RequestState.CHOOSING,
+            attempt=number,
+            last_attempt=number,
+            begun=row.begun + 1,
+            avoid=avoid,
+        )
         candidates = self.chooser.candidates(row.request, self.topology, now)
         if not candidates:
             return self._give_up(row, end.code, now, ran=Ran.RAN)
@@ -338,6 +448,15 @@
         )
         return [*commands, SendPeer(box=self.owner_of(row.plan.shard), body=body)]
 
+    def _end_successors(self, ended: OpenRequest, now: float) -> list[Command]:
+        """End all attempts of a request but one, and the search for a further one."""
+        commands = self.attempt_resumed(ended.request.id)
+        rows = (self.open_by_id.get(ended.request.id), *self._successors(ended.request.id))
+        for row in rows:
+            if row is not None and row.plan is not None and row.attempt != ended.attempt:
+                commands += self._cancel_plan(row, now)
+        return commands
+
     def _cancel_plan(self, row: OpenRequest, now: float) -> list[Command]:
         assert row.plan is not None
         release = self._release(
@@ -355,6 +474,9 @@
     def _give_up(
         self, row: OpenRequest, code: Code, now: float, *, ran: Ran | None = None
     ) -> list[Command]:
+        if row.is_successor:
+            self._drop_successor(row)
+            return []
         if ran is None:
             ran = Ran.NOT_RUN if row.attempt == 1 else Ran.RAN
         self._forget(row)
@@ -375,8 +497,46 @@
 
     def _forget(self, row: OpenRequest) -> None:
         self.open_by_id.pop(row.request.id, None)
+        self.successors_by_id.pop(row.request.id, None)
         self.choosing_ids.discard(row.request.id)
 
+    def _find(self, request_id: str, attempt: int) -> OpenRequest | None:
+        rows = (self.open_by_id.get(request_id), *self._successors(request_id))
+        return next((row for row in rows if row is not None and row.attempt == attempt), None)
+
+    def _successors(self, request_id: str) -> tuple[OpenRequest, ...]:
+        return self.successors_by_id.get(request_id, ())
+
+    def _all_rows(self) -> list[OpenRequest]:
+        successors = self.successors_by_id.values()
+        return [*self.open_by_id.values(), *(row for rows in successors for row in rows)]
+
+    def _searching_rows(self) -> list[OpenRequest]:
+        """Return the rows of attempts that wait for a reservation."""
+        successors = self.successors_by_id.values()
+        rows = [self.open_by_id[request_id] for request_id in self.choosing_ids]
+        return rows + [row for rows in successors for row in rows if row.plan is None]
+
+    def _store(self, row: OpenRequest) -> None:
+        request_id = row.request.id
+        if row.is_successor:
+            others = [r for r in self._successors(request_id) if r.attempt != row.attempt]
+            self.successors_by_id[request_id] = (*others, row)
+            return
+        self.open_by_id[request_id] = row
+        if row.state is RequestState.CHOOSING:
+            self.choosing_ids.add(request_id)
+        else:
+            self.choosing_ids.discard(request_id)
+
+    def _drop_successor(self, row: OpenRequest) -> None:
+        request_id = row.request.id
+        others = tuple(r for r in self._successors(request_id) if r.attempt != row.attempt)
+        if others:
+            self.successors_by_id[request_id] = others
+        else:
+            self.successors_by_id.pop(request_id, None)
+
     def _release_asked(self, row: OpenRequest) -> Command:
         owner = self.owner_of(row.asked_shard)
         return self._release(owner, row.request.id, row.attempt, row.asked_shard)
@@ -387,12 +547,21 @@
         )
         return SendPeer(box=owner, body=body)
 
+    def _return_unused(self, sender: str, body: Granted) -> Command:
+        """Give a reservation back of which no engine knows, so that none has to be cancelled."""
+        released = Released(
+            request_id=body.request_id,
+            attempt=body.attempt,
+            shard=body.shard,
+            output_tokens=0,
+            confirmed=True,
+        )
+        return SendPeer(box=sender, body=released)
+
     def _is_open(self, key: str, shard: str) -> bool:
         request_id, _, attempt = key.rpartition("-")
-        row = self.open_by_id.get(request_id)
-        if row is None or str(row.attempt) != attempt:
-            return False
-        return row.asked_shard == shard
+        row = self._find(request_id, int(attempt)) if attempt.isdecimal() else None
+        return row is not None and row.asked_shard == shard
 
     def _retry_budget(self, pool: str) -> PoolRetryBudget:
         return self.retry_budget_by_pool.setdefault(pool, PoolRetryBudget())
--- a/src/croftchute/systems/pool_retry_budget.py
+++ b/src/croftchute/systems/pool_retry_budget.py
@@ -28,9 +28,14 @@
         """Add the share of a retry that a new request earns."""
         self.saved_retries = min(MAX_SAVED_RETRIES, self.saved_retries + self.retries_per_request)
 
+    @property
+    def has_retry(self) -> bool:
+        """Whether a retry is left."""
+        return self.saved_retries >= 1.0
+
     def try_withdraw(self) -> bool:
         """Take one retry out of the budget; return false if less than one is left."""
-        if self.saved_retries < 1.0:
+        if not self.has_retry:
             return False
         self.saved_retries -= 1.0
         return True
--- a/src/croftchute/tables/requests.py
+++ b/src/croftchute/tables/requests.py
@@ -37,6 +37,10 @@
     """A request in progress; ``delivered`` counts the output tokens that the caller has.
 
     An answer that has begun waits until ``resume_wait_ends_at`` for a reservation to resume it.
+
+    A row with ``is_successor`` is of an attempt that is begun beside a silent one. ``begun`` counts
+    the attempts of the request, ``last_attempt`` is the highest number that one was given, and
+    ``is_silent`` is set while the engines of all of them are silent.
     """
 
     request: Request
@@ -51,6 +55,10 @@
     plan: Plan | None = None
     retry_after_s: float = 1.0
     resume_wait_ends_at: float = 0.0
+    begun: int = 1
+    last_attempt: int = 1
+    is_successor: bool = False
+    is_silent: bool = False
 
     @property
     def is_last_shard_for_resume(self) -> bool:
@@ -77,6 +85,17 @@
     expected_output: float
 
 
+class Silence(Row, frozen=True, kw_only=True):
+    """All attempts of a request wait for ``engine_ids``, which have sent nothing for long.
+
+    ``delivered`` counts the output tokens that its caller has.
+    """
+
+    request_id: str
+    delivered: int
+    engine_ids: tuple[str, ...]
+
+
 class AttemptEnd(Row, frozen=True, kw_only=True):
     """How an attempt ended; ``sent`` is true if an engine may have started it.
 
--- a/src/croftchute/timeline/events.py
+++ b/src/croftchute/timeline/events.py
@@ -18,6 +18,7 @@
     ATTEMPT_STARTED = "attempt_started"
     PREFILL_DONE = "prefill_done"
     FIRST_TOKEN = "first_token"
+    ATTEMPT_SILENT = "attempt_silent"
     ATTEMPT_ENDED = "attempt_ended"
     REQUEST_ANSWERED = "request_answered"
     REQUEST_REFUSED = "request_refused"
--- a/src/croftchute/upstreams/engine.py
+++ b/src/croftchute/upstreams/engine.py
@@ -8,6 +8,7 @@
 
 from croftchute.systems.prefix_index import CacheEvent
 from croftchute.tables.upstreams import EngineReport
+from croftchute.upstreams.call_ender import CallEnder
 
 JsonObject = dict[str, Any]
 
@@ -25,6 +26,7 @@
     timeout_s: float
     resume_from: int = 0
     transfer: JsonObject = field(default_factory=dict)
+    ender: CallEnder = field(default_factory=CallEnder)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/upstreams/http_engine.py
+++ b/src/croftchute/upstreams/http_engine.py
@@ -22,6 +22,7 @@
 from croftchute.retry_after import TURNED_AWAY, rest_seconds
 from croftchute.systems.prefix_index import CacheEvent
 from croftchute.tables.upstreams import EngineReport
+from croftchute.upstreams.call_ender import EndablePoolManager
 from croftchute.upstreams.engine import EngineCall, JsonObject, Order, TokenStream
 
 CONNECT_S = 0.5
@@ -30,7 +31,10 @@
 """Seconds until a connection to an engine that broke an answer off must be refused: some round
 trips between halls. Longer would hold a stream up that goes on elsewhere."""
 CONTROL_READ_S = 1.0
+
 STREAM_GAP_S = 5.0
+"""Seconds without a sign of an engine after which another one is looked for."""
+
 POOL_CONNECTIONS = 64
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 HTTP_OK = 200
@@ -105,12 +109,12 @@
     """Calls to any number of engines through pooled connections; safe for many threads."""
 
     def __init__(self) -> None:
-        self._pool = urllib3.PoolManager(
+        self._pool = EndablePoolManager(
             num_pools=512, maxsize=POOL_CONNECTIONS, retries=False, block=False
         )
 
         # Connections of streams are never given back, so this pool always opens a new one.
-        self._streams = urllib3.PoolManager(num_pools=512, maxsize=1, retries=False, block=False)
+        self._streams = EndablePoolManager(num_pools=512, maxsize=1, retries=False, block=False)
 
     def prefill(self, call: EngineCall) -> JsonObject:
         """Compute a prompt's KV cache; returns ``kv_transfer_params``."""
@@ -201,16 +205,17 @@
             # like an engine that failed and spends a retry.
             headers["Connection"] = "close"
         pool = self._pool if preload else self._streams
-        timeout = urllib3.Timeout(connect=CONNECT_S, read=min(call.timeout_s, STREAM_GAP_S))
+        timeout = urllib3.Timeout(connect=CONNECT_S, read=call.timeout_s)
         try:
-            response = pool.request(
-                "POST",
-                call.url + call.path,
-                body=msgspec.json.encode(body),
-                headers=headers,
-                timeout=timeout,
-                preload_content=preload,
-            )
+            with call.ender.ends_call():
+                response = pool.request(
+                    "POST",
+                    call.url + call.path,
+                    body=msgspec.json.encode(body),
+                    headers=headers,
+                    timeout=timeout,
+                    preload_content=preload,
+                )
         except urllib3.exceptions.HTTPError as error:
             raise _failure(error) from None
         if response.status != HTTP_OK:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -1,4 +1,5 @@
 import os
+import queue
 import socket
 import threading
 
@@ -7,7 +8,7 @@
 
 from croftchute.clock import ProcessClock
 from croftchute.errors import Code, Ran, UpstreamError
-from croftchute.gateway.relay import CallerSink, Relay
+from croftchute.gateway.relay import SWEEP_S, CallerSink, Relay
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 DONE = b"data: [DONE]\n\n"
@@ -137,3 +138,57 @@
         assert made.open(FakeStream(), b"mark").outcome().code is Code.UPSTREAM_SLOW
     finally:
         made.stop()
+
+
+@pytest.fixture
+def impatient_relay():
+    made = Relay(clock=ProcessClock().now, gap_s=0.01)
+    made.start()
+    yield made
+    made.stop()
+
+
+def test_a_silent_stream_that_is_watched_stays_open(impatient_relay):
+    """Guards against ending a stream before its caller's thread knows how it may go on."""
+    stream, changed = FakeStream(), threading.Event()
+    relayed = impatient_relay.open(stream, b"mark", changed.set)
+    assert not changed.wait(3 * SWEEP_S)
+    assert not relayed.is_over
+    stream.give(event(1))
+    assert changed.wait(5.0)
+    assert relayed.has_spoken
+
+
+def test_a_watched_stream_tells_of_its_first_events_of_later_ones_on_demand_and_of_its_end(relay):
+    stream, changes = FakeStream(), queue.SimpleQueue()
+    relayed = relay.open(stream, b"mark", lambda: changes.put(relayed.delivered))
+    stream.give(event(1))
+    assert changes.get(timeout=5.0) == 1
+    stream.give(event(2))
+    while relayed.delivered < 2:
+        threading.Event().wait(0.01)
+    relayed.tell_next()
+    stream.give(event(3))
+    assert changes.get(timeout=5.0) == 3
+    stream.give(DONE)
+    stream.end()
+    assert changes.get(timeout=5.0) == 3
+    assert relayed.outcome() is None
+
+
+def test_nothing_of_a_superseded_stream_reaches_its_caller(relay):
+    """Guards against events of two engines that both go on with one answer."""
+    stream = FakeStream()
+    ours, callers = socket.socketpair()
+    ours.setblocking(False)
+    relayed = relay.open(stream, b"mark", lambda: None)
+    relay.send_to(relayed, CallerSink(sock=ours, chunked=False))
+    stream.give(event(1))
+    assert callers.recv(100) == event(1)
+    assert not relay.supersede(relayed, 0)
+    assert not relayed.is_over
+    assert relay.supersede(relayed, 1)
+    stream.give(event(2))
+    ours.shutdown(socket.SHUT_WR)
+    assert callers.recv(100) == b""
+    assert relayed.delivered == 1
--- a/tests/systems/test_entry.py
+++ b/tests/systems/test_entry.py
@@ -1,14 +1,15 @@
 import random
+from dataclasses import replace
 
 from croftchute.bench.scenarios import HALL_AT_TARGET, MODEL
 from croftchute.commands import CancelAttempt, RefuseRequest, SendPeer, StartAttempt
 from croftchute.errors import Code, Ran
-from croftchute.peers.messages import Declined, Granted, Released, Reserve
+from croftchute.peers.messages import Audit, Declined, Granted, Released, Reserve
 from croftchute.systems.cancels import CancelTracker
-from croftchute.systems.entry import ASK_INTERVAL_S, RequestEntry
+from croftchute.systems.entry import ASK_INTERVAL_S, MAX_ATTEMPTS, RequestEntry
 from croftchute.systems.shard_choice import ShardChooser
 from croftchute.systems.sharding import build_topology
-from croftchute.tables.requests import AttemptEnd, Request
+from croftchute.tables.requests import AttemptEnd, Request, Silence
 from croftchute.tables.upstreams import engine_hash
 
 TOPOLOGY = build_topology(HALL_AT_TARGET.document(shard_engines=8), revision=1, hall="hall-1")
@@ -240,3 +241,192 @@
     entry.topology = build_topology(HALL_AT_TARGET.document(shard_engines=8), revision=0, hall="x")
     (refused,) = commands_of(entry.request_received(request(model="nope"), 0.0), RefuseRequest)
     assert (refused.code, refused.ran) == (Code.NO_CONFIG, Ran.NOT_RUN)
+
+
+def silence(**changes):
+    values = {"request_id": "r", "delivered": 3, "engine_ids": ("hall-1-decode-0",)}
+    return Silence(**(values | changes))
+
+
+def grant_on(asked, prefill="hall-1-prefill-1", decode="hall-1-decode-1"):
+    return replace(grant(asked), prefill_hash=engine_hash(prefill), decode_hash=engine_hash(decode))
+
+
+def search(entry, now=2.0, **changes):
+    """Report silence; return the reservation that is asked for."""
+    (ask,) = sent(entry.attempts_silent(silence(**changes), now), Reserve)
+    return ask
+
+
+def begin_successor(entry, now=2.0):
+    """Begin an attempt beside a silent one; return its plan."""
+    ask = search(entry, now)
+    (start,) = commands_of(
+        entry.reservation_granted(ask.box, grant_on(ask.body), now), StartAttempt
+    )
+    return start.plan
+
+
+def test_an_attempt_beside_a_silent_one_leaves_that_running():
+    """Guards against giving a silent engine up before another one goes on."""
+    entry = make_entry()
+    first, _ = start_attempt(entry)
+    ask = search(entry)
+    assert (ask.body.attempt, ask.body.resume_from) == (2, 3)
+    assert ask.body.avoid == ("hall-1-decode-0",)
+    commands = entry.reservation_granted(ask.box, grant_on(ask.body), 2.1)
+    (start,) = commands_of(commands, StartAttempt)
+    assert (start.plan.attempt, start.plan.resume_from) == (2, 3)
+    assert not commands_of(commands, CancelAttempt)
+    for key, shard in (("r-1", first.shard), ("r-2", ask.body.shard)):
+        (audited,) = entry.answer_audit("o", Audit(shard=shard, keys=(key,)))
+        assert audited.body.open == (key,)
+        announced = [c.body for c in entry.announce_attempts(shard, "new-owner", 2.2)]
+        assert key in {f"{body.request_id}-{body.attempt}" for body in announced}
+
+
+def test_declines_for_a_silent_request_leave_it_as_it_is():
+    """Guards against refusing a request whose engine is silent and may go on."""
+    for code in (Code.NO_CAPACITY, Code.POLICY_REFUSED):
+        entry = make_entry()
+        start_attempt(entry)
+        commands = entry.attempts_silent(silence(), 2.0)
+        while asks := sent(commands, Reserve):
+            commands = entry.reservation_declined(decline(asks[0].body, code), 2.1)
+            assert not commands_of(commands, RefuseRequest)
+        assert not entry.successors_by_id
+        assert entry.open_by_id["r"].plan is not None
+        assert search(entry, 2.6).body.attempt == 3
+        assert commands_of(entry.attempt_ended(attempt_end(ok=True), 3.0), RefuseRequest) == []
+        assert not entry.open_by_id
+
+
+def test_one_search_at_a_time_is_open_for_a_silent_request():
+    entry = make_entry()
+    start_attempt(entry)
+    search(entry)
+    assert entry.attempts_silent(silence(), 2.5) == []
+    assert tick_until(entry, 2.5, 29.9)
+    assert len(entry.successors_by_id["r"]) == 1
+
+
+def test_a_search_ends_when_the_silent_engine_goes_on():
+    entry = make_entry()
+    start_attempt(entry)
+    ask = search(entry)
+    assert sent(entry.attempt_resumed("r"), Released)
+    late = entry.reservation_granted(ask.box, grant_on(ask.body), 2.2)
+    assert sent(late, Released)
+    assert not commands_of(late, StartAttempt)
+    assert search(entry, 4.0).body.attempt == 3
+
+
+def test_no_successor_begins_on_a_silent_engine():
+    """Guards against a second attempt on the engine that is silent, where it is the only one."""
+    entry = make_entry()
+    start_attempt(entry)
+    ask = search(entry)
+    commands = entry.reservation_granted(ask.box, grant(ask.body), 2.1)
+    (released,) = sent(commands, Released)
+    assert released.body.confirmed
+    assert not commands_of(commands, StartAttempt)
+    assert entry.open_by_id["r"].begun == 1
+
+
+def test_no_successor_begins_without_retry_budget():
+    entry = make_entry()
+    start_attempt(entry)
+    (budget,) = entry.retry_budget_by_pool.values()
+    budget.saved_retries = 0.9
+    assert not sent(entry.attempts_silent(silence(), 2.0), Reserve)
+    budget.saved_retries = 1.0
+    ask = search(entry, 2.5)
+    budget.saved_retries = 0.9
+    assert not commands_of(
+        entry.reservation_granted(ask.box, grant_on(ask.body), 2.6), StartAttempt
+    )
+    assert entry.open_by_id["r"].plan is not None
+
+
+def test_successors_count_as_attempts():
+    entry = make_entry()
+    start_attempt(entry)
+    for n in range(1, MAX_ATTEMPTS):
+        plan = begin_successor(entry, 2.0 + n)
+        entry.attempt_ended(attempt_end(attempt=plan.attempt, output_tokens=0), 2.5 + n)
+    assert not sent(entry.attempts_silent(silence(), 9.0), Reserve)
+    commands = entry.attempt_ended(attempt_end(), 10.0)
+    assert commands_of(commands, RefuseRequest)
+    assert not entry.open_by_id
+
+
+def test_the_end_of_a_successor_leaves_the_request_running():
+    entry = make_entry()
+    start_attempt(entry)
+    plan = begin_successor(entry)
+    commands = entry.attempt_ended(attempt_end(attempt=plan.attempt, output_tokens=0), 2.5)
+    assert {c.key for c in commands_of(commands, CancelAttempt)} == {"r-2"}
+    assert not commands_of(commands, RefuseRequest)
+    assert not sent(commands, Reserve)
+    assert entry.open_by_id["r"].attempt == 1
+    assert not entry.successors_by_id
+
+
+def test_a_request_goes_on_at_the_successor_of_an_ended_attempt():
+    entry = make_entry()
+    start_attempt(entry)
+    plan = begin_successor(entry)
+    commands = entry.attempt_ended(attempt_end(), 2.5)
+    assert {c.key for c in commands_of(commands, CancelAttempt)} == {"r-1"}
+    assert not sent(commands, Reserve)
+    row = entry.open_by_id["r"]
+    assert (row.plan, row.delivered) == (plan, 3)
+    (ask,) = sent(entry.attempt_ended(attempt_end(attempt=2, output_tokens=2), 3.0), Reserve)
+    assert (ask.body.attempt, ask.body.resume_from) == (3, 5)
+
+
+def test_a_retry_resumes_after_all_events_where_a_successor_was_outrun():
+    """Guards against doubled events: an engine goes on and fails while another begins beside it."""
+    entry = make_entry()
+    start_attempt(entry)
+    plan = begin_successor(entry)
+    entry.attempt_ended(attempt_end(output_tokens=7), 2.5)
+    end = attempt_end(attempt=plan.attempt, output_tokens=0, failed_engine="")
+    (ask,) = sent(entry.attempt_ended(end, 2.6), Reserve)
+    assert (ask.body.attempt, ask.body.resume_from) == (3, 7)
+
+
+def test_an_attempt_that_fails_while_a_search_is_open_is_retried():
+    entry = make_entry()
+    start_attempt(entry)
+    search(entry)
+    commands = entry.attempt_ended(attempt_end(), 2.5)
+    (released,) = sent(commands, Released)[1:]
+    (ask,) = sent(commands, Reserve)
+    assert (released.body.attempt, ask.body.attempt) == (2, 3)
+    assert not entry.successors_by_id
+
+
+def test_all_attempts_are_ended_with_their_request():
+    for end in (
+        lambda entry: entry.caller_left("r", 3.0),
+        lambda entry: entry.attempt_ended(attempt_end(ok=True), 3.0),
+        lambda entry: entry.attempts_silent(silence(), 30.0),
+    ):
+        entry = make_entry()
+        start_attempt(entry)
+        begin_successor(entry)
+        search(entry, 2.5, engine_ids=("hall-1-decode-0", "hall-1-decode-1"))
+        commands = end(entry)
+        assert "r-2" in {c.key for c in commands_of(commands, CancelAttempt)}
+        assert {c.body.attempt for c in sent(commands, Released)} == {1, 2, 3}
+        assert not entry.open_by_id
+        assert not entry.successors_by_id
+        assert not tick_until(entry, 30.0, 33.0)
+
+
+def test_a_silent_request_is_refused_at_its_deadline():
+    entry = make_entry()
+    start_attempt(entry)
+    (refused,) = commands_of(entry.attempts_silent(silence(), 30.0), RefuseRequest)
+    assert (refused.code, refused.ran) == (Code.UPSTREAM_SLOW, Ran.RAN)
