Keep a repeatable call to a silent service while another worker is called

Callers of plain services got 504 where each worker in turn was silent for longer than the service's time-out, although the first ones answered before the last was given up.

Cause: the call to a worker was ended at the time-out, before the next worker had answered.

Change: the call stays open beside the next one, and the first answer counts; the others are broken off. A refusal or a server error is no answer while a silent worker may have one. All workers together have as long as before, so no caller waits longer for workers that are stuck.

--- a/src/croftchute/gateway/calls.py
+++ b/src/croftchute/gateway/calls.py
@@ -9,6 +9,7 @@
 from croftchute.commands import Command, DecideCall
 from croftchute.config.documents import CallSpec, Document, ServiceSpec, UpstreamState
 from croftchute.errors import Code, Ran, RequestError, UpstreamError
+from croftchute.gateway.call_race import CallRace
 from croftchute.gateway.exchange import Exchange
 from croftchute.ids import minted_at
 from croftchute.peers.messages import Finish
@@ -16,6 +17,7 @@
 from croftchute.systems.dedupe import MAX_STORED_ANSWER_BYTES
 from croftchute.systems.worker_advice import WorkerAdviceTable
 from croftchute.tables.dedupe import Decision, Phase
+from croftchute.upstreams.call_ender import CallEnder
 from croftchute.upstreams.service import Service, ServiceAnswer, ServiceCall
 
 VERDICT_WAIT_S = 5.0
@@ -121,17 +123,17 @@
                 return
 
     def _repeat(self, request: CallRequest) -> ServiceAnswer:
-        failure: UpstreamError | None = None
-        for url in self._order(request.route)[:MAX_TRIES]:
-            try:
-                return self._call(request, url)
-            except UpstreamError as error:
-                failure = error
-        if failure is None:
+        urls = self._order(request.route)[:MAX_TRIES]
+        if not urls:
             # The last workers came to rest since the call was let in.
             message = f"all workers of {request.route.service.id} asked for rest"
             raise UpstreamError(Code.NO_UPSTREAM, message, ran=Ran.NOT_RUN, retry_after=1.0)
-        raise failure
+
+        def make_call(url: str, timeout_s: float, ender: CallEnder) -> ServiceAnswer:
+            return self._call(request, url, timeout_s, ender)
+
+        timeout_s = request.route.service.timeout_s
+        return CallRace(urls=urls, timeout_s=timeout_s, make_call=make_call).answer()
 
     def _once(self, request: CallRequest, exchange: Exchange) -> ServiceAnswer:
         minted = None if request.own_key else minted_at(request.key)
@@ -152,7 +154,7 @@
     def _run(self, request: CallRequest) -> ServiceAnswer:
         for url in self._order(request.route)[:MAX_TRIES]:
             try:
-                answer = self._call(request, url)
+                answer = self._call(request, url, request.route.service.timeout_s, CallEnder())
             except UpstreamError as error:
                 if error.ran is Ran.NOT_RUN:
                     continue
@@ -180,9 +182,11 @@
         )
         self._submit(lambda now: self._finish(finish, now))
 
-    def _call(self, request: CallRequest, url: str) -> ServiceAnswer:
+    def _call(
+        self, request: CallRequest, url: str, timeout_s: float, ender: CallEnder
+    ) -> ServiceAnswer:
         """Make one call, and keep for how long its worker wants no other."""
-        answer = self._service.call(_service_call(request, url))
+        answer = self._service.call(_service_call(request, url, timeout_s, ender))
         if answer.rest_s > 0.0:
             with self._advice_lock:
                 self._advice.note_backoff(url, answer.rest_s, self._now())
@@ -210,7 +214,9 @@
     return UpstreamError(code, f"call {request.key}: {code.value}", ran=ran, retry_after=1.0)
 
 
-def _service_call(request: CallRequest, url: str) -> ServiceCall:
+def _service_call(
+    request: CallRequest, url: str, timeout_s: float, ender: CallEnder
+) -> ServiceCall:
     route = request.route
     return ServiceCall(
         url=url,
@@ -219,7 +225,8 @@
         body=request.body,
         request_id=request.key,
         content_type=request.content_type,
-        timeout_s=route.service.timeout_s,
+        timeout_s=timeout_s,
+        ender=ender,
     )
 
 
--- a/src/croftchute/upstreams/service.py
+++ b/src/croftchute/upstreams/service.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import urllib3
 
 from croftchute.errors import Code, Ran, UpstreamError
+from croftchute.upstreams.call_ender import CallEnder, EndablePoolManager
 from croftchute.upstreams.http_engine import rest_asked
 
 CONNECT_S = 0.5
@@ -25,6 +26,7 @@
     request_id: str
     content_type: str
     timeout_s: float
+    ender: CallEnder = field(default_factory=CallEnder)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,25 +51,26 @@
     """Plain services over HTTP; never repeats a call by itself."""
 
     def __init__(self) -> None:
-        self._pool = urllib3.PoolManager(retries=False, maxsize=16)
+        self._pool = EndablePoolManager(retries=False, maxsize=16)
 
     def call(self, call: ServiceCall) -> ServiceAnswer:
         """Make one call, once."""
         try:
-            response = self._pool.request(
-                call.method,
-                call.url + call.path,
-                body=call.body or None,
-                headers={
-                    "X-Request-Id": call.request_id,
-                    "Content-Type": call.content_type,
-                    # A kept connection may be closed just as the call is sent, which would
-                    # leave open whether it ran.
-                    "Connection": "close",
-                },
-                timeout=urllib3.Timeout(connect=CONNECT_S, read=call.timeout_s),
-                redirect=False,
-            )
+            with call.ender.ends_call():
+                response = self._pool.request(
+                    call.method,
+                    call.url + call.path,
+                    body=call.body or None,
+                    headers={
+                        "X-Request-Id": call.request_id,
+                        "Content-Type": call.content_type,
+                        # A kept connection may be closed just as the call is sent, which would
+                        # leave open whether it ran.
+                        "Connection": "close",
+                    },
+                    timeout=urllib3.Timeout(connect=CONNECT_S, read=call.timeout_s),
+                    redirect=False,
+                )
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -1,14 +1,19 @@
 """Calls that run at most once: when an answer counts as delivered."""
 
+import contextlib
+import socket
+import time
+
 import pytest
 
 from croftchute.commands import DecideCall
 from croftchute.config.documents import CallSpec, ServiceSpec
-from croftchute.errors import Ran, UpstreamError
+from croftchute.errors import Code, Ran, UpstreamError
 from croftchute.gateway.calls import CallDesk, CallRequest, Route
 from croftchute.gateway.exchange import Exchange
+from croftchute.standins.service import ServiceFaults, ServiceServer
 from croftchute.tables.dedupe import Decision, Phase
-from croftchute.upstreams.service import ServiceAnswer
+from croftchute.upstreams.service import HttpService, ServiceAnswer
 
 
 class Pair:
@@ -105,10 +110,12 @@
         return ServiceAnswer(status=200, body=b"yes", content_type="text/plain")
 
 
-def repeatable(desk, now, *urls):
+def repeatable(desk, now, *urls, timeout_s=10.0):
     spec = CallSpec(method="GET", path="/status", repeatable=True)
     route = Route(
-        service=ServiceSpec(id="desk", prefix="/desk", workers=[], calls=[spec]),
+        service=ServiceSpec(
+            id="desk", prefix="/desk", workers=[], calls=[spec], timeout_s=timeout_s
+        ),
         call=spec,
         path="/status",
         urls=urls,
@@ -142,3 +149,79 @@
         call()
     assert (refused.value.ran, refused.value.retry_after) == (Ran.NOT_RUN, 3.0)
     assert desk.called == ["http://one"]
+
+
+class SilentDesk:
+    """Workers by URL: seconds until they answer, with a status each; the calls that were ended."""
+
+    def __init__(self, **answers):
+        self.answers = {f"http://{name}": answer for name, answer in answers.items()}
+        self.called = []
+        self.ended = []
+
+    def call(self, call):
+        self.called.append(call.url)
+        after_s, status = self.answers[call.url]
+        ours, other = socket.socketpair()
+        call.ender.connected(ours)
+        other.settimeout(min(after_s, call.timeout_s))
+        with ours, other, contextlib.suppress(TimeoutError):
+            other.recv(1)
+            self.ended.append(call.url)
+            raise UpstreamError(Code.UPSTREAM_FAILED, "ended", ran=Ran.UNKNOWN)
+        if after_s > call.timeout_s:
+            raise UpstreamError(Code.UPSTREAM_SLOW, "no answer", ran=Ran.UNKNOWN)
+        return ServiceAnswer(status=status, body=call.url.encode(), content_type="text/plain")
+
+
+def ask_silent(desk):
+    """Make a repeatable call, to the workers in their order; return the answer."""
+    *others, last = desk.answers
+    return repeatable(desk, lambda: 10.0, last, *others, timeout_s=0.2)()
+
+
+def test_a_silent_worker_keeps_its_call_beside_other_silent_ones():
+    """Guards against refusing a call whose workers are silent for longer than the time-out."""
+    desk = SilentDesk(one=(0.5, 200), two=(9.0, 200), three=(9.0, 200))
+    assert ask_silent(desk).body == b"http://one"
+    assert desk.called == ["http://one", "http://two", "http://three"]
+
+
+def test_another_worker_answers_where_one_is_stuck_whose_call_is_ended():
+    """Guards against waiting for a stuck worker, and against leaving its call open."""
+    desk = SilentDesk(one=(9.0, 200), two=(0.01, 200))
+    assert ask_silent(desk).body == b"http://two"
+    while not desk.ended:
+        time.sleep(0.01)
+    assert desk.ended == ["http://one"]
+
+
+@pytest.mark.parametrize("status", [429, 500, 503])
+def test_a_refusal_is_no_answer_while_a_silent_worker_may_answer(status):
+    """Guards against an error in place of the answer that a silent worker is about to give."""
+    assert ask_silent(SilentDesk(one=(0.35, 200), two=(0.01, status))).status == 200
+
+
+def test_the_last_answer_counts_where_no_other_may_come():
+    assert ask_silent(SilentDesk(one=(9.0, 200), two=(0.01, 503))).status == 503
+
+
+def test_workers_that_are_silent_for_good_are_given_up_as_soon_as_one_after_the_other():
+    """Guards against a caller that waits for workers that are stuck for good."""
+    began_at = time.monotonic()
+    with pytest.raises(UpstreamError) as refused:
+        ask_silent(SilentDesk(one=(9.0, 200), two=(9.0, 200)))
+    assert refused.value.code is Code.UPSTREAM_SLOW
+    assert 0.35 < time.monotonic() - began_at < 2.0
+
+
+def test_silent_services_over_http_keep_their_calls():
+    """Guards against refusing a call that its workers answer after the time-out of one of them."""
+    servers = [ServiceServer(id=name, faults=ServiceFaults(late_s=0.3)) for name in ("a", "b")]
+    urls = [server.url for server in servers]
+    try:
+        answer = repeatable(HttpService(), lambda: 10.0, *urls, timeout_s=0.2)()
+    finally:
+        for server in servers:
+            server.stop()
+    assert answer.status == 200
