--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -110,7 +110,7 @@
         """Have another box serve a request, go on with it here if none does, or refuse it."""
         state = self.state
         await self.settle_links()
-        if state.links.are_lost and await self._forward_unless_heard(run):
+        if state.links.are_lost and await self._forward_unless_response(run):
             run.withheld = None
             state.budget(run.service).retract_request(run.started_at)
             self._give_back(run)
@@ -124,23 +124,23 @@
         if run.has_not_run:
             self._give_back(run)
 
-    async def _forward_unless_heard(self, run: RequestRun) -> bool:
+    async def _forward_unless_response(self, run: RequestRun) -> bool:
         """Have another box serve a request; return False if none does, or a worker speaks first."""
         outstanding = run.outstanding
         if outstanding is None:
             return await self.peers.forward(run)
         pace = self.state.failover_pace(run.service)
         pace.begin()
-        hearing = asyncio.ensure_future(outstanding.until_heard())
+        responding = asyncio.ensure_future(outstanding.until_response())
         forwarding = asyncio.ensure_future(self._forward_paced(run, pace))
         try:
-            await asyncio.wait({forwarding, hearing}, return_when=asyncio.FIRST_COMPLETED)
-            return not hearing.done() and await forwarding
+            await asyncio.wait({forwarding, responding}, return_when=asyncio.FIRST_COMPLETED)
+            return not responding.done() and await forwarding
         finally:
             pace.end()
-            for task in (forwarding, hearing):
+            for task in (forwarding, responding):
                 task.cancel()
-            await asyncio.wait({forwarding, hearing})
+            await asyncio.wait({forwarding, responding})
 
     async def _forward_paced(self, run: RequestRun, pace: FailoverPace) -> bool:
         """Have another box serve a request; the fewer take any, the fewer are passed on."""
--- a/src/croftchute/forwarding/workers/attempt_race.py
+++ b/src/croftchute/forwarding/workers/attempt_race.py
@@ -76,7 +76,7 @@
         """Whether more than one attempt is open."""
         return len(self.attempts) > 1
 
-    async def first_to_speak(self) -> A | None:
+    async def first_to_respond(self) -> A | None:
         """Return the attempt that the request goes on at, after all others have been ended.
 
         Return None if all of them have failed, and no successor takes the request at once. If the
@@ -88,24 +88,24 @@
             while self._is_open and run.time_left_s > 0.0 and not self.may_leave():
                 await self._wait()
                 self._take_successor()
-                speaker = self._hear_all()
-                if speaker is not None:
-                    self.drop_all_but(speaker)
-                    return speaker
+                responder = self._take_responses()
+                if responder is not None:
+                    self.drop_all_but(responder)
+                    return responder
             return None
         finally:
             await self._end_search()
 
-    async def first_of_open(self) -> A:
+    async def first_open_to_respond(self) -> A:
         """Return the open attempt that the request goes on at, without looking for a successor.
 
         Wait for ever once all of them have failed.
         """
         while True:
-            speaker = self._hear_all()
-            if speaker is not None:
-                self.drop_all_but(speaker)
-                return speaker
+            responder = self._take_responses()
+            if responder is not None:
+                self.drop_all_but(responder)
+                return responder
             if not self.attempts:
                 self.run.outstanding = None
                 await asyncio.Event().wait()
@@ -137,7 +137,7 @@
         patience_s = max(attempt.patience_left_s() for attempt in self.attempts)
         return patience_s if patience_s > 0.0 else self.owner.search_wait_s()
 
-    def _hear_all(self) -> A | None:
+    def _take_responses(self) -> A | None:
         """Take what has come from the attempts, oldest first; return the one that goes on."""
         for attempt in list(self.attempts):
             if not attempt.listen().done():
--- a/src/croftchute/forwarding/workers/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -114,9 +114,9 @@
         """Send the request until a worker answers it or no further attempt is allowed."""
         await self._serve(self._begin_attempt)
 
-    async def until_heard(self) -> None:
+    async def until_response(self) -> None:
         """Wait until a silent worker answers, while another box is asked to; for ever if none."""
-        await self.race.first_of_open()
+        await self.race.first_open_to_respond()
 
     async def serve_on(self) -> None:
         """Go on waiting for the silent workers, as no other box has answered."""
@@ -164,7 +164,7 @@
 
     async def _outwait(self) -> PlainAttempt | None:
         """Wait for the first attempt to answer, and for a successor; return one to follow."""
-        if await self.race.first_to_speak() is not None:
+        if await self.race.first_to_respond() is not None:
             return None
         if self.race.attempts:
             return None
@@ -253,7 +253,7 @@
         except ExchangeError as error:
             self._end_attempt(attempt, error)
         if attempt.is_silent and self.progress.answer is not None:
-            self._note_heard(attempt)
+            self._note_silence_ended(attempt)
         if self.progress.answer is None:
             attempt.close()
         return self.progress.answer is not None
@@ -301,9 +301,9 @@
         attempt.is_silent = True
         attempt.call.record_silence(is_begun=False)
 
-    def _note_heard(self, attempt: PlainAttempt) -> None:
+    def _note_silence_ended(self, attempt: PlainAttempt) -> None:
         self.run.state.metrics.silences.inc({"outcome": "went_on"})
-        attempt.call.record_heard("went_on")
+        attempt.call.record_silence_ended("went_on")
 
     def _can_fail_over(self) -> bool:
         """Whether a worker may be asked that the request is not at."""
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -39,7 +39,7 @@
 class Outstanding(Protocol):
     """Silent workers that keep a request until another box goes on with it."""
 
-    async def until_heard(self) -> None:
+    async def until_response(self) -> None:
         """Wait until one of the workers speaks."""
         ...
 
--- a/src/croftchute/forwarding/workers/stream_attempt.py
+++ b/src/croftchute/forwarding/workers/stream_attempt.py
@@ -98,7 +98,7 @@
             self._listening = asyncio.ensure_future(self._read_counted_step())
         return self._listening
 
-    def take_heard(self) -> StreamStep:
+    def take_step(self) -> StreamStep:
         """Return the step that :meth:`listen` ended with, or raise what it failed with.
 
         :meth:`next_step` returns the step once more.
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -55,15 +55,15 @@
             run=run, owner=self, may_leave=lambda: run.may_leave_silent
         )
         self._search_not_before = run.started_at
-        self._heard: StreamAttempt | None = None
+        self._responder: StreamAttempt | None = None
 
     async def serve(self) -> None:
         """Run the stream to its end, or refuse or abort it."""
         await self._serve(self._begin)
 
-    async def until_heard(self) -> None:
+    async def until_response(self) -> None:
         """Wait until a silent worker goes on, while another box is asked to; for ever if none."""
-        self._heard = await self.race.first_of_open()
+        self._responder = await self.race.first_open_to_respond()
 
     async def serve_on(self) -> None:
         """Go on waiting for the silent workers, as no other box has gone on with the stream."""
@@ -94,11 +94,11 @@
                 self.close()
 
     async def _go_on(self) -> StreamAttempt | None:
-        heard, self._heard = self._heard, None
-        if heard is None:
+        responder, self._responder = self._responder, None
+        if responder is None:
             return await self._outwait()
-        self._note_heard(heard)
-        return heard
+        self._note_silence_ended(responder)
+        return responder
 
     async def _begin(self) -> StreamAttempt | None:
         return await self._begin_attempt() if await self._may_begin() else None
@@ -181,12 +181,12 @@
 
     async def _outwait(self) -> StreamAttempt | None:
         """Return the first attempt to speak; None if the request's time is over, or can't go on."""
-        attempt = await self.race.first_to_speak()
+        attempt = await self.race.first_to_respond()
         if attempt is not None and self.progress.is_doubtful:
             self.close()
             return None
         if attempt is not None:
-            self._note_heard(attempt)
+            self._note_silence_ended(attempt)
             return attempt
         if not self.race.attempts:
             return await self._begin_attempt()
@@ -239,7 +239,7 @@
     def goes_on_at(self, attempt: StreamAttempt) -> bool:
         """Take what an attempt has listened for; return whether the stream goes on there."""
         try:
-            step = attempt.take_heard()
+            step = attempt.take_step()
         except ExchangeError as error:
             self._end_attempt(attempt, error)
             return False
@@ -366,13 +366,13 @@
             self.prefill.invalidate_handle()
         attempt.call.record_silence(is_begun=attempt.head is not None)
 
-    def _note_heard(self, attempt: StreamAttempt) -> None:
+    def _note_silence_ended(self, attempt: StreamAttempt) -> None:
         """Record which attempt the stream goes on at after a silence."""
         if attempt.head is not None:
             self.prefill.mark_handle_used()
         outcome = "went_on" if attempt.is_silent else "succeeded"
         self.run.state.metrics.silences.inc({"outcome": outcome})
-        attempt.call.record_heard(outcome)
+        attempt.call.record_silence_ended(outcome)
         attempt.is_silent = False
         attempt.is_successor = False
         self.run.avoid.discard(attempt.call.worker.id)
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -247,7 +247,7 @@
             config_age_s=round(run.now - run.state.table_at, 3),
         )
 
-    def record_heard(self, outcome: str) -> None:
+    def record_silence_ended(self, outcome: str) -> None:
         """Record which worker the request goes on at after a silence."""
         self.run.log(
             Decision.SILENCE_ENDED,
--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -339,10 +339,10 @@
 def leave_silent_workers() -> None:
     """End an attempt as soon as its worker is silent, before another worker has the request."""
 
-    async def first_to_speak(self: AttemptRace[Any]) -> None:
+    async def first_to_respond(self: AttemptRace[Any]) -> None:
         self.drop_all_but()
 
-    AttemptRace.first_to_speak = first_to_speak  # type: ignore[method-assign]
+    AttemptRace.first_to_respond = first_to_respond  # type: ignore[method-assign]
 
 
 BUCKETS: dict[str, UsageBucket] = {}
