Do not leave a box that has gone on with a request for a worker that responds in the same turn

If a silent worker responded in the turn of the event loop in which another box's success response came, the silent attempts had been ended and the box was left too, so the caller's answer broke off. A box that has gone on with the request is now waited for. Found by reading; the new test fails on the code before (1 of 2 cases) and passes now.

--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -125,7 +125,10 @@
             self._give_back(run)
 
     async def _forward_unless_response(self, run: RequestRun) -> bool:
-        """Have another box serve a request; return False if none does, or a worker speaks first."""
+        """Have another box serve a request; return False if none does, or a worker responds first.
+
+        A box that has gone on with it by then is not left any more.
+        """
         outstanding = run.outstanding
         if outstanding is None:
             return await self.peers.forward(run)
@@ -135,7 +138,9 @@
         forwarding = asyncio.ensure_future(self._forward_paced(run, pace))
         try:
             await asyncio.wait({forwarding, responding}, return_when=asyncio.FIRST_COMPLETED)
-            return not responding.done() and await forwarding
+            if responding.done() and run.outstanding is not None:
+                return False
+            return await forwarding
         finally:
             pace.end()
             for task in (forwarding, responding):
