Send an id once on one connection to a worker

A worker had refused the first sending of a request; the second one went to it on the same connection, and a late copy of the refusal bears the id of both.

Cause: answers are told apart by the id of their request alone, which says nothing where an id was sent twice on one connection. The worker that has the second sending notices, as before, when its caller gives it up. The log names the connection of each sending and counts the answers that were passed over.

--- a/src/croftchute/forwarding/http/connection_pool.py
+++ b/src/croftchute/forwarding/http/connection_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 
 from croftchute.forwarding.http.failures import (
@@ -40,6 +41,7 @@
         self.max_idle = max_idle
         self.limits = limits
         self.opened = 0
+        self._numbers = itertools.count(1)
         self._idle_by_server: dict[tuple[str, int, str], list[ClientConnection]] = {}
         self._busy_by_owner: dict[str, set[ClientConnection]] = {}
 
@@ -53,23 +55,40 @@
         timeout_s: float,
         max_idle_s: float = math.inf,
         limits: SilenceLimits | None = None,
+        request_id: bytes = b"",
     ) -> ClientConnection:
         """An idle connection to this incarnation of a server, or a new one.
 
-        One that was idle for ``max_idle_s`` seconds or longer is left to others. ``limits`` are
-        those of a new one, where they differ from the pool's.
+        One that was idle for ``max_idle_s`` seconds or longer is left to others, and so is one on
+        which ``request_id`` was sent before. ``limits`` are those of a new one, where they differ
+        from the pool's.
         """
-        idle = self._idle_by_server.get((host, port, owner), [])
-        while idle and now - idle[-1].idle_since < max_idle_s:
-            connection = idle.pop()
+        connection = self._take_idle((host, port, owner), now, max_idle_s, request_id)
+        if connection is None:
+            connection = await self.connect(host, port, timeout_s, limits=limits)
+            self._count(connection)
+        self._busy_by_owner.setdefault(owner, set()).add(connection)
+        return connection
+
+    def _take_idle(
+        self, server: tuple[str, int, str], now: float, max_idle_s: float, request_id: bytes
+    ) -> ClientConnection | None:
+        """Take the usable connection out that was used last, and close those that are not."""
+        idle = self._idle_by_server.get(server, [])
+        for connection in reversed(idle.copy()):
+            if now - connection.idle_since >= max_idle_s:
+                return None
+            if request_id and connection.has_sent(request_id):
+                continue
+            idle.remove(connection)
             if connection.is_fresh(now):
-                self._busy_by_owner.setdefault(owner, set()).add(connection)
                 return connection
             connection.abort()
-        connection = await self.connect(host, port, timeout_s, limits=limits)
+        return None
+
+    def _count(self, connection: ClientConnection) -> None:
         self.opened += 1
-        self._busy_by_owner.setdefault(owner, set()).add(connection)
-        return connection
+        connection.number = next(self._numbers)
 
     async def connect(
         self, host: str, port: int, timeout_s: float, *, limits: SilenceLimits | None = None
@@ -93,7 +112,7 @@
         self, connection: ClientConnection, host: str, port: int, *, owner: str, now: float
     ) -> None:
         """Keep a new connection for the next exchange."""
-        self.opened += 1
+        self._count(connection)
         connection.idle_since = now
         self._keep(connection, host, port, owner)
 
--- a/src/croftchute/forwarding/http/http_client.py
+++ b/src/croftchute/forwarding/http/http_client.py
@@ -13,6 +13,7 @@
 import httptools
 
 from croftchute.forwarding.http.failures import ConnectFailedError, ConnectionBrokenError
+from croftchute.forwarding.http.sent_ids import SentIds
 from croftchute.forwarding.http.silence import WORK, SilenceLimits, watch_for_silence
 from croftchute.tables.routing import HeaderList
 
@@ -52,7 +53,9 @@
     """One connection to a server, for one exchange at a time.
 
     ``expected`` names a header and the value it must have in an answer: answers with another
-    value belong to earlier requests and are passed over.
+    value belong to earlier requests and are passed over. An empty value stands for no such header.
+    The value tells the answers of a connection apart only if it was sent there once, so it is
+    never sent twice on one connection (``has_sent``).
     """
 
     def __init__(self, *, limits: SilenceLimits = WORK) -> None:
@@ -66,6 +69,8 @@
         self.idle_since = 0.0
         self.uses = 0
         self.skipped_answers = 0
+        self.number = 0
+        self._sent_ids = SentIds()
         self.body_bytes = 0
         self._expected: tuple[bytes, bytes] | None = None
         self._is_open_ended = False
@@ -172,7 +177,10 @@
     def send(
         self, data: bytes, *, expected: tuple[bytes, bytes] | None, is_bodiless: bool = False
     ) -> None:
-        """Begin an exchange by sending a whole request."""
+        """Begin an exchange by sending a whole request.
+
+        Raise :class:`ConnectFailedError` if it can't be sent on this connection.
+        """
         assert self.transport is not None
         self.head = None
         self.is_complete = False
@@ -186,8 +194,16 @@
         self.uses += 1
         if self.is_lost or self.transport.is_closing():
             raise ConnectFailedError("connection was closed before the request was sent")
+        if expected is not None and expected[1]:
+            if self.has_sent(expected[1]):
+                raise ConnectFailedError("the id was sent on this connection before")
+            self._sent_ids.add(expected[1])
         self.transport.write(data)
 
+    def has_sent(self, request_id: bytes) -> bool:
+        """Whether a request of this id was sent on the connection, answered or not."""
+        return request_id in self._sent_ids
+
     async def read_head(self) -> ResponseHead:
         """Wait for the head of the answer."""
         while self.head is None:
@@ -246,6 +262,7 @@
             and self.transport is not None
             and not self.transport.is_closing()
             and self.transport.get_write_buffer_size() == 0
+            and not self._sent_ids.is_full
             and self._wants_keep_alive()
         )
         if not is_reusable:
@@ -282,7 +299,7 @@
         if self._expected is None:
             return True
         name, value = self._expected
-        return head.get(name) == value
+        return (head.get(name) or b"") == value
 
     def _ends_with_connection(self, head: ResponseHead) -> bool:
         if head.status in BODILESS_STATUSES:
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -63,6 +63,7 @@
         self.chosen = chosen
         self.opened_at = run.now
         self.connection: ClientConnection | None = None
+        self._skipped_before = 0
         self._tokens = run.facts.prompt_tokens
         if not send.is_prefill:
             self._tokens += run.facts.output_tokens
@@ -102,6 +103,7 @@
         self.tracked.sent_at_by_call[self] = run.now
         run.state.workers.note_sent(worker.id, self._tokens)
         run.state.workers.advice.note_sent(worker.id, run.now)
+        expected = run.state.workers_speak.expected(run.facts)
         connection = await run.state.pool.acquire(
             worker.host,
             worker.port,
@@ -109,12 +111,14 @@
             now=run.now,
             timeout_s=min(timeouts.CONNECT_TIMEOUT_S, run.time_left_s),
             max_idle_s=self._max_idle_s(),
+            request_id=expected[1],
         )
         self.connection = connection
+        self._skipped_before = connection.skipped_answers
         data = run.state.workers_speak.encode(run.facts, self.send)
         connection.send(
             data,
-            expected=run.state.workers_speak.expected(run.facts),
+            expected=expected,
             is_bodiless=run.facts.method == "HEAD",
         )
         kind = Decision.PREFILL_SENT if self.send.is_prefill else Decision.REQUEST_SENT
@@ -133,6 +137,7 @@
             wish=run.state.workers.advice.active_advice(worker.id, run.now),
             limit_per_s=run.state.workers.limits.limit_of(worker.id, run.now),
             reused=connection.uses > 1,
+            connection=connection.number,
             source=self.send.source.worker.id if self.send.source else "",
             resume_after=self.send.resume_after,
             resumes=run.facts.resumes[:MAX_LOGGED_CHARS],
@@ -318,6 +323,9 @@
             inputs["parts"] = self.run.parts[:MAX_LOGGED_PARTS]
             if self.began_at is not None:
                 inputs["writing_ms"] = round((self.run.now - self.began_at) * 1000, 1)
+        if self.connection is not None:
+            inputs["connection"] = self.connection.number
+            inputs["skipped"] = self.connection.skipped_answers - self._skipped_before
         self.run.state.metrics.sends.inc({"outcome": outcome})
         self.run.log(
             kind,
