Pass over answers to requests where an own call is due one

A late copy of an answer to a caller's request was taken for the answer to a call for a hold, a report or an order on the same connection: a worker with room counted as full, and an order lost the revision that it is checked against. Own calls have no id, so an answer with one belongs to an earlier request.

--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -126,6 +126,11 @@
         """The header, and its value, by which the answer to a request is told from others."""
         ...
 
+    @property
+    def expected_of_own_call(self) -> tuple[bytes, bytes]:
+        """The same for a call of the router's own, which is no caller's request."""
+        ...
+
     def verdict(self, head: ResponseHead) -> Verdict:
         """What an answer's head says of the request."""
         ...
--- a/src/croftchute/forwarding/workers/worker_control.py
+++ b/src/croftchute/forwarding/workers/worker_control.py
@@ -70,7 +70,7 @@
         worker.host, worker.port, owner=worker.id, now=state.clock(), timeout_s=timeout_s
     )
     try:
-        connection.send(data, expected=None)
+        connection.send(data, expected=state.workers_speak.expected_of_own_call)
         head = await within(connection.read_head(), answer_s, "no head")
         state.links.note_heard(state.clock())
         record_advice(state, worker, head, call="control")
--- a/tests/forwarding/http/test_sent_ids.py
+++ b/tests/forwarding/http/test_sent_ids.py
@@ -126,6 +126,21 @@
     run(body())
 
 
+def test_an_answer_to_a_request_is_no_answer_to_an_own_call(sock):
+    """Guards against a late copy of an answer that stands for one to a call without an id."""
+
+    async def body():
+        connection = await acquire(Worker(sock), b"")
+        connection.send(b"call", expected=(ID, b""))
+        feed(connection, answer(503, b"r1", 1, b"busy"), 7)
+        feed(connection, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 7)
+        assert (await connection.read_head()).status == 200
+        assert await connection.read_body(MAX_BYTES) == b"ok"
+        assert connection.skipped_answers == 1
+
+    run(body())
+
+
 @given(st.lists(st.binary(min_size=1, max_size=3), max_size=60))
 def test_sent_ids_hold_what_was_added(added):
     sent = SentIds()
