Take a worker's 408 or 429 for a refusal only if it says that nothing ran

Callers take these statuses for a promise, but only answers marked as not executed say so: a worker's own 429 was passed on although it had run the request. It now counts as an error: repeated elsewhere where the route allows it, else the caller gets 502. Statuses of 500 and more were treated so before.

--- a/tests/platform_adapter/test_surplus_answers.py
+++ b/tests/platform_adapter/test_surplus_answers.py
@@ -82,3 +82,22 @@
             assert not (answer.status in PROMISES and worker.runs_of("same"))
 
     run(body)
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("path", ["/once/x", "/safe/x", "/stream/x"])
+def test_an_error_of_a_worker_that_ran_the_request_is_no_promise_to_the_caller(status, path):
+    """Guards against a worker's own 429, without a mark that nothing ran, taken for a promise."""
+
+    async def body():
+        async with fleet() as made:
+            box, decode, _ = await engines(made)
+            plain = await made.add_worker("w1")
+            await made.ready(box)
+            for worker in [*decode, plain]:
+                worker.faults.status = status
+            answer = await ask(box, path)
+            assert ran([*decode, plain])
+            assert answer.status == 502
+
+    run(body)
