Have a box read the store once its relay proves nothing any more

Cause: a box that follows a relay took an open connection, and a call that was not answered yet, for proof that nothing had changed. It gave a relay up 3.5 s after its call, and then asked the next one, for as long again; relays that had lost the store kept it waiting 1 to 3 s more. The kernel of a process that stands still accepts connections and answers probes.

A box whose proof is older than 1.35 to 1.55 s, by chance, reads the store itself, whatever it is that the relay does. What relays say of the store is no reason any more not to try it; a box that follows others pauses after a failed call of its own. Old answers that a process reads after it stood still prove only what they can.

The test of what several relays report is gone with that rule. In its place: a box whose relays are all skipped is no reader, and calls a store that is down once for each prefix until it is back.

--- a/src/croftchute/forwarding/http/transfer.py
+++ b/src/croftchute/forwarding/http/transfer.py
@@ -113,16 +113,17 @@
     max_bytes: int,
     clock: Callable[[], float],
     on_progress: Callable[[], None] = lambda: None,
+    silence_s: float = SILENCE_S,
 ) -> bytes:
     """The whole body, however long it takes as long as it keeps coming.
 
-    ``on_progress`` is called for each part.
+    ``on_progress`` is called for each part, ``silence_s`` is the longest time between two.
     Raises AnswerLateError once nothing more comes, and ConnectionBrokenError if the connection
     breaks or the body is too long.
     """
     parts: list[bytes] = []
     begun_at = clock()
-    while part := await within(connection.read_part(), SILENCE_S, "no more of the body"):
+    while part := await within(connection.read_part(), silence_s, "no more of the body"):
         parts.append(part)
         on_progress()
         if is_trickle(connection.body_bytes, clock() - begun_at):
--- a/src/croftchute/forwarding/store/news_log.py
+++ b/src/croftchute/forwarding/store/news_log.py
@@ -38,6 +38,7 @@
     _fresh_until: float = float("-inf")
     _bytes: int = 0
     _arrived: asyncio.Event = field(default_factory=asyncio.Event)
+    _proven: asyncio.Event = field(default_factory=asyncio.Event)
 
     def note_listing(self, listing: Listing) -> None:
         """Begin anew behind a whole listing."""
@@ -69,6 +70,11 @@
         self._fresh_until = float("-inf")
         self._wake()
 
+    def note_proof(self) -> None:
+        """The store has answered this box: followers that wait for a proof of it are told so."""
+        self._proven.set()
+        self._proven = asyncio.Event()
+
     def is_fresh(self, now: float) -> bool:
         """Whether this box hears the store's news at first hand."""
         return now < self._fresh_until
@@ -79,14 +85,18 @@
             raise HistoryGoneError(f"changes after {after} are not kept")
         return merged((e for e in self.entries if e.revision > after), position=self.position)
 
-    async def wait_for_change(self, after: int, wait_s: float) -> None:
-        """Return when something has changed after a revision, or after some time."""
+    async def wait_for_change(self, after: int, wait_s: float, *, or_proof: bool = False) -> None:
+        """Return when something has changed after a revision, or after some time.
+
+        With ``or_proof`` return too when the store has answered this box once more.
+        """
         found = self.since(after)
         if found.written or found.removed:
             return
+        awaited = self._proven if or_proof else self._arrived
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                await self._arrived.wait()
+                await awaited.wait()
 
     def _drop_replaced(self, changes: Changes) -> None:
         """Forget earlier words on keys that have changed again: nobody needs them any more.
@@ -108,6 +118,7 @@
     def _wake(self) -> None:
         self._arrived.set()
         self._arrived = asyncio.Event()
+        self.note_proof()
 
 
 def merged(parts: Iterable[Changes], *, position: int) -> Changes:
--- a/src/croftchute/forwarding/store/news_messages.py
+++ b/src/croftchute/forwarding/store/news_messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import zlib
+from dataclasses import dataclass
 from functools import lru_cache
 from typing import TypeVar
 
@@ -42,13 +43,26 @@
 
 
 class News(msgspec.Struct, frozen=True, kw_only=True):
-    """Changes of a prefix; ``untold`` are keys whose values are to be read from the store."""
+    """Changes of a prefix; ``untold`` are keys whose values are to be read from the store.
+
+    ``proven_s`` is when the store last answered the relay, in seconds after the call came there;
+    negative if before, None from boxes that do not tell it.
+    """
 
     written: tuple[ToldItem, ...]
     untold: tuple[str, ...]
     removed: tuple[str, ...]
     revision: int
     newest: int
+    proven_s: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ToldChanges:
+    """Changes as a relay tells them, and ``proven_s`` as in :class:`News`."""
+
+    changes: Changes
+    proven_s: float | None
 
 
 class Known(msgspec.Struct, frozen=True, kw_only=True):
@@ -61,7 +75,7 @@
 M = TypeVar("M", News, Known)
 
 
-def encode_news(changes: Changes) -> bytes:
+def encode_news(changes: Changes, *, proven_s: float | None = None) -> bytes:
     """Changes for a follower; what is too long to be passed on is only named."""
     told = [_told(item) for item in changes.written]
     news = News(
@@ -70,20 +84,22 @@
         removed=changes.removed,
         revision=changes.revision,
         newest=changes.newest,
+        proven_s=proven_s,
     )
     return msgspec.msgpack.encode(news)
 
 
-def decode_news(body: bytes) -> Changes:
+def decode_news(body: bytes) -> ToldChanges:
     """The same back; raises MessageError."""
     news = _decode(body, News)
-    return Changes(
+    changes = Changes(
         written=tuple(_item(told) for told in news.written),
         removed=news.removed,
         revision=news.revision,
         newest=news.newest,
         untold=news.untold,
     )
+    return ToldChanges(changes=changes, proven_s=news.proven_s)
 
 
 def encode_known(listing: Listing) -> bytes:
--- a/src/croftchute/forwarding/store/store_follower.py
+++ b/src/croftchute/forwarding/store/store_follower.py
@@ -15,6 +15,7 @@
 from croftchute.storage.position import era_of, position, told
 from croftchute.storage.watched import Changes, Listing, SharedStore, StoredItem, Vocabulary
 from croftchute.systems.hall_relays import HallRelays
+from croftchute.systems.store_contact import StoreContact
 from croftchute.tables.routing import RoutingTable
 
 WORKERS_PAUSE_S = 0.25
@@ -45,6 +46,7 @@
         self.vocabulary = vocabulary
         self.on_change = on_change
         self.relays = HallRelays(own_id=state.box, hall=state.zone, own_mbps=link_mbps)
+        self.contact = StoreContact()
         self._store = store
         self._unreadable = 0
         self._unreadable_logged_at = -math.inf
@@ -69,7 +71,10 @@
         has_one_key: bool = False,
     ) -> PrefixFollower:
         handlers = PrefixHandlers(
-            on_listing=on_listing, on_changes=on_changes, on_heard=self.on_change
+            on_listing=on_listing,
+            on_changes=on_changes,
+            on_heard=self.on_change,
+            on_store_answer=self._tell_proof,
         )
         return PrefixFollower(
             prefix=prefix,
@@ -77,10 +82,16 @@
             state=self.state,
             store=self._store,
             relays=self.relays,
+            contact=self.contact,
             handlers=handlers,
             has_one_key=has_one_key,
         )
 
+    def _tell_proof(self) -> None:
+        """Tell the boxes that follow this one that the store has answered it."""
+        self.config.log.note_proof()
+        self.workers.log.note_proof()
+
     @property
     def is_relay(self) -> bool:
         """Whether this box reads the store itself, for others or for want of a relay."""
@@ -96,7 +107,7 @@
         follower = self._follower(target)
         if follower is None:
             return HTTPStatus.NOT_FOUND, b""
-        return await answer_news(follower.log, target, self.state)
+        return await answer_news(follower.log, target, self.state, self.contact)
 
     def answer_known(self, target: str) -> Answer:
         """What a box that is behind wants to know."""
--- a/src/croftchute/systems/hall_relays.py
+++ b/src/croftchute/systems/hall_relays.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -34,9 +35,12 @@
 RELAY_BACKOFF_S = 4.0
 """Seconds for which a relay that did not answer, or cannot reach the store, is not asked again."""
 
-MIN_STORE_LOST_REPORTS = 2
-"""Relays that must report the store as unreachable before a follower assumes that it is so for the
-whole hall."""
+MIN_PROOF_AGE_S = 1.35
+"""Seconds after which what a relay told proves nothing any more: a relay proves anew that it hears
+the store every ``CONTACT_PERIOD_S``, and has the rest of the time to answer."""
+
+MAX_PROOF_AGE_S = 1.55
+"""The same at most: boxes differ, so that they do not all read the store in one instant."""
 
 RELAY_DUTY_S = 15.0
 """Seconds for which a box that was asked for updates reads the store, even if its own ranking does
@@ -51,35 +55,57 @@
     hall: str
     own_mbps: float = 0.0
     _skipped_until: dict[str, float] = field(default_factory=dict)
-    _store_lost_until: dict[str, float] = field(default_factory=dict)
     _duty_until: float = 0.0
+    _known_at_by_relay: dict[str, float] = field(default_factory=dict)
+    _proving: dict[str, str] = field(default_factory=dict)
 
     def relay_to_ask(self, hall_peers: Sequence[Peer], now: float) -> Peer | None:
         """Return the box to ask for updates; None if this box should read the store itself.
 
         ``hall_peers`` are the other live boxes of the hall.
         """
-        if len(hall_peers) + 1 < MIN_HALL_SIZE or now < self._duty_until:
+        if self.is_reader(hall_peers, now):
             return None
         peers_by_id = {peer.id: peer for peer in hall_peers}
         order = self._order(hall_peers)
-        if self.own_id in order[:RELAY_COUNT]:
-            return None
         asked = self._rotated(order[:RELAY_COUNT]) + order[RELAY_COUNT:MAX_RELAYS]
         usable = [box for box in asked if now >= self._skipped_until.get(box, 0.0)]
         return next((peers_by_id[box] for box in usable if box in peers_by_id), None)
 
-    def skip_relay(self, box_id: str, now: float, *, has_lost_store: bool = False) -> None:
+    def is_reader(self, hall_peers: Sequence[Peer], now: float) -> bool:
+        """Return whether this box reads the store for its hall, or because its hall is small."""
+        if len(hall_peers) + 1 < MIN_HALL_SIZE or now < self._duty_until:
+            return True
+        return self.own_id in self._order(hall_peers)[:RELAY_COUNT]
+
+    def skip_relay(self, box_id: str, now: float) -> None:
         """Do not ask a relay for ``RELAY_BACKOFF_S`` seconds, because it returned nothing."""
         self._skipped_until = _unexpired(self._skipped_until, now)
         self._skipped_until[box_id] = now + RELAY_BACKOFF_S
-        self._store_lost_until = _unexpired(self._store_lost_until, now)
-        if has_lost_store:
-            self._store_lost_until[box_id] = now + RELAY_BACKOFF_S
+        self._known_at_by_relay.pop(box_id, None)
+
+    def note_proof(self, box_id: str, known_at: float) -> None:
+        """Record that a relay knew all that the store had at some time."""
+        self._known_at_by_relay[box_id] = max(known_at, self.known_at(box_id))
 
-    def is_store_lost(self, now: float) -> bool:
-        """Return whether several relays of the hall recently reported the store as unreachable."""
-        return len(_unexpired(self._store_lost_until, now)) >= MIN_STORE_LOST_REPORTS
+    def needs_proof(self, prefix: str, box_id: str) -> bool:
+        """Return whether a call for a prefix is to ask a relay for proofs: one call at a time does.
+
+        It goes on to until :meth:`leave_relay`.
+        """
+        others = [relay for other, relay in self._proving.items() if other != prefix]
+        if box_id in others:
+            return False
+        self._proving[prefix] = box_id
+        return True
+
+    def leave_relay(self, prefix: str) -> None:
+        """Record that no call for a prefix asks a relay for proofs any more."""
+        self._proving.pop(prefix, None)
+
+    def known_at(self, box_id: str) -> float:
+        """Return the latest time at which a relay is proven to have known all of the store."""
+        return self._known_at_by_relay.get(box_id, -math.inf)
 
     def note_asked(self, now: float) -> None:
         """Read the store for ``RELAY_DUTY_S`` seconds, because another box asked for updates."""
--- a/tests/forwarding/store/test_news_messages.py
+++ b/tests/forwarding/store/test_news_messages.py
@@ -31,7 +31,8 @@
 @given(st.lists(items, max_size=5), st.lists(st.text(max_size=9), max_size=3))
 def test_what_is_told_is_what_is_heard(written, removed):
     changes = Changes(written=tuple(written), removed=tuple(removed), revision=2**61, newest=2**60)
-    assert decode_news(encode_news(changes)) == changes
+    told = decode_news(encode_news(changes, proven_s=-0.25))
+    assert told.changes == changes and told.proven_s == -0.25
     listing = Listing(items=tuple(written), revision=7)
     assert decode_known(encode_known(listing)) == listing
 
@@ -40,7 +41,7 @@
     long = StoredItem(key="long", value=os.urandom(2 * MAX_TOLD_BYTES), revision=2)
     short = StoredItem(key="short", value=b"x", revision=3)
     changes = Changes(written=(long, short), removed=(), revision=3, newest=3)
-    found = decode_news(encode_news(changes))
+    found = decode_news(encode_news(changes)).changes
     assert found.untold == ("long",) and found.written == (short,)
 
 
--- a/tests/platform_adapter/test_hall_news.py
+++ b/tests/platform_adapter/test_hall_news.py
@@ -220,7 +220,21 @@
     run(body)
 
 
-def test_followers_leave_a_store_that_is_down_to_the_relays(monkeypatch):
+def count_store_calls(box):
+    """The prefixes that a box asks the store for from now on."""
+    prefixes = []
+    store = box.follower.config.store
+    for name in ("changes", "listing"):
+
+        async def call(prefix, *args, ask=getattr(store, name), **options):
+            prefixes.append(prefix)
+            return await ask(prefix, *args, **options)
+
+        setattr(store, name, call)
+    return prefixes
+
+
+def test_followers_try_a_store_that_relays_lost_once_and_then_leave_it_to_them(monkeypatch):
     """All boxes of the fleet called it twice a second, and each call is paid for."""
     monkeypatch.setattr(prefix_follower, "LOST_STORE_WAIT_S", 3600.0)
 
@@ -233,14 +247,21 @@
             made.store.faults.refuses = True
             made.store.forget_history()
             followers = boxes[MAX_RELAYS:]
-            for box in followers:
-                await until(lambda b=box: b.follower.relays.is_store_lost(b.state.clock()))
+            calls = {box.state.box: count_store_calls(box) for box in followers}
+            loops = [
+                follow
+                for box in followers
+                for follow in (box.follower.config, box.follower.workers)
+            ]
+            await until(lambda: all(follow._dependency.is_lost for follow in loops))
             made.store.calls.clear()
             for _ in range(3):
                 made.store.put("op/config", config(1))
                 await until(lambda: len(made.store.calls) > 8)
                 made.store.calls.clear()
-            assert all(box.follower.config._dependency.is_lost is False for box in followers)
+            for made_calls in calls.values():
+                failed = [prefix for prefix in made_calls if prefix in ("op/config", "servers/")]
+                assert all(failed.count(prefix) <= 2 for prefix in failed), made_calls
 
     run(body)
 
--- a/tests/platform_adapter/test_store_and_peers.py
+++ b/tests/platform_adapter/test_store_and_peers.py
@@ -6,8 +6,9 @@
 from platform_fleet import ask, config, fleet, run, until
 
 from croftchute.forwarding.boxes.peer_exchange import MAX_GREETINGS
-from croftchute.forwarding.store.prefix_follower import WATCH_MARGIN_S, WATCH_WAIT_S
+from croftchute.forwarding.store.prefix_follower import WATCH_MARGIN_S
 from croftchute.peers.messages import BoxNotice
+from croftchute.systems.store_contact import WATCH_PERIOD_S
 from croftchute.tables.routing import Stage, WorkerState
 
 
@@ -79,7 +80,7 @@
 def test_a_watch_that_a_silent_store_swallowed_is_made_anew_soon_after_it_is_back():
     """It hung for up to 11.5 s, while new versions were written and none was heard of."""
     up_to_date_again_s = 3.0
-    assert up_to_date_again_s > WATCH_WAIT_S + WATCH_MARGIN_S
+    assert up_to_date_again_s > WATCH_PERIOD_S + WATCH_MARGIN_S
 
     async def body():
         async with fleet() as made:
--- a/tests/systems/test_hall_relays.py
+++ b/tests/systems/test_hall_relays.py
@@ -97,14 +97,37 @@
     assert followed(left)[last] != gone
 
 
-def test_the_store_counts_as_lost_once_several_relays_say_so_and_not_for_long():
+def test_a_box_whose_relays_are_all_skipped_is_no_reader_for_that():
+    """Guards against followers that call a store which is down as often as its readers do."""
+    order = rank_nodes("north", IDS)
+    relays = HallRelays(own_id=order[-1], hall="north")
+    hall_peers = hall_peers_of(order[-1])
+    for relay in order[:MAX_RELAYS]:
+        relays.skip_relay(relay, 0.0)
+    assert relays.relay_to_ask(hall_peers, 0.1) is None
+    assert not relays.is_reader(hall_peers, 0.1)
+    reader = HallRelays(own_id=order[0], hall="north")
+    assert reader.is_reader(hall_peers_of(order[0]), 0.1)
+
+
+def test_one_prefix_at_a_time_asks_a_relay_for_proofs():
+    """Guards against two calls a proof, and against none while the other prefix has left."""
     relays = HallRelays(own_id="x", hall="north")
-    relays.skip_relay("a", 0.0, has_lost_store=True)
-    relays.skip_relay("b", 0.0)
-    assert not relays.is_store_lost(0.1)
-    relays.skip_relay("c", 0.1, has_lost_store=True)
-    assert relays.is_store_lost(0.2)
-    assert not relays.is_store_lost(RELAY_BACKOFF_S + 0.2)
+    assert relays.needs_proof("config", "a") and relays.needs_proof("config", "a")
+    assert not relays.needs_proof("workers", "a")
+    assert relays.needs_proof("workers", "b")
+    relays.leave_relay("config")
+    assert relays.needs_proof("workers", "a")
+
+
+def test_a_proof_is_of_one_relay_and_the_latest_counts():
+    relays = HallRelays(own_id="x", hall="north")
+    relays.note_proof("a", 5.0)
+    relays.note_proof("a", 4.0)
+    assert relays.known_at("a") == 5.0
+    assert relays.known_at("b") < 0.0
+    relays.skip_relay("a", 6.0)
+    assert relays.known_at("a") < 0.0
 
 
 def followed_by_link(mbps_by_id):
