--- a/src/croftchute/forwarding/store/prefix_follower.py
+++ b/src/croftchute/forwarding/store/prefix_follower.py
@@ -239,10 +239,14 @@
     async def _watch(self, after: int) -> bool:
         """Wait for changes and take them in; return whether there were any."""
         self._coming_since = None
+        now = self.state.clock()
+        wait_s = self.contact.begin_watch(
+            self.prefix, now, is_followed=self.relays.has_relay_duty(now)
+        )
         changes = await self.store.changes(
             self.prefix,
             after=after,
-            wait_s=self.contact.begin_watch(self.prefix, self.state.clock()),
+            wait_s=wait_s,
             margin_s=WATCH_MARGIN_S,
             on_progress=self._note_part,
         )
--- a/tests/systems/test_store_contact.py
+++ b/tests/systems/test_store_contact.py
@@ -12,6 +12,7 @@
     CONTACT_TOLERANCE_S,
     MIN_WATCH_S,
     WATCH_PERIOD_S,
+    WATCH_WAIT_S,
     StoreContact,
 )
 
@@ -31,7 +32,7 @@
         for prefix, at in list(begins_at.items()):
             if at <= now:
                 del begins_at[prefix]
-                wait_s = contact.begin_watch(prefix, now)
+                wait_s = contact.begin_watch(prefix, now, is_followed=True)
                 assert 0.0 < wait_s <= WATCH_PERIOD_S
                 ends_at[prefix] = (now, now + wait_s + round_trip_s * rng.uniform(1.0, 2.0))
         events = [(end, prefix, False) for prefix, (_, end) in ends_at.items()]
@@ -78,11 +79,11 @@
 def test_an_answer_that_was_left_unread_proves_only_what_it_can():
     """Guards against old answers that a process reads after it stood still."""
     contact = StoreContact()
-    wait_s = contact.begin_watch("workers", 0.0)
+    wait_s = contact.begin_watch("workers", 0.0, is_followed=True)
     unread_at = wait_s + ANSWER_MARGIN_S + 5.0
     quiet = contact.note_answer("workers", begun_at=0.0, now=unread_at, has_changes=False)
     assert quiet == wait_s == MIN_WATCH_S
-    wait_s = contact.begin_watch("workers", 10.0)
+    wait_s = contact.begin_watch("workers", 10.0, is_followed=True)
     late = contact.note_answer("workers", begun_at=10.0, now=10.0 + wait_s + 5.0)
     assert late == 10.0
     assert contact.heard_at == 10.0
@@ -91,6 +92,14 @@
 def test_a_watch_that_failed_is_not_waited_for():
     contact = StoreContact()
     contact.note_answer("workers", begun_at=0.0, now=0.0)
-    contact.begin_watch("config", 0.0)
+    contact.begin_watch("config", 0.0, is_followed=True)
     contact.note_failure("config")
-    assert contact.begin_watch("workers", 0.1) <= CONTACT_PERIOD_S
+    assert contact.begin_watch("workers", 0.1, is_followed=True) <= CONTACT_PERIOD_S
+
+
+def test_a_box_that_nobody_follows_waits_for_as_long_as_it_may():
+    """Guards against calls of the store that prove something to nobody."""
+    contact = StoreContact()
+    contact.note_answer("config", begun_at=0.0, now=0.0)
+    assert contact.begin_watch("workers", 0.0, is_followed=False) == WATCH_WAIT_S
+    assert contact.begin_watch("config", 0.5, is_followed=False) == WATCH_WAIT_S
