Soak: draw workers that answer twice and relays that stand still

answers_copied: a worker refuses now and then and sends each whole answer once more, out of turn. relays_paused: all boxes that read the store for a hall stand still beside a worker that leaves. Each has a variant that puts the fault back (reuse_connections, trust_relays).

--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import math
 import os
 import runpy
 import sys
@@ -41,7 +42,7 @@
 from croftchute.forwarding.http.silence import SilenceLimits  # noqa: E402
 from croftchute.forwarding.permits import ONE_CALL, PermitRequest  # noqa: E402
 from croftchute.forwarding.state import ForwardingState  # noqa: E402
-from croftchute.forwarding.store import store_follower  # noqa: E402
+from croftchute.forwarding.store import prefix_follower, store_follower  # noqa: E402
 from croftchute.forwarding.store.crash_register import CrashRegister  # noqa: E402
 from croftchute.forwarding.workers.attempt_race import AttemptRace  # noqa: E402
 from croftchute.forwarding.workers.request_run import RequestRun  # noqa: E402
@@ -345,6 +346,16 @@
     AttemptRace.first_to_respond = first_to_respond  # type: ignore[method-assign]
 
 
+def reuse_connections() -> None:
+    """Send an id again on a connection that has carried it."""
+    ClientConnection.has_sent = lambda *_: False  # type: ignore[method-assign]
+
+
+def trust_relays() -> None:
+    """Go by what a relay told for as long as its connection lives."""
+    prefix_follower.PrefixFollower._proof_left_s = lambda *_: math.inf  # type: ignore[method-assign]
+
+
 BUCKETS: dict[str, UsageBucket] = {}
 KEPT: list[object] = []
 BROKEN: dict[str, Callable[[], None]] = {
@@ -367,6 +378,8 @@
     "keep_to_own_workers": keep_to_own_workers,
     "any_version": any_version,
     "leave_silent_workers": leave_silent_workers,
+    "reuse_connections": reuse_connections,
+    "trust_relays": trust_relays,
 }
 
 
--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -42,6 +42,16 @@
 RELAY_GAP_S = 0.3
 """Seconds between the losses of two relays of a hall: followers have just gone to the second."""
 
+RELAYS_PAUSED_S = 4.0
+"""Seconds for which all relays of a hall stand still at least: twice the time in which the others
+must have heard of a worker that leaves meanwhile."""
+
+COPIED_AFTER_S = (0.0, 0.01, 0.03, 0.1, 0.3)
+"""Seconds after an answer at which a worker sends it once more."""
+
+REFUSING_SHARE_S = 0.15
+"""Seconds for which a worker refuses, and then runs, what it is sent while answers are copied."""
+
 SAYS_LEAVING_S = 7.0
 """Seconds for which a worker serves on that says in its answers that it leaves: the time in which
 new work must end, and the longest stream given to it at the last moment."""
@@ -169,6 +179,8 @@
             FaultKind.WORKER_LIMITS: self._limit_workers,
             FaultKind.LINKS_CUT: self.link_cuts.strike,
             FaultKind.WORKERS_PAUSED: paused.strike,
+            FaultKind.ANSWERS_COPIED: self._copy_answers,
+            FaultKind.RELAYS_PAUSED: self._pause_relays,
         }
 
     @property
@@ -221,6 +233,15 @@
             await asyncio.sleep(RELAY_GAP_S)
         await asyncio.gather(*pauses)
 
+    async def _pause_relays(self, fault: PlannedFault) -> None:
+        """All boxes that read the store for a hall stand still while a worker leaves."""
+        hall = _pick(HALLS, fault)
+        boxes_by_name = {box.name: box for box in self.boxes if box.hall == hall}
+        relays = rank_nodes(hall, boxes_by_name)[:RELAY_COUNT]
+        for_s = RELAYS_PAUSED_S + fault.for_s
+        pauses = [self._signals.pause(boxes_by_name[name], for_s) for name in relays]
+        await asyncio.gather(*pauses, self._drain_worker(fault), self._change_config(fault))
+
     async def _stop_box(self, fault: PlannedFault) -> None:
         await self._signals.stop(_pick(self.boxes, fault))
 
@@ -329,6 +350,25 @@
         await asyncio.sleep(fault.for_s)
         worker.faults = sound_but(worker.faults)
 
+    async def _copy_answers(self, fault: PlannedFault) -> None:
+        """A worker refuses now and then, and sends each answer once more, out of turn."""
+        service = (DESK, ENGINES)[fault.pick % 2]
+        listed = _pick(self.world.live(service), fault)
+        self.disturbances.note(listed.worker.id, self.now, self.now + fault.for_s)
+        worker = listed.worker
+        copied_s = COPIED_AFTER_S[fault.pick % len(COPIED_AFTER_S)]
+        ends_at = self.now + fault.for_s
+        while self.now < ends_at:
+            is_refusing = not (worker.faults.is_full or worker.faults.handles_lapse)
+            worker.faults = sound_but(
+                worker.faults,
+                copies_answers_s=copied_s,
+                handles_lapse=is_refusing and service == ENGINES,
+                is_full=is_refusing and service == DESK,
+            )
+            await asyncio.sleep(REFUSING_SHARE_S)
+        worker.faults = sound_but(worker.faults)
+
     async def _say_leaving(self, fault: PlannedFault) -> None:
         """A worker says that it leaves in its answers only, and another one stands for it."""
         listed = self._victim(fault)
--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -46,6 +46,8 @@
     LINKS_CUT = "links_cut"
     PART_CRASHES = "part_crashes"
     WORKERS_PAUSED = "workers_paused"
+    ANSWERS_COPIED = "answers_copied"
+    RELAYS_PAUSED = "relays_paused"
 
 
 LATER_KINDS = frozenset(
@@ -59,6 +61,8 @@
         FaultKind.LINKS_CUT,
         FaultKind.PART_CRASHES,
         FaultKind.WORKERS_PAUSED,
+        FaultKind.ANSWERS_COPIED,
+        FaultKind.RELAYS_PAUSED,
     }
 )
 FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
@@ -94,6 +98,8 @@
         FaultKind.STORE_RESTORED,
         FaultKind.WORKER_LIMITS,
         FaultKind.LINKS_CUT,
+        FaultKind.ANSWERS_COPIED,
+        FaultKind.RELAYS_PAUSED,
     }
 )
 QUIET_START_S = 1.0
--- a/src/croftchute/standins/platform_wire.py
+++ b/src/croftchute/standins/platform_wire.py
@@ -50,6 +50,12 @@
     writer.write(b"%x\r\n%b\r\n" % (len(data), data))
 
 
+def write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Write something if the connection is still open."""
+    if not writer.transport.is_closing():
+        writer.write(data)
+
+
 def write_raw(writer: asyncio.StreamWriter, data: bytes) -> None:
     """Write a part of a body that ends with its connection."""
     writer.write(data)
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -24,6 +24,7 @@
     limit_unread,
     requests,
     write_chunk,
+    write_if_open,
     write_raw,
 )
 from croftchute.standins.worker_records import Arrival, Run, WorkerFaults
@@ -251,7 +252,7 @@
             if faults.rest_s:
                 refusal = Arrival(request_id=request.id, at=now, rest_s=faults.rest_s)
                 self.refusals.append(refusal)
-            self._refuse(writer, request, self._not_run() | self._rest())
+            self._send(writer, request, 503, self._not_run() | self._rest())
             return True
         is_prefill = request.headers.get("x-croftchute-stage") == "prefill"
         if is_prefill != (self.stage == "prefill"):
@@ -259,11 +260,11 @@
             return True
         source = request.headers.get("x-croftchute-kv-source", "")
         if source and faults.handles_lapse:
-            self._refuse(writer, request, self._not_run())
+            self._send(writer, request, 503, self._not_run())
             return True
         hold = request.headers.get("x-croftchute-kv-hold", "")
         if faults.has_no_room and hold and hold not in self.holds:
-            self._refuse(writer, request, self._not_run())
+            self._send(writer, request, 503, self._not_run())
             return True
         self.holds.discard(hold)
         run = self._begin_run(request, writer) if not is_prefill else None
@@ -443,20 +444,6 @@
             return self._reset(writer)
         return True
 
-    def _refuse(self, writer: asyncio.StreamWriter, request: Received, headers: Headers) -> None:
-        """Refuse a request, and send the refusal once more later if answers are copied."""
-        self._send(writer, request, 503, headers)
-        copy_after_s = self.faults.copies_refusals_s
-        if copy_after_s is not None:
-            loop = asyncio.get_running_loop()
-            loop.call_later(copy_after_s, self._send_if_open, writer, request, 503, headers)
-
-    def _send_if_open(
-        self, writer: asyncio.StreamWriter, request: Received, status: int, headers: Headers
-    ) -> None:
-        if not writer.transport.is_closing():
-            self._send(writer, request, status, headers)
-
     def _rest(self) -> Headers:
         return {"Retry-After": f"{self.faults.rest_s:g}"} if self.faults.rest_s else {}
 
@@ -479,4 +466,8 @@
         body: bytes = b"",
     ) -> None:
         headers = headers | self._wishes() | {"Content-Length": str(len(body))}
-        writer.write(encode_head(status, request, headers) + body)
+        answer = encode_head(status, request, headers) + body
+        writer.write(answer)
+        copy_after_s = self.faults.copies_answers_s
+        if request.id and copy_after_s is not None:
+            asyncio.get_running_loop().call_later(copy_after_s, write_if_open, writer, answer)
--- a/src/croftchute/standins/worker_records.py
+++ b/src/croftchute/standins/worker_records.py
@@ -37,8 +37,8 @@
     ``is_unframed`` has answers bear neither a length nor chunks, and end with their connection.
     ``is_leaving`` has all answers say so; ``rest_s`` is what refusals ask for as rest, if not 0.
     ``limit`` is what all answers name as the limit, if anything. ``health_status`` is what the
-    health path answers, after ``health_wait_s``. ``copies_refusals_s`` are the seconds after which
-    a refusal is sent once more, in the slot of the next answer; None for never.
+    health path answers, after ``health_wait_s``. ``copies_answers_s`` are the seconds after which
+    a whole answer to a request is sent once more, in the slot of the next one; None for never.
     """
 
     is_full: bool = False
@@ -53,7 +53,7 @@
     sends_surplus_first: bool = False
     lacks_stamp: bool = False
     handles_lapse: bool = False
-    copies_refusals_s: float | None = None
+    copies_answers_s: float | None = None
     cuts_body: bool = False
     is_unframed: bool = False
     is_leaving: bool = False
--- a/tests/platform_adapter/test_surplus_answers.py
+++ b/tests/platform_adapter/test_surplus_answers.py
@@ -18,7 +18,7 @@
         async with fleet() as made:
             box, decode, _ = await engines(made, decodes=1, work_s=0.15)
             decode[0].faults.handles_lapse = True
-            decode[0].faults.copies_refusals_s = copy_after_s
+            decode[0].faults.copies_answers_s = copy_after_s
             for number in range(4):
                 answer = await ask(box, "/stream/x", f"r{number}")
                 await asyncio.sleep(0.2)
@@ -51,7 +51,7 @@
             worker = await made.add_worker("w1", work_s=0.1)
             box = await made.add_box()
             await made.ready(box)
-            worker.faults.copies_refusals_s = 0.03
+            worker.faults.copies_answers_s = 0.03
             for number in range(4):
                 worker.faults.is_full = True
                 asking = asyncio.ensure_future(ask(box, "/once/x", f"r{number}"))
@@ -73,7 +73,7 @@
             worker = await made.add_worker("w1", work_s=0.1)
             box = await made.add_box()
             await made.ready(box)
-            worker.faults.copies_refusals_s = 0.03
+            worker.faults.copies_answers_s = 0.03
             worker.faults.is_full = True
             assert (await ask(box, "/once/x", "same")).status in PROMISES
             worker.faults.is_full = False
