Close connections whose answers have no end, by the bytes that came

Cause: the parser keeps headers and trailers without a bound, and reads sizes and extensions of chunks and answers to other requests as long as they come; only the time-out of the answer ended that.

What is not content is now counted outside of the parser, for workers, the store and other boxes alike, and the connection is closed past named bounds. Trailers are no headers any more.

--- a/src/croftchute/forwarding/http/failures.py
+++ b/src/croftchute/forwarding/http/failures.py
@@ -35,6 +35,10 @@
         super().__init__(Code.UPSTREAM_FAILED, message, ran=Ran.UNKNOWN)
 
 
+class AnswerEndlessError(ConnectionBrokenError):
+    """The server sent far more than an answer needs besides its content, and was cut off."""
+
+
 class CallerSlowError(ExchangeError):
     """The caller did not read its answer in the time it has; the worker is not at fault."""
 
--- a/src/croftchute/forwarding/http/http_client.py
+++ b/src/croftchute/forwarding/http/http_client.py
@@ -12,7 +12,12 @@
 
 import httptools
 
-from croftchute.forwarding.http.failures import ConnectFailedError, ConnectionBrokenError
+from croftchute.forwarding.http.answer_bounds import MAX_HEADERS, ReceivedBytes
+from croftchute.forwarding.http.failures import (
+    AnswerEndlessError,
+    ConnectFailedError,
+    ConnectionBrokenError,
+)
 from croftchute.forwarding.http.sent_ids import SentIds
 from croftchute.forwarding.http.silence import WORK, SilenceLimits, watch_for_silence
 from croftchute.tables.routing import HeaderList
@@ -70,7 +75,15 @@
         self.uses = 0
         self.skipped_answers = 0
         self.number = 0
+        self.is_endless = False
         self._sent_ids = SentIds()
+        self._received = ReceivedBytes()
+        self._piece_content = 0
+        self._piece_skipped = 0
+        self._is_in_head = False
+        self._chunks = 0
+        self._is_chunk_empty = False
+        self._is_behind_last_chunk = False
         self.body_bytes = 0
         self._expected: tuple[bytes, bytes] | None = None
         self._is_open_ended = False
@@ -102,12 +115,19 @@
             self.is_tainted = True
             self.abort()
             return
+        self._piece_content = self._piece_skipped = 0
+        was_chunk_empty, chunks_before = self._is_chunk_empty, self._chunks
         try:
             self._parser.feed_data(RECEIVED[:nbytes])
         except httptools.HttpParserError as error:
             if not self.is_complete:
                 self._fail(f"not an answer: {error}")
             self.is_tainted = True
+        # Any byte behind the size of a chunk is content, unless it was the last chunk.
+        is_same_chunk = self._chunks == chunks_before
+        self._is_behind_last_chunk = was_chunk_empty and self._is_chunk_empty and is_same_chunk
+        self._received.add(nbytes, content=self._piece_content, skipped=self._piece_skipped)
+        self._check_bounds()
         if len(self._parts) > MAX_WAITING_PARTS and self.transport is not None:
             self.transport.pause_reading()
 
@@ -124,6 +144,20 @@
             self._fail(f"connection lost: {exc}" if exc else "connection closed")
         self._changed.set()
 
+    def _check_bounds(self) -> None:
+        """Close the connection if the server sends far more than its answer needs."""
+        excess = self._received.excess
+        if not excess or (self._is_chunk_empty and not self._is_behind_last_chunk):
+            return
+        if self._is_behind_last_chunk and self.head is not None and not self._is_skipping:
+            self.is_complete = True
+        if not self.is_complete:
+            self.is_endless = True
+            self._fail(f"answer without end: {excess}")
+        self.is_tainted = True
+        self._changed.set()
+        self.abort()
+
     # What httptools calls.
 
     def on_message_begin(self) -> None:
@@ -132,17 +166,22 @@
             self.is_tainted = True
         self._headers = []
         self._status_text = b""
+        self._is_in_head = True
+        self._is_chunk_empty = False
 
     def on_status(self, status: bytes) -> None:
         """Collect the reason phrase."""
         self._status_text += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
-        self._headers.append((name.lower(), value))
+        """Collect a header; what comes behind a chunked body is dropped."""
+        self._received.headers += 1
+        if self._is_in_head and self._received.headers <= MAX_HEADERS:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Decide whether this is the answer that is waited for."""
+        self._is_in_head = False
         if self.is_complete:
             return
         status = self._parser.get_status_code()
@@ -155,16 +194,25 @@
         self.head = head
         self._changed.set()
 
+    def on_chunk_header(self) -> None:
+        """The size of a chunk has come, and its extensions."""
+        self._chunks += 1
+        self._is_chunk_empty = True
+
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body for the reader."""
+        self._is_chunk_empty = False
         if self._is_skipping or self.is_complete:
+            self._piece_skipped += len(body)
             return
+        self._piece_content += len(body)
         self._parts.append(bytes(body))
         self.body_bytes += len(body)
         self._changed.set()
 
     def on_message_complete(self) -> None:
         """The answer is whole, unless it was passed over."""
+        self._is_chunk_empty = False
         if self._is_skipping:
             self._is_skipping = False
             return
@@ -187,6 +235,7 @@
         self._error = ""
         self._parts.clear()
         self.body_bytes = 0
+        self._received = ReceivedBytes()
         self._expected = expected
         self._is_bodiless = is_bodiless
         self._is_open_ended = False
@@ -288,7 +337,8 @@
 
     def _raise_if_failed(self) -> None:
         if self._error:
-            raise ConnectionBrokenError(self._error)
+            kind = AnswerEndlessError if self.is_endless else ConnectionBrokenError
+            raise kind(self._error)
 
     def _fail(self, message: str) -> None:
         if not self._error:
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -9,7 +9,11 @@
 from croftchute.forwarding.dialect import PrefillHandle, Send, Verdict
 from croftchute.forwarding.http.backpressure import wait_for_caller
 from croftchute.forwarding.http.deadline import within
-from croftchute.forwarding.http.failures import CallerSlowError, ExchangeError
+from croftchute.forwarding.http.failures import (
+    AnswerEndlessError,
+    CallerSlowError,
+    ExchangeError,
+)
 from croftchute.forwarding.http.http_client import ClientConnection, ResponseHead
 from croftchute.forwarding.workers.advice_recording import record_advice, record_displaced
 from croftchute.forwarding.workers.crash_detection import check_after_broken_answer
@@ -24,6 +28,9 @@
 MAX_ANSWER_BYTES = 16 << 20
 """Longest complete answer in bytes: four times the longest request body."""
 
+ENDLESS = "endless"
+"""How an attempt ended whose answer had no end, in logs and metrics."""
+
 FAILURE_SCORE_CONNECT = 2.0
 """Failure score of a connection that could not be opened: the worker is probably gone."""
 
@@ -232,7 +239,8 @@
             check_after_broken_answer(
                 self.run.state, self.worker, self._crash_digest, parts=self._suspected_parts
             )
-        self._add_failure_score(weight, error.code.value, error.message)
+        outcome = ENDLESS if isinstance(error, AnswerEndlessError) else error.code.value
+        self._add_failure_score(weight, outcome, error.message)
 
     def record_silence(self, *, is_begun: bool) -> None:
         """Record that the worker is silent for too long, while its answer is still waited for."""
--- a/tests/platform_adapter/test_silent_readers.py
+++ b/tests/platform_adapter/test_silent_readers.py
@@ -46,6 +46,18 @@
     box.control.handler = begin
 
 
+async def answer_without_end(box):
+    """Send header lines for ever."""
+    await stop_following(box)
+
+    async def flood(exchange):
+        while not exchange.caller_has_left:
+            exchange._writer.write(b"HTTP/1.1 200 OK\r\n" + b"A: b\r\n" * 2000)
+            await asyncio.sleep(0.01)
+
+    box.control.handler = flood
+
+
 async def tell_old_news(box):
     """Answer as if the store went on answering, from what was known before."""
     await stop_following(box)
@@ -75,6 +87,7 @@
 TROUBLES = [
     stand_still,
     answer_half,
+    answer_without_end,
     tell_old_news,
     be_cut_off_from_the_store,
     be_killed,
