--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -234,12 +234,16 @@
         await asyncio.gather(*pauses)
 
     async def _pause_relays(self, fault: PlannedFault) -> None:
-        """All boxes that read the store for a hall stand still while a worker leaves."""
-        hall = _pick(HALLS, fault)
-        boxes_by_name = {box.name: box for box in self.boxes if box.hall == hall}
-        relays = rank_nodes(hall, boxes_by_name)[:RELAY_COUNT]
+        """All boxes that read the store for their hall stand still while a worker leaves.
+
+        Those of all halls do: boxes of another hall would tell of the change.
+        """
         for_s = RELAYS_PAUSED_S + fault.for_s
-        pauses = [self._signals.pause(boxes_by_name[name], for_s) for name in relays]
+        pauses = []
+        for hall in HALLS:
+            boxes_by_name = {box.name: box for box in self.boxes if box.hall == hall}
+            relays = rank_nodes(hall, boxes_by_name)[:RELAY_COUNT]
+            pauses += [self._signals.pause(boxes_by_name[name], for_s) for name in relays]
         await asyncio.gather(*pauses, self._drain_worker(fault), self._change_config(fault))
 
     async def _stop_box(self, fault: PlannedFault) -> None:
@@ -364,7 +368,7 @@
                 worker.faults,
                 copies_answers_s=copied_s,
                 handles_lapse=is_refusing and service == ENGINES,
-                is_full=is_refusing and service == DESK,
+                is_full=is_refusing,
             )
             await asyncio.sleep(REFUSING_SHARE_S)
         worker.faults = sound_but(worker.faults)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -37,6 +37,7 @@
     FaultKind.BOX_RELOAD,
     FaultKind.WORKER_DRAIN,
 )
+COPIES = (FaultKind.ANSWERS_COPIED, FaultKind.BOX_KILL, FaultKind.CONFIG_CHANGE)
 SHORT = [
     SoakSpec(seed=4, seconds=6.0, judge_times=False, kinds=FIRST_KINDS),
     SoakSpec(seed=21, seconds=6.0, judge_times=False, only_planned=True, kinds=FIRST_KINDS),
@@ -48,6 +49,7 @@
     SoakSpec(seed=58, seconds=12.0, judge_times=False, kinds=VERSIONS, engines=7),
     SoakSpec(seed=600, seconds=12.0, judge_times=False, kinds=PARTS, boxes=4),
     SoakSpec(seed=6708, seconds=8.0, judge_times=False, kinds=PAUSES, boxes=4),
+    SoakSpec(seed=8401, seconds=8.0, judge_times=False, kinds=COPIES),
 ]
 REGRESSIONS = [
     SoakSpec(
