--- a/tests/platform_adapter/test_hall_news.py
+++ b/tests/platform_adapter/test_hall_news.py
@@ -15,6 +15,16 @@
 BOXES = 8
 
 
+@pytest.fixture(autouse=True)
+def long_proofs(monkeypatch):
+    """Have no box read the store for want of a proof, as it would on a busy machine.
+
+    What these tests are about does not hang on that; test_silent_readers.py is about it.
+    """
+    monkeypatch.setattr(prefix_follower, "MIN_PROOF_AGE_S", 30.0)
+    monkeypatch.setattr(prefix_follower, "MAX_PROOF_AGE_S", 30.0)
+
+
 async def hall_of(made, count=BOXES):
     """Boxes that know each other, and those that read, by rank."""
     await made.add_worker("w1")
