--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 bench: $(STAMP)
 	$(PY) -m croftchute.bench.main
+	$(PY) -m croftchute.bench.endless_answers
 
 limits: $(STAMP)
 	$(PY) -m croftchute.bench.worker_limits
--- a/src/croftchute/forwarding/http/answer_bounds.py
+++ b/src/croftchute/answer_bounds.py
@@ -19,6 +19,9 @@
 MAX_SKIPPED_BYTES = 1 << 20
 """Most bytes of content in answers that are passed over, as they belong to earlier requests."""
 
+MAX_MESSAGES = 64
+"""Most answers ahead of or behind the one that is due, interim ones among them."""
+
 MAX_HEADERS = 256
 """Most headers of an answer, with those of interim answers: each takes far more memory than its
 bytes."""
@@ -42,6 +45,7 @@
     framing: int = 0
     framing_since_content: int = 0
     headers: int = 0
+    messages: int = 0
 
     def add(self, size: int, *, content: int, skipped: int) -> None:
         """Count a piece of ``size`` bytes, with what it held of content."""
@@ -59,6 +63,8 @@
         """What there is too much of; empty if nothing."""
         if self.headers > MAX_HEADERS:
             return f"over {MAX_HEADERS} headers"
+        if self.messages > MAX_MESSAGES:
+            return f"over {MAX_MESSAGES} answers"
         if self.framing_since_content > MAX_FRAMING_BYTES:
             return f"{self.framing_since_content} bytes without content"
         if self.skipped > MAX_SKIPPED_BYTES:
--- a/src/croftchute/forwarding/http/connection_pool.py
+++ b/src/croftchute/forwarding/http/connection_pool.py
@@ -16,15 +16,18 @@
 
 
 async def open_connection(
-    host: str, port: int, timeout_s: float, *, limits: SilenceLimits = WORK
+    host: str,
+    port: int,
+    timeout_s: float,
+    *,
+    limits: SilenceLimits = WORK,
+    kind: type[ClientConnection] = ClientConnection,
 ) -> ClientConnection:
     """Connect within some time; raises :class:`ConnectFailedError`."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, protocol = await loop.create_connection(
-                lambda: ClientConnection(limits=limits), host, port
-            )
+            _, protocol = await loop.create_connection(lambda: kind(limits=limits), host, port)
     except ConnectionRefusedError as error:
         raise ConnectRefusedError(f"{host}:{port}: {error}") from None
     except TimeoutError:
--- a/src/croftchute/forwarding/http/http_client.py
+++ b/src/croftchute/forwarding/http/http_client.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from croftchute.forwarding.http.answer_bounds import MAX_HEADERS, ReceivedBytes
+from croftchute.answer_bounds import MAX_HEADERS, ReceivedBytes
 from croftchute.forwarding.http.failures import (
     AnswerEndlessError,
     ConnectFailedError,
@@ -28,6 +28,10 @@
 """Most bytes that are read from a socket at once: what a reader that stops leaves unread. The event
 loop's own way takes four times as much, in a new piece of memory for each reading."""
 
+HEAD_PIECE_BYTES = 4096
+"""Bytes that are parsed at once until the head of the answer has come, so that little is parsed
+beyond the bounds of an answer."""
+
 RECEIVED = memoryview(bytearray(RECEIVE_BYTES))
 """What was read last, by any connection: it is parsed before the event loop reads again. A process
 has one event loop."""
@@ -115,10 +119,20 @@
             self.is_tainted = True
             self.abort()
             return
+        start = 0
+        while start < nbytes and not self.is_tainted:
+            size = nbytes - start if self.head is not None else HEAD_PIECE_BYTES
+            self._parse(RECEIVED[start : min(start + size, nbytes)])
+            start += size
+        if len(self._parts) > MAX_WAITING_PARTS and self.transport is not None:
+            self.transport.pause_reading()
+
+    def _parse(self, piece: memoryview) -> None:
+        """Parse a piece of what has come, and close the connection if there is too much of it."""
         self._piece_content = self._piece_skipped = 0
         was_chunk_empty, chunks_before = self._is_chunk_empty, self._chunks
         try:
-            self._parser.feed_data(RECEIVED[:nbytes])
+            self._parser.feed_data(piece)
         except httptools.HttpParserError as error:
             if not self.is_complete:
                 self._fail(f"not an answer: {error}")
@@ -126,10 +140,8 @@
         # Any byte behind the size of a chunk is content, unless it was the last chunk.
         is_same_chunk = self._chunks == chunks_before
         self._is_behind_last_chunk = was_chunk_empty and self._is_chunk_empty and is_same_chunk
-        self._received.add(nbytes, content=self._piece_content, skipped=self._piece_skipped)
+        self._received.add(len(piece), content=self._piece_content, skipped=self._piece_skipped)
         self._check_bounds()
-        if len(self._parts) > MAX_WAITING_PARTS and self.transport is not None:
-            self.transport.pause_reading()
 
     def eof_received(self) -> bool:
         """The peer has ended its side; an answer without a length is whole then."""
@@ -162,6 +174,7 @@
 
     def on_message_begin(self) -> None:
         """A new answer begins; after a whole one it is surplus."""
+        self._received.messages += 1
         if self.is_complete:
             self.is_tainted = True
         self._headers = []
--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -25,7 +25,7 @@
 from croftchute.soak.wishes import TellingWorkers
 from croftchute.soak.worker_limits import LimitingWorkers
 from croftchute.soak.world import DESK, ENGINES, HALLS, ListedWorker, SoakWorld
-from croftchute.standins.worker_records import sound_but
+from croftchute.standins.worker_records import ENDLESS_ANSWERS, sound_but
 from croftchute.systems.hall_relays import RELAY_COUNT
 from croftchute.systems.rendezvous import rank_nodes
 
@@ -181,6 +181,7 @@
             FaultKind.WORKERS_PAUSED: paused.strike,
             FaultKind.ANSWERS_COPIED: self._copy_answers,
             FaultKind.RELAYS_PAUSED: self._pause_relays,
+            FaultKind.ANSWERS_ENDLESS: self._answer_without_end,
         }
 
     @property
@@ -373,6 +374,17 @@
             await asyncio.sleep(REFUSING_SHARE_S)
         worker.faults = sound_but(worker.faults)
 
+    async def _answer_without_end(self, fault: PlannedFault) -> None:
+        """A worker answers each call, holds and prompts too, with bytes that never end."""
+        service = (DESK, ENGINES)[fault.pick % 2]
+        listed = _pick(self.world.live(service), fault)
+        self.disturbances.note(listed.worker.id, self.now, self.now + fault.for_s)
+        worker = listed.worker
+        endless = ENDLESS_ANSWERS[fault.pick % len(ENDLESS_ANSWERS)]
+        worker.faults = sound_but(worker.faults, endless=endless)
+        await asyncio.sleep(fault.for_s)
+        worker.faults = sound_but(worker.faults)
+
     async def _say_leaving(self, fault: PlannedFault) -> None:
         """A worker says that it leaves in its answers only, and another one stands for it."""
         listed = self._victim(fault)
--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -48,6 +48,7 @@
     WORKERS_PAUSED = "workers_paused"
     ANSWERS_COPIED = "answers_copied"
     RELAYS_PAUSED = "relays_paused"
+    ANSWERS_ENDLESS = "answers_endless"
 
 
 LATER_KINDS = frozenset(
@@ -63,6 +64,7 @@
         FaultKind.WORKERS_PAUSED,
         FaultKind.ANSWERS_COPIED,
         FaultKind.RELAYS_PAUSED,
+        FaultKind.ANSWERS_ENDLESS,
     }
 )
 FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
@@ -100,6 +102,7 @@
         FaultKind.LINKS_CUT,
         FaultKind.ANSWERS_COPIED,
         FaultKind.RELAYS_PAUSED,
+        FaultKind.ANSWERS_ENDLESS,
     }
 )
 QUIET_START_S = 1.0
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -27,13 +27,16 @@
     write_if_open,
     write_raw,
 )
-from croftchute.standins.worker_records import Arrival, Run, WorkerFaults
+from croftchute.standins.worker_records import Arrival, EndlessAnswer, Run, WorkerFaults
 
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 MAX_SHOWN_CHARS = 24
 
+FLOOD_REPEATS = 200
+"""Times that an answer without an end repeats its bytes in one write."""
+
 SLOW_PATH = "/slow/"
 """Part of a path whose streams keep ``slow_gap_s`` between events in place of ``gap_s``."""
 
@@ -201,6 +204,8 @@
         if expected is not None and expected != self.id and not is_hold:
             self._send(writer, request, 421, {"X-Croftchute-Instance-Id": self.id})
             return True
+        if self.faults.endless is not None:
+            return await self._flood(request, writer, self.faults.endless)
         if request.path == "/hold-take":
             return self._take_hold(request, writer)
         if request.path.startswith("/hold-drop/"):
@@ -229,6 +234,25 @@
             return True
         return await self._run(request, reader, writer)
 
+    async def _flood(
+        self, request: Received, writer: asyncio.StreamWriter, answer: EndlessAnswer
+    ) -> bool:
+        """Answer without an end, until the caller closes."""
+        is_run = bool(request.id) and request.headers.get("x-croftchute-stage") != "prefill"
+        run = self._begin_run(request, writer) if is_run else None
+        try:
+            if answer.head:
+                headers = {"X-Croftchute-Server-Stamp": STAMP, "Transfer-Encoding": "chunked"}
+                writer.write(encode_head(200, request, headers))
+            writer.write(answer.first)
+            while not writer.transport.is_closing():
+                writer.write(answer.repeated * FLOOD_REPEATS)
+                await writer.drain()
+        finally:
+            if run is not None:
+                run.ended_at = asyncio.get_running_loop().time()
+        return False
+
     def _take_hold(self, request: Received, writer: asyncio.StreamWriter) -> bool:
         if self.faults.has_no_room or self.free_holds == 0:
             self._send(writer, request, 503, self._rest() | self._load())
--- a/src/croftchute/standins/worker_records.py
+++ b/src/croftchute/standins/worker_records.py
@@ -30,6 +30,25 @@
     rest_s: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndlessAnswer:
+    """An answer that begins and then goes on for ever; ``head`` says that it has the usual head."""
+
+    head: bool
+    first: bytes
+    repeated: bytes
+
+
+ENDLESS_ANSWERS = (
+    EndlessAnswer(head=False, first=b"HTTP/1.1 200 OK\r\n", repeated=b"A: b\r\n"),
+    EndlessAnswer(head=False, first=b"HTTP/1.1 200 ", repeated=b"O"),
+    EndlessAnswer(head=False, first=b"", repeated=b"HTTP/1.1 100 Continue\r\n\r\n"),
+    EndlessAnswer(head=True, first=b"", repeated=b"0"),
+    EndlessAnswer(head=True, first=b"2;", repeated=b"x"),
+    EndlessAnswer(head=True, first=b"0\r\n", repeated=b"A: b\r\n"),
+)
+
+
 @dataclass(kw_only=True)
 class WorkerFaults:
     """What goes wrong at the worker at the moment; numbers count events of a stream.
@@ -39,6 +58,7 @@
     ``limit`` is what all answers name as the limit, if anything. ``health_status`` is what the
     health path answers, after ``health_wait_s``. ``copies_answers_s`` are the seconds after which
     a whole answer to a request is sent once more, in the slot of the next one; None for never.
+    ``endless`` is what it answers to every call.
     """
 
     is_full: bool = False
@@ -54,6 +74,7 @@
     lacks_stamp: bool = False
     handles_lapse: bool = False
     copies_answers_s: float | None = None
+    endless: EndlessAnswer | None = None
     cuts_body: bool = False
     is_unframed: bool = False
     is_leaving: bool = False
--- a/src/croftchute/upstreams/http_engine.py
+++ b/src/croftchute/upstreams/http_engine.py
@@ -18,6 +18,7 @@
 import msgspec
 import urllib3
 
+from croftchute.answer_bounds import ReceivedBytes
 from croftchute.errors import Code, Ran, UpstreamError
 from croftchute.retry_after import TURNED_AWAY, rest_seconds
 from croftchute.systems.prefix_index import CacheEvent
@@ -59,6 +60,7 @@
             raise UpstreamError(Code.UPSTREAM_FAILED, "stream: no connection", ran=Ran.RAN)
         self._socket: socket.socket = sock
         self._socket.setblocking(False)
+        self._received = ReceivedBytes()
         self._parser = httptools.HttpResponseParser(self)
         # The status line and headers were read by urllib3; the parser only has to know framing.
         self._parser.feed_data(CHUNKED_HEAD)
@@ -84,6 +86,10 @@
         except httptools.HttpParserError as error:
             raise UpstreamError(Code.UPSTREAM_FAILED, f"stream: {error}", ran=Ran.RAN) from None
         parts, self._parts = self._parts, []
+        self._received.add(len(data), content=sum(map(len, parts)), skipped=0)
+        if not self._complete and (excess := self._received.excess):
+            message = f"stream without end: {excess}"
+            raise UpstreamError(Code.UPSTREAM_FAILED, message, ran=Ran.RAN)
         return parts
 
     def on_body(self, body: bytes) -> None:
--- a/tests/forwarding/http/test_endless_answers.py
+++ b/tests/forwarding/http/test_endless_answers.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from croftchute.forwarding.http.answer_bounds import (
+from croftchute.answer_bounds import (
     MAX_FRAMING_BYTES,
     MAX_FRAMING_RATIO,
     MAX_HEADERS,
@@ -53,7 +53,7 @@
         super().buffer_updated(nbytes)
 
 
-async def exchange(monkeypatch, first, repeated):
+async def exchange(first, repeated):
     """The connection, and the body or the error of an exchange with a server without an end."""
 
     async def serve(reader, writer):
@@ -66,12 +66,9 @@
         except ConnectionError:
             pass
 
-    monkeypatch.setattr(
-        "croftchute.forwarding.http.connection_pool.ClientConnection", CountingConnection
-    )
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
-    connection = await open_connection("127.0.0.1", port, 5.0)
+    connection = await open_connection("127.0.0.1", port, 5.0, kind=CountingConnection)
     connection.send(b"GET / HTTP/1.1\r\n\r\n", expected=EXPECTED)
     try:
         async with asyncio.timeout(10.0):
@@ -84,11 +81,11 @@
 
 
 @pytest.mark.parametrize("name", ENDLESS_BY_NAME)
-def test_an_answer_without_end_is_cut_off_by_its_bytes(name, monkeypatch):
+def test_an_answer_without_end_is_cut_off_by_its_bytes(name):
     """Guards against memory and time that a server takes which sends no answer for ever."""
 
     async def body():
-        connection, found = await exchange(monkeypatch, *ENDLESS_BY_NAME[name])
+        connection, found = await exchange(*ENDLESS_BY_NAME[name])
         assert isinstance(found, AnswerEndlessError)
         assert connection.is_endless and connection.transport.is_closing()
         assert connection.read_bytes <= MAX_READ_BYTES
@@ -99,12 +96,12 @@
 
 
 @pytest.mark.parametrize("name", TRAILERS_BY_NAME)
-def test_an_answer_whose_trailers_have_no_end_is_whole(name, monkeypatch):
+def test_an_answer_whose_trailers_have_no_end_is_whole(name):
     """Guards against memory that trailers take, and against a whole answer that is not given."""
 
     async def body():
         first = CHUNKED + b"2\r\nok\r\n3\r\nay!\r\n0\r\n"
-        connection, found = await exchange(monkeypatch, first, TRAILERS_BY_NAME[name])
+        connection, found = await exchange(first, TRAILERS_BY_NAME[name])
         assert found == b"okay!"
         assert connection.transport.is_closing() and not connection.finish(0.0)
         assert connection.read_bytes <= MAX_READ_BYTES
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -38,6 +38,7 @@
     FaultKind.WORKER_DRAIN,
 )
 COPIES = (FaultKind.ANSWERS_COPIED, FaultKind.BOX_KILL, FaultKind.CONFIG_CHANGE)
+ENDLESS = (FaultKind.ANSWERS_ENDLESS, FaultKind.BOX_STOP, FaultKind.WORKER_CRASH)
 SHORT = [
     SoakSpec(seed=4, seconds=6.0, judge_times=False, kinds=FIRST_KINDS),
     SoakSpec(seed=21, seconds=6.0, judge_times=False, only_planned=True, kinds=FIRST_KINDS),
@@ -50,6 +51,7 @@
     SoakSpec(seed=600, seconds=12.0, judge_times=False, kinds=PARTS, boxes=4),
     SoakSpec(seed=6708, seconds=8.0, judge_times=False, kinds=PAUSES, boxes=4),
     SoakSpec(seed=8401, seconds=8.0, judge_times=False, kinds=COPIES),
+    SoakSpec(seed=8501, seconds=8.0, judge_times=False, kinds=ENDLESS),
 ]
 REGRESSIONS = [
     SoakSpec(
