--- a/tests/platform_adapter/test_hall_news.py
+++ b/tests/platform_adapter/test_hall_news.py
@@ -271,7 +271,7 @@
                 made.store.calls.clear()
             for made_calls in calls.values():
                 failed = [prefix for prefix in made_calls if prefix in ("op/config", "servers/")]
-                assert all(failed.count(prefix) <= 2 for prefix in failed), made_calls
+                assert all(failed.count(prefix) == 1 for prefix in failed), made_calls
 
     run(body)
 
