--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -26,6 +26,7 @@
 from croftchute.forwarding.http.exchange import Exchange
 from croftchute.forwarding.http.held_answers import HeldAnswers
 from croftchute.forwarding.http.http_server import HttpIngress
+from croftchute.forwarding.loop_delay import LoopDelay
 from croftchute.forwarding.state import LEARN_PEERS_S, ForwardingState
 from croftchute.forwarding.store.catch_up import catch_ups
 from croftchute.forwarding.store.crash_register import CrashRegister
@@ -167,6 +168,7 @@
             held=self.held,
         )
         self.health = HttpIngress(handler=self._answer_health, limits=IngressLimits)
+        self.loop_delay = LoopDelay(state=state, open_requests=lambda: self.ingress.open_requests)
         self.control = HttpIngress(handler=self._answer_peer, limits=self._peer_limits)
         self.metrics = HttpIngress(handler=self._answer_health, limits=IngressLimits)
         self.is_stopping = False
@@ -261,6 +263,7 @@
             *(Task(name="catch_up", work=catch_up.run) for catch_up in self.catch_ups),
             Task(name="worker_links", work=self.link_probe.run),
             Task(name="sweep", work=self._sweep),
+            Task(name="loop_delay", work=self.loop_delay.run),
             Task(name="log", work=lambda: self.state.log.keep_flushing(FLUSH_S)),
         ]
         if self.settings_path is not None:
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -31,6 +31,7 @@
 
     STARTED = "started"
     SUSPENDED = "suspended"
+    LOOP_DELAYED = "loop_delayed"
     STOPPING = "stopping"
     STOPPED = "stopped"
     TAKEN_WHILE_STOPPING = "taken_while_stopping"
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -98,6 +98,11 @@
             **own,
         )
         self.open = Gauge("croftchute_open_requests", "Requests that are open", **own)
+        self.loop_delay = Gauge(
+            "croftchute_loop_delay_seconds",
+            "Longest delay of the event loop in the last second",
+            **own,
+        )
         self.links_lost = Gauge(
             "croftchute_worker_links_lost", "1 while this box reaches no worker, else 0", **own
         )
