--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -36,7 +36,9 @@
     WorkerPermits,
     usage_limit,
 )
+from croftchute.forwarding.callers.forwarder import Forwarder  # noqa: E402
 from croftchute.forwarding.http.connection_pool import ConnectionPool  # noqa: E402
+from croftchute.forwarding.http.exchange import Exchange  # noqa: E402
 from croftchute.forwarding.http.failures import AnswerLateError  # noqa: E402
 from croftchute.forwarding.http.http_client import ClientConnection  # noqa: E402
 from croftchute.forwarding.http.silence import SilenceLimits  # noqa: E402
@@ -318,6 +320,19 @@
     ConnectionPool.connect = connect  # type: ignore[method-assign]
 
 
+def slow_down_requests(request_s: float) -> None:
+    """Have each request of a caller cost the box some seconds more of the processor."""
+    serve = Forwarder.handle
+
+    async def handle(self: Forwarder, exchange: Exchange) -> None:
+        end = time.process_time() + request_s
+        while time.process_time() < end:
+            pass
+        await serve(self, exchange)
+
+    Forwarder.handle = handle  # type: ignore[method-assign]
+
+
 def any_version() -> None:
     """Continue streams at workers of any software version."""
 
@@ -390,6 +405,8 @@
         shift_clock(alteration["clock_offset_s"])
     if alteration["worker_host"]:
         connect_over_own_links(alteration["worker_host"], alteration["store_port"])
+    if alteration["request_ms"]:
+        slow_down_requests(alteration["request_ms"] / 1000.0)
     if alteration["broken"]:
         BROKEN[alteration["broken"]]()
     runpy.run_path(str(ROOT / "platform" / "start.py"), run_name="__main__")
--- a/src/croftchute/soak/boxes.py
+++ b/src/croftchute/soak/boxes.py
@@ -45,12 +45,14 @@
 
     With ``worker_host`` the box connects to that address in place of the workers' own, at the same
     port, where links lead that are its own; ``store_port`` is the port that is not a worker's.
+    Each request costs the box ``request_ms`` more of the processor.
     """
 
     clock_offset_s: float = 0.0
     broken: str = ""
     worker_host: str = ""
     store_port: int = 0
+    request_ms: float = 0.0
 
     def encode(self) -> str:
         """As the altered program reads it."""
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -59,6 +59,7 @@
     ``crashes_on_parts`` before its last part, and when it begins to read one ahead that has one of
     ``crashes_on_reading_parts`` there. ``load`` is what its answers tell as the load,
     but for those to prefill calls; empty has plain answers tell a fixed one, and others none.
+    ``prompts_read`` are the requests of prefill calls that it has taken up and answered.
     ``software`` is the version that its entry and its events show.
     ``event_bytes`` is the size of an event's data and ``answer_bytes`` that of a whole answer, if
     not 0. A stream that is not read for ``unread_s`` seconds is cut off, if that is not 0.
@@ -84,6 +85,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     refusals: list[Arrival] = field(default_factory=list)
     handle_ttl_s: float = 3600.0
+    prompts_read: list[str] = field(default_factory=list)
     cut_off: list[str] = field(default_factory=list)
     dropped: list[str] = field(default_factory=list)
     finished: list[str] = field(default_factory=list)
@@ -341,6 +343,7 @@
         if is_prefill:
             handle = f"handle-{next(self._numbers)}"
             self.handles.add(handle)
+            self.prompts_read.append(request.id)
             loop = asyncio.get_running_loop()
             loop.call_later(self.handle_ttl_s, self.handles.discard, handle)
             body = msgspec.json.encode({"KvHandle": handle, "Tokens": 10, "Version": 1})
