Read no more new connections than the box can serve, and close the others unread

What callers saw: a box that got more new connections than it could serve answered next to none of the requests that it had read, and callers waited out their deadlines. Most of what its hall sent was lost while its workers, and other boxes, were idle.

Cause: each connection was accepted and read as it came, and all requests shared the processor. Past the rate that a box can serve, each turn of the event loop took longer for each request under way, so that none got through its turns in time; its own time-outs of 80 ms lapsed on sound workers. Nothing bounded what was taken in, and the ready address was late like all else.

Change: a connection is read behind each turn of the loop, if that was short. The longer the turns, the fewer are read: the box takes in what it can serve, without a rate that had to be known. Those that wait for 0.4 s, or 0.05 s once some have waited without a break, are reset unread, which callers take to another box at once. A box that sheds for a second is not ready, if few others of its hall stand back by their notices, and ready again a second after the last one. Open connections of callers are bounded by half of the descriptors; those that rest longest make room. Running out of descriptors pauses accepting.

A test of silent workers took it that 40 requests of one moment choose their worker before any is sent. They are read one after the other now and spread over both: it makes one of them less attractive, and its bound stays.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -27,6 +27,7 @@
 from croftchute.forwarding.http.held_answers import HeldAnswers
 from croftchute.forwarding.http.http_server import HttpIngress
 from croftchute.forwarding.loop_delay import LoopDelay
+from croftchute.forwarding.overload_watch import OverloadWatch
 from croftchute.forwarding.state import LEARN_PEERS_S, ForwardingState
 from croftchute.forwarding.store.catch_up import catch_ups
 from croftchute.forwarding.store.crash_register import CrashRegister
@@ -159,12 +160,20 @@
         )
         self.forwarded = ForwardedRequests(
             state=state, forwarder=self.forwarder, own_open=lambda: self.ingress.open_requests
+        self.overload_watch = OverloadWatch(
+            state=state,
+            on_change=self._note_overload,
+            open_requests=lambda: self.ingress.open_requests,
+        )
         )
         self.ingress = HttpIngress(
             handler=self.forwarder.handle,
             limits=state.limits,
             turn_away=self.forwarder.refuse_while_stopping,
             clock=state.clock,
+            paces_intake=True,
+            max_connections=settings.max_caller_connections,
+            on_shed=self.overload_watch.note_shed,
             held=self.held,
         )
         self.health = HttpIngress(handler=self._answer_health, limits=IngressLimits)
@@ -220,6 +229,7 @@
         return (
             self.state.table is not None
             and bool(self.state.workers.tracked_by_id)
+            and not self.state.overload.is_standing_back
             and not self.is_stopping
             and not (self.state.ways.cut_off.stands_back and self.state.links.are_lost)
         )
@@ -263,6 +273,7 @@
             *(Task(name="catch_up", work=catch_up.run) for catch_up in self.catch_ups),
             Task(name="worker_links", work=self.link_probe.run),
             Task(name="sweep", work=self._sweep),
+            Task(name="overload", work=self.overload_watch.run),
             Task(name="loop_delay", work=self.loop_delay.run),
             Task(name="log", work=lambda: self.state.log.keep_flushing(FLUSH_S)),
         ]
@@ -394,6 +405,11 @@
         """The links to all workers were lost or restored: peers are to know before they ask."""
         self.exchange.tell_soon()
         self._note_readiness()
+    def _note_overload(self) -> None:
+        """This box stands back or does not any more: the others of its hall count on that."""
+        self.exchange.tell_soon()
+        self._note_readiness()
+
 
     def _peer_limits(self) -> IngressLimits:
         """What other boxes may send: whatever callers may, and the terms of passing it on."""
@@ -440,6 +456,7 @@
             outcome="ready" if self.is_ready else "not_ready",
             config_version=self.state.table.version if self.state.table else 0,
             workers=len(self.state.workers.tracked_by_id),
+            stands_back=self.state.overload.is_standing_back,
             is_stopping=self.is_stopping,
         )
 
--- a/src/croftchute/forwarding/boxes/peer_exchange.py
+++ b/src/croftchute/forwarding/boxes/peer_exchange.py
@@ -261,6 +261,7 @@
             paces=state.paces.notices(now),
             reaches_workers=self._reaches_workers(),
             continues_by_version=True,
+            stands_back=state.overload.is_standing_back,
         )
 
     def _reaches_workers(self) -> bool:
--- a/src/croftchute/forwarding/http/http_server.py
+++ b/src/croftchute/forwarding/http/http_server.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import math
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -17,6 +18,7 @@
 import httptools
 
 from croftchute.forwarding.http.caller_writer import CallerWriter
+from croftchute.forwarding.http.connection_intake import ConnectionIntake, ShedCause
 from croftchute.forwarding.http.exchange import Arrival, Exchange, IncomingRequest, encode_head
 from croftchute.forwarding.http.held_answers import HeldAnswers
 from croftchute.forwarding.http.silence import ACCEPTED, watch_for_silence
@@ -60,7 +62,7 @@
         self._is_reading = False
         self._connected_at = self.server.clock()
         self._requests_read = 0
-        self._resting_since = self._loop.time()
+        self.resting_since = self._loop.time()
         self._begin_message()
 
     @property
@@ -293,12 +295,12 @@
 
     def _rest(self) -> None:
         """Wait for a request for as long as a connection may rest."""
-        self._resting_since = self._loop.time()
+        self.resting_since = self._loop.time()
         self._wait_for(self.server.limits().idle_timeout_s)
 
     def _rest_left_s(self) -> float:
         """Seconds for which the connection may still rest, by the limits in force now."""
-        rested_s = self._loop.time() - self._resting_since
+        rested_s = self._loop.time() - self.resting_since
         return self.server.limits().idle_timeout_s - rested_s
 
     def _wait_for(self, seconds: float) -> None:
@@ -321,12 +323,19 @@
                 self.close_soon()
 
 
+def _ignore_shed(cause: ShedCause, now: float) -> None:
+    """Nobody counts connections that are closed unread."""
+
+
 class HttpIngress:
     """Listens for callers and hands their requests to a handler.
 
     ``clock`` tells when requests come. Once the entry is over, they go to ``turn_away`` instead,
     whatever way they came: on a kept connection, behind another request, read in parts, or on a
     connection that was accepted late. ``held`` counts and bounds what is held for callers.
+    With ``paces_intake`` connections are read no faster than their requests are served;
+    ``on_shed`` is called for each that is closed unread. ``max_connections`` bounds how many are
+    open then, 0 for no bound.
     """
 
     def __init__(
@@ -337,6 +346,9 @@
         turn_away: Handler | None = None,
         clock: Callable[[], float] = steady_s,
         held: HeldAnswers | None = None,
+        paces_intake: bool = False,
+        max_connections: int = 0,
+        on_shed: Callable[[ShedCause, float], None] = _ignore_shed,
     ) -> None:
         self.handler = handler
         self.limits = limits
@@ -346,6 +358,9 @@
         self.entry_ends_at = math.inf
         self.connections: set[CallerConnection] = set()
         self.is_stopping = False
+        self.max_connections = max_connections
+        self.on_shed = on_shed
+        self.intake = ConnectionIntake(owner=self, clock=clock) if paces_intake else None
         self._server: asyncio.Server | None = None
 
     @property
@@ -373,11 +388,16 @@
     @property
     def port(self) -> int:
         """The port that is listened on."""
+        if self.intake is not None:
+            return self.intake.port
         assert self._server is not None
         return int(self._server.sockets[0].getsockname()[1])
 
     async def listen(self, host: str, port: int) -> None:
         """Begin to accept connections."""
+        if self.intake is not None:
+            self.intake.listen(host, port)
+            return
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: CallerConnection(server=self), host, port, backlog=512
@@ -385,6 +405,8 @@
 
     def stop_accepting(self) -> None:
         """Take no new connections."""
+        if self.intake is not None:
+            self.intake.close()
         if self._server is not None:
             self._server.close()
 
@@ -393,3 +415,28 @@
         for connection in list(self.connections):
             if not connection.is_busy:
                 connection.close_soon()
+
+    # What the intake calls.
+
+    async def begin(self, connection: socket.socket) -> None:
+        """Begin to read a connection that was accepted."""
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(lambda: CallerConnection(server=self), connection)
+        except OSError:
+            # The caller has reset it in the meantime.
+            connection.close()
+
+    def make_room(self) -> bool:
+        """Return whether one more connection may be open; close the one that rested longest."""
+        if not self.max_connections or len(self.connections) < self.max_connections:
+            return True
+        idle = [connection for connection in self.connections if not connection.is_busy]
+        if not idle:
+            return False
+        min(idle, key=lambda connection: connection.resting_since).close_soon()
+        return True
+
+    def note_shed(self, cause: ShedCause, now: float) -> None:
+        """Report a connection that was closed unread."""
+        self.on_shed(cause, now)
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -30,6 +30,7 @@
 from croftchute.systems.failover_pace import FailoverPace
 from croftchute.systems.fair_shares import OrganisationUse, ShareUsage, share_usage_by_name
 from croftchute.systems.first_tries import FirstTryTimes
+from croftchute.systems.overload import Overload
 from croftchute.systems.part_crashes import PartCrashes
 from croftchute.systems.peer_table import PeerTable
 from croftchute.systems.plain_queue import WorkTimesByService
@@ -147,6 +148,7 @@
     on_link_trouble: Callable[[float], None] = lambda _: None
     confirm_links: Callable[[], Awaitable[bool]] = _links_hold
     paces: WorkerPaces = field(default_factory=WorkerPaces)
+    overload: Overload = field(default_factory=Overload)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     knowledge_limits: SilenceLimits = KNOWLEDGE
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -98,6 +98,11 @@
             **own,
         )
         self.open = Gauge("croftchute_open_requests", "Requests that are open", **own)
+        self.connections_shed = Counter(
+            "croftchute_connections_shed_total",
+            "Connections of callers that were closed unread, by cause",
+            **own,
+        )
         self.loop_delay = Gauge(
             "croftchute_loop_delay_seconds",
             "Longest delay of the event loop in the last second",
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -188,7 +188,8 @@
     those that named a limit in the same way. ``paces`` are told of workers that tell theirs.
     ``reaches_workers`` also says that the sender serves requests for boxes that do not; boxes of
     earlier versions leave it out, and ``continues_by_version``: see
-    :class:`croftchute.tables.peers.Peer`.
+    :class:`croftchute.tables.peers.Peer`. ``stands_back`` says that the sender asks the load
+    balancer for no new connections, as it gets more than it can serve.
     """
 
     started_at: float
@@ -208,6 +209,7 @@
     paces: tuple[WorkerPaceNotice, ...] = ()
     reaches_workers: bool = False
     continues_by_version: bool = False
+    stands_back: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -243,6 +243,7 @@
   pacesColumns @15 :WorkerPaceNoticeColumns;
   reachesWorkers @16 :Bool;
   continuesByVersion @17 :Bool;
+  standsBack @18 :Bool;
 }
 
 struct WorkerPaceNoticeColumns {
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -16,6 +16,9 @@
 from croftchute.systems.worker_links import CutOffMode
 from croftchute.tables.organisations import LimitMode
 
+FILE_DESCRIPTORS = 200
+"""Descriptors of a process that are kept for files."""
+
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Text = Annotated[str, msgspec.Meta(min_length=1)]
@@ -108,8 +111,17 @@
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     reload_check_s: Positive = 2.0
+    max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
 
     @property
+    @property
+    def max_caller_connections(self) -> int:
+        """Most open connections of callers: half of the descriptors for sockets; 0 for no bound.
+
+        The others are for workers, the store and other boxes.
+        """
+        return max(1, (self.max_fds - FILE_DESCRIPTORS) // 2) if self.max_fds else 0
+
     def held_memory_mb(self) -> float:
         """The memory that bounds what is held for slow readers; 0 where nobody reads slowly."""
         return self.memory_mb if self.conditions.pressure else 0.0
--- /dev/null
+++ b/src/croftchute/systems/intake_queue.py
@@ -0,0 +1,81 @@
+"""Which of the connections that wait to be read is read next, and which are closed unread.
+
+A box reads one new connection in each turn of its event loop. The more requests are under way, the
+longer a turn takes, and the fewer connections are read: the box takes in what it can serve. Callers
+of connections that are closed unread know that nothing ran, and turn to another box at once.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+MAX_WAITING = 256
+"""Most connections that wait; the kernel may hold some bytes for each."""
+
+MAX_TURN_S = 0.02
+"""Longest turn of the event loop in seconds behind which a connection is read: a few of these must
+fit into the shortest time-out of a call of a worker (0.08 s)."""
+
+BURST_WAIT_S = 0.4
+"""Longest wait in seconds while the queue is empty now and then: callers give a request up that is
+not read within a third of their time, half a second for the shortest deadlines."""
+
+CROWDED_AFTER_S = 0.4
+"""Seconds for which connections must have waited without a break for the box to be crowded. Boxes
+that get their processor time in slices of 0.1 s empty the queue between two slices."""
+
+CROWDED_WAIT_S = 0.05
+"""Longest wait in seconds while the box is crowded: waiting does not get more of them served."""
+
+
+@dataclass(kw_only=True)
+class IntakeQueue(Generic[T]):
+    """Accepted connections that are not read yet, the longest waiting first."""
+
+    _waiting: deque[tuple[T, float]] = field(default_factory=deque)
+    _empty_at: float = 0.0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, connection: T, now: float) -> bool:
+        """Let a connection wait; return False if too many do."""
+        if not self._waiting:
+            self._empty_at = now
+        if len(self._waiting) >= MAX_WAITING:
+            return False
+        self._waiting.append((connection, now))
+        return True
+
+    def is_crowded(self, now: float) -> bool:
+        """Return whether more connections come than are read, and not just in a burst.
+
+        >>> queue = IntakeQueue[str]()
+        >>> queue.add("first", 5.0), queue.is_crowded(5.1), queue.is_crowded(5.5)
+        (True, False, True)
+        """
+        return bool(self._waiting) and now - self._empty_at >= CROWDED_AFTER_S
+
+    def take_expired(self, now: float) -> list[T]:
+        """Remove and return the connections that have waited too long."""
+        limit_s = CROWDED_WAIT_S if self.is_crowded(now) else BURST_WAIT_S
+        expired = []
+        while self._waiting and now - self._waiting[0][1] > limit_s:
+            expired.append(self._waiting.popleft()[0])
+        return expired
+
+    def take_next(self, *, turn_s: float) -> T | None:
+        """Remove and return the connection to read behind a turn that took ``turn_s`` seconds."""
+        if not self._waiting or turn_s > MAX_TURN_S:
+            return None
+        return self._waiting.popleft()[0]
+
+    def take_all(self) -> list[T]:
+        """Remove and return all that wait."""
+        taken = [connection for connection, _ in self._waiting]
+        self._waiting.clear()
+        return taken
--- a/src/croftchute/systems/peer_table.py
+++ b/src/croftchute/systems/peer_table.py
@@ -85,6 +85,7 @@
             link_mbps=notice.link_mbps,
             reaches_workers=notice.reaches_workers,
             continues_by_version=notice.continues_by_version,
+            stands_back=notice.stands_back,
             workers_by_id={entry.worker: entry for entry in notice.workers},
             demand_by_service={entry.service: entry for entry in notice.demands},
         )
@@ -151,11 +152,14 @@
         ]
 
     def forward_candidates(self, now: float) -> list[Peer]:
-        """Return the boxes that reach workers and serve requests for boxes that do not."""
+        """Return the boxes that reach workers and serve requests for boxes that do not.
+
+        Those that get more connections than they can serve are left out.
+        """
         return [
             peer
             for peer_id in self.reachable(now)
-            if (peer := self.peers_by_id[peer_id]).reaches_workers
+            if (peer := self.peers_by_id[peer_id]).reaches_workers and not peer.stands_back
         ]
 
     def note_unreaching(self, peer_id: str) -> None:
--- a/src/croftchute/tables/peers.py
+++ b/src/croftchute/tables/peers.py
@@ -109,7 +109,8 @@
 
     ``link_mbps`` is the rate of its link in Mbit/s; 0 if unknown. ``reaches_workers`` also says
     that it accepts requests from boxes that do not. ``continues_by_version`` says that it continues
-    a stream at workers of the software version alone that its sender names.
+    a stream at workers of the software version alone that its sender names. ``stands_back`` says
+    that it gets more connections than it can serve, and is not ready for that.
     """
 
     id: str
@@ -125,5 +126,6 @@
     link_mbps: float = 0.0
     reaches_workers: bool = False
     continues_by_version: bool = False
+    stands_back: bool = False
     workers_by_id: dict[str, WorkerNotice] | None = None
     demand_by_service: dict[str, DemandNotice] | None = None
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -25,6 +25,7 @@
 SCHEMA_PATH = Path(codec.__file__).with_name("schema.capnp")
 NEWEST_FIELDS = (
     "  continuesByVersion @17 :Bool;\n",
+    "  standsBack @18 :Bool;\n",
     "  partsColumns @1 :PartNoticeColumns;\n",
     "    originNews @17 :OriginNews;\n",
     "    originAsk @18 :OriginAsk;\n",
--- a/tests/platform_adapter/test_silent_workers.py
+++ b/tests/platform_adapter/test_silent_workers.py
@@ -17,6 +17,9 @@
 WHOLE = list(range(1, EVENTS + 1))
 SLOW = {"events": EVENTS, "gap_s": 0.05}
 
+OUT_OF_FAVOUR = 20.0
+"""Failure score of a worker that gets no request while another one is sound."""
+
 
 @contextlib.asynccontextmanager
 async def paused(*workers, seconds=PAUSE_S):
@@ -263,6 +266,7 @@
     async def body():
         async with fleet() as made:
             box, own, other = await pair_of_engines(made, events=40)
+            box.state.workers.note_failure(other.id, OUT_OF_FAVOUR, box.state.clock())
             streams = [
                 asyncio.create_task(ask(box, "/resume/x", f"r{n}", deadline=9000))
                 for n in range(40)
--- /dev/null
+++ b/tests/systems/test_intake_queue.py
@@ -0,0 +1,78 @@
+"""Which connections are read and which are closed; guards against a box that takes in too many."""
+
+import pytest
+
+from croftchute.systems.intake_queue import (
+    BURST_WAIT_S,
+    CROWDED_AFTER_S,
+    CROWDED_WAIT_S,
+    MAX_TURN_S,
+    MAX_WAITING,
+    IntakeQueue,
+)
+
+
+def test_connections_are_read_in_the_order_in_which_they_came():
+    queue = IntakeQueue()
+    for number in range(3):
+        assert queue.add(number, 0.0)
+    assert [queue.take_next(turn_s=0.0) for _ in range(4)] == [0, 1, 2, None]
+
+
+def test_none_is_read_behind_a_long_turn():
+    queue = IntakeQueue()
+    queue.add("waiting", 0.0)
+    assert queue.take_next(turn_s=1.5 * MAX_TURN_S) is None
+    assert queue.take_next(turn_s=0.5 * MAX_TURN_S) == "waiting"
+
+
+def test_a_burst_waits_longer_than_connections_of_a_lasting_crowd():
+    queue = IntakeQueue()
+    queue.add("first", 0.0)
+    assert queue.take_expired(0.9 * BURST_WAIT_S) == []
+    assert queue.take_expired(1.1 * BURST_WAIT_S) == ["first"]
+    queue = IntakeQueue()
+    now = 0.0
+    while now < 2 * CROWDED_AFTER_S:
+        queue.add(now, now)
+        queue.take_expired(now)
+        now += CROWDED_WAIT_S / 4
+    assert queue.is_crowded(now)
+    queue.take_expired(now)
+    assert min(at for at, _ in queue._waiting) >= now - CROWDED_WAIT_S
+
+
+def test_a_queue_that_was_empty_counts_as_a_burst_again():
+    queue = IntakeQueue()
+    queue.add("old", 0.0)
+    assert queue.is_crowded(CROWDED_AFTER_S)
+    queue.take_next(turn_s=0.0)
+    queue.add("new", 10.0)
+    assert not queue.is_crowded(10.0 + 0.5 * CROWDED_AFTER_S)
+
+
+def test_no_more_wait_than_the_kernel_may_hold_bytes_for():
+    queue = IntakeQueue()
+    assert all(queue.add(number, 0.0) for number in range(MAX_WAITING))
+    assert not queue.add("one more", 0.0) and len(queue) == MAX_WAITING
+    assert len(queue.take_all()) == MAX_WAITING and not queue
+
+
+@pytest.mark.parametrize("per_s", [100.0, 300.0, 1000.0])
+def test_a_box_past_its_rate_reads_what_it_can_serve(per_s):
+    """Guards against a queue in which all wait as long as the box lets any of them wait."""
+    serving_s = 0.005
+    queue, waits, shed, arrived, now = IntakeQueue(), [], 0, 0, 0.0
+    while now < 5.0:
+        while arrived / per_s <= now:
+            shed += not queue.add(arrived / per_s, now)
+            arrived += 1
+        shed += len(queue.take_expired(now))
+        found = queue.take_next(turn_s=serving_s)
+        if found is not None:
+            waits.append(now - found)
+        now += serving_s
+    possible = min(per_s, 1 / serving_s) * 5.0
+    assert len(waits) >= 0.95 * possible
+    late = waits[len(waits) // 2 :]
+    assert max(late) <= CROWDED_WAIT_S + serving_s
