Count each call of a worker past a request's first at one gate, and divide the budget by the fleet

What callers and operators saw: workers of a service received more arrivals past the first of each request than the budget that all boxes share allows, in ten seconds with disruptions.

The first prefill call of a request was never counted, also if the request had reached workers before: at another box that passed it on, or at a decode worker. - The constant was divided by the boxes heard in the last 12 s: halls in a cut, and boxes that have just begun, used the share of all (8 arrivals, 3.25 allowed for one of eight boxes). - A killed box spent its share anew (66 in ten seconds, 56 allowed).

Change: claim_arrival is the only way to a worker. A ledger of the request counts its calls; each past the first takes a retry before it is sent. A prefill call sets one aside for the call behind it, which is returned once the worker takes it up; without one the decode worker reads the prompt, so that nobody is refused for it. Boxes that pass a request on name its arrivals and whether the free call is used; boxes of the last landing ignore that header, and theirs count by their attempts. The constant is divided by the recorded size of the fleet. A life of a box has none of it before a whole window has passed, unless no box ran before (first_start in the settings). Shares are rounded by a fraction of each box's own, so that those of a large fleet with few requests each don't all round down to nothing.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -44,7 +44,6 @@
 from croftchute.router_settings import RouterSettings, parse_address, read_router_settings
 from croftchute.steady_clock import SuspensionMeter
 from croftchute.storage.watched import SharedStore, Vocabulary
-from croftchute.systems.fleet_size import FleetSize
 from croftchute.systems.lent_share import WORKERS_GROUP
 from croftchute.tables.crashes import PartNotice
 from croftchute.tables.organisations import LimitMode
@@ -129,7 +128,7 @@
         state.on_part_news = self._note_part_news
         state.part_trials = self.part_register
         self.catch_ups = catch_ups(state, self.follower)
-        self.fleet_size = FleetSize()
+        self.fleet_size = state.fleet_size
         self.shared_rates = self._make_shared_rates()
         self.usage_limits = self._make_usage_limits()
         self.fleet_record = FleetRecord(
@@ -160,21 +159,21 @@
         )
         self.forwarded = ForwardedRequests(
             state=state, forwarder=self.forwarder, own_open=lambda: self.ingress.open_requests
+        )
         self.overload_watch = OverloadWatch(
             state=state,
             on_change=self._note_overload,
             open_requests=lambda: self.ingress.open_requests,
         )
-        )
         self.ingress = HttpIngress(
             handler=self.forwarder.handle,
             limits=state.limits,
             turn_away=self.forwarder.refuse_while_stopping,
             clock=state.clock,
+            held=self.held,
             paces_intake=True,
             max_connections=settings.max_caller_connections,
             on_shed=self.overload_watch.note_shed,
-            held=self.held,
         )
         self.health = HttpIngress(handler=self._answer_health, limits=IngressLimits)
         self.loop_delay = LoopDelay(state=state, open_requests=lambda: self.ingress.open_requests)
@@ -229,8 +228,8 @@
         return (
             self.state.table is not None
             and bool(self.state.workers.tracked_by_id)
-            and not self.state.overload.is_standing_back
             and not self.is_stopping
+            and not self.state.overload.is_standing_back
             and not (self.state.ways.cut_off.stands_back and self.state.links.are_lost)
         )
 
@@ -273,8 +272,8 @@
             *(Task(name="catch_up", work=catch_up.run) for catch_up in self.catch_ups),
             Task(name="worker_links", work=self.link_probe.run),
             Task(name="sweep", work=self._sweep),
-            Task(name="overload", work=self.overload_watch.run),
             Task(name="loop_delay", work=self.loop_delay.run),
+            Task(name="overload", work=self.overload_watch.run),
             Task(name="log", work=lambda: self.state.log.keep_flushing(FLUSH_S)),
         ]
         if self.settings_path is not None:
@@ -405,12 +404,12 @@
         """The links to all workers were lost or restored: peers are to know before they ask."""
         self.exchange.tell_soon()
         self._note_readiness()
+
     def _note_overload(self) -> None:
         """This box stands back or does not any more: the others of its hall count on that."""
         self.exchange.tell_soon()
         self._note_readiness()
 
-
     def _peer_limits(self) -> IngressLimits:
         """What other boxes may send: whatever callers may, and the terms of passing it on."""
         own, callers = IngressLimits(), self.state.limits()
@@ -456,8 +455,8 @@
             outcome="ready" if self.is_ready else "not_ready",
             config_version=self.state.table.version if self.state.table else 0,
             workers=len(self.state.workers.tracked_by_id),
-            stands_back=self.state.overload.is_standing_back,
             is_stopping=self.is_stopping,
+            stands_back=self.state.overload.is_standing_back,
         )
 
     async def _answer_health(self, exchange: Exchange) -> None:
--- a/src/croftchute/daemon/router_state.py
+++ b/src/croftchute/daemon/router_state.py
@@ -49,6 +49,7 @@
         conditions=settings.conditions,
         started_at=clock(),
         begun_at=clock() if begun_at is None else begun_at,
+        is_first_start=settings.first_start,
         workers=WorkerTable(mass_expiry_grace_s=mass_expiry_grace_s(settings)),
     )
 
--- a/src/croftchute/forwarding/boxes/forward_terms.py
+++ b/src/croftchute/forwarding/boxes/forward_terms.py
@@ -14,6 +14,9 @@
 FORWARD = b"croftchute-forward"
 """Header of a request that a box passes on, and of each answer to one."""
 
+ARRIVALS = b"croftchute-arrivals"
+"""Header of a request that a box passes on; boxes of earlier versions neither send nor read it."""
+
 ANSWERED = b"answered"
 DECLINED = b"declined"
 
@@ -33,22 +36,28 @@
 
     A receiver whose configuration is older than ``config_version`` must decline. ``attempts`` is
     the number of workers that may have received the request already. ``origin`` is where
-    the stream began, None if its caller has no event yet or took it up itself.
+    the stream began, None if its caller has no event yet or took it up itself. ``arrivals`` are the
+    calls of workers that count against the retry budget, and ``is_prompt_read`` says that the
+    free call that only reads the prompt has been used.
     """
 
     box: str
     config_version: int
     attempts: int
     origin: StreamOrigin | None = None
+    arrivals: int = 0
+    is_prompt_read: bool = False
 
     def headers(self) -> HeaderList:
         """Return the headers of the request.
 
         >>> ForwardTerms(box="edge-1", config_version=7, attempts=0).headers()
-        [(b'croftchute-forward', b'7 0 edge-1')]
+        [(b'croftchute-forward', b'7 0 edge-1'), (b'croftchute-arrivals', b'0 0')]
         """
         terms = f"{self.config_version} {self.attempts} {self.box}".encode()
-        return [(FORWARD, terms)] + ([] if self.origin is None else [origin_header(self.origin)])
+        arrivals = f"{self.arrivals} {int(self.is_prompt_read)}".encode()
+        headers = [(FORWARD, terms), (ARRIVALS, arrivals)]
+        return headers + ([] if self.origin is None else [origin_header(self.origin)])
 
 
 def read_terms(request: IncomingRequest) -> ForwardTerms | None:
@@ -60,17 +69,22 @@
     attempts, _, box = rest.partition(b" ")
     if not (version.isdigit() and attempts.isdigit() and box):
         return None
+    arrivals, _, prompts = (request.get(ARRIVALS) or b"").partition(b" ")
+    names_arrivals = arrivals.isdigit() and prompts.isdigit()
     return ForwardTerms(
         box=box.decode("utf-8", "replace"),
         config_version=int(version),
         attempts=int(attempts),
         origin=read_origin(request.get(BUILD)),
+        arrivals=int(arrivals) if names_arrivals else int(attempts),
+        # A box that does not say so may have read the prompt before its attempts.
+        is_prompt_read=int(prompts) > 0 if names_arrivals else int(attempts) > 0,
     )
 
 
 def without_terms(headers: HeaderList) -> HeaderList:
     """Return headers without those of this module."""
-    return [pair for pair in headers if pair[0] not in (FORWARD, BUILD)]
+    return [pair for pair in headers if pair[0] not in (FORWARD, ARRIVALS, BUILD)]
 
 
 def was_answered(head: ResponseHead) -> bool:
--- a/src/croftchute/forwarding/boxes/peer_forwarding.py
+++ b/src/croftchute/forwarding/boxes/peer_forwarding.py
@@ -213,6 +213,7 @@
     def _note_attempt(self, run: RequestRun, progress: _Progress) -> None:
         """Count a worker that may have received the request through another box."""
         progress.may_have_run = True
+        run.ledger.note_sent_elsewhere()
         if run.outstanding is None:
             progress.attempts = max(progress.attempts + 1, run.route.max_attempts - 1)
             return
@@ -239,6 +240,8 @@
             config_version=state.table.version if state.table else 0,
             attempts=progress.attempts,
             origin=run.origin,
+            arrivals=run.ledger.arrivals,
+            is_prompt_read=run.ledger.is_prompt_read,
         )
         request = run.exchange.request
         data = state.callers.encode_forwarded(
--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -22,6 +22,7 @@
 from croftchute.forwarding.workers.request_run import RequestRun
 from croftchute.forwarding.workers.stream_run import run_stream
 from croftchute.forwarding.workers.withheld import CUT_OFF_DETAIL, Withheld
+from croftchute.systems.arrival_ledger import ArrivalLedger
 from croftchute.systems.failover_pace import FailoverPace
 from croftchute.systems.worker_choice import pick_service
 from croftchute.tables.organisations import KeyClaim, KeyState, Organisation, Organisations
@@ -74,6 +75,10 @@
     )
 
 
+def _passed_ledger(terms: ForwardTerms) -> ArrivalLedger:
+    return ArrivalLedger.of_passed(arrivals=terms.arrivals, is_prompt_read=terms.is_prompt_read)
+
+
 class Forwarder:
     """Handles callers' exchanges, many of them concurrently.
 
@@ -105,6 +110,7 @@
                 await self._serve_withheld(run, run.withheld)
         finally:
             run.close_outstanding()
+            run.return_retries()
 
     async def _serve_withheld(self, run: RequestRun, withheld: Withheld) -> None:
         """Have another box serve a request, go on with it here if none does, or refuse it."""
@@ -168,7 +174,10 @@
             attempts=terms.attempts,
             software=run.build or "",
         )
-        await self._run_within_limit(run)
+        try:
+            await self._run_within_limit(run)
+        finally:
+            run.return_retries()
         if run.has_not_run:
             # The box that the caller asked has counted it, and may ask again.
             self.state.budget(run.service).retract_request(run.started_at)
@@ -237,6 +246,7 @@
             service=pick_service(route, state.rng),
             started_at=started_at,
             prior_attempts=None if terms is None else terms.attempts,
+            ledger=None if terms is None else _passed_ledger(terms),
         )
         if run.crashes_workers and not run.may_be_part_trial:
             # Refused at every box, before a worker receives it and before it counts against a
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -30,6 +30,7 @@
 from croftchute.systems.failover_pace import FailoverPace
 from croftchute.systems.fair_shares import OrganisationUse, ShareUsage, share_usage_by_name
 from croftchute.systems.first_tries import FirstTryTimes
+from croftchute.systems.fleet_size import FleetSize
 from croftchute.systems.overload import Overload
 from croftchute.systems.part_crashes import PartCrashes
 from croftchute.systems.peer_table import PeerTable
@@ -37,7 +38,7 @@
 from croftchute.systems.predicted_end import UsualTimes
 from croftchute.systems.prefill_timing import PrefillTiming, fit_prefill_timing
 from croftchute.systems.request_rank import RequestRanks
-from croftchute.systems.retry_budget import RetryLimits, RetryWindow
+from croftchute.systems.retry_budget import RetryLimits, RetryWindow, rounding_of
 from croftchute.systems.room_forecast import RoomHistory
 from croftchute.systems.room_order import OrderMode, RoomView, RoomWaitsByRank
 from croftchute.systems.size_lanes import lane_share
@@ -117,13 +118,14 @@
     """Shared by all requests of a process; only its event loop touches it.
 
     ``begun_at`` is when the process began: an earlier life of the box was over by then. Loading the
-    program takes a small box the better part of a second until ``started_at``. ``on_crash_news``
-    is called with the digests of requests under which this box saw a worker end, ``on_part_news``
-    after it saw anything that may change which parts of prompts are refused, ``on_limit_news``
-    when a worker names another limit than before, ``on_restored`` when the store has come back from
-    an older copy. ``on_link_trouble`` is called with the start of a call of a worker that failed in
-    a way that a lost link would cause; ``confirm_links`` probes workers and returns whether a
-    failure to reach one is the worker's own.
+    program takes a small box the better part of a second until ``started_at``. ``is_first_start``
+    says that no box of the system has run before. ``on_crash_news`` is called with the digests of
+    requests under which this box saw a worker end, ``on_part_news`` after it saw anything that may
+    change which parts of prompts are refused, ``on_limit_news`` when a worker names another limit
+    than before, ``on_restored`` when the store has come back from an older copy.
+    ``on_link_trouble`` is called with the start of a call of a worker that failed in a way that a
+    lost link would cause; ``confirm_links`` probes workers and returns whether a failure to reach
+    one is the worker's own.
     """
 
     box: str
@@ -139,16 +141,18 @@
     peers: PeerTable
     started_at: float
     begun_at: float
+    is_first_start: bool = False
+    fleet_size: FleetSize = field(default_factory=FleetSize)
     wall_clock: Callable[[], float] = time.time
     table: RoutingTable | None = None
     table_at: float = 0.0
     table_item: StoredItem | None = None
     workers: WorkerTable = field(default_factory=WorkerTable)
     links: WorkerLinks = field(default_factory=WorkerLinks)
+    overload: Overload = field(default_factory=Overload)
     on_link_trouble: Callable[[float], None] = lambda _: None
     confirm_links: Callable[[], Awaitable[bool]] = _links_hold
     paces: WorkerPaces = field(default_factory=WorkerPaces)
-    overload: Overload = field(default_factory=Overload)
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     knowledge_limits: SilenceLimits = KNOWLEDGE
     budgets_by_service: dict[str, RetryWindow] = field(default_factory=dict)
@@ -212,12 +216,26 @@
 
     @property
     def boxes(self) -> int:
-        """How many boxes share the budgets; the settings' figure until peers had time to tell."""
-        now = self.clock()
-        heard = self.peers.boxes(now)
-        if now - self.started_at < LEARN_PEERS_S:
-            return max(heard, self.default_boxes)
-        return heard
+        """How many boxes share the budgets: the record, or those that are known if they are more.
+
+        The settings' figure is the least until peers had time to tell.
+        """
+        known = self.fleet_size.boxes(self.peers.known_boxes)
+        if self.clock() - self.started_at < LEARN_PEERS_S:
+            return max(known, self.default_boxes)
+        return known
+
+    @property
+    def retry_share(self) -> float:
+        """This box's part of the constant of each retry budget.
+
+        An earlier life of the box may have spent its part until the process began. None of it is
+        left before a whole window has passed, unless no box has run before.
+        """
+        is_young = self.clock() - self.begun_at < self.retry_limits.window_s
+        if is_young and not self.is_first_start:
+            return 0.0
+        return 1.0 / self.boxes
 
     def fleet_demand(self, service: str) -> DemandCounts:
         """What was asked of a service lately, of this box and of the peers that it hears."""
@@ -439,6 +457,6 @@
         """The retry budget of a service."""
         window = self.budgets_by_service.get(service)
         if window is None:
-            window = RetryWindow(limits=self.retry_limits)
+            window = RetryWindow(limits=self.retry_limits, rounding=rounding_of(self.box))
             self.budgets_by_service[service] = window
         return window
--- a/src/croftchute/forwarding/workers/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -191,7 +191,7 @@
                 return None
             if not await run.acquire_permit(found[0]):
                 continue
-            if not run.spend_retry_budget():
+            if not run.claim_arrival():
                 run.state.permits.release(found[0].worker)
                 return None
             attempt = await self._open(*found)
@@ -211,11 +211,12 @@
             call.record_failure(error)
             self.progress.code, self.progress.detail = error.code, error.message
             call.close()
+            run.withdraw_arrival()
             return None
         except asyncio.CancelledError:
             call.close()
             run.state.permits.release(tracked.worker)
-            run.return_retry()
+            run.withdraw_arrival()
             raise
         run.deliveries += 1
         run.workers_sent_to.add(tracked.worker.id)
--- a/src/croftchute/forwarding/workers/prompt_prefill.py
+++ b/src/croftchute/forwarding/workers/prompt_prefill.py
@@ -67,7 +67,12 @@
                 return None
             if not self._is_prefill_worker_faster(*found, decode):
                 return None
+            # Unless a worker takes this call up, the one behind it is a repeat.
+            if not run.claim_arrival(calls_behind=1):
+                run.log(Decision.READ_AT_DECODE, outcome="retry budget spent")
+                return None
             if not await run.acquire_permit(found[0]):
+                run.withdraw_arrival()
                 continue
             rejections = self._rejections
             handle = await self._prefill_at(*found)
@@ -110,8 +115,7 @@
         if run.now - run.started_at > timeouts.prefill_retry_limit_s(run.route):
             return False
         attempts = run.prior_attempts + len(run.workers_sent_to)
-        leaves_attempt = attempts + 1 < run.route.max_attempts
-        return run.deliveries == 0 or (leaves_attempt and run.spend_retry_budget())
+        return run.deliveries == 0 or attempts + 1 < run.route.max_attempts
 
     def _estimate_prefill(
         self, prefill: TrackedWorker, chosen: ChoiceRecord, decode: TrackedWorker
@@ -167,10 +171,11 @@
             return await self._receive_handle(call)
         except ConnectFailedError as error:
             self._rejections += 1
+            run.withdraw_arrival()
             run.state.permits.release(tracked.worker)
             call.record_failure(error)
         except AnswerLateError as error:
-            # The first call that only reads the prompt is no attempt, so what follows is no repeat.
+            # A call that only reads the prompt is no attempt; that it may count is paid for.
             call.record_failure(error)
         except ExchangeError as error:
             run.deliveries += 1
@@ -193,6 +198,7 @@
             self._record_rejection(call, verdict, head.status)
             return None
         handle = run.state.workers_speak.handle(body, call.worker)
+        run.note_prompt_read()
         call.record_success()
         taken_s = run.now - call.opened_at
         end = call.chosen.end
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -17,6 +17,7 @@
 from croftchute.forwarding.workers.queue_reporting import count_room_refusal, queue_log_fields
 from croftchute.forwarding.workers.withheld import FINAL_CODES, Withheld
 from croftchute.systems import timeouts
+from croftchute.systems.arrival_ledger import ArrivalLedger
 from croftchute.systems.fair_shares import ShareUsage
 from croftchute.systems.part_crashes import FIRST_TRIAL_S, PartRefusal
 from croftchute.systems.room_order import OrderMode, room_rank
@@ -61,8 +62,8 @@
 
     ``build`` is the build of the workers that may continue the request's stream, None if any may.
     ``prior_attempts`` is the number of workers that may have received the request through the box
-    that passed it to this one; it is None if a caller sent the request. ``units`` are what its
-    organisation was charged for it here.
+    that passed it to this one; it is None if a caller sent the request. ``ledger`` counts its
+    calls against the retry budget. ``units`` are what its organisation was charged for it here.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         started_at: float,
         organisation: Organisation | None = None,
         prior_attempts: int | None = None,
+        ledger: ArrivalLedger | None = None,
     ) -> None:
         self.state = state
         self.is_forwarded = prior_attempts is not None
@@ -101,6 +103,7 @@
             route.name, facts.time_left_s, started_at
         )
         self.deliveries = self.prior_attempts
+        self.ledger = ledger or ArrivalLedger()
         self.workers_sent_to: set[str] = set()
         self.avoid: set[str] = set()
         self.full_workers: set[str] = set()
@@ -505,35 +508,53 @@
     @property
     def may_spend_retry(self) -> bool:
         """Whether the request may be sent to a further worker now."""
+        if self.crashes_workers:
+            return False
+        missing = self.ledger.missing(1)
         window = self.state.budget(self.service)
-        return not self.crashes_workers and window.has_left(self.now, boxes=self.state.boxes)
+        return window.left(self.now, share=self.state.retry_share) >= missing
 
-    def spend_retry_budget(self) -> bool:
-        """Take one retry from the service's budget; return whether the request may be sent.
+    def claim_arrival(self, *, calls_behind: int = 0) -> bool:
+        """Count a call of a worker that is about to be sent; return whether it may be.
 
-        The first attempt needs no budget. A request that crashes workers isn't sent again: another
-        box may have seen the third crash in the meantime.
+        This is the one place where calls are counted: each arrival past the first takes a retry
+        from the service's budget. ``calls_behind`` are calls for which retries are set aside too.
+        A request that crashes workers isn't sent again: another box may have seen the third crash
+        in the meantime.
         """
         if self.crashes_workers:
             return False
-        if self.deliveries == 0:
-            return True
+        missing = self.ledger.missing(1 + calls_behind)
         window = self.state.budget(self.service)
-        if window.spend(self.now, boxes=self.state.boxes):
-            return True
-        self.log(
-            Decision.REPEAT_DENIED,
-            outcome="budget spent",
-            repeats=len(window.retry_times),
-            allowed=round(window.allowed(self.now, boxes=self.state.boxes), 2),
-            boxes=self.state.boxes,
-        )
-        return False
+        now, share = self.now, self.state.retry_share
+        if missing and not window.spend(now, share=share, count=missing):
+            self.log(
+                Decision.REPEAT_DENIED,
+                outcome="budget spent",
+                missing=missing,
+                arrivals=self.ledger.arrivals,
+                repeats=len(window.retry_times),
+                allowed=round(window.allowed(now, share=share), 2),
+                boxes=self.state.boxes,
+                share=round(share, 5),
+            )
+            return False
+        self.ledger.note_paid([now] * missing)
+        self.ledger.note_sent()
+        return True
+
+    def withdraw_arrival(self) -> None:
+        """Take back a claimed call that was not sent after all."""
+        self.ledger.note_unsent()
+
+    def note_prompt_read(self) -> None:
+        """Record that a worker has taken up the call that only reads the prompt."""
+        self.ledger.note_prompt_read()
+        self.return_retries()
 
-    def return_retry(self) -> None:
-        """Return the retry that was taken last for a request that was not sent after all."""
-        if self.deliveries > 0:
-            self.state.budget(self.service).refund()
+    def return_retries(self) -> None:
+        """Return to the budget what no call of the request has needed."""
+        self.state.budget(self.service).refund(self.ledger.take_surplus())
 
     def log(self, kind: Decision, *, outcome: str = "", **inputs: object) -> None:
         """Log one decision about this request."""
--- a/src/croftchute/forwarding/workers/stream_sender.py
+++ b/src/croftchute/forwarding/workers/stream_sender.py
@@ -67,7 +67,7 @@
             return Unsent.NO_REPEAT
         if not await self.reservation.renew_if_lapsed(tracked, chosen):
             return Unsent.TRY_AGAIN
-        if not run.spend_retry_budget():
+        if not run.claim_arrival():
             self.progress.detail = f"no repeat is allowed: {self.progress.detail}"
             return Unsent.NO_REPEAT
         return await self._open(tracked, chosen, source, is_successor=is_successor)
@@ -114,10 +114,11 @@
             call.record_failure(error)
             self.progress.code, self.progress.detail = error.code, error.message
             call.close()
+            run.withdraw_arrival()
             return Unsent.TRY_AGAIN
         except asyncio.CancelledError:
             call.close()
-            run.return_retry()
+            run.withdraw_arrival()
             raise
         self.reservation.mark_used()
         run.deliveries += 1
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -143,7 +143,7 @@
             config_version=run.state.table.version if run.state.table else 0,
             wish=run.state.workers.advice.active_advice(worker.id, run.now),
             limit_per_s=run.state.workers.limits.limit_of(worker.id, run.now),
-            sent_before=run.deliveries,
+            arrivals=run.ledger.arrivals,
             boxes=run.state.boxes,
             reused=connection.uses > 1,
             connection=connection.number,
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -105,15 +105,15 @@
     conditions: Conditions = Conditions()
     order_gap_s: Positive = 3.0
     boxes: Annotated[int, msgspec.Meta(ge=1)] = 12
+    first_start: bool = False
     stop_limit_s: Positive = 8.0
     drain_s: Positive = 2.0
     contact_s: Positive = 3.0
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
-    reload_check_s: Positive = 2.0
     max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
+    reload_check_s: Positive = 2.0
 
-    @property
     @property
     def max_caller_connections(self) -> int:
         """Most open connections of callers: half of the descriptors for sockets; 0 for no bound.
@@ -122,6 +122,7 @@
         """
         return max(1, (self.max_fds - FILE_DESCRIPTORS) // 2) if self.max_fds else 0
 
+    @property
     def held_memory_mb(self) -> float:
         """The memory that bounds what is held for slow readers; 0 where nobody reads slowly."""
         return self.memory_mb if self.conditions.pressure else 0.0
--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -87,7 +87,7 @@
 def send_twice() -> None:
     """Send again what may have run, whatever its kind."""
     Route.may_repeat = property(lambda _: True)  # type: ignore[assignment,method-assign]
-    RequestRun.spend_retry_budget = lambda self: bool(self)  # type: ignore[method-assign]
+    RequestRun.claim_arrival = lambda self, **_: bool(self)  # type: ignore[method-assign]
 
 
 def keep_draining() -> None:
--- a/src/croftchute/soak/boxes.py
+++ b/src/croftchute/soak/boxes.py
@@ -89,7 +89,7 @@
         return log.exists() and log.read_bytes().count(b'"started"') >= self.life
 
     def write_settings(self) -> None:
-        """Write the settings as they are to be from now on."""
+        """Write the settings as they are to be from now on, for lives after the present one too."""
         address = self.address
         settings = {
             "box": self.name,
@@ -108,6 +108,7 @@
                 "overage": TERMS.overage,
                 "slack": TERMS.slack,
             },
+            "first_start": self.life == 0,
             "stop_limit_s": STOP_LIMIT_S,
             "drain_s": DRAIN_S,
             "reload_check_s": 1.0,
@@ -123,6 +124,7 @@
                 self.unexpected_ends.append(code)
             self.expects_end = False
             ended(self)
+            self.write_settings()
             await asyncio.sleep(RESTART_S)
 
     def send_signal(self, number: signal.Signals) -> None:
--- a/src/croftchute/systems/retry_budget.py
+++ b/src/croftchute/systems/retry_budget.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import math
+import zlib
 from collections import deque
 from dataclasses import dataclass, field
 
-SAFETY_FACTOR = 0.7
-"""Share of the budget that is used. The rest covers boxes that have not discovered each other yet,
-and requests that leave the sliding window before their retries."""
+SAFETY_FACTOR = 0.85
+"""Share of the budget that is used. The rest covers requests that leave the sliding window before
+their retries, and boxes whose shares round up."""
+
+HASH_VALUES = 1 << 32
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -19,19 +23,35 @@
     slack: float
 
 
+def rounding_of(box: str) -> float:
+    """Return the fraction from 0 to 1 that a box adds to what it may spend before it rounds down.
+
+    Over all boxes the fractions are spread evenly, so that what rounding takes from some of a large
+    fleet is given to others.
+
+    >>> 0.0 <= rounding_of("edge-1") < 1.0
+    True
+    """
+    return zlib.crc32(box.encode()) / HASH_VALUES
+
+
 @dataclass(kw_only=True)
 class RetryWindow:
-    """The requests and retries that this box sent for one service in the last window."""
+    """The requests and retries that this box sent for one service in the last window.
+
+    ``share`` arguments are the part of the constant that is this box's own, from 0 to 1.
+    """
 
     limits: RetryLimits
+    rounding: float = 0.0
     request_times: deque[float] = field(default_factory=deque)
     retry_times: deque[float] = field(default_factory=deque)
 
-    def allowed(self, now: float, *, boxes: int) -> float:
+    def allowed(self, now: float, *, share: float) -> float:
         """Return how many retries this box may send in the window that ends now."""
         self._expire(now)
-        share = self.limits.slack / max(1, boxes)
-        return SAFETY_FACTOR * (self.limits.ratio * len(self.request_times) + share)
+        earned = self.limits.ratio * len(self.request_times)
+        return SAFETY_FACTOR * (earned + self.limits.slack * share)
 
     def note_request(self, now: float) -> None:
         """Count a caller's request."""
@@ -43,22 +63,23 @@
         if noted_at in self.request_times:
             self.request_times.remove(noted_at)
 
-    def has_left(self, now: float, *, boxes: int) -> bool:
-        """Return whether one more retry may be sent now."""
-        allowed = self.allowed(now, boxes=boxes)
-        return len(self.retry_times) + 1 <= allowed
+    def left(self, now: float, *, share: float) -> int:
+        """Return how many more retries may be sent now."""
+        allowed = math.floor(self.allowed(now, share=share) + self.rounding)
+        return max(0, allowed - len(self.retry_times))
 
-    def spend(self, now: float, *, boxes: int) -> bool:
-        """Take one retry from the budget; return False if none is left."""
-        if not self.has_left(now, boxes=boxes):
+    def spend(self, now: float, *, share: float, count: int = 1) -> bool:
+        """Take some retries from the budget; return False, and take none, if it has fewer left."""
+        if self.left(now, share=share) < count:
             return False
-        self.retry_times.append(now)
+        self.retry_times.extend([now] * count)
         return True
 
-    def refund(self) -> None:
-        """Return the retry that was taken last, as it was not sent."""
-        if self.retry_times:
-            self.retry_times.pop()
+    def refund(self, spent_at: list[float]) -> None:
+        """Return retries that were not needed, by the times at which they were taken."""
+        for at in spent_at:
+            if at in self.retry_times:
+                self.retry_times.remove(at)
 
     def _expire(self, now: float) -> None:
         start = now - self.limits.window_s
--- a/tests/platform_adapter/platform_fleet.py
+++ b/tests/platform_adapter/platform_fleet.py
@@ -112,6 +112,7 @@
             peer_keys=("k" * 16,),
             order_gap_s=0.1,
             boxes=1,
+            first_start=True,
             memory_mb=memory_mb,
             conditions=Conditions(pressure=memory_mb > 0.0),
         )
--- a/tests/platform_adapter/test_arrivals_past_the_first.py
+++ b/tests/platform_adapter/test_arrivals_past_the_first.py
@@ -7,18 +7,23 @@
 
 import asyncio
 import os
+import random
 import signal
 
+import pytest
 from platform_fleet import ask, fleet, read_answer, request_bytes, run, until
 from stream_fleet import engines
+from test_cut_off_from_workers import linked_boxes
 from test_silent_workers import spend_budget
 
 from croftchute.forwarding.state import LEARN_PEERS_S
 from croftchute.soak.boxes import SoakBox, lay_out, own_network
 from croftchute.soak.keys import STANDING_KEY
+from croftchute.soak.proxy import LinkFault
 from croftchute.soak.world import VIRTUAL_HOST, SoakWorld
 from croftchute.standins.arrival_count import excess_arrival_times, most_in_window
 from croftchute.standins.platform_caller import PlatformCaller, RequestKind, Try
+from croftchute.standins.worker_records import WorkerFaults
 
 WINDOW_S = 10.0
 ASKED = 40
@@ -148,3 +153,46 @@
         assert most_in_window(times, WINDOW_S) <= RATIO * ASKED * lives + slack
 
     run(body)
+
+
+def draw_faults(rng, workers):
+    """Give each worker a fault that lasts until the next draw, or none."""
+    for worker in workers:
+        kinds = ["sound", "sound", "is_full", "is_silent", "resets_before_answer", "handles_lapse"]
+        kind = rng.choice(kinds)
+        worker.faults = WorkerFaults(**({kind: True} if kind != "sound" else {}))
+        if worker.stage == "decode" and rng.random() < 0.2:
+            worker.faults = WorkerFaults(resets_after_events=1)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_each_arrival_past_the_first_took_a_retry(seed):
+    """Guards against a way to a worker that passes the budget by: counted by the workers alone."""
+
+    async def body():
+        rng = random.Random(seed)
+        async with fleet() as made:
+            links = await linked_boxes(made, 3)
+            engines_of = [worker for worker in made.workers_by_id.values() if worker.stage]
+            asking = []
+            for number in range(160):
+                if number % 20 == 0:
+                    draw_faults(rng, engines_of)
+                if number == 60:
+                    await links[0].cut(LinkFault.CLOSED)
+                if number == 120:
+                    await links[0].heal()
+                path = rng.choice(["/resume/x", "/stream/x"])
+                asking.append(
+                    asyncio.create_task(
+                        ask(rng.choice(made.boxes), path, f"r{number}", deadline=2500)
+                    )
+                )
+                await asyncio.sleep(0.02)
+            await asyncio.gather(*asking, return_exceptions=True)
+            await asyncio.sleep(0.2)
+            paid = sum(len(box.state.budget("llm").retry_times) for box in made.boxes)
+            excess = excess_arrival_times(engines_of)
+            assert 0 < len(excess) <= paid
+
+    run(body)
--- a/tests/platform_adapter/test_silent_workers.py
+++ b/tests/platform_adapter/test_silent_workers.py
@@ -17,6 +17,9 @@
 WHOLE = list(range(1, EVENTS + 1))
 SLOW = {"events": EVENTS, "gap_s": 0.05}
 
+SPENT_BEYOND = 5
+"""Retries beyond the budget: it grows by one with ten further requests."""
+
 OUT_OF_FAVOUR = 20.0
 """Failure score of a worker that gets no request while another one is sound."""
 
@@ -436,7 +439,8 @@
 
 
 def spend_budget(box, service):
-    """Leave no repeat to a service."""
+    """Leave no repeat to a service, also once some more requests are counted."""
     window = box.state.budget(service)
-    while window.spend(box.state.clock(), boxes=box.state.boxes):
-        pass
+    now = box.state.clock()
+    left = window.left(now, share=box.state.retry_share)
+    window.retry_times.extend([now] * (left + SPENT_BEYOND))
--- a/tests/systems/test_retry_budget.py
+++ b/tests/systems/test_retry_budget.py
@@ -16,7 +16,7 @@
         window = rng.choice(windows)
         window.note_request(now)
         requests.append(now)
-        if rng.random() < 0.8 and window.spend(now, boxes=boxes):
+        if rng.random() < 0.8 and window.spend(now, share=1 / boxes):
             retries.append(now)
         recent_requests = sum(at > now - LIMITS.window_s for at in requests)
         recent_retries = sum(at > now - LIMITS.window_s for at in retries)
@@ -25,11 +25,11 @@
 
 def test_budget_is_restored_after_the_window():
     window = RetryWindow(limits=RetryLimits(ratio=0.0, window_s=10.0, slack=2.0))
-    assert window.spend(0.0, boxes=1)
-    assert not window.spend(1.0, boxes=1)
-    assert window.spend(10.5, boxes=1)
+    assert window.spend(0.0, share=1.0)
+    assert not window.spend(1.0, share=1.0)
+    assert window.spend(10.5, share=1.0)
 
 
 def test_share_of_a_box_shrinks_with_more_boxes():
     window = RetryWindow(limits=LIMITS)
-    assert window.allowed(0.0, boxes=16) < window.allowed(0.0, boxes=4)
+    assert window.allowed(0.0, share=1 / 16) < window.allowed(0.0, share=1 / 4)
