Soak: crowds of new connections at one box, and the retry budget over all boxes

A crowd of 60 connections a second goes to one box, whose requests cost 20 ms of the processor each in such runs; what it has read is held against the users' bound where nothing else was wrong. Arrivals past the first are held against the bound of the budget in every run.

make bench prints the tables of crowded boxes and of retry budgets too.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,8 @@
 bench: $(STAMP)
 	$(PY) -m croftchute.bench.main
 	$(PY) -m croftchute.bench.endless_answers
+	$(PY) -m croftchute.bench.retry_budgets
+	$(PY) -m croftchute.bench.crowded_box
 
 limits: $(STAMP)
 	$(PY) -m croftchute.bench.worker_limits
--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -37,6 +37,7 @@
     usage_limit,
 )
 from croftchute.forwarding.callers.forwarder import Forwarder  # noqa: E402
+from croftchute.forwarding.http.connection_intake import ConnectionIntake  # noqa: E402
 from croftchute.forwarding.http.connection_pool import ConnectionPool  # noqa: E402
 from croftchute.forwarding.http.exchange import Exchange  # noqa: E402
 from croftchute.forwarding.http.failures import AnswerLateError  # noqa: E402
@@ -50,6 +51,7 @@
 from croftchute.forwarding.workers.request_run import RequestRun  # noqa: E402
 from croftchute.forwarding.workers.worker_call import WorkerCall  # noqa: E402
 from croftchute.systems.crash_records import CrashRecords  # noqa: E402
+from croftchute.systems.intake_queue import IntakeLimits  # noqa: E402
 from croftchute.systems.part_crashes import PartCrashes  # noqa: E402
 from croftchute.systems.tracked_worker import TrackedWorker  # noqa: E402
 from croftchute.systems.usage_bucket import UsageBucket  # noqa: E402
@@ -373,6 +375,35 @@
 
 BUCKETS: dict[str, UsageBucket] = {}
 KEPT: list[object] = []
+
+
+def read_all_connections() -> None:
+    """Read each new connection as it comes, however many requests are under way."""
+
+    def listen(self: ConnectionIntake, host: str, port: int) -> None:
+        self.queue.limits = IntakeLimits(
+            max_turn_s=math.inf, burst_wait_s=math.inf, crowded_after_s=math.inf
+        )
+        begin_to_listen(self, host, port)
+
+    def read_all(self: ConnectionIntake) -> None:
+        accept_some(self)
+        for connection in self.queue.take_all():
+            self._begin(connection, self.clock())
+
+    begin_to_listen, accept_some = ConnectionIntake.listen, ConnectionIntake._accept
+    ConnectionIntake.listen = listen  # type: ignore[method-assign]
+    ConnectionIntake._accept = read_all  # type: ignore[method-assign]
+
+
+def count_no_arrivals() -> None:
+    """Send to further workers without a retry from the budget."""
+
+    RequestRun.claim_arrival = (  # type: ignore[method-assign]
+        lambda self, **_: not self.crashes_workers
+    )
+
+
 BROKEN: dict[str, Callable[[], None]] = {
     "send_twice": send_twice,
     "keep_draining": keep_draining,
@@ -395,6 +426,8 @@
     "leave_silent_workers": leave_silent_workers,
     "reuse_connections": reuse_connections,
     "trust_relays": trust_relays,
+    "read_all_connections": read_all_connections,
+    "count_no_arrivals": count_no_arrivals,
 }
 
 
--- a/src/croftchute/soak/boxes.py
+++ b/src/croftchute/soak/boxes.py
@@ -71,6 +71,7 @@
     seeds: tuple[str, ...]
     alteration: Alteration = Alteration()
     retry_slack: float = 50.0
+    most_retry_slack: float = 0.0
     life: int = 0
     is_wanted: bool = True
     expects_end: bool = False
@@ -91,6 +92,7 @@
     def write_settings(self) -> None:
         """Write the settings as they are to be from now on, for lives after the present one too."""
         address = self.address
+        self.most_retry_slack = max(self.most_retry_slack, self.retry_slack)
         settings = {
             "box": self.name,
             "hall": self.hall,
--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -11,7 +11,9 @@
 from dataclasses import dataclass, field
 
 from croftchute.soak.boxes import DRAIN_S, OWN_ENDS_ALLOWED, STOP_LIMIT_S, SoakBox
+from croftchute.soak.budgets import budget_violations
 from croftchute.soak.crashing import CrashingPart, CrashingRequest
+from croftchute.soak.crowds import Crowds
 from croftchute.soak.disturbances import STORE, Disturbance, Disturbances
 from croftchute.soak.key_checks import DENIED, KeyChecks
 from croftchute.soak.link_cuts import LinkCuts, links_of
@@ -82,6 +84,7 @@
     limiting: LimitingWorkers | None = None
     link_cuts: LinkCuts | None = None
     paused: PausedWorkers | None = None
+    crowds: Crowds | None = None
     runs_by_id: dict[str, list[tuple[ListedWorker, Run]]] = field(default_factory=dict)
 
     @property
@@ -107,6 +110,8 @@
         found += versions_mixed(self.traffic)
         found += self._ends()
         found += self._memory()
+        slack = max((box.most_retry_slack for box in self.boxes), default=0.0)
+        found += budget_violations(self.world, self.traffic, slack=slack)
         keys = self._key_checks()
         found += keys.always(self.world.all_workers)
         if self.limiting is not None:
@@ -124,6 +129,8 @@
             found += self._crashing_part_requests()
             if self.paused is not None:
                 found += self.paused.denials(in_touch=self._in_touch, slack_s=self.slack_s)
+            if self.crowds is not None:
+                found += self.crowds.violations()
             if self.link_cuts is not None:
                 found += self.link_cuts.violations(self.traffic)
             if self.telling is not None:
--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -14,6 +14,7 @@
 
 from croftchute.soak.boxes import SoakBox
 from croftchute.soak.crashing import CrashingParts, CrashingRequests
+from croftchute.soak.crowds import Crowds
 from croftchute.soak.disturbances import Disturbances
 from croftchute.soak.link_cuts import LinkCuts
 from croftchute.soak.pauses import PausedWorkers
@@ -117,6 +118,7 @@
         crashing: CrashingRequests,
         crashing_parts: CrashingParts,
         paused: PausedWorkers,
+        crowds: Crowds,
     ) -> None:
         self.spec = spec
         self.world = world
@@ -182,6 +184,7 @@
             FaultKind.ANSWERS_COPIED: self._copy_answers,
             FaultKind.RELAYS_PAUSED: self._pause_relays,
             FaultKind.ANSWERS_ENDLESS: self._answer_without_end,
+            FaultKind.CALLERS_CROWDED: crowds.strike,
         }
 
     @property
--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -49,6 +49,7 @@
     ANSWERS_COPIED = "answers_copied"
     RELAYS_PAUSED = "relays_paused"
     ANSWERS_ENDLESS = "answers_endless"
+    CALLERS_CROWDED = "callers_crowded"
 
 
 LATER_KINDS = frozenset(
@@ -65,6 +66,7 @@
         FaultKind.ANSWERS_COPIED,
         FaultKind.RELAYS_PAUSED,
         FaultKind.ANSWERS_ENDLESS,
+        FaultKind.CALLERS_CROWDED,
     }
 )
 FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
--- a/src/croftchute/soak/run.py
+++ b/src/croftchute/soak/run.py
@@ -15,6 +15,7 @@
 from croftchute.soak.boxes import Alteration, SoakBox, lay_out, own_link_hosts, own_network
 from croftchute.soak.checks import Checker, Violation, check_wave
 from croftchute.soak.crashing import CrashingParts, CrashingRequests
+from croftchute.soak.crowds import REQUEST_MS, Crowds
 from croftchute.soak.disturbances import Disturbances
 from croftchute.soak.injector import Injector
 from croftchute.soak.pauses import PausedWorkers
@@ -35,6 +36,10 @@
 END_LIMIT_S = 10.0
 LINKS_END_S = 0.1
 
+USUAL_SLACK = 50.0
+SMALL_SLACK = 8.0
+"""Constants of the retry budget; the small one is for runs that draw crowds of requests."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SoakResult:
@@ -79,6 +84,7 @@
     crashing: CrashingRequests
     crashing_parts: CrashingParts
     paused: PausedWorkers
+    crowds: Crowds
 
     async def wait_ready(self) -> bool:
         """Wait until all boxes call themselves ready; False if they do not in time."""
@@ -129,6 +135,7 @@
             limiting=injector.limiting,
             link_cuts=injector.link_cuts,
             paused=set_up.paused,
+            crowds=set_up.crowds,
         )
         violations += checker.violations()
         tries = set_up.traffic.tries_by_id.values()
@@ -193,6 +200,7 @@
         crashing=set_up.crashing,
         crashing_parts=set_up.crashing_parts,
         paused=set_up.paused,
+        crowds=set_up.crowds,
     )
 
 
@@ -219,10 +227,12 @@
             folder=folder,
             store_port=store_port,
             seeds=seeds,
+            retry_slack=SMALL_SLACK if FaultKind.CALLERS_CROWDED in spec.kinds else USUAL_SLACK,
             alteration=Alteration(
                 broken=spec.broken,
                 worker_host=link_hosts[number] if cuts_links else "",
                 store_port=store_port if cuts_links else 0,
+                request_ms=REQUEST_MS if FaultKind.CALLERS_CROWDED in spec.kinds else 0.0,
             ),
         )
         await caller_link.start()
@@ -257,6 +267,7 @@
             paused=PausedWorkers(
                 world=world, boxes=boxes, traffic=traffic, disturbances=disturbances
             ),
+            crowds=Crowds(boxes=boxes, traffic=traffic, disturbances=disturbances),
         )
     finally:
         await _take_down(boxes, running)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,11 +5,12 @@
 import pytest
 
 from croftchute.soak.checks import Checker, check_wave
+from croftchute.soak.crowds import CONTACT_S, MIN_JUDGED, Crowd, Crowds
 from croftchute.soak.disturbances import STORE, Disturbances, Pace
 from croftchute.soak.software import streams_lost, versions_mixed
 from croftchute.soak.world import EVENTS
 from croftchute.standins.platform_caller import RequestKind, Try
-from croftchute.standins.worker_records import Run
+from croftchute.standins.worker_records import Arrival, Run
 
 STAMPED = {"x-croftchute-server-stamp": "s"}
 
@@ -43,12 +44,18 @@
     )
 
 
-def worker(name, *runs, leaving_at=None, holds=(), silenced_ports=()):
+def worker(name, *runs, leaving_at=None, holds=(), silenced_ports=(), arrivals=(), service="desk"):
     stand_in = SimpleNamespace(
-        id=name, runs=list(runs), holds=set(holds), handles=set(), received=[]
+        id=name,
+        runs=list(runs),
+        holds=set(holds),
+        handles=set(),
+        received=[],
+        arrivals=list(arrivals),
+        prompts_read=[],
     )
     link = SimpleNamespace(silenced_ports=set(silenced_ports))
-    return SimpleNamespace(worker=stand_in, leaving_at=leaving_at, link=link)
+    return SimpleNamespace(worker=stand_in, leaving_at=leaving_at, link=link, service=service)
 
 
 def checker(tries, workers=(), **changes):
@@ -194,7 +201,7 @@
 
 
 def test_a_box_that_ends_by_itself_is_found():
-    box = SimpleNamespace(name="box-1", unexpected_ends=[1])
+    box = SimpleNamespace(name="box-1", most_retry_slack=0.0, unexpected_ends=[1])
     assert promises([], boxes=[box]) == {"boxes run on"}
 
 
@@ -328,3 +335,44 @@
     ]
     assert bool(list(streams_lost(traffic, SimpleNamespace(all_workers=workers)))) is is_lost
     assert not list(streams_lost(traffic, SimpleNamespace(all_workers=workers[:1])))
+
+
+def repeated(count, *, gap_s):
+    """Twice as many arrivals as requests, at one worker."""
+    return [
+        Arrival(request_id=f"r{number}", at=10.0 + gap_s * number)
+        for number in range(count)
+        for _ in range(2)
+    ]
+
+
+@pytest.mark.parametrize("gap_s, is_broken", [(0.1, True), (1.0, False)])
+def test_arrivals_past_the_first_are_bounded_in_each_window(gap_s, is_broken):
+    tries = [attempt(request_id=f"r{n}", sent_at=10.0 + gap_s * n) for n in range(40)]
+    boxes = [SimpleNamespace(most_retry_slack=20.0, unexpected_ends=[])]
+    workers = [worker("w", arrivals=repeated(40, gap_s=gap_s))]
+    found = promises(tries, workers, boxes=boxes, judge_times=False)
+    assert ("the retry budget" in found) is is_broken
+
+
+@pytest.mark.parametrize(
+    "status, is_disturbed, is_broken",
+    [(200, False, False), (503, False, True), (0, False, False), (503, True, False)],
+)
+def test_a_crowded_box_serves_what_it_reads(status, is_disturbed, is_broken):
+    """A connection that was closed unread does not count."""
+    at = 10.0 + CONTACT_S + 0.1
+    tries = tuple(
+        attempt(request_id=f"c{n}", sent_at=at, status=status, is_whole=status == 200)
+        for n in range(MIN_JUDGED)
+    )
+    disturbances = Disturbances()
+    if is_disturbed:
+        disturbances.note("box-1", 9.0, 11.0)
+    crowds = Crowds(
+        boxes=[],
+        traffic=SimpleNamespace(world=SimpleNamespace(all_workers=[])),
+        disturbances=disturbances,
+        crowds=[Crowd(box="box-1", begun_at=10.0, tries=tries)],
+    )
+    assert bool(list(crowds.violations())) is is_broken
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -39,6 +39,12 @@
 )
 COPIES = (FaultKind.ANSWERS_COPIED, FaultKind.BOX_KILL, FaultKind.CONFIG_CHANGE)
 ENDLESS = (FaultKind.ANSWERS_ENDLESS, FaultKind.BOX_STOP, FaultKind.WORKER_CRASH)
+CROWDS = (
+    FaultKind.CALLERS_CROWDED,
+    FaultKind.BOX_KILL,
+    FaultKind.WORKER_FAULT,
+    FaultKind.LINKS_CUT,
+)
 SHORT = [
     SoakSpec(seed=4, seconds=6.0, judge_times=False, kinds=FIRST_KINDS),
     SoakSpec(seed=21, seconds=6.0, judge_times=False, only_planned=True, kinds=FIRST_KINDS),
@@ -52,6 +58,7 @@
     SoakSpec(seed=6708, seconds=8.0, judge_times=False, kinds=PAUSES, boxes=4),
     SoakSpec(seed=8401, seconds=8.0, judge_times=False, kinds=COPIES),
     SoakSpec(seed=8501, seconds=8.0, judge_times=False, kinds=ENDLESS),
+    SoakSpec(seed=9001, seconds=8.0, judge_times=False, kinds=CROWDS, boxes=4),
 ]
 REGRESSIONS = [
     SoakSpec(
