Bench: crowds of a hall or a region by the size of the fleet, in virtual time

The table of real boxes has 260 a second in place of 320: at 320 the process of the stand-in workers was itself up to 1.06 s late, so that boxes without a crowd served next to nothing.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	$(PY) -m croftchute.bench.main
 	$(PY) -m croftchute.bench.endless_answers
 	$(PY) -m croftchute.bench.retry_budgets
+	$(PY) -m croftchute.bench.crowd_sizes
 	$(PY) -m croftchute.bench.crowded_box
 
 limits: $(STAMP)
--- a/src/croftchute/bench/crowded_box.py
+++ b/src/croftchute/bench/crowded_box.py
@@ -214,7 +214,7 @@
 
 
 ROWS = (
-    *(CrowdSpec(per_s=rate) for rate in (100.0, 160.0, 220.0, 320.0)),
+    *(CrowdSpec(per_s=rate) for rate in (100.0, 160.0, 220.0, 260.0)),
     *(CrowdSpec(per_s=rate, cpu_share=0.5) for rate in (60.0, 100.0, 160.0)),
     CrowdSpec(per_s=320.0, plain_share=1.0),
     CrowdSpec(per_s=160.0, plain_share=0.63, kept_share=0.5),
