Name the calls of a passed request in a header of their own, only if they are known

Terms without them are written and read as before; a box that does not name them is taken to have made its attempts, and to have read the prompt. The template's test fills the two new gaps.

--- a/src/croftchute/forwarding/boxes/forward_terms.py
+++ b/src/croftchute/forwarding/boxes/forward_terms.py
@@ -30,35 +30,69 @@
     OLDER_CONFIG = "older_config"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PriorCalls:
+    """Calls of workers that count against the retry budget.
+
+    ``is_prompt_read`` says that the free call, which only reads the prompt, has been used.
+    """
+
+    arrivals: int
+    is_prompt_read: bool
+
+    def encode(self) -> bytes:
+        """Return the value of the header.
+
+        >>> PriorCalls(arrivals=2, is_prompt_read=True).encode()
+        b'2 1'
+        """
+        return f"{self.arrivals} {int(self.is_prompt_read)}".encode()
+
+
+def _read_calls(value: bytes | None) -> PriorCalls | None:
+    arrivals, _, prompts = (value or b"").partition(b" ")
+    if not (arrivals.isdigit() and prompts.isdigit()):
+        return None
+    return PriorCalls(arrivals=int(arrivals), is_prompt_read=int(prompts) > 0)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ForwardTerms:
     """Terms of a passed request: its sender, and what the receiver must know beside the request.
 
     A receiver whose configuration is older than ``config_version`` must decline. ``attempts`` is
     the number of workers that may have received the request already. ``origin`` is where
-    the stream began, None if its caller has no event yet or took it up itself. ``arrivals`` are the
-    calls of workers that count against the retry budget, and ``is_prompt_read`` says that the
-    free call that only reads the prompt has been used.
+    the stream began, None if its caller has no event yet or took it up itself. ``calls`` are what
+    counts against the retry budget; None if the sender, of an earlier version, does not say.
     """
 
     box: str
     config_version: int
     attempts: int
     origin: StreamOrigin | None = None
-    arrivals: int = 0
-    is_prompt_read: bool = False
+    calls: PriorCalls | None = None
 
     def headers(self) -> HeaderList:
         """Return the headers of the request.
 
         >>> ForwardTerms(box="edge-1", config_version=7, attempts=0).headers()
-        [(b'croftchute-forward', b'7 0 edge-1'), (b'croftchute-arrivals', b'0 0')]
+        [(b'croftchute-forward', b'7 0 edge-1')]
         """
         terms = f"{self.config_version} {self.attempts} {self.box}".encode()
-        arrivals = f"{self.arrivals} {int(self.is_prompt_read)}".encode()
-        headers = [(FORWARD, terms), (ARRIVALS, arrivals)]
+        headers = [(FORWARD, terms)]
+        if self.calls is not None:
+            headers.append((ARRIVALS, self.calls.encode()))
         return headers + ([] if self.origin is None else [origin_header(self.origin)])
 
+    def prior_calls(self) -> PriorCalls:
+        """Return the calls that count, by the attempts if the sender does not say.
+
+        Its prompt may have been read before them.
+        """
+        if self.calls is not None:
+            return self.calls
+        return PriorCalls(arrivals=self.attempts, is_prompt_read=self.attempts > 0)
+
 
 def read_terms(request: IncomingRequest) -> ForwardTerms | None:
     """Return the terms of a passed request; None if there are none, or they can't be read."""
@@ -69,16 +103,12 @@
     attempts, _, box = rest.partition(b" ")
     if not (version.isdigit() and attempts.isdigit() and box):
         return None
-    arrivals, _, prompts = (request.get(ARRIVALS) or b"").partition(b" ")
-    names_arrivals = arrivals.isdigit() and prompts.isdigit()
     return ForwardTerms(
         box=box.decode("utf-8", "replace"),
         config_version=int(version),
         attempts=int(attempts),
         origin=read_origin(request.get(BUILD)),
-        arrivals=int(arrivals) if names_arrivals else int(attempts),
-        # A box that does not say so may have read the prompt before its attempts.
-        is_prompt_read=int(prompts) > 0 if names_arrivals else int(attempts) > 0,
+        calls=_read_calls(request.get(ARRIVALS)),
     )
 
 
--- a/src/croftchute/forwarding/boxes/peer_forwarding.py
+++ b/src/croftchute/forwarding/boxes/peer_forwarding.py
@@ -16,6 +16,7 @@
 from croftchute.forwarding.boxes.forward_terms import (
     DeclineReason,
     ForwardTerms,
+    PriorCalls,
     was_answered,
     without_terms,
 )
@@ -240,8 +241,9 @@
             config_version=state.table.version if state.table else 0,
             attempts=progress.attempts,
             origin=run.origin,
-            arrivals=run.ledger.arrivals,
-            is_prompt_read=run.ledger.is_prompt_read,
+            calls=PriorCalls(
+                arrivals=run.ledger.arrivals, is_prompt_read=run.ledger.is_prompt_read
+            ),
         )
         request = run.exchange.request
         data = state.callers.encode_forwarded(
--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -76,7 +76,8 @@
 
 
 def _passed_ledger(terms: ForwardTerms) -> ArrivalLedger:
-    return ArrivalLedger.of_passed(arrivals=terms.arrivals, is_prompt_read=terms.is_prompt_read)
+    calls = terms.prior_calls()
+    return ArrivalLedger.of_passed(arrivals=calls.arrivals, is_prompt_read=calls.is_prompt_read)
 
 
 class Forwarder:
--- a/tests/forwarding/boxes/test_forward_terms.py
+++ b/tests/forwarding/boxes/test_forward_terms.py
@@ -4,10 +4,12 @@
 
 from croftchute.forwarding.boxes.forward_terms import (
     ANSWERED,
+    ARRIVALS,
     DECLINED,
     FORWARD,
     DeclineReason,
     ForwardTerms,
+    PriorCalls,
     read_terms,
     was_answered,
     without_terms,
@@ -53,6 +55,22 @@
     assert without_terms(request_with(headers).headers) == [HOST]
 
 
+def test_calls_that_count_are_passed_on():
+    """Guards against arrivals past the first that neither of two boxes counts."""
+    calls = PriorCalls(arrivals=2, is_prompt_read=True)
+    terms = ForwardTerms(box="edge-1", config_version=7, attempts=1, calls=calls)
+    request = request_with(terms.headers())
+    assert read_terms(request) == terms and terms.prior_calls() == calls
+    assert without_terms(request.headers) == [HOST]
+
+
+@pytest.mark.parametrize("value", [b"", b"2", b"x 1", b"-1 0"])
+def test_a_box_that_does_not_name_its_calls_is_taken_to_have_made_its_attempts(value):
+    headers = [(FORWARD, b"7 1 edge-1"), (ARRIVALS, value)]
+    terms = read_terms(request_with(headers))
+    assert terms.prior_calls() == PriorCalls(arrivals=1, is_prompt_read=True)
+
+
 @pytest.mark.parametrize("value", [b"", b"7", b"7 0", b"7 0 ", b"x 0 edge-1", b"7 -1 edge-1"])
 def test_a_request_whose_terms_cannot_be_read_was_passed_by_no_box(value):
     assert read_terms(request_with([(FORWARD, value)])) is None
--- a/tests/platform_adapter/test_life.py
+++ b/tests/platform_adapter/test_life.py
@@ -236,6 +236,8 @@
         "{{Bounds.ContactMs}}": "2500",
         "{{Limits.LinkMbps}}": "1000.0",
         "{{Limits.MemoryMb}}": "136.0",
+        "{{Limits.MaxFds}}": "4100",
+        "{{FirstStart|json}}": "false",
         '{{#Contracts}}"{{.}}": true{{,}}{{/Contracts}}': '"base": true, "pressure": true',
     } | (QUOTA_VALUES if has_quotas else {})
     for gap, value in values.items():
@@ -247,6 +249,8 @@
     assert settings.drain_s == 2.0
     assert settings.contact_s == 2.5
     assert settings.memory_mb == 136.0
+    assert settings.max_caller_connections == 1950
+    assert not settings.first_start
     assert settings.conditions.pressure
     assert settings.retry.slack == 56.0
     assert settings.limits == (
