--- a/tests/soak/test_pauses.py
+++ b/tests/soak/test_pauses.py
@@ -8,6 +8,7 @@
 from croftchute.soak.disturbances import Disturbances
 from croftchute.soak.link_cuts import links_of
 from croftchute.soak.pauses import PassingRoute, Pause, PausedWorkers
+from croftchute.soak.world import ENGINES
 from croftchute.standins.platform_caller import RequestKind, Try
 from croftchute.standins.worker_records import Run
 
@@ -55,10 +56,19 @@
         peer_port=4001,
     )
     stand_in = SimpleNamespace(
-        id=WORKER, runs=[run] if has_run else [], holds=set(), handles=set(), received=[]
+        id=WORKER,
+        runs=[run] if has_run else [],
+        holds=set(),
+        handles=set(),
+        received=[],
+        arrivals=[],
+        prompts_read=[],
     )
     listed = SimpleNamespace(
-        worker=stand_in, leaving_at=None, link=SimpleNamespace(silenced_ports=set())
+        worker=stand_in,
+        leaving_at=None,
+        link=SimpleNamespace(silenced_ports=set()),
+        service=ENGINES,
     )
     world = SimpleNamespace(all_workers=[listed], accepted_at_by_version={1: 0.0})
     traffic = SimpleNamespace(tries_by_id={"r1": one}, lives_by_id={"r1": (1, 1)}, keys_by_id={})
