Decide on standing back only while connections are closed unread

The watch woke each box ten times a second, and the measurement of the loop's delay twenty times, beside some fifty wake-ups that a box has otherwise; users pay for each. The watch sleeps until a connection is closed unread, and the delay is measured four times a second.

--- a/src/croftchute/forwarding/loop_delay.py
+++ b/src/croftchute/forwarding/loop_delay.py
@@ -14,8 +14,8 @@
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.state import ForwardingState
 
-CHECK_S = 0.05
-"""Seconds between two measurements."""
+CHECK_S = 0.25
+"""Seconds between two measurements: each wakes the process."""
 
 NOTABLE_S = 0.1
 """Delay in seconds from which the loop counts as late: a hold's time-out lapses before it."""
--- a/src/croftchute/forwarding/overload_watch.py
+++ b/src/croftchute/forwarding/overload_watch.py
@@ -13,7 +13,7 @@
 from croftchute.forwarding.state import ForwardingState
 
 CHECK_S = 0.1
-"""Seconds between two decisions whether to stand back."""
+"""Seconds between two decisions whether to stand back, while connections are closed unread."""
 
 LOG_INTERVAL_S = 1.0
 """Seconds between two lines about connections that were closed unread."""
@@ -32,10 +32,19 @@
     open_requests: Callable[[], int]
     _shed: Counter[ShedCause] = field(default_factory=Counter)
     _logged_at: float = -math.inf
+    _has_shed: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def run(self) -> None:
-        """Decide again and again; never returns."""
+        """Decide again and again while connections are closed unread; never returns."""
         while True:
+            await self._has_shed.wait()
+            self._has_shed.clear()
+            await self._decide_until_over()
+
+    async def _decide_until_over(self) -> None:
+        """Decide until shedding has ended, the box is back, and all is logged."""
+        overload = self.state.overload
+        while self._shed or overload.is_standing_back or overload.is_shedding(self.state.clock()):
             await asyncio.sleep(CHECK_S)
             self.decide(self.state.clock())
 
@@ -43,6 +52,7 @@
         """Take in a connection that was closed unread."""
         self.state.metrics.connections_shed.inc({"cause": cause.value})
         self._shed[cause] += 1
+        self._has_shed.set()
         if cause is not ShedCause.STOPPED:
             self.state.overload.note_shed(now)
 
