--- a/tests/platform_adapter/test_silent_workers.py
+++ b/tests/platform_adapter/test_silent_workers.py
@@ -438,9 +438,9 @@
     return sum(request.path == "/hold-take" for request in worker.received)
 
 
-def spend_budget(box, service):
+def spend_budget(box, service, *, beyond=SPENT_BEYOND):
     """Leave no repeat to a service, also once some more requests are counted."""
     window = box.state.budget(service)
     now = box.state.clock()
     left = window.left(now, share=box.state.retry_share)
-    window.retry_times.extend([now] * (left + SPENT_BEYOND))
+    window.retry_times.extend([now] * (left + beyond))
--- a/tests/platform_adapter/test_silent_workers_review.py
+++ b/tests/platform_adapter/test_silent_workers_review.py
@@ -142,7 +142,7 @@
                 return await acquire(host, port, **options)
 
             pool.acquire = slow_acquire
-            spend_budget(box, "llm")
+            spend_budget(box, "llm", beyond=0)
             budget.retry_times.pop()
             own.pause()
             before = len(budget.retry_times)
--- a/tests/platform_adapter/test_store_and_peers.py
+++ b/tests/platform_adapter/test_store_and_peers.py
@@ -87,6 +87,7 @@
             await made.add_worker("w1")
             box = await made.add_box()
             await made.ready(box)
+            await until(lambda: made.store.calls.count("kv-watch") >= 2)
             made.store.faults.is_silent = True
             made.store.put("op/config", config(9))
             await until(lambda: box.state.table.version == 9)
