--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -164,6 +164,7 @@
             state=state,
             on_change=self._note_overload,
             open_requests=lambda: self.ingress.open_requests,
+            connections_read=lambda: self.ingress.connections_read,
         )
         self.ingress = HttpIngress(
             handler=self.forwarder.handle,
--- a/src/croftchute/forwarding/http/connection_intake.py
+++ b/src/croftchute/forwarding/http/connection_intake.py
@@ -63,6 +63,7 @@
         self.owner = owner
         self.clock = clock
         self.queue: IntakeQueue[socket.socket] = IntakeQueue()
+        self.connections_read = 0
         self._socket: socket.socket | None = None
         self._turn: asyncio.Handle | None = None
         self._turn_began_at = -math.inf
@@ -140,6 +141,7 @@
         if not self.owner.make_room():
             self._shed(connection, ShedCause.TOO_MANY_OPEN, now)
             return
+        self.connections_read += 1
         task = asyncio.get_running_loop().create_task(self.owner.begin(connection))
         self._beginning.add(task)
         task.add_done_callback(self._beginning.discard)
--- a/src/croftchute/forwarding/http/http_server.py
+++ b/src/croftchute/forwarding/http/http_server.py
@@ -368,6 +368,11 @@
         """How many connections have a request that is not answered yet."""
         return sum(connection.is_busy for connection in self.connections)
 
+    @property
+    def connections_read(self) -> int:
+        """How many connections were read, if they are paced; 0 if not."""
+        return 0 if self.intake is None else self.intake.connections_read
+
     def is_entry_over(self, now: float) -> bool:
         """Whether requests are turned away at this time of the ingress's clock."""
         return now >= self.entry_ends_at
--- a/src/croftchute/forwarding/overload_watch.py
+++ b/src/croftchute/forwarding/overload_watch.py
@@ -24,12 +24,15 @@
     """Counts connections closed unread, and decides whether the box stands back.
 
     ``on_change`` is called once it stands back or does not any more, ``open_requests`` returns how
-    many requests of callers are being read or served.
+    many requests of callers are being read or served, ``connections_read`` how many connections
+    were read since the process began.
     """
 
     state: ForwardingState
     on_change: Callable[[], None]
     open_requests: Callable[[], int]
+    connections_read: Callable[[], int]
+    _read_before: int = 0
     _shed: Counter[ShedCause] = field(default_factory=Counter)
     _logged_at: float = -math.inf
     _has_shed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -44,6 +47,7 @@
     async def _decide_until_over(self) -> None:
         """Decide until shedding has ended, the box is back, and all is logged."""
         overload = self.state.overload
+        self._read_before = self.connections_read()
         while self._shed or overload.is_standing_back or overload.is_shedding(self.state.clock()):
             await asyncio.sleep(CHECK_S)
             self.decide(self.state.clock())
@@ -74,10 +78,13 @@
     def _log(self, *, hall_boxes: int) -> None:
         by_cause = {cause.value: count for cause, count in self._shed.items()}
         self._shed.clear()
+        read = self.connections_read()
+        read_since, self._read_before = read - self._read_before, read
         self.state.log.decide(
             Decision.CONNECTIONS_SHED,
             outcome="standing_back" if self.state.overload.is_standing_back else "ready",
             open_requests=self.open_requests(),
             hall_boxes=hall_boxes,
             closed_unread=by_cause,
+            read=read_since,
         )
--- a/tests/forwarding/test_overload_watch.py
+++ b/tests/forwarding/test_overload_watch.py
@@ -30,6 +30,7 @@
             state=self.state,
             on_change=lambda: self.changes.append(self.state.overload.is_standing_back),
             open_requests=lambda: 3,
+            connections_read=lambda: 5,
         )
 
     def shed_until(self, end):
