--- a/tests/forwarding/http/test_connection_intake.py
+++ b/tests/forwarding/http/test_connection_intake.py
@@ -16,6 +16,9 @@
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
+CONTACT_S = 3.0
+"""Seconds within which a ready box must read some connection, by the users' rules."""
+
 
 @contextlib.asynccontextmanager
 async def served(handler, **options):
@@ -89,6 +92,29 @@
     run(body)
 
 
+def test_a_box_whose_turns_stay_long_still_reads_connections():
+    """Guards against a box that says it is ready and reads no connection for seconds."""
+
+    async def body():
+        loop = asyncio.get_running_loop()
+        is_busy = True
+
+        def occupy():
+            time.sleep(1.5 * IntakeLimits().max_turn_s)
+            if is_busy:
+                loop.call_soon(occupy)
+
+        async with served(answer) as (ingress, _):
+            occupy()
+            found, end = [], loop.time() + CONTACT_S
+            while loop.time() < end:
+                found += await asyncio.gather(*(status_of(ingress.port) for _ in range(7)))
+            is_busy = False
+            assert found.count(200) > 0
+
+    run(body)
+
+
 def test_idle_connections_make_room_for_new_ones_and_busy_ones_do_not():
     """Guards against callers that keep connections and leave no descriptor to others."""
     waiting = asyncio.Event()
--- a/tests/platform_adapter/test_arrivals_past_the_first.py
+++ b/tests/platform_adapter/test_arrivals_past_the_first.py
@@ -28,6 +28,8 @@
 WINDOW_S = 10.0
 ASKED = 40
 RATIO = 0.2
+SEND_S = 0.1
+"""Seconds within which a call that is sent reaches a worker on loopback."""
 
 
 def allowed_of(box, requests):
@@ -52,6 +54,22 @@
     run(body)
 
 
+def test_a_retry_counts_from_the_moment_at_which_its_call_is_sent():
+    """Guards against a window of retries that has forgotten calls which workers get in it."""
+
+    async def body():
+        async with fleet() as made:
+            box, decodes, prefills = await engines(made, decodes=2, prefills=1)
+            prefills[0].faults.is_silent = True
+            answer = await ask(box, "/resume/x", "r0")
+            assert answer.status == 200
+            (arrived_at,) = excess_arrival_times([*decodes, *prefills])
+            (taken_at,) = box.state.budget("llm").retry_times
+            assert abs(arrived_at - taken_at) < SEND_S
+
+    run(body)
+
+
 def test_a_prompt_of_a_passed_request_is_read_ahead_only_within_the_budget():
     """Guards against a second prefill call that no box counts, when a request crosses two boxes."""
 
@@ -91,6 +109,20 @@
     run(body)
 
 
+def test_a_box_that_does_not_know_the_fleet_uses_none_of_the_constant():
+    """Guards against boxes that start in a cut and each use what is meant for all of them."""
+
+    async def body():
+        async with fleet() as made:
+            box, *_ = await engines(made)
+            box.state.begun_at -= 2 * WINDOW_S
+            box.state.started_at -= 2 * WINDOW_S
+            box.fleet_size.recorded = None
+            assert box.state.budget("llm").left(box.state.clock(), share=box.state.retry_share) == 0
+
+    run(body)
+
+
 async def rejected_request(box, name):
     caller = PlatformCaller(
         box=box.name,
