Read a connection now and then however long the turns of the event loop are

Callers saw: a box that said it was ready read none of their connections, and closed all of them after 0.4 s. Cause: intake stopped behind each turn of more than 20 ms, whatever made it long, and behind turns that are longer than connections may wait all had expired before one was looked for. Change: one is read every 0.25 s at least, and the next one is read before those that have waited too long are closed.

--- a/src/croftchute/bench/crowd_sizes.py
+++ b/src/croftchute/bench/crowd_sizes.py
@@ -178,11 +178,11 @@
             self.at(now, lambda at: self._turn(box, at))
 
     def _turn(self, box: _Box, now: float) -> None:
-        for request in box.queue.take_expired(now):
-            self._shed(request, box, now)
-        request_to_read = box.queue.take_next(turn_s=box.turn_s)
+        request_to_read = box.queue.take_next(now, turn_s=box.turn_s)
         if request_to_read is not None:
             self._read(request_to_read, box)
+        for request in box.queue.take_expired(now):
+            self._shed(request, box, now)
         if not box.open and not box.queue:
             box.is_running = False
             return
--- a/src/croftchute/forwarding/http/connection_intake.py
+++ b/src/croftchute/forwarding/http/connection_intake.py
@@ -130,10 +130,11 @@
         now = self.clock()
         turn_s = now - self._turn_began_at
         self._turn = None
+        # Behind a turn that is longer than all waits none would be left to read.
+        if (found := self.queue.take_next(now, turn_s=turn_s)) is not None:
+            self._begin(found, now)
         for expired in self.queue.take_expired(now):
             self._shed(expired, ShedCause.WAITED, now)
-        if (found := self.queue.take_next(turn_s=turn_s)) is not None:
-            self._begin(found, now)
         self._schedule_turn()
 
     def _begin(self, connection: socket.socket, now: float) -> None:
--- a/src/croftchute/systems/intake_queue.py
+++ b/src/croftchute/systems/intake_queue.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
@@ -28,12 +29,16 @@
     ``crowded_after_s`` without a break, the box is crowded and they wait for ``crowded_wait_s``:
     more does not get more of them served. Boxes that get their processor time in slices of 0.1 s
     empty the queue between two slices.
+
+    If none was read for ``max_pause_s`` while some waited, one is read whatever the turn took: a
+    box whose turns are long for another reason than new connections would read none at all.
     """
 
     max_turn_s: float = 0.02
     burst_wait_s: float = 0.4
     crowded_after_s: float = 0.4
     crowded_wait_s: float = 0.05
+    max_pause_s: float = 0.25
 
 
 @dataclass(kw_only=True)
@@ -43,6 +48,7 @@
     limits: IntakeLimits = IntakeLimits()
     _waiting: deque[tuple[T, float]] = field(default_factory=deque)
     _empty_at: float = 0.0
+    _taken_at: float = -math.inf
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -74,10 +80,14 @@
             expired.append(self._waiting.popleft()[0])
         return expired
 
-    def take_next(self, *, turn_s: float) -> T | None:
+    def take_next(self, now: float, *, turn_s: float) -> T | None:
         """Remove and return the connection to read behind a turn that took ``turn_s`` seconds."""
-        if not self._waiting or turn_s > self.limits.max_turn_s:
+        if not self._waiting:
+            return None
+        paused_s = now - max(self._empty_at, self._taken_at)
+        if turn_s > self.limits.max_turn_s and paused_s < self.limits.max_pause_s:
             return None
+        self._taken_at = now
         return self._waiting.popleft()[0]
 
     def take_all(self) -> list[T]:
--- a/tests/forwarding/http/test_connection_intake.py
+++ b/tests/forwarding/http/test_connection_intake.py
@@ -92,7 +92,8 @@
     run(body)
 
 
-def test_a_box_whose_turns_stay_long_still_reads_connections():
+@pytest.mark.parametrize("turn_s", [1.5 * IntakeLimits().max_turn_s, 0.6])
+def test_a_box_whose_turns_stay_long_still_reads_connections(turn_s):
     """Guards against a box that says it is ready and reads no connection for seconds."""
 
     async def body():
@@ -100,7 +101,7 @@
         is_busy = True
 
         def occupy():
-            time.sleep(1.5 * IntakeLimits().max_turn_s)
+            time.sleep(turn_s)
             if is_busy:
                 loop.call_soon(occupy)
 
