Count a passed request at one box, and give a box that does not know the fleet no part of the retry budget

Workers could get more arrivals past the first than the budget of all boxes allows. Change: a box takes a request back before it passes it on and counts it again if it stays; one that is cancelled at the second box does not count there. Past its first seconds a box without the record has no part of the constant.

--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -117,11 +117,14 @@
         """Have another box serve a request, go on with it here if none does, or refuse it."""
         state = self.state
         await self.settle_links()
-        if state.links.are_lost and await self._forward_unless_response(run):
-            run.withheld = None
+        if state.links.are_lost:
+            # The box that takes the request counts it from then on.
             state.budget(run.service).retract_request(run.started_at)
-            self._give_back(run)
-            return
+            if await self._forward_unless_response(run):
+                run.withheld = None
+                self._give_back(run)
+                return
+            state.budget(run.service).note_request(run.started_at)
         run.withheld = None
         if run.outstanding is not None:
             run.ask_boxes_at = run.now + ASK_BOXES_AGAIN_S
@@ -175,13 +178,18 @@
             attempts=terms.attempts,
             software=run.build or "",
         )
+        window = self.state.budget(run.service)
         try:
             await self._run_within_limit(run)
+        except asyncio.CancelledError:
+            # The box that the caller asked counts it again.
+            window.retract_request(run.started_at)
+            raise
         finally:
             run.return_retries()
         if run.has_not_run:
             # The box that the caller asked has counted it, and may ask again.
-            self.state.budget(run.service).retract_request(run.started_at)
+            window.retract_request(run.started_at)
         return run.withheld is None
 
     async def _serve_while_cut_off(self, run: RequestRun) -> bool:
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -221,20 +221,26 @@
         The settings' figure is the least until peers had time to tell.
         """
         known = self.fleet_size.boxes(self.peers.known_boxes)
-        if self.clock() - self.started_at < LEARN_PEERS_S:
-            return max(known, self.default_boxes)
-        return known
+        return max(known, self.default_boxes) if self._is_learning_peers else known
+
+    @property
+    def _is_learning_peers(self) -> bool:
+        """Whether the process began so lately that peers had no time to report."""
+        return self.clock() - self.started_at < LEARN_PEERS_S
 
     @property
     def retry_share(self) -> float:
         """This box's part of the constant of each retry budget.
 
         An earlier life of the box may have spent its part until the process began. None of it is
-        left before a whole window has passed, unless no box has run before.
+        left before a whole window has passed, unless no box has run before. A box that still does
+        not know the size of the fleet after its first seconds has no part: it may hear few others.
         """
         is_young = self.clock() - self.begun_at < self.retry_limits.window_s
         if is_young and not self.is_first_start:
             return 0.0
+        if not (self.fleet_size.is_known or self._is_learning_peers):
+            return 0.0
         return 1.0 / self.boxes
 
     def fleet_demand(self, service: str) -> DemandCounts:
--- a/src/croftchute/systems/retry_budget.py
+++ b/src/croftchute/systems/retry_budget.py
@@ -4,6 +4,7 @@
 
 import math
 import zlib
+from bisect import insort
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -54,9 +55,9 @@
         return SAFETY_FACTOR * (earned + self.limits.slack * share)
 
     def note_request(self, now: float) -> None:
-        """Count a caller's request."""
+        """Count a caller's request; it may be noted later than others that came after it."""
         self._expire(now)
-        self.request_times.append(now)
+        insort(self.request_times, now)
 
     def retract_request(self, noted_at: float) -> None:
         """Remove a request that another box counts in its place."""
--- a/tests/systems/test_retry_budget.py
+++ b/tests/systems/test_retry_budget.py
@@ -33,3 +33,14 @@
 def test_share_of_a_box_shrinks_with_more_boxes():
     window = RetryWindow(limits=LIMITS)
     assert window.allowed(0.0, share=1 / 16) < window.allowed(0.0, share=1 / 4)
+
+
+def test_a_request_that_is_noted_late_expires_like_the_others():
+    """Guards against a request that another box has not served and that then counts for longer."""
+    window = RetryWindow(limits=RetryLimits(ratio=1.0, window_s=10.0, slack=0.0))
+    for at in (5.0, 8.0, 1.0):
+        window.note_request(at)
+    assert window.allowed(10.9, share=1.0) == window.allowed(9.0, share=1.0)
+    assert list(window.request_times) == [1.0, 5.0, 8.0]
+    window.allowed(11.5, share=1.0)
+    assert list(window.request_times) == [5.0, 8.0]
