Test that an organisation's limit follows a load that moves to one box and back

At 8 and 87 boxes, 0.6 of the limit spread over all boxes, then through one for 10 s, then spread again: nothing refused.

--- a/tests/systems/test_lent_shares.py
+++ b/tests/systems/test_lent_shares.py
@@ -40,6 +40,20 @@
     assert world.refused + world.unanswered == 0
 
 
+@pytest.mark.parametrize("boxes", [8, 87])
+def test_the_limit_follows_a_load_that_moves_to_one_box(boxes):
+    """Guards against a crowded box that refuses what the fleet's limit allows."""
+    world = world_with_leases(boxes=boxes)
+    load = 0.6 * world.limit.rate_per_s
+    world.load(5.0, 15.0, load)
+    world.load(15.0, 25.0, load, through=["b7"])
+    world.load(25.0, 35.0, load)
+    world.run(36.0)
+    assert world.taken_by_box["b7"] >= 0.9 * load * 10.0
+    assert world.refused + world.unanswered == 0
+    assert world.most_in_a_window() <= allowed(world)
+
+
 def refused_ratio_with_fixed_shares(through, units_per_s, *, boxes=24, request=4000.0):
     """Return the ratio refused if each box applies its own fixed share of the limit."""
     limit = crew_limit()
