Soak: judge crowds also while workers are disturbed, by what other boxes serve meanwhile

While workers are disturbed the crowded box is held to three quarters of what calm boxes serve of like tries at the same time; fewer than 20 of those judge nothing.

--- a/src/croftchute/soak/crowds.py
+++ b/src/croftchute/soak/crowds.py
@@ -80,22 +80,49 @@
         return attempt
 
     def violations(self) -> Iterator[Violation]:
-        """Crowds of which too little was served at boxes where nothing else was wrong."""
+        """Crowds of which too little was served at boxes where nothing else was wrong.
+
+        While workers are disturbed, all boxes serve less. The crowded box is then held against the
+        others at the same time.
+        """
         for crowd in self.crowds:
-            end = crowd.begun_at + CONTACT_S + JUDGED_S + DEADLINE_S
-            names = (crowd.box, STORE, *self._workers())
-            if not self.disturbances.are_calm(names, crowd.begun_at - CONTACT_S, end):
+            if not self._is_calm(crowd, crowd.box, STORE):
                 continue
-            read = [
-                one
-                for one in crowd.tries
-                if one.sent_at >= crowd.begun_at + CONTACT_S and was_read(one)
-            ]
-            served = sum(one.status == 200 and one.is_whole for one in read)
-            if len(read) >= MIN_JUDGED and served < TARGET_SHARE * len(read):
-                detail = f"{served} of {len(read)} first tries served that {crowd.box} had read"
+            read = [one for one in crowd.tries if self._is_judged(one, crowd)]
+            served = sum(_is_served(one) for one in read)
+            usual = 1.0 if self._is_calm(crowd, *self._workers()) else self._others_share(crowd)
+            if len(read) >= MIN_JUDGED and served < TARGET_SHARE * usual * len(read):
+                detail = (
+                    f"{served} of {len(read)} first tries served that {crowd.box} had read, "
+                    f"{usual:.2f} elsewhere"
+                )
                 yield Violation(promise="crowded boxes serve", request_id="", detail=detail)
 
+    def _is_calm(self, crowd: Crowd, *names: str) -> bool:
+        """Whether nothing of these was disturbed from before a crowd to its last answer."""
+        end = crowd.begun_at + CONTACT_S + JUDGED_S + DEADLINE_S
+        return self.disturbances.are_calm(names, crowd.begun_at - CONTACT_S, end)
+
+    def _is_judged(self, attempt: Try, crowd: Crowd) -> bool:
+        since_s = attempt.sent_at - crowd.begun_at
+        return CONTACT_S <= since_s < CONTACT_S + JUDGED_S and was_read(attempt)
+
+    def _others_share(self, crowd: Crowd) -> float:
+        """Return the share of like tries served at calm boxes meanwhile; 0 if they are too few."""
+        calm = {
+            box.name
+            for box in self.boxes
+            if box.name != crowd.box and self._is_calm(crowd, box.name)
+        }
+        tries = [
+            one
+            for one in self.traffic.tries_by_id.values()
+            if one.box in calm and one.kind in KINDS and self._is_judged(one, crowd)
+        ]
+        if len(tries) < MIN_JUDGED:
+            return 0.0
+        return sum(_is_served(one) for one in tries) / len(tries)
+
     def _workers(self) -> tuple[str, ...]:
         return tuple(listed.worker.id for listed in self.traffic.world.all_workers)
 
@@ -103,3 +130,10 @@
 def was_read(attempt: Try) -> bool:
     """Whether a try was answered, or left without an answer on an open connection."""
     return attempt.status > 0 or attempt.left_at is not None
+
+
+def _is_served(attempt: Try) -> bool:
+    """Whether a try was served whole within the time that callers of a crowd have."""
+    if attempt.status != 200 or not attempt.is_whole:
+        return False
+    return attempt.ended_at is None or attempt.ended_at - attempt.sent_at <= DEADLINE_S
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -376,3 +376,41 @@
         crowds=[Crowd(box="box-1", begun_at=10.0, tries=tries)],
     )
     assert bool(list(crowds.violations())) is is_broken
+
+
+@pytest.mark.parametrize(
+    "crowd_served, others_served, is_broken",
+    [(0.7, 0.9, False), (0.6, 0.9, True), (0.1, 0.1, False), (0.1, None, False)],
+)
+def test_a_crowded_box_is_held_against_the_others_while_workers_are_disturbed(
+    crowd_served, others_served, is_broken
+):
+    """Guards against crowds that nobody judges since some worker is always disturbed."""
+    at, count = 10.0 + CONTACT_S + 0.1, 2 * MIN_JUDGED
+
+    def tries(box, served):
+        return tuple(
+            attempt(
+                request_id=f"{box}-{n}",
+                sent_at=at,
+                box=box,
+                kind=RequestKind.REPEATABLE,
+                status=200 if n < served * count else 503,
+                is_whole=n < served * count,
+            )
+            for n in range(count)
+        )
+
+    disturbances = Disturbances()
+    disturbances.note("w", 11.0, 12.0)
+    others = () if others_served is None else tries("box-2", others_served)
+    crowds = Crowds(
+        boxes=[SimpleNamespace(name="box-1"), SimpleNamespace(name="box-2")],
+        traffic=SimpleNamespace(
+            world=SimpleNamespace(all_workers=[SimpleNamespace(worker=SimpleNamespace(id="w"))]),
+            tries_by_id={one.request_id: one for one in others},
+        ),
+        disturbances=disturbances,
+        crowds=[Crowd(box="box-1", begun_at=10.0, tries=tries("box-1", crowd_served))],
+    )
+    assert bool(list(crowds.violations())) is is_broken
