Workers: ignore entries of earlier instances that a restored store names

Callers whose request may run once got 502, and streams held events of two software versions, after the store had come back from an older copy that named an earlier instance of a worker.

Cause: an entry of a newer era goes before the known one, whatever that was. So boxes took the earlier instance for a restart and closed the connections to the process that served, and once more when that process wrote itself anew.

Change: systems/worker_lineage.py keeps where an instance was listed first and which ones it replaced. An entry of a newer era with a lower revision that names one of those, or one born before the present one, came with the copy and is ignored. Any other entry of a new era is believed, whatever its revision, as the revisions are given out again.

--- a/src/croftchute/systems/tracked_worker.py
+++ b/src/croftchute/systems/tracked_worker.py
@@ -9,6 +9,7 @@
 
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.prefill_queue import PrefillQueue
+from croftchute.systems.worker_lineage import WorkerLineage
 from croftchute.tables.routing import Stage, Worker
 
 REJECTION_HOLD_S = 3.0
@@ -43,6 +44,7 @@
     worker: Worker
     listed_at: float
     item: StoredItem | None = None
+    lineage: WorkerLineage = field(default_factory=WorkerLineage)
     gone_at: float | None = None
     is_mass_expired: bool = False
     in_flight: int = 0
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -16,6 +16,7 @@
 from croftchute.systems.tracked_worker import GONE_GRACE_S, TrackedWorker
 from croftchute.systems.worker_advice import WorkerAdviceTable
 from croftchute.systems.worker_limits import WorkerLimits
+from croftchute.systems.worker_lineage import WorkerLineage
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
 LATENCY_EWMA_WEIGHT = 0.3
@@ -96,11 +97,16 @@
     def upsert(self, worker: Worker, now: float, item: StoredItem | None = None) -> bool:
         """Add or update a listed worker; return True if anything but its age changed.
 
-        An entry older than the known one is ignored.
+        An entry older than the known one is ignored, and so is one that came with an older copy of
+        the store and names an instance that has ended.
         """
         current = self._current_by_name.get(worker.list_name)
         if current is not None and _is_older(item, current):
             return False
+        at = 0 if item is None else item.revision
+        if current is not None and current.lineage.is_outdated(worker, at, current=current.worker):
+            return False
+        lineage = _lineage_of(worker, at, current)
         self.history.note_listed(worker, now)
         if current is not None and current.worker.build != worker.build:
             # What a worker of other software under this id wanted does not hold for this one.
@@ -113,13 +119,14 @@
             self._mark_restarted(current, now)
         tracked = self.tracked_by_id.get(worker.id)
         if tracked is not None and tracked.worker.build != worker.build:
-            self._replace(tracked, worker, now, item)
+            self._replace(tracked, worker, now, item, lineage)
             return True
         if tracked is None:
-            self._add(TrackedWorker(worker=worker, listed_at=now, item=item))
+            self._add(TrackedWorker(worker=worker, listed_at=now, item=item, lineage=lineage))
             return True
         self._current_by_name[worker.list_name] = tracked
         tracked.item = item
+        tracked.lineage = lineage
         is_changed = (
             tracked.worker != worker or tracked.gone_at is not None or tracked.is_unreadable
         )
@@ -312,7 +319,12 @@
         self._current_by_name[worker.list_name] = tracked
 
     def _replace(
-        self, tracked: TrackedWorker, worker: Worker, now: float, item: StoredItem | None
+        self,
+        tracked: TrackedWorker,
+        worker: Worker,
+        now: float,
+        item: StoredItem | None,
+        lineage: WorkerLineage,
     ) -> None:
         """Track a worker that is back under its id with other software as another worker.
 
@@ -326,6 +338,7 @@
                 worker=worker,
                 listed_at=now,
                 item=item,
+                lineage=lineage,
                 in_flight=tracked.in_flight,
                 tokens_in_flight=tracked.tokens_in_flight,
             )
@@ -468,6 +481,16 @@
             tracked.displaced = True
 
 
+def _lineage_of(worker: Worker, at: int, current: TrackedWorker | None) -> WorkerLineage:
+    """Return the lineage of an instance that an entry names, beside the one listed until now."""
+    if current is None:
+        return WorkerLineage(first_at=at)
+    known = current.worker
+    if (known.id, known.build) == (worker.id, worker.build):
+        return current.lineage
+    return current.lineage.extended(known, worker, first_at=at)
+
+
 def _is_older(item: StoredItem | None, tracked: TrackedWorker) -> bool:
     """Return whether an entry is older than the known one and must be ignored."""
     if item is None or tracked.item is None:
