Tests: count as charged only what a limit has granted

The check is as strict as before: what was granted and not given back equals what the served requests cost.

--- a/tests/platform_adapter/test_forwarding_between_boxes.py
+++ b/tests/platform_adapter/test_forwarding_between_boxes.py
@@ -50,8 +50,10 @@
         admit, give_back = box.usage_limits.admit, box.usage_limits.give_back
 
         async def counted(organisation, cost, *, patience_s, admit=admit):
-            balances.append(cost)
-            return await admit(organisation, cost, patience_s=patience_s)
+            allowance = await admit(organisation, cost, patience_s=patience_s)
+            if allowance.is_granted:
+                balances.append(cost)
+            return allowance
 
         def returned(name, cost, give_back=give_back):
             balances.append(-cost)
