Tests: replacements crash as what they replace; a refusal is waited for where it is read

Workers that took the place of those that had crashed did not crash under the part: in the trace they read ten of its 16 prompts well, each of which clears the part of the crashes before. Now all workers crash under it, as the test says.

Requests go to any of three boxes until one of them refuses the part, and the test then read the first box's refusal, which may learn of it a moment later. It waits for that box now.

--- a/tests/platform_adapter/part_fleet.py
+++ b/tests/platform_adapter/part_fleet.py
@@ -43,11 +43,15 @@
 
 @dataclass
 class PartFleet:
-    """A fleet whose decode workers crash under some parts and are back a moment later."""
+    """A fleet whose workers crash under some parts and are back a moment later.
+
+    Decode workers crash under ``bad``, workers of both stages as they read ``bad_to_read`` ahead.
+    """
 
     made: object
     boxes: list
     bad: frozenset = frozenset({BAD})
+    bad_to_read: frozenset = frozenset()
     crashed_at: list = field(default_factory=list)
     tried: list = field(default_factory=list)
     back_s: float = BACK_S
@@ -64,6 +68,7 @@
             service="llm",
             stage=stage,
             crashes_on_parts=bad,
+            crashes_on_reading_parts=self.bad_to_read,
             **self.options,
         )
         worker.on_crash = lambda: self._crashed(worker)
@@ -152,10 +157,18 @@
         return self.crashed_at[4] + CONTACT_S if len(self.crashed_at) >= 5 else float("inf")
 
 
-async def part_fleet(made, *, boxes=3, decodes=9, prefills=1, bad=frozenset({BAD}), **options):
+async def part_fleet(
+    made, *, boxes=3, decodes=9, prefills=1, bad=frozenset({BAD}), bad_to_read=(), **options
+):
     """Boxes that know one another, before engines that crash under the bad parts."""
     options = {"events": 20, "gap_s": 0.04} | options
-    fleet = PartFleet(made=made, boxes=[], bad=frozenset(bad), options=options)
+    fleet = PartFleet(
+        made=made,
+        boxes=[],
+        bad=frozenset(bad),
+        bad_to_read=frozenset(bad_to_read),
+        options=options,
+    )
     for _ in range(decodes):
         await fleet.add_engine()
     for _ in range(prefills):
--- a/tests/platform_adapter/test_crashing_parts.py
+++ b/tests/platform_adapter/test_crashing_parts.py
@@ -251,6 +251,7 @@
             await crash_until_refused(parts)
             crashed = len(parts.crashed_at)
             state = parts.boxes[0].state
+            await until(lambda: state.parts.refusal_of((FIRST, BAD)) is not None)
             await asyncio.sleep(state.parts.refusal_of((FIRST, BAD)).left_s(state.clock()) + 0.05)
             for _ in range(3):
                 await asyncio.gather(*(parts.send((FIRST, BAD), box=box) for box in parts.boxes))
@@ -282,9 +283,7 @@
 
     async def body():
         async with fleet(config=part_config()) as made:
-            parts = await part_fleet(made, prefills=6, bad=())
-            for worker in made.workers_by_id.values():
-                worker.crashes_on_reading_parts = frozenset({BAD})
+            parts = await part_fleet(made, prefills=6, bad=(), bad_to_read={BAD})
             for number in range(16):
                 tried = await parts.send((FIRST, BAD, f"e{number}"), box=parts.boxes[0])
                 # Reading anew where a worker crashed is a retry, which the budget may deny.
