Crashes: judge a part anew when better times of its crashes are learnt

Cause: crashes count once they spread over 50 ms. A box that hears of a crash first by way of another box dates it too late; the better time that it hears afterwards was kept, but nothing was judged by it.

Change: a record that has changed in any way is judged. What is passed on to other boxes is as before.

--- a/src/croftchute/systems/part_crashes.py
+++ b/src/croftchute/systems/part_crashes.py
@@ -314,18 +314,24 @@
         whatever changes what is refused.
         """
         changed = []
+        moved: dict[str, None] = {}
         refusals = self.refusals
         candidates = frozenset(self._candidates)
         for notice in notices:
             if notice.age_s > MAX_REFUSAL_S + RECORD_TTL_S:
                 continue
             record = self._record(notice.part)
+            if record is None:
+                continue
             crash = PartCrash(
                 at=now - notice.age_s, request=notice.request, is_cleared=notice.is_cleared
             )
-            if record is not None and record.note_crash(notice.life, crash):
+            known = record.crash_by_life.get(notice.life)
+            if record.note_crash(notice.life, crash):
                 changed.append(notice)
-        self._judge_if_needed({notice.part: None for notice in changed})
+            if record.crash_by_life.get(notice.life) != known:
+                moved[notice.part] = None
+        self._judge_if_needed(moved)
         if self.refusals != refusals:
             return changed
         return [
--- a/tests/systems/test_part_crashes.py
+++ b/tests/systems/test_part_crashes.py
@@ -61,6 +61,20 @@
     assert not refused(records, "first", "other")
 
 
+def test_a_box_that_learns_better_times_of_crashes_refuses_what_others_refuse():
+    """Guards against a box that sends requests to workers which all others have stopped."""
+    seen = PartCrashes()
+    for number in range(CRASHES_TO_REFUSE):
+        crash(seen, ("bad",), number, at=10.0 + 0.1 * number)
+    assert refused(seen, "bad")
+    notices = seen.notices("bad", 11.0)
+    learns = PartCrashes()
+    learns.merge([replace(notice, age_s=0.7) for notice in notices], 11.0)
+    assert not refused(learns, "bad")
+    learns.merge(notices, 11.0)
+    assert refused(learns, "bad")
+
+
 def test_parts_at_the_same_crashes_are_refused_only_together():
     """Guards against refusals for a sound part that was met beside a bad one so far."""
     records = PartCrashes()
