--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -8,7 +8,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from croftchute.soak.boxes import DRAIN_S, OWN_ENDS_ALLOWED, STOP_LIMIT_S, SoakBox
 from croftchute.soak.budgets import budget_violations
@@ -32,7 +32,7 @@
     SoakWorld,
     added_path,
 )
-from croftchute.standins.platform_caller import Try, fault_of
+from croftchute.standins.platform_caller import EVENT, Try, fault_of
 from croftchute.standins.platform_worker import shared_parts
 from croftchute.standins.worker_records import Run
 from croftchute.systems.crash_records import CRASHES_TO_REFUSE
@@ -154,7 +154,8 @@
 
     def _answers(self) -> Iterator[Violation]:
         for attempt in self.traffic.tries_by_id.values():
-            if fault := fault_of(attempt, EVENTS):
+            fault = fault_of(attempt, EVENTS)
+            if fault and not self._was_ended_by_worker(attempt):
                 yield broken("whole answer to its own request", attempt, fault)
             is_told_to_return = attempt.status in (UNAVAILABLE, TOO_MANY)
             if is_told_to_return and attempt.retry_after_s is None:
@@ -165,6 +166,19 @@
             if is_denied:
                 yield broken("proper requests are not denied", attempt, str(attempt.status))
 
+    def _was_ended_by_worker(self, attempt: Try) -> bool:
+        """Return whether an answer lacks only what its worker left out of a complete body.
+
+        A body is complete with its last chunk and returns unchanged.
+        """
+        runs = [run for _, run in self.runs_by_id.get(attempt.request_id, [])]
+        latest = max(runs, key=lambda run: run.started_at, default=None)
+        if not attempt.is_whole or latest is None or not latest.ends_empty:
+            return False
+        is_stream = attempt.kind.is_stream
+        rest = EVENT.sub(b"", attempt.answer) if is_stream else attempt.answer
+        return not rest and not fault_of(replace(attempt, is_whole=False), EVENTS)
+
     def _runs(self) -> Iterator[Violation]:
         for request_id, runs in self.runs_by_id.items():
             attempt = self.traffic.tries_by_id.get(request_id)
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -242,6 +242,8 @@
         """Answer without an end, until the caller closes."""
         is_run = bool(request.id) and request.headers.get("x-croftchute-stage") != "prefill"
         run = self._begin_run(request, writer) if is_run else None
+        if run is not None:
+            run.ends_empty = answer.ends_empty
         try:
             if answer.head:
                 headers = {"X-Croftchute-Server-Stamp": STAMP, "Transfer-Encoding": "chunked"}
