Crashes: date them to the millisecond, so that boxes agree whether they spread

Cause: a part is refused once its crashes spread over 50 ms. In the trace the first box judged times 50 ms apart and wrote them to the store in milliseconds, where they were 49 or 50 ms apart: who read them there did not refuse.

Change: crashes are dated to the millisecond where they are noted, as they are told.

--- a/src/croftchute/systems/part_crashes.py
+++ b/src/croftchute/systems/part_crashes.py
@@ -52,6 +52,13 @@
 """The same for parts that this box knows no such answer to: all workers of a service may be lost in
 one moment, which all boxes notice within some hundredths of a second."""
 
+TIME_DIGITS = 3
+"""Decimal digits of the times of crashes, as they are told to other boxes: with more here, boxes
+would not agree whether crashes spread enough."""
+
+ROUNDING_S = 0.5e-6
+"""Greatest difference in seconds that comes from sums of rounded times."""
+
 FIRST_TRIAL_S = 5.0
 """Seconds after the latest crash until a refused part is tried once: short, as it may be sound."""
 
@@ -84,12 +91,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PartCrash:
-    """A crash under a part: when, under which request, and whether the part is cleared of it."""
+    """A crash under a part: when, under which request, and whether the part is cleared of it.
+
+    ``at`` is rounded to milliseconds.
+    """
 
     at: float
     request: int
     is_cleared: bool = False
 
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "at", round(self.at, TIME_DIGITS))
+
 
 @dataclass(kw_only=True, slots=True)
 class PartRecord:
@@ -202,7 +215,7 @@
 
 def _is_spread(crashes: Iterable[PartCrash], span_s: float) -> bool:
     times = [crash.at for crash in crashes]
-    return max(times) - min(times) >= span_s
+    return max(times) - min(times) >= span_s - ROUNDING_S
 
 
 def trial_delay_s(failed_trials: int) -> float:
--- a/tests/systems/test_part_crashes.py
+++ b/tests/systems/test_part_crashes.py
@@ -75,6 +75,23 @@
     assert refused(learns, "bad")
 
 
+@pytest.mark.parametrize("lag_s", [0.0, 0.0001, 0.00037, 0.0008, 17.12345])
+@pytest.mark.parametrize("start", [10.0, 10.0001, 10.00049, 10.00051, 10.0009])
+@pytest.mark.parametrize("span_s", [0.0489, 0.0495, 0.05, 0.0502, 0.0505, 0.0509, 0.052])
+def test_boxes_agree_on_a_part_whose_crashes_barely_spread(start, span_s, lag_s):
+    """Guards against a box that never refuses what others do, as it knows rounded times."""
+    seen, learns = PartCrashes(), PartCrashes()
+    for number in range(CRASHES_TO_REFUSE):
+        at = start + span_s * number / (CRASHES_TO_REFUSE - 1)
+        crash(seen, ("bad",), number, at=at)
+    told = [
+        replace(one, age_s=11.0 + lag_s - round(11.0 - one.age_s + lag_s, 3))
+        for one in seen.notices("bad", 11.0)
+    ]
+    learns.merge(told, 31.0007)
+    assert refused(learns, "bad") == refused(seen, "bad")
+
+
 def test_parts_at_the_same_crashes_are_refused_only_together():
     """Guards against refusals for a sound part that was met beside a bad one so far."""
     records = PartCrashes()
