Workers: believe software that comes back after the store was restored

A worker without a start time that went back to software that it had before, after the store had come back from an older copy, would have been ignored until the revisions had passed those that the copy lacked, possibly for many minutes: streams of one version would have gone to a process of another.

Cause: an entry of an ended instance was told by its revision alone, though revisions are given out again.

Change: only the first listing of an era may hold entries that came with the copy. What such an entry was is kept, so that a listing that repeats it changes nothing either.

--- a/src/croftchute/systems/tracked_worker.py
+++ b/src/croftchute/systems/tracked_worker.py
@@ -35,7 +35,8 @@
 class TrackedWorker:
     """One instance of a worker: its list entry, this box's requests there and its failures.
 
-    ``has_ended``: the worker has restarted as another instance. ``is_unreadable``: the newest entry
+    ``outdated_item`` is an entry that named an earlier instance and is ignored. ``has_ended``: the
+    worker has restarted as another instance. ``is_unreadable``: the newest entry
     of the worker can't be parsed; requests that run there continue. ``late_holds`` is the number of
     calls for room that the worker has not answered in time and may answer yet, ``late_hold_at``
     when the latest of them became late.
@@ -45,6 +46,7 @@
     listed_at: float
     item: StoredItem | None = None
     lineage: WorkerLineage = field(default_factory=WorkerLineage)
+    outdated_item: StoredItem | None = None
     gone_at: float | None = None
     is_mass_expired: bool = False
     in_flight: int = 0
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
+from croftchute.storage.position import era_of
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.software_history import SoftwareHistory
 from croftchute.systems.tracked_worker import GONE_GRACE_S, TrackedWorker
@@ -103,10 +104,9 @@
         current = self._current_by_name.get(worker.list_name)
         if current is not None and _is_older(item, current):
             return False
-        at = 0 if item is None else item.revision
-        if current is not None and current.lineage.is_outdated(worker, at, current=current.worker):
+        if current is not None and self._is_outdated(worker, item, current):
             return False
-        lineage = _lineage_of(worker, at, current)
+        lineage = _lineage_of(worker, 0 if item is None else item.revision, current)
         self.history.note_listed(worker, now)
         if current is not None and current.worker.build != worker.build:
             # What a worker of other software under this id wanted does not hold for this one.
@@ -147,6 +147,23 @@
             tracked.failures = 0.0
         return is_changed
 
+    def _is_outdated(self, worker: Worker, item: StoredItem | None, current: TrackedWorker) -> bool:
+        """Return whether an entry came with an older copy of the store and names an ended instance.
+
+        Only the first listing of an era has such entries, and listings that repeat them.
+        """
+        if item is None:
+            return False
+        if item == current.outdated_item:
+            return True
+        is_first_listing = era_of(item.revision) > era_of(self.revision)
+        if not is_first_listing or not current.lineage.is_outdated(
+            worker, item.revision, current=current.worker
+        ):
+            return False
+        current.outdated_item = item
+        return True
+
     def note_unreadable(self, name: str, item: StoredItem) -> bool:
         """Stop sending new work to a worker whose newest entry can't be parsed.
 
--- a/tests/systems/test_worker_lineage.py
+++ b/tests/systems/test_worker_lineage.py
@@ -35,6 +35,13 @@
     return table
 
 
+def restored(*entries):
+    """A table that was told of entries before a restored store listed its own."""
+    table = listed(*entries)
+    table.revision = position(3, 60)
+    return table
+
+
 def current(table):
     (found,) = [one for one in table.tracked_by_id.values() if not one.has_ended]
     return found.worker
@@ -44,20 +51,39 @@
     "earlier", [worker(1), worker(None), worker(1, "v0")], ids=["born", "untold", "build"]
 )
 def test_an_entry_that_came_with_the_copy_does_not_end_the_instance_that_serves(earlier):
-    table = listed((earlier, 3, 10), (worker(2), 3, 30))
+    table = restored((earlier, 3, 10), (worker(2), 3, 30))
     assert not table.upsert(earlier, 9.0, item(4, 10))
     assert current(table) == worker(2)
     assert table.take_ended() == [earlier]
 
 
+def test_a_listing_that_repeats_an_entry_of_the_copy_changes_nothing():
+    table = restored((worker(1), 3, 10), (worker(2), 3, 30))
+    table.upsert(worker(1), 9.0, item(4, 10))
+    table.revision = position(4, 20)
+    assert not table.upsert(worker(1), 9.5, item(4, 10))
+    assert current(table) == worker(2)
+
+
+def test_software_that_comes_back_in_the_new_era_is_believed_at_once():
+    """Guards against streams of two versions: the process that serves has the earlier one."""
+    table = restored((worker(None, "v1"), 3, 10), (worker(None, "v2"), 3, 30))
+    table.upsert(worker(None, "v1"), 9.0, item(4, 10))
+    assert current(table).software == "v2"
+    table.revision = position(4, 20)
+    assert table.upsert(worker(None, "v1"), 9.5, item(4, 21))
+    assert current(table).software == "v1"
+
+
 def test_an_earlier_instance_that_this_box_never_saw_is_told_by_its_birth():
-    table = listed((worker(2), 3, 30))
+    table = restored((worker(2), 3, 30))
     assert not table.upsert(worker(1), 9.0, item(4, 10))
     assert current(table) == worker(2)
 
 
 def test_the_instance_that_writes_itself_anew_is_no_restart():
-    table = listed((worker(1), 3, 10), (worker(2), 3, 30), (worker(1), 4, 10))
+    table = restored((worker(1), 3, 10), (worker(2), 3, 30))
+    table.upsert(worker(1), 8.0, item(4, 10))
     table.take_ended()
     table.upsert(worker(2), 9.0, item(4, 12))
     assert table.take_ended() == []
@@ -66,7 +92,7 @@
 
 @pytest.mark.parametrize("revision", [12, 31])
 def test_a_restart_in_the_new_era_is_one_whatever_its_revision(revision):
-    table = listed((worker(1), 3, 10), (worker(2), 3, 30))
+    table = restored((worker(1), 3, 10), (worker(2), 3, 30))
     assert table.upsert(worker(3), 9.0, item(4, revision))
     assert current(table) == worker(3)
 
@@ -78,7 +104,7 @@
 
 
 def test_an_instance_that_comes_back_behind_what_the_copy_lacks_is_believed():
-    table = listed((worker(None, "v1"), 3, 10), (worker(None, "v2"), 3, 30))
+    table = restored((worker(None, "v1"), 3, 10), (worker(None, "v2"), 3, 30))
     assert table.upsert(worker(None, "v1"), 9.0, item(4, 30))
 
 
