Show that a drill of the store brings a worker back that has left

After the store has come back from an older copy boxes send requests to a worker that they had acknowledged as gone, until its removal is written again.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -1,4 +1,4 @@
-"""Boxes as separate processes, started as deploy/system.toml says, with a small fleet's settings."""
+"""Boxes as separate processes, started by the line of the deploy file, as a small fleet."""
 
 from __future__ import annotations
 
--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -26,7 +26,9 @@
         self._lease_numbers = itertools.count(7001)
         self._changed = asyncio.Event()
         self._is_hushed = False
+        self._is_away = False
         self._cuts = 0
+        self.era = 0
         self.server = HttpServer(self._answer)
 
     async def start(self) -> int:
@@ -56,6 +58,26 @@
         self._cuts += 1
         self._note(None)
 
+    def copy(self) -> tuple[int, dict[str, dict]]:
+        """What the store holds now, for a drill."""
+        return self.revision, {key: dict(item) for key, item in self.items.items()}
+
+    def go_away(self) -> None:
+        """Refuse all calls, and cut the watches."""
+        self._is_away = True
+        self._cuts += 1
+        self._note(None)
+
+    def come_back(self, copy: tuple[int, dict[str, dict]]) -> None:
+        """Come back from an older copy: what was written since is gone, leases too."""
+        self.revision, items = copy
+        self.items = {key: item for key, item in items.items() if not item["lease"]}
+        self.lease_ends.clear()
+        self.events.clear()
+        self.oldest = self.revision
+        self.era += 1
+        self._is_away = False
+
     def _put(self, key: str, value: str, lease: int) -> None:
         self.revision += 1
         made = self.items[key]["made"] if key in self.items else self.revision
@@ -86,6 +108,9 @@
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         name, _, rest = url.path.strip("/").partition("/")
         content = json.loads(request.body) if request.body else {}
+        headers = {"Content-Type": "application/json", "Store-Era": str(self.era)}
+        if self._is_away:
+            return Answer(503, b"{}", headers)
         match name:
             case "kv-key":
                 item = self.items.get(query["PrivateKey"])
@@ -105,7 +130,8 @@
                 found = 200, {}
             case _:
                 found = 404, {}
-        return Answer(found[0], json.dumps(found[1]).encode(), {"Content-Type": "application/json"})
+        headers["Store-Era"] = str(self.era)
+        return Answer(found[0], json.dumps(found[1]).encode(), headers)
 
     def _range(self, prefix: str, after: str) -> dict:
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
