--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -12,6 +12,8 @@
 import tempfile
 import time
 import tomllib
+import traceback
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -70,6 +72,22 @@
 _taken: set[tuple[str, int]] = set()
 
 
+def play(run: Callable[[Record], Awaitable[int]], folder: Path) -> int:
+    """Run a case with its record; return 2 if it could not run or was told to end."""
+    record = Record(folder / "record.txt")
+    try:
+        return asyncio.run(_until_told_to_end(run, record))
+    except (Exception, asyncio.CancelledError):
+        record.note(traceback.format_exc())
+        return 2
+
+
+async def _until_told_to_end(run: Callable[[Record], Awaitable[int]], record: Record) -> int:
+    playing = asyncio.ensure_future(run(record))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
+    return await playing
+
+
 class Box:
     """One box: its settings file and its present process."""
 
