--- a/review/standins-2/httpserver.py
+++ b/review/standins-2/httpserver.py
@@ -38,6 +38,7 @@
         self.port = 0
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> int:
         """Listen; return the port."""
@@ -45,10 +46,16 @@
         self.port = self._server.sockets[0].getsockname()[1]
         return self.port
 
-    async def stop(self) -> None:
-        """Stop listening and reset all connections, as a process that is killed does."""
+    def crash(self) -> None:
+        """Stop listening and close all connections at once, as a process that is killed does."""
         if self._server is not None:
             self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def stop(self) -> None:
+        """End as in a crash, and wait for the end of all handlers."""
+        self.crash()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -56,6 +63,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         self._tasks.add(task)
+        self._writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
                 answer = await self.handler(request, writer)
@@ -63,10 +71,14 @@
                     await asyncio.Event().wait()
                 writer.write(encode_answer(answer))
                 await writer.drain()
+                if answer.headers.get("Connection") == "close":
+                    writer.close()
+                    return
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self._tasks.discard(task)
+            self._writers.discard(writer)
             with contextlib.suppress(OSError):
                 writer.transport.abort()
 
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -41,6 +41,7 @@
         self.service, self.zone, self.store = service, zone, store
         self.clock, self.on_arrival, self.work_s = clock, on_arrival, work_s
         self.runs = 0
+        self.is_leaving = False
         self.server = HttpServer(self._answer)
 
     async def start(self, port: int = 0) -> None:
@@ -50,6 +51,7 @@
 
     def write_entry(self, state: str) -> None:
         """Write the entry."""
+        self.is_leaving = state == "draining"
         entry = {
             "Service": self.service,
             "Address": f"127.0.0.1:{self.server.port}",
@@ -64,6 +66,7 @@
 
     def remove_entry(self) -> None:
         """Leave the list; the worker serves on until it is stopped."""
+        self.is_leaving = True
         self.store.remove(f"servers/{self.id}")
 
     async def _answer(self, request: Request, _: asyncio.StreamWriter) -> Answer:
@@ -83,14 +86,18 @@
         )
         if not ran:
             headers = {"X-Croftchute-Not-Executed": "1", "X-Croftchute-Request-Id": request_id}
-            return Answer(421, headers=headers)
+            return Answer(421, headers=self._farewell() | headers)
         self.runs += 1
         await asyncio.sleep(self.work_s)
         headers = {
             "X-Croftchute-Request-Id": request_id,
             "X-Croftchute-Server-Stamp": f"{self.id}.{self.runs}",
         }
-        return Answer(200, f"{self.id} {request_id}".encode(), headers)
+        return Answer(200, f"{self.id} {request_id}".encode(), self._farewell() | headers)
+
+    def _farewell(self) -> dict[str, str]:
+        """PROTOCOL.md: a leaving worker puts `Connection: close` in its answers."""
+        return {"Connection": "close"} if self.is_leaving else {}
 
 
 def configuration(version: int, routes: list[dict], services: list[str]) -> dict:
