Bound all bytes and the processor time that a box spends on its clients

What callers saw: beside a crowd of large, unfinished, unread or oddly cut requests the process ran out of memory and was ended, and ordinary calls were not answered, also for seconds after the crowd had left.

Cause: nothing added up what is held for clients. Bodies, whole requests in their queues, copies to workers, unread answers, header lines and what the kernel keeps had bounds of their own or none, and stayed until the collector came by, as connection and parser, and the tracebacks of cancelled readings, refer to them. And a header line or a chunk costs the same time whatever its size, with no bound on how many a connection brings.

Change: one account of all addresses, a quarter of the settings' memory. Above it those are released that hold much and moved little; what a worker may run is not given up, and large requests that find too much being served are refused unrun. Requests go to workers without a second copy of their bodies, large answers are held in blocks, header lines are packed while they are read, and a request's bytes are let go as it ends. Large blocks are mapped, and the heap is trimmed after a fall. Connections with many small pieces are parsed in turn, within a share of the event loop. Header lines are bounded by number, bytes around the content by size. All addresses share the descriptors by fixed parts.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import signal
+from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
 from http import HTTPStatus
 from pathlib import Path
 
+from croftchute.daemon.heap import HeapTrimmer
 from croftchute.daemon.router_state import limit_terms, mass_expiry_grace_s, retry_limits
 from croftchute.errors import DocumentError
 from croftchute.forwarding.boxes.crash_gossip import CrashGossip
@@ -22,10 +24,13 @@
 from croftchute.forwarding.callers.forwarded_requests import ForwardedRequests
 from croftchute.forwarding.callers.forwarder import Forwarder
 from croftchute.forwarding.callers.slow_callers import log_ended_stream
+from croftchute.forwarding.client_watch import ClientWatch
 from croftchute.forwarding.decision_log import Decision
+from croftchute.forwarding.http.client_memory import ClientMemory
 from croftchute.forwarding.http.exchange import Exchange
 from croftchute.forwarding.http.held_answers import HeldAnswers
-from croftchute.forwarding.http.http_server import HttpIngress
+from croftchute.forwarding.http.http_server import Handler, HttpIngress
+from croftchute.forwarding.http.parse_pacer import ParsePacer
 from croftchute.forwarding.loop_delay import LoopDelay
 from croftchute.forwarding.overload_watch import OverloadWatch
 from croftchute.forwarding.state import LEARN_PEERS_S, ForwardingState
@@ -41,7 +46,7 @@
 from croftchute.forwarding.workers.stage_coordinator import StageCoordinator
 from croftchute.peers.codec import Codec
 from croftchute.peers.messages import BoxNotice, CrashNews
-from croftchute.router_settings import RouterSettings, parse_address, read_router_settings
+from croftchute.router_settings import Listener, RouterSettings, parse_address, read_router_settings
 from croftchute.steady_clock import SuspensionMeter
 from croftchute.storage.watched import SharedStore, Vocabulary
 from croftchute.systems.lent_share import WORKERS_GROUP
@@ -151,6 +156,14 @@
             clock=state.clock,
             on_ended=partial(log_ended_stream, state),
         )
+        self.client_watch = ClientWatch(state=state)
+        self.trimmer = HeapTrimmer()
+        self.memory = ClientMemory(
+            memory_mb=settings.memory_mb,
+            clock=state.clock,
+            on_release=self.client_watch.note_release,
+        )
+        self.pacer = ParsePacer(clock=state.clock)
         self.link_probe = LinkProbe(state=state, on_change=self._note_links)
         state.on_link_trouble = self.link_probe.request_round
         state.confirm_links = self.link_probe.confirm
@@ -173,19 +186,38 @@
             clock=state.clock,
             held=self.held,
             paces_intake=True,
-            max_connections=settings.max_caller_connections,
+            max_connections=settings.max_connections(Listener.CALLERS),
             on_shed=self.overload_watch.note_shed,
+            memory=self.memory,
+            pacer=self.pacer,
+            refuse=self.forwarder.refuse_without_memory,
+            header_lines=settings.max_header_lines,
         )
-        self.health = HttpIngress(handler=self._answer_health, limits=IngressLimits)
+        self.health = self._make_ingress(Listener.HEALTH, self._answer_health, IngressLimits)
         self.loop_delay = LoopDelay(state=state, open_requests=lambda: self.ingress.open_requests)
-        self.control = HttpIngress(handler=self._answer_peer, limits=self._peer_limits)
-        self.metrics = HttpIngress(handler=self._answer_health, limits=IngressLimits)
+        self.control = self._make_ingress(Listener.CONTROL, self._answer_peer, self._peer_limits)
+        self.metrics = self._make_ingress(Listener.METRICS, self._answer_health, IngressLimits)
         self.is_stopping = False
         self._was_ready = False
         self._stop_asked = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._settings_raw = b""
 
+    def _make_ingress(
+        self, listener: Listener, handler: Handler, limits: Callable[[], IngressLimits]
+    ) -> HttpIngress:
+        """An address beside that of the callers, within the same memory."""
+        return HttpIngress(
+            handler=handler,
+            limits=limits,
+            clock=self.state.clock,
+            max_connections=self.settings.max_connections(listener),
+            on_shed=self.client_watch.note_shed,
+            memory=self.memory,
+            pacer=self.pacer,
+            header_lines=self.settings.max_header_lines,
+        )
+
     def _make_usage_limits(self) -> UsageLimits:
         """The way in which limits of organisations are kept here, as the settings name it."""
         terms = limit_terms(self.settings)
@@ -344,6 +376,7 @@
         self.state.default_boxes = settings.boxes
         self.state.conditions = settings.conditions
         self.held.set_memory(settings.held_memory_mb)
+        self.memory.set_memory(settings.memory_mb)
         self.state.workers.mass_expiry_grace_s = mass_expiry_grace_s(settings)
         self.state.log.decide(
             Decision.RELOADED, outcome="in force", cause=cause, needs_restart=needs_restart
@@ -379,6 +412,8 @@
             self.state.metrics.open.set({}, self.ingress.open_requests)
             update_queue_gauges(self.state, now)
             self.state.metrics.held_bytes.set({}, self.held.count.total)
+            self.client_watch.report(self.memory.account, now)
+            self.trimmer.note(self.memory.take_peak(), self.memory.account)
 
     def _sweep_limits(self, now: float) -> None:
         """Let go of limits of workers that are over, and count those that hold."""
--- a/src/croftchute/forwarding/boxes/peer_forwarding.py
+++ b/src/croftchute/forwarding/boxes/peer_forwarding.py
@@ -246,13 +246,15 @@
             ),
         )
         request = run.exchange.request
-        data = state.callers.encode_forwarded(
+        head = state.callers.encode_forwarded(
             replace(request, headers=without_terms(request.headers)),
             added=terms.headers(),
             time_left_s=run.time_left_s,
             resume_after=progress.last_event,
         )
-        connection.send(data, expected=None, is_bodiless=request.method == "HEAD")
+        connection.send(
+            head, body=request.body, expected=None, is_bodiless=request.method == "HEAD"
+        )
         run.log(
             Decision.REQUEST_FORWARDED,
             peer=peer.id,
--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -17,6 +17,7 @@
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.dialect import Refusal
 from croftchute.forwarding.http.exchange import Arrival, Exchange
+from croftchute.forwarding.http.http_server import MEMORY_RETRY_AFTER_S
 from croftchute.forwarding.state import ForwardingState
 from croftchute.forwarding.workers.plain_run import run_plain
 from croftchute.forwarding.workers.request_run import RequestRun
@@ -103,6 +104,12 @@
         run = self._begin(exchange)
         if run is None:
             return
+        try:
+            await self._serve(run)
+        finally:
+            run.release()
+
+    async def _serve(self, run: RequestRun) -> None:
         if self.state.links.are_lost and await self._serve_while_cut_off(run):
             return
         try:
@@ -171,6 +178,12 @@
         run = self._begin(exchange, terms)
         if run is None:
             return True
+        try:
+            return await self._serve_forwarded(run, terms)
+        finally:
+            run.release()
+
+    async def _serve_forwarded(self, run: RequestRun, terms: ForwardTerms) -> bool:
         run.bind_origin(terms.origin)
         run.log(
             Decision.FORWARD_ACCEPTED,
@@ -322,18 +335,29 @@
 
     async def refuse_while_stopping(self, exchange: Exchange) -> None:
         """Refuse a request that arrived after this process stopped accepting new ones."""
-        state = self.state
-        try:
-            request_id = state.callers.read(exchange.request).id
-        except RequestError:
-            request_id = ""
         refusal = Refusal(
             code=Code.DRAINING,
             ran=Ran.NOT_RUN,
             detail="this box is stopping and accepts no more requests",
             retry_after_s=STOPPING_RETRY_AFTER_S,
         )
-        self._refuse(exchange, request_id, refusal)
+        self._refuse(exchange, self._request_id(exchange), refusal)
+
+    async def refuse_without_memory(self, exchange: Exchange) -> None:
+        """Refuse a request whose body does not fit beside those that are being served."""
+        refusal = Refusal(
+            code=Code.NO_CAPACITY,
+            ran=Ran.NOT_RUN,
+            detail="this box has no memory left for the request",
+            retry_after_s=MEMORY_RETRY_AFTER_S,
+        )
+        self._refuse(exchange, self._request_id(exchange), refusal)
+
+    def _request_id(self, exchange: Exchange) -> str:
+        try:
+            return self.state.callers.read(exchange.request).id
+        except RequestError:
+            return ""
 
     def _stopping_log_fields(self, exchange: Exchange) -> dict[str, float | int] | None:
         stop_began_at = self.state.stop_began_at
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -64,6 +64,7 @@
     LINKS_RESTORED = "links_restored"
     READY_CHANGED = "ready_changed"
     CONNECTIONS_SHED = "connections_shed"
+    CLIENTS_RELEASED = "clients_released"
     PREFILL_SENT = "prefill_sent"
     PREFILL_ENDED = "prefill_ended"
     READ_AT_DECODE = "read_at_decode"
--- a/src/croftchute/forwarding/dialect.py
+++ b/src/croftchute/forwarding/dialect.py
@@ -111,7 +111,10 @@
         time_left_s: float,
         resume_after: int | None,
     ) -> bytes:
-        """A caller's request as it goes to another box, with some headers added."""
+        """The head of a caller's request as it goes to another box, with some headers added.
+
+        The body follows it as it came.
+        """
         ...
 
 
@@ -119,7 +122,7 @@
     """How requests are put to workers, and what their answers mean."""
 
     def encode(self, facts: RequestFacts, send: Send) -> bytes:
-        """A whole request as it goes to a worker."""
+        """The head of a request as it goes to a worker; the body follows it as it came."""
         ...
 
     def expected(self, facts: RequestFacts) -> tuple[bytes, bytes]:
--- a/src/croftchute/forwarding/http/caller_writer.py
+++ b/src/croftchute/forwarding/http/caller_writer.py
@@ -1,8 +1,8 @@
 """The writing side of a caller's connection: what the caller has not read yet is held, bounded.
 
-Where the memory of the box is known, the transport gets one block at a time and the rest is held
-here. Both are counted, and so is what was read from a worker and waits while reading is paused.
-Where it is not known, the transport buffers as it does by itself.
+Where answers are bounded, the transport gets one block at a time and the rest is held here. Both
+are counted, and so is what was read from a worker and waits while reading is paused. Where they are
+not, the transport buffers as it does by itself, and only the rest of a large answer is held here.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Callable
 
 from croftchute.forwarding.http.held_answers import HeldAnswers
 
@@ -26,17 +27,18 @@
 """Most bytes that the kernel takes beyond the caller's receive window. It would take megabytes
 for each caller, which count towards the memory of the box but not towards its bounds."""
 
-KERNEL_DEFAULT = 0
-"""The value of the socket option that leaves the kernel's own limit in force."""
-
 
 class CallerWriter:
     """Writes the answers of one connection, one after the other.
 
-    ``held`` counts them; None if this connection's answers are not for callers.
+    ``held`` counts them; None if this connection's answers are not for callers. ``on_change`` is
+    called when more or less is held.
     """
 
-    def __init__(self, *, held: HeldAnswers | None) -> None:
+    def __init__(
+        self, *, held: HeldAnswers | None, on_change: Callable[[], None] = lambda: None
+    ) -> None:
+        self.on_change = on_change
         self.is_bounded = False
         self.is_cut_off = False
         self.request_id = ""
@@ -46,6 +48,7 @@
         self._blocks: deque[bytearray] = deque()
         self._blocks_bytes = 0
         self._unread = 0
+        self._answer_bytes = 0
         self._is_paused = False
         self._is_serving = False
         self._is_over = False
@@ -57,8 +60,8 @@
 
     @property
     def size(self) -> int:
-        """Bytes held for the caller: here, in the transport, and unread at the paused worker."""
-        return self._unsent_bytes + self._unread
+        """Bytes held for the caller: here, in the transport, and read from a worker."""
+        return self._unsent_bytes + self._unread + self._answer_bytes
 
     @property
     def is_held_up(self) -> bool:
@@ -70,10 +73,16 @@
         """Whether a bounded answer is not with the kernel yet; always False without bounds."""
         return self.is_bounded and not self._is_over and self._unsent_bytes > 0
 
+    @property
+    def holds_blocks(self) -> bool:
+        """Whether some of an answer waits here for the transport."""
+        return self._blocks_bytes > 0
+
     def attach(self, transport: asyncio.Transport) -> None:
         """The connection is up."""
         self._transport = transport
         transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
+        self._limit_unsent()
 
     def begin(self) -> None:
         """A request is about to be served; the bounds in force now hold for its answer."""
@@ -86,6 +95,7 @@
     def end(self) -> None:
         """The request has been served; what is held of its answer is still counted."""
         self._is_serving = False
+        self._answer_bytes = 0
         if self.is_bounded and not self._is_over:
             self._note()
 
@@ -93,18 +103,28 @@
         """Send bytes, or hold them, if the caller is still there."""
         if self._transport is None or self._is_over:
             return
-        if not self.is_bounded:
+        if self.is_bounded:
+            self._hold(data)
+            self._pump()
+            self._note()
+        elif len(data) > HIGH_WATER_BYTES or self._blocks:
+            self._hold(data)
+            self._pump()
+        else:
             self._transport.write(data)
-            return
-        self._hold(data)
-        self._pump()
-        self._note()
+        self.on_change()
+
+    def note_answer_bytes(self, size: int) -> None:
+        """So many bytes of an answer were read from a worker, and are not written yet."""
+        self._answer_bytes = 0 if self._is_over else size
+        self.on_change()
 
     def note_unread(self, size: int) -> None:
         """So many bytes were read from a worker and wait for the caller elsewhere."""
         self._unread = size
         if self.is_bounded and not self._is_over:
             self._note()
+        self.on_change()
 
     async def drained(self) -> None:
         """Wait until the caller has read enough for more to be written."""
@@ -123,17 +143,27 @@
     def resume_writing(self) -> None:
         """The transport takes more."""
         self._is_paused = False
+        if not self._is_over:
+            self._pump()
         if not self.is_bounded:
-            self._room.set()
+            self._resume_unbounded()
         elif not self._is_over:
-            self._pump()
             self._note()
+        self.on_change()
+
+    def _resume_unbounded(self) -> None:
+        """Wake those who wait, and close if that was asked for, once all is with the transport."""
+        if self._blocks or self._is_paused:
+            return
+        self._room.set()
+        if self._closes_when_sent and self._transport is not None:
+            self._transport.close()
 
     def close_soon(self) -> None:
         """Close once everything has been sent."""
         if self._transport is None:
             return
-        if self.has_unsent:
+        if self.has_unsent or self._blocks:
             self._closes_when_sent = True
         else:
             self._transport.close()
@@ -146,9 +176,9 @@
         if raw is not None:
             with contextlib.suppress(OSError):
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        if self.is_bounded:
-            self._free()
+        self._free()
         self._transport.abort()
+        self.on_change()
 
     def cut_off(self) -> None:
         """Break the connection off, as this answer holds the most of all."""
@@ -172,10 +202,13 @@
         assert self._transport is not None
         self.is_bounded = is_bounded
         self._transport.set_write_buffer_limits(high=0 if is_bounded else HIGH_WATER_BYTES)
+
+    def _limit_unsent(self) -> None:
+        """Bound what the kernel takes for the caller."""
+        assert self._transport is not None
         raw = self._transport.get_extra_info("socket")
-        limit = UNSENT_KERNEL_BYTES if is_bounded else KERNEL_DEFAULT
         with contextlib.suppress(OSError):
-            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, limit)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_KERNEL_BYTES)
 
     def _hold(self, data: bytes) -> None:
         """Add bytes in pieces of one size; small ones share a piece."""
@@ -226,6 +259,7 @@
         self._blocks.clear()
         self._blocks_bytes = 0
         self._unread = 0
+        self._answer_bytes = 0
         self._close_count()
 
     def _close_count(self) -> None:
--- /dev/null
+++ b/src/croftchute/forwarding/http/client_memory.py
@@ -0,0 +1,175 @@
+"""The connections whose bytes are counted together, and the release of those above the bound."""
+
+from __future__ import annotations
+
+import itertools
+import os
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+from croftchute.systems.memory_account import BYTES_PER_MB, MemoryAccount, account_bound
+
+MACHINE_MEMORY_NAMES = ("SC_PHYS_PAGES", "SC_PAGE_SIZE")
+
+
+class ReleaseCause(StrEnum):
+    """What was given up of a client for the memory of others."""
+
+    REQUEST_HALF_READ = "request_half_read"
+    REQUEST_WAITING = "request_waiting"
+    REQUEST_REFUSED = "request_refused"
+    ANSWER_UNREAD = "answer_unread"
+    IDLE = "idle"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Release:
+    """A client that was released: its bytes and those of all clients, with it."""
+
+    cause: ReleaseCause
+    held_bytes: int
+    held_in_all: int
+    bound: int
+    clients: int
+
+
+class MemoryHolder(Protocol):
+    """A connection, as far as its bytes are counted."""
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held for the connection now."""
+        ...
+
+    def release_memory(self) -> ReleaseCause | None:
+        """Give up what no worker has seen, or an unread answer; None if there is neither."""
+        ...
+
+
+OnRelease = Callable[[Release], None]
+
+
+def _ignore(release: Release) -> None:
+    """Nobody counts clients that are released."""
+
+
+def machine_memory_mb() -> float:
+    """Memory of the machine in MB."""
+    pages, page_bytes = (os.sysconf(name) for name in MACHINE_MEMORY_NAMES)
+    return pages * page_bytes / BYTES_PER_MB
+
+
+class ClientMemory:
+    """The memory of the connections of all addresses of a box.
+
+    ``memory_mb`` is the memory of the box in MB, 0 if it is not known: then it is the machine's.
+    """
+
+    def __init__(
+        self,
+        *,
+        memory_mb: float,
+        clock: Callable[[], float],
+        on_release: OnRelease = _ignore,
+    ) -> None:
+        self.clock = clock
+        self.on_release = on_release
+        self.account = MemoryAccount(bound=account_bound(memory_mb or machine_memory_mb()))
+        self._peak = 0
+        self._holders_by_number: dict[int, MemoryHolder] = {}
+        self._numbers = itertools.count(1)
+        self._is_releasing = False
+
+    def set_memory(self, memory_mb: float) -> None:
+        """The settings were read again."""
+        self.account.bound = account_bound(memory_mb or machine_memory_mb())
+        self._release_excess()
+
+    def open(self, holder: MemoryHolder) -> int:
+        """Begin to count a connection; returns its number."""
+        number = next(self._numbers)
+        self._holders_by_number[number] = holder
+        self.account.open(number, self.clock())
+        return number
+
+    def close(self, number: int) -> None:
+        """The connection is gone."""
+        self.account.close(number)
+        self._holders_by_number.pop(number, None)
+
+    def note(self, number: int, *, moved: int = 0) -> None:
+        """Count a connection's bytes anew, after ``moved`` bytes came or were taken."""
+        holder = self._holders_by_number.get(number)
+        if holder is None:
+            return
+        account = self.account
+        if moved:
+            account.note_moved(number, moved, self.clock())
+        account.set_size(number, holder.held_bytes)
+        self._peak = max(self._peak, account.total)
+        if account.exceeds_bound:
+            self._release_excess()
+
+    def take_peak(self) -> int:
+        """Return the most bytes that were held since the last call."""
+        peak, self._peak = self._peak, self.account.total
+        return peak
+
+    def begin_serving(self, size: int) -> bool:
+        """Count a whole request that is to be served; False if there is no room for it."""
+        if not self.account.admits(size):
+            return False
+        self.account.served += size
+        return True
+
+    def end_serving(self, size: int) -> None:
+        """The request is over."""
+        self.account.served -= size
+
+    def note_refused(self, size: int) -> None:
+        """Report a whole request for which there was no room."""
+        self._report(ReleaseCause.REQUEST_REFUSED, size)
+
+    def _release_excess(self) -> None:
+        """Release clients until the rest is well below the bound."""
+        if self._is_releasing:
+            return
+        self._is_releasing = True
+        try:
+            self._recount()
+            if self.account.exceeds_bound:
+                self._release_by_rank()
+        finally:
+            self._is_releasing = False
+
+    def _recount(self) -> None:
+        # A transport does not report each part that it has sent.
+        for number, holder in self._holders_by_number.items():
+            self.account.set_size(number, holder.held_bytes)
+
+    def _release_by_rank(self) -> None:
+        for number in self.account.by_rank(self.clock()):
+            if self.account.is_low_enough:
+                return
+            holder = self._holders_by_number.get(number)
+            if holder is None:
+                continue
+            size = self.account.size(number)
+            cause = holder.release_memory()
+            if cause is not None:
+                self._report(cause, size)
+                self.account.set_size(number, holder.held_bytes)
+
+    def _report(self, cause: ReleaseCause, size: int) -> None:
+        account = self.account
+        self.on_release(
+            Release(
+                cause=cause,
+                held_bytes=size,
+                held_in_all=account.total,
+                bound=account.bound,
+                clients=len(account),
+            )
+        )
--- a/src/croftchute/forwarding/http/connection_intake.py
+++ b/src/croftchute/forwarding/http/connection_intake.py
@@ -23,6 +23,9 @@
 MAX_ACCEPTED_A_TURN = 128
 """Most connections that are accepted before other events are looked at."""
 
+RECEIVE_WINDOW_BYTES = 32_768
+"""Bytes that the kernel keeps of what a client sends and the box has not read."""
+
 EXHAUSTED_PAUSE_S = 0.1
 """Seconds for which nothing is accepted once the process has run out of descriptors or memory."""
 
@@ -47,8 +50,11 @@
         """Begin to read a connection."""
         ...
 
-    def make_room(self) -> bool:
-        """Return whether one more may be open, after an idle one was closed if need be."""
+    def make_room(self, unread: int) -> bool:
+        """Return whether one more may be open beside ``unread`` others that are not read yet.
+
+        One that is not being served may be closed for that.
+        """
         ...
 
     def note_shed(self, cause: ShedCause, now: float) -> None:
@@ -57,10 +63,16 @@
 
 
 class ConnectionIntake:
-    """A listening socket whose connections are read one in each turn of the event loop."""
+    """A listening socket whose connections are read one in each turn of the event loop.
+
+    Those of one that is not ``is_paced`` are read as soon as they are accepted.
+    """
 
-    def __init__(self, *, owner: IntakeOwner, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, *, owner: IntakeOwner, clock: Callable[[], float], is_paced: bool = True
+    ) -> None:
         self.owner = owner
+        self.is_paced = is_paced
         self.clock = clock
         self.queue: IntakeQueue[socket.socket] = IntakeQueue()
         self.connections_read = 0
@@ -78,6 +90,8 @@
     def listen(self, host: str, port: int) -> None:
         """Begin to accept connections."""
         self._socket = socket.create_server((host, port), backlog=BACKLOG)
+        # Accepted sockets inherit it. The kernel would keep megabytes for one that is not read.
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_WINDOW_BYTES)
         self._socket.setblocking(False)
         self._watch()
 
@@ -111,10 +125,19 @@
                     break
                 continue
             connection.setblocking(False)
-            if not self.queue.add(connection, now):
-                self._shed(connection, ShedCause.QUEUE_FULL, now)
+            self._take(connection, now)
         self._schedule_turn()
 
+    def _take(self, connection: socket.socket, now: float) -> None:
+        """Let a connection wait for its turn, unless the table of descriptors is too full."""
+        if not self.owner.make_room(len(self.queue) + len(self._beginning)):
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._shed, connection, ShedCause.TOO_MANY_OPEN, now)
+        elif not self.is_paced:
+            self._begin(connection)
+        elif not self.queue.add(connection, now):
+            self._shed(connection, ShedCause.QUEUE_FULL, now)
+
     def _pause(self, listening: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         loop.remove_reader(listening)
@@ -132,16 +155,13 @@
         self._turn = None
         # Behind a turn that is longer than all waits none would be left to read.
         if (found := self.queue.take_next(now, turn_s=turn_s)) is not None:
-            self._begin(found, now)
+            self._begin(found)
         for expired in self.queue.take_expired(now):
             self._shed(expired, ShedCause.WAITED, now)
         self._schedule_turn()
 
-    def _begin(self, connection: socket.socket, now: float) -> None:
-        """Begin to read a connection, unless too many are open."""
-        if not self.owner.make_room():
-            self._shed(connection, ShedCause.TOO_MANY_OPEN, now)
-            return
+    def _begin(self, connection: socket.socket) -> None:
+        """Begin to read a connection."""
         self.connections_read += 1
         task = asyncio.get_running_loop().create_task(self.owner.begin(connection))
         self._beginning.add(task)
--- a/src/croftchute/forwarding/http/exchange.py
+++ b/src/croftchute/forwarding/http/exchange.py
@@ -4,7 +4,7 @@
 
 import contextlib
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import Protocol
 
@@ -41,6 +41,10 @@
         return None
 
 
+MAX_JOINED_BYTES = 16_384
+"""Longest body that is copied behind its head, so that both are sent at once."""
+
+
 class AnswerChannel(Protocol):
     """The connection that a request came on, as far as its answer needs it."""
 
@@ -88,7 +92,13 @@
             lines.append((b"content-length", str(len(body)).encode()))
         lines += self._connection.persistence_headers(self.request)
         payload = b"" if self.request.method == "HEAD" else body
-        self._writer.write(encode_head(status, b"", lines) + payload)
+        head = encode_head(status, b"", lines)
+        self._writer.note_answer_bytes(0)
+        if len(payload) > MAX_JOINED_BYTES:
+            self._writer.write(head)
+            self._writer.write(payload)
+        else:
+            self._writer.write(head + payload)
 
     def start(self, status: int, reason: bytes, headers: Iterable[tuple[bytes, bytes]]) -> None:
         """Begin an answer whose length is not known."""
@@ -145,6 +155,14 @@
         """Count bytes that were read from a worker and cannot be written for now."""
         self._writer.note_unread(size)
 
+    def note_answer_bytes(self, size: int) -> None:
+        """Count bytes of the answer that were read from a worker and are not written yet."""
+        self._writer.note_answer_bytes(size)
+
+    def release(self) -> None:
+        """Let go of the request's bytes: what served it may stay until the collector comes by."""
+        self.request = replace(self.request, headers=[], body=b"")
+
     def name(self, request_id: str) -> None:
         """Tell which request this is, for the log."""
         self._writer.request_id = request_id
--- a/src/croftchute/forwarding/http/http_client.py
+++ b/src/croftchute/forwarding/http/http_client.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import httptools
@@ -24,6 +25,18 @@
 
 MAX_WAITING_PARTS = 64
 
+MAX_WAITING_BYTES = 65_536
+"""Bytes of a body that wait for their reader, beyond which nothing more is read."""
+
+SEND_BYTES = 65_536
+"""Bytes of a request's body that are given to the transport at once, as it copies what the kernel
+does not take."""
+
+MAX_JOINED_BYTES = 16_384
+"""Longest body that is copied behind its head, so that both are sent at once."""
+
+NOTHING = memoryview(b"")
+
 RECEIVE_BYTES = 65536
 """Most bytes that are read from a socket at once: what a reader that stops leaves unread. The event
 loop's own way takes four times as much, in a new piece of memory for each reading."""
@@ -98,6 +111,9 @@
         self._status_text = b""
         self._headers: HeaderList = []
         self._parts: deque[bytes] = deque()
+        self._parts_bytes = 0
+        self._unsent = NOTHING
+        self._is_write_paused = False
         self._changed = asyncio.Event()
         self._parser = httptools.HttpResponseParser(self)
 
@@ -124,9 +140,19 @@
             size = nbytes - start if self.head is not None else HEAD_PIECE_BYTES
             self._parse(RECEIVED[start : min(start + size, nbytes)])
             start += size
-        if len(self._parts) > MAX_WAITING_PARTS and self.transport is not None:
+        is_unread = len(self._parts) > MAX_WAITING_PARTS or self._parts_bytes > MAX_WAITING_BYTES
+        if is_unread and self.transport is not None:
             self.transport.pause_reading()
 
+    def pause_writing(self) -> None:
+        """The server reads too slowly."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """The server has caught up."""
+        self._is_write_paused = False
+        self._send_body()
+
     def _parse(self, piece: memoryview) -> None:
         """Parse a piece of what has come, and close the connection if there is too much of it."""
         self._piece_content = self._piece_skipped = 0
@@ -152,6 +178,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is gone; an answer that is not whole stays so."""
         self.is_lost = True
+        self._unsent = NOTHING
         if not self.is_complete:
             self._fail(f"connection lost: {exc}" if exc else "connection closed")
         self._changed.set()
@@ -220,6 +247,7 @@
             return
         self._piece_content += len(body)
         self._parts.append(bytes(body))
+        self._parts_bytes += len(body)
         self.body_bytes += len(body)
         self._changed.set()
 
@@ -236,9 +264,14 @@
     # What the forwarding core calls.
 
     def send(
-        self, data: bytes, *, expected: tuple[bytes, bytes] | None, is_bodiless: bool = False
+        self,
+        data: bytes,
+        *,
+        expected: tuple[bytes, bytes] | None,
+        is_bodiless: bool = False,
+        body: bytes = b"",
     ) -> None:
-        """Begin an exchange by sending a whole request.
+        """Begin an exchange by sending a whole request: ``data``, and its body behind it, if any.
 
         Raise :class:`ConnectFailedError` if it can't be sent on this connection.
         """
@@ -247,6 +280,7 @@
         self.is_complete = False
         self._error = ""
         self._parts.clear()
+        self._parts_bytes = 0
         self.body_bytes = 0
         self._received = ReceivedBytes()
         self._expected = expected
@@ -260,7 +294,22 @@
             if self.has_sent(expected[1]):
                 raise ConnectFailedError("the id was sent on this connection before")
             self._sent_ids.add(expected[1])
-        self.transport.write(data)
+        if len(body) <= MAX_JOINED_BYTES:
+            self.transport.write(data + body if body else data)
+        else:
+            self.transport.write(data)
+            self._unsent = memoryview(body)
+            self._send_body()
+
+    def _send_body(self) -> None:
+        """Give the transport as much of the body as it takes."""
+        transport = self.transport
+        while self._unsent and not self._is_write_paused:
+            if transport is None or transport.is_closing():
+                self._unsent = NOTHING
+                return
+            transport.write(self._unsent[:SEND_BYTES])
+            self._unsent = self._unsent[SEND_BYTES:]
 
     def has_sent(self, request_id: bytes) -> bool:
         """Whether a request of this id was sent on the connection, answered or not."""
@@ -281,6 +330,7 @@
             self._raise_if_failed()
             await self._wait()
         part = self._parts.popleft()
+        self._parts_bytes -= len(part)
         if not self._parts and self.transport is not None and not self.is_lost:
             self.transport.resume_reading()
         return part
@@ -288,7 +338,7 @@
     @property
     def unread_bytes(self) -> int:
         """Bytes of the body that have come and were not read yet."""
-        return sum(map(len, self._parts))
+        return self._parts_bytes
 
     def pause_reading(self) -> None:
         """Take nothing more from the server until :meth:`resume_reading`."""
@@ -300,20 +350,32 @@
         if self.transport is not None and not self.is_lost:
             self.transport.resume_reading()
 
-    async def read_body(self, max_bytes: int) -> bytes:
-        """The whole body; raises :class:`ConnectionBrokenError` if it is larger than allowed."""
+    async def read_body(
+        self, max_bytes: int, *, on_size: Callable[[int], None] = lambda _: None
+    ) -> bytes:
+        """The whole body; raises :class:`ConnectionBrokenError` if it is larger than allowed.
+
+        ``on_size`` is called with the bytes that have come so far.
+        """
         parts: list[bytes] = []
         size = 0
-        while part := await self.read_part():
-            parts.append(part)
-            size += len(part)
-            if size > max_bytes:
-                raise ConnectionBrokenError("answer too large")
-        return b"".join(parts)
+        try:
+            while part := await self.read_part():
+                parts.append(part)
+                size += len(part)
+                on_size(size)
+                if size > max_bytes:
+                    raise ConnectionBrokenError("answer too large")
+            return b"".join(parts)
+        finally:
+            # The traceback of a reading that was cancelled would keep them for the collector.
+            parts.clear()
 
     def finish(self, now: float) -> bool:
         """End the exchange; True if the connection may serve another one."""
         self._is_active = False
+        self._parts.clear()
+        self._parts_bytes = 0
         self.idle_since = now
         is_reusable = (
             self.is_complete
@@ -324,6 +386,7 @@
             and self.transport is not None
             and not self.transport.is_closing()
             and self.transport.get_write_buffer_size() == 0
+            and not self._unsent
             and not self._sent_ids.is_full
             and self._wants_keep_alive()
         )
@@ -341,6 +404,7 @@
 
     def abort(self) -> None:
         """Close at once; the peer learns that nobody waits for an answer."""
+        self._unsent = NOTHING
         if self.transport is not None and not self.is_lost:
             self.transport.abort()
 
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -60,6 +60,14 @@
         self.held_bytes = Gauge(
             "croftchute_held_bytes", "Bytes held for callers that have not read them", **own
         )
+        self.client_bytes = Gauge(
+            "croftchute_client_bytes", "Bytes held for the clients of all addresses", **own
+        )
+        self.clients_released = Counter(
+            "croftchute_clients_released_total",
+            "Clients that were refused or closed for the memory of others, by cause",
+            **own,
+        )
         self.store_calls = Counter("croftchute_store_calls_total", "Store calls by outcome", **own)
         self.transfer_bytes = Counter(
             "croftchute_transfer_bytes_total",
--- a/src/croftchute/forwarding/workers/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from croftchute.errors import Code, Ran
 from croftchute.forwarding.dialect import Send, Verdict
@@ -137,7 +137,7 @@
                 attempt = await self._follow(attempt)
             if progress.answer is not None:
                 self.close()
-                await _send_answer(self.run, progress.answer)
+                await self._send_answer(progress.answer)
             elif not progress.is_refused:
                 await self._give_up()
         finally:
@@ -327,7 +327,7 @@
                 self._note_outlasted()
         last = progress.last_answer
         if run.outstanding is None and last is not None and not _implies_not_run(last):
-            await _send_answer(run, last)
+            await self._send_answer(last)
             return
         if not progress.may_have_run:
             run.refuse(progress.code, Ran.NOT_RUN, progress.detail)
@@ -338,6 +338,15 @@
         if run.withheld is None:
             run.outstanding = None
 
+    async def _send_answer(self, answer: CompleteAnswer) -> None:
+        """Send an answer, and let go of its body: the writer holds what is not read yet."""
+        run = self.run
+        run.first_byte_at = run.now
+        run.exchange.send(answer.status, answer.headers, answer.body)
+        answer = replace(answer, body=b"")
+        self.progress.answer = self.progress.last_answer = answer
+        await finish_answer(run, answer.status, answer.worker)
+
     @property
     def _open_workers(self) -> str:
         return ", ".join(attempt.call.worker.id for attempt in self.race.attempts)
@@ -364,9 +373,3 @@
 def _implies_not_run(answer: CompleteAnswer) -> bool:
     """Whether callers take the status to mean that nothing ran, which the worker did not state."""
     return answer.status in (408, 421, 429, 503)
-
-
-async def _send_answer(run: RequestRun, answer: CompleteAnswer) -> None:
-    run.first_byte_at = run.now
-    run.exchange.send(answer.status, answer.headers, answer.body)
-    await finish_answer(run, answer.status, answer.worker)
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Protocol
 
 from croftchute.errors import Code, Ran
@@ -684,6 +685,10 @@
         crashes = self.state.crashes.crash_count(self.digest)
         return f"{crashes} workers crashed while running this request of the same caller"
 
+    def release(self) -> None:
+        """Let go of the request's bytes, as it is over."""
+        self.facts = replace(self.facts, headers=[], body=b"")
+
     def abort_answer(self, reason: str, **inputs: object) -> None:
         """Abort an answer that has started, so that it can't be taken for a complete one.
 
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -122,9 +122,10 @@
         )
         self.connection = connection
         self._skipped_before = connection.skipped_answers
-        data = run.state.workers_speak.encode(run.facts, self.send)
+        head = run.state.workers_speak.encode(run.facts, self.send)
         connection.send(
-            data,
+            head,
+            body=run.facts.body,
             expected=expected,
             is_bodiless=run.facts.method == "HEAD",
         )
@@ -183,9 +184,10 @@
     async def read_body(self, timeout_s: float) -> bytes:
         """Read the rest of the answer."""
         assert self.connection is not None
-        return await within(
-            self.connection.read_body(MAX_ANSWER_BYTES), timeout_s, "no complete body"
+        reading = self.connection.read_body(
+            MAX_ANSWER_BYTES, on_size=self.run.exchange.note_answer_bytes
         )
+        return await within(reading, timeout_s, "no complete body")
 
     async def wait_for_caller(self) -> None:
         """Stop reading from the worker until the caller has read enough; raise CallerSlowError."""
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import resource
+from enum import Enum, auto
 from pathlib import Path
 from typing import Annotated
 
@@ -19,6 +21,9 @@
 FILE_DESCRIPTORS = 200
 """Descriptors of a process that are kept for files."""
 
+MIN_CONNECTIONS = 4
+"""Fewest connections that an address takes, however few descriptors there are."""
+
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Text = Annotated[str, msgspec.Meta(min_length=1)]
@@ -47,6 +52,24 @@
     return Address(host=host, port=int(port))
 
 
+class Listener(Enum):
+    """An address that clients connect to."""
+
+    CALLERS = auto()
+    CONTROL = auto()
+    HEALTH = auto()
+    METRICS = auto()
+
+
+LISTENER_SHARES = {
+    Listener.CALLERS: 1 / 2,
+    Listener.CONTROL: 1 / 8,
+    Listener.HEALTH: 1 / 32,
+    Listener.METRICS: 1 / 32,
+}
+"""Shares of the descriptors for sockets: the rest is for workers, the store and other boxes."""
+
+
 class RetrySettings(msgspec.Struct, frozen=True, kw_only=True):
     """The retry budget that all boxes share."""
 
@@ -112,15 +135,26 @@
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
+    max_header_lines: Annotated[int, msgspec.Meta(ge=0)] = 0
     reload_check_s: Positive = 2.0
 
-    @property
-    def max_caller_connections(self) -> int:
-        """Most open connections of callers: half of the descriptors for sockets; 0 for no bound.
+    def max_connections(self, listener: Listener) -> int:
+        """Most open connections at one of the box's addresses.
 
-        The others are for workers, the store and other boxes.
+        >>> settings = RouterSettings(
+        ...     box="b", hall="h", callers="a:1", health="a:2", store="a:3", control="a:4",
+        ...     notice_port=5, peer_keys=("k" * 16,), max_fds=4100,
+        ... )
+        >>> [settings.max_connections(listener) for listener in Listener]
+        [1950, 487, 121, 121]
         """
-        return max(1, (self.max_fds - FILE_DESCRIPTORS) // 2) if self.max_fds else 0
+        sockets = max(0, self.descriptors - FILE_DESCRIPTORS)
+        return max(MIN_CONNECTIONS, int(sockets * LISTENER_SHARES[listener]))
+
+    @property
+    def descriptors(self) -> int:
+        """Descriptors of the process: as many as are set, or else as the machine allows."""
+        return self.max_fds or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
 
     @property
     def held_memory_mb(self) -> float:
--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -389,7 +389,7 @@
     def read_all(self: ConnectionIntake) -> None:
         accept_some(self)
         for connection in self.queue.take_all():
-            self._begin(connection, self.clock())
+            self._begin(connection)
 
     begin_to_listen, accept_some = ConnectionIntake.listen, ConnectionIntake._accept
     ConnectionIntake.listen = listen  # type: ignore[method-assign]
