Take an answer whose status is none for a broken answer

What callers saw: an answer with status 600 to 999 as it came. With 000 to 099 they waited until their time was over, though the answer had come.

Cause: a status below 200 was taken for an interim answer and passed over, and nothing looked at statuses above 599. The store took 000 for the absence of an item, as the value that stands for "no such status" was 0. The OpenAI daemon passed statuses above 599 of plain services on.

Why it works: all paths of the forwarding daemon read answers through ClientConnection, which now fails the exchange and closes the connection, so that the request fails or goes on at another worker as after a reset.

--- a/src/croftchute/answer_bounds.py
+++ b/src/croftchute/answer_bounds.py
@@ -22,6 +22,10 @@
 MAX_MESSAGES = 64
 """Most answers ahead of or behind the one that is due, interim ones among them."""
 
+FIRST_STATUS = 100
+LAST_STATUS = 599
+"""Statuses of HTTP lie between these: an answer with another one is none."""
+
 MAX_HEADERS = 256
 """Most headers of an answer, with those of interim answers: each takes far more memory than its
 bytes."""
--- a/src/croftchute/forwarding/http/http_client.py
+++ b/src/croftchute/forwarding/http/http_client.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from croftchute.answer_bounds import MAX_HEADERS, ReceivedBytes
+from croftchute.answer_bounds import FIRST_STATUS, LAST_STATUS, MAX_HEADERS, ReceivedBytes
 from croftchute.forwarding.http.failures import (
     AnswerEndlessError,
     ConnectFailedError,
@@ -225,6 +225,11 @@
         if self.is_complete:
             return
         status = self._parser.get_status_code()
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            self._fail(f"not an answer: status {status:03}")
+            self.is_tainted = True
+            self.abort()
+            return
         head = ResponseHead(status=status, reason=self._status_text, headers=self._headers)
         self._is_skipping = status < FIRST_FINAL_STATUS or not self._is_expected(head)
         if self._is_skipping:
--- a/src/croftchute/standins/platform_wire.py
+++ b/src/croftchute/standins/platform_wire.py
@@ -29,7 +29,7 @@
         return self.headers.get("x-croftchute-request-id", "")
 
 
-def encode_head(status: int, request: Received, headers: Headers) -> bytes:
+def encode_head(status: int | str, request: Received, headers: Headers) -> bytes:
     """The head of an answer, which names its request."""
     lines = [f"HTTP/1.1 {status} Status"]
     if request.id:
--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -425,7 +425,7 @@
         if self.unread_s:
             limit_unread(writer)
         headers |= self._load() | self._wishes()
-        writer.write(encode_head(faults.status or 200, request, headers))
+        writer.write(encode_head(self._status(faults.status or 200, request), request, headers))
         first = int(request.headers.get("last-event-id", "0")) + 1
         software = self._shown_software
         is_crashing = bool(shared_parts(request) & self.crashes_on_parts)
@@ -473,6 +473,12 @@
             return self._reset(writer)
         return True
 
+    def _status(self, status: int, request: Received) -> int | str:
+        """The status of an answer, or what stands in its place."""
+        if request.path == "/hold-take":
+            return self.faults.control_status_text or status
+        return (self.faults.status_text if request.id else "") or status
+
     def _rest(self) -> Headers:
         return {"Retry-After": f"{self.faults.rest_s:g}"} if self.faults.rest_s else {}
 
@@ -495,7 +501,7 @@
         body: bytes = b"",
     ) -> None:
         headers = headers | self._wishes() | {"Content-Length": str(len(body))}
-        answer = encode_head(status, request, headers) + body
+        answer = encode_head(self._status(status, request), request, headers) + body
         writer.write(answer)
         copy_after_s = self.faults.copies_answers_s
         if request.id and copy_after_s is not None:
--- a/src/croftchute/standins/worker_records.py
+++ b/src/croftchute/standins/worker_records.py
@@ -68,12 +68,15 @@
     ``limit`` is what all answers name as the limit, if anything. ``health_status`` is what the
     health path answers, after ``health_wait_s``. ``copies_answers_s`` are the seconds after which
     a whole answer to a request is sent once more, in the slot of the next one; None for never.
-    ``endless`` is what it answers to every call.
+    ``endless`` is what it answers to every call. ``status_text`` stands in place of the status of
+    all answers to requests and prompts, ``control_status_text`` of those to calls for room.
     """
 
     is_full: bool = False
     has_no_room: bool = False
     status: int = 0
+    status_text: str = ""
+    control_status_text: str = ""
     is_silent: bool = False
     resets_before_answer: bool = False
     resets_after_events: int | None = None
--- a/src/croftchute/upstreams/service.py
+++ b/src/croftchute/upstreams/service.py
@@ -7,6 +7,7 @@
 
 import urllib3
 
+from croftchute.answer_bounds import FIRST_STATUS, LAST_STATUS
 from croftchute.errors import Code, Ran, UpstreamError
 from croftchute.upstreams.call_ender import CallEnder, EndablePoolManager
 from croftchute.upstreams.http_engine import rest_asked
@@ -82,6 +83,9 @@
             raise UpstreamError(Code.UPSTREAM_SLOW, str(error), ran=Ran.UNKNOWN) from None
         except urllib3.exceptions.HTTPError as error:
             raise UpstreamError(Code.UPSTREAM_FAILED, str(error), ran=Ran.UNKNOWN) from None
+        if not FIRST_STATUS <= response.status <= LAST_STATUS:
+            message = f"not an answer: status {response.status:03}"
+            raise UpstreamError(Code.UPSTREAM_FAILED, message, ran=Ran.UNKNOWN)
         if len(response.data) > MAX_ANSWER:
             message = f"answer of {len(response.data)} bytes is too long"
             raise UpstreamError(Code.UPSTREAM_FAILED, message, ran=Ran.RAN)
