Settings: keep the name for the most connections of callers

The account of clients' bytes replaced the property by one for each address, and test_the_template_makes_settings_that_are_read failed in a whole run (2 of 2 cases); nobody else saw it. The property is back and reads the new one; both cases hold.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -186,7 +186,7 @@
             clock=state.clock,
             held=self.held,
             paces_intake=True,
-            max_connections=settings.max_connections(Listener.CALLERS),
+            max_connections=settings.max_caller_connections,
             on_shed=self.overload_watch.note_shed,
             memory=self.memory,
             pacer=self.pacer,
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -151,6 +151,11 @@
         sockets = max(0, self.descriptors - FILE_DESCRIPTORS)
         return max(MIN_CONNECTIONS, int(sockets * LISTENER_SHARES[listener]))
 
+    @property
+    def max_caller_connections(self) -> int:
+        """Most open connections of callers."""
+        return self.max_connections(Listener.CALLERS)
+
     @property
     def descriptors(self) -> int:
         """Descriptors of the process: as many as are set, or else as the machine allows."""
