OpenAI daemon: bound the time in which a request must come

What callers saw: clients that send a byte now and then held a thread each for as long as they liked, and nobody else was answered.

Cause: cheroot's time-out runs anew with each byte.

Change: the head must have come within 10 s, and a body may take as much longer as its bytes allow at 4,096 a second, as for the forwarding daemon.

--- a/src/croftchute/httpd.py
+++ b/src/croftchute/httpd.py
@@ -5,11 +5,13 @@
 import select
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from typing import Any
 
 from cheroot import wsgi
+from cheroot.makefile import StreamReader, StreamWriter
 from cheroot.server import HTTPConnection
 from cheroot.workers.threadpool import ThreadPool
 from loguru import logger
@@ -24,12 +26,71 @@
 SHUTDOWN_S = 2
 MILLISECONDS = 1000
 
+READ_S = 10.0
+"""Seconds in which the head of a request must have come, and longest pause in its body."""
+
+MIN_READ_BYTES_PER_S = 4096
+"""Least pace of a request beside that: a client that sends a byte now and then holds a thread no
+longer than one that sends nothing."""
+
+
+class PacedSocketReader(socket.SocketIO):
+    """Reads a request from a socket within a time that grows with what has come."""
+
+    def __init__(self, sock: socket.socket, mode: str) -> None:
+        super().__init__(sock, mode)  # type: ignore[arg-type]
+        self._socket = sock
+        self._begun_at = 0.0
+        self._received = 0
+        self.begin(time.monotonic())
+
+    def begin(self, now: float) -> None:
+        """Begin to read another request."""
+        self._begun_at = now
+        self._received = 0
+
+    def left_s(self, now: float) -> float:
+        """Seconds until the next bytes must have come."""
+        allowed_s = READ_S + self._received / MIN_READ_BYTES_PER_S
+        return min(READ_S, self._begun_at + allowed_s - now)
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read what comes; raise TimeoutError if that takes too long."""
+        left_s = self.left_s(time.monotonic())
+        if left_s <= 0.0:
+            raise TimeoutError("timed out")
+        usual_s = self._socket.gettimeout()
+        self._socket.settimeout(left_s)
+        try:
+            size = super().readinto(buffer)
+        finally:
+            self._socket.settimeout(usual_s)
+        self._received += size or 0
+        return size
+
+
+class PacedReader(StreamReader):
+    """Cheroot's reader, above a socket whose requests must come in time."""
+
+    def __init__(self, sock: socket.socket, mode: str, size: int) -> None:
+        super().__init__(sock, mode, size)
+        self._raw = PacedSocketReader(sock, mode)
+
+    def begin(self, now: float) -> None:
+        """Begin to read another request."""
+        self._raw.begin(now)
+
+
+def make_file(sock: socket.socket, mode: str, size: int) -> StreamReader | StreamWriter:
+    """A file above a socket, as cheroot asks for two of them for each connection."""
+    return PacedReader(sock, mode, size) if "r" in mode else StreamWriter(sock, mode, size)
+
 
 class CountedConnection(HTTPConnection):
     """A connection that knows whether the head of a request has begun to arrive on it."""
 
     def __init__(self, server: CountingServer, sock: socket.socket, *args: Any) -> None:
-        super().__init__(server, sock, *args)
+        super().__init__(server, sock, make_file)
         self._is_begun = False
 
     @property
@@ -43,6 +104,7 @@
             if not self._has_bytes(self.server.timeout):
                 return False
             self._is_begun = True
+            self.rfile.begin(time.monotonic())
             is_kept = bool(super().communicate())
             self._is_begun = False
             # A request that is here already is answered; on an ended connection it would be lost.
