Look through all connections only when one has to be closed

What operators would see: processor time for each new connection, and for each byte beyond a bound that no release can reach, in proportion to all connections.

Cause: the search for a connection to close, and the recount before a release, run over every connection. Found by reading.

Change: a new connection below the bound asks for no search, and after a pass that released all it may the next one waits for 50 ms. max_fds and max_header_lines, which are read at the start alone, are named by a reload.

Evidence: two new tests, one with connections that fail if they are looked at.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -65,6 +65,19 @@
 
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
+NEEDS_RESTART = (
+    "callers",
+    "health",
+    "metrics",
+    "control",
+    "box",
+    "hall",
+    "store",
+    "max_fds",
+    "max_header_lines",
+)
+"""Settings that are read at the start alone."""
+
 MESSAGE_PACK = b"application/msgpack"
 
 ENTRY_GRACE_S = 2.8
@@ -366,7 +379,7 @@
             return
         needs_restart = [
             name
-            for name in ("callers", "health", "metrics", "control", "box", "hall", "store")
+            for name in NEEDS_RESTART
             if getattr(settings, name) != getattr(self.settings, name)
         ]
         self.settings = settings
--- a/src/croftchute/forwarding/http/client_memory.py
+++ b/src/croftchute/forwarding/http/client_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import os
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,6 +15,11 @@
 MACHINE_MEMORY_NAMES = ("SC_PHYS_PAGES", "SC_PAGE_SIZE")
 
 
+RELEASE_PAUSE_S = 0.05
+"""Seconds for which nobody is looked for after all that may be released were: each look takes time
+for every connection."""
+
+
 class ReleaseCause(StrEnum):
     """What was given up of a client for the memory of others."""
 
@@ -81,6 +87,7 @@
         self._holders_by_number: dict[int, MemoryHolder] = {}
         self._numbers = itertools.count(1)
         self._is_releasing = False
+        self._next_release_at = -math.inf
 
     def set_memory(self, memory_mb: float) -> None:
         """The settings were read again."""
@@ -134,13 +141,16 @@
 
     def _release_excess(self) -> None:
         """Release clients until the rest is well below the bound."""
-        if self._is_releasing:
+        now = self.clock()
+        if self._is_releasing or now < self._next_release_at:
             return
         self._is_releasing = True
         try:
             self._recount()
             if self.account.exceeds_bound:
-                self._release_by_rank()
+                self._release_by_rank(now)
+            if self.account.exceeds_bound:
+                self._next_release_at = now + RELEASE_PAUSE_S
         finally:
             self._is_releasing = False
 
@@ -149,8 +159,8 @@
         for number, holder in self._holders_by_number.items():
             self.account.set_size(number, holder.held_bytes)
 
-    def _release_by_rank(self) -> None:
-        for number in self.account.by_rank(self.clock()):
+    def _release_by_rank(self, now: float) -> None:
+        for number in self.account.by_rank(now):
             if self.account.is_low_enough:
                 return
             holder = self._holders_by_number.get(number)
--- a/src/croftchute/forwarding/http/http_server.py
+++ b/src/croftchute/forwarding/http/http_server.py
@@ -740,7 +740,7 @@
 
         If need be, one is closed: the one that rested longest, or that moved nothing for longest.
         """
-        if not self.max_connections:
+        if not self.max_connections or len(self.connections) + unread < self.max_connections:
             return True
         staying = [connection for connection in self.connections if not connection.is_closing]
         if len(staying) + unread < self.max_connections:
--- a/tests/forwarding/http/test_client_memory.py
+++ b/tests/forwarding/http/test_client_memory.py
@@ -1,7 +1,13 @@
 """The release of connections above the bound on what a box holds for its clients."""
 
-from croftchute.forwarding.http.client_memory import ClientMemory, ReleaseCause
+from croftchute.forwarding.http.client_memory import (
+    RELEASE_PAUSE_S,
+    ClientMemory,
+    ReleaseCause,
+)
+from croftchute.forwarding.http.http_server import HttpIngress, refuse_without_room
 from croftchute.systems.memory_account import ACCOUNT_MEMORY_SHARE, account_bound
+from croftchute.tables.routing import IngressLimits
 
 MEMORY_MB = 4.0
 BOUND = account_bound(MEMORY_MB)
@@ -98,3 +104,32 @@
     holder.held_bytes = 100
     made.note(number)
     assert (made.take_peak(), made.take_peak()) == (500, 100)
+
+
+def test_all_connections_are_looked_at_now_and_then_where_none_may_be_released():
+    """Guards against looking through all of them for each byte that comes."""
+    now = 0.0
+    looks = []
+
+    class Served(Holder):
+        def release_memory(self):
+            looks.append(now)
+            return super().release_memory()
+
+    made = ClientMemory(memory_mb=MEMORY_MB, clock=lambda: now)
+    number = made.open(Served(2 * BOUND, cause=None))
+    for step in range(100):
+        now = step * RELEASE_PAUSE_S / 10
+        made.note(number)
+    assert 5 <= len(looks) <= 15
+
+
+def test_room_for_a_connection_is_found_without_looking_at_the_others():
+    ingress = HttpIngress(handler=refuse_without_room, limits=IngressLimits, max_connections=3)
+
+    class Unread:
+        def __getattr__(self, name):
+            raise AssertionError(f"{name} was asked for")
+
+    ingress.connections = {Unread(), Unread()}
+    assert ingress.make_room(0)
