--- a/src/croftchute/forwarding/http/caller_writer.py
+++ b/src/croftchute/forwarding/http/caller_writer.py
@@ -103,6 +103,8 @@
         """Send bytes, or hold them, if the caller is still there."""
         if self._transport is None or self._is_over:
             return
+        # What was read from a worker goes out with this.
+        self._answer_bytes = 0
         if self.is_bounded:
             self._hold(data)
             self._pump()
--- a/src/croftchute/forwarding/http/exchange.py
+++ b/src/croftchute/forwarding/http/exchange.py
@@ -93,7 +93,6 @@
         lines += self._connection.persistence_headers(self.request)
         payload = b"" if self.request.method == "HEAD" else body
         head = encode_head(status, b"", lines)
-        self._writer.note_answer_bytes(0)
         if len(payload) > MAX_JOINED_BYTES:
             self._writer.write(head)
             self._writer.write(payload)
