--- a/tests/platform_adapter/box_process.py
+++ b/tests/platform_adapter/box_process.py
@@ -93,9 +93,8 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (count, count))
 
 
-@contextlib.asynccontextmanager
-async def box_process(made, folder, *, memory_mb, max_fds=0, **changes):
-    """A box before the fleet's store and workers; its table of descriptors has ``max_fds``."""
+async def start_box(made, folder, *, memory_mb, max_fds, changes):
+    """Start a process on ports that were free a moment ago."""
     *ports, notice = free_ports("127.0.0.1", len(LISTENERS) + 1)
     port_by_listener = dict(zip(LISTENERS, ports, strict=True))
     addresses = {name: f"127.0.0.1:{port}" for name, port in port_by_listener.items()}
@@ -120,15 +119,28 @@
             stderr=log,
             preexec_fn=partial(limit_descriptors, max_fds) if max_fds else None,
         )
-    box = BoxProcess(process=process, port_by_listener=port_by_listener, folder=folder)
+    return BoxProcess(process=process, port_by_listener=port_by_listener, folder=folder)
+
+
+@contextlib.asynccontextmanager
+async def box_process(made, folder, *, memory_mb, max_fds=0, **changes):
+    """A box before the fleet's store and workers; its table of descriptors has ``max_fds``.
+
+    It is started again if another process has taken one of its ports.
+    """
+    box = await start_box(made, folder, memory_mb=memory_mb, max_fds=max_fds, changes=changes)
     try:
-        while not await is_ready(port_by_listener["health"]):
+        while not await is_ready(box.port_by_listener["health"]):
+            if not box.is_alive and b"Address already in use" in (folder / "box.log").read_bytes():
+                (folder / "box.log").write_bytes(b"")
+                terms = {"memory_mb": memory_mb, "max_fds": max_fds, "changes": changes}
+                box = await start_box(made, folder, **terms)
             await asyncio.sleep(0.05)
         yield box
     finally:
         with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal.SIGKILL)
-        await process.wait()
+            box.process.send_signal(signal.SIGKILL)
+        await box.process.wait()
 
 
 async def is_ready(port):
