Count and log requests that are refused for a limit of their own

Operators saw neither a counter nor a line when a box refused requests with 408, 413, 431, 400 or 501 before they were whole: only what was released for the memory of others was reported. Cause: the refusal of the connection told nobody. It reports its cause now as a release does, so the counter croftchute_clients_released_total and the line clients_released, one a second at most, show it.

--- a/src/croftchute/forwarding/http/http_server.py
+++ b/src/croftchute/forwarding/http/http_server.py
@@ -44,6 +44,15 @@
 """What was read last, by any connection: it is parsed or copied before the event loop reads
 again. A process has one event loop."""
 
+CAUSE_BY_STATUS = {
+    HTTPStatus.REQUEST_TIMEOUT: ReleaseCause.TOO_SLOW,
+    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: ReleaseCause.HEAD_TOO_LARGE,
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: ReleaseCause.BODY_TOO_LARGE,
+    HTTPStatus.BAD_REQUEST: ReleaseCause.UNREADABLE,
+    HTTPStatus.NOT_IMPLEMENTED: ReleaseCause.UNREADABLE,
+}
+"""Why a request was refused before it was whole, by its answer's status."""
+
 CONNECTION_BYTES = 8192
 """What a connection takes by itself: its transport, its parser and its timer."""
 
@@ -541,6 +550,8 @@
             return
         self._must_close = True
         self._cancel_timer()
+        if status in CAUSE_BY_STATUS:
+            self.server.memory.note_release(CAUSE_BY_STATUS[status], self._unserved_bytes)
         has_answers_due = self._task is not None
         self._drop_unserved()
         if has_answers_due:
--- a/tests/forwarding/http/test_small_pieces.py
+++ b/tests/forwarding/http/test_small_pieces.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from croftchute.forwarding.http.client_memory import ClientMemory
+from croftchute.forwarding.http.client_memory import ClientMemory, ReleaseCause
 from croftchute.forwarding.http.http_server import (
     CONTINUE,
     MAX_WAITING_REQUESTS,
@@ -175,6 +175,29 @@
     serve(test, header_lines=8)
 
 
+@pytest.mark.parametrize(
+    ("request_bytes", "status", "cause"),
+    [
+        (b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 10, 431, ReleaseCause.HEAD_TOO_LARGE),
+        (HEAD + b"Content-Length: 99999999999\r\n\r\n", 413, ReleaseCause.BODY_TOO_LARGE),
+        (b"no request\r\n\r\n", 400, ReleaseCause.UNREADABLE),
+        (HEAD, 408, ReleaseCause.TOO_SLOW),
+    ],
+    ids=["head", "body", "syntax", "time"],
+)
+def test_a_request_that_is_refused_for_a_limit_of_its_own_is_reported(request_bytes, status, cause):
+    """Guards against refusals that operators see nowhere."""
+
+    async def test(reader, writer, ingress):
+        ingress.memory.on_release = released.append
+        writer.write(request_bytes)
+        assert (await answer_to(reader))[0] == status
+        assert [release.cause for release in released] == [cause]
+
+    released = []
+    serve(test, header_lines=8, limits=IngressLimits(header_timeout_s=0.2))
+
+
 def test_as_many_shortest_lines_as_a_head_may_have_are_read():
     limits = IngressLimits()
     count = (limits.max_header_bytes - 40) // len(b"a:\r\n")
