Close the connection accepted first among those that wait equally long

test_the_connection_that_waits_longest_makes_room_for_a_new_one failed once beside other runs (the wrong idle connection was closed). Connections that the receiver takes in one turn begin to wait at the same moment, and the tie was broken by the order of a set.

--- a/src/croftchute/request_receiver.py
+++ b/src/croftchute/request_receiver.py
@@ -272,7 +272,11 @@
     def _make_room(self, now: float) -> bool:
         """Close one connection of which no request is being handled, idle ones first."""
         waiting = [found for found in self._connections if found.is_waiting]
-        first = min(waiting, key=lambda found: (not found.is_idle, found.left_s(now)), default=None)
+        first = min(
+            waiting,
+            key=lambda found: (not found.is_idle, found.left_s(now), found.number),
+            default=None,
+        )
         return first is not None and self.memory.release(first.number)
 
     def _run(self) -> None:
