Soak: draw crowds of clients that send much and stop short

The soak played sound callers only. A new kind, clients_misbehave, sends 60 clients of one or two ways to a box beside all other faults: bodies short of their last byte, pipelined bodies, chunks of one byte, heads of very many lines, fields behind a chunked body, connections that rest. Boxes of such runs have 150 MB in their settings, and a process that takes more breaks a promise, which holds on a busy machine too.

--- a/src/croftchute/soak/box_program.py
+++ b/src/croftchute/soak/box_program.py
@@ -52,6 +52,7 @@
 from croftchute.forwarding.workers.worker_call import WorkerCall  # noqa: E402
 from croftchute.systems.crash_records import CrashRecords  # noqa: E402
 from croftchute.systems.intake_queue import IntakeLimits  # noqa: E402
+from croftchute.systems.memory_account import MemoryAccount  # noqa: E402
 from croftchute.systems.part_crashes import PartCrashes  # noqa: E402
 from croftchute.systems.tracked_worker import TrackedWorker  # noqa: E402
 from croftchute.systems.usage_bucket import UsageBucket  # noqa: E402
@@ -404,6 +405,12 @@
     )
 
 
+def hold_for_clients() -> None:
+    """Hold for clients whatever they send."""
+    MemoryAccount.exceeds_bound = False  # type: ignore[assignment,method-assign]
+    MemoryAccount.admits = lambda *_: True  # type: ignore[method-assign]
+
+
 BROKEN: dict[str, Callable[[], None]] = {
     "send_twice": send_twice,
     "keep_draining": keep_draining,
@@ -428,6 +435,7 @@
     "trust_relays": trust_relays,
     "read_all_connections": read_all_connections,
     "count_no_arrivals": count_no_arrivals,
+    "hold_for_clients": hold_for_clients,
 }
 
 
--- a/src/croftchute/soak/boxes.py
+++ b/src/croftchute/soak/boxes.py
@@ -71,6 +71,7 @@
     seeds: tuple[str, ...]
     alteration: Alteration = Alteration()
     retry_slack: float = 50.0
+    memory_mb: float = 0.0
     most_retry_slack: float = 0.0
     life: int = 0
     is_wanted: bool = True
@@ -111,6 +112,7 @@
                 "slack": TERMS.slack,
             },
             "first_start": self.life == 0,
+            "memory_mb": self.memory_mb,
             "stop_limit_s": STOP_LIMIT_S,
             "drain_s": DRAIN_S,
             "reload_check_s": 1.0,
--- a/src/croftchute/soak/checks.py
+++ b/src/croftchute/soak/checks.py
@@ -17,6 +17,7 @@
 from croftchute.soak.disturbances import STORE, Disturbance, Disturbances
 from croftchute.soak.key_checks import DENIED, KeyChecks
 from croftchute.soak.link_cuts import LinkCuts, links_of
+from croftchute.soak.misbehaving import MisbehavingClients
 from croftchute.soak.paces import transfer_allowance_s
 from croftchute.soak.pauses import PausedWorkers, usual_time_s
 from croftchute.soak.software import streams_lost, versions_mixed
@@ -85,6 +86,7 @@
     link_cuts: LinkCuts | None = None
     paused: PausedWorkers | None = None
     crowds: Crowds | None = None
+    misbehaving: MisbehavingClients | None = None
     runs_by_id: dict[str, list[tuple[ListedWorker, Run]]] = field(default_factory=dict)
 
     @property
@@ -119,6 +121,8 @@
         if self.paused is not None:
             # Judged on busy machines too: the slack before a deadline grows with the lag.
             found += self.paused.violations(self.runs_by_id, slack_s=self.slack_s)
+        if self.misbehaving is not None:
+            found += self.misbehaving.violations()
         if self.judges_times:
             found += self._draining()
             found += streams_lost(self.traffic, self.world)
--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -17,6 +17,7 @@
 from croftchute.soak.crowds import Crowds
 from croftchute.soak.disturbances import Disturbances
 from croftchute.soak.link_cuts import LinkCuts
+from croftchute.soak.misbehaving import MisbehavingClients
 from croftchute.soak.pauses import PausedWorkers
 from croftchute.soak.plan import FaultKind, PlannedFault, SoakSpec
 from croftchute.soak.proxy import FaultyLink, LinkFault
@@ -119,6 +120,7 @@
         crashing_parts: CrashingParts,
         paused: PausedWorkers,
         crowds: Crowds,
+        misbehaving: MisbehavingClients,
     ) -> None:
         self.spec = spec
         self.world = world
@@ -185,6 +187,7 @@
             FaultKind.RELAYS_PAUSED: self._pause_relays,
             FaultKind.ANSWERS_ENDLESS: self._answer_without_end,
             FaultKind.CALLERS_CROWDED: crowds.strike,
+            FaultKind.CLIENTS_MISBEHAVE: misbehaving.strike,
         }
 
     @property
--- a/src/croftchute/soak/plan.py
+++ b/src/croftchute/soak/plan.py
@@ -50,6 +50,7 @@
     RELAYS_PAUSED = "relays_paused"
     ANSWERS_ENDLESS = "answers_endless"
     CALLERS_CROWDED = "callers_crowded"
+    CLIENTS_MISBEHAVE = "clients_misbehave"
 
 
 LATER_KINDS = frozenset(
@@ -67,6 +68,7 @@
         FaultKind.RELAYS_PAUSED,
         FaultKind.ANSWERS_ENDLESS,
         FaultKind.CALLERS_CROWDED,
+        FaultKind.CLIENTS_MISBEHAVE,
     }
 )
 FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in LATER_KINDS)
@@ -105,8 +107,14 @@
         FaultKind.ANSWERS_COPIED,
         FaultKind.RELAYS_PAUSED,
         FaultKind.ANSWERS_ENDLESS,
+        FaultKind.CLIENTS_MISBEHAVE,
     }
 )
+APART = frozenset({FaultKind.CLIENTS_MISBEHAVE})
+"""Kinds that are drawn by themselves, so that a seed draws the same other faults without them."""
+
+MIN_APART_S = 1.0
+MAX_APART_S = 5.0
 QUIET_START_S = 1.0
 MIN_GAP_S = 0.1
 MAX_GAP_S = 0.8
@@ -151,10 +159,11 @@
     (True, True)
     """
     rng = random.Random(spec.seed)
-    kinds = [kind for kind in spec.kinds if kind in PLANNED or not spec.only_planned]
-    faults: list[PlannedFault] = []
+    drawn = [kind for kind in spec.kinds if kind in PLANNED or not spec.only_planned]
+    kinds = [kind for kind in drawn if kind not in APART]
+    faults = _draw_apart(spec, [kind for kind in drawn if kind in APART])
     at = QUIET_START_S
-    while at < spec.seconds:
+    while kinds and at < spec.seconds:
         kind = rng.choice(kinds)
         repeats = rng.randint(2, MAX_SERIES) if rng.random() < SERIES_SHARE else 1
         for step in range(repeats):
@@ -164,6 +173,16 @@
     return tuple(sorted(within, key=lambda fault: fault.at))
 
 
+def _draw_apart(spec: SoakSpec, kinds: list[FaultKind]) -> list[PlannedFault]:
+    rng = random.Random(f"apart {spec.seed}")
+    faults: list[PlannedFault] = []
+    at = QUIET_START_S
+    while kinds and at < spec.seconds:
+        faults.append(_draw_fault(rng, rng.choice(kinds), at))
+        at += rng.uniform(MIN_APART_S, MAX_APART_S)
+    return faults
+
+
 def _draw_fault(rng: random.Random, kind: FaultKind, at: float) -> PlannedFault:
     lasts_s = rng.uniform(MIN_LASTS_S, MAX_LASTS_S) if kind in LASTING else 0.0
     return PlannedFault(
--- a/src/croftchute/soak/run.py
+++ b/src/croftchute/soak/run.py
@@ -18,6 +18,7 @@
 from croftchute.soak.crowds import REQUEST_MS, Crowds
 from croftchute.soak.disturbances import Disturbances
 from croftchute.soak.injector import Injector
+from croftchute.soak.misbehaving import MAX_BODY_BYTES, MEMORY_MB, MisbehavingClients
 from croftchute.soak.pauses import PausedWorkers
 from croftchute.soak.plan import FaultKind, SoakSpec, draw_plan
 from croftchute.soak.proxy import FaultyLink, Target
@@ -85,6 +86,7 @@
     crashing_parts: CrashingParts
     paused: PausedWorkers
     crowds: Crowds
+    misbehaving: MisbehavingClients
 
     async def wait_ready(self) -> bool:
         """Wait until all boxes call themselves ready; False if they do not in time."""
@@ -136,6 +138,7 @@
             link_cuts=injector.link_cuts,
             paused=set_up.paused,
             crowds=set_up.crowds,
+            misbehaving=set_up.misbehaving,
         )
         violations += checker.violations()
         tries = set_up.traffic.tries_by_id.values()
@@ -201,6 +204,7 @@
         crashing_parts=set_up.crashing_parts,
         paused=set_up.paused,
         crowds=set_up.crowds,
+        misbehaving=set_up.misbehaving,
     )
 
 
@@ -210,7 +214,10 @@
     addresses = lay_out(own_network(os.getpid()), spec.boxes)
     cuts_links = FaultKind.LINKS_CUT in spec.kinds
     link_hosts = own_link_hosts(addresses) if cuts_links else ()
+    misbehave = FaultKind.CLIENTS_MISBEHAVE in spec.kinds
     world = SoakWorld(link_hosts=link_hosts)
+    if misbehave:
+        world.max_body_bytes = MAX_BODY_BYTES
     await world.start(desks=spec.desks, engines=spec.engines)
     store_target = Target(host=LOCALHOST, port=world.store.ingress.port)
     seeds = tuple(f"{address.host}:{address.control}" for address in addresses[:3])
@@ -228,6 +235,7 @@
             store_port=store_port,
             seeds=seeds,
             retry_slack=SMALL_SLACK if FaultKind.CALLERS_CROWDED in spec.kinds else USUAL_SLACK,
+            memory_mb=MEMORY_MB if misbehave else 0.0,
             alteration=Alteration(
                 broken=spec.broken,
                 worker_host=link_hosts[number] if cuts_links else "",
@@ -268,6 +276,7 @@
                 world=world, boxes=boxes, traffic=traffic, disturbances=disturbances
             ),
             crowds=Crowds(boxes=boxes, traffic=traffic, disturbances=disturbances),
+            misbehaving=MisbehavingClients(boxes=boxes, disturbances=disturbances),
         )
     finally:
         await _take_down(boxes, running)
--- a/src/croftchute/soak/world.py
+++ b/src/croftchute/soak/world.py
@@ -90,6 +90,7 @@
     routes: list[JsonObject] = field(default_factory=list)
     fillers: list[JsonObject] = field(default_factory=list)
     idle_timeout_s: float = IDLE_TIMEOUT_S
+    max_body_bytes: int = 65_536
     passing_timeouts_s: dict[int, float] = field(default_factory=dict)
     link_hosts: tuple[str, ...] = ()
     _box_links_by_host: dict[str, list[FaultyLink]] = field(default_factory=dict)
@@ -219,7 +220,7 @@
             ],
             "Limits": {
                 "MaxHeaderBytes": 16384,
-                "MaxBodyBytes": 65536,
+                "MaxBodyBytes": self.max_body_bytes,
                 "HeaderTimeoutMs": 3000,
                 "IdleTimeoutMs": int(self.idle_timeout_s * 1000),
             },
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -45,6 +45,12 @@
     FaultKind.WORKER_FAULT,
     FaultKind.LINKS_CUT,
 )
+CLIENTS = (
+    FaultKind.CLIENTS_MISBEHAVE,
+    FaultKind.BOX_KILL,
+    FaultKind.CONFIG_CHANGE,
+    FaultKind.WORKER_CRASH,
+)
 SHORT = [
     SoakSpec(seed=4, seconds=6.0, judge_times=False, kinds=FIRST_KINDS),
     SoakSpec(seed=21, seconds=6.0, judge_times=False, only_planned=True, kinds=FIRST_KINDS),
@@ -59,6 +65,7 @@
     SoakSpec(seed=8401, seconds=8.0, judge_times=False, kinds=COPIES),
     SoakSpec(seed=8501, seconds=8.0, judge_times=False, kinds=ENDLESS),
     SoakSpec(seed=9001, seconds=8.0, judge_times=False, kinds=CROWDS, boxes=4),
+    SoakSpec(seed=8101, seconds=8.0, judge_times=False, kinds=CLIENTS),
 ]
 REGRESSIONS = [
     SoakSpec(
