Read the body of a request whose client offers another protocol

Cause: the parser takes such a request for whole with its head, whatever length it gives, and reports that before it raises HttpParserUpgrade. The request was queued by then.

A server may ignore the offer. The connection does not queue what the parser reports for such a head, and reads the body with a new parser that is given the head's framing alone, so that lengths, chunks, trailers, pipelining and the connection's persistence are as for any other request. CONNECT is refused with 501 as before, and is not run any more.

--- a/src/croftchute/forwarding/http/http_server.py
+++ b/src/croftchute/forwarding/http/http_server.py
@@ -95,6 +95,7 @@
         self._waiting: deque[_WaitingRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._is_offer = False
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._must_close = False
         self._closes_after = False
@@ -264,7 +265,7 @@
 
     def on_message_begin(self) -> None:
         """The first byte of a request has come."""
-        if self._must_close:
+        if self._must_close or self._is_offer:
             return
         self._begin_message()
         self._is_reading = True
@@ -272,7 +273,7 @@
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
-        if self._must_close:
+        if self._must_close or self._is_offer:
             return
         self._target += url
         self._count_head(len(url))
@@ -280,7 +281,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; what comes behind a chunked body is dropped."""
         self._pieces += 1
-        if self._must_close or not self._framing.is_head:
+        if self._must_close or self._is_offer or not self._framing.is_head:
             return
         name = name.lower()
         self._head.add(name, value)
@@ -296,6 +297,11 @@
         """Allow a body if one is announced."""
         if self._must_close:
             return
+        assert self._parser is not None
+        if self._is_offer:
+            self._is_offer = False
+            return
+        self._is_offer = self._parser.should_upgrade()
         self._framing.is_head = False
         limits = self.server.limits()
         self._body_begun_at = self._loop.time()
@@ -318,7 +324,7 @@
     def on_message_complete(self) -> None:
         """Queue a whole request."""
         self._pieces += 1
-        if self._must_close:
+        if self._must_close or self._is_offer:
             return
         assert self._parser is not None
         self._is_reading = False
@@ -372,9 +378,10 @@
         self._begun_at = self.server.clock()
         self._body_begun_at = self._loop.time()
         self._target = b""
-        self._head = RequestHead()
+        self._head: RequestHead = RequestHead()
         self._head_bytes = 0
         self._owes_continue = False
+        self._is_offer = False
         self._body = bytearray()
         self._length = 0
         self._max_body_bytes = 0
@@ -416,9 +423,7 @@
         self._pieces = 0
         framing, body_before = self._framing, len(self._body)
         try:
-            self._parser.feed_data(piece)
-        except httptools.HttpParserUpgrade:
-            self._refuse(HTTPStatus.NOT_IMPLEMENTED)
+            self._feed(piece)
         except httptools.HttpParserError:
             self._refuse(HTTPStatus.BAD_REQUEST)
         if self._must_close or not self._is_reading:
@@ -431,6 +436,43 @@
         elif content:
             self._wait_for(self._body_time_s())
 
+    def _feed(self, piece: memoryview) -> None:
+        """Have a piece parsed. An offer of another protocol is ignored."""
+        while True:
+            assert self._parser is not None
+            try:
+                self._parser.feed_data(piece)
+            except httptools.HttpParserUpgrade as offer:
+                if self._must_close:
+                    return
+                if self._parser.get_method() == b"CONNECT":
+                    self._refuse(HTTPStatus.NOT_IMPLEMENTED)
+                    return
+                piece = piece[offer.args[0] :]
+                self._parse_body_apart()
+            else:
+                return
+
+    def _parse_body_apart(self) -> None:
+        """Go on with a new parser behind the head that was read.
+
+        The parser takes a request that offers another protocol for whole with its head.
+        """
+        assert self._parser is not None
+        lines = [
+            b"%b: %b" % (name, value)
+            for name, value in self._head.headers()
+            if name in (b"content-length", b"transfer-encoding")
+        ]
+        if not self._parser.should_keep_alive():
+            lines.append(b"connection: close")
+        elif self._parser.get_http_version() == "1.0":
+            lines.append(b"connection: keep-alive")
+        version = self._parser.get_http_version().encode("ascii")
+        start = b"%b / HTTP/%b" % (self._parser.get_method(), version)
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b"\r\n".join([start, *lines, b"", b""]))
+
     def _keep(self, rest: bytes) -> None:
         """Keep what may not be parsed yet, and read nothing more until it is."""
         if not rest or self._must_close:
