--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -75,6 +75,7 @@
     "store",
     "max_fds",
     "max_header_lines",
+    "pieces_per_s",
 )
 """Settings that are read at the start alone."""
 
@@ -173,10 +174,11 @@
         self.trimmer = HeapTrimmer()
         self.memory = ClientMemory(
             memory_mb=settings.memory_mb,
+            share=settings.client_memory_share,
             clock=state.clock,
             on_release=self.client_watch.note_release,
         )
-        self.pacer = ParsePacer(clock=state.clock)
+        self.pacer = ParsePacer(clock=state.clock, pieces_per_s=settings.pieces_per_s)
         self.link_probe = LinkProbe(state=state, on_change=self._note_links)
         state.on_link_trouble = self.link_probe.request_round
         state.confirm_links = self.link_probe.confirm
@@ -389,7 +391,7 @@
         self.state.default_boxes = settings.boxes
         self.state.conditions = settings.conditions
         self.held.set_memory(settings.held_memory_mb)
-        self.memory.set_memory(settings.memory_mb)
+        self.memory.set_memory(settings.memory_mb, settings.client_memory_share)
         self.state.workers.mass_expiry_grace_s = mass_expiry_grace_s(settings)
         self.state.log.decide(
             Decision.RELOADED, outcome="in force", cause=cause, needs_restart=needs_restart
@@ -425,7 +427,7 @@
             self.state.metrics.open.set({}, self.ingress.open_requests)
             update_queue_gauges(self.state, now)
             self.state.metrics.held_bytes.set({}, self.held.count.total)
-            self.client_watch.report(self.memory.account, now)
+            self.client_watch.report(self.memory.account, now, paced=self.pacer.take_begun())
             self.trimmer.note(self.memory.take_peak(), self.memory.account)
 
     def _sweep_limits(self, now: float) -> None:
--- a/src/croftchute/forwarding/client_watch.py
+++ b/src/croftchute/forwarding/client_watch.py
@@ -1,4 +1,4 @@
-"""Counts the clients that were refused or closed for memory or descriptors, and logs them.
+"""Counts the clients that were refused, closed or paced for a limit, and logs them.
 
 Many may be closed in a moment, so that one line a second says how many, and by what cause.
 """
@@ -35,16 +35,22 @@
         self.state.metrics.connections_shed.inc({"cause": cause.value})
         self._shed[cause.value] += 1
 
-    def report(self, account: MemoryAccount, now: float) -> None:
-        """Set the gauge, and log what happened since the last report, if anything."""
+    def report(self, account: MemoryAccount, now: float, *, paced: int) -> None:
+        """Set the gauge, and log what happened since the last report, if anything.
+
+        ``paced`` is how often a connection began to be paced for its small pieces.
+        """
         self.state.metrics.client_bytes.set({}, account.total)
-        if not self._released and not self._shed:
+        if paced:
+            self.state.metrics.connections_paced.add({}, paced)
+        if not self._released and not self._shed and not paced:
             return
         self.state.log.decide(
             Decision.CLIENTS_RELEASED,
-            outcome="closed",
+            outcome="closed" if self._released or self._shed else "paced",
             released=dict(self._released),
             closed_unread=dict(self._shed),
+            paced=paced,
             largest_bytes=self._largest_bytes,
             held_bytes=account.total,
             served_bytes=account.served,
--- a/src/croftchute/forwarding/http/client_memory.py
+++ b/src/croftchute/forwarding/http/client_memory.py
@@ -10,7 +10,12 @@
 from enum import StrEnum
 from typing import Protocol
 
-from croftchute.systems.memory_account import BYTES_PER_MB, MemoryAccount, account_bound
+from croftchute.systems.memory_account import (
+    ACCOUNT_MEMORY_SHARE,
+    BYTES_PER_MB,
+    MemoryAccount,
+    account_bound,
+)
 
 MACHINE_MEMORY_NAMES = ("SC_PHYS_PAGES", "SC_PAGE_SIZE")
 
@@ -75,6 +80,7 @@
     """The memory of the connections of all addresses of a box.
 
     ``memory_mb`` is the memory of the box in MB, 0 if it is not known: then it is the machine's.
+    ``share`` of it is for clients.
     """
 
     def __init__(
@@ -83,19 +89,20 @@
         memory_mb: float,
         clock: Callable[[], float],
         on_release: OnRelease = _ignore,
+        share: float = ACCOUNT_MEMORY_SHARE,
     ) -> None:
         self.clock = clock
         self.on_release = on_release
-        self.account = MemoryAccount(bound=account_bound(memory_mb or machine_memory_mb()))
+        self.account = MemoryAccount(bound=account_bound(memory_mb or machine_memory_mb(), share))
         self._peak = 0
         self._holders_by_number: dict[int, MemoryHolder] = {}
         self._numbers = itertools.count(1)
         self._is_releasing = False
         self._next_release_at = -math.inf
 
-    def set_memory(self, memory_mb: float) -> None:
+    def set_memory(self, memory_mb: float, share: float = ACCOUNT_MEMORY_SHARE) -> None:
         """The settings were read again."""
-        self.account.bound = account_bound(memory_mb or machine_memory_mb())
+        self.account.bound = account_bound(memory_mb or machine_memory_mb(), share)
         self._release_excess()
 
     def open(self, holder: MemoryHolder) -> int:
--- a/src/croftchute/forwarding/http/http_server.py
+++ b/src/croftchute/forwarding/http/http_server.py
@@ -111,7 +111,7 @@
         self._time_left_s: float | None = None
         self._number = 0
         self._connected_at = self.server.clock()
-        self._allowance = PieceAllowance(now=self._connected_at)
+        self._allowance = PieceAllowance(now=self._connected_at, per_s=server.pacer.pieces_per_s)
         self._requests_read = 0
         self.resting_since = self._loop.time()
         self.moved_at = self.resting_since
--- a/src/croftchute/forwarding/http/parse_pacer.py
+++ b/src/croftchute/forwarding/http/parse_pacer.py
@@ -16,7 +16,7 @@
 """Pieces that a connection may bring at once and is not paced: many times an ordinary request."""
 
 FREE_PIECES_PER_S = 2_000.0
-"""Pieces a second that a connection may bring beside that."""
+"""Usual pieces a second that a connection may bring beside that."""
 
 SHARE_OF_ONE = 0.5
 """Share of the event loop's time for a connection that is paced alone."""
@@ -38,11 +38,12 @@
 class PieceAllowance:
     """The pieces that one connection may still bring before it is paced."""
 
-    __slots__ = ("_left", "_at")
+    __slots__ = ("_left", "_at", "_per_s")
 
-    def __init__(self, *, now: float) -> None:
+    def __init__(self, *, now: float, per_s: float = FREE_PIECES_PER_S) -> None:
         self._left = float(FREE_PIECES)
         self._at = now
+        self._per_s = per_s
 
     def spend(self, pieces: int, now: float) -> bool:
         """Count pieces; return whether they were within the allowance.
@@ -51,7 +52,7 @@
         >>> allowance.spend(200, 0.0), allowance.spend(200, 0.0), allowance.spend(1, 1.0)
         (True, False, True)
         """
-        grown = (now - self._at) * FREE_PIECES_PER_S
+        grown = (now - self._at) * self._per_s
         self._at = now
         self._left = min(float(FREE_PIECES), max(0.0, self._left) + grown) - pieces
         return self._left >= 0.0
@@ -68,8 +69,12 @@
 class ParsePacer:
     """Takes connections in turn, and lets the event loop do other work in between."""
 
-    def __init__(self, *, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, *, clock: Callable[[], float], pieces_per_s: float = FREE_PIECES_PER_S
+    ) -> None:
         self.clock = clock
+        self.pieces_per_s = pieces_per_s
+        self._begun = 0
         self._waiting: deque[PacedConnection] = deque()
         self._turn: asyncio.TimerHandle | None = None
 
@@ -78,9 +83,15 @@
 
     def add(self, connection: PacedConnection) -> None:
         """Let a connection wait for its turn; it must not be waiting."""
+        self._begun += 1
         self._waiting.append(connection)
         self._schedule(0.0)
 
+    def take_begun(self) -> int:
+        """Return how often a connection began to be paced since the last call."""
+        begun, self._begun = self._begun, 0
+        return begun
+
     def remove(self, connection: PacedConnection) -> None:
         """Forget a connection that is closed, if it waits."""
         if connection in self._waiting:
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -68,6 +68,11 @@
             "Clients that were refused or closed for the memory of others, by cause",
             **own,
         )
+        self.connections_paced = Counter(
+            "croftchute_connections_paced_total",
+            "Times that a connection began to be paced for its small pieces",
+            **own,
+        )
         self.store_calls = Counter("croftchute_store_calls_total", "Store calls by outcome", **own)
         self.transfer_bytes = Counter(
             "croftchute_transfer_bytes_total",
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from croftchute.errors import Code, DocumentError, Fault
+from croftchute.forwarding.http.parse_pacer import FREE_PIECES_PER_S
+from croftchute.systems.memory_account import ACCOUNT_MEMORY_SHARE
 from croftchute.systems.predicted_end import PlacementMode
 from croftchute.systems.room_order import OrderMode
 from croftchute.systems.service_capacity import SplitMode
@@ -136,6 +138,8 @@
     memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
     max_header_lines: Annotated[int, msgspec.Meta(ge=0)] = 0
+    client_memory_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = ACCOUNT_MEMORY_SHARE
+    pieces_per_s: Positive = FREE_PIECES_PER_S
     reload_check_s: Positive = 2.0
 
     def max_connections(self, listener: Listener) -> int:
--- a/src/croftchute/systems/memory_account.py
+++ b/src/croftchute/systems/memory_account.py
@@ -14,8 +14,8 @@
 """Bytes in a megabyte of the settings: the decimal one, which is smaller than 2**20."""
 
 ACCOUNT_MEMORY_SHARE = 0.25
-"""Share of a box's memory for its clients: on the smallest boxes the program itself, and what the
-kernel holds, need the rest."""
+"""Usual share of a box's memory for its clients: on the smallest boxes the program itself, and what
+the kernel holds, need the rest."""
 
 SERVED_SHARE = 0.6
 """Most of the bound for requests that are being served. These are not given up for others, as
@@ -36,15 +36,15 @@
 """Bytes that every client counts as having moved: it bounds the rank of one that moves nothing."""
 
 
-def account_bound(memory_mb: float) -> int:
-    """Return the bound in bytes of a box with ``memory_mb`` MB.
+def account_bound(memory_mb: float, share: float = ACCOUNT_MEMORY_SHARE) -> int:
+    """Return the bound in bytes of a box with ``memory_mb`` MB, a share of which is for clients.
 
     >>> account_bound(150.0)
     37500000
     """
     if not math.isfinite(memory_mb) or memory_mb <= 0.0:
         raise ValueError(f"not an amount of memory: {memory_mb} MB")
-    return int(memory_mb * BYTES_PER_MB * ACCOUNT_MEMORY_SHARE)
+    return int(memory_mb * BYTES_PER_MB * share)
 
 
 @dataclass(kw_only=True, slots=True)
--- a/tests/forwarding/http/test_small_pieces.py
+++ b/tests/forwarding/http/test_small_pieces.py
@@ -10,7 +10,7 @@
     MAX_WAITING_REQUESTS,
     HttpIngress,
 )
-from croftchute.forwarding.http.parse_pacer import FREE_PIECES, ParsePacer
+from croftchute.forwarding.http.parse_pacer import FREE_PIECES, ParsePacer, PieceAllowance
 from croftchute.forwarding.http.request_bounds import (
     MAX_FRAMING_BYTES,
     PIECE_BYTES,
@@ -96,6 +96,30 @@
     serve(test)
 
 
+def test_how_many_pieces_a_connection_may_bring_a_second_is_a_setting():
+    few, many = (PieceAllowance(now=0.0, per_s=per_s) for per_s in (10.0, 10_000.0))
+    for allowance in (few, many):
+        assert allowance.spend(FREE_PIECES, 0.0)
+    assert not few.spend(11, 1.0)
+    assert many.spend(FREE_PIECES, 1.0)
+
+
+def test_connections_that_are_paced_are_counted():
+    """Guards against pacing that operators see nowhere."""
+    body = b"x" * 3 * FREE_PIECES
+
+    async def test(reader, writer, ingress):
+        writer.write(HEAD + b"Content-Length: 1\r\n\r\nx")
+        await answer_to(reader)
+        assert ingress.pacer.take_begun() == 0
+        writer.write(CHUNKED + b"".join(b"1\r\n%c\r\n" % byte for byte in body) + b"0\r\n\r\n")
+        await answer_to(reader)
+        assert ingress.pacer.take_begun() > 0
+        assert ingress.pacer.take_begun() == 0
+
+    serve(test)
+
+
 def test_the_time_that_a_client_is_paced_is_not_its_own():
     """Guards against refusing a client as slow whose bytes wait in this process."""
     limits = IngressLimits(header_timeout_s=0.1, idle_timeout_s=0.1)
--- a/tests/systems/test_memory_account.py
+++ b/tests/systems/test_memory_account.py
@@ -68,6 +68,10 @@
     assert made.is_low_enough
 
 
+def test_the_bound_is_a_share_of_the_memory():
+    assert account_bound(100.0, 0.5) == 2 * account_bound(100.0, 0.25) == 50_000_000
+
+
 @pytest.mark.parametrize("memory_mb", [0.0, -1.0, float("nan"), float("inf")])
 def test_a_bound_needs_an_amount_of_memory(memory_mb):
     with pytest.raises(ValueError, match="not an amount"):
