Don't take a removed worker back from an older copy of the store

Cause: the table forgets a worker 1.2 s after its entry was removed, so the entry of the copy named a new one; within that time it undid the removal.

The table remembers entries that were removed on purpose for 30 s (RemovedWorkers). An entry of a later era with the same key, value and revision was not written since, so it is the removed one: it is withheld until it is written again, which puts the worker in use at once, or removed again. One that stays listed for longer is believed, as its removal may have been a lapse. Entries that lapsed together are not remembered, as before.

--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -13,6 +13,7 @@
 
 from croftchute.storage.position import era_of
 from croftchute.storage.watched import StoredItem
+from croftchute.systems.removed_workers import RemovedWorkers
 from croftchute.systems.software_history import SoftwareHistory
 from croftchute.systems.tracked_worker import GONE_GRACE_S, TrackedWorker
 from croftchute.systems.worker_advice import WorkerAdviceTable
@@ -91,6 +92,7 @@
     advice: WorkerAdviceTable = field(default_factory=WorkerAdviceTable)
     limits: WorkerLimits = field(default_factory=WorkerLimits)
     history: SoftwareHistory = field(default_factory=SoftwareHistory)
+    removed: RemovedWorkers = field(default_factory=RemovedWorkers)
     _tracked_by_service: dict[str, dict[str, TrackedWorker]] = field(default_factory=dict)
     _current_by_name: dict[str, TrackedWorker] = field(default_factory=dict)
     _ended: list[Worker] = field(default_factory=list)
@@ -99,8 +101,10 @@
         """Add or update a listed worker; return True if anything but its age changed.
 
         An entry older than the known one is ignored, and so is one that came with an older copy of
-        the store and names an instance that has ended.
+        the store and names an instance that has ended, or whose entry was removed.
         """
+        if self.removed.withholds(worker, item, now):
+            return False
         current = self._current_by_name.get(worker.list_name)
         if current is not None and _is_older(item, current):
             return False
@@ -191,6 +195,8 @@
         ``is_mass_expiry``, they are taken as expired and not as removed on purpose. Returns the ids
         of the removed instances.
         """
+        for name in names:
+            self.removed.note_missing(name)
         known = (self._current_by_name.get(name) for name in names)
         gone = [tracked for tracked in known if tracked is not None and tracked.gone_at is None]
         gone_by_service = Counter(tracked.worker.service for tracked in gone)
@@ -200,6 +206,8 @@
         for tracked in gone:
             tracked.gone_at = now
             tracked.is_mass_expired = is_mass_expiry or tracked.worker.service in expired_services
+            if not tracked.is_mass_expired and tracked.item is not None:
+                self.removed.note_removed(tracked.worker.list_name, tracked.item, now)
         return [tracked.worker.id for tracked in gone]
 
     def keep_only(self, names: set[str], now: float, *, is_mass_expiry: bool = False) -> list[str]:
@@ -209,7 +217,8 @@
         again.
         """
         self.history.note_followed(now)
-        unnamed = [name for name in self._current_by_name if name not in names]
+        known = [*self._current_by_name, *self.removed.names_returned()]
+        unnamed = [name for name in known if name not in names]
         return self.remove(unnamed, now, is_mass_expiry=is_mass_expiry)
 
     def is_mass_expired(self, worker_id: str) -> bool:
@@ -232,6 +241,8 @@
             del self._tracked_by_service[tracked.worker.service][worker_id]
             if self._current_by_name.get(tracked.worker.list_name) is tracked:
                 del self._current_by_name[tracked.worker.list_name]
+        for worker, item in self.removed.take_expired(now):
+            self.upsert(worker, now, item)
         self.history.sweep(now)
         self.advice.sweep(now, listed=self.tracked_by_id)
         return old
--- a/tests/systems/test_worker_table.py
+++ b/tests/systems/test_worker_table.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from croftchute.storage.position import position
 from croftchute.storage.watched import StoredItem
+from croftchute.systems.removed_workers import REMOVED_TTL_S
 from croftchute.systems.tracked_worker import GONE_GRACE_S
 from croftchute.systems.worker_table import MASS_EXPIRY_GRACE_S, WorkerTable
 from croftchute.tables.routing import Stage, Worker, WorkerState
@@ -278,3 +280,67 @@
     table.heard_at = 141.0
     assert table.only_build("s", 141.0, within_s=60.0) == "v1"
     assert table.builds_seen("s", 141.0, within_s=90.0) == {"v1", "v2"}
+
+
+def table_of(*names, revision=5):
+    table = WorkerTable()
+    for name in names:
+        table.upsert(worker(name), 0.0, item(revision))
+    return table
+
+
+def restore(table, *names, era=1, revision=5, now):
+    """The store comes back from a copy that has these."""
+    for name in names:
+        table.upsert(worker(name), now, item(position(era, revision)))
+    table.keep_only(set(names), now, is_mass_expiry=True)
+
+
+@pytest.mark.parametrize("after_s", [0.1, GONE_GRACE_S + 1.0])
+def test_a_worker_that_was_removed_is_not_taken_back_from_an_older_copy(after_s):
+    """After a drill boxes sent work to a worker that they had acknowledged as gone."""
+    table = table_of("a", "b", "c")
+    table.remove(["a"], 1.0)
+    now = 1.0 + after_s
+    table.sweep(now)
+    restore(table, "a", "b", "c", now=now)
+    restore(table, "a", "b", "c", now=now + 1.0)
+    table.sweep(now + GONE_GRACE_S + 1.0)
+    assert ids(table.usable("s", now + GONE_GRACE_S + 1.0)) == ["b", "c"]
+    table.remove(["a"], now + 2.0)
+    table.sweep(now + REMOVED_TTL_S + 1.0)
+    assert ids(table.usable("s", now + REMOVED_TTL_S + 1.0)) == ["b", "c"]
+
+
+def test_a_removed_worker_that_is_written_again_is_in_use_at_once():
+    table = table_of("a", "b", "c")
+    table.remove(["a"], 1.0)
+    restore(table, "a", "b", "c", now=3.0)
+    table.upsert(worker("a"), 4.0, item(position(1, 6)))
+    assert ids(table.usable("s", 4.0)) == ["a", "b", "c"]
+
+
+def test_an_entry_that_stays_listed_is_believed_in_the_end():
+    """Guards against a worker that is lost for good: its removal may have been a lapse."""
+    table = table_of("a", "b", "c")
+    table.remove(["a"], 1.0)
+    table.sweep(3.0)
+    restore(table, "a", "b", "c", now=3.0)
+    table.sweep(1.0 + REMOVED_TTL_S + 0.1)
+    assert ids(table.usable("s", 40.0)) == ["a", "b", "c"]
+
+
+def test_an_entry_that_a_later_listing_does_not_name_is_not_believed():
+    table = table_of("a", "b", "c")
+    table.remove(["a"], 1.0)
+    restore(table, "a", "b", "c", now=3.0)
+    restore(table, "b", "c", now=5.0)
+    table.sweep(1.0 + REMOVED_TTL_S + 0.1)
+    assert ids(table.usable("s", 40.0)) == ["b", "c"]
+
+
+def test_workers_whose_entries_lapsed_together_are_back_with_the_copy():
+    table = table_of("a", "b", "c")
+    table.remove(["a", "b", "c"], 1.0)
+    restore(table, "a", "b", "c", now=3.0)
+    assert ids(table.usable("s", 3.0)) == ["a", "b", "c"]
