Take no worker list of a peer that may miss removals known here

Cause: a box that has listed the workers at the store went by the revision of the newest entry. A removal leaves no entry, so another box that saw an earlier removal and missed this one counted as newer, and its whole list was taken.

The table also keeps the revision up to which it misses nothing (known_to): of the listing, or of the watch. A list of a peer is taken only if its newest change lies beyond that. What boxes tell each other is as before.

--- a/src/croftchute/forwarding/store/catch_up.py
+++ b/src/croftchute/forwarding/store/catch_up.py
@@ -110,7 +110,7 @@
         return notice.config_version > (state.table.version if state.table else 0)
 
     def tells_newer_list(notice: BoxNotice) -> bool:
-        return notice.workers_revision > state.workers.revision
+        return notice.workers_revision > state.workers.known_to
 
     def with_newer_config(now: float) -> Peer | None:
         peer, _ = state.peers.newest(now, state.rng)
@@ -119,14 +119,15 @@
 
     def with_newer_list(now: float) -> Peer | None:
         _, peer = state.peers.newest(now, state.rng)
-        return peer if peer is not None and peer.workers_revision > state.workers.revision else None
+        return peer if peer is not None and peer.workers_revision > state.workers.known_to else None
 
     def take_config(listing: Listing, peer: Peer) -> None:
         for item in listing.items:
             follower.take_config(item, source=peer.id)
 
     def take_workers(listing: Listing, peer: Peer) -> None:
-        if listing.revision > state.workers.revision:
+        # A removal leaves no entry: a list whose newest change is known here may lack others.
+        if listing.revision > state.workers.known_to:
             follower.take_listing(listing, source=peer.id)
 
     config = CatchUp(
--- a/src/croftchute/forwarding/store/store_follower.py
+++ b/src/croftchute/forwarding/store/store_follower.py
@@ -194,7 +194,7 @@
         self._log_gone(gone, revision=listing.revision, source=source)
         newest = listing.newest if source == "store" else listing.revision
         # A list that names nobody is of its era all the same.
-        self._heard(max(newest, position(era_of(listing.revision), 0)))
+        self._heard(max(newest, position(era_of(listing.revision), 0)), known_to=listing.revision)
 
     def _workers_changed(self, changes: Changes) -> None:
         for item in changes.written:
@@ -202,7 +202,7 @@
         names = [self.vocabulary.worker_name(key) for key in changes.removed]
         gone = self.state.workers.remove(names, self.state.clock())
         self._log_gone(gone, revision=changes.revision, source="watch")
-        self._heard(changes.newest)
+        self._heard(changes.newest, known_to=changes.revision)
 
     def _log_gone(self, worker_ids: list[str], *, revision: int, source: str) -> None:
         for worker_id in worker_ids:
@@ -254,9 +254,10 @@
             refused_in_all=self._unreadable,
         )
 
-    def _heard(self, revision: int) -> None:
+    def _heard(self, revision: int, *, known_to: int) -> None:
         workers = self.state.workers
         workers.revision = max(workers.revision, revision)
+        workers.known_to = max(workers.known_to, workers.revision, known_to)
         workers.heard_at = self.state.clock()
 
 
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -79,13 +79,15 @@
 class WorkerTable:
     """All known worker instances by id.
 
-    ``revision`` is the store's revision of the newest change; ``heard_at`` is when the store last
+    ``revision`` is the store's revision of the newest change; ``known_to`` is the revision up to
+    which no change is missing, that of a removal among them; ``heard_at`` is when the store last
     sent a listing or changes. ``mass_expiry_grace_s`` is how long workers stay usable after their
     entries expired together, as happens after a store outage: live workers register again within
     about two seconds.
     """
 
     revision: int = 0
+    known_to: int = 0
     heard_at: float = 0.0
     mass_expiry_grace_s: float = MASS_EXPIRY_GRACE_S
     tracked_by_id: dict[str, TrackedWorker] = field(default_factory=dict)
--- a/tests/platform_adapter/test_store_and_peers.py
+++ b/tests/platform_adapter/test_store_and_peers.py
@@ -1,6 +1,7 @@
 """What a box knows, and does, while the store fails it; and what it learns from its peers."""
 
 import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 
 from platform_fleet import ask, config, fleet, run, until
@@ -291,3 +292,38 @@
             assert made.workers_by_id["p0"].received == []
 
     run(body)
+
+
+def test_a_box_that_has_listed_the_workers_takes_no_list_that_misses_a_removal():
+    """A box that joined took a worker that had left back from a box that was cut off."""
+
+    async def body():
+        async with fleet() as made:
+            for name in ("w1", "w2", "w3"):
+                await made.add_worker(name)
+            behind = await made.add_box("box-0")
+            known = behind.state.workers.tracked_by_id
+            await until(lambda: len(known) == 3)
+            made.store.remove("servers/w3")
+            await until(lambda: "w3" not in known or known["w3"].gone_at is not None)
+            follower = behind.follower.workers
+            follower.handlers = replace(
+                follower.handlers, on_changes=lambda _: None, on_listing=lambda _: None
+            )
+            made.store.remove("servers/w2")
+            joined = await made.add_box("box-1")
+            joined.state.peers.seeds = (("127.0.0.1", behind.exchange.port),)
+            state = joined.state
+            await until(lambda: state.workers.revision and state.peers.boxes(state.clock()) == 2)
+            await until(
+                lambda: any(
+                    peer.workers_revision == behind.state.workers.revision
+                    for peer in state.peers.hall_peers("a", state.clock())
+                )
+            )
+            assert behind.state.workers.revision > state.workers.revision
+            for catch_up in joined.catch_ups:
+                await catch_up.check()
+            assert set(state.workers.tracked_by_id) == {"w1"}
+
+    run(body)
