OpenAI daemon: keep the count of requests and the ends of connections in step

Three faults of the receiver, found by reading and by its own tests:

- test_a_request_is_open_from_its_heads_first_byte_to_its_answers_end failed once beside other runs: bytes that had been read from the kernel and were not yet in the request counted as no request.
They are read under the lock now, and requests are counted under it.
- test_the_connection_that_waits_longest_makes_room_for_a_new_one failed once of six runs at once: a connection began to wait when the receiver first saw it, so one that it had not seen yet seemed to have waited for longer.
The wait begins as the connection is handed to the receiver.
- A connection whose request had ended counted as idle before its thread was done with it, so it could be closed under that thread; the shutdown of a closed socket ends cheroot's server.
It stays with its thread until that hands it back.
After a stop nothing is handed to the receiver any more, and an unexpected error no longer ends its thread.

--- a/src/croftchute/httpd.py
+++ b/src/croftchute/httpd.py
@@ -91,8 +91,8 @@
         received = self.received
         if received is not None and received.has_unread_body:
             received.has_unread_body = False
-            received.receiver.linger(received)
-            return
+            if received.receiver.linger(received):
+                return
         if received is not None:
             received.receiver.forget(received)
         super().close()
@@ -109,7 +109,7 @@
     @property
     def open_requests(self) -> int:
         """Requests from the first byte of their head to the end of their answer."""
-        return sum(connection.has_request for connection in self.receiver.connections())
+        return self.receiver.open_requests
 
     @property
     def can_add_keepalive_connection(self) -> bool:
@@ -119,17 +119,13 @@
     def process_conn(self, conn: CountedConnection) -> None:
         """Receive the requests of a new connection."""
         conn.received = self.receiver.add(conn.socket, partial(self._handle, conn))
-        if conn.received is None:
+        if conn.received is None or not self.receiver.receive(conn.received):
             conn.close()
-            return
-        self.receiver.receive(conn.received)
 
     def put_conn(self, conn: CountedConnection) -> None:
         """Receive the next request of a connection that is kept."""
-        if conn.received is None or not self.ready:
+        if conn.received is None or not self.ready or not self.receiver.receive(conn.received):
             conn.close()
-            return
-        self.receiver.receive(conn.received)
 
     def _handle(self, connection: CountedConnection) -> None:
         """Queue a connection whose request is whole for a thread."""
--- a/src/croftchute/request_receiver.py
+++ b/src/croftchute/request_receiver.py
@@ -14,12 +14,15 @@
 import selectors
 import socket
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
 from enum import Enum, auto
 from http import HTTPStatus
 
+from loguru import logger
+
 from croftchute.forwarding.http.client_memory import ClientMemory, ReleaseCause
 from croftchute.received_request import ReceivedRequest, RequestLimits, WholeRequest
 
@@ -141,7 +144,7 @@
         cause = ReleaseCause.IDLE if self.is_idle else ReleaseCause.REQUEST_HALF_READ
         self.is_released = True
         self.request.clear()
-        self.receiver.receive(self)
+        self.receiver.close_soon(self)
         return cause
 
     def refuse(self) -> None:
@@ -185,8 +188,6 @@
             self.served_bytes = 0
             self.whole = None
             self.is_refused = False
-            if self.stage is Stage.SERVED:
-                self.stage = Stage.RECEIVING
             memory.note(self.number)
 
 
@@ -214,6 +215,7 @@
         self._numbers = itertools.count()
         self._checked_at = 0.0
         self._is_stopping = False
+        self._is_closed = False
         self._thread = threading.Thread(target=self._run, daemon=True, name="receiver")
 
     def start(self) -> None:
@@ -223,9 +225,11 @@
     def stop(self) -> None:
         """Close all connections and end the thread."""
         self._is_stopping = True
-        os.eventfd_write(self._wake_up, 1)
         if self._thread.is_alive():
+            os.eventfd_write(self._wake_up, 1)
             self._thread.join()
+        else:
+            self._close_all()
 
     def add(self, sock: socket.socket, handle: Callable[[], None]) -> ReceivedConnection | None:
         """Begin to count a connection that was accepted; None if there is no room for it."""
@@ -242,19 +246,41 @@
             self.memory.note(connection.number)
         return connection
 
-    def receive(self, connection: ReceivedConnection) -> None:
-        """Receive the next request of a connection."""
+    def receive(self, connection: ReceivedConnection) -> bool:
+        """Receive the next request of a connection; False once the receiver has stopped."""
+        with self.memory.lock:
+            if self._is_closed:
+                return False
+            connection.stage = Stage.RECEIVING
+            connection.request.begin(self._clock())
+            self._look_at(connection)
+            return True
+
+    def linger(self, connection: ReceivedConnection) -> bool:
+        """Drop for a moment what the client still sends, then close the connection.
+
+        Return False once the receiver has stopped.
+        """
+        with self.memory.lock:
+            if self._is_closed:
+                return False
+            with contextlib.suppress(OSError):
+                connection.sock.shutdown(socket.SHUT_WR)
+            connection.stage = Stage.LINGERING
+            connection.closes_at = self._clock() + LINGER_S
+            self._look_at(connection)
+            return True
+
+    def close_soon(self, connection: ReceivedConnection) -> None:
+        """Close a connection that was released, from the receiver's own thread."""
+        with self.memory.lock:
+            if not self._is_closed:
+                self._look_at(connection)
+
+    def _look_at(self, connection: ReceivedConnection) -> None:
         self._due.append(connection)
         os.eventfd_write(self._wake_up, 1)
 
-    def linger(self, connection: ReceivedConnection) -> None:
-        """Drop for a moment what the client still sends, then close the connection."""
-        with contextlib.suppress(OSError):
-            connection.sock.shutdown(socket.SHUT_WR)
-        connection.stage = Stage.LINGERING
-        connection.closes_at = self._clock() + LINGER_S
-        self.receive(connection)
-
     def forget(self, connection: ReceivedConnection) -> None:
         """A connection was closed."""
         with self.memory.lock:
@@ -264,6 +290,12 @@
             self._connections.discard(connection)
             self.memory.close(connection.number)
 
+    @property
+    def open_requests(self) -> int:
+        """Requests from the first byte of their head to the end of their answer."""
+        with self.memory.lock:
+            return sum(connection.has_request for connection in self._connections)
+
     def connections(self) -> list[ReceivedConnection]:
         """All connections that are open."""
         with self.memory.lock:
@@ -281,20 +313,27 @@
 
     def _run(self) -> None:
         while not self._is_stopping:
-            now = self._clock()
-            self._take_due(now)
-            self._take_paused(now)
-            if now - self._checked_at >= CHECK_S:
-                self._checked_at = now
-                self._close_late(now)
-            for key, _ in self._selector.select(self._wait_s(now)):
-                if key.data is None:
-                    with contextlib.suppress(BlockingIOError):
-                        os.eventfd_read(self._wake_up)
-                else:
-                    self._read(key.data, self._clock())
+            try:
+                self._take_turn(self._clock())
+            except Exception:  # noqa: BLE001 - the address would not be served any more
+                logger.exception("receiver_failed")
+                time.sleep(CHECK_S)
         self._close_all()
 
+    def _take_turn(self, now: float) -> None:
+        """Do what is due, then wait for clients."""
+        self._take_due(now)
+        self._take_paused(now)
+        if now - self._checked_at >= CHECK_S:
+            self._checked_at = now
+            self._close_late(now)
+        for key, _ in self._selector.select(self._wait_s(now)):
+            if key.data is None:
+                with contextlib.suppress(BlockingIOError):
+                    os.eventfd_read(self._wake_up)
+            else:
+                self._read(key.data, self._clock())
+
     def _wait_s(self, now: float) -> float:
         if self._due:
             return 0.0
@@ -308,8 +347,6 @@
             elif connection.stage is Stage.LINGERING:
                 self._watch(connection)
             elif connection.stage is Stage.RECEIVING:
-                with self.memory.lock:
-                    connection.request.begin(now)
                 self._advance(connection, now)
 
     def _take_paused(self, now: float) -> None:
@@ -334,17 +371,16 @@
             return
         if connection.stage is not Stage.RECEIVING or connection.is_released:
             return
-        data = self._receive_bytes(connection)
-        if not data:
-            if data is not None:
-                self._close(connection)
-            return
         with self.memory.lock:
-            if connection.is_released:
-                return
-            connection.request.add(data, now)
-            self.memory.note(connection.number, moved=len(data))
-        self._advance(connection, now)
+            # Bytes that are neither in the kernel nor here would be missed by who counts requests.
+            data = self._receive_bytes(connection)
+            if data:
+                connection.request.add(data, now)
+                self.memory.note(connection.number, moved=len(data))
+        if data:
+            self._advance(connection, now)
+        elif data is not None:
+            self._close(connection)
 
     def _receive_bytes(self, connection: ReceivedConnection) -> bytes | None:
         """Bytes that have come, none at the end of the connection; None if there is nothing."""
@@ -419,5 +455,9 @@
         for connection in self.connections():
             if connection.stage in (Stage.RECEIVING, Stage.LINGERING):
                 self._close(connection)
-        self._selector.close()
-        os.close(self._wake_up)
+        with self.memory.lock:
+            if self._is_closed:
+                return
+            self._is_closed = True
+            self._selector.close()
+            os.close(self._wake_up)
