--- a/src/croftchute/received_request.py
+++ b/src/croftchute/received_request.py
@@ -141,7 +141,7 @@
             self._find_end()
 
     def take_expectation(self) -> bool:
-        """Return once whether the client waits to be told that it may send the body."""
+        """Return once whether the client waits for 100 Continue before it sends the body."""
         may_continue, self._may_continue = self._may_continue, False
         return may_continue and not self.is_whole
 
--- a/tests/daemon/test_misbehaving_clients.py
+++ b/tests/daemon/test_misbehaving_clients.py
@@ -190,7 +190,6 @@
             for name in PATHS:
                 box.call(name)
         box.call("http")
-        print("PEAK", box.peak_mb())
         assert box.peak_mb() < MEMORY_MB
 
 
@@ -200,7 +199,6 @@
             sock.sendall(BODY_HEAD + bytes(MAX_BODY_BYTES))
             # Without a configuration no caller is known, which is found once all was read.
             assert sock.recv(12) == b"HTTP/1.1 401"
-        print("PEAK", box.peak_mb())
         assert box.peak_mb() < MEMORY_MB
 
 
