A connection whose first bytes wait to be read does not make room

Callers of the OpenAI daemon saw their connection closed, without an answer, after they had sent the beginning of a request: with a full table a new connection closes the one that has been idle longest, and a connection counted as idle until the receiver had read its first bytes.

It waits until the server counts a request, which includes bytes that nobody has read yet, so the connection could be taken for the idle one. The new test adds connections to a receiver that does not run, and failed before the fix.

Connections with unread bytes are now passed over while another one can make room.

--- a/src/croftchute/request_receiver.py
+++ b/src/croftchute/request_receiver.py
@@ -302,14 +302,23 @@
             return list(self._connections)
 
     def _make_room(self, now: float) -> bool:
-        """Close one connection of which no request is being handled, idle ones first."""
-        waiting = [found for found in self._connections if found.is_waiting]
-        first = min(
-            waiting,
-            key=lambda found: (not found.is_idle, found.left_s(now), found.number),
-            default=None,
-        )
-        return first is not None and self.memory.release(first.number)
+        """Close one connection of which no request is being handled, idle ones first.
+
+        A connection whose first bytes wait to be read is not idle.
+        """
+        waiting = [
+            (not found.is_idle, found.left_s(now), found.number, found)
+            for found in self._connections
+            if found.is_waiting
+        ]
+        heapq.heapify(waiting)
+        begun = None
+        while waiting:
+            *_, found = heapq.heappop(waiting)
+            if not found.is_idle or not found.has_bytes:
+                return self.memory.release(found.number)
+            begun = begun or found
+        return begun is not None and self.memory.release(begun.number)
 
     def _run(self) -> None:
         while not self._is_stopping:
--- a/tests/test_request_receiver.py
+++ b/tests/test_request_receiver.py
@@ -8,7 +8,7 @@
 from croftchute.forwarding.http.client_memory import ReleaseCause
 from croftchute.httpd import HttpServer, read_body, reply, reserve_memory
 from croftchute.received_request import RequestLimits
-from croftchute.request_receiver import LockedMemory
+from croftchute.request_receiver import LockedMemory, RequestReceiver
 
 WAIT_S = 20.0
 HEAD = b"POST / HTTP/1.1\r\nHost: h\r\n"
@@ -157,6 +157,25 @@
         sock.close()
 
 
+def test_a_connection_whose_first_bytes_were_not_read_yet_does_not_make_room():
+    """The fault: it was taken for an idle one, and the client lost the request that it had sent."""
+    memory = LockedMemory(memory_mb=BOUND_MB, clock=time.monotonic, on_release=lambda _: None)
+    receiver = RequestReceiver(
+        memory=memory, limits=LIMITS, max_connections=2, clock=time.monotonic
+    )
+    pairs = [socket.socketpair() for _ in range(3)]
+    for ours, _ in pairs:
+        ours.setblocking(False)
+    begun, idle = (receiver.add(ours, lambda: None) for ours, _ in pairs[:2])
+    pairs[0][1].sendall(HEAD)
+    assert receiver.add(pairs[2][0], lambda: None) is not None
+    assert (begun.is_released, idle.is_released) == (False, True)
+    receiver.stop()
+    for pair in pairs:
+        for sock in pair:
+            sock.close()
+
+
 def test_requests_behind_one_another_are_answered_in_order(serve):
     served = serve()
     with served.connect() as sock:
