Bound what the kernel keeps of answers that are not read

A box before 80 streams that nobody reads took up to 171 MB of 150.

Cause: the kernel widens the receive window of a connection whose reader keeps up, to megabytes. Once the caller's buffers are full the box stops reading, and the worker goes on until that window is full too. A time line of the test showed up to 63 MB in the receive queues of the connections to workers, in none of the bounds, beside 60 MB of the process.

The window of connections that the box opens has a fixed size of 64 KiB now, and counts as unread while reading is paused.

--- a/src/croftchute/forwarding/http/backpressure.py
+++ b/src/croftchute/forwarding/http/backpressure.py
@@ -5,7 +5,7 @@
 from croftchute.forwarding.http.deadline import within
 from croftchute.forwarding.http.exchange import Exchange
 from croftchute.forwarding.http.failures import AnswerLateError, CallerSlowError
-from croftchute.forwarding.http.http_client import ClientConnection
+from croftchute.forwarding.http.http_client import RECEIVE_WINDOW_BYTES, ClientConnection
 
 
 async def wait_for_caller(
@@ -16,8 +16,9 @@
     Raise CallerSlowError if that takes longer than ``timeout_s``.
     """
     connection.pause_reading()
-    # At most one read of the socket has arrived that was not yet written to the caller.
-    exchange.note_unread(connection.unread_bytes)
+    # At most one read of the socket has arrived that was not yet written to the caller, and the
+    # server goes on until the kernel's window is full.
+    exchange.note_unread(connection.unread_bytes + RECEIVE_WINDOW_BYTES)
     try:
         await within(exchange.drained(), timeout_s, "caller did not read")
     except AnswerLateError as error:
--- a/src/croftchute/forwarding/http/http_client.py
+++ b/src/croftchute/forwarding/http/http_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -41,6 +42,10 @@
 """Most bytes that are read from a socket at once: what a reader that stops leaves unread. The event
 loop's own way takes four times as much, in a new piece of memory for each reading."""
 
+RECEIVE_WINDOW_BYTES = 65_536
+"""Bytes that the kernel keeps of what a server sends and nobody has read. It would keep megabytes
+for each connection, which count towards the memory of the box but not towards its bounds."""
+
 HEAD_PIECE_BYTES = 4096
 """Bytes that are parsed at once until the head of the answer has come, so that little is parsed
 beyond the bounds of an answer."""
@@ -120,10 +125,13 @@
     # What asyncio calls.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport and let a dead peer be noticed."""
+        """Keep the transport, bound what it receives, and let a dead peer be noticed."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        watch_for_silence(transport.get_extra_info("socket"), self.limits)
+        raw = transport.get_extra_info("socket")
+        watch_for_silence(raw, self.limits)
+        if raw is not None:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_WINDOW_BYTES)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where the event loop reads the next bytes to."""
