At the bound an answer that stands still is given up before one that moves

Cause: the account ranks clients by bytes held against bytes moved lately, but of an answer neither the bytes that come for a caller nor those that it takes counted as moved. So the newest answer went, if it was larger than the ones that stood still.

Both count now, as the bytes of a request do.

--- a/src/croftchute/forwarding/http/caller_writer.py
+++ b/src/croftchute/forwarding/http/caller_writer.py
@@ -49,6 +49,7 @@
         self._blocks_bytes = 0
         self._unread = 0
         self._answer_bytes = 0
+        self._total_bytes = 0
         self._is_paused = False
         self._is_serving = False
         self._is_over = False
@@ -63,6 +64,12 @@
         """Bytes held for the caller: here, in the transport, and read from a worker."""
         return self._unsent_bytes + self._unread + self._answer_bytes
 
+    @property
+    def moved_bytes(self) -> int:
+        """Bytes that came for the caller so far, and those of them that it took."""
+        waiting = self._unsent_bytes + self._answer_bytes
+        return 2 * self._total_bytes - min(waiting, self._total_bytes)
+
     @property
     def is_held_up(self) -> bool:
         """Whether the caller reads too slowly for more to be written now."""
@@ -104,6 +111,7 @@
         if self._transport is None or self._is_over:
             return
         # What was read from a worker goes out with this.
+        self._total_bytes += max(0, len(data) - self._answer_bytes)
         self._answer_bytes = 0
         if self.is_bounded:
             self._hold(data)
@@ -118,6 +126,7 @@
 
     def note_answer_bytes(self, size: int) -> None:
         """So many bytes of an answer were read from a worker, and are not written yet."""
+        self._total_bytes += max(0, size - self._answer_bytes)
         self._answer_bytes = 0 if self._is_over else size
         self.on_change()
 
--- a/src/croftchute/forwarding/http/http_server.py
+++ b/src/croftchute/forwarding/http/http_server.py
@@ -107,6 +107,7 @@
         self._waiting_bytes = 0
         self._serving_bytes = 0
         self._unsent_before = 0
+        self._answer_moved_bytes = 0
         self._held_at: float | None = None
         self._time_left_s: float | None = None
         self._number = 0
@@ -615,7 +616,10 @@
         self._begin_message()
 
     def _note(self) -> None:
-        self.server.memory.note(self._number)
+        moved = self.writer.moved_bytes
+        new_bytes = max(0, moved - self._answer_moved_bytes)
+        self._answer_moved_bytes = moved
+        self.server.memory.note(self._number, moved=new_bytes)
 
     # Time.
 
--- a/src/croftchute/systems/memory_account.py
+++ b/src/croftchute/systems/memory_account.py
@@ -112,7 +112,7 @@
             found.size = size
 
     def note_moved(self, client: int, size: int, now: float) -> None:
-        """Count bytes that came from a client, or that it took."""
+        """Count bytes that came from a client or for it, or that it took."""
         found = self._clients_by_number.get(client)
         if found is not None:
             found.moved = found.recent_bytes(now) + size
--- a/tests/forwarding/http/test_unread_answers.py
+++ b/tests/forwarding/http/test_unread_answers.py
@@ -1,15 +1,20 @@
-"""Answers that callers leave unread: what the kernel keeps of them."""
+"""Answers left unread: what the kernel keeps of them, and which of them is given up."""
 
 import array
 import asyncio
 import fcntl
+import socket
 import termios
 
+from croftchute.forwarding.http.client_memory import ClientMemory, ReleaseCause
 from croftchute.forwarding.http.connection_pool import open_connection
 from croftchute.forwarding.http.http_client import RECEIVE_WINDOW_BYTES
+from croftchute.forwarding.http.http_server import HttpIngress
+from croftchute.tables.routing import IngressLimits
 
 ANSWER_BYTES = 8_000_000
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+SMALL_WINDOW_BYTES = 4096
 
 
 def run(test):
@@ -63,3 +68,50 @@
         server.close()
 
     run(test)
+
+
+async def ask_without_reading(port):
+    raw = socket.socket()
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW_BYTES)
+    raw.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(raw, ("127.0.0.1", port))
+    await loop.sock_sendall(raw, GET)
+    return raw
+
+
+def test_at_the_bound_an_answer_that_stands_still_is_given_up_and_not_the_newest():
+    """The fault: an answer that had just come was given up, for it was a little larger."""
+    size = ANSWER_BYTES
+    now = 0.0
+    released = []
+    memory = ClientMemory(
+        memory_mb=5 * 4 * size / 1_000_000, clock=lambda: now, on_release=released.append
+    )
+
+    async def handle(exchange):
+        exchange.send(200, [], b"x" * size)
+
+    async def test():
+        nonlocal now, size
+        ingress = HttpIngress(handler=handle, limits=IngressLimits, memory=memory)
+        await ingress.listen("127.0.0.1", 0)
+        still = []
+        while (held := await settled(lambda: memory.account.total)) + size < memory.account.bound:
+            still.append(await ask_without_reading(ingress.port))
+            while memory.account.total <= held:
+                await asyncio.sleep(0.01)
+        assert len(still) >= 4 and released == []
+        now = 10.0
+        size = memory.account.bound - held + size // 4
+        reader, writer = await asyncio.open_connection("127.0.0.1", ingress.port)
+        writer.write(GET)
+        await reader.readuntil(b"\r\n\r\n")
+        assert len(await reader.readexactly(size)) == size
+        assert {release.cause for release in released} == {ReleaseCause.ANSWER_UNREAD}
+        writer.close()
+        for raw in still:
+            raw.close()
+        ingress.stop_accepting()
+
+    run(test)
