Count unread answers of the OpenAI daemon, and bound the time to read one

Clients that asked for large answers and did not read them took memory that no bound knew of, and a thread each; one that read a little now and then kept its thread for as long as it liked.

Cause: answers were written by a blocking file of cheroot's, which copied what was left at each write, and whose time-out began anew with each byte.

Answers are written by the connection now: what the client has not taken counts in the account of all clients, is given up at its bound by a reset, wakes its thread then, and has to be taken at the pace at which requests have to come. The kernel takes 64 KiB beyond the client's window.

--- a/src/croftchute/httpd.py
+++ b/src/croftchute/httpd.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
+import errno
 import io
+import os
+import select
 import socket
 import threading
 import time
@@ -19,6 +23,7 @@
 from croftchute.errors import Code, Ran, RequestError, UpstreamError
 from croftchute.received_request import RequestLimits
 from croftchute.request_receiver import (
+    UNSENT_KERNEL_BYTES,
     LockedMemory,
     ReceivedConnection,
     RequestReceiver,
@@ -39,6 +44,8 @@
 RECEIVE_WINDOW_BYTES = 32_768
 """Bytes that the kernel keeps of what a client sends and the server has not read."""
 
+MS_PER_S = 1000
+
 MEMORY_RETRY_S = 1.0
 """Seconds after which a caller that was refused for want of memory should try again."""
 
@@ -53,6 +60,47 @@
         return self.tell() < len(self.getbuffer())
 
 
+class AnswerWriter:
+    """The file that cheroot writes answers to; counts what the client has not taken."""
+
+    closed = False
+
+    def __init__(self, *, received: ReceivedConnection) -> None:
+        self.received = received
+        self.bytes_written = 0
+
+    def write(self, data: bytes) -> int:
+        """Send all bytes; raises OSError if the client is gone, or takes them too slowly."""
+        received, receiver = self.received, self.received.receiver
+        limits = receiver.limits
+        ends_at = receiver.clock() + limits.longest_s(len(data))
+        poll = select.poll()
+        poll.register(received.fd, select.POLLOUT)
+        unsent = memoryview(data)
+        received.note_unsent(len(unsent), moved=len(unsent))
+        try:
+            while unsent:
+                left_s = min(limits.timeout_s, ends_at - receiver.clock())
+                if left_s <= 0.0 or not poll.poll(left_s * MS_PER_S):
+                    received.give_up_answer()
+                    raise BrokenPipeError(errno.EPIPE, "the client reads too slowly")
+                with contextlib.suppress(BlockingIOError):
+                    sent = os.write(received.fd, unsent)
+                    unsent = unsent[sent:]
+                    received.note_unsent(len(unsent), moved=sent)
+        finally:
+            received.end_unsent()
+        self.bytes_written += len(data)
+        return len(data)
+
+    def flush(self) -> None:
+        """Everything was sent already."""
+
+    def close(self) -> None:
+        """The connection closes its socket by itself."""
+        self.closed = True
+
+
 class CountedConnection(HTTPConnection):
     """A connection on which requests are handled that have come whole."""
 
@@ -119,6 +167,8 @@
     def process_conn(self, conn: CountedConnection) -> None:
         """Receive the requests of a new connection."""
         conn.received = self.receiver.add(conn.socket, partial(self._handle, conn))
+        if conn.received is not None:
+            conn.wfile = AnswerWriter(received=conn.received)
         if conn.received is None or not self.receiver.receive(conn.received):
             conn.close()
 
@@ -218,7 +268,9 @@
         """Bind, listen and serve on a thread of its own."""
         self._server.prepare()
         # Accepted sockets inherit it. The kernel would keep megabytes for one that is not read.
-        self._server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_WINDOW_BYTES)
+        listening = self._server.socket
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_WINDOW_BYTES)
+        listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_KERNEL_BYTES)
         self._server.receiver.start()
         self._thread = threading.Thread(target=self._server.serve, daemon=True, name="http")
         self._thread.start()
--- a/src/croftchute/received_request.py
+++ b/src/croftchute/received_request.py
@@ -41,6 +41,14 @@
     timeout_s: float = 10.0
     min_bytes_per_s: int = 4096
 
+    def longest_s(self, size: int) -> float:
+        """Seconds that a client may take for so many bytes, which it sends or reads.
+
+        >>> RequestLimits(timeout_s=10.0, min_bytes_per_s=4096).longest_s(8192)
+        12.0
+        """
+        return self.timeout_s + size / self.min_bytes_per_s
+
 
 @dataclass(frozen=True, kw_only=True)
 class WholeRequest:
@@ -127,7 +135,7 @@
     def left_s(self, now: float) -> float:
         """Seconds until the next bytes must have come."""
         limits = self._limits
-        allowed_s = limits.timeout_s + len(self._received) / limits.min_bytes_per_s
+        allowed_s = limits.longest_s(len(self._received))
         return min(self._last_at + limits.timeout_s, self._begun_at + allowed_s) - now
 
     def add(self, data: bytes, now: float) -> None:
--- a/src/croftchute/request_receiver.py
+++ b/src/croftchute/request_receiver.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import heapq
 import itertools
 import os
 import select
 import selectors
 import socket
+import struct
 import threading
 import time
 from collections import deque
@@ -35,6 +37,11 @@
 CHECK_S = 0.25
 """Seconds between two looks for clients that have taken too long."""
 
+UNSENT_KERNEL_BYTES = 65_536
+"""Most bytes that the kernel takes of an answer beyond the client's receive window."""
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 LINGER_S = 1.0
 """Seconds for which what a client sends is dropped after its answer: it would be lost otherwise."""
 
@@ -87,6 +94,7 @@
         self.stage = Stage.RECEIVING
         self.whole: WholeRequest | None = None
         self.served_bytes = 0
+        self.unsent_bytes = 0
         self.is_refused = False
         self.is_released = False
         self.has_unread_body = False
@@ -96,8 +104,12 @@
     @property
     def held_bytes(self) -> int:
         """Bytes held for the connection now."""
-        whole = self.whole
-        return CONNECTION_BYTES + self.request.size + (whole.size if whole is not None else 0)
+        held = CONNECTION_BYTES + self.request.size
+        if self.whole is not None:
+            held += self.whole.size
+        if self.unsent_bytes:
+            held += self.unsent_bytes + UNSENT_KERNEL_BYTES
+        return held
 
     @property
     def is_waiting(self) -> bool:
@@ -135,7 +147,10 @@
         return self.stage in (Stage.QUEUED, Stage.SERVED) or self.has_bytes
 
     def release_memory(self) -> ReleaseCause | None:
-        """Give up a request that nobody handles yet; None if there is none."""
+        """Give up a request that nobody handles yet, or an unread answer; None without either."""
+        if self.unsent_bytes and not self.is_released:
+            self.reset()
+            return ReleaseCause.ANSWER_UNREAD
         if self.stage is Stage.QUEUED and not self.is_refused:
             self.refuse()
             return ReleaseCause.REQUEST_WAITING
@@ -153,6 +168,42 @@
             self.whole = replace(self.whole, body=b"")
         self.is_refused = True
 
+    def reset(self) -> None:
+        """Break the connection off, so that its answer cannot look whole."""
+        self.is_released = True
+        self.unsent_bytes = 0
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            # Wakes the thread that waits for the client to read.
+            self.sock.shutdown(socket.SHUT_RDWR)
+
+    def note_unsent(self, size: int, *, moved: int = 0) -> None:
+        """Count what the client has not taken of its answer, after ``moved`` bytes came or went.
+
+        Raises BrokenPipeError once the connection was released.
+        """
+        memory = self.receiver.memory
+        with memory.lock:
+            if self.is_released:
+                raise BrokenPipeError(errno.EPIPE, "the connection was released")
+            self.unsent_bytes = size
+            memory.note(self.number, moved=moved)
+
+    def end_unsent(self) -> None:
+        """All of an answer is with the kernel, or it was given up."""
+        memory = self.receiver.memory
+        with memory.lock:
+            self.unsent_bytes = 0
+            memory.note(self.number)
+
+    def give_up_answer(self) -> None:
+        """Break off an answer that the client takes too slowly."""
+        memory = self.receiver.memory
+        with memory.lock:
+            memory.note_release(ReleaseCause.TOO_SLOW, self.unsent_bytes)
+            self.reset()
+            memory.note(self.number)
+
     def begin_serving(self) -> WholeRequest | None:
         """Take the request that is to be served; None if the connection was closed meanwhile."""
         memory = self.receiver.memory
@@ -204,8 +255,8 @@
     ) -> None:
         self.memory = memory
         self.max_connections = max_connections
-        self._limits = limits
-        self._clock = clock
+        self.limits = limits
+        self.clock = clock
         self._connections: set[ReceivedConnection] = set()
         self._selector = selectors.DefaultSelector()
         self._wake_up = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
@@ -233,9 +284,9 @@
 
     def add(self, sock: socket.socket, handle: Callable[[], None]) -> ReceivedConnection | None:
         """Begin to count a connection that was accepted; None if there is no room for it."""
-        now = self._clock()
+        now = self.clock()
         connection = ReceivedConnection(
-            sock=sock, handle=handle, limits=self._limits, receiver=self, now=now
+            sock=sock, handle=handle, limits=self.limits, receiver=self, now=now
         )
         with self.memory.lock:
             if len(self._connections) >= self.max_connections and not self._make_room(now):
@@ -252,7 +303,7 @@
             if self._is_closed:
                 return False
             connection.stage = Stage.RECEIVING
-            connection.request.begin(self._clock())
+            connection.request.begin(self.clock())
             self._look_at(connection)
             return True
 
@@ -267,7 +318,7 @@
             with contextlib.suppress(OSError):
                 connection.sock.shutdown(socket.SHUT_WR)
             connection.stage = Stage.LINGERING
-            connection.closes_at = self._clock() + LINGER_S
+            connection.closes_at = self.clock() + LINGER_S
             self._look_at(connection)
             return True
 
@@ -323,7 +374,7 @@
     def _run(self) -> None:
         while not self._is_stopping:
             try:
-                self._take_turn(self._clock())
+                self._take_turn(self.clock())
             except Exception:  # noqa: BLE001 - the address would not be served any more
                 logger.exception("receiver_failed")
                 time.sleep(CHECK_S)
@@ -341,7 +392,7 @@
                 with contextlib.suppress(BlockingIOError):
                     os.eventfd_read(self._wake_up)
             else:
-                self._read(key.data, self._clock())
+                self._read(key.data, self.clock())
 
     def _wait_s(self, now: float) -> float:
         if self._due:
--- a/tests/test_request_receiver.py
+++ b/tests/test_request_receiver.py
@@ -13,9 +13,15 @@
 WAIT_S = 20.0
 HEAD = b"POST / HTTP/1.1\r\nHost: h\r\n"
 BODY_BYTES = 500_000
+ANSWER_BYTES = 8_000_000
 BOUND_MB = 4.0
 """The bound is a quarter of it, two bodies."""
 
+LARGE_MB = 80.0
+"""The bound is two answers and a half."""
+
+SMALL_WINDOW_BYTES = 4096
+
 LIMITS = RequestLimits(max_body_bytes=BODY_BYTES, max_header_lines=50, timeout_s=WAIT_S)
 
 
@@ -26,21 +32,21 @@
             reserve_memory(environ, int(body))
     except Exception as error:  # noqa: BLE001 - the code is what the tests look at
         return reply(start_response, 503, error.code.value.encode())
+    if environ["PATH_INFO"] == "/large":
+        return reply(start_response, 200, b"x" * ANSWER_BYTES)
     return reply(start_response, 200, b"%d bytes" % len(body))
 
 
 class Served:
     """A server with what it released."""
 
-    def __init__(self, **changes):
+    def __init__(self, *, memory_mb=BOUND_MB, **changes):
         self.releases = []
         self.memory = LockedMemory(
-            memory_mb=BOUND_MB, clock=time.monotonic, on_release=self.releases.append
-        )
-        values = {"limits": LIMITS, "max_connections": 8} | changes
-        self.server = HttpServer(
-            app=app, address="127.0.0.1", port=0, threads=2, memory=self.memory, **values
+            memory_mb=memory_mb, clock=time.monotonic, on_release=self.releases.append
         )
+        values = {"limits": LIMITS, "max_connections": 8, "threads": 2} | changes
+        self.server = HttpServer(app=app, address="127.0.0.1", port=0, memory=self.memory, **values)
         self.server.start()
 
     def causes(self):
@@ -49,6 +55,14 @@
     def connect(self):
         return socket.create_connection(("127.0.0.1", self.server.port), timeout=WAIT_S)
 
+    def ask_without_reading(self):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW_BYTES)
+        sock.settimeout(WAIT_S)
+        sock.connect(("127.0.0.1", self.server.port))
+        sock.sendall(request_of(0, b"/large"))
+        return sock
+
     def ask(self, request):
         with self.connect() as sock:
             sock.sendall(request)
@@ -215,3 +229,43 @@
             received += piece
     assert received.count(b"HTTP/1.1") == 1
     assert b" 200 " not in received
+
+
+def test_answers_that_nobody_reads_are_given_up_at_the_bound(serve):
+    """The fault: they were not counted, and each held a thread."""
+    served = serve(memory_mb=LARGE_MB, threads=4)
+    socks = [served.ask_without_reading() for _ in range(4)]
+    wait_until(lambda: len(served.causes()) >= 2)
+    assert set(served.causes()) == {ReleaseCause.ANSWER_UNREAD}
+    assert served.memory.account.total <= served.memory.account.bound
+    assert served.ask(request_of(10)) == (200, b"10 bytes")
+    for sock in socks:
+        sock.close()
+    wait_until(lambda: served.memory.account.total == 0)
+
+
+def test_a_client_that_reads_its_answer_too_slowly_is_closed(serve):
+    """The fault: a byte now and then kept a thread for ever."""
+    limits = RequestLimits(timeout_s=0.5, min_bytes_per_s=10 * ANSWER_BYTES)
+    served = serve(memory_mb=LARGE_MB, limits=limits)
+    socks = [served.ask_without_reading() for _ in range(2)]
+    with pytest.raises(ConnectionError):
+        while True:
+            for sock in socks:
+                assert sock.recv(SMALL_WINDOW_BYTES)
+            time.sleep(0.05)
+    wait_until(lambda: len(served.causes()) >= 2)
+    assert set(served.causes()) == {ReleaseCause.TOO_SLOW}
+    assert served.ask(request_of(10)) == (200, b"10 bytes")
+
+
+def test_a_client_that_reads_slowly_and_steadily_gets_the_whole_answer(serve):
+    served = serve(memory_mb=LARGE_MB)
+    sock = served.ask_without_reading()
+    received = 0
+    while received < ANSWER_BYTES:
+        piece = sock.recv(65536)
+        assert piece
+        received += len(piece)
+        time.sleep(0.001)
+    assert not served.releases
