Give up streams of the OpenAI daemon that their callers leave unread

A caller that read nothing of its stream kept it, and the engine's place, for ever, and what waited for it was in no account.

Cause: the relay waits for room at the caller's socket without a limit, and streams without events are only given up while their caller is not behind.

What waits counts for the caller's connection now, and a stream of whose events nothing was taken for read_timeout_s is broken off by a reset. Evidence: the new test waits for that end; before, the stream had none.

--- a/src/croftchute/daemon/box_process.py
+++ b/src/croftchute/daemon/box_process.py
@@ -88,7 +88,9 @@
         self.max_body_bytes = settings.max_body_bytes
         self.board = ExchangeBoard()
         self.hangups = HangupWatcher()
-        self.relay = Relay(clock=self.clock.now, gap_s=STREAM_GAP_S)
+        self.relay = Relay(
+            clock=self.clock.now, gap_s=STREAM_GAP_S, unread_s=settings.read_timeout_s
+        )
         self.metrics = Metrics()
         self.event_log = EventLog(level=settings.log_level)
         self.engine: Engine = engine or HttpEngine()
--- a/src/croftchute/gateway/app.py
+++ b/src/croftchute/gateway/app.py
@@ -32,6 +32,7 @@
 from croftchute.gateway.relay import CallerSink
 from croftchute.httpd import (
     CHUNKED_KEY,
+    CONNECTION_KEY,
     SOCKET_KEY,
     Environ,
     StartResponse,
@@ -187,7 +188,11 @@
             message = f"{self._box.max_streams} requests are open here"
             raise UpstreamError(Code.NO_CAPACITY, message, ran=Ran.NOT_RUN, retry_after=1.0)
         streaming = bool(body.get("stream", False))
-        sink = CallerSink(sock=environ[SOCKET_KEY], chunked=environ[CHUNKED_KEY])
+        sink = CallerSink(
+            sock=environ[SOCKET_KEY],
+            chunked=environ[CHUNKED_KEY],
+            client=environ[CONNECTION_KEY].received,
+        )
         events = self._events(environ, request, body, sink if streaming else None)
         if not body.get("stream", False):
             chat = environ["PATH_INFO"] == CHAT_PATH
--- a/src/croftchute/gateway/relay.py
+++ b/src/croftchute/gateway/relay.py
@@ -13,6 +13,7 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import Protocol
 
 from croftchute.errors import Code, Ran, UpstreamError
 from croftchute.upstreams.engine import TokenStream
@@ -26,12 +27,31 @@
 Clock = Callable[[], float]
 
 
+class AnswerClient(Protocol):
+    """A caller's connection, as far as the bytes of its answer are counted."""
+
+    def note_unsent(self, size: int) -> None:
+        """Count what waits for the caller; raises OSError if the connection was given up."""
+        ...
+
+    def give_up_answer(self) -> None:
+        """Break the connection off, so that the answer cannot look whole."""
+        ...
+
+
 class CallerSink:
-    """A caller's socket, behind response headers that have been sent."""
+    """A caller's socket, behind response headers that have been sent.
 
-    def __init__(self, *, sock: socket.socket, chunked: bool) -> None:
+    ``client`` counts the bytes that wait for the caller; None if nobody does.
+    """
+
+    def __init__(
+        self, *, sock: socket.socket, chunked: bool, client: AnswerClient | None = None
+    ) -> None:
         self.fd = sock.fileno()
+        self.sent_bytes = 0
         self._chunked = chunked
+        self._client = client
         self._unsent = b""
 
     @property
@@ -43,13 +63,23 @@
         """Send body bytes as far as there is room; raises OSError if the caller is gone."""
         if data and self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
+        was_blocked = self.is_blocked
         data = self._unsent + data
         while data:
             try:
-                data = data[os.write(self.fd, data) :]
+                sent = os.write(self.fd, data)
             except BlockingIOError:
                 break
+            self.sent_bytes += sent
+            data = data[sent:]
         self._unsent = data
+        if self._client is not None and (was_blocked or self.is_blocked):
+            self._client.note_unsent(len(data))
+
+    def give_up(self) -> None:
+        """Break the connection off, as the caller takes nothing."""
+        if self._client is not None:
+            self._client.give_up_answer()
 
 
 class RelayedStream:
@@ -76,6 +106,8 @@
         self.changed = changed
         self.lock = threading.Lock()
         self.sink: CallerSink | None = None
+        self.unread_since = now
+        self.sent_before = 0
         self._mark = mark
         self._pending = b""
         self._held: list[bytes] = []
@@ -179,11 +211,16 @@
 
 
 class Relay:
-    """The thread, and the streams that it serves."""
+    """The thread, and the streams that it serves.
+
+    A stream without an event for ``gap_s`` seconds is given up, and so is one of whose events the
+    caller has taken nothing for ``unread_s`` seconds.
+    """
 
-    def __init__(self, *, clock: Clock, gap_s: float) -> None:
+    def __init__(self, *, clock: Clock, gap_s: float, unread_s: float) -> None:
         self.clock = clock
         self.gap_s = gap_s
+        self.unread_s = unread_s
         self.cpu_s = 0.0
         self._poll = select.epoll()
         self._stream_by_fd: dict[int, RelayedStream] = {}
@@ -325,6 +362,9 @@
     def _sweep(self, now: float) -> None:
         for relayed in list(self._stream_by_fd.values()):
             blocked = relayed.sink is not None and relayed.sink.is_blocked
+            if blocked and self._is_left_unread(relayed, now):
+                self._give_up_unread(relayed)
+                continue
             is_watched = relayed.changed is not None
             if now - relayed.last_at > self.gap_s and not blocked and not is_watched:
                 message = f"no event for {self.gap_s} s"
@@ -332,6 +372,22 @@
                     relayed.finish(UpstreamError(Code.UPSTREAM_SLOW, message, ran=Ran.RAN))
                     self._forget(relayed)
 
+    def _give_up_unread(self, relayed: RelayedStream) -> None:
+        with relayed.lock:
+            if relayed.sink is not None:
+                relayed.sink.give_up()
+            error = UpstreamError(Code.CALLER_GONE, "the caller reads nothing", ran=Ran.RAN)
+            relayed.finish(error)
+            self._forget(relayed)
+
+    def _is_left_unread(self, relayed: RelayedStream, now: float) -> bool:
+        """Whether the caller has taken nothing of a stream that waits for it for too long."""
+        assert relayed.sink is not None
+        if relayed.sink.sent_bytes != relayed.sent_before:
+            relayed.sent_before = relayed.sink.sent_bytes
+            relayed.unread_since = now
+        return now - relayed.unread_since > self.unread_s
+
 
 def _broken(reason: str) -> UpstreamError:
     return UpstreamError(Code.UPSTREAM_FAILED, f"stream: {reason}", ran=Ran.RAN)
--- a/src/croftchute/request_receiver.py
+++ b/src/croftchute/request_receiver.py
@@ -184,7 +184,7 @@
         """
         memory = self.receiver.memory
         with memory.lock:
-            if self.is_released:
+            if self.is_released or self.stage is Stage.CLOSED:
                 raise BrokenPipeError(errno.EPIPE, "the connection was released")
             self.unsent_bytes = size
             memory.note(self.number, moved=moved)
@@ -237,6 +237,7 @@
         with memory.lock:
             memory.end_serving(self.served_bytes)
             self.served_bytes = 0
+            self.unsent_bytes = 0
             self.whole = None
             self.is_refused = False
             memory.note(self.number)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -55,12 +55,24 @@
 
 @pytest.fixture
 def relay():
-    made = Relay(clock=ProcessClock().now, gap_s=60.0)
+    made = Relay(clock=ProcessClock().now, gap_s=60.0, unread_s=60.0)
     made.start()
     yield made
     made.stop()
 
 
+class Client:
+    def __init__(self):
+        self.unsent = []
+        self.is_given_up = False
+
+    def note_unsent(self, size):
+        self.unsent.append(size)
+
+    def give_up_answer(self):
+        self.is_given_up = True
+
+
 def event(n):
     return b"data: mark %d\n\n" % n
 
@@ -131,8 +143,29 @@
     assert relayed.outcome().code is Code.CALLER_GONE
 
 
+def test_a_caller_that_reads_nothing_is_given_up_and_counted_until_then():
+    """The fault: it kept its stream, and the engine's place, for ever."""
+    made = Relay(clock=ProcessClock().now, gap_s=60.0, unread_s=0.3)
+    made.start()
+    stream, client = FakeStream(), Client()
+    ours, callers = socket.socketpair()
+    ours.setblocking(False)
+    ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    try:
+        relayed = made.open(stream, b"mark")
+        sink = CallerSink(sock=ours, chunked=True, client=client)
+        made.send_to(relayed, sink)
+        whole = b"".join(event(n) for n in range(20000))
+        threading.Thread(target=stream.give, args=[whole], daemon=True).start()
+        assert relayed.outcome().code is Code.CALLER_GONE
+        assert client.unsent and client.unsent[-1] > 0 and client.is_given_up
+    finally:
+        made.stop()
+        callers.close()
+
+
 def test_a_stream_without_events_for_too_long_is_given_up():
-    made = Relay(clock=ProcessClock().now, gap_s=0.01)
+    made = Relay(clock=ProcessClock().now, gap_s=0.01, unread_s=60.0)
     made.start()
     try:
         assert made.open(FakeStream(), b"mark").outcome().code is Code.UPSTREAM_SLOW
@@ -142,7 +175,7 @@
 
 @pytest.fixture
 def impatient_relay():
-    made = Relay(clock=ProcessClock().now, gap_s=0.01)
+    made = Relay(clock=ProcessClock().now, gap_s=0.01, unread_s=60.0)
     made.start()
     yield made
     made.stop()
