A soak goes on where a fault finds no live worker

A run of the soak ended with a ZeroDivisionError after all workers of a service had been told to leave: a fault chose one of none.

Such a fault passes now.

--- a/src/croftchute/soak/injector.py
+++ b/src/croftchute/soak/injector.py
@@ -274,7 +274,9 @@
         await self._harm(self.caller_links[index], self.boxes[index].name, fault)
 
     async def _harm_worker_link(self, fault: PlannedFault) -> None:
-        listed = _pick(self.world.live(), fault)
+        listed = _pick_live(self.world, fault)
+        if listed is None:
+            return
         await self._harm(listed.link, listed.worker.id, fault)
 
     async def _harm(self, link: FaultyLink, name: str, fault: PlannedFault) -> None:
@@ -288,7 +290,9 @@
 
     def _victim(self, fault: PlannedFault) -> ListedWorker | None:
         """A worker that may go: each kind keeps some."""
-        listed = _pick(self.world.live(), fault)
+        listed = _pick_live(self.world, fault)
+        if listed is None:
+            return None
         alike = [
             other
             for other in self.world.live(listed.service)
@@ -354,7 +358,9 @@
 
     async def _trouble_worker(self, fault: PlannedFault) -> None:
         service = (DESK, ENGINES)[fault.pick % 2]
-        listed = _pick(self.world.live(service), fault)
+        listed = _pick_live(self.world, fault, service)
+        if listed is None:
+            return
         self.disturbances.note(listed.worker.id, self.now, self.now + fault.for_s)
         worker = listed.worker
         worker.faults = sound_but(worker.faults, **WORKER_FAULTS[fault.pick % len(WORKER_FAULTS)])
@@ -364,7 +370,9 @@
     async def _copy_answers(self, fault: PlannedFault) -> None:
         """A worker refuses now and then, and sends each answer once more, out of turn."""
         service = (DESK, ENGINES)[fault.pick % 2]
-        listed = _pick(self.world.live(service), fault)
+        listed = _pick_live(self.world, fault, service)
+        if listed is None:
+            return
         self.disturbances.note(listed.worker.id, self.now, self.now + fault.for_s)
         worker = listed.worker
         copied_s = COPIED_AFTER_S[fault.pick % len(COPIED_AFTER_S)]
@@ -383,7 +391,9 @@
     async def _answer_without_end(self, fault: PlannedFault) -> None:
         """A worker answers each call, holds and prompts too, with bytes that never end."""
         service = (DESK, ENGINES)[fault.pick % 2]
-        listed = _pick(self.world.live(service), fault)
+        listed = _pick_live(self.world, fault, service)
+        if listed is None:
+            return
         self.disturbances.note(listed.worker.id, self.now, self.now + fault.for_s)
         worker = listed.worker
         endless = ENDLESS_ANSWERS[fault.pick % len(ENDLESS_ANSWERS)]
@@ -402,7 +412,9 @@
 
     async def _rest_worker(self, fault: PlannedFault) -> None:
         service = (DESK, ENGINES)[fault.pick % 2]
-        listed = _pick(self.world.live(service), fault)
+        listed = _pick_live(self.world, fault, service)
+        if listed is None:
+            return
         await self.telling.rest(listed, pick=fault.pick, for_s=fault.for_s)
 
     async def _limit_workers(self, fault: PlannedFault) -> None:
@@ -421,7 +433,9 @@
 
     async def _spoil_entry(self, fault: PlannedFault) -> None:
         """Another writer spoils an entry, and adds some of its own; the worker mends its own."""
-        listed = _pick(self.world.live(), fault)
+        listed = _pick_live(self.world, fault)
+        if listed is None:
+            return
         if len(self.world.live(listed.service)) <= MIN_WORKERS:
             return
         key = f"servers/{listed.worker.id}"
@@ -451,5 +465,13 @@
         self.set_burst(self._bursts > 0)
 
 
+def _pick_live(
+    world: SoakWorld, fault: PlannedFault, service: str | None = None
+) -> ListedWorker | None:
+    """A worker that other faults have left alive; None if there is none."""
+    live = world.live(service)
+    return _pick(live, fault) if live else None
+
+
 def _pick(choices: Sequence[T], fault: PlannedFault) -> T:
     return choices[fault.pick % len(choices)]
