max_framing_bytes: a setting for the bytes around a chunked body

Requests are refused with 431 for sizes and extensions of chunks beyond 64 KiB and eight times the content; operators could not change the constant. The default stays. The new test sets it lower.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -75,6 +75,7 @@
     "store",
     "max_fds",
     "max_header_lines",
+    "max_framing_bytes",
     "pieces_per_s",
 )
 """Settings that are read at the start alone."""
@@ -207,6 +208,7 @@
             pacer=self.pacer,
             refuse=self.forwarder.refuse_without_memory,
             header_lines=settings.max_header_lines,
+            framing_bytes=settings.max_framing_bytes,
         )
         self.health = self._make_ingress(Listener.HEALTH, self._answer_health, IngressLimits)
         self.loop_delay = LoopDelay(state=state, open_requests=lambda: self.ingress.open_requests)
@@ -231,6 +233,7 @@
             memory=self.memory,
             pacer=self.pacer,
             header_lines=self.settings.max_header_lines,
+            framing_bytes=self.settings.max_framing_bytes,
         )
 
     def _make_usage_limits(self) -> UsageLimits:
--- a/src/croftchute/forwarding/http/http_server.py
+++ b/src/croftchute/forwarding/http/http_server.py
@@ -25,6 +25,7 @@
 from croftchute.forwarding.http.held_answers import HeldAnswers
 from croftchute.forwarding.http.parse_pacer import ParsePacer, PieceAllowance
 from croftchute.forwarding.http.request_bounds import (
+    MAX_FRAMING_BYTES,
     PIECE_BYTES,
     RequestFraming,
     RequestHead,
@@ -432,7 +433,8 @@
         is_same = framing is self._framing
         content = len(self._body) - (body_before if is_same else 0)
         self._framing.add(len(piece), content=content)
-        if self._framing.is_excessive(self.server.limits().max_header_bytes):
+        max_header_bytes = self.server.limits().max_header_bytes
+        if self._framing.is_excessive(max_header_bytes, self.server.framing_bytes):
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         elif content:
             self._wait_for(self._body_time_s())
@@ -696,7 +698,7 @@
     open then, 0 for no bound. ``memory`` counts and bounds the bytes of all connections, also of
     other addresses that share it, and ``refuse`` answers requests for which it has no room.
     ``pacer`` bounds the time for small pieces. ``header_lines`` bounds the lines of a head, 0 for
-    as many as fit into its bytes.
+    as many as fit into its bytes, and ``framing_bytes`` what chunks bring beside their content.
     """
 
     def __init__(
@@ -714,12 +716,14 @@
         pacer: ParsePacer | None = None,
         refuse: Handler | None = None,
         header_lines: int = 0,
+        framing_bytes: int = MAX_FRAMING_BYTES,
     ) -> None:
         self.handler = handler
         self.memory = memory or ClientMemory(memory_mb=0.0, clock=clock)
         self.pacer = pacer or ParsePacer(clock=clock)
         self.refuse = refuse or refuse_without_room
         self.header_lines = header_lines
+        self.framing_bytes = framing_bytes
         self.limits = limits
         self.turn_away = turn_away or handler
         self.clock = clock
--- a/src/croftchute/forwarding/http/request_bounds.py
+++ b/src/croftchute/forwarding/http/request_bounds.py
@@ -27,7 +27,8 @@
 """Neither byte may stand in a header line, which the parser checks."""
 
 MAX_FRAMING_BYTES = 65_536
-"""Most bytes of chunk sizes and extensions that are not in proportion to the content."""
+"""Usual bound on the bytes of chunk sizes and extensions that are not in proportion to the
+content."""
 
 MAX_FRAMING_RATIO = 8
 """Most further bytes of that for each byte of content: a chunk of one byte has five."""
@@ -103,7 +104,9 @@
         self._framing += size - content
         self._since_content = 0 if content else self._since_content + size
 
-    def is_excessive(self, max_header_bytes: int) -> bool:
+    def is_excessive(
+        self, max_header_bytes: int, max_framing_bytes: int = MAX_FRAMING_BYTES
+    ) -> bool:
         """Return whether there is too much of them.
 
         A piece that was parsed at once may hold bytes of two kinds, so one more is allowed.
@@ -119,4 +122,4 @@
         allowed = max_header_bytes + PIECE_BYTES
         if self._head > allowed or self._since_content > allowed:
             return True
-        return self._framing > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * self._content
+        return self._framing > max_framing_bytes + MAX_FRAMING_RATIO * self._content
--- a/src/croftchute/router_settings.py
+++ b/src/croftchute/router_settings.py
@@ -11,6 +11,7 @@
 
 from croftchute.errors import Code, DocumentError, Fault
 from croftchute.forwarding.http.parse_pacer import FREE_PIECES_PER_S
+from croftchute.forwarding.http.request_bounds import MAX_FRAMING_BYTES
 from croftchute.systems.memory_account import ACCOUNT_MEMORY_SHARE
 from croftchute.systems.predicted_end import PlacementMode
 from croftchute.systems.room_order import OrderMode
@@ -138,6 +139,7 @@
     memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
     max_header_lines: Annotated[int, msgspec.Meta(ge=0)] = 0
+    max_framing_bytes: Annotated[int, msgspec.Meta(ge=0)] = MAX_FRAMING_BYTES
     client_memory_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = ACCOUNT_MEMORY_SHARE
     pieces_per_s: Positive = FREE_PIECES_PER_S
     reload_check_s: Positive = 2.0
--- a/tests/forwarding/http/test_small_pieces.py
+++ b/tests/forwarding/http/test_small_pieces.py
@@ -190,6 +190,15 @@
     serve(test)
 
 
+@pytest.mark.parametrize(("extension_bytes", "status"), [(100, 200), (10_000, 431)])
+def test_the_bound_on_framing_is_a_setting(extension_bytes, status):
+    async def test(reader, writer, ingress):
+        writer.write(CHUNKED + b"1;" + b"x" * extension_bytes + b"\r\ny\r\n0\r\n\r\n")
+        assert (await answer_to(reader))[0] == status
+
+    serve(test, framing_bytes=1000)
+
+
 @pytest.mark.parametrize(("lines", "status"), [(7, 200), (8, 431)])
 def test_header_lines_are_bounded_by_number(lines, status):
     async def test(reader, writer, ingress):
