--- a/src/croftchute/standins/platform_worker.py
+++ b/src/croftchute/standins/platform_worker.py
@@ -34,6 +34,9 @@
 
 MAX_SHOWN_CHARS = 24
 
+CHUNK_BYTES = 16_384
+"""Size of the chunks of a whole answer that comes in chunks."""
+
 FLOOD_REPEATS = 200
 """Times that an answer without an end repeats its bytes in one write."""
 
@@ -410,7 +413,14 @@
             writer.write(body[: len(body) // 2])
             writer.close()
             return False
-        self._send(writer, request, status, headers, body)
+        if faults.sends_chunks:
+            headers |= {"Transfer-Encoding": "chunked"}
+            writer.write(encode_head(status, request, headers))
+            for begin in range(0, len(body), CHUNK_BYTES):
+                write_chunk(writer, body[begin : begin + CHUNK_BYTES])
+            writer.write(b"0\r\n\r\n")
+        else:
+            self._send(writer, request, status, headers, body)
         self.finished.append(request.id)
         return True
 
--- a/src/croftchute/standins/worker_records.py
+++ b/src/croftchute/standins/worker_records.py
@@ -63,7 +63,8 @@
 class WorkerFaults:
     """What goes wrong at the worker at the moment; numbers count events of a stream.
 
-    ``is_unframed`` has answers bear neither a length nor chunks, and end with their connection.
+    ``is_unframed`` has answers bear neither a length nor chunks, and end with their connection;
+    ``sends_chunks`` has whole answers come in chunks.
     ``is_leaving`` has all answers say so; ``rest_s`` is what refusals ask for as rest, if not 0.
     ``limit`` is what all answers name as the limit, if anything. ``health_status`` is what the
     health path answers, after ``health_wait_s``. ``copies_answers_s`` are the seconds after which
@@ -90,6 +91,7 @@
     endless: EndlessAnswer | None = None
     cuts_body: bool = False
     is_unframed: bool = False
+    sends_chunks: bool = False
     is_leaving: bool = False
     rest_s: float = 0.0
     limit: str = ""
--- a/tests/platform_adapter/test_misbehaving_clients.py
+++ b/tests/platform_adapter/test_misbehaving_clients.py
@@ -233,14 +233,16 @@
 
 
 @PRESSURE
-@pytest.mark.parametrize("framing", ["length", "connection_end", "stream"])
+@pytest.mark.parametrize("framing", ["length", "chunks", "connection_end", "stream"])
 def test_answers_that_nobody_reads_are_held_within_the_memory(tmp_path, framing, pressure):
     """The fault: what workers answer is held for callers that don't read, without a bound."""
 
     async def test(site):
         site.answer_with(ANSWER_BYTES)
         for name in ("w1", "w2"):
-            site.made.workers_by_id[name].faults.is_unframed = framing == "connection_end"
+            faults = site.made.workers_by_id[name].faults
+            faults.is_unframed = framing == "connection_end"
+            faults.sends_chunks = framing == "chunks"
         kind = unread_stream if framing == "stream" else unread_answer
         await meet(site, Crowd(port=site.box.port, kinds=[kind], count=80))
 
