Try a request once whose workers were all lost in one moment

Cause: a request is refused after the third worker that ended under it. It is known by caller, target and body, so copies of a common one run at several workers at once, and a single event that takes them all counts as three crashes of that request. Three crashes that are seconds apart show a cause; three in one moment don't.

Such a request is refused as before, so that one that does crash workers is stopped after the third. But if all crashes that count lie within a second, one try of all boxes together is let through five seconds later. The store grants it by a conditional write, as trials of prompts' parts. A success frees the request at once at all boxes, and is written beside the crashes for boxes that start later; a further crash ends the trials. Retry-After names the trial.

Evidence: the new tests; the one with a request that does crash workers lost one more, and two boxes with twelve tries none beyond it. The guard of the OpenAI daemon has no such trial yet.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -147,6 +147,7 @@
         self.part_gossip.on_freed = self.part_register.note_freed
         state.on_part_news = self._note_part_news
         state.part_trials = self.part_register
+        state.request_trials = self.crash_register
         self.catch_ups = catch_ups(state, self.follower)
         self.fleet_size = state.fleet_size
         self.shared_rates = self._make_shared_rates()
--- a/src/croftchute/forwarding/boxes/crash_gossip.py
+++ b/src/croftchute/forwarding/boxes/crash_gossip.py
@@ -11,6 +11,7 @@
 from croftchute.forwarding.decision_log import Decision
 from croftchute.forwarding.state import ForwardingState
 from croftchute.peers.messages import CrashNews
+from croftchute.systems.crash_records import RefusalChange
 from croftchute.tables.crashes import CrashNotice
 
 MAX_NOTICES = 64
@@ -39,24 +40,28 @@
             self.exchange.spread(CrashNews(notices=tuple(found[start : start + MAX_NOTICES])))
 
     def hear(self, sender: str, news: CrashNews) -> None:
-        """Take in what a box tells, and tell on what has a request refused here."""
-        refused = self.state.crashes.merge(news.notices, self.state.clock())
-        if refused:
-            self.log_refused(refused, source=sender)
-            self.tell(refused)
+        """Take in what a box tells, and tell on what has a request refused here, or freed."""
+        change = self.state.crashes.merge_and_compare(news.notices, self.state.clock())
+        self.log_change(change, source=sender)
+        self.tell(change.refused + change.freed)
 
     def next_notices(self) -> tuple[CrashNotice, ...]:
         """What goes with the next notice."""
         return tuple(self.state.crashes.next_notices(self.state.clock(), NOTICES_EACH_TIME))
 
-    def log_refused(self, digests: list[str], *, source: str) -> None:
-        """One line for each request that is refused from now on."""
-        for digest in digests:
-            self.state.log.decide(
-                Decision.CRASH_HEARD,
-                outcome="refused",
-                digest=digest,
-                source=source,
-                lives_ended=self.state.crashes.crash_count(digest),
-                refused_s=round(self.state.crashes.refusal_left_s(digest, self.state.clock()), 1),
-            )
+    def log_change(self, change: RefusalChange, *, source: str) -> None:
+        """One line for each request that is refused from now on, or no longer."""
+        for digest in change.refused:
+            self._log(digest, "refused", source)
+        for digest in change.freed:
+            self._log(digest, "freed", source)
+
+    def _log(self, digest: str, outcome: str, source: str) -> None:
+        self.state.log.decide(
+            Decision.CRASH_HEARD,
+            outcome=outcome,
+            digest=digest,
+            source=source,
+            lives_ended=self.state.crashes.crash_count(digest),
+            refused_s=round(self.state.crashes.refusal_left_s(digest, self.state.clock()), 1),
+        )
--- a/src/croftchute/forwarding/callers/forwarder.py
+++ b/src/croftchute/forwarding/callers/forwarder.py
@@ -270,7 +270,7 @@
             prior_attempts=None if terms is None else terms.attempts,
             ledger=None if terms is None else _passed_ledger(terms),
         )
-        if run.crashes_workers and not run.may_be_part_trial:
+        if run.crashes_workers and not (run.may_be_part_trial or run.may_be_request_trial):
             # Refused at every box, before a worker receives it and before it counts against a
             # limit. Each further try would crash a worker and break up to a dozen other streams.
             run.refuse(Code.ENDS_WORKERS, Ran.NOT_RUN, "refused at arrival")
@@ -303,7 +303,7 @@
             self.usage_limits.give_back(run.organisation.name, units)
 
     async def _run(self, run: RequestRun) -> None:
-        if not await run.claim_part_trial():
+        if not await run.claim_trial():
             run.refuse(Code.ENDS_WORKERS, Ran.NOT_RUN, "no trial was granted")
             return
         is_taken_up = run.route.kind is RouteKind.STREAM and run.facts.resume_after is not None
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -56,6 +56,7 @@
     WORKER_LOOKED_AT = "worker_looked_at"
     CRASH_HEARD = "crash_heard"
     CRASH_STORED = "crash_stored"
+    REQUEST_TRIED = "request_tried"
     PART_REFUSED = "part_refused"
     PART_FREED = "part_freed"
     PART_TRIED = "part_tried"
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -22,6 +22,7 @@
 from croftchute.forwarding.origins import OriginDirectory, UnknownOrigins
 from croftchute.forwarding.part_trials import NoTrials, PartTrials
 from croftchute.forwarding.permits import CallPermits, UnlimitedPermits
+from croftchute.forwarding.request_trials import NoRequestTrials, RequestTrials
 from croftchute.forwarding.traffic_metrics import TrafficMetrics
 from croftchute.router_settings import Conditions, DecisionWays
 from croftchute.storage.position import era_of, told
@@ -170,6 +171,7 @@
     parts: PartCrashes = field(default_factory=PartCrashes)
     on_part_news: Callable[[list[PartNotice]], None] = lambda _: None
     part_trials: PartTrials = field(default_factory=NoTrials)
+    request_trials: RequestTrials = field(default_factory=NoRequestTrials)
     permits: CallPermits = field(default_factory=UnlimitedPermits)
     origins: OriginDirectory = field(default_factory=UnknownOrigins)
     on_limit_news: Callable[[], None] = lambda: None
--- a/src/croftchute/forwarding/traffic_metrics.py
+++ b/src/croftchute/forwarding/traffic_metrics.py
@@ -144,6 +144,11 @@
             "Parts of prompts, or sets of parts, whose requests are refused as they crash workers",
             **own,
         )
+        self.request_trials = Counter(
+            "croftchute_request_trials_total",
+            "Refused requests that were to be tried, by outcome of the claim",
+            **own,
+        )
         self.part_trials = Counter(
             "croftchute_part_trials_total",
             "Requests with refused parts that were to be tried, by outcome of the claim",
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -117,6 +117,7 @@
         self.has_not_run = False
         self.build: str | None = None
         self.is_part_trial = False
+        self.is_request_trial = False
         self._digest = ""
         self._parts: tuple[str, ...] | None = None
 
@@ -199,11 +200,24 @@
             return False
         return self.state.parts.may_try(refusal, self.parts, self.now)
 
-    async def claim_part_trial(self) -> bool:
+    @property
+    def may_be_request_trial(self) -> bool:
+        """Whether the crashes under it alone are why it is refused, and it may be tried."""
+        if self._crash_refusal_s == 0.0 or self.part_refusal is not None:
+            return False
+        return self.state.crashes.may_try(self.digest, self.now)
+
+    async def claim_trial(self) -> bool:
         """Return whether the request may be sent to workers.
 
-        One that is refused for parts of its prompt may be if the store grants it as their trial.
+        One that is refused may be if the store grants it as the trial of itself, or of parts of its
+        prompt.
         """
+        if self._crash_refusal_s > 0.0:
+            self.is_request_trial = self.may_be_request_trial and (
+                await self.state.request_trials.claim(self.digest)
+            )
+            return not self.crashes_workers
         refusal = self.part_refusal
         if refusal is None:
             return True
@@ -227,6 +241,8 @@
     @property
     def _crash_refusal_s(self) -> float:
         crashes = self.state.crashes
+        if self.is_request_trial and self.deliveries == 0:
+            return 0.0
         return crashes.refusal_left_s(self.digest, self.now) if crashes.has_refusals else 0.0
 
     @property
@@ -633,7 +649,7 @@
                 expected_wait_s, jitter=self.state.rng.random()
             )
         elif code is Code.ENDS_WORKERS:
-            retry_after_s = round(max(self._crash_refusal_s, self._part_refusal_s), 3)
+            retry_after_s = round(max(self._crash_retry_s, self._part_refusal_s), 3)
         elif code is Code.PROMPT_TOO_LONG:
             retry_after_s = timeouts.NEVER_FITS_RETRY_AFTER_S
         elif code in (Code.VERSION_GONE, Code.VERSION_UNKNOWN):
@@ -671,6 +687,12 @@
             **queue_log_fields(self),
         )
 
+    @property
+    def _crash_retry_s(self) -> float:
+        """How long the request stays refused for the crashes under it, at least."""
+        trial_left_s = self.state.crashes.trial_left_s(self.digest, self.now)
+        return min(self._crash_refusal_s, max(FIRST_TRIAL_S, trial_left_s))
+
     @property
     def _part_refusal_s(self) -> float:
         """How long parts of the prompt stay refused at least; 0 if they are not."""
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -205,10 +205,19 @@
             self.worker.id, self.run.now - self.opened_at, self.run.now
         )
         record_answer_pace(self.run.state, self.worker, self.run.now - self.opened_at)
-        if self.run.state.crashes.by_digest:
-            self.run.state.crashes.note_success(self._crash_digest, self.run.now)
+        self._clear_crashes()
         self._note_written(self.opened_at if self.began_at is None else self.began_at)
 
+    def _clear_crashes(self) -> None:
+        """Record that the request doesn't crash workers; other boxes are told if it was refused."""
+        crashes, digest, now = self.run.state.crashes, self._crash_digest, self.run.now
+        if not crashes.by_digest:
+            return
+        was_refused = crashes.refusal_left_s(digest, now) > 0.0
+        crashes.note_success(digest, now)
+        if was_refused:
+            self.run.state.on_crash_news([digest])
+
     def _note_written(self, began_at: float) -> None:
         """Record once that the worker has gone on after it began the answer at ``began_at``."""
         parts = self.run.parts
--- a/src/croftchute/systems/crash_records.py
+++ b/src/croftchute/systems/crash_records.py
@@ -2,8 +2,10 @@
 
 A crash aborts every request on the worker, and a single crash doesn't show which of them caused it.
 The one that did causes the next crash too when it is retried, so a request is refused once three
-workers have crashed under it. To spare requests that merely ran on the same workers (bystanders),
-crashes that a refused request with more crashes explains don't count against one with fewer.
+workers have crashed under it. Workers that are lost in one moment, as by a power cut, may have run
+the request by chance: if that is all that stands against it, it is tried once some seconds later,
+at one box of all. To spare requests that merely ran on the same workers (bystanders), crashes that
+a refused request with more crashes explains don't count against one with fewer.
 
 Records are bounded and no I/O is done here. Times are seconds of the box's monotonic clock.
 """
@@ -29,6 +31,14 @@
 more crash refuses it again: a request that is repeated for ever costs two more workers in the first
 hour after the third crash, and one per hour after that."""
 
+ONE_EVENT_S = 1.0
+"""Seconds within which crashes may be a single event that several workers shared: connections to
+them break at once, and probes confirm it within some hundred milliseconds."""
+
+FIRST_TRIAL_S = 5.0
+"""Seconds after the latest crash until what is refused may be tried once: short, as it may be
+sound, and longer than one event."""
+
 MAX_REFUSAL_S = 3600.0
 """Longest refusal after a crash, in seconds."""
 
@@ -52,12 +62,21 @@
     """The crashes of workers under one request, and the request's latest success.
 
     ``suspected`` are instances that broke off the request's answer and may have crashed, which is
-    not yet confirmed.
+    not yet confirmed. ``tried_at`` is when it was last tried while refused, at any box.
     """
 
     ended_at_by_life: dict[str, float] = field(default_factory=dict)
     suspected: set[str] = field(default_factory=set)
     succeeded_at: float = -math.inf
+    tried_at: float = -math.inf
+
+    @property
+    def is_one_event(self) -> bool:
+        """Whether a single event may explain all crashes that count against the request."""
+        times = [at for at in self.ended_at_by_life.values() if at > self.succeeded_at]
+        if self.suspected or not times:
+            return False
+        return max(times) - min(times) < ONE_EVENT_S
 
     @property
     def counted_instances(self) -> set[str]:
@@ -98,6 +117,14 @@
     return min(MAX_REFUSAL_S, BASE_REFUSAL_S * 2.0 ** (crashes - CRASHES_TO_REFUSE))
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RefusalChange:
+    """The digests of requests that became refused, and of those that are refused no longer."""
+
+    refused: list[str]
+    freed: list[str]
+
+
 @dataclass(kw_only=True)
 class CrashRecords:
     """The records of all requests under which workers crashed recently, by request digest."""
@@ -112,6 +139,23 @@
         """Return for how many more seconds a request is refused; 0 if it is not."""
         return max(0.0, self._refused_until_by_digest.get(digest, -math.inf) - now)
 
+    def trial_left_s(self, digest: str, now: float) -> float:
+        """Return for how many more seconds a refused request is not tried; infinite if never."""
+        record = self.by_digest.get(digest)
+        if record is None or not record.is_one_event:
+            return math.inf
+        return max(0.0, max(record.latest_at, record.tried_at) + FIRST_TRIAL_S - now)
+
+    def may_try(self, digest: str, now: float) -> bool:
+        """Return whether a request is refused and may be tried, once for all boxes."""
+        return self.refusal_left_s(digest, now) > 0.0 and self.trial_left_s(digest, now) == 0.0
+
+    def note_trial(self, digest: str, at: float) -> None:
+        """Record when a refused request was tried, at any box."""
+        record = self.by_digest.get(digest)
+        if record is not None:
+            record.tried_at = max(record.tried_at, at)
+
     @property
     def has_refusals(self) -> bool:
         """Whether any request is refused; if not, digests need not be computed."""
@@ -174,13 +218,18 @@
 
     def merge(self, notices: Iterable[CrashNotice], now: float) -> list[str]:
         """Merge notices from another box or the store; return the requests newly refused."""
+        return self.merge_and_compare(notices, now).refused
+
+    def merge_and_compare(self, notices: Iterable[CrashNotice], now: float) -> RefusalChange:
+        """Merge notices; return the requests that are refused from now on, or no longer."""
         notices = list(notices)
         digests = {notice.digest for notice in notices}
-        refused = {digest for digest in digests if self.refusal_left_s(digest, now) > 0.0}
+        before = {digest for digest in digests if self.refusal_left_s(digest, now) > 0.0}
         self._update_refusals_if_needed(
             [notice.digest for notice in notices if self._merge(notice, now)]
         )
-        return [key for key in digests - refused if self.refusal_left_s(key, now) > 0.0]
+        after = {digest for digest in digests if self.refusal_left_s(digest, now) > 0.0}
+        return RefusalChange(refused=sorted(after - before), freed=sorted(before - after))
 
     def notices(self, digest: str, now: float) -> list[CrashNotice]:
         """Return all that is known about one request."""
--- a/src/croftchute/systems/part_crashes.py
+++ b/src/croftchute/systems/part_crashes.py
@@ -22,6 +22,7 @@
 
 from croftchute.systems.crash_records import (
     BASE_REFUSAL_S,
+    FIRST_TRIAL_S,
     MAX_REFUSAL_S,
     RECORD_TTL_S,
 )
@@ -59,9 +60,6 @@
 ROUNDING_S = 0.5e-6
 """Greatest difference in seconds that comes from sums of rounded times."""
 
-FIRST_TRIAL_S = 5.0
-"""Seconds after the latest crash until a refused part is tried once: short, as it may be sound."""
-
 TRIAL_OUTCOME_S = 10.0
 """Seconds after a trial within which a crash counts as its outcome."""
 
--- a/src/croftchute/tables/crashes.py
+++ b/src/croftchute/tables/crashes.py
@@ -108,6 +108,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CrashEntry:
-    """The store's entry for a refused request: Unix times of crashes by worker instance."""
+    """The store's entry for a refused request: Unix times of crashes by worker instance.
+
+    ``succeeded_at`` and ``tried_at`` are the Unix times of its latest success and of its latest
+    trial while refused, 0 for none.
+    """
 
     ended_at_by_life: dict[str, float]
+    succeeded_at: float = 0.0
+    tried_at: float = 0.0
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -27,6 +27,7 @@
 
 from croftchute.forwarding.store.crash_register import PREFIX
 from croftchute.standins.worker_records import WorkerFaults
+from croftchute.systems.crash_records import FIRST_TRIAL_S
 from croftchute.tables.routing import WorkerState
 
 CRASHES = b"crashes"
@@ -309,6 +310,86 @@
     run(body)
 
 
+async def lose_three_in_one_moment(made, *, crashes_on=None):
+    """Have two boxes refuse a request under which three of six workers ended at once.
+
+    Return once it may be tried; ``crashes_on`` is what ends the other workers from then on.
+    """
+    workers = [await made.add_worker(f"w{n}", crashes_on=CRASHES) for n in range(6)]
+    box = await made.add_box()
+    await made.ready(box)
+    boxes = await two_boxes(made, box)
+    digest = await end_three(boxes, "/safe/x")
+    for one in boxes:
+        await until(lambda one=one: one.state.crashes.refusal_left_s(digest, one.state.clock()))
+    await until(lambda: PREFIX + digest in made.store.items_by_key)
+    for worker in workers:
+        worker.crashes_on = crashes_on
+    refused = await ask(boxes[1], "/safe/x", "refused", body=CRASHES)
+    assert refused.status == 503
+    assert 0.0 < float(refused.headers["retry-after"]) <= FIRST_TRIAL_S
+    await asyncio.sleep(FIRST_TRIAL_S)
+    for one in boxes:
+        await until(lambda one=one: one.state.crashes.may_try(digest, one.state.clock()))
+    return boxes, workers, digest
+
+
+def entry_with_success(store, key):
+    return msgspec.json.decode(base64.b64decode(store.items_by_key[key].value))["succeeded_at"] > 0
+
+
+def test_a_request_whose_workers_were_lost_in_one_moment_is_served_again_after_a_trial():
+    """Seen in review/5: a look-up common to many callers got 503 for ten minutes after one crash of
+    a service's three workers, also at boxes that were started later."""
+
+    async def body():
+        async with fleet() as made:
+            boxes, workers, digest = await lose_three_in_one_moment(made)
+            assert (await ask(boxes[0], "/safe/x", "trial", body=CRASHES)).status == 200
+            there = boxes[1].state
+            await until(lambda: there.crashes.refusal_left_s(digest, there.clock()) == 0.0)
+            assert (await ask(boxes[1], "/safe/x", "there", body=CRASHES)).status == 200
+            await until(lambda: entry_with_success(made.store, PREFIX + digest))
+            later = await made.add_box("box-3")
+            await made.ready(later)
+            await until(lambda: later.state.crashes.crash_count(digest) == 3)
+            assert (await ask(later, "/safe/x", "later", body=CRASHES)).status == 200
+            assert len(ended(workers)) == 3
+
+    run(body)
+
+
+def test_a_request_that_ends_workers_ends_one_more_by_its_trial_whatever_boxes_try():
+    async def body():
+        async with fleet() as made:
+            boxes, workers, _ = await lose_three_in_one_moment(made, crashes_on=CRASHES)
+            asked = [ask(boxes[n % 2], "/safe/x", f"t{n}", body=CRASHES) for n in range(12)]
+            answers = await asyncio.gather(*asked)
+            assert {answer.status for answer in answers} <= {502, 503}
+            assert len(ended(workers)) == 4
+            for box in boxes:
+                answer = await ask(box, "/safe/x", "after", body=CRASHES)
+                assert answer.status == 503 and float(answer.headers["retry-after"]) > 600.0
+            assert len(ended(workers)) == 4
+
+    run(body)
+
+
+def test_no_request_is_tried_without_the_store():
+    """Each box would try it, and each try may end a worker."""
+
+    async def body():
+        async with fleet() as made:
+            boxes, workers, _ = await lose_three_in_one_moment(made)
+            made.store.faults.refuses = True
+            before = sum(len(worker.ran) for worker in workers)
+            for box in boxes:
+                assert (await ask(box, "/safe/x", "no-store", body=CRASHES)).status == 503
+            assert sum(len(worker.ran) for worker in workers) == before
+
+    run(body)
+
+
 def test_a_prompt_that_ends_the_workers_that_read_it_ahead_is_read_where_it_runs():
     """Its runs end well, which says nothing of its reading elsewhere."""
 
--- a/tests/systems/test_crash_records.py
+++ b/tests/systems/test_crash_records.py
@@ -7,9 +7,11 @@
 from croftchute.systems.crash_records import (
     BASE_REFUSAL_S,
     CRASHES_TO_REFUSE,
+    FIRST_TRIAL_S,
     MAX_CRASHES_PER_RECORD,
     MAX_RECORDS,
     MAX_REFUSAL_S,
+    ONE_EVENT_S,
     RECORD_TTL_S,
     CrashRecords,
 )
@@ -218,3 +220,51 @@
     record_crashes(records, "behind", "u1")
     told = {notice.digest for _ in range(6) for notice in records.next_notices(1.0, 6)}
     assert told == {"bad", "also", "behind"}
+
+
+def test_a_request_whose_workers_were_lost_in_one_moment_is_tried_some_seconds_later():
+    """Guards against refusing a request of many callers for long after a power cut."""
+    records = CrashRecords()
+    record_crashes(records, "common", "w1", "w2", "w3", at=10.0)
+    assert not records.may_try("common", 10.0 + FIRST_TRIAL_S / 2)
+    assert records.trial_left_s("common", 10.0 + FIRST_TRIAL_S / 2) == FIRST_TRIAL_S / 2
+    assert records.may_try("common", 10.0 + FIRST_TRIAL_S)
+    assert records.refusal_left_s("common", 10.0 + FIRST_TRIAL_S) > 0.0
+    records.note_trial("common", 20.0)
+    assert not records.may_try("common", 20.0 + FIRST_TRIAL_S / 2)
+    assert records.may_try("common", 20.0 + FIRST_TRIAL_S)
+
+
+def test_a_trial_that_crashes_a_worker_ends_the_trials():
+    records = CrashRecords()
+    record_crashes(records, "bad", "w1", "w2", "w3", at=10.0)
+    records.note_trial("bad", 15.0)
+    record_crashes(records, "bad", "w4", at=15.1)
+    assert not any(records.may_try("bad", 15.1 + seconds) for seconds in range(1200))
+    assert records.refusal_left_s("bad", 15.1) == 2 * BASE_REFUSAL_S
+
+
+def test_crashes_that_are_spread_allow_no_trial():
+    records = CrashRecords()
+    record_crashes(records, "bad", "w1", "w2", at=10.0)
+    record_crashes(records, "bad", "w3", at=10.0 + ONE_EVENT_S)
+    assert not any(records.may_try("bad", 10.0 + seconds) for seconds in range(600))
+
+
+def test_a_suspected_crash_allows_no_trial_until_it_is_resolved():
+    records = CrashRecords()
+    record_crashes(records, "common", "w1", "w2", "w3", at=10.0)
+    records.note_suspected_crash("common", "w4", 16.0)
+    assert not records.may_try("common", 16.0)
+    records.resolve_suspicion("w4", ended_at=None)
+    assert records.may_try("common", 16.0)
+
+
+def test_a_success_frees_a_request_at_all_boxes():
+    here, there = CrashRecords(), CrashRecords()
+    for records in (here, there):
+        record_crashes(records, "common", "w1", "w2", "w3", at=10.0)
+    here.note_success("common", 16.0)
+    change = there.merge_and_compare(here.notices("common", 16.0), 16.0)
+    assert (change.refused, change.freed) == ([], ["common"])
+    assert there.refusal_left_s("common", 16.0) == 0.0
