--- a/tests/test_request_receiver.py
+++ b/tests/test_request_receiver.py
@@ -245,7 +245,7 @@
 
 
 def test_a_client_that_reads_its_answer_too_slowly_is_closed(serve):
-    """The fault: a byte now and then kept a thread for ever."""
+    """The fault: a pause in the reading was bounded, but not the whole of it."""
     limits = RequestLimits(timeout_s=0.5, min_bytes_per_s=10 * ANSWER_BYTES)
     served = serve(memory_mb=LARGE_MB, limits=limits)
     socks = [served.ask_without_reading() for _ in range(2)]
