Order all news of a worker by one comparison, whichever source they come from

Cause: four places compared news in four ways. A table that had forgotten a removed worker took any old entry of it; removals had no position at all, so an old one removed a newer entry; a listing of several pages counted as new as its newest entry, which may lie behind a removal that it misses; entries of a copy were judged by the revisions of two different eras.

WorkerRecord.is_superseded_by is now the one comparison, of position, life and removal. Up to known_to nothing is missing, so that an older entry of a worker that is not listed is old. In a new era, an entry that may have come with the copy names an ended life if that life began before the present one, or if its revision is one that a copy from before can have. A life without a reported start is earlier than one with.

--- a/src/croftchute/forwarding/store/store_follower.py
+++ b/src/croftchute/forwarding/store/store_follower.py
@@ -190,9 +190,10 @@
         names = {self.vocabulary.worker_name(item.key) for item in listing.items}
         for item in listing.items:
             self._take_worker(item)
-        gone = workers.keep_only(names, now, is_mass_expiry=is_restored)
+        gone = workers.keep_only(names, now, at=listing.revision, is_mass_expiry=is_restored)
         self._log_gone(gone, revision=listing.revision, source=source)
-        newest = listing.newest if source == "store" else listing.revision
+        # Pages are read one by one: an entry may be newer than a removal that is missing here.
+        newest = min(listing.newest, listing.revision) if source == "store" else listing.revision
         # A list that names nobody is of its era all the same.
         self._heard(max(newest, position(era_of(listing.revision), 0)), known_to=listing.revision)
 
@@ -200,7 +201,7 @@
         for item in changes.written:
             self._take_worker(item)
         names = [self.vocabulary.worker_name(key) for key in changes.removed]
-        gone = self.state.workers.remove(names, self.state.clock())
+        gone = self.state.workers.remove(names, self.state.clock(), at=changes.revision)
         self._log_gone(gone, revision=changes.revision, source="watch")
         self._heard(changes.newest, known_to=changes.revision)
 
@@ -256,8 +257,7 @@
 
     def _heard(self, revision: int, *, known_to: int) -> None:
         workers = self.state.workers
-        workers.revision = max(workers.revision, revision)
-        workers.known_to = max(workers.known_to, workers.revision, known_to)
+        workers.note_known(revision, known_to=known_to)
         workers.heard_at = self.state.clock()
 
 
--- a/src/croftchute/systems/removed_workers.py
+++ b/src/croftchute/systems/removed_workers.py
@@ -8,8 +8,9 @@
 
 from dataclasses import dataclass
 
-from croftchute.storage.position import era_of, revision_of
+from croftchute.storage.position import era_of
 from croftchute.storage.watched import StoredItem
+from croftchute.systems.worker_news import WorkerNews, WorkerRecord
 from croftchute.tables.routing import Worker
 
 REMOVED_TTL_S = 30.0
@@ -23,7 +24,7 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Removed:
-    item: StoredItem
+    record: WorkerRecord
     at: float
     came_back: tuple[Worker, StoredItem] | None = None
 
@@ -34,12 +35,12 @@
     def __init__(self) -> None:
         self._removed_by_name: dict[str, _Removed] = {}
 
-    def note_removed(self, name: str, item: StoredItem, now: float) -> None:
-        """Remember an entry that is gone."""
+    def note_removed(self, name: str, record: WorkerRecord, now: float) -> None:
+        """Remember a worker whose entry is gone."""
         self._removed_by_name.pop(name, None)
         if len(self._removed_by_name) >= MAX_REMOVED:
             del self._removed_by_name[next(iter(self._removed_by_name))]
-        self._removed_by_name[name] = _Removed(item=item, at=now)
+        self._removed_by_name[name] = _Removed(record=record, at=now)
 
     def note_missing(self, name: str) -> None:
         """An entry that came back is gone again."""
@@ -51,15 +52,21 @@
         """Return the names of the entries that came back and are not believed."""
         return [name for name, found in self._removed_by_name.items() if found.came_back]
 
-    def withholds(self, worker: Worker, item: StoredItem | None, now: float) -> bool:
-        """Return whether an entry is one that was removed, as an older copy of the store has it."""
+    def record_of(self, name: str) -> WorkerRecord | None:
+        """Return what is known of a worker that was removed lately."""
+        removed = self._removed_by_name.get(name)
+        return removed.record if removed is not None else None
+
+    def withholds(self, worker: Worker, item: StoredItem, news: WorkerNews, now: float) -> bool:
+        """Return whether an entry is older than the removal of its worker."""
         removed = self._removed_by_name.get(worker.list_name)
-        if removed is None or item is None:
+        if removed is None:
             return False
-        if now - removed.at > REMOVED_TTL_S or not _is_copy(item, removed.item):
+        if now - removed.at > REMOVED_TTL_S or removed.record.is_superseded_by(news):
             del self._removed_by_name[worker.list_name]
             return False
-        removed.came_back = (worker, item)
+        if era_of(news.at) > era_of(removed.record.at):
+            removed.came_back = (worker, item)
         return True
 
     def take_expired(self, now: float) -> list[tuple[Worker, StoredItem]]:
@@ -71,10 +78,3 @@
         ]
         found = [self._removed_by_name.pop(name).came_back for name in old]
         return [each for each in found if each is not None]
-
-
-def _is_copy(item: StoredItem, removed: StoredItem) -> bool:
-    """Return whether an entry of a later era is a removed one, and was not written since."""
-    is_same = (item.key, item.value) == (removed.key, removed.value)
-    is_later_era = era_of(item.revision) > era_of(removed.revision)
-    return is_same and is_later_era and revision_of(item.revision) == revision_of(removed.revision)
--- a/src/croftchute/systems/tracked_worker.py
+++ b/src/croftchute/systems/tracked_worker.py
@@ -9,7 +9,7 @@
 
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.prefill_queue import PrefillQueue
-from croftchute.systems.worker_lineage import WorkerLineage
+from croftchute.systems.worker_news import WorkerRecord
 from croftchute.tables.routing import Stage, Worker
 
 REJECTION_HOLD_S = 3.0
@@ -35,8 +35,8 @@
 class TrackedWorker:
     """One instance of a worker: its list entry, this box's requests there and its failures.
 
-    ``outdated_item`` is an entry that named an earlier instance and is ignored. ``has_ended``: the
-    worker has restarted as another instance. ``is_unreadable``: the newest entry
+    ``record`` is the newest that is known of the worker, None if it was listed without an entry.
+    ``has_ended``: the worker has restarted as another instance. ``is_unreadable``: the newest entry
     of the worker can't be parsed; requests that run there continue. ``late_holds`` is the number of
     calls for room that the worker has not answered in time and may answer yet, ``late_hold_at``
     when the latest of them became late.
@@ -45,8 +45,7 @@
     worker: Worker
     listed_at: float
     item: StoredItem | None = None
-    lineage: WorkerLineage = field(default_factory=WorkerLineage)
-    outdated_item: StoredItem | None = None
+    record: WorkerRecord | None = None
     gone_at: float | None = None
     is_mass_expired: bool = False
     in_flight: int = 0
--- a/src/croftchute/systems/worker_table.py
+++ b/src/croftchute/systems/worker_table.py
@@ -11,14 +11,14 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from croftchute.storage.position import era_of
+from croftchute.storage.position import era_of, revision_of
 from croftchute.storage.watched import StoredItem
 from croftchute.systems.removed_workers import RemovedWorkers
 from croftchute.systems.software_history import SoftwareHistory
 from croftchute.systems.tracked_worker import GONE_GRACE_S, TrackedWorker
 from croftchute.systems.worker_advice import WorkerAdviceTable
 from croftchute.systems.worker_limits import WorkerLimits
-from croftchute.systems.worker_lineage import WorkerLineage
+from croftchute.systems.worker_news import WorkerLife, WorkerNews, WorkerRecord
 from croftchute.tables.routing import Stage, Worker, WorkerState
 
 LATENCY_EWMA_WEIGHT = 0.3
@@ -81,13 +81,16 @@
 
     ``revision`` is the store's revision of the newest change; ``known_to`` is the revision up to
     which no change is missing, that of a removal among them; ``heard_at`` is when the store last
-    sent a listing or changes. ``mass_expiry_grace_s`` is how long workers stay usable after their
-    entries expired together, as happens after a store outage: live workers register again within
-    about two seconds.
+    sent a listing or changes. ``copied_to`` is the highest revision known of the eras before the
+    last one, and ``listed_to`` that of the first listing of the present one.
+    ``mass_expiry_grace_s`` is how long workers stay usable after their entries expired together, as
+    happens after a store outage: live workers register again within about two seconds.
     """
 
     revision: int = 0
     known_to: int = 0
+    copied_to: int = 0
+    listed_to: int = 0
     heard_at: float = 0.0
     mass_expiry_grace_s: float = MASS_EXPIRY_GRACE_S
     tracked_by_id: dict[str, TrackedWorker] = field(default_factory=dict)
@@ -102,17 +105,51 @@
     def upsert(self, worker: Worker, now: float, item: StoredItem | None = None) -> bool:
         """Add or update a listed worker; return True if anything but its age changed.
 
-        An entry older than the known one is ignored, and so is one that came with an older copy of
-        the store and names an instance that has ended, or whose entry was removed.
+        News older than those known of the worker are ignored, from whichever source they come.
         """
-        if self.removed.withholds(worker, item, now):
-            return False
         current = self._current_by_name.get(worker.list_name)
-        if current is not None and _is_older(item, current):
-            return False
-        if current is not None and self._is_outdated(worker, item, current):
+        record = None
+        if item is not None:
+            news = self._news_of(worker, item)
+            if self.removed.withholds(worker, item, news, now):
+                return False
+            if not self._is_new(news, current):
+                return False
+            record = _record_after(news, WorkerLife.of(worker), current)
+        return self._list(worker, now, item, record)
+
+    def _news_of(self, worker: Worker, item: StoredItem) -> WorkerNews:
+        is_first_listing = era_of(item.revision) > era_of(self.revision)
+        if is_first_listing:
+            self.listed_to = max(self.listed_to, item.revision)
+        return WorkerNews(
+            at=item.revision,
+            life=WorkerLife.of(worker),
+            may_be_copied=is_first_listing or item.revision <= self.listed_to,
+            copied_to=self.copied_to,
+        )
+
+    def _is_new(self, news: WorkerNews, current: TrackedWorker | None) -> bool:
+        """Return whether news of an entry are newer than all that is known of the worker.
+
+        Up to ``known_to`` no entry is missing: one that is not listed was removed.
+        """
+        is_listed = current is not None and current.gone_at is None
+        if not is_listed and news.at <= self.known_to:
             return False
-        lineage = _lineage_of(worker, 0 if item is None else item.revision, current)
+        if current is None or current.record is None:
+            return True
+        return current.record.is_superseded_by(news)
+
+    def _list(
+        self,
+        worker: Worker,
+        now: float,
+        item: StoredItem | None,
+        record: WorkerRecord | None,
+    ) -> bool:
+        """Take in an entry; return True if anything but its age changed."""
+        current = self._current_by_name.get(worker.list_name)
         self.history.note_listed(worker, now)
         if current is not None and current.worker.build != worker.build:
             # What a worker of other software under this id wanted does not hold for this one.
@@ -125,14 +162,14 @@
             self._mark_restarted(current, now)
         tracked = self.tracked_by_id.get(worker.id)
         if tracked is not None and tracked.worker.build != worker.build:
-            self._replace(tracked, worker, now, item, lineage)
+            self._replace(tracked, worker, now, item, record)
             return True
         if tracked is None:
-            self._add(TrackedWorker(worker=worker, listed_at=now, item=item, lineage=lineage))
+            self._add(TrackedWorker(worker=worker, listed_at=now, item=item, record=record))
             return True
         self._current_by_name[worker.list_name] = tracked
         tracked.item = item
-        tracked.lineage = lineage
+        tracked.record = record
         is_changed = (
             tracked.worker != worker or tracked.gone_at is not None or tracked.is_unreadable
         )
@@ -153,30 +190,13 @@
             tracked.failures = 0.0
         return is_changed
 
-    def _is_outdated(self, worker: Worker, item: StoredItem | None, current: TrackedWorker) -> bool:
-        """Return whether an entry came with an older copy of the store and names an ended instance.
-
-        Only the first listing of an era has such entries, and listings that repeat them.
-        """
-        if item is None:
-            return False
-        if item == current.outdated_item:
-            return True
-        is_first_listing = era_of(item.revision) > era_of(self.revision)
-        if not is_first_listing or not current.lineage.is_outdated(
-            worker, item.revision, current=current.worker
-        ):
-            return False
-        current.outdated_item = item
-        return True
-
     def note_unreadable(self, name: str, item: StoredItem) -> bool:
         """Stop sending new work to a worker whose newest entry can't be parsed.
 
         A later valid entry makes it usable again. Returns True if the worker was in use until now.
         """
         current = self._current_by_name.get(name)
-        if current is None or _is_older(item, current):
+        if current is None or (current.item is not None and item.revision < current.item.revision):
             return False
         current.item = item
         was_readable = not current.is_unreadable
@@ -188,11 +208,26 @@
         ended, self._ended = self._ended, []
         return ended
 
+    def note_known(self, revision: int, *, known_to: int) -> None:
+        """Record up to where the news that were taken in reach."""
+        if era_of(revision) > era_of(self.revision):
+            self.copied_to = max(self.copied_to, revision_of(self.known_to))
+        self.revision = max(self.revision, revision)
+        self.known_to = max(self.known_to, self.revision, known_to)
+
     def remove(
-        self, names: Collection[str], now: float, *, is_mass_expiry: bool = False
+        self,
+        names: Collection[str],
+        now: float,
+        *,
+        at: int | None = None,
+        is_mass_expiry: bool = False,
     ) -> list[str]:
         """Mark workers as removed from the list; they are forgotten after a grace period.
 
+        ``at`` is the position up to which the source of the removals misses nothing; entries that
+        were written later stay.
+
         If two or more entries, and at least half of a service's, disappear at once, or with
         ``is_mass_expiry``, they are taken as expired and not as removed on purpose. Returns the ids
         of the removed instances.
@@ -200,7 +235,11 @@
         for name in names:
             self.removed.note_missing(name)
         known = (self._current_by_name.get(name) for name in names)
-        gone = [tracked for tracked in known if tracked is not None and tracked.gone_at is None]
+        gone = [
+            tracked
+            for tracked in known
+            if tracked is not None and tracked.gone_at is None and _is_removed(tracked, at)
+        ]
         gone_by_service = Counter(tracked.worker.service for tracked in gone)
         expired_services = {
             service for service, n in gone_by_service.items() if self._is_mass_expiry(service, n)
@@ -208,11 +247,19 @@
         for tracked in gone:
             tracked.gone_at = now
             tracked.is_mass_expired = is_mass_expiry or tracked.worker.service in expired_services
-            if not tracked.is_mass_expired and tracked.item is not None:
-                self.removed.note_removed(tracked.worker.list_name, tracked.item, now)
+            if not tracked.is_mass_expired and tracked.record is not None:
+                tracked.record = tracked.record.removed(tracked.record.at if at is None else at)
+                self.removed.note_removed(tracked.worker.list_name, tracked.record, now)
         return [tracked.worker.id for tracked in gone]
 
-    def keep_only(self, names: set[str], now: float, *, is_mass_expiry: bool = False) -> list[str]:
+    def keep_only(
+        self,
+        names: set[str],
+        now: float,
+        *,
+        at: int | None = None,
+        is_mass_expiry: bool = False,
+    ) -> list[str]:
         """Mark all workers that a complete listing did not contain as removed; return their ids.
 
         ``is_mass_expiry``: the store was restored from an older copy, so live workers register
@@ -221,7 +268,7 @@
         self.history.note_followed(now)
         known = [*self._current_by_name, *self.removed.names_returned()]
         unnamed = [name for name in known if name not in names]
-        return self.remove(unnamed, now, is_mass_expiry=is_mass_expiry)
+        return self.remove(unnamed, now, at=at, is_mass_expiry=is_mass_expiry)
 
     def is_mass_expired(self, worker_id: str) -> bool:
         """Return whether a worker's entry expired together with others of its service."""
@@ -244,7 +291,8 @@
             if self._current_by_name.get(tracked.worker.list_name) is tracked:
                 del self._current_by_name[tracked.worker.list_name]
         for worker, item in self.removed.take_expired(now):
-            self.upsert(worker, now, item)
+            record = WorkerRecord.first(WorkerLife.of(worker), item.revision)
+            self._list(worker, now, item, record)
         self.history.sweep(now)
         self.advice.sweep(now, listed=self.tracked_by_id)
         return old
@@ -354,7 +402,7 @@
         worker: Worker,
         now: float,
         item: StoredItem | None,
-        lineage: WorkerLineage,
+        record: WorkerRecord | None,
     ) -> None:
         """Track a worker that is back under its id with other software as another worker.
 
@@ -368,7 +416,7 @@
                 worker=worker,
                 listed_at=now,
                 item=item,
-                lineage=lineage,
+                record=record,
                 in_flight=tracked.in_flight,
                 tokens_in_flight=tracked.tokens_in_flight,
             )
@@ -511,18 +559,17 @@
             tracked.displaced = True
 
 
-def _lineage_of(worker: Worker, at: int, current: TrackedWorker | None) -> WorkerLineage:
-    """Return the lineage of an instance that an entry names, beside the one listed until now."""
-    if current is None:
-        return WorkerLineage(first_at=at)
-    known = current.worker
-    if (known.id, known.build) == (worker.id, worker.build):
-        return current.lineage
-    return current.lineage.extended(known, worker, first_at=at)
+def _record_after(
+    news: WorkerNews, life: WorkerLife, current: TrackedWorker | None
+) -> WorkerRecord:
+    """Return what is known of a worker after news of an entry that are newer."""
+    if current is None or current.record is None:
+        return WorkerRecord.first(life, news.at)
+    return current.record.listed(news, life)
 
 
-def _is_older(item: StoredItem | None, tracked: TrackedWorker) -> bool:
-    """Return whether an entry is older than the known one and must be ignored."""
-    if item is None or tracked.item is None:
-        return False
-    return item.revision < tracked.item.revision
+def _is_removed(tracked: TrackedWorker, at: int | None) -> bool:
+    """Return whether a removal that a source knows at a position is of the known entry."""
+    if at is None or tracked.record is None:
+        return True
+    return tracked.record.is_superseded_by(WorkerNews(at=at))
--- a/tests/systems/test_worker_lineage.py
+++ b/tests/systems/test_worker_news.py
@@ -4,7 +4,7 @@
 
 from croftchute.storage.position import position
 from croftchute.storage.watched import StoredItem
-from croftchute.systems.worker_lineage import MAX_EARLIER
+from croftchute.systems.worker_news import MAX_EARLIER
 from croftchute.systems.worker_table import WorkerTable
 from croftchute.tables.routing import Worker
 
@@ -110,6 +110,6 @@
 
 def test_the_instances_remembered_are_bounded():
     table = listed(*((worker(number), 3, 10 + number) for number in range(5 * MAX_EARLIER)))
-    lineage = table.tracked_by_id[current(table).id].lineage
-    assert len(lineage.earlier) == MAX_EARLIER
-    assert lineage.first_at == position(3, 9 + 5 * MAX_EARLIER)
+    record = table.tracked_by_id[current(table).id].record
+    assert len(record.earlier) == MAX_EARLIER
+    assert record.first_at == position(3, 9 + 5 * MAX_EARLIER)
