Keep in the store where streams began, for when all boxes that know have died

Cause: the box that began a stream and two others knew its version, and all had died. For callers without Resumes a box that had just started took the only version that it saw listed for the one that had begun the stream.

A box asks the other boxes first, and the store if none knows. A caller without Resumes is known by its request: so that none of its tries is missing there, the first event waits for the record for 0.1 s at most while several versions serve. Nothing is inferred any more from versions that were merely seen. If the store does not answer, the caller is refused with a short Retry-After.

Five tests took a stream up that no worker had begun, by a box that had just started and saw one version: what is no longer allowed. They now have the box know the origin of a try that their caller names; what they check is unchanged.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -38,6 +38,7 @@
 from croftchute.forwarding.store.crash_register import CrashRegister
 from croftchute.forwarding.store.fleet_record import FleetRecord
 from croftchute.forwarding.store.hall_news import KNOWN_PATH, NEWS_PATH
+from croftchute.forwarding.store.origin_register import OriginRegister
 from croftchute.forwarding.store.part_register import PartRegister
 from croftchute.forwarding.store.store_follower import StoreFollower
 from croftchute.forwarding.supervision import Task, keep_going
@@ -132,7 +133,9 @@
             link_mbps=settings.link_mbps,
         )
         self.origins = SharedOrigins(state=state, exchange=self.exchange)
-        self.exchange.on_origin_news = self.origins.hear
+        self.origin_register = OriginRegister(state=state, store=store, on_found=self.origins.hear)
+        self.origins.record = self.origin_register
+        self.exchange.on_origin_news = self.origins.hear_box
         self.exchange.on_origin_ask = self.origins.answer
         self.exchange.on_origin_reply = self.origins.note_reply
         state.origins = self.origins
@@ -165,6 +168,7 @@
             self.orders.note_restored,
             self.crash_register.note_restored,
             self.part_register.note_restored,
+            self.origin_register.note_restored,
             self.fleet_record.note_restored,
         ]
         self.held = HeldAnswers(
@@ -321,6 +325,7 @@
             Task(name="fleet_record", work=self.fleet_record.run),
             Task(name="crash_register", work=self.crash_register.run),
             Task(name="part_register", work=self.part_register.run),
+            Task(name="origin_register", work=self.origin_register.run),
             *(Task(name="catch_up", work=catch_up.run) for catch_up in self.catch_ups),
             Task(name="worker_links", work=self.link_probe.run),
             Task(name="sweep", work=self._sweep),
--- a/src/croftchute/forwarding/boxes/stream_origins.py
+++ b/src/croftchute/forwarding/boxes/stream_origins.py
@@ -1,6 +1,7 @@
 """Tells other boxes where streams began, and asks them when a caller takes one up.
 
-Each message is a datagram and may be lost. A stream whose origin stays unknown is not continued.
+Each message is a datagram and may be lost. The platform's store keeps the same for the case that
+all boxes that were told have ended. A stream whose origin stays unknown is not continued.
 """
 
 from __future__ import annotations
@@ -11,10 +12,10 @@
 from dataclasses import dataclass, field, replace
 
 from croftchute.forwarding.boxes.peer_exchange import PeerExchange
-from croftchute.forwarding.origins import FoundOrigin
+from croftchute.forwarding.origins import FoundOrigin, NoRecord, OriginRecord
 from croftchute.forwarding.state import LEARN_PEERS_S, ForwardingState
 from croftchute.peers.messages import OriginAsk, OriginNews, OriginReply
-from croftchute.systems.origin_witnesses import WitnessRanking
+from croftchute.systems.origin_witnesses import RECORDERS_PER_HALL, WitnessRanking, recorders
 from croftchute.systems.software_history import KEPT_S
 from croftchute.systems.stream_origins import StreamOrigins
 from croftchute.tables.origins import StreamOrigin
@@ -38,6 +39,13 @@
 
 MAX_NUMBER = 0xFFFFFFFF
 
+RECORD_WAIT_S = 0.1
+"""Longest time for which the first event of a stream waits for its record, while several versions
+serve: many answers of a sound store, and a small part of the time to a first event."""
+
+READ_WAIT_S = 0.5
+"""Longest wait for the store when a caller takes a stream up; it goes on reading after that."""
+
 
 @dataclass(kw_only=True)
 class _OpenAsk:
@@ -70,6 +78,7 @@
         self.state = state
         self.exchange = exchange
         self.known = StreamOrigins()
+        self.record: OriginRecord = NoRecord()
         self._open_by_number: dict[int, _OpenAsk] = {}
         self._number = 0
         self._ranked = WitnessRanking(hall_by_box={})
@@ -77,9 +86,18 @@
 
     # Telling.
 
-    def note_begun(self, stream: int, alias: int, origin: StreamOrigin) -> None:
-        """Keep a stream's origin, and tell the boxes that keep it for others."""
+    async def note_begun(self, stream: int, alias: int, origin: StreamOrigin) -> None:
+        """Keep a stream's origin, and have other boxes and the store keep it.
+
+        A caller that does not name the stream is known by its request alone. While several versions
+        serve, its first event waits for the record, so that no try of the request that comes later
+        is missing there.
+        """
         self._tell(OriginNews(stream=stream, alias=alias, origin=origin.digest))
+        now = self.state.clock()
+        builds = self.state.workers.builds_seen(origin.service, now, within_s=KEPT_S)
+        if len(builds) > 1 and self._is_recorder():
+            await self.record.recorded(stream, within_s=RECORD_WAIT_S)
 
     def note_doubtful(self, stream: int, alias: int) -> None:
         """Have a stream's origin believed no longer, here and where it was told."""
@@ -89,23 +107,38 @@
         self.hear(news)
         witnesses = self._ranking(self.state.clock()).choose(news.stream, self.state.zone)
         self.exchange.tell_all(witnesses, news)
+        if self._is_recorder():
+            self.record.note(news)
+        else:
+            # Nobody confirms the record, so it must not stand for other tries of the request.
+            recorder = self._recorders()[news.stream % RECORDERS_PER_HALL]
+            self.exchange.tell(recorder, replace(news, alias=0, is_for_record=True))
+
+    def _recorders(self) -> list[str]:
+        """Return the boxes that write for this box's hall."""
+        peers = self.state.peers.hall_peers(self.state.zone, self.state.clock())
+        return recorders([self.state.box, *(peer.id for peer in peers)])
+
+    def _is_recorder(self) -> bool:
+        return self.state.box in self._recorders()
 
     def hear(self, news: OriginNews) -> None:
-        """Keep what a box tells."""
+        """Keep what a box tells, or what the store keeps."""
         now = self.state.clock()
         self.known.note(news.stream, news.origin, now)
-        self.known.note(news.alias, news.origin, now)
+        if news.alias:
+            self.known.note(news.alias, news.origin, now)
 
-    # Asking.
+    def hear_box(self, news: OriginNews) -> None:
+        """Keep what another box tells, and write it to the store if it asks for that."""
+        self.hear(news)
+        if news.is_for_record:
+            self.record.note(news)
 
-    async def find(
-        self, key: int, services: tuple[str, ...], *, within_s: float, is_named: bool
-    ) -> FoundOrigin:
-        """Return where a stream began, by this box or by those that were told.
+    # Asking.
 
-        Boxes are told by the key of the try. Only in a fleet of a few boxes a hall does a caller
-        that does not name it reach them all the same.
-        """
+    async def find(self, key: int, services: tuple[str, ...], *, within_s: float) -> FoundOrigin:
+        """Return where a stream began, by this box, by those that were told, or by the store."""
         known = self.known.find(key, self.state.clock())
         if known is not None:
             return self._found(known, services, "own")
@@ -116,17 +149,23 @@
         found = FoundOrigin(origin=None, source="busy")
         if len(self._open_by_number) < MAX_OPEN_ASKS:
             found = await self._ask(key, services, service, within_s)
-        if found.origin is None and not found.is_gone and not is_named:
-            return self._guess(service, within_s, found)
+        if found.origin is None and not found.is_gone:
+            return await self._read_record(key, services, found)
         return found
 
-    def _guess(self, service: str, within_s: float, found: FoundOrigin) -> FoundOrigin:
-        """Return the only origin known, for a caller that names none and so can't be told apart."""
-        builds = self.state.workers.builds_seen(service, self.state.clock(), within_s=within_s)
-        if len(builds) != 1:
-            return found
-        origin = StreamOrigin(service=service, build=next(iter(builds)))
-        return replace(found, origin=origin, source="only version seen")
+    async def _read_record(
+        self, key: int, services: tuple[str, ...], found: FoundOrigin
+    ) -> FoundOrigin:
+        """Return where a stream began by the store, if this box reads there."""
+        if not self._is_recorder():
+            # The boxes of the hall that read there were asked, and do so now.
+            return replace(found, is_pending=True)
+        is_read = await self.record.refresh(within_s=READ_WAIT_S)
+        known = self.known.find(key, self.state.clock())
+        if known is None:
+            return replace(found, is_pending=not is_read)
+        recorded = self._found(known, services, "store")
+        return replace(recorded, asked=found.asked, answered=found.answered)
 
     def _found(
         self, digest: int, services: tuple[str, ...], source: str, opened: _OpenAsk | None = None
@@ -186,6 +225,8 @@
         gives_up_at = min(state.clock() + ASK_TIMEOUT_S, state.started_at + LEARN_PEERS_S)
         while True:
             boxes = self._ranking(state.clock()).likely(stream)
+            if not self._is_recorder():
+                boxes = sorted({*boxes, *self._recorders()})
             if boxes or state.clock() >= gives_up_at:
                 return boxes
             await asyncio.sleep(PEER_POLL_S)
@@ -202,6 +243,9 @@
         known = self.known.find(ask.stream, self.state.clock())
         if known is not None:
             return OriginReply(number=ask.number, origin=known, is_told=True)
+        peers = self.state.peers.hall_peers(self.state.zone, self.state.clock())
+        if len(peers) >= RECORDERS_PER_HALL and self._is_recorder():
+            self.record.request_read()
         return OriginReply(number=ask.number, origin=self._infer(ask.service, ask.within_s))
 
     def note_reply(self, sender: str, reply: OriginReply) -> None:
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -75,6 +75,7 @@
     SILENCE_ENDED = "silence_ended"
     STREAM_RESUMED = "stream_resumed"
     ORIGIN_LOOKED_UP = "origin_looked_up"
+    ORIGINS_STORED = "origins_stored"
     LIMIT_DENIED = "limit_denied"
     PERMIT_DENIED = "permit_denied"
     LIMIT_POOL_SILENT = "limit_pool_silent"
--- a/src/croftchute/forwarding/origins.py
+++ b/src/croftchute/forwarding/origins.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 from urllib.parse import quote, unquote
 
+from croftchute.peers.messages import OriginNews
 from croftchute.tables.origins import StreamOrigin
 
 BUILD = b"croftchute-build"
@@ -18,7 +19,7 @@
     """Where a stream began, and how this is known, for the log.
 
     ``origin`` is None if it is not known, or if no worker of it was listed lately: ``is_gone``.
-    ``asked`` and ``answered`` count other boxes.
+    ``asked`` and ``answered`` count other boxes. ``is_pending``: the store has not answered yet.
     """
 
     origin: StreamOrigin | None
@@ -26,13 +27,14 @@
     is_gone: bool = False
     asked: int = 0
     answered: int = 0
+    is_pending: bool = False
 
 
 class OriginDirectory(Protocol):
     """Where streams began, over all boxes."""
 
-    def note_begun(self, stream: int, alias: int, origin: StreamOrigin) -> None:
-        """Record that a caller is about to get a stream's first event.
+    async def note_begun(self, stream: int, alias: int, origin: StreamOrigin) -> None:
+        """Record that a caller is about to get a stream's first event; wait briefly for the record.
 
         ``stream`` is the key of its try and ``alias`` that of its request.
         """
@@ -42,9 +44,7 @@
         """Record that it is not certain where a stream began, though it was recorded."""
         ...
 
-    async def find(
-        self, key: int, services: tuple[str, ...], *, within_s: float, is_named: bool
-    ) -> FoundOrigin:
+    async def find(self, key: int, services: tuple[str, ...], *, within_s: float) -> FoundOrigin:
         """Return where a stream began, by the try that its caller names or by its request alone.
 
         ``services`` are those that a route names now. The stream began ``within_s`` seconds ago at
@@ -53,18 +53,54 @@
         ...
 
 
+class OriginRecord(Protocol):
+    """What outlives all boxes: where streams began, as the store keeps it."""
+
+    def note(self, news: OriginNews) -> None:
+        """Write soon where a stream began."""
+        ...
+
+    async def recorded(self, stream: int, *, within_s: float) -> bool:
+        """Wait until what was noted of a stream is written; return False if that takes longer."""
+        ...
+
+    async def refresh(self, *, within_s: float) -> bool:
+        """Read all that is written; return False if that takes longer, or fails."""
+        ...
+
+    def request_read(self) -> None:
+        """Have all that is written read, without waiting for it."""
+        ...
+
+
+class NoRecord:
+    """A record that keeps nothing, for boxes without a store."""
+
+    def note(self, news: OriginNews) -> None:
+        """Do nothing."""
+
+    async def recorded(self, stream: int, *, within_s: float) -> bool:
+        """Write nothing."""
+        return False
+
+    async def refresh(self, *, within_s: float) -> bool:
+        """Find nothing."""
+        return True
+
+    def request_read(self) -> None:
+        """Do nothing."""
+
+
 class UnknownOrigins:
     """A directory that knows no stream, for code that runs without boxes."""
 
-    def note_begun(self, stream: int, alias: int, origin: StreamOrigin) -> None:
+    async def note_begun(self, stream: int, alias: int, origin: StreamOrigin) -> None:
         """Do nothing."""
 
     def note_doubtful(self, stream: int, alias: int) -> None:
         """Do nothing."""
 
-    async def find(
-        self, key: int, services: tuple[str, ...], *, within_s: float, is_named: bool
-    ) -> FoundOrigin:
+    async def find(self, key: int, services: tuple[str, ...], *, within_s: float) -> FoundOrigin:
         """Know nothing."""
         return FoundOrigin(origin=None, source="none")
 
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -378,7 +378,7 @@
         workers = self.state.workers
         return not workers.has_build(self.service, self.now, stage=Stage.DECODE, build=self.build)
 
-    def begin_stream(self, worker: Worker) -> None:
+    async def begin_stream(self, worker: Worker) -> None:
         """Bind the stream to a worker's build before the caller gets its first event there.
 
         Other boxes are told, so that the caller may take the stream up at any of them.
@@ -389,7 +389,7 @@
         if self.facts.resume_after is None and self.facts.id:
             origin = StreamOrigin(service=self.service, build=worker.build)
             stream = stream_key(self.facts.organisation, self.facts.id)
-            self.state.origins.note_begun(stream, request_key(self.digest), origin)
+            await self.state.origins.note_begun(stream, request_key(self.digest), origin)
 
     def doubt_origin(self) -> None:
         """Have no box continue the stream: its events may be of another build than believed."""
@@ -404,9 +404,7 @@
         if resumes:
             key = stream_key(self.facts.organisation, resumes)
         within_s = timeouts.stream_age_limit_s(self.route)
-        found = await self.state.origins.find(
-            key, services, within_s=within_s, is_named=bool(resumes)
-        )
+        found = await self.state.origins.find(key, services, within_s=within_s)
         origin = found.origin
         self.state.metrics.resumed.inc({"outcome": found.source})
         self.log(
@@ -425,12 +423,13 @@
             return False
         if origin is None:
             detail = f"it is not known which software version began the stream: {found.source}"
-            may_be_known_soon = found.asked == 0 or found.answered < found.asked
+            is_anyone_silent = found.asked == 0 or found.answered < found.asked
+            may_be_known_soon = found.is_pending or (bool(resumes) and is_anyone_silent)
             self.refuse(
                 Code.VERSION_UNKNOWN,
                 Ran.NOT_RUN,
                 detail,
-                expected_wait_s=0.0 if resumes and may_be_known_soon else None,
+                expected_wait_s=0.0 if may_be_known_soon else None,
             )
             return False
         self.bind_origin(origin)
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -447,7 +447,7 @@
             data.append(event.data)
         if error is not None and not data:
             raise error
-        self.run.begin_stream(attempt.call.worker)
+        await self.run.begin_stream(attempt.call.worker)
         if not self.run.exchange.is_started:
             self._start_answer(attempt)
         exchange = self.run.exchange
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -259,13 +259,15 @@
 class OriginNews:
     """Tells where a stream began, by the digests of :mod:`croftchute.tables.origins`.
 
-    ``alias`` is the key by which callers that don't name the stream are recognised; ``origin`` is 0
-    if an earlier one is in doubt.
+    ``alias`` is the key by which callers that don't name the stream are recognised, 0 for none;
+    ``origin`` is 0 if an earlier one is in doubt. ``is_for_record`` asks the receiver to write it
+    to the store.
     """
 
     stream: int
     alias: int
     origin: int
+    is_for_record: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -324,6 +324,7 @@
   stream @0 :UInt64;
   alias @1 :UInt64;
   origin @2 :UInt64;
+  isForRecord @3 :Bool;
 }
 
 struct OriginAsk {
--- a/src/croftchute/systems/origin_witnesses.py
+++ b/src/croftchute/systems/origin_witnesses.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import xxhash
 
@@ -21,6 +21,10 @@
 """Boxes of each hall that are asked, as boxes that start, stop or restart are not ranked alike by
 all: the box that began the stream does not rank itself."""
 
+RECORDERS_PER_HALL = 3
+"""Boxes of each hall that write to the store where streams began: their calls stay within its rates
+in any fleet, and no single failure ends them all."""
+
 MULTIPLIER = 0x9E3779B97F4A7C15
 """Odd, so that no two nodes get one weight, and without a pattern in its bits."""
 
@@ -68,6 +72,15 @@
         )
 
 
+def recorders(boxes: Iterable[str]) -> list[str]:
+    """Return the boxes of a hall that write for all of it where streams began.
+
+    >>> recorders(["a1", "a2"])
+    ['a1', 'a2']
+    """
+    return sorted(heapq.nsmallest(RECORDERS_PER_HALL, boxes, key=_node))
+
+
 def _node(name: str) -> int:
     return int(xxhash.xxh3_64_intdigest(name.encode()))
 
--- a/tests/platform_adapter/stream_fleet.py
+++ b/tests/platform_adapter/stream_fleet.py
@@ -1,5 +1,8 @@
 """What tests of streams share: a box before engines, and what came of a stream."""
 
+from croftchute.peers.messages import OriginNews
+from croftchute.tables.origins import StreamOrigin, stream_key
+
 PARTS = "X-Croftchute-Prompt-Prefix: 5c1e:3,91bd:7"
 
 
@@ -31,3 +34,12 @@
         if other.worker.stage is tracked_workers[worker_id].worker.stage:
             box.state.workers.note_failure(other.worker.id, 2.0, box.state.clock())
     tracked_workers[worker_id].failures = 0.0
+
+
+def began(box, worker_id, request_id="r0"):
+    """Have a box know that a try began at a worker; return the header that names the try."""
+    worker = box.state.workers.tracked_by_id[worker_id].worker
+    origin = StreamOrigin(service=worker.service, build=worker.build)
+    stream = stream_key("", request_id)
+    box.origins.hear(OriginNews(stream=stream, alias=0, origin=origin.digest))
+    return f"Resumes: {request_id}"
--- a/tests/platform_adapter/test_forwarding_between_boxes.py
+++ b/tests/platform_adapter/test_forwarding_between_boxes.py
@@ -19,7 +19,7 @@
     told_boxes,
 )
 from platform_fleet import ask, bearer, config, fleet, organisation, run, until
-from stream_fleet import prefer
+from stream_fleet import began, prefer
 from test_cut_off_from_workers import linked_boxes, outcomes_by_box
 from worker_links import LinkedPool, link_box
 
@@ -105,7 +105,12 @@
             "r1",
             body=b"payload",
             deadline=4000,
-            extra=("Last-Event-Id: 2", "X-Extra: kept", "Croftchute-Forward: 1 0 forged"),
+            extra=(
+                "Last-Event-Id: 2",
+                began(made.boxes[0], "engine-4"),
+                "X-Extra: kept",
+                "Croftchute-Forward: 1 0 forged",
+            ),
         )
         assert answer.status == 200 and answer.is_whole
         assert [event.split(b"\n")[0] for event in answer.events] == [b"id: 3", b"id: 4"]
--- a/tests/platform_adapter/test_silent_workers_review.py
+++ b/tests/platform_adapter/test_silent_workers_review.py
@@ -5,7 +5,7 @@
 
 import pytest
 from platform_fleet import ask, bearer, config, fleet, organisation, run, until
-from stream_fleet import PARTS, engines, numbers, prefer
+from stream_fleet import PARTS, began, engines, numbers, prefer
 from test_silent_workers import (
     SLOW,
     WHOLE,
@@ -336,7 +336,9 @@
             box, (own, other), (prefill,) = await engines(made, decodes=2, **SLOW)
             prefer(box, "d0")
             own.kept = {"5c1e": 3, "91bd": 7}
-            asking = asyncio.create_task(ask(box, "/resume/x", extra=(PARTS, "Last-Event-Id: 2")))
+            asking = asyncio.create_task(
+                ask(box, "/resume/x", extra=(PARTS, "Last-Event-Id: 2", began(box, "d0")))
+            )
             await until(lambda: own.runs_of("r1"))
             async with paused(own, seconds=0.1):
                 answer = await asking
--- a/tests/platform_adapter/test_streams_resumed.py
+++ b/tests/platform_adapter/test_streams_resumed.py
@@ -4,7 +4,7 @@
 
 import pytest
 from platform_fleet import ask, fleet, request_bytes, run, until
-from stream_fleet import PARTS, engines, numbers, prefer, ran
+from stream_fleet import PARTS, began, engines, numbers, prefer, ran
 
 
 def test_a_caller_that_comes_back_meets_the_worker_that_keeps_the_prompt():
@@ -15,7 +15,11 @@
             box, decode, prefill = await engines(made, decodes=3)
             decode[1].kept["91bd"] = 7
             prefer(box, "d0")
-            extra = ("Last-Event-Id: 2", "X-Croftchute-Prompt-Prefix: 5c1e:3,91bd:7")
+            extra = (
+                "Last-Event-Id: 2",
+                began(box, "d0"),
+                "X-Croftchute-Prompt-Prefix: 5c1e:3,91bd:7",
+            )
             answer = await ask(box, "/resume/x", extra=extra)
             assert answer.is_whole and numbers(answer) == [3, 4]
             assert decode[1].finished == ["r1"]
@@ -48,7 +52,11 @@
         async with fleet() as made:
             box, decode, prefill = await engines(made)
             decode[0].kept["ffff"] = 7
-            extra = ("Last-Event-Id: 2", "X-Croftchute-Prompt-Prefix: 5c1e:3,91bd:7")
+            extra = (
+                "Last-Event-Id: 2",
+                began(box, "d0"),
+                "X-Croftchute-Prompt-Prefix: 5c1e:3,91bd:7",
+            )
             answer = await ask(box, "/resume/x", extra=extra)
             assert answer.is_whole and numbers(answer) == [3, 4]
             assert len(prefill[0].received) == 1
@@ -123,7 +131,7 @@
     async def body():
         async with fleet() as made:
             box, _, _ = await engines(made)
-            answer = await ask(box, "/resume/x", extra=("Last-Event-Id: 2",))
+            answer = await ask(box, "/resume/x", extra=("Last-Event-Id: 2", began(box, "d0")))
             assert numbers(answer) == [3, 4]
 
     run(body)
