Write the origins of streams less often while one version serves

No first event waits for a record while one version serves, so that batches may wait: all boxes write 20 a second at most then, and 100 as before while several versions serve. Boxes that have others write for them say which it is.

--- a/src/croftchute/forwarding/boxes/stream_origins.py
+++ b/src/croftchute/forwarding/boxes/stream_origins.py
@@ -93,15 +93,18 @@
         serve, its first event waits for the record, so that no try of the request that comes later
         is missing there.
         """
-        self._tell(OriginNews(stream=stream, alias=alias, origin=origin.digest))
         now = self.state.clock()
         builds = self.state.workers.builds_seen(origin.service, now, within_s=KEPT_S)
-        if len(builds) > 1 and self._is_recorder():
+        has_several = len(builds) > 1
+        self._tell(
+            OriginNews(stream=stream, alias=alias, origin=origin.digest, is_urgent=has_several)
+        )
+        if has_several and self._is_recorder():
             await self.record.recorded(stream, within_s=RECORD_WAIT_S)
 
     def note_doubtful(self, stream: int, alias: int) -> None:
         """Have a stream's origin believed no longer, here and where it was told."""
-        self._tell(OriginNews(stream=stream, alias=alias, origin=0))
+        self._tell(OriginNews(stream=stream, alias=alias, origin=0, is_urgent=True))
 
     def _tell(self, news: OriginNews) -> None:
         self.hear(news)
--- a/src/croftchute/forwarding/origins.py
+++ b/src/croftchute/forwarding/origins.py
@@ -57,7 +57,7 @@
     """What outlives all boxes: where streams began, as the store keeps it."""
 
     def note(self, news: OriginNews) -> None:
-        """Write soon where a stream began."""
+        """Write soon where a stream began; at once if that is urgent."""
         ...
 
     async def recorded(self, stream: int, *, within_s: float) -> bool:
--- a/src/croftchute/forwarding/store/origin_register.py
+++ b/src/croftchute/forwarding/store/origin_register.py
@@ -35,7 +35,11 @@
 """Seconds for which all batches of a box stand under one lease, which is a call by itself."""
 
 WRITES_PER_S = 100.0
-"""Batches that all boxes write a second at most, a part of what the store takes."""
+"""Batches that all boxes write a second at most while several versions serve, a part of what the
+store takes."""
+
+CALM_WRITES_PER_S = 20.0
+"""The same while one version serves: each call is paid for, and no first event waits for it."""
 
 MIN_READ_GAP_S = 0.1
 """Seconds between two readings by a box: callers of streams come back together."""
@@ -83,13 +87,16 @@
         self._read_at = -math.inf
         self._is_lost = False
         self._due = asyncio.Event()
+        self._urgent = asyncio.Event()
 
     # Writing.
 
     def note(self, news: OriginNews) -> None:
-        """Write soon where a stream began."""
+        """Write soon where a stream began; at once if that is urgent."""
         self._pending.append((self.state.clock(), news))
         self._due.set()
+        if news.is_urgent:
+            self._urgent.set()
 
     def note_restored(self) -> None:
         """The store came back from an older copy, which may lack what was written last."""
@@ -122,13 +129,14 @@
         while True:
             await self._due.wait()
             self._due.clear()
+            self._urgent.clear()
             batch = self._take_batch()
             if not batch:
                 continue
             try:
                 await self._write(batch)
                 retry_s = RETRY_S
-                await asyncio.sleep(self._write_gap_s())
+                await self._wait_to_write()
             except StoreError as error:
                 self._note_lost(error)
                 self._lease = 0
@@ -176,14 +184,21 @@
             self._lease_ends_at = now + LEASE_SHARE_S
         return self._lease
 
-    def _write_gap_s(self) -> float:
-        """Return the seconds between two batches, with which all boxes stay within the rate."""
+    async def _wait_to_write(self) -> None:
+        """Wait until the next batch, so that all boxes together stay within the rates."""
+        writers = self._writers()
+        await asyncio.sleep(writers / WRITES_PER_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(writers / CALM_WRITES_PER_S - writers / WRITES_PER_S):
+                await self._urgent.wait()
+
+    def _writers(self) -> int:
+        """Return how many boxes write records."""
         halls = self.state.peers.witness_halls(self.state.clock())
         boxes_by_hall: dict[str, int] = {self.state.zone: 1}
         for hall in halls.values():
             boxes_by_hall[hall] = boxes_by_hall.get(hall, 0) + 1
-        writers = sum(min(RECORDERS_PER_HALL, count) for count in boxes_by_hall.values())
-        return writers / WRITES_PER_S
+        return sum(min(RECORDERS_PER_HALL, count) for count in boxes_by_hall.values())
 
     # Reading.
 
--- a/src/croftchute/peers/messages.py
+++ b/src/croftchute/peers/messages.py
@@ -261,13 +261,14 @@
 
     ``alias`` is the key by which callers that don't name the stream are recognised, 0 for none;
     ``origin`` is 0 if an earlier one is in doubt. ``is_for_record`` asks the receiver to write it
-    to the store.
+    to the store, at once if that ``is_urgent``, as several versions may have begun the stream.
     """
 
     stream: int
     alias: int
     origin: int
     is_for_record: bool = False
+    is_urgent: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/croftchute/peers/schema.capnp
+++ b/src/croftchute/peers/schema.capnp
@@ -325,6 +325,7 @@
   alias @1 :UInt64;
   origin @2 :UInt64;
   isForRecord @3 :Bool;
+  isUrgent @4 :Bool;
 }
 
 struct OriginAsk {
--- a/tests/platform_adapter/test_streams_after_all_boxes.py
+++ b/tests/platform_adapter/test_streams_after_all_boxes.py
@@ -223,3 +223,22 @@
             assert all(stream.is_complete for stream in streams)
 
     run(body)
+
+
+def test_streams_that_began_while_the_store_was_away_go_on_after_all_boxes_were_killed():
+    """503: no record of them could be written."""
+
+    async def body():
+        async with fleet() as made:
+            await add_engines(made, TWO_EACH)
+            await add_boxes(made)
+            made.store.faults.refuses = True
+            streams, tries = await begin(made.boxes, 6)
+            made.store.faults.refuses = False
+            await replace_boxes(made)
+            await asyncio.gather(*tries)
+            await take_up(made, streams)
+            assert joined(streams) == []
+            assert all(stream.is_complete for stream in streams)
+
+    run(body)
