Refuse what can't end before a planned stop does

What callers saw: a stopping box passed a request on that came late in the time in which it still takes callers, and closed it without an answer at the end of the stop; requests that may run once were lost so (LOST). The same befell streams that had waited for room until late.

Cause: whether a request is taken depends on when it came, not on how long its answer takes.

A request whose deadline ends before the stop is passed on as before.

--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -27,6 +27,7 @@
 from croftchute.router_settings import Conditions, DecisionWays
 from croftchute.storage.position import era_of, told
 from croftchute.storage.watched import StoredItem
+from croftchute.systems.answer_times import AnswerTimes
 from croftchute.systems.crash_records import CrashRecords
 from croftchute.systems.failover_pace import FailoverPace
 from croftchute.systems.fair_shares import OrganisationUse, ShareUsage, share_usage_by_name
@@ -191,8 +192,13 @@
     _odd_era_logged_at: float = -math.inf
     _lane_by_service: dict[str, _KnownLane] = field(default_factory=dict)
     _pace_by_service: dict[str, _KnownPace] = field(default_factory=dict)
+    answer_times: AnswerTimes = field(default_factory=AnswerTimes)
     background: set[asyncio.Task[None]] = field(default_factory=set)
 
+    def stop_left_s(self, now: float) -> float:
+        """Return the seconds until the end of a stop that has begun, else infinity."""
+        return max(0.0, self.stop_ends_at - now)
+
     @property
     def is_stopping(self) -> bool:
         """Whether the process was asked to end."""
--- a/src/croftchute/forwarding/workers/plain_run.py
+++ b/src/croftchute/forwarding/workers/plain_run.py
@@ -19,6 +19,7 @@
 from croftchute.forwarding.workers.attempt_race import AttemptRace
 from croftchute.forwarding.workers.plain_admission import admit, refuse_late
 from croftchute.forwarding.workers.request_run import RequestRun
+from croftchute.forwarding.workers.withheld import OUTLASTS_STOP
 from croftchute.forwarding.workers.worker_call import WorkerCall
 from croftchute.systems import timeouts
 from croftchute.systems.failover_pace import RECHECK_S
@@ -182,6 +183,10 @@
         run = self.run
         while run.time_left_s > 0.0 and not run.is_cut_off:
             admission = await admit(run)
+            if run.outlasts_stop and not self.progress.may_have_run:
+                self.progress.is_refused = True
+                run.refuse(Code.DRAINING, Ran.NOT_RUN, OUTLASTS_STOP, expected_wait_s=0.0)
+                return None
             if admission is not None and admission.found is None and not self.progress.may_have_run:
                 self.progress.is_refused = True
                 refuse_late(run, admission)
--- a/src/croftchute/forwarding/workers/request_run.py
+++ b/src/croftchute/forwarding/workers/request_run.py
@@ -136,6 +136,12 @@
         """Whether another box should serve the request, as this one reaches no worker."""
         return self.state.links.are_lost and (self.is_forwarded or self.state.can_forward)
 
+    @property
+    def outlasts_stop(self) -> bool:
+        """Whether this process will probably end before a worker could answer the request."""
+        likely_s = min(self.state.answer_times.longest_s(self.route.name), self.time_left_s)
+        return likely_s > self.state.stop_left_s(self.now)
+
     @property
     def may_leave_silent(self) -> bool:
         """Whether another box may be asked to go on with what silent workers run here."""
--- a/src/croftchute/forwarding/workers/stream_run.py
+++ b/src/croftchute/forwarding/workers/stream_run.py
@@ -30,7 +30,7 @@
     StreamProgress,
 )
 from croftchute.forwarding.workers.stream_sender import StreamSender, Unsent
-from croftchute.forwarding.workers.withheld import CUT_OFF_DETAIL
+from croftchute.forwarding.workers.withheld import CUT_OFF_DETAIL, OUTLASTS_STOP
 from croftchute.forwarding.workers.worker_call import WorkerCall
 from croftchute.systems import timeouts
 from croftchute.systems.failover_pace import RECHECK_S
@@ -172,6 +172,10 @@
             self._record_refusal_cause()
             if found is None:
                 return None
+            if run.outlasts_stop and not self.progress.may_have_run:
+                self.progress.code, self.progress.detail = Code.DRAINING, OUTLASTS_STOP
+                self.progress.may_retry_at_once = True
+                return None
             sent = await self.sender.send_to(*found, is_successor=False)
             if isinstance(sent, StreamAttempt):
                 return sent
--- a/src/croftchute/forwarding/workers/withheld.py
+++ b/src/croftchute/forwarding/workers/withheld.py
@@ -18,6 +18,8 @@
 )
 """Refusals that hold at every box."""
 
+OUTLASTS_STOP = "this box ends before the request is likely to be answered"
+
 CUT_OFF_DETAIL = "this box has lost its links to all workers"
 
 
--- a/src/croftchute/forwarding/workers/worker_call.py
+++ b/src/croftchute/forwarding/workers/worker_call.py
@@ -205,6 +205,8 @@
             self.worker.id, self.run.now - self.opened_at, self.run.now
         )
         record_answer_pace(self.run.state, self.worker, self.run.now - self.opened_at)
+        if not self.send.is_prefill:
+            self.run.state.answer_times.note(self.run.route.name, self.run.now - self.opened_at)
         self._clear_crashes()
         self._note_written(self.opened_at if self.began_at is None else self.began_at)
 
