Give workers a rest that send bytes without end behind their answers

What operators saw: a worker whose bytes went on behind each whole answer was called as often as sound ones, and cost a connection and some 64 KB read for each answer.

Cause: the answer counts as whole, and what comes behind it was dropped with its connection and held against nobody.

The bytes behind answers are counted by worker.

--- a/src/croftchute/daemon/router_process.py
+++ b/src/croftchute/daemon/router_process.py
@@ -186,6 +186,7 @@
         )
         self.pacer = ParsePacer(clock=state.clock, pieces_per_s=settings.pieces_per_s)
         self.link_probe = LinkProbe(state=state, on_change=self._note_links)
+        state.pool.on_surplus = state.note_surplus
         state.on_link_trouble = self.link_probe.request_round
         state.confirm_links = self.link_probe.confirm
         self.forwarder = Forwarder(
--- a/src/croftchute/forwarding/decision_log.py
+++ b/src/croftchute/forwarding/decision_log.py
@@ -72,6 +72,7 @@
     REQUEST_SENT = "request_sent"
     ATTEMPT_ENDED = "attempt_ended"
     WORKER_SILENT = "worker_silent"
+    WORKER_SURPLUS = "worker_surplus"
     SILENCE_ENDED = "silence_ended"
     STREAM_RESUMED = "stream_resumed"
     ORIGIN_LOOKED_UP = "origin_looked_up"
--- a/src/croftchute/forwarding/http/connection_pool.py
+++ b/src/croftchute/forwarding/http/connection_pool.py
@@ -5,6 +5,8 @@
 import asyncio
 import itertools
 import math
+from collections.abc import Callable
+from functools import partial
 
 from croftchute.forwarding.http.failures import (
     ConnectFailedError,
@@ -37,6 +39,10 @@
     return protocol
 
 
+def _ignore_surplus(owner: str, size: int) -> None:
+    """Bytes behind an answer are of no interest here."""
+
+
 class ConnectionPool:
     """Idle connections by server; the one used last is used first."""
 
@@ -44,6 +50,7 @@
         self.max_idle = max_idle
         self.limits = limits
         self.opened = 0
+        self.on_surplus: Callable[[str, int], None] = _ignore_surplus
         self._numbers = itertools.count(1)
         self._idle_by_server: dict[tuple[str, int, str], list[ClientConnection]] = {}
         self._busy_by_owner: dict[str, set[ClientConnection]] = {}
@@ -69,7 +76,7 @@
         connection = self._take_idle((host, port, owner), now, max_idle_s, request_id)
         if connection is None:
             connection = await self.connect(host, port, timeout_s, limits=limits)
-            self._count(connection)
+            self._count(connection, owner)
         self._busy_by_owner.setdefault(owner, set()).add(connection)
         return connection
 
@@ -89,8 +96,9 @@
             connection.abort()
         return None
 
-    def _count(self, connection: ClientConnection) -> None:
+    def _count(self, connection: ClientConnection, owner: str) -> None:
         self.opened += 1
+        connection.on_surplus = partial(self.on_surplus, owner)
         connection.number = next(self._numbers)
 
     async def connect(
@@ -115,7 +123,7 @@
         self, connection: ClientConnection, host: str, port: int, *, owner: str, now: float
     ) -> None:
         """Keep a new connection for the next exchange."""
-        self._count(connection)
+        self._count(connection, owner)
         connection.idle_since = now
         self._keep(connection, host, port, owner)
 
--- a/src/croftchute/forwarding/http/http_client.py
+++ b/src/croftchute/forwarding/http/http_client.py
@@ -98,6 +98,7 @@
         self.skipped_answers = 0
         self.number = 0
         self.is_endless = False
+        self.on_surplus: Callable[[int], None] = lambda _: None
         self._sent_ids = SentIds()
         self._received = ReceivedBytes()
         self._piece_content = 0
@@ -140,6 +141,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Parse; bytes that no request asked for make the connection unusable."""
         if not self._is_active:
+            self.on_surplus(nbytes)
             self.is_tainted = True
             self.abort()
             return
@@ -147,6 +149,8 @@
         while start < nbytes and not self.is_tainted:
             size = nbytes - start if self.head is not None else HEAD_PIECE_BYTES
             self._parse(RECEIVED[start : min(start + size, nbytes)])
+            if self.is_tainted and self.is_complete:
+                self.on_surplus(nbytes - start - self._piece_content)
             start += size
         is_unread = len(self._parts) > MAX_WAITING_PARTS or self._parts_bytes > MAX_WAITING_BYTES
         if is_unread and self.transport is not None:
--- a/src/croftchute/forwarding/state.py
+++ b/src/croftchute/forwarding/state.py
@@ -45,6 +45,7 @@
 from croftchute.systems.room_order import OrderMode, RoomView, RoomWaitsByRank
 from croftchute.systems.size_lanes import lane_share
 from croftchute.systems.stage_balance import DemandCounts, RecentDemand
+from croftchute.systems.surplus_bytes import SurplusBytes
 from croftchute.systems.tracked_worker import TrackedWorker
 from croftchute.systems.worker_links import WorkerLinks
 from croftchute.systems.worker_pace import WorkerPaces
@@ -60,6 +61,9 @@
 """Seconds before the end of a stop in which nothing waits for a worker any more: time for some
 hundred refusals to be written on a slow link."""
 
+SURPLUS_REST_S = 3.0
+"""Seconds for which a worker gets no work that sends far more than its answers."""
+
 PACE_KEPT_S = 0.5
 """Seconds for which a pace that was worked out is used: as often as peers tell of their calls."""
 
@@ -193,8 +197,22 @@
     _lane_by_service: dict[str, _KnownLane] = field(default_factory=dict)
     _pace_by_service: dict[str, _KnownPace] = field(default_factory=dict)
     answer_times: AnswerTimes = field(default_factory=AnswerTimes)
+    surplus: SurplusBytes = field(default_factory=SurplusBytes)
     background: set[asyncio.Task[None]] = field(default_factory=set)
 
+    def note_surplus(self, worker_id: str, size: int) -> None:
+        """A worker sent bytes behind a whole answer: one that sends many rests, if others serve."""
+        now = self.clock()
+        tracked = self.workers.tracked_by_id.get(worker_id)
+        if tracked is None or not self.surplus.add(worker_id, size, now):
+            return
+        resting = self.workers.advice.in_backoff(now)
+        others = self.workers.usable(tracked.worker.service, now, stage=tracked.worker.stage)
+        if worker_id in resting or all(other is tracked for other in others):
+            return
+        self.workers.advice.note_backoff(worker_id, SURPLUS_REST_S, now)
+        self.log.decide(Decision.WORKER_SURPLUS, worker=worker_id, for_s=SURPLUS_REST_S)
+
     def stop_left_s(self, now: float) -> float:
         """Return the seconds until the end of a stop that has begun, else infinity."""
         return max(0.0, self.stop_ends_at - now)
