--- a/src/croftchute/forwarding/boxes/stream_origins.py
+++ b/src/croftchute/forwarding/boxes/stream_origins.py
@@ -1,7 +1,7 @@
 """Tells other boxes where streams began, and asks them when a caller takes one up.
 
 Each message is a datagram and may be lost. The platform's store keeps the same for the case that
-all boxes that were told have ended. A stream whose origin stays unknown is not continued.
+all boxes that know have ended. A stream whose origin stays unknown is not continued.
 """
 
 from __future__ import annotations
@@ -126,14 +126,14 @@
         return self.state.box in self._recorders()
 
     def hear(self, news: OriginNews) -> None:
-        """Keep what a box tells, or what the store keeps."""
+        """Keep an origin that another box sent or the store keeps."""
         now = self.state.clock()
         self.known.note(news.stream, news.origin, now)
         if news.alias:
             self.known.note(news.alias, news.origin, now)
 
     def hear_box(self, news: OriginNews) -> None:
-        """Keep what another box tells, and write it to the store if it asks for that."""
+        """Keep an origin that another box sent; write it to the store if that box asks for it."""
         self.hear(news)
         if news.is_for_record:
             self.record.note(news)
@@ -141,7 +141,7 @@
     # Asking.
 
     async def find(self, key: int, services: tuple[str, ...], *, within_s: float) -> FoundOrigin:
-        """Return where a stream began, by this box, by those that were told, or by the store."""
+        """Return where a stream began, by this box, by other boxes, or by the store."""
         known = self.known.find(key, self.state.clock())
         if known is not None:
             return self._found(known, services, "own")
--- a/src/croftchute/forwarding/store/origin_register.py
+++ b/src/croftchute/forwarding/store/origin_register.py
@@ -1,7 +1,8 @@
 """Where streams began, in the platform's store: written in batches, read when nobody else knows.
 
-Boxes tell one another, which is lost once all boxes that were told have ended. Each batch stands
-under a key of its own until its lease lapses; no entry is ever written again or removed.
+Boxes also send origins to one another, which is lost once all boxes that received them have ended.
+Each batch stands under a key of its own until its lease lapses; no entry is ever written again or
+removed.
 """
 
 from __future__ import annotations
